--- /dev/null
+++ b/include/swiftlift/base/Fwd.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace swiftlift {
+
+template <typename Tag, typename Value> class StrongType;
+
+struct BudgetRef;
+struct GrantId;
+struct RequestKey;
+class Tokens;
+
+} // namespace swiftlift
--- /dev/null
+++ b/src/easylogging/Easylogging.cpp
@@ -0,0 +1,1 @@
+#include <easylogging++.cc>
