Add the settings' types: service document, router, operators' command

Cause: other modules need the types before the parsers exist. Ruled out: bare maps of text, since units and ids would then be checked at every use. Change: headers of the settings module, without definitions.

--- /dev/null
+++ b/include/swiftlift/settings/Fwd.h
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace swiftlift::settings {
+
+struct CtlSettings;
+struct RouterSettings;
+struct ServiceDocument;
+
+} // namespace swiftlift::settings
