Add the request table: who may dispatch, what may be said

Cause: 'not run' may only be said by a router that can make it true for good. Change: module request; outcomes and attempt ends move there; the peers' protocol gains StreamState, the actions Restart.

--- a/include/swiftlift/node/Action.h
+++ b/include/swiftlift/node/Action.h
@@ -11,15 +11,11 @@
 #include "swiftlift/base/Units.h"
 #include "swiftlift/node/Event.h"
 #include "swiftlift/node/PeerMessage.h"
+#include "swiftlift/request/Outcome.h"
 
 namespace swiftlift::node {
 
-enum class Outcome : std::uint8_t {
-    Answered,
-    /** Certainly never run, and never will be. */
-    NotRun,
-    Unknown,
-};
+using request::Outcome;
 
 enum class BackendKind : std::uint8_t { Model, Plain };
 
@@ -106,8 +102,16 @@
 /** Everything in progress has ended: the process may exit. */
 struct StopReady { };
 
+/**
+ * This incarnation is over (the ledger has retired it) and nothing is in progress: go on with a new Core under a new
+ * incarnation.
+ */
+struct Restart {
+    std::string reason;
+};
+
 using Action = std::variant<Dispatch, CancelAttempt, Reply, Append, Follow, SendPeer, WatchBackends, SendOrder, LogLine,
-    CountMetric, GaugeMetric, OperatorReply, StopReady>;
+    CountMetric, GaugeMetric, OperatorReply, StopReady, Restart>;
 using Actions = std::vector<Action>;
 
 } // namespace swiftlift::node
--- a/include/swiftlift/node/Event.h
+++ b/include/swiftlift/node/Event.h
@@ -9,6 +9,7 @@
 #include "swiftlift/base/Ids.h"
 #include "swiftlift/base/Units.h"
 #include "swiftlift/node/PeerMessage.h"
+#include "swiftlift/request/Outcome.h"
 
 namespace swiftlift::node {
 
@@ -47,17 +48,7 @@
 struct CallerGone {
     CallId call;
 };
-/** What became of an attempt at a backend server. */
-enum class AttemptEnd : std::uint8_t {
-    /** The whole answer has come. */
-    Completed,
-    /** The backend server certainly did not start it: refused connection, 429, 503. */
-    NotStarted,
-    /** As NotStarted, and the backend server said that it is leaving. */
-    Leaving,
-    /** Broken off after the request may have been sent: it may have run. */
-    Broken,
-};
+using request::AttemptEnd;
 struct AttemptProgress {
     AttemptId attempt;
     /** Tokens passed on to the caller so far, resumed ones included. */
--- a/include/swiftlift/node/PeerMessage.h
+++ b/include/swiftlift/node/PeerMessage.h
@@ -66,6 +66,12 @@
     Offset first;
     std::vector<std::string> records;
 };
+/** A reader's state after every record below `asOf`: the answer to a ReadAsk for records that are no longer held. */
+struct StreamState {
+    StreamName stream;
+    Offset asOf;
+    std::string state;
+};
 /** Please append this for me; I can't reach the log. */
 struct RelayAppend {
     StreamName stream;
@@ -73,6 +79,6 @@
 };
 
 using PeerMessage = std::variant<Heartbeat, RaiseCeilings, CeilingsAcked, CeilingsRefused, LoanAsk, LoanGiven,
-    LoanDenied, LoanDone, LoanDoneAcked, ReadAsk, Records, RelayAppend>;
+    LoanDenied, LoanDone, LoanDoneAcked, ReadAsk, Records, StreamState, RelayAppend>;
 
 } // namespace swiftlift::node
--- /dev/null
+++ b/include/swiftlift/request/Fwd.h
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace swiftlift::request {
+
+struct Record;
+
+class RequestTable;
+
+} // namespace swiftlift::request
