--- a/include/swiftlift/ledger/Fwd.h
+++ b/include/swiftlift/ledger/Fwd.h
@@ -7,6 +7,7 @@
 
 class Fold;
 class Holder;
+class HoldingPolicy;
 class Witness;
 
 } // namespace swiftlift::ledger
--- a/include/swiftlift/ledger/Holder.h
+++ b/include/swiftlift/ledger/Holder.h
@@ -13,6 +13,7 @@
 #include "swiftlift/base/Units.h"
 #include "swiftlift/ledger/Entry.h"
 #include "swiftlift/ledger/Fold.h"
+#include "swiftlift/ledger/HoldingPolicy.h"
 
 namespace swiftlift::ledger {
 
@@ -113,4 +114,88 @@
     SendLoanGiven, SendLoanDenied, SendLoanDone, SendLoanDoneAcked, MoneyArrived, Retired>;
 using MoneyActions = std::vector<MoneyAction>;
 
+/** One grant as its holder, or one loan as its borrower sees it; for operators and audits. */
+struct HoldingView {
+    BudgetRef budget;
+    GrantId grant;
+    /** What may be spent at most: the grant less what was given back, or the loan. */
+    Tokens amount;
+    /** Highest ceiling acknowledged; equal to `amount` without a witness. */
+    Tokens ceiling;
+    Tokens billed;
+    Tokens reserved;
+    /** Of an own grant: part of it that peers have on loan. */
+    Tokens lent;
+    /** Of a loan: its amount; zero for an own grant. */
+    Tokens borrowed;
+    Incarnation witness;
+    /** False once it is sealed, being closed or being given back. */
+    bool usable = false;
+};
+
+namespace internal {
+    class HoldingBook;
+}
+
+/**
+ * @brief How one router holds, spends, lends and gives back tokens of one ledger shard.
+ *
+ * No I/O, no threads, no clock. Entries it emits have to land in the order in which they were emitted. See
+ * docs/HOLDINGS.md, H1 to H12, for the rules it keeps.
+ */
+class Holder {
+public:
+    /**
+     * @param self Incarnation that owns the grants.
+     * @param policy How much to hold.
+     * @param fold The reader's state of this shard; outlives the holder.
+     */
+    Holder(Incarnation self, std::unique_ptr<HoldingPolicy> policy, const Fold& fold);
+    /** Copies the state, to go on over an equal fold. */
+    Holder(const Holder& other, const Fold& fold);
+    ~Holder();
+    Holder(Holder&&) noexcept;
+    Holder& operator=(Holder&&) noexcept;
+
+    /**
+     * @brief Sets aside the most a request can cost. A repeat with the same key while short counts as the same demand.
+     * @param amount More than zero.
+     */
+    [[nodiscard]] std::variant<Reservation, Shortage> reserve(
+        const BudgetRef& budget, RequestKey key, Tokens amount, Instant now, MoneyActions& actions);
+    /**
+     * @brief Bills what the request did cost and frees the rest.
+     * @param actual Not above the reservation's amount; zero bills nothing.
+     */
+    void settle(const Reservation& reservation, Tokens actual, MoneyActions& actions);
+    /** The request was never run: nothing is billed. */
+    void release(const Reservation& reservation, MoneyActions& actions);
+
+    /** Takes each effect of the fold, in order. */
+    void onEffect(const Effect& effect, Instant now, MoneyActions& actions);
+    void onCeilingsAcked(Incarnation from, const std::vector<Ceiling>& ceilings, Instant now, MoneyActions& actions);
+    void onCeilingsRefused(Incarnation from, const std::vector<GrantId>& grants, Instant now, MoneyActions& actions);
+    void onLoanAsk(Incarnation from, std::uint64_t loan, const BudgetRef& budget, Tokens amount, Instant now,
+        MoneyActions& actions);
+    void onLoanGiven(Incarnation from, std::uint64_t loan, const BudgetRef& budget, GrantId grant, Tokens amount,
+        Instant now, MoneyActions& actions);
+    void onLoanDenied(
+        Incarnation from, std::uint64_t loan, const BudgetRef& budget, Tokens free, Instant now, MoneyActions& actions);
+    /** @param billed Sum of the bill entries that the borrower emitted on this loan, counted or not. */
+    void onLoanDone(Incarnation from, std::uint64_t loan, Tokens billed, Instant now, MoneyActions& actions);
+    void onLoanDoneAcked(Incarnation from, std::uint64_t loan, Instant now, MoneyActions& actions);
+    /** Comes at least every 50 ms: repeats, draws, returns and closes. */
+    void onTick(Instant now, const Surroundings& surroundings, MoneyActions& actions);
+
+    /** @return Whether no grant is open or in flight and no loan is unfinished; reached after stopping or retirement.
+     */
+    [[nodiscard]] bool drained() const;
+    [[nodiscard]] std::vector<HoldingView> holdings() const;
+    /** @return Complete state as text; equal texts behave equally. For audits and state exploration. */
+    [[nodiscard]] std::string stateText() const;
+
+private:
+    std::unique_ptr<internal::HoldingBook> book_;
+};
+
 } // namespace swiftlift::ledger
--- /dev/null
+++ b/include/swiftlift/ledger/HoldingPolicy.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string_view>
+
+#include "swiftlift/base/Units.h"
+
+namespace swiftlift::ledger {
+
+/** Which of the two measures weighs more: it moves the figures of a policy, never its safety. */
+enum class Weighting : std::uint8_t { Balanced, Refusals, Overspend };
+
+/** @brief Figures of a policy. docs/HOLDINGS.md says what was weighed for each. */
+struct PolicySettings {
+    Weighting weighting = Weighting::Balanced;
+    /** Routers that a static split divides a budget between. */
+    std::uint32_t splitBetween = 8;
+};
+
+/** @brief One budget as one router sees it: all that a policy may decide from. */
+struct BudgetSituation {
+    /** Tokens per second reserved here of late. */
+    double demand = 0;
+    /** Largest recent request. */
+    Tokens largest;
+    /** Largest request that waits for money now; zero when none does. */
+    Tokens need;
+    /** Sum of the requests that wait for money now. */
+    Tokens waiting;
+    /** Spendable here, at once or as soon as the witness acknowledges; grants that are being closed left out. */
+    Tokens free;
+    /** Largest free part of one grant: a request is covered by one grant only. */
+    Tokens largestFree;
+    /** Sum of the grants that this incarnation was admitted, returned parts included. */
+    Tokens drawn;
+    /** What the fold, as far as it is read, says about the budget. */
+    Tokens bought;
+    Tokens available;
+    bool logReachable = false;
+    /** Incarnations known to hold part of this budget, this one included. */
+    std::uint32_t sharers = 1;
+    /** Tokens were given back a moment ago because others were short: draw no more than what waits. */
+    bool cautious = false;
+    /** Another holder's draw was refused for want of money a moment ago. */
+    bool othersShort = false;
+};
+
+struct DrawDecision {
+    Tokens wanted;
+    Tokens least;
+};
+
+/**
+ * @brief How much to hold. Pure decisions: the holder keeps to the ledger's rules whatever a policy says.
+ */
+class HoldingPolicy {
+public:
+    virtual ~HoldingPolicy() = default;
+
+    /** @return What to draw now; nothing when what is held will do. */
+    [[nodiscard]] virtual std::optional<DrawDecision> draw(const BudgetSituation& situation) const = 0;
+    /** @return How far the witnessed ceiling should stand above what is spent, reserved and lent. */
+    [[nodiscard]] virtual Tokens headRoom(const BudgetSituation& situation) const = 0;
+    /** @return Part of `free` to give back to the budget now. */
+    [[nodiscard]] virtual Tokens surplus(const BudgetSituation& situation) const = 0;
+    /** @return How much to ask a peer for; zero: no loans. */
+    [[nodiscard]] virtual Tokens loanSize(const BudgetSituation& situation) const = 0;
+    /** @return How much of `free` a peer may borrow. */
+    [[nodiscard]] virtual Tokens lendable(const BudgetSituation& situation) const = 0;
+    /** @return Whether grants name a witness. */
+    [[nodiscard]] virtual bool witnessed() const = 0;
+};
+
+/**
+ * @param name `grants`, `static_split` or `append_per_request`.
+ * @param settings Figures.
+ * @return Nothing for an unknown name.
+ */
+[[nodiscard]] std::unique_ptr<HoldingPolicy> makePolicy(std::string_view name, PolicySettings settings);
+
+} // namespace swiftlift::ledger
