Add the ledger's fold

Cause: budgets need one truth that every reader of the log computes alike. Ruled out: a state in the fold's header (it would tie every reader of the header to the books' containers) and protobuf maps in the checkpoint (their order is not fixed, so equal states would not give equal bytes). Conclusion: the interface stands for those who wait on it.

--- a/include/swiftlift/ledger/Fold.h
+++ b/include/swiftlift/ledger/Fold.h
@@ -1,12 +1,10 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
-#include <deque>
-#include <map>
+#include <memory>
 #include <optional>
 #include <string>
-#include <unordered_map>
-#include <unordered_set>
 #include <variant>
 #include <vector>
 
@@ -16,6 +14,10 @@
 
 namespace swiftlift::ledger {
 
+namespace internal {
+    struct FoldState;
+}
+
 enum class GrantState : std::uint8_t {
     Open,
     /** The witness capped it: it holds its ceiling until the holder closes it. */
@@ -65,7 +67,10 @@
     Incarnation origin;
     std::uint64_t sequence = 0;
 };
-/** `admitted` is zero when refused; `shortBy` is what was wanted and not available. */
+/**
+ * `admitted` is zero when refused; `shortBy` is what was wanted and not available. Of the two reasons to refuse, only a
+ * broken rule comes with a `Refused` as well; a budget that is short does not.
+ */
 struct DrawDecided {
     GrantId grant;
     BudgetRef budget;
@@ -102,6 +107,17 @@
 
 using Effect = std::variant<Landed, DrawDecided, GrantChanged, BillDecided, ClaimDecided, BudgetChanged, Refused>;
 
+/** How much a fold remembers. All readers of a stream need the same limits, so only tests set others. */
+struct FoldLimits {
+    static constexpr std::size_t defaultKeys = 1'000'000;
+    static constexpr std::size_t defaultOrigins = 65'536;
+
+    /** Keys of bills, and as many of claims. */
+    std::size_t keys = defaultKeys;
+    /** Authors; one with a grant that is not closed is remembered beyond it. */
+    std::size_t origins = defaultOrigins;
+};
+
 /**
  * @brief The deterministic fold over one ledger stream: the only truth about budgets.
  *
@@ -110,7 +126,12 @@
 class Fold {
 public:
     /** How many keys of bills and claims are remembered; a caller's request id must not be used again within them. */
-    static constexpr std::size_t keyWindow = 1'000'000;
+    static constexpr std::size_t keyWindow = FoldLimits::defaultKeys;
+
+    explicit Fold(const FoldLimits& limits = {});
+    ~Fold();
+    Fold(Fold&& other) noexcept;
+    Fold& operator=(Fold&& other) noexcept;
 
     /**
      * @brief Applies the record at `offset`.
@@ -148,8 +169,15 @@
     [[nodiscard]] bool retired(Incarnation incarnation) const;
     /** @return Last sequence of this author that has landed; 0 when none. */
     [[nodiscard]] std::uint64_t lastSequence(Incarnation origin) const;
+    /** @return What is wrong with the sums; empty when they are sound, as they always have to be. */
+    [[nodiscard]] std::string inconsistency() const;
 
 private:
+    [[nodiscard]] bool fail(std::string reason);
+
+    FoldLimits limits_;
+    std::unique_ptr<internal::FoldState> state_;
+    Offset nextOffset_;
     std::string lastReason_;
 };
 
--- /dev/null
+++ b/src/ledger/Fold.cpp
@@ -0,0 +1,152 @@
+#include "swiftlift/ledger/Fold.h"
+
+#include <cassert>
+#include <utility>
+
+#include "ledger/Checkpoint.h"
+#include "ledger/FoldRules.h"
+#include "ledger/FoldState.h"
+
+namespace swiftlift::ledger {
+
+Tokens GrantView::held() const noexcept
+{
+    switch (state) {
+    case GrantState::Open:
+        return amount;
+    case GrantState::Sealed:
+        return ceiling;
+    case GrantState::Closed:
+        return billed;
+    }
+    return amount;
+}
+
+Fold::Fold(const FoldLimits& limits)
+    : limits_(limits)
+    , state_(std::make_unique<internal::FoldState>(limits))
+{
+}
+
+Fold::~Fold() = default;
+Fold::Fold(Fold&& other) noexcept = default;
+Fold& Fold::operator=(Fold&& other) noexcept = default;
+
+bool Fold::apply(Offset offset, const Batch& batch, std::vector<Effect>& effects)
+{
+    if (offset != nextOffset_)
+        return fail("record " + std::to_string(offset.value()) + " is not the next one, which is "
+            + std::to_string(nextOffset_.value()));
+    if (batch.version == 0 || batch.version > rulesVersion) {
+        // Two releases that fold differently would each admit the same money. The older one stops instead.
+        return fail("record " + std::to_string(offset.value()) + " has rules of version "
+            + std::to_string(batch.version) + ", known are those up to " + std::to_string(rulesVersion));
+    }
+    internal::Rules rules(*state_, offset, effects);
+    for (const Item& item : batch.items)
+        rules.take(item);
+    nextOffset_ = Offset { offset.value() + 1 };
+    assert(inconsistency().empty() && "held stays within bought, and the sums match");
+    return true;
+}
+
+bool Fold::restore(const Checkpoint& checkpoint)
+{
+    if (checkpoint.asOf < nextOffset_)
+        return fail("the checkpoint is older than what has been read");
+    std::string reason;
+    std::optional<internal::FoldState> state = internal::decodeState(checkpoint.state, limits_, reason);
+    if (!state)
+        return fail("the checkpoint can't be read: " + reason);
+    *state_ = std::move(*state);
+    nextOffset_ = checkpoint.asOf;
+    return true;
+}
+
+Checkpoint Fold::checkpoint() const { return Checkpoint { nextOffset_, internal::encodeState(*state_) }; }
+
+Offset Fold::nextOffset() const noexcept { return nextOffset_; }
+
+const std::string& Fold::lastReason() const noexcept { return lastReason_; }
+
+std::optional<BudgetView> Fold::budget(const BudgetRef& ref) const
+{
+    const auto& budgets = state_->books.budgets();
+    const auto found = budgets.find(ref);
+    return found == budgets.end() ? std::nullopt : std::optional(found->second.view);
+}
+
+std::optional<AccountView> Fold::account(const AccountId& id) const
+{
+    const auto& accounts = state_->books.accounts();
+    const auto found = accounts.find(id);
+    return found == accounts.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::optional<GrantView> Fold::grant(const GrantId& id) const
+{
+    const auto& grants = state_->books.grants();
+    const auto found = grants.find(id);
+    return found == grants.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::vector<GrantView> Fold::openGrants() const
+{
+    std::vector<GrantView> views;
+    views.reserve(state_->books.grants().size());
+    for (const auto& [id, grant] : state_->books.grants())
+        views.push_back(grant);
+    return views;
+}
+
+std::vector<BudgetRef> Fold::budgets() const
+{
+    std::vector<BudgetRef> refs;
+    refs.reserve(state_->books.budgets().size());
+    for (const auto& [ref, book] : state_->books.budgets())
+        refs.push_back(ref);
+    return refs;
+}
+
+std::vector<AccountId> Fold::accounts() const
+{
+    std::vector<AccountId> ids;
+    ids.reserve(state_->books.accounts().size());
+    for (const auto& [id, account] : state_->books.accounts())
+        ids.push_back(id);
+    return ids;
+}
+
+std::optional<Incarnation> Fold::claimOwner(const RequestKey& key) const
+{
+    const Incarnation* const owner = state_->claims.find(key);
+    return owner ? std::optional(*owner) : std::nullopt;
+}
+
+std::optional<Tokens> Fold::billed(const RequestKey& key) const
+{
+    const Tokens* const tokens = state_->bills.find(key);
+    return tokens ? std::optional(*tokens) : std::nullopt;
+}
+
+bool Fold::retired(Incarnation incarnation) const
+{
+    const internal::Origin* const origin = state_->origins.find(incarnation);
+    return origin && origin->retired;
+}
+
+std::uint64_t Fold::lastSequence(Incarnation origin) const
+{
+    const internal::Origin* const known = state_->origins.find(origin);
+    return known ? known->lastSequence : 0;
+}
+
+std::string Fold::inconsistency() const { return state_->books.inconsistency(); }
+
+bool Fold::fail(std::string reason)
+{
+    lastReason_ = std::move(reason);
+    return false;
+}
+
+} // namespace swiftlift::ledger
--- /dev/null
+++ b/tests/ledger/FoldFixture.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "swiftlift/ledger/Fold.h"
+
+namespace swiftlift::ledger {
+
+/** One fold of one budget, and authors that number their items. */
+class FoldFixture : public testing::Test {
+protected:
+    static constexpr Incarnation operators { 1 };
+    static constexpr Incarnation alice { 10 };
+    static constexpr Incarnation bob { 11 };
+    static constexpr Incarnation carol { 12 };
+    const BudgetRef budget { AccountId { "hall" }, BudgetId { "desk" } };
+
+    static GrantId grantOf(Incarnation holder, std::uint32_t number) { return GrantId { holder, number }; }
+    static RequestKey keyOf(std::uint64_t low) { return RequestKey { 7, low }; }
+
+    /** Applies one batch; the effects stay for `last` and `count`. */
+    void apply(const Batch& batch)
+    {
+        effects.clear();
+        ASSERT_TRUE(fold.apply(fold.nextOffset(), batch, effects)) << fold.lastReason();
+        EXPECT_EQ(fold.inconsistency(), "");
+    }
+
+    /** Applies the author's next entry as a record. */
+    void take(Incarnation origin, Entry entry)
+    {
+        apply(Batch { rulesVersion, { Item { origin, ++sequences[origin], std::move(entry) } } });
+    }
+
+    /** Opens the account and buys. */
+    void open(std::int64_t bought)
+    {
+        take(operators, OpenAccount { budget.account, "hash" });
+        take(operators, TopUp { budget, Tokens { bought } });
+    }
+
+    /** Draws the holder's grant. */
+    void draw(Incarnation holder, std::uint32_t number, std::int64_t wanted, Incarnation witness = {})
+    {
+        take(holder, Draw { grantOf(holder, number), budget, Tokens { wanted }, {}, witness });
+    }
+
+    BudgetView view() const { return fold.budget(budget).value_or(BudgetView {}); }
+
+    GrantView grant(Incarnation holder, std::uint32_t number) const
+    {
+        return fold.grant(grantOf(holder, number)).value_or(GrantView {});
+    }
+
+    template <typename Kind> std::size_t count() const
+    {
+        std::size_t found = 0;
+        for (const Effect& effect : effects)
+            found += std::holds_alternative<Kind>(effect) ? 1 : 0;
+        return found;
+    }
+
+    /** @return The latest effect of this kind; an empty one when there is none. */
+    template <typename Kind> Kind last() const
+    {
+        Kind kind {};
+        for (const Effect& effect : effects) {
+            if (const Kind* const found = std::get_if<Kind>(&effect))
+                kind = *found;
+        }
+        return kind;
+    }
+
+    Fold fold;
+    std::vector<Effect> effects;
+    std::map<Incarnation, std::uint64_t> sequences;
+};
+
+} // namespace swiftlift::ledger
