--- /dev/null
+++ b/include/swiftlift/config/Fwd.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace swiftlift::config {
+
+struct KeptRecords;
+struct PublishRequest;
+struct ServiceRevision;
+
+class ConfigFold;
+class SnapshotSchedule;
+
+} // namespace swiftlift::config
--- /dev/null
+++ b/include/swiftlift/membership/Fwd.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace swiftlift::membership {
+
+struct HeartbeatFacts;
+struct ListedVm;
+struct MembershipActions;
+struct MembershipSettings;
+
+class Membership;
+
+} // namespace swiftlift::membership
--- /dev/null
+++ b/include/swiftlift/membership/Membership.h
@@ -0,0 +1,152 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "swiftlift/base/Ids.h"
+#include "swiftlift/base/Units.h"
+#include "swiftlift/membership/MembershipEvent.h"
+#include "swiftlift/membership/MembershipSettings.h"
+
+namespace swiftlift::membership {
+
+/**
+ * @brief One router's view of the other routers: who lives, who is silent, whom to ask for what.
+ *
+ * No group agrees on anything here. Each router judges by the heartbeats it hears; the platform's list only says where
+ * to look. What must be agreed on stands in the ledger.
+ */
+class Membership {
+public:
+    explicit Membership(MembershipSettings settings);
+
+    /**
+     * @brief Takes in a heartbeat.
+     * @param from Sender's incarnation.
+     * @param address Where the sender says it is reached.
+     */
+    void onHeartbeat(Incarnation from, const PeerAddress& address, const HeartbeatFacts& facts, Instant now);
+
+    /** @brief Takes in the platform's list, whole. */
+    void onVmList(const std::vector<ListedVm>& vms, Instant now);
+
+    /** @brief The ledger has retired this incarnation: it never counts as alive again. */
+    void retire(Incarnation incarnation);
+
+    /**
+     * @brief Names the peers to exchange heartbeats with in every period, wherever they are: those whose grants this
+     * router witnesses. Its own witness is watched without being named.
+     */
+    void setWatched(std::vector<Incarnation> watched);
+
+    /** @return What is to be sent and what changed. To be called at least every 50 ms. */
+    [[nodiscard]] MembershipActions tick(Instant now);
+
+    /** @return Whom a grant drawn now should name as witness. Stays the same as long as that peer is fit. */
+    [[nodiscard]] std::optional<Incarnation> witness() const noexcept { return witness_; }
+
+    /** @return True when peers have had the time to be heard: before, a missing witness may just be unknown. */
+    [[nodiscard]] bool settled() const noexcept { return settled_; }
+
+    /** @return Peers that are alive: own failure domain first, then own region, then the others. */
+    [[nodiscard]] std::vector<Incarnation> alivePeers() const;
+
+    /** @return At most `limit` peers to ask for a loan, best first. */
+    [[nodiscard]] std::vector<Incarnation> lenders(std::size_t limit) const;
+
+    /** @return The nearest live peer that reaches the platform's log, as far as it is known here. */
+    [[nodiscard]] std::optional<Incarnation> logReachablePeer() const;
+
+    /** @return Where the incarnation was last heard from; nothing when it is unknown or over. */
+    [[nodiscard]] std::optional<PeerAddress> addressOf(Incarnation incarnation) const;
+
+    [[nodiscard]] bool isAlive(Incarnation incarnation) const;
+
+    /** @return True when the platform lists this VM as leaving. */
+    [[nodiscard]] bool selfLeaving() const noexcept { return selfLeaving_; }
+
+    /** @return Peers known, by state; for operators and metrics. */
+    struct Counts {
+        std::size_t alive = 0;
+        std::size_t aliveInDomain = 0;
+        std::size_t suspected = 0;
+        std::size_t listed = 0;
+    };
+    [[nodiscard]] Counts counts() const;
+
+private:
+    enum class PeerState : std::uint8_t { Alive, Suspected };
+
+    struct Peer {
+        PeerAddress address;
+        HeartbeatFacts facts;
+        PeerState state = PeerState::Alive;
+        Instant lastHeard {};
+        Instant suspectedAt {};
+    };
+
+    /** An unknown incarnation at the address of a known one. */
+    struct Candidate {
+        Incarnation incarnation;
+        HeartbeatFacts facts;
+        Instant firstHeard {};
+    };
+
+    struct Listed {
+        FailureDomain domain;
+        Region region;
+        bool leaving = false;
+    };
+
+    void join(Incarnation from, const PeerAddress& address, const HeartbeatFacts& facts, Instant now);
+    void contest(Incarnation from, const PeerAddress& address, const HeartbeatFacts& facts, Instant now);
+    void refresh(Incarnation from, const HeartbeatFacts& facts, Instant now);
+    void answer(const PeerAddress& address, Instant now);
+    void remember(Incarnation over);
+    void drop(Incarnation incarnation);
+    void restartTimers(Instant now, Duration gap);
+    void suspectSilent(Instant now);
+    void forgetOld(Instant now);
+    void chooseWitness();
+    void planHeartbeats(Instant now, MembershipActions& actions);
+    void refreshRotation();
+    void send(const PeerAddress& address, Instant now, MembershipActions& actions);
+    [[nodiscard]] Duration limitFor(Incarnation incarnation, const Peer& peer) const;
+    [[nodiscard]] bool watched(Incarnation incarnation) const;
+    [[nodiscard]] bool inDomain(const PeerAddress& address) const;
+    [[nodiscard]] bool fitForDuty(const Peer& peer) const;
+    [[nodiscard]] bool mayWitness(Incarnation incarnation) const;
+    [[nodiscard]] int distance(const Peer& peer) const;
+    [[nodiscard]] std::uint64_t rank(Incarnation incarnation) const;
+    [[nodiscard]] std::vector<Incarnation> nearestFirst() const;
+    [[nodiscard]] std::set<PeerAddress> addresses() const;
+
+    MembershipSettings settings_;
+    std::mt19937_64 random_;
+    std::map<Incarnation, Peer> peers_;
+    std::map<PeerAddress, Incarnation> current_;
+    std::map<PeerAddress, Candidate> candidates_;
+    std::map<PeerAddress, Listed> listed_;
+    std::unordered_set<Incarnation> over_;
+    std::deque<Incarnation> overOrder_;
+    std::set<Incarnation> watched_;
+    std::set<PeerAddress> answers_;
+    std::unordered_map<PeerAddress, Instant> lastSent_;
+    std::deque<PeerAddress> rotation_;
+    std::vector<MembershipEvent> events_;
+    std::optional<Incarnation> witness_;
+    std::optional<Instant> firstTick_;
+    std::optional<Instant> lastTick_;
+    Instant nextHeartbeat_ {};
+    bool settled_ = false;
+    bool selfLeaving_ = false;
+};
+
+} // namespace swiftlift::membership
--- /dev/null
+++ b/include/swiftlift/membership/MembershipSettings.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+#include "swiftlift/base/Ids.h"
+#include "swiftlift/base/Units.h"
+
+namespace swiftlift::membership {
+
+/** Who may witness the grants of a router whose failure domain has no other live VM. */
+enum class WitnessPolicy : std::uint8_t {
+    /** Nobody: grants stay usable during a cut, and are lost whole with their holder. */
+    OwnDomainOnly,
+    /** A peer of another failure domain: grants survive their holder, and a cut freezes the ceiling. */
+    OtherDomainWhenAlone,
+};
+
+struct MembershipSettings {
+    Incarnation self;
+    PeerAddress address;
+    FailureDomain domain;
+    Region region;
+    /** Addresses to try before the platform's list has been read. */
+    std::vector<PeerAddress> seeds;
+    std::uint64_t seed = 1;
+
+    Duration heartbeatPeriod = std::chrono::milliseconds(500);
+    /** A peer heard in every period is suspected after this long without a word. */
+    Duration silenceLimit = std::chrono::seconds(3);
+    /** A longer gap between two ticks is this process's own pause. */
+    Duration pauseThreshold = std::chrono::seconds(1);
+    /** A suspected peer that the platform no longer lists is forgotten after this long. */
+    Duration forgetAfter = std::chrono::minutes(2);
+    /** Heartbeats per period to peers beyond the failure domain. */
+    std::uint32_t distantPerPeriod = 2;
+    WitnessPolicy witnessPolicy = WitnessPolicy::OtherDomainWhenAlone;
+};
+
+} // namespace swiftlift::membership
--- a/include/swiftlift/node/Event.h
+++ b/include/swiftlift/node/Event.h
@@ -7,13 +7,14 @@
 #include <vector>
 
 #include "swiftlift/base/Ids.h"
+#include "swiftlift/base/Priority.h"
 #include "swiftlift/base/Units.h"
 #include "swiftlift/node/PeerMessage.h"
 #include "swiftlift/request/Outcome.h"
 
 namespace swiftlift::node {
 
-enum class Priority : std::uint8_t { Interactive, Normal, Batch };
+using swiftlift::Priority;
 
 /** A caller's request, parsed and within the transport's own bounds; nothing in it has been checked against the ledger.
  */
--- /dev/null
+++ b/include/swiftlift/routing/BackendTable.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "swiftlift/base/Ids.h"
+#include "swiftlift/base/Units.h"
+#include "swiftlift/routing/BackendFacts.h"
+
+namespace swiftlift::routing {
+
+class Backend;
+
+/** How the table judges backend servers. */
+struct TableSettings {
+    std::uint64_t seed = 1;
+    /** What a report shows is taken to be this old when it arrives. */
+    Duration reportLag = std::chrono::milliseconds(300);
+    /** Older reports are no longer trusted. */
+    Duration reportLifetime = std::chrono::seconds(5);
+    /** Failures in a row that open the breaker. */
+    std::uint32_t breakerFailures = 3;
+    Duration breakerFirstOpen = std::chrono::seconds(1);
+    Duration breakerLongestOpen = std::chrono::seconds(30);
+    /** From one request at a time to all, after a breaker closes or a backend server starts anew. */
+    Duration slowStart = std::chrono::seconds(10);
+    /** After "full": how long nothing is sent. */
+    Duration fullPause = std::chrono::milliseconds(100);
+    /** How long a sign of leaving holds against reports that don't confirm it. */
+    Duration leavingHold = std::chrono::seconds(30);
+    /** Prefixes remembered of each backend server. */
+    std::size_t prefixesKept = 2048;
+    /** Requests an engine is taken to run at once before it has been seen to let any wait. */
+    std::uint32_t assumedSlots = 8;
+    /** Prompt tokens an engine is taken to read in one step. */
+    std::uint32_t prefillPerStep = 256;
+    Duration assumedStep = std::chrono::milliseconds(3);
+    Duration assumedHold = std::chrono::milliseconds(500);
+};
+
+enum class BackendState : std::uint8_t { Up, SlowStart, Probing, Broken, Leaving };
+
+/** A backend server as it looks now, for selectors and operators. */
+struct BackendView {
+    BackendId backend;
+    FailureDomain domain;
+    BackendState state = BackendState::Up;
+    /** Reported and corrected by what this router sent and saw end since. */
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    /** This router's own. */
+    std::uint32_t inFlight = 0;
+    /** Requests it can run at once, as far as is known. */
+    std::uint32_t slots = 0;
+    /** Prompt tokens expected in its cache, for the request asked about. */
+    Tokens cachedTokens;
+    Duration predictedFirstToken {};
+    /** False when nothing may be sent to it now. */
+    bool usable = false;
+    /** A request sent now is the breaker's one probe. */
+    bool probe = false;
+    /** When it may become usable again, as far as is known. */
+    std::optional<Instant> usableAt;
+    /** Nothing: never reported. */
+    std::optional<Duration> reportAge;
+    std::vector<std::string> models;
+};
+
+/** What a view is asked for. */
+struct ViewRequest {
+    std::string model;
+    std::uint64_t prefixHash = 0;
+    Tokens promptTokens;
+};
+
+/**
+ * @brief What this router knows of each backend server: lagged reports corrected by its own traffic, breaker, cached
+ * prefixes.
+ */
+class BackendTable {
+public:
+    explicit BackendTable(TableSettings settings = {});
+    ~BackendTable();
+    BackendTable(BackendTable&&) noexcept;
+    BackendTable& operator=(BackendTable&&) noexcept;
+
+    /** @brief Sets the backend servers of a service; an empty list removes it. One server may serve several. */
+    void setBackends(const ServiceName& service, const std::vector<BackendEntry>& backends, Instant now);
+
+    void onLoad(const BackendId& backend, const LoadReport& report, Instant now);
+    /** @brief A load report could not be had. */
+    void onLoadMissed(const BackendId& backend, Instant now);
+    void onCacheEvents(const BackendId& backend, const std::vector<CacheNotice>& events, Instant now);
+    void onDispatched(const BackendId& backend, AttemptId attempt, const DispatchFacts& facts, Instant now);
+    void onFirstToken(const BackendId& backend, AttemptId attempt, Instant now);
+    void onFinished(const BackendId& backend, AttemptId attempt, const FinishFacts& facts, Instant now);
+    /** @brief Any sign that the backend server is leaving: nothing is sent to it from now on. */
+    void onLeaving(const BackendId& backend, Instant now);
+    /** @brief Lets breakers and marks run out. */
+    void tick(Instant now);
+
+    /** @return All backend servers of a service, in order of their addresses. */
+    [[nodiscard]] std::vector<BackendView> views(
+        const ServiceName& service, const ViewRequest& request, Instant now) const;
+    /** @return One of them, whatever the service. */
+    [[nodiscard]] std::optional<BackendView> view(
+        const BackendId& backend, const ViewRequest& request, Instant now) const;
+    /** @return All backend servers known, in order of their addresses. */
+    [[nodiscard]] std::vector<BackendId> backends() const;
+    [[nodiscard]] std::vector<BackendId> backendsOf(const ServiceName& service) const;
+
+private:
+    [[nodiscard]] Backend* find(const BackendId& backend) const;
+    void removeUnused();
+
+    TableSettings settings_;
+    std::map<BackendId, std::unique_ptr<Backend>> backends_;
+    std::map<ServiceName, std::set<BackendId>> services_;
+};
+
+} // namespace swiftlift::routing
--- /dev/null
+++ b/include/swiftlift/routing/Fwd.h
@@ -0,0 +1,15 @@
+#pragma once
+
+namespace swiftlift::routing {
+
+struct Choice;
+struct LoadReport;
+struct SelectRequest;
+
+class Admission;
+class BackendTable;
+class FairQueue;
+class RetryBudget;
+class Selector;
+
+} // namespace swiftlift::routing
