Read service documents and settings, with every finding in its place

Cause: each service is driven by one document, each process by a settings file; both need all faults named at once. Ruled out: YAML::Load, since its tree shares aliased nodes, loses duplicate keys on lookup and throws while being walked. Change: a bounded tree built from yaml-cpp's events (anchors, aliases and tags refused; 256 KiB, 16 levels, 50000 values; UTF-8 only, as the log's records demand), a checker that converts with units and reports unknown, missing and repeated keys, and the readers of the three kinds of document. Conclusion: an unclosed nest of lists is refused too, but at the place where yaml-cpp notices it.

--- /dev/null
+++ b/src/settings/ServiceDocument.cpp
@@ -0,0 +1,169 @@
+#include "swiftlift/settings/ServiceDocument.h"
+
+#include <map>
+
+#include "settings/Checker.h"
+#include "settings/Yaml.h"
+
+namespace swiftlift::settings {
+
+namespace {
+
+    using internal::Checker;
+    using internal::Need;
+    using internal::Range;
+    using std::chrono::hours;
+    using std::chrono::milliseconds;
+
+    constexpr std::uint64_t kibi = 1024;
+    constexpr Range<std::uint64_t> weightRange { 1, 1'000 };
+    constexpr Range<std::uint64_t> bodyRange { 1 * kibi, 16 * kibi* kibi };
+    constexpr Range<std::uint64_t> tokenRange { 1, 10'000'000 };
+    constexpr Range<Duration> deadlineRange { milliseconds(100), hours(1) };
+    constexpr Range<Duration> silenceRange { milliseconds(10), hours(1) };
+    constexpr Range<std::uint64_t> waitingRange { 0, 100'000 };
+    constexpr Range<std::uint64_t> attemptsRange { 1, 10 };
+    constexpr Range<std::uint64_t> retryBudgetRange { 0, 100 };
+
+    /** @brief Reports a key that only the other kind of service has. */
+    void refuseKey(Checker& checker, std::string_view key, const std::string& message)
+    {
+        if (checker.has(key)) {
+            checker.report(key, message);
+        }
+    }
+
+    void readModel(Checker& root, ServiceDocument& document)
+    {
+        if (document.kind == BackendKind::Model) {
+            root.name("model", Need::Required, document.model);
+            return;
+        }
+        root.text("model", Need::Optional, document.model);
+        refuseKey(root, "model", "a plain service has no model");
+    }
+
+    void readAccounts(Checker& root, ServiceDocument& document)
+    {
+        std::map<AccountId, std::size_t> seen;
+        for (auto& checker : root.sections("accounts", Need::Required)) {
+            AccountUse use;
+            checker.name("account", Need::Required, use.account);
+            checker.name("budget", Need::Required, use.budget);
+            checker.unsignedNumber("weight", Need::Optional, weightRange, use.weight);
+            checker.finish();
+            const auto [first, isNew] = seen.emplace(use.account, document.accounts.size());
+            if (!isNew && !use.account.value().empty()) {
+                checker.report("account",
+                    '"' + use.account.value() + "\" stands in accounts[" + std::to_string(first->second) + "] too");
+            }
+            document.accounts.push_back(use);
+        }
+    }
+
+    void readTokenLimits(Checker& checker, ServiceDocument& document)
+    {
+        auto& limits = document.limits;
+        if (document.kind == BackendKind::Model) {
+            checker.tokens("max_prompt_tokens", Need::Optional, tokenRange, limits.maxPromptTokens);
+            checker.tokens("max_answer_tokens", Need::Optional, tokenRange, limits.maxAnswerTokens);
+            Tokens ignored;
+            checker.tokens("call_cost", Need::Optional, tokenRange, ignored);
+            refuseKey(checker, "call_cost", "a model service is billed by its tokens; it has no call_cost");
+            return;
+        }
+        Tokens ignored;
+        checker.tokens("call_cost", Need::Required, tokenRange, limits.callCost);
+        checker.tokens("max_prompt_tokens", Need::Optional, tokenRange, ignored);
+        refuseKey(checker, "max_prompt_tokens", "a plain service has no tokens; it is billed by call_cost");
+        checker.tokens("max_answer_tokens", Need::Optional, tokenRange, ignored);
+        refuseKey(checker, "max_answer_tokens", "a plain service has no tokens; it is billed by call_cost");
+    }
+
+    void readLimits(Checker& root, ServiceDocument& document)
+    {
+        // Without call_cost the calls of a plain service would be free, so that section has to be there.
+        const auto need = document.kind == BackendKind::Plain ? Need::Required : Need::Optional;
+        auto checker = root.section("limits", need);
+        auto& limits = document.limits;
+        checker.size("max_body", Need::Optional, bodyRange, limits.maxBodyBytes);
+        readTokenLimits(checker, document);
+        checker.duration("deadline", Need::Optional, deadlineRange, limits.deadline);
+        checker.duration("silence", Need::Optional, silenceRange, limits.silence);
+        checker.unsignedNumber("max_waiting", Need::Optional, waitingRange, limits.maxWaiting);
+        checker.finish();
+        if (limits.silence > limits.deadline) {
+            checker.report(checker.has("silence") ? "silence" : "deadline",
+                "silence has to be no longer than deadline (defaults: silence 5s, deadline 30s)");
+        }
+    }
+
+    void readRetry(Checker& root, ServiceDocument& document)
+    {
+        auto checker = root.section("retry", Need::Optional);
+        checker.unsignedNumber("attempts", Need::Optional, attemptsRange, document.retry.attempts);
+        checker.percent("budget", Need::Optional, retryBudgetRange, document.retry.budgetPercent);
+        checker.finish();
+    }
+
+    void readBackends(Checker& root, ServiceDocument& document)
+    {
+        std::map<BackendId, std::size_t> seen;
+        for (auto& checker : root.sections("backends", Need::Required)) {
+            Backend backend;
+            checker.address("address", Need::Required, backend.address);
+            checker.name("domain", Need::Required, backend.domain);
+            checker.finish();
+            const auto [first, isNew] = seen.emplace(backend.address, document.backends.size());
+            if (!isNew && !backend.address.value().empty()) {
+                checker.report("address",
+                    '"' + backend.address.value() + "\" stands in backends[" + std::to_string(first->second) + "] too");
+            }
+            document.backends.push_back(backend);
+        }
+    }
+
+    [[nodiscard]] ServiceDocument readDocument(Checker& root)
+    {
+        ServiceDocument document;
+        root.name("service", Need::Required, document.service);
+        root.choice<BackendKind>("kind", Need::Required,
+            { { "model", BackendKind::Model }, { "plain", BackendKind::Plain } }, document.kind);
+        readModel(root, document);
+        root.choice<Weighting>("weighting", Need::Optional,
+            { { "refusals", Weighting::Refusals }, { "overspend", Weighting::Overspend } }, document.weighting);
+        readAccounts(root, document);
+        readLimits(root, document);
+        readRetry(root, document);
+        readBackends(root, document);
+        root.finish();
+        return document;
+    }
+
+} // namespace
+
+std::optional<ServiceDocument> parseServiceDocument(
+    std::string_view text, const std::string& source, Findings& findings)
+{
+    const auto before = findings.size();
+    const auto tree = internal::loadYaml(text, source, maxDocumentBytes, findings);
+    if (!tree) {
+        return std::nullopt;
+    }
+    Checker root(*tree, source, findings);
+    auto document = readDocument(root);
+    internal::sortFindings(findings, before);
+    if (findings.size() > before) {
+        return std::nullopt;
+    }
+    return document;
+}
+
+std::string_view toText(BackendKind kind) noexcept { return kind == BackendKind::Model ? "model" : "plain"; }
+
+std::string_view toText(Weighting weighting) noexcept
+{
+    return weighting == Weighting::Refusals ? "refusals" : "overspend";
+}
+
+} // namespace swiftlift::settings
--- /dev/null
+++ b/src/settings/Text.cpp
@@ -0,0 +1,204 @@
+#include "settings/Text.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <fstream>
+#include <limits>
+#include <span>
+
+#include <arpa/inet.h>
+
+namespace swiftlift::settings::internal {
+
+namespace {
+
+    struct Unit {
+        std::string_view name;
+        std::uint64_t factor;
+    };
+
+    // Largest first.
+    constexpr std::array<Unit, 5> durationUnits { { { "h", 3'600'000'000 }, { "m", 60'000'000 }, { "s", 1'000'000 },
+        { "ms", 1'000 }, { "us", 1 } } };
+    constexpr std::array<Unit, 3> sizeUnits { { { "MiB", 1024 * 1024 }, { "KiB", 1024 }, { "B", 1 } } };
+    constexpr std::size_t maxNameLength = 64;
+
+    [[nodiscard]] bool isDigit(char letter) noexcept { return letter >= '0' && letter <= '9'; }
+
+    [[nodiscard]] bool isLetter(char letter) noexcept
+    {
+        return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z');
+    }
+
+    [[nodiscard]] std::optional<std::uint64_t> parseWithUnit(
+        std::string_view text, std::span<const Unit> units) noexcept
+    {
+        const auto end = std::find_if_not(text.begin(), text.end(), isDigit);
+        const auto digits = text.substr(0, static_cast<std::size_t>(end - text.begin()));
+        const auto number = parseUnsigned(digits);
+        const auto unitName = text.substr(digits.size());
+        const auto unit
+            = std::find_if(units.begin(), units.end(), [&](const Unit& each) { return each.name == unitName; });
+        if (!number || unit == units.end()) {
+            return std::nullopt;
+        }
+        constexpr auto most = static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
+        if (*number > most / unit->factor) {
+            return std::nullopt;
+        }
+        return *number * unit->factor;
+    }
+
+    [[nodiscard]] std::string textWithUnit(std::uint64_t value, std::span<const Unit> units)
+    {
+        const auto unit = std::find_if(
+            units.begin(), units.end() - 1, [&](const Unit& each) { return value != 0 && value % each.factor == 0; });
+        return std::to_string(value / unit->factor) + std::string(unit->name);
+    }
+
+    struct Sequence {
+        std::size_t length;
+        std::uint32_t least;
+    };
+
+    /** @return Length of the sequence that this byte leads, and the least code point that needs it. */
+    [[nodiscard]] std::optional<Sequence> leadOf(unsigned char byte) noexcept
+    {
+        if (byte < 0x80) {
+            return Sequence { 1, 0 };
+        }
+        if (byte >= 0xC2 && byte < 0xE0) {
+            return Sequence { 2, 0x80 };
+        }
+        if (byte >= 0xE0 && byte < 0xF0) {
+            return Sequence { 3, 0x800 };
+        }
+        if (byte >= 0xF0 && byte < 0xF5) {
+            return Sequence { 4, 0x10000 };
+        }
+        return std::nullopt;
+    }
+
+    /** @return Bytes of the character that starts the text; 0 when it is no good. */
+    [[nodiscard]] std::size_t characterLength(std::string_view text) noexcept
+    {
+        const auto lead = static_cast<unsigned char>(text.front());
+        const auto sequence = leadOf(lead);
+        if (!sequence || text.size() < sequence->length) {
+            return 0;
+        }
+        if (sequence->length == 1) {
+            const bool control = lead < 0x20 || lead == 0x7F;
+            return control && lead != '\t' && lead != '\n' && lead != '\r' ? 0 : 1;
+        }
+        std::uint32_t code = lead & (0x7FU >> sequence->length);
+        for (std::size_t index = 1; index < sequence->length; ++index) {
+            const auto byte = static_cast<unsigned char>(text[index]);
+            if ((byte & 0xC0U) != 0x80U) {
+                return 0;
+            }
+            code = (code << 6U) | (byte & 0x3FU);
+        }
+        const bool surrogate = code >= 0xD800 && code < 0xE000;
+        return code < sequence->least || code > 0x10FFFF || surrogate ? 0 : sequence->length;
+    }
+
+} // namespace
+
+std::optional<Place> findBadCharacter(std::string_view text) noexcept
+{
+    Place place { 1, 1 };
+    while (!text.empty()) {
+        const auto length = characterLength(text);
+        if (length == 0) {
+            return place;
+        }
+        if (text.front() == '\n') {
+            place = { place.line + 1, 1 };
+        } else {
+            ++place.column;
+        }
+        text.remove_prefix(length);
+    }
+    return std::nullopt;
+}
+
+std::optional<std::uint64_t> parseUnsigned(std::string_view text) noexcept
+{
+    std::uint64_t value = 0;
+    const auto* const end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, value);
+    if (text.empty() || error != std::errc {} || stop != end) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+std::optional<Duration> parseDuration(std::string_view text) noexcept
+{
+    if (const auto value = parseWithUnit(text, durationUnits)) {
+        return Duration(static_cast<Duration::rep>(*value));
+    }
+    return std::nullopt;
+}
+
+std::optional<std::uint64_t> parseSize(std::string_view text) noexcept { return parseWithUnit(text, sizeUnits); }
+
+std::optional<std::uint64_t> parsePercent(std::string_view text) noexcept
+{
+    constexpr std::array<Unit, 1> percent { { { "%", 1 } } };
+    return parseWithUnit(text, percent);
+}
+
+bool isAddress(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return false;
+    }
+    const auto portText = text.substr(colon + 1);
+    const auto port = parseUnsigned(portText);
+    constexpr std::uint64_t maxPort = 65'535;
+    if (!port || *port == 0 || *port > maxPort || portText.front() == '0') {
+        return false;
+    }
+    in_addr address {};
+    return inet_pton(AF_INET, std::string(text.substr(0, colon)).c_str(), &address) == 1;
+}
+
+bool isName(std::string_view text) noexcept
+{
+    if (text.empty() || text.size() > maxNameLength || !(isLetter(text.front()) || isDigit(text.front()))) {
+        return false;
+    }
+    return std::all_of(text.begin(), text.end(), [](char letter) {
+        return isLetter(letter) || isDigit(letter) || letter == '.' || letter == '_' || letter == '-';
+    });
+}
+
+std::string durationText(Duration duration)
+{
+    return textWithUnit(static_cast<std::uint64_t>(duration.count()), durationUnits);
+}
+
+std::string sizeText(std::uint64_t bytes) { return textWithUnit(bytes, sizeUnits); }
+
+std::optional<std::string> readFile(const std::string& file, std::size_t maxBytes, Findings& findings)
+{
+    std::ifstream stream(file, std::ios::binary);
+    if (!stream) {
+        findings.push_back({ file, 0, 0, "the file cannot be opened" });
+        return std::nullopt;
+    }
+    std::string text(maxBytes + 1, '\0');
+    stream.read(text.data(), static_cast<std::streamsize>(text.size()));
+    if (stream.bad() || (stream.fail() && !stream.eof())) {
+        findings.push_back({ file, 0, 0, "the file cannot be read" });
+        return std::nullopt;
+    }
+    text.resize(static_cast<std::size_t>(stream.gcount()));
+    return text;
+}
+
+} // namespace swiftlift::settings::internal
--- /dev/null
+++ b/tests/settings/RouterSettings.cpp
@@ -0,0 +1,109 @@
+#include "swiftlift/settings/RouterSettings.h"
+
+#include <gmock/gmock.h>
+
+#include "settings/Samples.h"
+#include "swiftlift/settings/CtlSettings.h"
+
+namespace swiftlift::settings {
+
+namespace {
+
+    using test::replaced;
+    using test::texts;
+    using testing::ElementsAre;
+    using testing::StartsWith;
+
+    std::vector<std::string> findingsOf(std::string_view text)
+    {
+        Findings findings;
+        const auto settings = parseRouterSettings(text, "router.yaml", findings);
+        EXPECT_EQ(settings.has_value(), findings.empty());
+        return texts(findings);
+    }
+
+    std::vector<std::string> ctlFindingsOf(std::string_view text)
+    {
+        Findings findings;
+        const auto settings = parseCtlSettings(text, "ctl.yaml", findings);
+        EXPECT_EQ(settings.has_value(), findings.empty());
+        return texts(findings);
+    }
+
+} // namespace
+
+TEST(RouterSettings, HasDefaults)
+{
+    Findings findings;
+    const auto settings = parseRouterSettings(test::routerSettings, "router.yaml", findings);
+    ASSERT_TRUE(settings.has_value()) << testing::PrintToString(texts(findings));
+    EXPECT_EQ(settings->vm.peer, PeerAddress("127.0.1.1:7400"));
+    EXPECT_EQ(settings->callersListen, Endpoint("127.0.1.1:8000"));
+    EXPECT_EQ(settings->ledger.shards, 1U);
+    EXPECT_EQ(settings->ledger.policy, LedgerPolicy::Grants);
+    EXPECT_EQ(settings->routing, RoutingPolicy::Affinity);
+    EXPECT_EQ(settings->stopLimit, std::chrono::seconds(60));
+    EXPECT_EQ(settings->logging.file, "-");
+    EXPECT_FALSE(settings->seed.has_value());
+}
+
+TEST(RouterSettings, ReadsEveryOptionalKey)
+{
+    const std::string more = "peers:\n  seeds: [127.0.1.2:7400]\n  via: {\"127.0.2.1:7400\": \"127.0.8.1:7400\"}\n"
+                             "ledger: {shards: 4, policy: static_split, split_ways: 6}\nrouting: {policy: least_load}\n"
+                             "stop: {limit: 2m}\nlogging: {file: /tmp/router.log, level: debug}\nseed: 42\n";
+    Findings findings;
+    const auto settings = parseRouterSettings(std::string(test::routerSettings) + more, "router.yaml", findings);
+    ASSERT_TRUE(settings.has_value()) << testing::PrintToString(texts(findings));
+    EXPECT_THAT(settings->peers.seeds, ElementsAre(PeerAddress("127.0.1.2:7400")));
+    EXPECT_EQ(settings->peers.via.at(PeerAddress("127.0.2.1:7400")), Endpoint("127.0.8.1:7400"));
+    EXPECT_EQ(settings->ledger.shards, 4U);
+    EXPECT_EQ(toText(settings->ledger.policy), "static_split");
+    EXPECT_EQ(settings->ledger.splitWays, 6U);
+    EXPECT_EQ(toText(settings->routing), "least_load");
+    EXPECT_EQ(settings->stopLimit, std::chrono::minutes(2));
+    EXPECT_EQ(toText(settings->logging.level), "debug");
+    EXPECT_EQ(settings->seed, 42U);
+}
+
+TEST(RouterSettings, ReportsEverythingWithItsPlace)
+{
+    const auto text = replaced(test::routerSettings, "8002}", "8001}")
+        + "peers:\n  seeds: [127.0.1.2:7400, 127.0.1.2:7400]\n"
+        + "  via: {\"127.0.2.1:7400\": away}\nledger: {split_ways: 6}\nstop: {limit: 60}\nseed: -1\n";
+    EXPECT_THAT(findingsOf(replaced(text, "  region: sask-south\n", "")),
+        ElementsAre(StartsWith("2:3: vm: missing key \"region\""),
+            StartsWith("6:10: metrics: the address 127.0.1.1:8001 is taken"),
+            StartsWith("10:27: peers.seeds: \"127.0.1.2:7400\" stands here twice"),
+            StartsWith("11:27: peers.via.127.0.2.1:7400: expected an address"),
+            StartsWith("12:22: ledger.split_ways: has a meaning only with policy static_split"),
+            StartsWith("13:15: stop.limit: expected a duration"), StartsWith("14:7: seed: expected a whole number")));
+    EXPECT_THAT(findingsOf("vm: here"), testing::Contains(StartsWith("1:5: vm: expected a map, found \"here\"")));
+}
+
+TEST(RouterSettings, ReportsAFileThatCannotBeRead)
+{
+    Findings findings;
+    EXPECT_FALSE(readRouterSettings("/nowhere/router.yaml", findings).has_value());
+    EXPECT_THAT(texts(findings), ElementsAre("0:0: the file cannot be opened"));
+    EXPECT_FALSE(readCtlSettings("/", findings).has_value());
+    EXPECT_THAT(texts(findings), ElementsAre("0:0: the file cannot be opened", "0:0: the file cannot be read"));
+}
+
+TEST(CtlSettings, ReadsAndReports)
+{
+    Findings findings;
+    const auto settings = parseCtlSettings("author: mina\nlog: {endpoints: [127.0.9.1:9000], timeout: 500ms}\n"
+                                           "ledger: {shards: 2}\nrouters: {operators: [127.0.1.1:8001]}\n",
+        "ctl.yaml", findings);
+    ASSERT_TRUE(settings.has_value()) << testing::PrintToString(texts(findings));
+    EXPECT_EQ(settings->author, "mina");
+    EXPECT_EQ(settings->logTimeout, std::chrono::milliseconds(500));
+    EXPECT_EQ(settings->ledgerShards, 2U);
+    EXPECT_THAT(settings->routers, ElementsAre(Endpoint("127.0.1.1:8001")));
+    EXPECT_THAT(ctlFindingsOf("log: {endpoints: [], timeout: 1m}\n"),
+        ElementsAre(StartsWith("1:18: log.endpoints: the list is empty"),
+            StartsWith("1:31: log.timeout: timeout has to be no longer than patience")));
+}
+
+} // namespace swiftlift::settings
