Add membership and the fold of the configuration stream

Cause: the node's core needs to know who lives and which documents are in force. Change: membership judges peers by their heartbeats: every peer of the domain in each period, two beyond it, short limits for whoever is watched; a pause of the own process starts the timers anew; an incarnation that was replaced or retired never returns. Ruled out: taking any unknown incarnation at a known address for the newer one, since a late heartbeat of an old life would then end the new one; taking a peer's state for the record at its offset, since that record would be skipped.

--- a/include/swiftlift/config/ConfigFold.h
+++ b/include/swiftlift/config/ConfigFold.h
@@ -115,15 +115,21 @@
         std::deque<RevisionNote> history;
     };
 
+    /** A record as parsed; defined beside the code, so that users of this header need no generated one. */
     struct Parsed;
 
     [[nodiscard]] bool refuse(std::string reason);
+    [[nodiscard]] bool versionKnown(Offset offset, const Parsed& parsed);
+    [[nodiscard]] bool applyNext(
+        Offset offset, std::string_view record, const Parsed& parsed, std::vector<ConfigEffect>& effects);
     [[nodiscard]] bool seek(Offset offset, const Parsed& parsed, std::vector<ConfigEffect>& effects);
-    [[nodiscard]] bool restore(const Parsed& parsed, std::vector<ConfigEffect>& effects);
     void applyPublish(Offset offset, const Parsed& parsed, std::vector<ConfigEffect>& effects);
+    void withdraw(Offset offset, const Parsed& parsed, std::vector<ConfigEffect>& effects);
+    void restore(const Parsed& parsed, std::vector<ConfigEffect>& effects);
     void compare(Offset offset, const Parsed& parsed, std::vector<ConfigEffect>& effects) const;
+    void setLast(ServiceRevision revision);
     void keep(std::string_view record);
-    void accept(Offset offset, const Parsed& parsed, std::optional<settings::ServiceDocument> document);
+    [[nodiscard]] Rejected rejection(Offset offset, const Parsed& parsed, RejectReason reason) const;
     [[nodiscard]] const RevisionNote* findRepeat(const ServiceName& service, std::uint64_t id) const;
 
     std::map<ServiceName, Service> services_;
--- a/include/swiftlift/membership/Membership.h
+++ b/include/swiftlift/membership/Membership.h
@@ -14,6 +14,7 @@
 #include "swiftlift/base/Units.h"
 #include "swiftlift/membership/MembershipEvent.h"
 #include "swiftlift/membership/MembershipSettings.h"
+#include "swiftlift/membership/Rotation.h"
 
 namespace swiftlift::membership {
 
@@ -44,7 +45,7 @@
      * @brief Names the peers to exchange heartbeats with in every period, wherever they are: those whose grants this
      * router witnesses. Its own witness is watched without being named.
      */
-    void setWatched(std::vector<Incarnation> watched);
+    void setWatched(const std::vector<Incarnation>& watched, Instant now);
 
     /** @return What is to be sent and what changed. To be called at least every 50 ms. */
     [[nodiscard]] MembershipActions tick(Instant now);
@@ -95,7 +96,6 @@
     /** An unknown incarnation at the address of a known one. */
     struct Candidate {
         Incarnation incarnation;
-        HeartbeatFacts facts;
         Instant firstHeard {};
     };
 
@@ -105,45 +105,55 @@
         bool leaving = false;
     };
 
+    using Peers = std::map<Incarnation, Peer>;
+
     void join(Incarnation from, const PeerAddress& address, const HeartbeatFacts& facts, Instant now);
     void contest(Incarnation from, const PeerAddress& address, const HeartbeatFacts& facts, Instant now);
+    void replace(Incarnation incumbent, Instant now);
     void refresh(Incarnation from, const HeartbeatFacts& facts, Instant now);
-    void answer(const PeerAddress& address, Instant now);
     void remember(Incarnation over);
     void drop(Incarnation incarnation);
-    void restartTimers(Instant now, Duration gap);
+    void noticePause(Instant now);
     void suspectSilent(Instant now);
     void forgetOld(Instant now);
-    void chooseWitness();
+    void settle(Instant now);
+    void chooseWitness(Instant now);
+    void answer(const PeerAddress& address, Instant now);
+    void planAnswers(Instant now, MembershipActions& actions);
     void planHeartbeats(Instant now, MembershipActions& actions);
-    void refreshRotation();
-    void send(const PeerAddress& address, Instant now, MembershipActions& actions);
+    void planSend(const PeerAddress& address, Instant now, MembershipActions& actions);
+    [[nodiscard]] std::set<PeerAddress> everyPeriod() const;
+    [[nodiscard]] std::set<PeerAddress> known() const;
     [[nodiscard]] Duration limitFor(Incarnation incarnation, const Peer& peer) const;
-    [[nodiscard]] bool watched(Incarnation incarnation) const;
+    [[nodiscard]] Duration silenceOf(Incarnation incarnation, const Peer& peer, Instant now) const;
     [[nodiscard]] bool inDomain(const PeerAddress& address) const;
     [[nodiscard]] bool fitForDuty(const Peer& peer) const;
     [[nodiscard]] bool mayWitness(Incarnation incarnation) const;
     [[nodiscard]] int distance(const Peer& peer) const;
     [[nodiscard]] std::uint64_t rank(Incarnation incarnation) const;
     [[nodiscard]] std::vector<Incarnation> nearestFirst() const;
-    [[nodiscard]] std::set<PeerAddress> addresses() const;
 
     MembershipSettings settings_;
     std::mt19937_64 random_;
-    std::map<Incarnation, Peer> peers_;
+    Peers peers_;
     std::map<PeerAddress, Incarnation> current_;
     std::map<PeerAddress, Candidate> candidates_;
     std::map<PeerAddress, Listed> listed_;
+    /** Bounded: the ledger remembers for good. */
     std::unordered_set<Incarnation> over_;
     std::deque<Incarnation> overOrder_;
-    std::set<Incarnation> watched_;
+    /** Since when each is watched. */
+    std::map<Incarnation, Instant> watched_;
     std::set<PeerAddress> answers_;
     std::unordered_map<PeerAddress, Instant> lastSent_;
-    std::deque<PeerAddress> rotation_;
+    Rotation rotation_;
     std::vector<MembershipEvent> events_;
     std::optional<Incarnation> witness_;
+    Instant witnessSince_ {};
     std::optional<Instant> firstTick_;
-    std::optional<Instant> lastTick_;
+    Instant lastTick_ {};
+    /** No silence counts from before this moment. */
+    Instant timersFrom_ {};
     Instant nextHeartbeat_ {};
     bool settled_ = false;
     bool selfLeaving_ = false;
--- /dev/null
+++ b/src/membership/Queries.cpp
@@ -0,0 +1,133 @@
+#include <algorithm>
+
+#include "swiftlift/membership/Membership.h"
+
+namespace swiftlift::membership {
+
+namespace {
+
+    // Finalizer of SplitMix64: every bit of the input moves every bit of the result.
+    [[nodiscard]] std::uint64_t mix(std::uint64_t value) noexcept
+    {
+        value += 0x9E3779B97F4A7C15U;
+        value = (value ^ (value >> 30U)) * 0xBF58476D1CE4E5B9U;
+        value = (value ^ (value >> 27U)) * 0x94D049BB133111EBU;
+        return value ^ (value >> 31U);
+    }
+
+} // namespace
+
+// Rendezvous hashing: each pair has a rank of its own, so that witnesses and lenders spread over the peers, and the
+// loss of one moves only those who had it.
+std::uint64_t Membership::rank(Incarnation incarnation) const
+{
+    return mix(settings_.self.value() ^ mix(incarnation.value()));
+}
+
+int Membership::distance(const Peer& peer) const
+{
+    if (peer.facts.domain == settings_.domain) {
+        return 0;
+    }
+    return peer.facts.region == settings_.region ? 1 : 2;
+}
+
+bool Membership::inDomain(const PeerAddress& address) const
+{
+    if (const auto current = current_.find(address); current != current_.end()) {
+        return peers_.at(current->second).facts.domain == settings_.domain;
+    }
+    const auto listed = listed_.find(address);
+    return listed != listed_.end() && listed->second.domain == settings_.domain;
+}
+
+bool Membership::fitForDuty(const Peer& peer) const
+{
+    const auto listed = listed_.find(peer.address);
+    const bool leaving = peer.facts.stopping || (listed != listed_.end() && listed->second.leaving);
+    return peer.state == PeerState::Alive && !leaving;
+}
+
+bool Membership::mayWitness(Incarnation incarnation) const
+{
+    const auto found = peers_.find(incarnation);
+    if (found == peers_.end() || !fitForDuty(found->second)) {
+        return false;
+    }
+    return distance(found->second) == 0 || settings_.witnessPolicy == WitnessPolicy::OtherDomainWhenAlone;
+}
+
+std::vector<Incarnation> Membership::nearestFirst() const
+{
+    struct Ranked {
+        int distance = 0;
+        std::uint64_t rank = 0;
+        Incarnation incarnation;
+    };
+    std::vector<Ranked> ranked;
+    for (const auto& [incarnation, peer] : peers_) {
+        if (peer.state == PeerState::Alive) {
+            ranked.push_back(Ranked { distance(peer), rank(incarnation), incarnation });
+        }
+    }
+    std::sort(ranked.begin(), ranked.end(), [](const Ranked& left, const Ranked& right) {
+        return left.distance != right.distance ? left.distance < right.distance : left.rank > right.rank;
+    });
+    std::vector<Incarnation> order;
+    for (const Ranked& entry : ranked) {
+        order.push_back(entry.incarnation);
+    }
+    return order;
+}
+
+std::vector<Incarnation> Membership::alivePeers() const { return nearestFirst(); }
+
+std::vector<Incarnation> Membership::lenders(std::size_t limit) const
+{
+    std::vector<Incarnation> lenders;
+    for (const Incarnation incarnation : nearestFirst()) {
+        if (lenders.size() < limit && fitForDuty(peers_.at(incarnation))) {
+            lenders.push_back(incarnation);
+        }
+    }
+    return lenders;
+}
+
+std::optional<Incarnation> Membership::logReachablePeer() const
+{
+    for (const Incarnation incarnation : nearestFirst()) {
+        if (peers_.at(incarnation).facts.logReachable) {
+            return incarnation;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<PeerAddress> Membership::addressOf(Incarnation incarnation) const
+{
+    if (const auto found = peers_.find(incarnation); found != peers_.end()) {
+        return found->second.address;
+    }
+    return std::nullopt;
+}
+
+bool Membership::isAlive(Incarnation incarnation) const
+{
+    const auto found = peers_.find(incarnation);
+    return found != peers_.end() && found->second.state == PeerState::Alive;
+}
+
+Membership::Counts Membership::counts() const
+{
+    Counts counts;
+    counts.listed = listed_.size();
+    for (const auto& [incarnation, peer] : peers_) {
+        const bool alive = peer.state == PeerState::Alive;
+        counts.alive += alive ? 1 : 0;
+        counts.suspected += alive ? 0 : 1;
+        counts.aliveInDomain += alive && distance(peer) == 0 ? 1 : 0;
+    }
+    return counts;
+}
+
+} // namespace swiftlift::membership
--- /dev/null
+++ b/tests/config/Sample.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <string>
+
+namespace swiftlift::config::test {
+
+/** @return A valid document of a plain service; `cost` tells revisions apart. */
+[[nodiscard]] inline std::string document(const std::string& service, int cost = 1)
+{
+    return "service: " + service
+        + "\nkind: plain\naccounts:\n  - { account: north-club, budget: fair-week }\nlimits: { call_cost: "
+        + std::to_string(cost) + " }\nbackends:\n  - { address: \"127.0.2.1:9000\", domain: regina-a }\n";
+}
+
+} // namespace swiftlift::config::test
