Compose the router's decision core

Cause: the modules for money, membership, configuration and routing stood alone. Ruled out: reserving again from inside a money event, as reserving itself may bring money and a request would be reserved twice; such budgets are tried after the event instead. Change: module node: log reading with checkpoints and relays through peers, services in force, a request's way from arrival to its one answer, planned stop and retirement, operators' JSON, explanations by request.

--- a/include/swiftlift/node/Core.h
+++ b/include/swiftlift/node/Core.h
@@ -23,6 +23,8 @@
     std::uint64_t seed = 1;
     /** `grants` (default), `static_split` or `append_per_request`: how budgets are held. */
     std::string moneyPolicy = "grants";
+    /** Of `static_split`: into how many equal parts a budget is split. */
+    std::uint32_t splitWays = 8;
     /** `affinity` (default), `random`, `round_robin` or `least_load`. */
     std::string routingPolicy = "affinity";
     /** Model requests that one router lets wait for a backend server. */
--- a/include/swiftlift/request/RequestTable.h
+++ b/include/swiftlift/request/RequestTable.h
@@ -84,6 +84,12 @@
      */
     void claimDecided(const RequestKey& key, Incarnation owner, Incarnation self);
 
+    /**
+     * @brief The log had a claim of this key before this request sent one: it is not this request's.
+     * @param owner Who owns it; nobody: it is void.
+     */
+    void claimFound(const RequestKey& key, Incarnation owner);
+
     /** @return True when a backend server may be sent the request now. */
     [[nodiscard]] bool mayDispatch(const RequestKey& key) const;
 
--- /dev/null
+++ b/src/node/Call.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "node/Services.h"
+#include "swiftlift/ledger/Holder.h"
+#include "swiftlift/node/Event.h"
+#include "swiftlift/settings/ServiceDocument.h"
+
+namespace swiftlift::node {
+
+enum class Phase : std::uint8_t { WaitingForMoney, WaitingForClaim, WaitingForBackend, Running };
+
+/** One caller's request in progress at this router. */
+struct Call {
+    CallId id;
+    CallerRequest request;
+    ServiceDocumentPtr service;
+    settings::AccountUse use;
+    Phase phase = Phase::WaitingForMoney;
+    Instant arrived {};
+    Instant deadline {};
+    /** When the present phase began. */
+    Instant since {};
+    /** Most that the request can cost. */
+    Tokens cost;
+    std::optional<ledger::Reservation> reservation;
+    /** Set while Running. */
+    AttemptId attempt;
+    BackendId backend;
+    std::uint32_t attemptsMade = 0;
+    std::set<BackendId> excluded;
+    /** Tokens that the caller has been passed on. */
+    Tokens delivered;
+    std::optional<Instant> firstToken;
+
+    [[nodiscard]] bool isModel() const noexcept { return service->kind == settings::BackendKind::Model; }
+};
+
+/** Why a request is given up, and when asking again is worth it. */
+struct GivingUp {
+    int status = 503;
+    std::string reason;
+    std::string detail;
+    std::optional<Duration> retryAfter;
+};
+
+} // namespace swiftlift::node
--- /dev/null
+++ b/src/node/Context.cpp
@@ -0,0 +1,30 @@
+#include "node/Context.h"
+
+#include <chrono>
+
+namespace swiftlift::node {
+
+std::string toHex(std::uint64_t value)
+{
+    constexpr char digits[] = "0123456789abcdef";
+    constexpr int bitsPerDigit = 4;
+    std::string text(16, '0');
+    for (auto digit = text.rbegin(); digit != text.rend(); ++digit) {
+        *digit = digits[value & 0xFU];
+        value >>= bitsPerDigit;
+    }
+    return text;
+}
+
+std::string toHex(const RequestKey& key) { return toHex(key.high) + toHex(key.low); }
+
+std::string toText(const GrantId& grant) { return toHex(grant.holder.value()) + '/' + std::to_string(grant.number); }
+
+std::string toText(const BudgetRef& budget) { return budget.account.value() + '/' + budget.budget.value(); }
+
+std::int64_t toMilliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+} // namespace swiftlift::node
--- /dev/null
+++ b/src/node/Context.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "node/Explanations.h"
+#include "swiftlift/node/Action.h"
+#include "swiftlift/node/Core.h"
+
+namespace swiftlift::node {
+
+/** Collects the fields of one decision's log line. */
+class Line {
+public:
+    explicit Line(std::string kind) { line_.kind = std::move(kind); }
+
+    Line& with(std::string name, std::string value)
+    {
+        line_.fields.push_back({ std::move(name), std::move(value) });
+        return *this;
+    }
+
+    Line& with(std::string name, const char* value) { return with(std::move(name), std::string(value)); }
+
+    Line& with(std::string name, std::int64_t value)
+    {
+        line_.fields.push_back({ std::move(name), value });
+        return *this;
+    }
+
+    Line& with(std::string name, double value)
+    {
+        line_.fields.push_back({ std::move(name), value });
+        return *this;
+    }
+
+    Line& with(std::string name, bool value)
+    {
+        line_.fields.push_back({ std::move(name), value });
+        return *this;
+    }
+
+    [[nodiscard]] const LogLine& get() const noexcept { return line_; }
+
+private:
+    LogLine line_;
+};
+
+/** What every part of the core shares: settings, the present moment and where actions go. */
+class Context {
+public:
+    explicit Context(CoreSettings settings)
+        : settings_(std::move(settings))
+    {
+    }
+
+    /** Every event starts here. */
+    void begin(Instant now, Actions& actions)
+    {
+        now_ = now;
+        actions_ = &actions;
+    }
+
+    [[nodiscard]] const CoreSettings& settings() const noexcept { return settings_; }
+    [[nodiscard]] Incarnation self() const noexcept { return settings_.incarnation; }
+    [[nodiscard]] Instant now() const noexcept { return now_; }
+    [[nodiscard]] const Explanations& explanations() const noexcept { return explanations_; }
+
+    void emit(Action action) { actions_->push_back(std::move(action)); }
+
+    void log(const Line& line)
+    {
+        LogLine taken = line.get();
+        explanations_.remember(taken, now_);
+        emit(std::move(taken));
+    }
+
+    void count(std::string name, std::vector<std::pair<std::string, std::string>> labels = {}, double add = 1)
+    {
+        emit(CountMetric { std::move(name), std::move(labels), add });
+    }
+
+    void gauge(std::string name, double value, std::vector<std::pair<std::string, std::string>> labels = {})
+    {
+        emit(GaugeMetric { std::move(name), std::move(labels), value });
+    }
+
+private:
+    CoreSettings settings_;
+    Instant now_ {};
+    Actions* actions_ = nullptr;
+    Explanations explanations_;
+};
+
+/** @return 16 hex digits. */
+[[nodiscard]] std::string toHex(std::uint64_t value);
+/** @return 32 hex digits. */
+[[nodiscard]] std::string toHex(const RequestKey& key);
+/** @return `HOLDER/NUMBER`. */
+[[nodiscard]] std::string toText(const GrantId& grant);
+/** @return `ACCOUNT/BUDGET`. */
+[[nodiscard]] std::string toText(const BudgetRef& budget);
+/** @return Whole milliseconds. */
+[[nodiscard]] std::int64_t toMilliseconds(Duration duration);
+
+} // namespace swiftlift::node
--- /dev/null
+++ b/src/node/CoreState.cpp
@@ -0,0 +1,308 @@
+#include "node/CoreState.h"
+
+#include <chrono>
+#include <set>
+#include <utility>
+
+#include "node/OperatorView.h"
+#include "swiftlift/ledger/Shard.h"
+
+namespace swiftlift::node {
+
+namespace internal {
+
+    constexpr Duration notReadyRetry = std::chrono::seconds(1);
+
+} // namespace internal
+
+CoreState::CoreState(CoreSettings settings)
+    : context_(std::move(settings))
+    , peers_(context_)
+    , services_(context_, peers_, health_, backends_)
+    , requests_(context_, services_, health_, backends_,
+          [this](const AccountId& account) -> ShardLedger& { return shardOf(account); })
+{
+    for (std::uint32_t shard = 0; shard < context_.settings().ledgerShards; ++shard) {
+        shards_.push_back(std::make_unique<ShardLedger>(context_, peers_, health_, *this, ledger::ledgerStream(shard)));
+    }
+}
+
+ShardLedger& CoreState::shardOf(const AccountId& account) const
+{
+    return *shards_[ledger::shardOf(account, context_.settings().ledgerShards)];
+}
+
+ShardLedger* CoreState::shardNamed(const StreamName& stream) const
+{
+    for (const auto& shard : shards_) {
+        if (shard->stream() == stream) {
+            return shard.get();
+        }
+    }
+    return nullptr;
+}
+
+void CoreState::start()
+{
+    context_.log(Line("start")
+                     .with("incarnation", toHex(context_.self().value()))
+                     .with("peer", context_.settings().peerAddress.value())
+                     .with("domain", context_.settings().domain.value())
+                     .with("seed", toHex(context_.settings().seed)));
+    services_.start();
+    for (const auto& shard : shards_) {
+        shard->start();
+    }
+}
+
+bool CoreState::ready() const
+{
+    if (retired() || !services_.caughtUp() || !peers_.membership().settled()) {
+        return false;
+    }
+    for (const auto& shard : shards_) {
+        if (!shard->caughtUp()) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void CoreState::on(const RequestArrived& event)
+{
+    if (stopping_) {
+        requests_.refuseAtOnce(
+            event.call, event.request, { 503, "stopping", "this VM is leaving: ask another", Duration {} });
+        return;
+    }
+    if (!ready()) {
+        requests_.refuseAtOnce(event.call, event.request,
+            { 503, "not_ready", retired() ? retiredReason_ : "still reading the log", internal::notReadyRetry });
+        return;
+    }
+    requests_.arrive(event.call, event.request);
+}
+
+void CoreState::on(const CallerGone& event) { requests_.callerGone(event.call); }
+void CoreState::on(const AttemptProgress& event) { requests_.onProgress(event); }
+void CoreState::on(const AttemptEnded& event) { requests_.onAttemptEnded(event); }
+
+void CoreState::on(const LogRecords& event)
+{
+    health_.onAnswer(context_.now());
+    if (event.stream == Services::stream()) {
+        services_.onRecords(event);
+    } else if (ShardLedger* shard = shardNamed(event.stream)) {
+        shard->onRecords(event);
+    }
+}
+
+void CoreState::on(const LogExpired& event)
+{
+    health_.onAnswer(context_.now());
+    if (event.stream == Services::stream()) {
+        services_.onExpired(event.oldest);
+    } else if (ShardLedger* shard = shardNamed(event.stream)) {
+        shard->onExpired(event.oldest);
+    }
+}
+
+void CoreState::on(const LogUnreachable& event)
+{
+    if (health_.reachable(context_.now())) {
+        context_.log(Line("log").with("change", "unreachable").with("detail", event.detail));
+    }
+    health_.onFailure();
+    if (ShardLedger* shard = shardNamed(event.stream)) {
+        shard->onAppendFailed();
+    }
+}
+
+void CoreState::on(const AppendAnswered&) { health_.onAnswer(context_.now()); }
+
+void CoreState::on(const PeerReceived& event)
+{
+    if (event.sender == context_.self()) {
+        return;
+    }
+    if (const auto* heartbeatHeard = std::get_if<Heartbeat>(&event.message)) {
+        peers_.onHeartbeat(event.sender, event.address, *heartbeatHeard);
+        return;
+    }
+    routePeerMessage(event);
+}
+
+void CoreState::routePeerMessage(const PeerReceived& event)
+{
+    if (const auto* ask = std::get_if<ReadAsk>(&event.message)) {
+        if (ask->stream == Services::stream()) {
+            services_.onReadAsk(event.sender, ask->from);
+        } else if (ShardLedger* shard = shardNamed(ask->stream)) {
+            shard->onReadAsk(event.sender, ask->from);
+        }
+    } else if (const auto* records = std::get_if<Records>(&event.message)) {
+        if (records->stream == Services::stream()) {
+            services_.onPeerRecords(*records);
+        } else if (ShardLedger* shard = shardNamed(records->stream)) {
+            shard->onRecords({ records->stream, records->first, records->records, std::nullopt });
+        }
+    } else if (const auto* state = std::get_if<StreamState>(&event.message)) {
+        if (ShardLedger* shard = shardNamed(state->stream)) {
+            shard->onPeerState(state->asOf, state->state);
+        }
+    } else if (const auto* relay = std::get_if<RelayAppend>(&event.message)) {
+        context_.emit(Append { relay->stream, relay->record });
+    } else {
+        // Grants and loans carry no stream; only the shard that knows them reacts.
+        for (const auto& shard : shards_) {
+            shard->onPeerMessage(event.sender, event.message);
+        }
+    }
+}
+
+void CoreState::on(const VmListRead& event)
+{
+    peers_.onVmList(event.vms);
+    if (peers_.membership().selfLeaving() && !stopping_) {
+        context_.log(Line("membership").with("change", "self_leaving").with("detail", "listed as leaving"));
+        on(StopRequested {});
+    }
+}
+
+void CoreState::on(const BackendLoad& event)
+{
+    if (!event.reachable) {
+        backends_.onLoadMissed(event.backend, context_.now());
+        return;
+    }
+    const auto step
+        = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(event.stepMilliseconds));
+    routing::LoadReport report { event.running, event.waiting, step, event.models, event.leaving, event.generation };
+    backends_.onLoad(event.backend, report, context_.now());
+}
+
+void CoreState::on(const CacheEventsRead& event)
+{
+    std::vector<routing::CacheNotice> notices;
+    notices.reserve(event.events.size());
+    for (const auto& cacheEvent : event.events) {
+        const bool stored = cacheEvent.kind == CacheEventKind::Stored;
+        notices.push_back({ cacheEvent.sequence, stored ? routing::CacheChange::Stored : routing::CacheChange::Evicted,
+            cacheEvent.prefixHash });
+    }
+    backends_.onCacheEvents(event.backend, notices, context_.now());
+}
+
+void CoreState::on(const OrderAnswered&) { }
+
+void CoreState::on(const Tick&)
+{
+    refreshWatched();
+    for (const Incarnation suspected : peers_.tick(heartbeat())) {
+        for (const auto& shard : shards_) {
+            shard->onSuspected(suspected);
+        }
+    }
+    backends_.tick(context_.now());
+    services_.tick();
+    requests_.tick();
+    const bool leaving = stopping_ && requests_.inProgress() == 0;
+    for (const auto& shard : shards_) {
+        shard->tick(leaving);
+    }
+    context_.gauge("swiftlift_ready", ready() ? 1 : 0);
+    context_.gauge("swiftlift_log_reachable", health_.reachable(context_.now()) ? 1 : 0);
+    finishWhenDrained();
+}
+
+void CoreState::refreshWatched()
+{
+    if (context_.now() < nextWatched_) {
+        return;
+    }
+    nextWatched_ = context_.now() + watchedPeriod;
+    std::set<Incarnation> watched;
+    for (const auto& shard : shards_) {
+        const auto holders = shard->witnessed();
+        watched.insert(holders.begin(), holders.end());
+    }
+    peers_.membership().setWatched({ watched.begin(), watched.end() }, context_.now());
+}
+
+void CoreState::on(const StopRequested&)
+{
+    if (stopping_) {
+        return;
+    }
+    stopping_ = true;
+    context_.log(
+        Line("stop").with("in_progress", static_cast<std::int64_t>(requests_.inProgress())).with("reason", "asked"));
+}
+
+void CoreState::on(const OperatorAsked& event)
+{
+    context_.emit(OperatorReply { event.question, answerOperator(*this, event) });
+}
+
+void CoreState::onClaimDecided(const RequestKey& key, Incarnation owner) { requests_.onClaimDecided(key, owner); }
+void CoreState::onMoneyArrived(const BudgetRef& budget) { requests_.onMoneyArrived(budget); }
+
+void CoreState::onRetired(const std::string& reason)
+{
+    if (retired()) {
+        return;
+    }
+    retiredReason_ = reason.empty() ? "retired" : reason;
+    context_.log(Line("retired").with("reason", retiredReason_));
+}
+
+void CoreState::finishWhenDrained()
+{
+    const bool ending = stopping_ || retired();
+    if (!ending || over_ || requests_.inProgress() > 0) {
+        idleSince_.reset();
+        return;
+    }
+    if (!idleSince_) {
+        idleSince_ = context_.now();
+    }
+    bool drained = true;
+    for (const auto& shard : shards_) {
+        drained = drained && shard->drained();
+    }
+    // With the log out of reach the bills can't be handed over. Waiting for ever would keep a VM that has to go; what
+    // is unread then stays held by its grants, so it can't be spent twice.
+    const bool outOfPatience = context_.now() - *idleSince_ >= drainPatience;
+    if (!drained && !outOfPatience) {
+        return;
+    }
+    over_ = true;
+    std::int64_t unread = 0;
+    for (const auto& shard : shards_) {
+        unread += static_cast<std::int64_t>(shard->unread());
+    }
+    context_.log(Line("over").with("drained", drained).with("unread_items", unread));
+    if (stopping_) {
+        context_.emit(StopReady {});
+    } else {
+        context_.emit(Restart { retiredReason_ });
+    }
+}
+
+void CoreState::finishEvent() { requests_.finishEvent(); }
+
+Heartbeat CoreState::heartbeat() const
+{
+    Heartbeat own;
+    own.domain = context_.settings().domain;
+    own.region = context_.settings().region;
+    own.stopping = stopping_ || retired();
+    own.logReachable = health_.reachable(context_.now());
+    for (const auto& shard : shards_) {
+        own.positions.push_back({ shard->stream(), shard->fold().nextOffset() });
+    }
+    own.positions.push_back({ Services::stream(), services_.fold().nextOffset() });
+    return own;
+}
+
+} // namespace swiftlift::node
--- /dev/null
+++ b/src/node/CoreState.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "node/Context.h"
+#include "node/LogHealth.h"
+#include "node/Peers.h"
+#include "node/Requests.h"
+#include "node/Services.h"
+#include "node/ShardLedger.h"
+#include "swiftlift/node/Core.h"
+#include "swiftlift/routing/BackendTable.h"
+
+namespace swiftlift::node {
+
+/** The parts of a router's core, and how events reach them. */
+class CoreState final : public LedgerListener {
+public:
+    explicit CoreState(CoreSettings settings);
+
+    void start();
+    /** Whatever came, these follow: time-driven work and what waited for the event. */
+    void finishEvent();
+
+    void on(const RequestArrived& event);
+    void on(const CallerGone& event);
+    void on(const AttemptProgress& event);
+    void on(const AttemptEnded& event);
+    void on(const LogRecords& event);
+    void on(const LogExpired& event);
+    void on(const LogUnreachable& event);
+    void on(const AppendAnswered& event);
+    void on(const PeerReceived& event);
+    void on(const VmListRead& event);
+    void on(const BackendLoad& event);
+    void on(const CacheEventsRead& event);
+    void on(const OrderAnswered& event);
+    void on(const Tick& event);
+    void on(const StopRequested& event);
+    void on(const OperatorAsked& event);
+
+    void onClaimDecided(const RequestKey& key, Incarnation owner) override;
+    void onMoneyArrived(const BudgetRef& budget) override;
+    void onRetired(const std::string& reason) override;
+
+    /** @return True when the router takes new requests. */
+    [[nodiscard]] bool ready() const;
+    [[nodiscard]] bool stopping() const noexcept { return stopping_; }
+    [[nodiscard]] bool retired() const noexcept { return !retiredReason_.empty(); }
+
+    [[nodiscard]] Context& context() noexcept { return context_; }
+    [[nodiscard]] const Context& context() const noexcept { return context_; }
+    [[nodiscard]] const Peers& peers() const noexcept { return peers_; }
+    [[nodiscard]] const LogHealth& health() const noexcept { return health_; }
+    [[nodiscard]] const Services& services() const noexcept { return services_; }
+    [[nodiscard]] const routing::BackendTable& backends() const noexcept { return backends_; }
+    [[nodiscard]] const Requests& requests() const noexcept { return requests_; }
+    [[nodiscard]] const std::vector<std::unique_ptr<ShardLedger>>& shards() const noexcept { return shards_; }
+    [[nodiscard]] ShardLedger& shardOf(const AccountId& account) const;
+
+private:
+    /** After a stop or retirement with the log out of reach: how long to wait for holdings to be given back. */
+    static constexpr Duration drainPatience = std::chrono::seconds(10);
+    static constexpr Duration watchedPeriod = std::chrono::seconds(1);
+
+    [[nodiscard]] Heartbeat heartbeat() const;
+    [[nodiscard]] ShardLedger* shardNamed(const StreamName& stream) const;
+    void routePeerMessage(const PeerReceived& event);
+    void refreshWatched();
+    void finishWhenDrained();
+
+    Context context_;
+    LogHealth health_;
+    Peers peers_;
+    routing::BackendTable backends_;
+    Services services_;
+    std::vector<std::unique_ptr<ShardLedger>> shards_;
+    Requests requests_;
+    std::string retiredReason_;
+    std::optional<Instant> idleSince_;
+    Instant nextWatched_ {};
+    bool stopping_ = false;
+    bool over_ = false;
+};
+
+} // namespace swiftlift::node
--- /dev/null
+++ b/src/node/Requests.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "node/Call.h"
+#include "node/Context.h"
+#include "node/LogHealth.h"
+#include "node/Services.h"
+#include "node/ShardLedger.h"
+#include "swiftlift/request/RequestTable.h"
+#include "swiftlift/routing/Admission.h"
+#include "swiftlift/routing/BackendTable.h"
+#include "swiftlift/routing/RetryBudget.h"
+#include "swiftlift/routing/Selector.h"
+
+namespace swiftlift::node {
+
+/** Finds the ledger shard of a client account. */
+using ShardFinder = std::function<ShardLedger&(const AccountId&)>;
+
+/**
+ * @brief Takes each request from arrival to its one final answer: money, claim, backend server, bill.
+ */
+class Requests {
+public:
+    Requests(Context& context, Services& services, const LogHealth& health, routing::BackendTable& backends,
+        ShardFinder shards);
+
+    void arrive(CallId id, CallerRequest request);
+    /** Refuses without looking further: nothing of it is known here, and nothing was started. */
+    void refuseAtOnce(CallId id, const CallerRequest& request, const GivingUp& why);
+    void callerGone(CallId id);
+    void onProgress(const AttemptProgress& progress);
+    void onAttemptEnded(const AttemptEnded& ended);
+    void onClaimDecided(const RequestKey& key, Incarnation owner);
+    void onMoneyArrived(const BudgetRef& budget);
+    void tick();
+    /** To be called after each event: tries again what waited for something that came with it. */
+    void finishEvent();
+
+    [[nodiscard]] std::size_t inProgress() const noexcept { return calls_.size(); }
+    [[nodiscard]] const request::RequestTable& table() const noexcept { return table_; }
+
+private:
+    /** How long a request waits for money that is under way; a draw takes two passes of the log. */
+    static constexpr Duration moneyPatience = std::chrono::seconds(2);
+    static constexpr Duration claimPatience = std::chrono::seconds(3);
+    static constexpr Duration moneyRetryPeriod = std::chrono::milliseconds(50);
+    static constexpr Duration defaultRetryAfter = std::chrono::seconds(1);
+
+    /** What a service's requests share. */
+    struct ServiceState {
+        routing::Admission admission;
+        routing::RetryBudget retries;
+    };
+
+    [[nodiscard]] bool checkRequest(Call& call);
+    [[nodiscard]] bool checkLimits(Call& call);
+    void refuseDuplicate(const Call& call, request::Arrival arrival);
+    void seekMoney(Call& call);
+    void seekClaim(Call& call);
+    void decideClaim(Call& call, Incarnation owner, bool ours);
+    void retryForMoney(const std::function<bool(const Call&)>& wanted);
+    void seekBackend(Call& call);
+    void pump(const ServiceName& service);
+    void pumpAll();
+    [[nodiscard]] routing::SelectRequest selectRequest(const Call& call) const;
+    [[nodiscard]] routing::WaitingCall waitingCall(const Call& call) const;
+    [[nodiscard]] bool admitted(Call& call, const routing::Admitted& verdict);
+    void dispatch(Call& call, const routing::Choice& choice);
+    void complete(Call& call, const AttemptEnded& ended);
+    void tryElsewhere(Call& call, const AttemptEnded& ended);
+    void finishAttempt(Call& call, request::AttemptEnd end, const AttemptEnded* facts);
+    void cancelAttempt(Call& call);
+    void settle(Call& call, Tokens actual);
+    void giveUp(Call& call, const GivingUp& why);
+    void end(Call& call, request::Outcome outcome, const std::string& reason, Tokens billed);
+    void expire();
+    void observeFirstToken(Call& call);
+    [[nodiscard]] Tokens spentSoFar(const Call& call) const;
+    [[nodiscard]] ServiceState& stateOf(const Call& call);
+    [[nodiscard]] Call* find(CallId id);
+    void enter(Call& call, Phase phase);
+
+    Context& context_;
+    Services& services_;
+    const LogHealth& health_;
+    routing::BackendTable& backends_;
+    ShardFinder shards_;
+    std::unique_ptr<routing::Selector> selector_;
+    request::RequestTable table_;
+    std::map<CallId, std::unique_ptr<Call>> calls_;
+    std::unordered_map<RequestKey, CallId> byKey_;
+    std::map<AttemptId, CallId> byAttempt_;
+    std::map<ServiceName, ServiceState> serviceStates_;
+    /** Budgets with new money since the last event; tried only after it, as reserving may bring more. */
+    std::set<BudgetRef> moneyArrived_;
+    std::uint64_t lastAttempt_ = 0;
+    Instant nextMoneyRetry_ {};
+};
+
+} // namespace swiftlift::node
--- /dev/null
+++ b/src/node/ShardLedger.cpp
@@ -0,0 +1,378 @@
+#include "node/ShardLedger.h"
+
+#include <cassert>
+#include <functional>
+#include <set>
+#include <utility>
+
+#include "swiftlift/ledger/EntryCodec.h"
+#include "swiftlift/ledger/HoldingPolicy.h"
+
+namespace swiftlift::node {
+
+namespace internal {
+
+    template <typename... Handlers> struct Overloaded : Handlers... {
+        using Handlers::operator()...;
+    };
+    template <typename... Handlers> Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+    [[nodiscard]] std::unique_ptr<ledger::HoldingPolicy> policyOf(const CoreSettings& settings)
+    {
+        ledger::PolicySettings figures;
+        figures.splitBetween = settings.splitWays;
+        auto policy = ledger::makePolicy(settings.moneyPolicy, figures);
+        assert(policy != nullptr && "the settings' check lets only known policies through");
+        return policy;
+    }
+
+    [[nodiscard]] const char* toText(ledger::GrantState state)
+    {
+        switch (state) {
+        case ledger::GrantState::Open:
+            return "open";
+        case ledger::GrantState::Sealed:
+            return "sealed";
+        case ledger::GrantState::Closed:
+            return "closed";
+        }
+        return "";
+    }
+
+} // namespace internal
+
+ShardLedger::ShardLedger(
+    Context& context, Peers& peers, const LogHealth& health, LedgerListener& listener, StreamName stream)
+    : context_(context)
+    , peers_(peers)
+    , health_(health)
+    , listener_(listener)
+    , stream_(std::move(stream))
+    , outbox_(context.self())
+    , holder_(context.self(), internal::policyOf(context.settings()), fold_)
+    , witness_(context.self(), fold_)
+    , checkpoints_(checkpointInterval, context.settings().seed ^ std::hash<std::string> {}(stream_.value()))
+{
+}
+
+void ShardLedger::start() { follow(fold_.nextOffset()); }
+
+void ShardLedger::follow(Offset from) { context_.emit(Follow { stream_, from }); }
+
+void ShardLedger::onRecords(const LogRecords& records)
+{
+    std::uint64_t offset = records.first.value();
+    for (const auto& record : records.records) {
+        if (seekFrom_) {
+            seekCheckpoint(Offset { offset }, record);
+            if (!seekFrom_) {
+                return;
+            }
+        } else if (offset > fold_.nextOffset().value()) {
+            // A reader that skipped records would fold another state than the others: read again from the gap on.
+            follow(fold_.nextOffset());
+            return;
+        } else if (offset == fold_.nextOffset().value()) {
+            applyRecord(Offset { offset }, record);
+        }
+        ++offset;
+    }
+    if (records.end && !seekFrom_ && fold_.nextOffset() >= *records.end) {
+        caughtUp_ = true;
+    }
+}
+
+void ShardLedger::applyRecord(Offset offset, const std::string& record)
+{
+    std::string reason;
+    const auto batch = ledger::decodeBatch(record, reason);
+    std::vector<ledger::Effect> effects;
+    // An unreadable record is one that nobody can read: all readers skip it alike, as an empty batch.
+    if (!fold_.apply(offset, batch.value_or(ledger::Batch {}), effects)) {
+        listener_.onRetired(fold_.lastReason());
+        return;
+    }
+    cache_.add(offset, record);
+    if (!batch) {
+        context_.log(Line("ledger").with("change", "unreadable").with("reason", reason));
+        return;
+    }
+    for (const auto& item : batch->items) {
+        if (std::holds_alternative<ledger::Checkpoint>(item.entry)) {
+            checkpoints_.onSnapshot(context_.now());
+            lastCheckpoint_ = offset;
+        }
+    }
+    for (const auto& effect : effects) {
+        onEffect(effect);
+    }
+}
+
+void ShardLedger::onExpired(Offset oldest)
+{
+    // What goes wrong: the log has dropped records this reader has not seen. One notices it by the log's 410. A fold
+    // that went on after the hole would miss bills and grants, and admit money that is spent: so it starts again from a
+    // checkpoint, and this incarnation, whose own items it may have missed, takes on nothing new.
+    if (fold_.nextOffset().value() > 0 && !holeReported_) {
+        holeReported_ = true;
+        listener_.onRetired("records expired before they were read");
+    }
+    context_.log(Line("ledger")
+                     .with("change", "expired")
+                     .with("stream", stream_.value())
+                     .with("oldest", static_cast<std::int64_t>(oldest.value())));
+    seekFrom_ = oldest;
+    caughtUp_ = false;
+    follow(oldest);
+}
+
+void ShardLedger::seekCheckpoint(Offset offset, const std::string& record)
+{
+    std::string reason;
+    const auto batch = ledger::decodeBatch(record, reason);
+    if (!batch) {
+        return;
+    }
+    for (const auto& item : batch->items) {
+        const auto* checkpoint = std::get_if<ledger::Checkpoint>(&item.entry);
+        if (checkpoint != nullptr && checkpoint->asOf >= *seekFrom_ && checkpoint->asOf <= offset) {
+            restoreFrom(*checkpoint, "log");
+            return;
+        }
+    }
+}
+
+void ShardLedger::restoreFrom(const ledger::Checkpoint& checkpoint, const char* source)
+{
+    if (!fold_.restore(checkpoint)) {
+        context_.log(Line("ledger").with("change", "bad_checkpoint").with("reason", fold_.lastReason()));
+        return;
+    }
+    seekFrom_.reset();
+    context_.log(Line("ledger")
+                     .with("change", "restored")
+                     .with("stream", stream_.value())
+                     .with("source", source)
+                     .with("as_of", static_cast<std::int64_t>(checkpoint.asOf.value())));
+    const std::uint64_t landed = fold_.lastSequence(context_.self());
+    for (std::uint64_t sequence = 1; sequence <= landed; ++sequence) {
+        outbox_.onLanded(ledger::Landed { context_.self(), sequence }, context_.now());
+    }
+    follow(fold_.nextOffset());
+}
+
+void ShardLedger::onPeerState(Offset asOf, const std::string& state)
+{
+    const bool fresh = fold_.nextOffset().value() == 0;
+    if (!fresh || asOf.value() == 0) {
+        return;
+    }
+    restoreFrom(ledger::Checkpoint { asOf, state }, "peer");
+    caughtUp_ = fold_.nextOffset() == asOf;
+}
+
+void ShardLedger::onEffect(const ledger::Effect& effect)
+{
+    if (const auto* landed = std::get_if<ledger::Landed>(&effect); landed && landed->origin == context_.self()) {
+        outbox_.onLanded(*landed, context_.now());
+    }
+    if (const auto* claim = std::get_if<ledger::ClaimDecided>(&effect)) {
+        listener_.onClaimDecided(claim->key, claim->owner);
+    }
+    if (const auto* refused = std::get_if<ledger::Refused>(&effect); refused && refused->origin == context_.self()) {
+        context_.log(Line("ledger").with("change", "refused").with("reason", refused->reason));
+    }
+    if (const auto* draw = std::get_if<ledger::DrawDecided>(&effect)) {
+        if (draw->grant.holder == context_.self()) {
+            context_.log(Line("grant")
+                             .with("budget", toText(draw->budget))
+                             .with("grant", toText(draw->grant))
+                             .with("admitted", draw->admitted.value())
+                             .with("short_by", draw->shortBy.value())
+                             .with("witness", toHex(draw->witness.value())));
+        }
+    }
+    if (const auto* changed = std::get_if<ledger::GrantChanged>(&effect);
+        changed && changed->state == ledger::GrantState::Sealed) {
+        context_.log(Line("seal")
+                         .with("grant", toText(changed->grant))
+                         .with("state", internal::toText(changed->state))
+                         .with("witness", toHex(changed->witness.value())));
+    }
+    ledger::MoneyActions actions;
+    holder_.onEffect(effect, context_.now(), actions);
+    witness_.onEffect(effect, actions);
+    carryOut(actions);
+}
+
+void ShardLedger::carryOut(ledger::MoneyActions& actions)
+{
+    // Handling one action may append more, so each is taken by index.
+    for (std::size_t index = 0; index < actions.size(); ++index) {
+        std::visit(
+            internal::Overloaded {
+                [this](ledger::AppendEntry& action) { append(std::move(action.entry)); },
+                [this](ledger::SendRaise& action) { peers_.send(action.to, RaiseCeilings { action.ceilings }); },
+                [this](
+                    ledger::SendCeilingsAcked& action) { peers_.send(action.to, CeilingsAcked { action.ceilings }); },
+                [this](
+                    ledger::SendCeilingsRefused& action) { peers_.send(action.to, CeilingsRefused { action.grants }); },
+                [this](ledger::SendLoanAsk& action) {
+                    peers_.send(action.to, LoanAsk { action.loan, action.budget, action.amount });
+                },
+                [this](ledger::SendLoanGiven& action) {
+                    context_.log(Line("loan")
+                                     .with("budget", toText(action.budget))
+                                     .with("to", toHex(action.to.value()))
+                                     .with("tokens", action.amount.value()));
+                    peers_.send(action.to, LoanGiven { action.loan, action.budget, action.grant, action.amount });
+                },
+                [this](ledger::SendLoanDenied& action) {
+                    peers_.send(action.to, LoanDenied { action.loan, action.budget, action.free });
+                },
+                [this](ledger::SendLoanDone& action) {
+                    peers_.send(action.to, LoanDone { action.loan, action.billed });
+                },
+                [this](ledger::SendLoanDoneAcked& action) { peers_.send(action.to, LoanDoneAcked { action.loan }); },
+                [this](ledger::MoneyArrived& action) { listener_.onMoneyArrived(action.budget); },
+                [this](ledger::Retired& action) { listener_.onRetired(action.reason); },
+            },
+            actions[index]);
+    }
+}
+
+void ShardLedger::onReadAsk(Incarnation from, Offset offset)
+{
+    if (offset >= fold_.nextOffset()) {
+        return;
+    }
+    if (cache_.holds(offset)) {
+        peers_.send(from, Records { stream_, offset, cache_.from(offset, peerAnswerBytes) });
+        return;
+    }
+    const ledger::Checkpoint checkpoint = fold_.checkpoint();
+    peers_.send(from, StreamState { stream_, checkpoint.asOf, checkpoint.state });
+}
+
+void ShardLedger::onPeerMessage(Incarnation from, const PeerMessage& message)
+{
+    ledger::MoneyActions actions;
+    const Instant now = context_.now();
+    std::visit(
+        internal::Overloaded {
+            [&](const RaiseCeilings& raise) { witness_.onRaise(from, raise.ceilings, actions); },
+            [&](const CeilingsAcked& acked) { holder_.onCeilingsAcked(from, acked.ceilings, now, actions); },
+            [&](const CeilingsRefused& refused) { holder_.onCeilingsRefused(from, refused.grants, now, actions); },
+            [&](const LoanAsk& ask) { holder_.onLoanAsk(from, ask.loan, ask.budget, ask.amount, now, actions); },
+            [&](const LoanGiven& loan) {
+                holder_.onLoanGiven(from, loan.loan, loan.budget, loan.grant, loan.amount, now, actions);
+            },
+            [&](const LoanDenied& denied) {
+                holder_.onLoanDenied(from, denied.loan, denied.budget, denied.free, now, actions);
+            },
+            [&](const LoanDone& done) { holder_.onLoanDone(from, done.loan, done.billed, now, actions); },
+            [&](const LoanDoneAcked& acked) { holder_.onLoanDoneAcked(from, acked.loan, now, actions); },
+            [](const auto&) {},
+        },
+        message);
+    carryOut(actions);
+}
+
+void ShardLedger::onSuspected(Incarnation peer)
+{
+    ledger::MoneyActions actions;
+    witness_.suspect(peer, actions);
+    carryOut(actions);
+}
+
+void ShardLedger::onAppendFailed() { outbox_.onFailure(context_.now()); }
+
+void ShardLedger::tick(bool stopping)
+{
+    const Instant now = context_.now();
+    ledger::Surroundings surroundings;
+    surroundings.logReachable = health_.reachable(now);
+    surroundings.stopping = stopping;
+    surroundings.witness = peers_.membership().witness();
+    constexpr std::size_t lenders = 3;
+    surroundings.lenders = peers_.membership().lenders(lenders);
+    ledger::MoneyActions actions;
+    holder_.onTick(now, surroundings, actions);
+    carryOut(actions);
+    appendCheckpointWhenDue();
+    sendBatch();
+    askPeer();
+}
+
+void ShardLedger::appendCheckpointWhenDue()
+{
+    const bool worthIt = caughtUp_ && health_.reachable(context_.now()) && fold_.nextOffset().value() > 0;
+    if (worthIt && checkpoints_.due(context_.now())) {
+        append(fold_.checkpoint());
+    }
+}
+
+void ShardLedger::sendBatch()
+{
+    const auto batch = outbox_.next(context_.now());
+    if (!batch) {
+        return;
+    }
+    std::string record = ledger::encode(*batch);
+    if (!health_.reachable(context_.now())) {
+        if (const auto relay = peers_.membership().logReachablePeer()) {
+            peers_.send(*relay, RelayAppend { stream_, record });
+        }
+    }
+    context_.emit(Append { stream_, std::move(record) });
+}
+
+void ShardLedger::askPeer()
+{
+    if (health_.reachable(context_.now()) || context_.now() < nextReadAsk_) {
+        return;
+    }
+    nextReadAsk_ = context_.now() + readAskPeriod;
+    if (const auto peer = peers_.membership().logReachablePeer()) {
+        peers_.send(*peer, ReadAsk { stream_, fold_.nextOffset() });
+    }
+}
+
+std::variant<ledger::Reservation, ledger::Shortage> ShardLedger::reserve(
+    const BudgetRef& budget, const RequestKey& key, Tokens amount)
+{
+    ledger::MoneyActions actions;
+    auto result = holder_.reserve(budget, key, amount, context_.now(), actions);
+    carryOut(actions);
+    sendBatch();
+    return result;
+}
+
+void ShardLedger::settle(const ledger::Reservation& reservation, Tokens actual)
+{
+    ledger::MoneyActions actions;
+    holder_.settle(reservation, actual, actions);
+    carryOut(actions);
+}
+
+void ShardLedger::release(const ledger::Reservation& reservation)
+{
+    ledger::MoneyActions actions;
+    holder_.release(reservation, actions);
+    carryOut(actions);
+}
+
+void ShardLedger::append(ledger::Entry entry) { outbox_.add(std::move(entry)); }
+
+std::vector<Incarnation> ShardLedger::witnessed() const
+{
+    std::set<Incarnation> holders;
+    for (const auto& grant : fold_.openGrants()) {
+        if (grant.witness == context_.self() && grant.id.holder != context_.self()) {
+            holders.insert(grant.id.holder);
+        }
+    }
+    return { holders.begin(), holders.end() };
+}
+
+} // namespace swiftlift::node
--- /dev/null
+++ b/src/node/ShardLedger.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "node/Context.h"
+#include "node/LogHealth.h"
+#include "node/Peers.h"
+#include "node/RecordCache.h"
+#include "swiftlift/config/SnapshotSchedule.h"
+#include "swiftlift/ledger/Fold.h"
+#include "swiftlift/ledger/Holder.h"
+#include "swiftlift/ledger/Outbox.h"
+#include "swiftlift/ledger/Witness.h"
+
+namespace swiftlift::node {
+
+/** Told what the ledger decides. */
+class LedgerListener {
+public:
+    LedgerListener() = default;
+    virtual ~LedgerListener() = default;
+    LedgerListener(const LedgerListener&) = delete;
+    LedgerListener& operator=(const LedgerListener&) = delete;
+
+    virtual void onClaimDecided(const RequestKey& key, Incarnation owner) = 0;
+    virtual void onMoneyArrived(const BudgetRef& budget) = 0;
+    /** This incarnation is over: nothing new may be started. */
+    virtual void onRetired(const std::string& reason) = 0;
+};
+
+/** One ledger stream as this router sees it: fold, outbox, holder and witness, kept in step. */
+class ShardLedger {
+public:
+    ShardLedger(Context& context, Peers& peers, const LogHealth& health, LedgerListener& listener, StreamName stream);
+
+    void start();
+    void onRecords(const LogRecords& records);
+    /** The log no longer has what was asked for. */
+    void onExpired(Offset oldest);
+    /** A peer's state, after every record below `asOf`. */
+    void onPeerState(Offset asOf, const std::string& state);
+    void onAppendFailed();
+    void onReadAsk(Incarnation from, Offset offset);
+    void onPeerMessage(Incarnation from, const PeerMessage& message);
+    void onSuspected(Incarnation peer);
+    void tick(bool stopping);
+
+    [[nodiscard]] std::variant<ledger::Reservation, ledger::Shortage> reserve(
+        const BudgetRef& budget, const RequestKey& key, Tokens amount);
+    void settle(const ledger::Reservation& reservation, Tokens actual);
+    void release(const ledger::Reservation& reservation);
+    void append(ledger::Entry entry);
+
+    [[nodiscard]] const StreamName& stream() const noexcept { return stream_; }
+    [[nodiscard]] const ledger::Fold& fold() const noexcept { return fold_; }
+    [[nodiscard]] const ledger::Holder& holder() const noexcept { return holder_; }
+    [[nodiscard]] std::size_t unread() const noexcept { return outbox_.pending(); }
+    /** @return True once the fold has reached the end that the log told, or a peer's state. */
+    [[nodiscard]] bool caughtUp() const noexcept { return caughtUp_; }
+    /** @return True when nothing of this incarnation is left open in the ledger. */
+    [[nodiscard]] bool drained() const { return outbox_.empty() && holder_.drained(); }
+    /** @return Incarnations whose open grants name this router as witness. */
+    [[nodiscard]] std::vector<Incarnation> witnessed() const;
+
+private:
+    static constexpr std::size_t peerAnswerBytes = 64 * 1024;
+    static constexpr Duration readAskPeriod = std::chrono::milliseconds(300);
+    static constexpr Duration checkpointInterval = std::chrono::seconds(30);
+
+    void follow(Offset from);
+    void applyRecord(Offset offset, const std::string& record);
+    void seekCheckpoint(Offset offset, const std::string& record);
+    void restoreFrom(const ledger::Checkpoint& checkpoint, const char* source);
+    void onEffect(const ledger::Effect& effect);
+    void carryOut(ledger::MoneyActions& actions);
+    void sendBatch();
+    void askPeer();
+    void appendCheckpointWhenDue();
+
+    Context& context_;
+    Peers& peers_;
+    const LogHealth& health_;
+    LedgerListener& listener_;
+    StreamName stream_;
+    ledger::Fold fold_;
+    ledger::Outbox outbox_;
+    ledger::Holder holder_;
+    ledger::Witness witness_;
+    RecordCache cache_;
+    config::SnapshotSchedule checkpoints_;
+    std::optional<Offset> seekFrom_;
+    Offset lastCheckpoint_;
+    Instant nextReadAsk_ {};
+    bool caughtUp_ = false;
+    bool holeReported_ = false;
+};
+
+} // namespace swiftlift::node
--- a/src/request/RequestTable.cpp
+++ b/src/request/RequestTable.cpp
@@ -72,6 +72,13 @@
     }
 }
 
+void RequestTable::claimFound(const RequestKey& key, Incarnation owner)
+{
+    auto found = records_.find(key);
+    assert(found != records_.end() && "a claim is looked up for a known request only");
+    found->second.claim = owner == Incarnation {} ? ClaimState::Void : ClaimState::Theirs;
+}
+
 bool RequestTable::mayDispatch(const RequestKey& key) const
 {
     const Record* record = find(key);
