Add the code of the routing module

Cause: the node's core composes these contracts. Change: backend table with load estimate, breaker, prefix knowledge and prefill model; four selectors; fair queue, admission and retry budget. The table needs no tick and no prediction with a dispatch: it works both out itself. Ruled out: taking the best backend server of all by lagged reports, since all routers would take the same one.

--- a/include/swiftlift/routing/Admission.h
+++ b/include/swiftlift/routing/Admission.h
@@ -24,8 +24,10 @@
     None,
     /** Its first token can't be expected before its deadline. */
     DeadlineTooShort,
-    /** Its account has more waiting than its share. */
+    /** Its account has its share of the queue waiting already. */
     AccountOverShare,
+    /** The queue is full of other accounts' shares. */
+    Overloaded,
 };
 
 struct Admitted {
@@ -71,7 +73,7 @@
     Duration firstToken_;
 };
 
-/** @return `deadline_too_short` or `account_over_share`. */
+/** @return `deadline_too_short`, `account_over_share` or `overloaded`. */
 [[nodiscard]] const char* toText(AdmissionRefusal refusal) noexcept;
 
 } // namespace swiftlift::routing
--- a/include/swiftlift/routing/BackendFacts.h
+++ b/include/swiftlift/routing/BackendFacts.h
@@ -40,8 +40,6 @@
 struct DispatchFacts {
     std::uint64_t prefixHash = 0;
     Tokens promptTokens;
-    /** What the selector predicted, to be compared with what came. */
-    Duration predictedFirstToken {};
 };
 
 enum class EndKind : std::uint8_t {
--- a/include/swiftlift/routing/BackendTable.h
+++ b/include/swiftlift/routing/BackendTable.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -15,6 +17,7 @@
 namespace swiftlift::routing {
 
 class Backend;
+class PrefillModel;
 
 /** How the table judges backend servers. */
 struct TableSettings {
@@ -37,8 +40,8 @@
     std::size_t prefixesKept = 2048;
     /** Requests an engine is taken to run at once before it has been seen to let any wait. */
     std::uint32_t assumedSlots = 8;
-    /** Prompt tokens an engine is taken to read in one step. */
-    std::uint32_t prefillPerStep = 256;
+    /** What an engine is taken to need for a prompt token that is not cached, before it has been measured. */
+    Duration assumedPrefillPerToken = std::chrono::microseconds(20);
     Duration assumedStep = std::chrono::milliseconds(3);
     Duration assumedHold = std::chrono::milliseconds(500);
 };
@@ -68,7 +71,8 @@
     std::optional<Instant> usableAt;
     /** Nothing: never reported. */
     std::optional<Duration> reportAge;
-    std::vector<std::string> models;
+    /** False when it reported its models and the one asked for is not among them. */
+    bool servesModel = true;
 };
 
 /** What a view is asked for. */
@@ -101,9 +105,6 @@
     void onFinished(const BackendId& backend, AttemptId attempt, const FinishFacts& facts, Instant now);
     /** @brief Any sign that the backend server is leaving: nothing is sent to it from now on. */
     void onLeaving(const BackendId& backend, Instant now);
-    /** @brief Lets breakers and marks run out. */
-    void tick(Instant now);
-
     /** @return All backend servers of a service, in order of their addresses. */
     [[nodiscard]] std::vector<BackendView> views(
         const ServiceName& service, const ViewRequest& request, Instant now) const;
@@ -113,12 +114,15 @@
     /** @return All backend servers known, in order of their addresses. */
     [[nodiscard]] std::vector<BackendId> backends() const;
     [[nodiscard]] std::vector<BackendId> backendsOf(const ServiceName& service) const;
+    /** @return The models it reported last. */
+    [[nodiscard]] std::vector<std::string> modelsOf(const BackendId& backend) const;
 
 private:
     [[nodiscard]] Backend* find(const BackendId& backend) const;
     void removeUnused();
 
     TableSettings settings_;
+    std::unique_ptr<PrefillModel> prefill_;
     std::map<BackendId, std::unique_ptr<Backend>> backends_;
     std::map<ServiceName, std::set<BackendId>> services_;
 };
--- a/include/swiftlift/routing/FairQueue.h
+++ b/include/swiftlift/routing/FairQueue.h
@@ -68,7 +68,10 @@
     /** @return Tokens that would be served before a new call of this account, by the accounts' shares. */
     [[nodiscard]] Tokens aheadOf(const AccountId& account, std::uint32_t weight, Priority priority) const;
 
-    /** @return Tokens per second that left the queue lately; nothing before any did. */
+    /** @return True when one more call would take the account beyond its weight's share of a full queue. */
+    [[nodiscard]] bool overShare(const AccountId& account, std::uint32_t weight) const;
+
+    /** @return Tokens per second that left the queue while calls waited; nothing before any did. */
     [[nodiscard]] std::optional<double> drainRate(Instant now) const;
 
     [[nodiscard]] std::size_t size() const noexcept { return calls_.size(); }
@@ -106,7 +109,7 @@
     std::uint64_t arrivals_ = 0;
     VirtualTime virtualTime_ = 0;
     double drained_ = 0;
-    std::optional<Instant> drainSince_;
+    Instant drainSince_ {};
     std::optional<double> drainRate_;
 };
 
--- a/include/swiftlift/routing/Selector.h
+++ b/include/swiftlift/routing/Selector.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <string_view>
@@ -65,6 +68,8 @@
     std::uint32_t waitingAtBackend = 2;
     /** Beyond this predicted first token in the own failure domain, others are weighed too. */
     Duration domainOverload = std::chrono::milliseconds(150);
+    /** Chance, in percent, that a request becomes the probe of a breaker while other backend servers are usable. */
+    std::uint32_t probePercent = 10;
     /** Added to the predicted first token of another failure domain. */
     Duration crossDomain = std::chrono::milliseconds(4);
 };
@@ -72,6 +77,7 @@
 /** @brief Chooses a backend server for a request. */
 class Selector {
 public:
+    explicit Selector(SelectorSettings settings);
     virtual ~Selector() = default;
 
     /**
@@ -88,7 +94,6 @@
     [[nodiscard]] virtual std::string_view name() const noexcept = 0;
 
 protected:
-    explicit Selector(SelectorSettings settings);
     Selector(const Selector&) = default;
     Selector& operator=(const Selector&) = default;
 
@@ -96,21 +101,31 @@
      * @param candidates Usable ones of one preference, never empty.
      * @return The one to take, its reason and alternatives.
      */
-    [[nodiscard]] virtual Choice pick(const SelectRequest& request, const std::vector<BackendView>& candidates) = 0;
-
-    /** @return True when the own failure domain's pick is poor enough to weigh the others. */
-    [[nodiscard]] virtual bool leavesDomain(const Choice& own) const;
+    [[nodiscard]] virtual Choice pick(const std::vector<BackendView>& candidates) = 0;
 
-    [[nodiscard]] const SelectorSettings& settings() const noexcept { return settings_; }
+    [[nodiscard]] std::mt19937_64& random() noexcept { return random_; }
 
 private:
-    [[nodiscard]] bool full(const BackendView& view, const SelectRequest& request) const;
-    [[nodiscard]] bool eligible(const BackendView& view, const SelectRequest& request) const;
-    [[nodiscard]] std::optional<Choice> pickByDomain(
-        const SelectRequest& request, std::vector<BackendView> own, std::vector<BackendView> others);
-    void explain(const std::vector<BackendView>& views, bool anyFull, Instant now);
+    /** Backend servers of a service, sorted by what speaks against them. */
+    struct Sorted {
+        std::vector<BackendView> own;
+        std::vector<BackendView> others;
+        std::vector<BackendView> probes;
+        std::vector<BackendView> full;
+        /** How many can't be used, by reason. */
+        std::map<std::string, int> unusable;
+        std::optional<Instant> usableAt;
+    };
+
+    [[nodiscard]] Sorted sort(const SelectRequest& request, std::vector<BackendView> views) const;
+    [[nodiscard]] std::string objection(const SelectRequest& request, const BackendView& view) const;
+    [[nodiscard]] bool full(const SelectRequest& request, const BackendView& view) const;
+    [[nodiscard]] std::optional<Choice> probe(const SelectRequest& request, const Sorted& sorted);
+    [[nodiscard]] Choice pickByDomain(const Sorted& sorted);
+    void explain(const Sorted& sorted, Instant now);
 
     SelectorSettings settings_;
+    std::mt19937_64 random_;
     std::string lastReason_;
     NoChoice noChoice_ = NoChoice::None;
     Duration retryAfter_ {};
--- /dev/null
+++ b/src/routing/BackendTable.cpp
@@ -0,0 +1,155 @@
+#include "swiftlift/routing/BackendTable.h"
+
+#include <functional>
+#include <utility>
+
+#include "routing/Backend.h"
+
+namespace swiftlift::routing {
+
+BackendTable::BackendTable(TableSettings settings)
+    : settings_(settings)
+    , prefill_(std::make_unique<PrefillModel>(settings.assumedPrefillPerToken))
+{
+}
+
+BackendTable::~BackendTable() = default;
+BackendTable::BackendTable(BackendTable&&) noexcept = default;
+BackendTable& BackendTable::operator=(BackendTable&&) noexcept = default;
+
+void BackendTable::setBackends(const ServiceName& service, const std::vector<BackendEntry>& backends, Instant /*now*/)
+{
+    std::set<BackendId> ids;
+    for (const BackendEntry& entry : backends) {
+        ids.insert(entry.backend);
+        if (Backend* known = find(entry.backend)) {
+            known->setDomain(entry.domain);
+            continue;
+        }
+        const std::uint64_t seed = settings_.seed ^ std::hash<BackendId> {}(entry.backend);
+        backends_[entry.backend] = std::make_unique<Backend>(entry, settings_, *prefill_, seed);
+    }
+    if (ids.empty()) {
+        services_.erase(service);
+    } else {
+        services_[service] = std::move(ids);
+    }
+    removeUnused();
+}
+
+void BackendTable::removeUnused()
+{
+    std::set<BackendId> used;
+    for (const auto& [service, ids] : services_) {
+        used.insert(ids.begin(), ids.end());
+    }
+    // One that still has requests of this router keeps its record, so that its load is right if it comes back.
+    std::erase_if(backends_, [&](const auto& entry) { return !used.contains(entry.first) && entry.second->idle(); });
+}
+
+Backend* BackendTable::find(const BackendId& backend) const
+{
+    const auto found = backends_.find(backend);
+    return found == backends_.end() ? nullptr : found->second.get();
+}
+
+void BackendTable::onLoad(const BackendId& backend, const LoadReport& report, Instant now)
+{
+    if (Backend* known = find(backend)) {
+        known->onLoad(report, now);
+    }
+}
+
+void BackendTable::onLoadMissed(const BackendId& backend, Instant now)
+{
+    if (Backend* known = find(backend)) {
+        known->onLoadMissed(now);
+    }
+}
+
+void BackendTable::onCacheEvents(const BackendId& backend, const std::vector<CacheNotice>& events, Instant /*now*/)
+{
+    if (Backend* known = find(backend)) {
+        known->onCacheEvents(events);
+    }
+}
+
+void BackendTable::onDispatched(const BackendId& backend, AttemptId attempt, const DispatchFacts& facts, Instant now)
+{
+    if (Backend* known = find(backend)) {
+        known->onDispatched(attempt, facts, now);
+    }
+}
+
+void BackendTable::onFirstToken(const BackendId& backend, AttemptId attempt, Instant now)
+{
+    if (Backend* known = find(backend)) {
+        known->onFirstToken(attempt, now);
+    }
+}
+
+void BackendTable::onFinished(const BackendId& backend, AttemptId attempt, const FinishFacts& facts, Instant now)
+{
+    if (Backend* known = find(backend)) {
+        known->onFinished(attempt, facts, now);
+    }
+}
+
+void BackendTable::onLeaving(const BackendId& backend, Instant now)
+{
+    if (Backend* known = find(backend)) {
+        known->onLeaving(now);
+    }
+}
+
+std::vector<BackendView> BackendTable::views(const ServiceName& service, const ViewRequest& request, Instant now) const
+{
+    std::vector<BackendView> views;
+    const auto found = services_.find(service);
+    if (found == services_.end()) {
+        return views;
+    }
+    views.reserve(found->second.size());
+    for (const BackendId& id : found->second) {
+        views.push_back(backends_.at(id)->view(request, now));
+    }
+    return views;
+}
+
+std::optional<BackendView> BackendTable::view(const BackendId& backend, const ViewRequest& request, Instant now) const
+{
+    const Backend* known = find(backend);
+    if (known == nullptr) {
+        return std::nullopt;
+    }
+    return known->view(request, now);
+}
+
+std::vector<BackendId> BackendTable::backends() const
+{
+    std::vector<BackendId> ids;
+    for (const auto& [id, backend] : backends_) {
+        ids.push_back(id);
+    }
+    return ids;
+}
+
+std::vector<BackendId> BackendTable::backendsOf(const ServiceName& service) const
+{
+    const auto found = services_.find(service);
+    if (found == services_.end()) {
+        return {};
+    }
+    return { found->second.begin(), found->second.end() };
+}
+
+std::vector<std::string> BackendTable::modelsOf(const BackendId& backend) const
+{
+    const Backend* known = find(backend);
+    if (known == nullptr) {
+        return {};
+    }
+    return { known->models().begin(), known->models().end() };
+}
+
+} // namespace swiftlift::routing
--- /dev/null
+++ b/src/routing/PrefixCache.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "swiftlift/base/Units.h"
+#include "swiftlift/routing/BackendFacts.h"
+
+namespace swiftlift::routing {
+
+/** @brief Which prompt prefixes a backend server has cached, as far as late and gappy events and answers tell. */
+class PrefixCache {
+public:
+    explicit PrefixCache(std::size_t capacity)
+        : capacity_(capacity)
+    {
+    }
+
+    void onEvents(const std::vector<CacheNotice>& events);
+    /** @brief A request with this prefix has run: it is cached now, and `cached` tells what was before. */
+    void onAnswer(std::uint64_t prefix, Tokens promptTokens, Tokens cached);
+    void clear();
+
+    /** @return Tokens of the prompt that need not be computed, weighed by how far the knowledge is trusted. */
+    [[nodiscard]] Tokens expected(std::uint64_t prefix, Tokens promptTokens) const;
+
+    [[nodiscard]] std::size_t size() const noexcept { return entries_.size(); }
+
+private:
+    struct Entry {
+        std::uint64_t prefix = 0;
+        double trust = 1;
+        Tokens tokens;
+    };
+    using Entries = std::list<Entry>;
+
+    Entry& touch(std::uint64_t prefix);
+    void forget(std::uint64_t prefix);
+    void distrust();
+
+    std::size_t capacity_;
+    /** The one used last in front. */
+    Entries entries_;
+    std::unordered_map<std::uint64_t, Entries::iterator> index_;
+    std::optional<std::uint64_t> nextSequence_;
+};
+
+} // namespace swiftlift::routing
