--- a/include/swiftlift/routing/BackendFacts.h
+++ b/include/swiftlift/routing/BackendFacts.h
@@ -40,6 +40,8 @@
 struct DispatchFacts {
     std::uint64_t prefixHash = 0;
     Tokens promptTokens;
+    /** What the choice said, to be compared with what comes. */
+    Duration predictedFirstToken {};
 };
 
 enum class EndKind : std::uint8_t {
--- a/include/swiftlift/routing/BackendTable.h
+++ b/include/swiftlift/routing/BackendTable.h
@@ -63,6 +63,8 @@
     /** Prompt tokens expected in its cache, for the request asked about. */
     Tokens cachedTokens;
     Duration predictedFirstToken {};
+    /** Mean of how far first tokens were from what their choice predicted. */
+    Duration predictionError {};
     /** False when nothing may be sent to it now. */
     bool usable = false;
     /** A request sent now is the breaker's one probe. */
@@ -105,6 +107,8 @@
     void onFinished(const BackendId& backend, AttemptId attempt, const FinishFacts& facts, Instant now);
     /** @brief Any sign that the backend server is leaving: nothing is sent to it from now on. */
     void onLeaving(const BackendId& backend, Instant now);
+    /** @brief Drops the records of backend servers that no service names any more and that run nothing of ours. */
+    void tick(Instant now);
     /** @return All backend servers of a service, in order of their addresses. */
     [[nodiscard]] std::vector<BackendView> views(
         const ServiceName& service, const ViewRequest& request, Instant now) const;
@@ -125,6 +129,8 @@
     std::unique_ptr<PrefillModel> prefill_;
     std::map<BackendId, std::unique_ptr<Backend>> backends_;
     std::map<ServiceName, std::set<BackendId>> services_;
+    /** Some records wait for their last requests to end. */
+    bool removed_ = false;
 };
 
 } // namespace swiftlift::routing
--- a/src/routing/Backend.cpp
+++ b/src/routing/Backend.cpp
@@ -104,6 +104,8 @@
     offset_ = offset(now) + (took - sent.predicted - offset(now)) / offsetSmoothing;
     offset_ = std::clamp(offset_, Duration {}, largestOffset);
     offsetAt_ = now;
+    const Duration error = std::chrono::abs(took - sent.facts.predictedFirstToken);
+    predictionError_ += (error - predictionError_) / offsetSmoothing;
 }
 
 void Backend::onFinished(AttemptId attempt, const FinishFacts& facts, Instant now)
@@ -213,6 +215,7 @@
     view.slots = load_.slots();
     view.cachedTokens = cache_.expected(request.prefixHash, request.promptTokens);
     view.predictedFirstToken = predict(request.promptTokens - view.cachedTokens, now) + offset(now);
+    view.predictionError = predictionError_;
     view.usable = usable(now);
     view.probe = breaker_.mayProbe(now);
     view.usableAt = usableAt(now);
--- a/src/routing/Backend.h
+++ b/src/routing/Backend.h
@@ -75,6 +75,7 @@
     /** Mean of how much later first tokens come than predicted. */
     Duration offset_ {};
     Instant offsetAt_ {};
+    Duration predictionError_ {};
 };
 
 } // namespace swiftlift::routing
--- a/src/routing/BackendTable.cpp
+++ b/src/routing/BackendTable.cpp
@@ -37,6 +37,13 @@
     removeUnused();
 }
 
+void BackendTable::tick(Instant /*now*/)
+{
+    if (removed_) {
+        removeUnused();
+    }
+}
+
 void BackendTable::removeUnused()
 {
     std::set<BackendId> used;
@@ -45,6 +52,7 @@
     }
     // One that still has requests of this router keeps its record, so that its load is right if it comes back.
     std::erase_if(backends_, [&](const auto& entry) { return !used.contains(entry.first) && entry.second->idle(); });
+    removed_ = backends_.size() > used.size();
 }
 
 Backend* BackendTable::find(const BackendId& backend) const
