Let a VM that has lost the log reach it through its peers

Cause: a VM cut from the platform alone had no grant and could draw none: the policy was told that the log is out of reach, although a peer relays appends and records. The test PeersRelayTheLog failed with budget_elsewhere. Ruled out: a loan from the peer, since no peer holds a grant of a budget that was never used. Change: the log counts as in reach when a live peer reports that it reaches it; tests of the composed core over a small fake fleet: cut, outage, lost and late append answers, death, pause, planned stop, fresh VM. Conclusion: relaying is worth a draw, not only a read.

--- a/src/node/CoreState.cpp
+++ b/src/node/CoreState.cpp
@@ -19,8 +19,8 @@
     : context_(std::move(settings))
     , peers_(context_)
     , services_(context_, peers_, health_, backends_)
-    , requests_(context_, services_, health_, backends_,
-          [this](const AccountId& account) -> ShardLedger& { return shardOf(account); })
+    , requests_(
+          context_, services_, backends_, [this](const AccountId& account) -> ShardLedger& { return shardOf(account); })
 {
     for (std::uint32_t shard = 0; shard < context_.settings().ledgerShards; ++shard) {
         shards_.push_back(std::make_unique<ShardLedger>(context_, peers_, health_, *this, ledger::ledgerStream(shard)));
@@ -203,7 +203,6 @@
             shard->onSuspected(suspected);
         }
     }
-    backends_.tick(context_.now());
     services_.tick();
     requests_.tick();
     const bool leaving = stopping_ && requests_.inProgress() == 0;
--- a/src/node/OperatorView.cpp
+++ b/src/node/OperatorView.cpp
@@ -88,8 +88,7 @@
             list.push_back({ { "backend", id.value() }, { "domain", view->domain.value() },
                 { "state", toText(view->state) }, { "running", view->running }, { "waiting", view->waiting },
                 { "in_flight", view->inFlight }, { "usable", view->usable },
-                { "predicted_first_token_ms", toMilliseconds(view->predictedFirstToken) },
-                { "models", view->models } });
+                { "predicted_first_token_ms", toMilliseconds(view->predictedFirstToken) }, { "slots", view->slots } });
         }
         return { { "backends", list } };
     }
--- a/src/node/Requests.cpp
+++ b/src/node/Requests.cpp
@@ -49,11 +49,9 @@
 
 } // namespace internal
 
-Requests::Requests(
-    Context& context, Services& services, const LogHealth& health, routing::BackendTable& backends, ShardFinder shards)
+Requests::Requests(Context& context, Services& services, routing::BackendTable& backends, ShardFinder shards)
     : context_(context)
     , services_(services)
-    , health_(health)
     , backends_(backends)
     , shards_(std::move(shards))
     , selector_(routing::makeSelector(context.settings().routingPolicy, internal::selectorSettings(context.settings())))
@@ -200,7 +198,7 @@
         seekBackend(call);
         return;
     }
-    if (!health_.reachable(context_.now())) {
+    if (!shards_(call.request.account).logInReach()) {
         giveUp(call, { 503, "claim_unavailable", "the platform's log can't be reached", defaultRetryAfter });
         return;
     }
@@ -337,8 +335,8 @@
     call.backend = choice.backend;
     ++call.attemptsMade;
     byAttempt_[call.attempt] = call.id;
-    backends_.onDispatched(choice.backend, call.attempt,
-        { call.request.prefixHash, call.request.promptTokens, choice.predictedFirstToken }, context_.now());
+    backends_.onDispatched(
+        choice.backend, call.attempt, { call.request.prefixHash, call.request.promptTokens }, context_.now());
     Line line("route");
     line.with("request", call.request.id.value())
         .with("account", call.request.account.value())
--- a/src/node/Requests.h
+++ b/src/node/Requests.h
@@ -11,7 +11,6 @@
 
 #include "node/Call.h"
 #include "node/Context.h"
-#include "node/LogHealth.h"
 #include "node/Services.h"
 #include "node/ShardLedger.h"
 #include "swiftlift/request/RequestTable.h"
@@ -30,8 +29,7 @@
  */
 class Requests {
 public:
-    Requests(Context& context, Services& services, const LogHealth& health, routing::BackendTable& backends,
-        ShardFinder shards);
+    Requests(Context& context, Services& services, routing::BackendTable& backends, ShardFinder shards);
 
     void arrive(CallId id, CallerRequest request);
     /** Refuses without looking further: nothing of it is known here, and nothing was started. */
@@ -91,7 +89,6 @@
 
     Context& context_;
     Services& services_;
-    const LogHealth& health_;
     routing::BackendTable& backends_;
     ShardFinder shards_;
     std::unique_ptr<routing::Selector> selector_;
--- a/src/node/ShardLedger.cpp
+++ b/src/node/ShardLedger.cpp
@@ -291,7 +291,7 @@
 {
     const Instant now = context_.now();
     ledger::Surroundings surroundings;
-    surroundings.logReachable = health_.reachable(now);
+    surroundings.logReachable = logInReach();
     surroundings.stopping = stopping;
     surroundings.witness = peers_.membership().witness();
     constexpr std::size_t lenders = 3;
@@ -304,6 +304,11 @@
     askPeer();
 }
 
+bool ShardLedger::logInReach() const
+{
+    return health_.reachable(context_.now()) || peers_.membership().logReachablePeer().has_value();
+}
+
 void ShardLedger::appendCheckpointWhenDue()
 {
     const bool worthIt = caughtUp_ && health_.reachable(context_.now()) && fold_.nextOffset().value() > 0;
--- a/src/node/ShardLedger.h
+++ b/src/node/ShardLedger.h
@@ -61,6 +61,8 @@
     [[nodiscard]] std::size_t unread() const noexcept { return outbox_.pending(); }
     /** @return True once the fold has reached the end that the log told, or a peer's state. */
     [[nodiscard]] bool caughtUp() const noexcept { return caughtUp_; }
+    /** @return True when the log is reached, by this router itself or through a peer. */
+    [[nodiscard]] bool logInReach() const;
     /** @return True when nothing of this incarnation is left open in the ledger. */
     [[nodiscard]] bool drained() const { return outbox_.empty() && holder_.drained(); }
     /** @return Incarnations whose open grants name this router as witness. */
--- /dev/null
+++ b/tests/node/FakeFleet.cpp
@@ -0,0 +1,418 @@
+#include "node/FakeFleet.h"
+
+#include <algorithm>
+#include <cassert>
+
+#include "swiftlift/config/Record.h"
+#include "swiftlift/ledger/EntryCodec.h"
+#include "swiftlift/ledger/Shard.h"
+
+namespace swiftlift::node::testing {
+
+namespace {
+
+    constexpr Incarnation operatorId { 1 };
+    constexpr Duration tickPeriod = std::chrono::milliseconds(20);
+    constexpr Duration pollPeriod = std::chrono::milliseconds(10);
+    constexpr Duration failedPollPeriod = std::chrono::milliseconds(300);
+    const StreamName ledgerName = ledger::ledgerStream(0);
+    const StreamName configName { "config" };
+
+    [[nodiscard]] RequestKey keyOf(const std::string& account, const std::string& id)
+    {
+        return { std::hash<std::string> {}(account), std::hash<std::string> {}(id) };
+    }
+
+} // namespace
+
+std::string plansDocument(const std::string& account)
+{
+    return "service: plans\n"
+           "kind: model\n"
+           "model: stitch\n"
+           "accounts:\n"
+           "  - account: "
+        + account
+        + "\n"
+          "    budget: main\n"
+          "backends:\n"
+          "  - address: 127.0.11.1:9001\n"
+          "    domain: a\n"
+          "  - address: 127.0.12.1:9001\n"
+          "    domain: b\n";
+}
+
+FakeFleet::FakeFleet() = default;
+
+void FakeFleet::later(Duration delay, std::function<void()> work)
+{
+    tasks_.push({ now_ + delay, order_++, std::move(work) });
+}
+
+std::size_t FakeFleet::addVm(const std::string& domain)
+{
+    const std::size_t vm = vms_.size();
+    vms_.emplace_back();
+    vms_[vm].address = PeerAddress { "127.0.0." + std::to_string(vm + 1) + ":7400" };
+    vms_[vm].domain = FailureDomain { domain };
+    startCore(vm);
+    return vm;
+}
+
+void FakeFleet::startCore(std::size_t vm)
+{
+    Vm& place = vms_[vm];
+    place.incarnation = Incarnation { nextIncarnation_++ };
+    ++place.life;
+    place.running = true;
+    place.stopReady = false;
+    place.held.clear();
+    place.followed.clear();
+    place.attempts.clear();
+    CoreSettings settings;
+    settings.incarnation = place.incarnation;
+    settings.peerAddress = place.address;
+    settings.domain = place.domain;
+    settings.region = Region { "r" };
+    settings.seed = place.incarnation.value();
+    for (const Vm& other : vms_) {
+        settings.seeds.push_back(other.address);
+    }
+    place.core = std::make_unique<Core>(settings);
+    Actions actions;
+    place.core->start(now_, actions);
+    const std::uint64_t life = place.life;
+    later(tickPeriod, [this, vm, life] { tick(vm, life); });
+    carryOut(vm, actions);
+}
+
+void FakeFleet::crash(std::size_t vm)
+{
+    vms_[vm].running = false;
+    ++vms_[vm].life;
+}
+
+void FakeFleet::replace(std::size_t vm)
+{
+    crash(vm);
+    vms_[vm].frozen = false;
+    startCore(vm);
+}
+
+void FakeFleet::freeze(std::size_t vm) { vms_[vm].frozen = true; }
+
+void FakeFleet::thaw(std::size_t vm)
+{
+    vms_[vm].frozen = false;
+    for (const Event& event : std::exchange(vms_[vm].held, {})) {
+        deliver(vm, vms_[vm].life, event);
+    }
+}
+
+void FakeFleet::cut(std::size_t left, std::size_t right)
+{
+    cuts_.insert({ left, right });
+    cuts_.insert({ right, left });
+}
+
+void FakeFleet::cutFromLog(std::size_t vm) { vms_[vm].cutFromLog = true; }
+
+void FakeFleet::heal()
+{
+    cuts_.clear();
+    for (Vm& vm : vms_) {
+        vm.cutFromLog = false;
+    }
+}
+
+bool FakeFleet::reachesLog(std::size_t vm) const { return !log.outage && !vms_[vm].cutFromLog; }
+
+void FakeFleet::appendDirectly(const StreamName& stream, const std::string& record)
+{
+    streams_[stream].push_back(record);
+}
+
+void FakeFleet::appendEntry(ledger::Entry entry)
+{
+    ledger::Batch batch;
+    batch.items.push_back({ operatorId, ++operatorSequence_, std::move(entry) });
+    appendDirectly(ledgerName, ledger::encode(batch));
+}
+
+void FakeFleet::openAccount(const std::string& account)
+{
+    appendEntry(ledger::OpenAccount { AccountId { account }, "key-of-" + account });
+}
+
+void FakeFleet::topUp(const std::string& account, std::int64_t tokens)
+{
+    appendEntry(ledger::TopUp { { AccountId { account }, BudgetId { "main" } }, Tokens { tokens } });
+}
+
+void FakeFleet::publish(const std::string& document)
+{
+    config::PublishRequest request;
+    request.service = ServiceName { "plans" };
+    request.document = document;
+    request.author = "test";
+    request.id = ++nextPublish_;
+    appendDirectly(configName, config::encode(request));
+}
+
+CallId FakeFleet::send(std::size_t vm, const TestRequest& request)
+{
+    const CallId call { ++nextCall_ };
+    CallerRequest sent;
+    sent.account = AccountId { request.account };
+    sent.keyHash = "key-of-" + request.account;
+    sent.service = ServiceName { request.service };
+    sent.id = CallerRequestId { request.id };
+    sent.key = keyOf(request.account, request.id);
+    sent.attempt = request.attempt;
+    sent.deadline = request.deadline;
+    sent.idempotent = request.idempotent;
+    sent.promptTokens = Tokens { request.promptTokens };
+    sent.maxAnswerTokens = Tokens { request.maxAnswerTokens };
+    callers_[call] = { request.account, request.id };
+    deliver(vm, vms_[vm].life, RequestArrived { call, sent });
+    return call;
+}
+
+void FakeFleet::stop(std::size_t vm) { deliver(vm, vms_[vm].life, StopRequested {}); }
+
+void FakeFleet::deliver(std::size_t vm, std::uint64_t life, const Event& event)
+{
+    Vm& place = vms_[vm];
+    if (!place.running || place.life != life) {
+        return;
+    }
+    if (place.frozen) {
+        if (!std::holds_alternative<Tick>(event)) {
+            place.held.push_back(event);
+        }
+        return;
+    }
+    Actions actions;
+    place.core->handle(event, now_, actions);
+    carryOut(vm, actions);
+}
+
+void FakeFleet::tick(std::size_t vm, std::uint64_t life)
+{
+    if (vms_[vm].life != life) {
+        return;
+    }
+    deliver(vm, life, Tick {});
+    later(tickPeriod, [this, vm, life] { tick(vm, life); });
+}
+
+void FakeFleet::carryOut(std::size_t vm, Actions& actions)
+{
+    const std::uint64_t life = vms_[vm].life;
+    for (Action& action : actions) {
+        if (vms_[vm].life != life) {
+            return;
+        }
+        if (const auto* dispatch = std::get_if<Dispatch>(&action)) {
+            on(vm, *dispatch);
+        } else if (const auto* append = std::get_if<Append>(&action)) {
+            on(vm, *append);
+        } else if (const auto* follow = std::get_if<Follow>(&action)) {
+            on(vm, *follow);
+        } else if (const auto* sent = std::get_if<SendPeer>(&action)) {
+            on(vm, *sent);
+        } else if (const auto* reply = std::get_if<Reply>(&action)) {
+            assert(!replies_.contains(reply->call) && "a caller gets one final answer");
+            replies_[reply->call] = *reply;
+        } else if (const auto* line = std::get_if<LogLine>(&action)) {
+            vms_[vm].lines.push_back(*line);
+        } else if (std::holds_alternative<StopReady>(action)) {
+            vms_[vm].stopReady = true;
+            crash(vm);
+        } else if (std::holds_alternative<Restart>(action)) {
+            ++vms_[vm].restarts;
+            later(messageDelay, [this, vm] { replace(vm); });
+        }
+    }
+}
+
+void FakeFleet::on(std::size_t vm, const Dispatch& dispatch)
+{
+    const std::uint64_t life = vms_[vm].life;
+    const AttemptId attempt = dispatch.attempt;
+    if (engines.refuse) {
+        later(messageDelay, [this, vm, life, attempt] {
+            deliver(vm, life, AttemptEnded { attempt, AttemptEnd::NotStarted, {}, {}, {}, "refused" });
+        });
+        return;
+    }
+    ++runs_[dispatch.key];
+    const bool breaks = engines.breakNext > 0;
+    engines.breakNext -= breaks ? 1 : 0;
+    later(engines.takes, [this, vm, life, attempt, breaks] {
+        const Tokens answer { breaks ? 3 : 20 };
+        deliver(vm, life, AttemptProgress { attempt, answer });
+        const auto end = breaks ? AttemptEnd::Broken : AttemptEnd::Completed;
+        deliver(vm, life, AttemptEnded { attempt, end, Tokens { 10 }, answer, {}, breaks ? "broken" : "" });
+    });
+}
+
+void FakeFleet::on(std::size_t vm, const Append& append)
+{
+    const std::uint64_t life = vms_[vm].life;
+    const StreamName stream = append.stream;
+    if (!reachesLog(vm)) {
+        later(messageDelay, [this, vm, life, stream] { deliver(vm, life, LogUnreachable { stream, "append" }); });
+        return;
+    }
+    const bool late = log.lateAppends > 0;
+    const bool lost = log.loseAnswers > 0;
+    log.lateAppends -= late ? 1 : 0;
+    log.loseAnswers -= !late && lost ? 1 : 0;
+    later(late ? log.lateBy : logDelay, [this, stream, record = append.record] { appendDirectly(stream, record); });
+    later(logDelay + messageDelay, [this, vm, life, stream, late, lost] {
+        if (late || lost) {
+            deliver(vm, life, LogUnreachable { stream, "answer lost" });
+        } else {
+            deliver(vm, life, AppendAnswered { stream });
+        }
+    });
+}
+
+void FakeFleet::on(std::size_t vm, const Follow& follow)
+{
+    const bool known = vms_[vm].followed.contains(follow.stream);
+    vms_[vm].followed[follow.stream] = follow.from.value();
+    if (!known) {
+        const std::uint64_t life = vms_[vm].life;
+        later(messageDelay, [this, vm, life, stream = follow.stream] { poll(vm, life, stream); });
+    }
+}
+
+void FakeFleet::poll(std::size_t vm, std::uint64_t life, const StreamName& stream)
+{
+    Vm& place = vms_[vm];
+    if (place.life != life) {
+        return;
+    }
+    if (place.frozen) {
+        later(pollPeriod, [this, vm, life, stream] { poll(vm, life, stream); });
+        return;
+    }
+    if (!reachesLog(vm)) {
+        deliver(vm, life, LogUnreachable { stream, "read" });
+        later(failedPollPeriod, [this, vm, life, stream] { poll(vm, life, stream); });
+        return;
+    }
+    const auto& records = streams_[stream];
+    std::uint64_t& from = place.followed[stream];
+    LogRecords read { stream, Offset { from }, {}, Offset { records.size() } };
+    for (; from < records.size(); ++from) {
+        read.records.push_back(records[from]);
+    }
+    deliver(vm, life, read);
+    later(pollPeriod, [this, vm, life, stream] { poll(vm, life, stream); });
+}
+
+void FakeFleet::on(std::size_t vm, const SendPeer& send)
+{
+    const auto target
+        = std::find_if(vms_.begin(), vms_.end(), [&](const Vm& other) { return other.address == send.to; });
+    if (target == vms_.end()) {
+        return;
+    }
+    const auto to = static_cast<std::size_t>(target - vms_.begin());
+    const PeerReceived received { vms_[vm].incarnation, vms_[vm].address, send.message };
+    later(messageDelay, [this, vm, to, receiver = send.receiver, received] {
+        const bool wrongLife = receiver != Incarnation {} && receiver != vms_[to].incarnation;
+        if (!cuts_.contains({ vm, to }) && !wrongLife) {
+            deliver(to, vms_[to].life, received);
+        }
+    });
+}
+
+void FakeFleet::run(Duration duration)
+{
+    const Instant end = now_ + duration;
+    while (!tasks_.empty() && tasks_.top().when <= end) {
+        Task task = tasks_.top();
+        tasks_.pop();
+        now_ = task.when;
+        task.work();
+    }
+    now_ = end;
+}
+
+bool FakeFleet::runUntil(const std::function<bool()>& condition, Duration bound)
+{
+    const Instant end = now_ + bound;
+    while (!condition()) {
+        if (now_ >= end) {
+            return false;
+        }
+        run(pollPeriod);
+    }
+    return true;
+}
+
+std::optional<Reply> FakeFleet::await(CallId call)
+{
+    (void)runUntil([&] { return replies_.contains(call); });
+    return replyOf(call);
+}
+
+std::optional<Reply> FakeFleet::replyOf(CallId call) const
+{
+    const auto found = replies_.find(call);
+    return found == replies_.end() ? std::nullopt : std::optional(found->second);
+}
+
+ledger::Fold FakeFleet::auditedLedger() const
+{
+    ledger::Fold fold;
+    const auto found = streams_.find(ledgerName);
+    std::uint64_t offset = 0;
+    for (const auto& record : found == streams_.end() ? std::vector<std::string> {} : found->second) {
+        std::string reason;
+        std::vector<ledger::Effect> effects;
+        const auto batch = ledger::decodeBatch(record, reason);
+        [[maybe_unused]] const bool applied = fold.apply(Offset { offset++ }, *batch, effects);
+        assert(applied && "the log has no holes");
+    }
+    return fold;
+}
+
+std::int64_t FakeFleet::billedByAnswers(const std::string& account) const
+{
+    std::map<std::string, std::int64_t> billed;
+    for (const auto& [call, reply] : replies_) {
+        const auto& [owner, id] = callers_.at(call);
+        if (owner == account && reply.outcome == Outcome::Answered) {
+            billed[id] = reply.billed.value();
+        }
+    }
+    std::int64_t sum = 0;
+    for (const auto& [id, tokens] : billed) {
+        sum += tokens;
+    }
+    return sum;
+}
+
+int FakeFleet::runsOf(const std::string& account, const std::string& id) const
+{
+    const auto found = runs_.find(keyOf(account, id));
+    return found == runs_.end() ? 0 : found->second;
+}
+
+std::vector<LogLine> FakeFleet::linesOf(std::size_t vm, const std::string& kind) const
+{
+    std::vector<LogLine> result;
+    for (const auto& line : vms_[vm].lines) {
+        if (line.kind == kind) {
+            result.push_back(line);
+        }
+    }
+    return result;
+}
+
+} // namespace swiftlift::node::testing
