--- a/include/swiftlift/ledger/Holder.h
+++ b/include/swiftlift/ledger/Holder.h
@@ -24,6 +24,8 @@
     /** The grant that a bill will name: the holder's own, or the lender's. */
     GrantId grant;
     Tokens amount;
+    /** Number of the loan it is part of; 0 for an own grant. */
+    std::uint64_t loan = 0;
 };
 
 enum class ShortReason : std::uint8_t {
@@ -134,7 +136,7 @@
 };
 
 namespace internal {
-    class HoldingBook;
+    class HolderBook;
 }
 
 /**
@@ -195,7 +197,7 @@
     [[nodiscard]] std::string stateText() const;
 
 private:
-    std::unique_ptr<internal::HoldingBook> book_;
+    std::unique_ptr<internal::HolderBook> book_;
 };
 
 } // namespace swiftlift::ledger
--- a/include/swiftlift/ledger/HoldingPolicy.h
+++ b/include/swiftlift/ledger/HoldingPolicy.h
@@ -27,6 +27,8 @@
     Tokens largest;
     /** Largest request that waits for money now; zero when none does. */
     Tokens need;
+    /** Smallest request that waits for money now; zero when none does. */
+    Tokens smallestNeed;
     /** Sum of the requests that wait for money now. */
     Tokens waiting;
     /** Spendable here, at once or as soon as the witness acknowledges; grants that are being closed left out. */
@@ -43,8 +45,10 @@
     std::uint32_t sharers = 1;
     /** Tokens were given back a moment ago because others were short: draw no more than what waits. */
     bool cautious = false;
-    /** Another holder's draw was refused for want of money a moment ago. */
-    bool othersShort = false;
+    /** What another holder's draw was short by a moment ago; zero when none was. */
+    Tokens othersShort;
+    /** Since this router last gave part of the budget back. */
+    Duration sinceReturn = Duration::max();
 };
 
 struct DrawDecision {
--- /dev/null
+++ b/src/ledger/Holder.cpp
@@ -0,0 +1,93 @@
+#include "swiftlift/ledger/Holder.h"
+
+#include <utility>
+
+#include "ledger/HolderBook.h"
+
+namespace swiftlift::ledger {
+
+Holder::Holder(Incarnation self, std::unique_ptr<HoldingPolicy> policy, const Fold& fold)
+    : book_(std::make_unique<internal::HolderBook>(self, std::move(policy), fold))
+{
+}
+
+Holder::Holder(const Holder& other, const Fold& fold)
+    : book_(std::make_unique<internal::HolderBook>(*other.book_, fold))
+{
+}
+
+Holder::~Holder() = default;
+Holder::Holder(Holder&&) noexcept = default;
+Holder& Holder::operator=(Holder&&) noexcept = default;
+
+std::variant<Reservation, Shortage> Holder::reserve(
+    const BudgetRef& budget, RequestKey key, Tokens amount, Instant now, MoneyActions& actions)
+{
+    return book_->reserve(budget, key, amount, now, actions);
+}
+
+void Holder::settle(const Reservation& reservation, Tokens actual, MoneyActions& actions)
+{
+    book_->settle(reservation, actual, actions);
+}
+
+void Holder::release(const Reservation& reservation, MoneyActions& actions)
+{
+    book_->settle(reservation, Tokens {}, actions);
+}
+
+void Holder::onEffect(const Effect& effect, Instant now, MoneyActions& actions)
+{
+    book_->onEffect(effect, now, actions);
+}
+
+void Holder::onCeilingsAcked(Incarnation from, const std::vector<Ceiling>& ceilings, Instant now, MoneyActions& actions)
+{
+    book_->onCeilingsAcked(from, ceilings, now, actions);
+}
+
+void Holder::onCeilingsRefused(Incarnation from, const std::vector<GrantId>& grants, Instant now, MoneyActions& actions)
+{
+    book_->onCeilingsRefused(from, grants, now, actions);
+}
+
+void Holder::onLoanAsk(
+    Incarnation from, std::uint64_t loan, const BudgetRef& budget, Tokens amount, Instant now, MoneyActions& actions)
+{
+    book_->onLoanAsk(from, loan, budget, amount, now, actions);
+}
+
+void Holder::onLoanGiven(Incarnation from, std::uint64_t loan, const BudgetRef&, GrantId grant, Tokens amount,
+    Instant now, MoneyActions& actions)
+{
+    book_->onLoanGiven(from, loan, grant, amount, now, actions);
+}
+
+void Holder::onLoanDenied(
+    Incarnation from, std::uint64_t loan, const BudgetRef&, Tokens free, Instant now, MoneyActions& actions)
+{
+    book_->onLoanDenied(from, loan, free, now, actions);
+}
+
+void Holder::onLoanDone(Incarnation from, std::uint64_t loan, Tokens billed, Instant now, MoneyActions& actions)
+{
+    book_->onLoanDone(from, loan, billed, now, actions);
+}
+
+void Holder::onLoanDoneAcked(Incarnation from, std::uint64_t loan, Instant now, MoneyActions& actions)
+{
+    book_->onLoanDoneAcked(from, loan, now, actions);
+}
+
+void Holder::onTick(Instant now, const Surroundings& surroundings, MoneyActions& actions)
+{
+    book_->onTick(now, surroundings, actions);
+}
+
+bool Holder::drained() const { return book_->drained(); }
+
+std::vector<HoldingView> Holder::holdings() const { return book_->holdings(); }
+
+std::string Holder::stateText() const { return book_->stateText(); }
+
+} // namespace swiftlift::ledger
--- /dev/null
+++ b/src/ledger/HolderBook.cpp
@@ -0,0 +1,71 @@
+#include "ledger/HolderBook.h"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace swiftlift::ledger::internal {
+
+namespace {
+
+    /** A lender that left so many LoanDone unanswered is gone; what it counts as lent is lost only to itself. */
+    constexpr std::uint32_t attemptsBeforeLeaving = 6;
+
+} // namespace
+
+HolderBook::HolderBook(Incarnation self, std::shared_ptr<const HoldingPolicy> policy, const Fold& fold)
+    : self_(self)
+    , policy_(std::move(policy))
+    , fold_(&fold)
+{
+}
+
+HolderBook::HolderBook(const HolderBook& other, const Fold& fold)
+    : HolderBook(other)
+{
+    fold_ = &fold;
+}
+
+bool HolderBook::drained() const
+{
+    const auto over = [](const auto& loan) {
+        return loan.second.state() == LoanState::Ending && loan.second.attempts() >= attemptsBeforeLeaving;
+    };
+    return grants_.empty() && std::ranges::all_of(loans_, over);
+}
+
+std::vector<HoldingView> HolderBook::holdings() const
+{
+    std::vector<HoldingView> views;
+    for (const auto& [number, grant] : grants_) {
+        views.push_back(HoldingView { grant.budget(), grant.id(), grant.amount(), grant.ceiling(), grant.billed(),
+            grant.reserved(), grant.lent(), Tokens {}, grant.witness(), grant.isOpen() });
+    }
+    for (const auto& [number, loan] : loans_) {
+        views.push_back(HoldingView { loan.budget(), loan.grant(), loan.amount(), loan.amount(), loan.billed(),
+            loan.reserved(), Tokens {}, loan.amount(), Incarnation {}, loan.state() == LoanState::Held });
+    }
+    return views;
+}
+
+std::string HolderBook::stateText() const
+{
+    std::ostringstream out;
+    out << "holder " << self_ << " at " << now_.time_since_epoch().count() << " retired " << retired_ << " reading "
+        << author_ << " last " << lastGrant_ << ' ' << lastLoan_ << " log " << surroundings_.logReachable
+        << surroundings_.stopping << " witness " << surroundings_.witness.value_or(Incarnation {}) << " since "
+        << witnessSince_.time_since_epoch().count();
+    for (const Incarnation lender : surroundings_.lenders)
+        out << " lender " << lender;
+    out << '\n';
+    for (const auto& [number, grant] : grants_)
+        grant.print(out);
+    for (const auto& [number, loan] : loans_)
+        loan.print(out);
+    lending_.print(out);
+    for (const auto& [budget, desk] : desks_)
+        desk.print(out);
+    return out.str();
+}
+
+} // namespace swiftlift::ledger::internal
--- /dev/null
+++ b/src/ledger/HolderBook.h
@@ -0,0 +1,144 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "ledger/HolderDesk.h"
+#include "ledger/HolderGrant.h"
+#include "ledger/LoanBorrowed.h"
+#include "ledger/LoanLedger.h"
+#include "swiftlift/ledger/Holder.h"
+
+namespace swiftlift::ledger::internal {
+
+/**
+ * @brief The state of a Holder and all it does.
+ *
+ * Requests, effects, ceilings, loans and the work of a tick stand in one source file each (HolderRequests.cpp,
+ * HolderEffects.cpp, HolderCeilings.cpp, LoanBorrowing.cpp, LoanLending.cpp, HolderWork.cpp).
+ */
+class HolderBook {
+public:
+    HolderBook(Incarnation self, std::shared_ptr<const HoldingPolicy> policy, const Fold& fold);
+    HolderBook(const HolderBook& other, const Fold& fold);
+
+    // Requests.
+    [[nodiscard]] std::variant<Reservation, Shortage> reserve(
+        const BudgetRef& budget, RequestKey key, Tokens amount, Instant now, MoneyActions& actions);
+    void settle(const Reservation& reservation, Tokens actual, MoneyActions& actions);
+
+    // The log.
+    void onEffect(const Effect& effect, Instant now, MoneyActions& actions);
+
+    // Ceilings.
+    void onCeilingsAcked(Incarnation from, const std::vector<Ceiling>& ceilings, Instant now, MoneyActions& actions);
+    void onCeilingsRefused(Incarnation from, const std::vector<GrantId>& grants, Instant now, MoneyActions& actions);
+
+    // Lending.
+    void onLoanAsk(Incarnation from, std::uint64_t loan, const BudgetRef& budget, Tokens amount, Instant now,
+        MoneyActions& actions);
+    void onLoanDone(Incarnation from, std::uint64_t loan, Tokens billed, Instant now, MoneyActions& actions);
+
+    // Borrowing.
+    void onLoanGiven(
+        Incarnation from, std::uint64_t loan, GrantId grant, Tokens amount, Instant now, MoneyActions& actions);
+    void onLoanDenied(Incarnation from, std::uint64_t loan, Tokens free, Instant now, MoneyActions& actions);
+    void onLoanDoneAcked(Incarnation from, std::uint64_t loan, Instant now, MoneyActions& actions);
+
+    void onTick(Instant now, const Surroundings& surroundings, MoneyActions& actions);
+
+    [[nodiscard]] bool drained() const;
+    [[nodiscard]] std::vector<HoldingView> holdings() const;
+    [[nodiscard]] std::string stateText() const;
+
+private:
+    using Grants = std::map<std::uint32_t, HolderGrant>;
+    using Loans = std::map<std::uint64_t, LoanBorrowed>;
+    using Desks = std::map<BudgetRef, HolderDesk>;
+
+    // Requests.
+    [[nodiscard]] HolderDesk& deskOf(const BudgetRef& budget);
+    [[nodiscard]] std::optional<Reservation> take(
+        const BudgetRef& budget, const HolderDesk& desk, RequestKey key, Tokens amount);
+    [[nodiscard]] Shortage shortage(
+        const BudgetRef& budget, const HolderDesk& desk, RequestKey key, Tokens amount) const;
+    [[nodiscard]] bool mayStillCome(
+        const BudgetRef& budget, const HolderDesk& desk, RequestKey key, Tokens amount) const;
+    [[nodiscard]] bool isExhausted(const BudgetRef& budget, Tokens amount) const;
+    void settleLoan(const Reservation& reservation, Tokens actual, MoneyActions& actions);
+    void settleGrant(const Reservation& reservation, Tokens actual, MoneyActions& actions);
+
+    // The log.
+    void on(const Landed& effect, MoneyActions& actions);
+    void on(const DrawDecided& effect, MoneyActions& actions);
+    void on(const GrantChanged& effect, MoneyActions& actions);
+    void on(const BillDecided& effect, MoneyActions& actions);
+    void on(const BudgetChanged& effect, MoneyActions& actions);
+    void on(const ClaimDecided&, MoneyActions&) { }
+    void on(const Refused&, MoneyActions&) { }
+    void ownDrawDecided(const DrawDecided& effect, MoneyActions& actions);
+    void otherDrawDecided(const DrawDecided& effect, MoneyActions& actions);
+    void borrowedBillDecided(const BillDecided& effect, MoneyActions& actions);
+    void forgetGrant(std::uint32_t number);
+    void retire(std::string reason, MoneyActions& actions);
+
+    // Ceilings.
+    void raiseCeilings(const HolderDesk& desk, const BudgetSituation& situation, MoneyActions& actions);
+    void raiseCeiling(HolderGrant& grant, Tokens headRoom, Tokens waiting);
+    void moveWitness(HolderGrant& grant, Tokens headRoom, MoneyActions& actions);
+    [[nodiscard]] bool witnessSilent(const HolderGrant& grant, Duration patience) const;
+    [[nodiscard]] bool raisePending(const HolderDesk& desk, Tokens amount) const;
+    void flushRaises(MoneyActions& actions);
+
+    // Lending.
+    [[nodiscard]] std::optional<LoanAnswer> decideLoan(Incarnation borrower, const BudgetRef& budget, Tokens amount);
+    [[nodiscard]] HolderGrant* grantToLend(const HolderDesk& desk);
+
+    // Borrowing.
+    void borrow(const BudgetRef& budget, HolderDesk& desk, const BudgetSituation& situation, MoneyActions& actions);
+    void moveLoans(HolderDesk& desk, const BudgetSituation& situation, MoneyActions& actions);
+    void moveLoan(LoanBorrowed& loan, const HolderDesk& desk, const BudgetSituation& situation, MoneyActions& actions);
+    void endLoan(LoanBorrowed& loan, MoneyActions& actions);
+    void forgetLoan(std::uint64_t number);
+    [[nodiscard]] bool loanAsked(const HolderDesk& desk) const;
+    [[nodiscard]] Incarnation nextLender(HolderDesk& desk) const;
+
+    // Work that a tick or any change of one budget brings up.
+    [[nodiscard]] BudgetSituation situationOf(const BudgetRef& budget, const HolderDesk& desk) const;
+    void countFree(const HolderDesk& desk, BudgetSituation& situation) const;
+    void work(const BudgetRef& budget, HolderDesk& desk, MoneyActions& actions);
+    void draw(const BudgetRef& budget, HolderDesk& desk, const BudgetSituation& situation, MoneyActions& actions);
+    void gather(const HolderDesk& desk, const BudgetSituation& situation, MoneyActions& actions);
+    void giveBackSurplus(HolderDesk& desk, const BudgetSituation& situation, MoneyActions& actions);
+    void giveBack(const HolderDesk& desk, Tokens amount, MoneyActions& actions);
+    void closeIdle(const HolderDesk& desk, MoneyActions& actions);
+    void close(HolderGrant& grant, MoneyActions& actions);
+    [[nodiscard]] bool leaving() const { return retired_ || surroundings_.stopping; }
+    [[nodiscard]] Tokens grantsRemainder(const HolderDesk& desk) const;
+
+    Incarnation self_;
+    std::shared_ptr<const HoldingPolicy> policy_;
+    const Fold* fold_;
+    Instant now_ {};
+    Surroundings surroundings_;
+    /** Since when the surroundings have named this witness. */
+    Instant witnessSince_ {};
+    bool retired_ = false;
+    /** Author of the item whose effects are being read. */
+    Incarnation author_;
+    std::uint32_t lastGrant_ = 0;
+    std::uint64_t lastLoan_ = 0;
+    Grants grants_;
+    Loans loans_;
+    LoanLedger lending_;
+    Desks desks_;
+    /** Raises to be sent at the end of the present call, by witness. */
+    std::map<Incarnation, std::vector<Ceiling>> raises_;
+};
+
+} // namespace swiftlift::ledger::internal
--- /dev/null
+++ b/src/ledger/HolderCeilings.cpp
@@ -0,0 +1,133 @@
+#include <algorithm>
+
+#include "ledger/HolderBook.h"
+
+namespace swiftlift::ledger::internal {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr Incarnation nobody {};
+    constexpr Duration firstRepeat = 100ms;
+    constexpr std::uint32_t mostDoublings = 4;
+    /** After this long without an answer the witness is not counted on. */
+    constexpr Duration answerPatience = 500ms;
+    /** After this long without an answer another witness is named. */
+    constexpr Duration changePatience = 1s;
+    /** Another witness has to be the better one for this long before one that answers is replaced. */
+    constexpr Duration settledWitness = 3s;
+
+    Duration pauseAfter(std::uint32_t attempts)
+    {
+        return firstRepeat * (1U << std::min(attempts == 0 ? 0U : attempts - 1U, mostDoublings));
+    }
+
+} // namespace
+
+void HolderBook::raiseCeilings(const HolderDesk& desk, const BudgetSituation& situation, MoneyActions& actions)
+{
+    if (leaving() && desk.wants.empty())
+        return;
+    const Tokens headRoom = std::max(policy_->headRoom(situation), situation.waiting);
+    for (const std::uint32_t number : desk.grants) {
+        HolderGrant& grant = grants_.at(number);
+        moveWitness(grant, headRoom, actions);
+        raiseCeiling(grant, headRoom, situation.waiting);
+    }
+}
+
+// Asks ahead of need, from half of the head-room on. What was asked is asked again until it is acknowledged: messages
+// get lost, and a witness that has not read the grant yet stays silent.
+void HolderBook::raiseCeiling(HolderGrant& grant, Tokens headRoom, Tokens waiting)
+{
+    if (!grant.isOpen() || grant.witness() == nobody || grant.changingWitness())
+        return;
+    const Tokens trigger = std::max(waiting, Tokens { (headRoom.value() + 1) / 2 });
+    if (grant.ceiling() >= std::min(grant.amount(), grant.charge() + trigger))
+        return;
+    HolderGrant::Raise& raise = grant.raise;
+    const bool asked = raise.attempts > 0;
+    const bool enough = raise.asked >= std::min(grant.amount(), grant.charge() + waiting);
+    if (asked && (enough || raise.refused) && now_ < raise.askedAt + pauseAfter(raise.attempts))
+        return;
+    if (!asked)
+        raise.firstAskedAt = now_;
+    raise.asked = std::min(grant.amount(), grant.charge() + headRoom);
+    raise.askedAt = now_;
+    ++raise.attempts;
+    raises_[grant.witness()].push_back(Ceiling { grant.id(), raise.asked });
+}
+
+// H6: the change states the ceiling that holds until it is read back.
+void HolderBook::moveWitness(HolderGrant& grant, Tokens headRoom, MoneyActions& actions)
+{
+    const Incarnation better = surroundings_.witness.value_or(nobody);
+    if (!policy_->witnessed() || !surroundings_.logReachable || leaving())
+        return;
+    if (!grant.isOpen() || grant.changingWitness() || better == grant.witness())
+        return;
+    const bool silent = grant.raise.refused || witnessSilent(grant, changePatience);
+    const bool settled = better != nobody && now_ - witnessSince_ >= settledWitness;
+    if (!silent && !settled)
+        return;
+    const Tokens ceiling = grant.changeWitness(better, headRoom);
+    actions.emplace_back(AppendEntry { ChangeWitness { grant.id(), better, ceiling } });
+}
+
+bool HolderBook::witnessSilent(const HolderGrant& grant, Duration patience) const
+{
+    return grant.raise.attempts > 0 && now_ - grant.raise.firstAskedAt > patience;
+}
+
+bool HolderBook::raisePending(const HolderDesk& desk, Tokens amount) const
+{
+    return std::ranges::any_of(desk.grants, [&](std::uint32_t number) {
+        const HolderGrant& grant = grants_.at(number);
+        if (grant.remainder() < amount)
+            return false;
+        if (grant.changingWitness())
+            return surroundings_.logReachable;
+        return grant.raise.attempts > 0 && !grant.raise.refused && !witnessSilent(grant, answerPatience);
+    });
+}
+
+void HolderBook::flushRaises(MoneyActions& actions)
+{
+    for (auto& [witness, ceilings] : raises_)
+        actions.emplace_back(SendRaise { witness, std::move(ceilings) });
+    raises_.clear();
+}
+
+void HolderBook::onCeilingsAcked(
+    Incarnation from, const std::vector<Ceiling>& ceilings, Instant now, MoneyActions& actions)
+{
+    now_ = now;
+    for (const Ceiling& acked : ceilings) {
+        const auto found = grants_.find(acked.grant.number);
+        if (acked.grant.holder != self_ || found == grants_.end())
+            continue;
+        HolderGrant& grant = found->second;
+        const Tokens before = grant.free();
+        grant.acknowledged(from, acked.ceiling);
+        if (grant.free() > before)
+            actions.emplace_back(MoneyArrived { grant.budget() });
+    }
+    flushRaises(actions);
+}
+
+void HolderBook::onCeilingsRefused(
+    Incarnation from, const std::vector<GrantId>& grants, Instant now, MoneyActions& actions)
+{
+    now_ = now;
+    for (const GrantId& refused : grants) {
+        const auto found = grants_.find(refused.number);
+        if (refused.holder != self_ || found == grants_.end() || found->second.witness() != from)
+            continue;
+        found->second.raise.refused = true;
+        work(found->second.budget(), deskOf(found->second.budget()), actions);
+    }
+    flushRaises(actions);
+}
+
+} // namespace swiftlift::ledger::internal
--- /dev/null
+++ b/src/ledger/HolderDemand.cpp
@@ -0,0 +1,109 @@
+#include "ledger/HolderDemand.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numbers>
+
+namespace swiftlift::ledger::internal {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr double halfLifeSeconds = 10;
+    constexpr Duration largestWindow = 300s;
+    constexpr Duration wantLifetime = 2s;
+
+    double secondsBetween(Instant from, Instant to)
+    {
+        return std::chrono::duration<double>(std::max(to - from, Duration {})).count();
+    }
+
+} // namespace
+
+void HolderDemand::note(Tokens amount, Instant now)
+{
+    weight_
+        = weight_ * std::exp2(-secondsBetween(weighedAt_, now) / halfLifeSeconds) + static_cast<double>(amount.value());
+    weighedAt_ = now;
+    if (now - windowStart_ >= largestWindow) {
+        formerLargest_ = now - windowStart_ >= 2 * largestWindow ? Tokens {} : largest_;
+        largest_ = Tokens {};
+        windowStart_ = now;
+    }
+    largest_ = std::max(largest_, amount);
+}
+
+double HolderDemand::rate(Instant now) const
+{
+    const double decayed = weight_ * std::exp2(-secondsBetween(weighedAt_, now) / halfLifeSeconds);
+    return decayed * std::numbers::ln2 / halfLifeSeconds;
+}
+
+Tokens HolderDemand::largest(Instant now) const
+{
+    if (now - windowStart_ >= 2 * largestWindow)
+        return {};
+    return now - windowStart_ >= largestWindow ? largest_ : std::max(largest_, formerLargest_);
+}
+
+void HolderDemand::print(std::ostream& out) const
+{
+    out << "demand " << weight_ << '@' << weighedAt_.time_since_epoch().count() << ' ' << largest_ << ' '
+        << formerLargest_ << '@' << windowStart_.time_since_epoch().count() << '\n';
+}
+
+bool HolderWants::add(RequestKey key, Tokens amount, Instant now)
+{
+    const auto [found, isNew] = wants_.try_emplace(key, Want { amount, now, now });
+    found->second.amount = amount;
+    found->second.askedAt = now;
+    return isNew;
+}
+
+void HolderWants::expire(Instant now)
+{
+    std::erase_if(wants_, [&](const auto& want) { return now - want.second.askedAt > wantLifetime; });
+}
+
+Tokens HolderWants::largest() const
+{
+    Tokens largest;
+    for (const auto& [key, want] : wants_)
+        largest = std::max(largest, want.amount);
+    return largest;
+}
+
+Tokens HolderWants::smallest() const
+{
+    if (wants_.empty())
+        return {};
+    Tokens smallest = wants_.begin()->second.amount;
+    for (const auto& [key, want] : wants_)
+        smallest = std::min(smallest, want.amount);
+    return smallest;
+}
+
+Tokens HolderWants::sum() const
+{
+    Tokens sum;
+    for (const auto& [key, want] : wants_)
+        sum += want.amount;
+    return sum;
+}
+
+Instant HolderWants::since(RequestKey key, Instant now) const
+{
+    const auto found = wants_.find(key);
+    return found == wants_.end() ? now : found->second.since;
+}
+
+void HolderWants::print(std::ostream& out) const
+{
+    for (const auto& [key, want] : wants_) {
+        out << "want " << key.high << ':' << key.low << ' ' << want.amount << ' '
+            << want.since.time_since_epoch().count() << ' ' << want.askedAt.time_since_epoch().count() << '\n';
+    }
+}
+
+} // namespace swiftlift::ledger::internal
--- /dev/null
+++ b/src/ledger/HolderDesk.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <ostream>
+#include <vector>
+
+#include "ledger/HolderDemand.h"
+#include "swiftlift/base/Ids.h"
+#include "swiftlift/base/Units.h"
+
+namespace swiftlift::ledger::internal {
+
+/** @brief What a holder knows of one budget beside its grants and loans: demand, sharers, and when it last acted. */
+struct HolderDesk {
+    /** Numbers of its grants that are not closed, oldest first. */
+    std::vector<std::uint32_t> grants;
+    /** Numbers of its loans that are not acknowledged as done, oldest first. */
+    std::vector<std::uint64_t> loans;
+    HolderDemand demand;
+    HolderWants wants;
+    /** The draw in flight; at most one (H1). */
+    std::optional<GrantId> drawing;
+    Tokens drawingWanted;
+    Instant drawingSince {};
+    /** Sum of the grants admitted. */
+    Tokens drawn;
+    /** Other holders seen drawing, and when last. */
+    std::map<Incarnation, Instant> sharers;
+
+    std::optional<Instant> returnedAt;
+    /** Until then no more is drawn than waits. */
+    Instant cautiousUntil {};
+    Tokens othersShort;
+    Instant othersShortUntil {};
+    /** A draw that the budget can't cover is made only to tell the others; not before this. */
+    Instant nextSignal {};
+    /** Position in the round of lenders, and when the next round may begin. */
+    std::uint32_t loanAttempts = 0;
+    Instant nextLoanRound {};
+
+    /** @return Whether there is nothing to look after. */
+    [[nodiscard]] bool quiet() const { return grants.empty() && loans.empty() && wants.empty(); }
+
+    void print(std::ostream& out) const;
+};
+
+} // namespace swiftlift::ledger::internal
--- /dev/null
+++ b/src/ledger/HolderEffects.cpp
@@ -0,0 +1,150 @@
+#include <algorithm>
+#include <utility>
+
+#include "ledger/HolderBook.h"
+
+namespace swiftlift::ledger::internal {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    /** How long another holder's shortage is answered with what is not needed here. */
+    constexpr Duration shortageMemory = 2s;
+
+} // namespace
+
+void HolderBook::onEffect(const Effect& effect, Instant now, MoneyActions& actions)
+{
+    now_ = now;
+    std::visit([&](const auto& happened) { on(happened, actions); }, effect);
+    if (!retired_ && fold_->retired(self_))
+        retire("a grant of this incarnation was sealed", actions);
+    flushRaises(actions);
+}
+
+// Comes first of an item's effects, so it tells who wrote the bill or draw that follows.
+void HolderBook::on(const Landed& effect, MoneyActions&) { author_ = effect.origin; }
+
+void HolderBook::on(const DrawDecided& effect, MoneyActions& actions)
+{
+    if (effect.grant.holder != self_)
+        otherDrawDecided(effect, actions);
+    else if (author_ == self_)
+        ownDrawDecided(effect, actions);
+}
+
+// H1: only here does a grant become usable. Spending it as soon as it was asked for would spend money that the fold may
+// have given to somebody else.
+void HolderBook::ownDrawDecided(const DrawDecided& effect, MoneyActions& actions)
+{
+    const auto grant = grants_.find(effect.grant.number);
+    if (grant == grants_.end() || grant->second.state() != HolderGrantState::Drawing)
+        return;
+    HolderDesk& desk = deskOf(effect.budget);
+    desk.drawing.reset();
+    if (effect.admitted == Tokens {}) {
+        forgetGrant(effect.grant.number);
+    } else {
+        grant->second.admitted(effect.admitted, effect.witness);
+        desk.drawn += effect.admitted;
+        actions.emplace_back(MoneyArrived { effect.budget });
+    }
+    work(effect.budget, desk, actions);
+}
+
+void HolderBook::otherDrawDecided(const DrawDecided& effect, MoneyActions& actions)
+{
+    const auto found = desks_.find(effect.budget);
+    if (found == desks_.end())
+        return;
+    HolderDesk& desk = found->second;
+    desk.sharers[effect.grant.holder] = now_;
+    if (effect.shortBy == Tokens {})
+        return;
+    desk.othersShort = effect.shortBy;
+    desk.othersShortUntil = now_ + shortageMemory;
+    work(found->first, desk, actions);
+}
+
+void HolderBook::on(const GrantChanged& effect, MoneyActions& actions)
+{
+    if (effect.grant.holder != self_)
+        return;
+    const auto found = grants_.find(effect.grant.number);
+    if (found == grants_.end())
+        return;
+    HolderGrant& grant = found->second;
+    HolderDesk& desk = deskOf(grant.budget());
+    switch (effect.state) {
+    case GrantState::Closed:
+        forgetGrant(effect.grant.number);
+        return;
+    case GrantState::Sealed:
+        grant.seal();
+        retire("a grant of this incarnation was sealed", actions);
+        break;
+    case GrantState::Open:
+        grant.witnessRead(effect.witness);
+        break;
+    }
+    work(grant.budget(), desk, actions);
+}
+
+void HolderBook::on(const BillDecided& effect, MoneyActions& actions)
+{
+    if (effect.grant.holder != self_) {
+        if (author_ == self_)
+            borrowedBillDecided(effect, actions);
+        return;
+    }
+    const auto found = grants_.find(effect.grant.number);
+    if (found == grants_.end())
+        return;
+    HolderGrant& grant = found->second;
+    if (author_ != self_)
+        grant.borrowerBilled(author_, effect.tokens, effect.counted);
+    else if (!effect.counted)
+        grant.refund(effect.tokens);
+    else
+        return;
+    actions.emplace_back(MoneyArrived { grant.budget() });
+    work(grant.budget(), deskOf(grant.budget()), actions);
+}
+
+void HolderBook::borrowedBillDecided(const BillDecided& effect, MoneyActions& actions)
+{
+    for (auto& [number, loan] : loans_) {
+        if (loan.grant() != effect.grant || !loan.billRead(effect.key, effect.tokens, effect.counted))
+            continue;
+        if (!effect.counted)
+            actions.emplace_back(MoneyArrived { loan.budget() });
+        return;
+    }
+}
+
+void HolderBook::on(const BudgetChanged& effect, MoneyActions& actions)
+{
+    const auto found = desks_.find(effect.budget);
+    if (found != desks_.end() && !found->second.wants.empty())
+        work(found->first, found->second, actions);
+}
+
+void HolderBook::forgetGrant(std::uint32_t number)
+{
+    std::erase(deskOf(grants_.at(number).budget()).grants, number);
+    grants_.erase(number);
+}
+
+// H12: a retired incarnation is refused every draw. It finishes what it has begun and closes its grants; the process
+// goes on under a new incarnation.
+void HolderBook::retire(std::string reason, MoneyActions& actions)
+{
+    if (std::exchange(retired_, true))
+        return;
+    actions.emplace_back(Retired { std::move(reason) });
+    for (auto& [budget, desk] : desks_)
+        work(budget, desk, actions);
+}
+
+} // namespace swiftlift::ledger::internal
--- /dev/null
+++ b/src/ledger/HolderRequests.cpp
@@ -0,0 +1,142 @@
+#include <algorithm>
+#include <cassert>
+
+#include "ledger/HolderBook.h"
+
+namespace swiftlift::ledger::internal {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    /** How long a request waits for what others may give back, or for a draw, before it is told no. */
+    constexpr Duration patience = 2s;
+    constexpr Duration retrySoon = 100ms;
+    constexpr Duration retryElsewhere = 1s;
+    constexpr Duration retryOutage = 2s;
+    constexpr Duration retryExhausted = 10s;
+
+} // namespace
+
+HolderDesk& HolderBook::deskOf(const BudgetRef& budget)
+{
+    const auto [found, isNew] = desks_.try_emplace(budget);
+    if (isNew) {
+        for (const GrantView& grant : fold_->openGrants()) {
+            if (grant.budget == budget && grant.id.holder != self_)
+                found->second.sharers[grant.id.holder] = now_;
+        }
+    }
+    return found->second;
+}
+
+std::variant<Reservation, Shortage> HolderBook::reserve(
+    const BudgetRef& budget, RequestKey key, Tokens amount, Instant now, MoneyActions& actions)
+{
+    assert(amount > Tokens {} && "a request costs something");
+    now_ = now;
+    HolderDesk& desk = deskOf(budget);
+    if (desk.wants.add(key, amount, now))
+        desk.demand.note(amount, now);
+    std::optional<Reservation> reservation = take(budget, desk, key, amount);
+    if (reservation)
+        desk.wants.remove(key);
+    work(budget, desk, actions);
+    flushRaises(actions);
+    if (reservation)
+        return *reservation;
+    return shortage(budget, desk, key, amount);
+}
+
+// Loans first, so that they are soon done; then own grants, oldest first, so that few stay open.
+std::optional<Reservation> HolderBook::take(
+    const BudgetRef& budget, const HolderDesk& desk, RequestKey key, Tokens amount)
+{
+    if (retired_)
+        return {};
+    for (const std::uint64_t number : desk.loans) {
+        LoanBorrowed& loan = loans_.at(number);
+        if (loan.free() < amount)
+            continue;
+        loan.reserve(amount, now_);
+        return Reservation { key, budget, loan.grant(), amount, number };
+    }
+    for (const std::uint32_t number : desk.grants) {
+        HolderGrant& grant = grants_.at(number);
+        if (grant.free() < amount)
+            continue;
+        grant.reserve(amount);
+        return Reservation { key, budget, grant.id(), amount };
+    }
+    return {};
+}
+
+Shortage HolderBook::shortage(const BudgetRef& budget, const HolderDesk& desk, RequestKey key, Tokens amount) const
+{
+    Shortage shortage;
+    shortage.pending = mayStillCome(budget, desk, key, amount);
+    if (isExhausted(budget, amount))
+        shortage.reason = ShortReason::BudgetExhausted;
+    if (shortage.pending || retired_)
+        shortage.retryAfter = retrySoon;
+    else if (!surroundings_.logReachable)
+        shortage.retryAfter = retryOutage;
+    else
+        shortage.retryAfter = shortage.reason == ShortReason::BudgetExhausted ? retryExhausted : retryElsewhere;
+    return shortage;
+}
+
+bool HolderBook::mayStillCome(const BudgetRef& budget, const HolderDesk& desk, RequestKey key, Tokens amount) const
+{
+    if (retired_)
+        return false;
+    if (loanAsked(desk) || raisePending(desk, amount))
+        return true;
+    if (!surroundings_.logReachable || isExhausted(budget, amount) || now_ - desk.wants.since(key, now_) > patience)
+        return false;
+    const bool drawCovers = desk.drawing && desk.drawingWanted >= amount;
+    const bool othersWereTold = desk.nextSignal > now_;
+    return drawCovers || othersWereTold;
+}
+
+bool HolderBook::isExhausted(const BudgetRef& budget, Tokens amount) const
+{
+    const std::optional<BudgetView> view = fold_->budget(budget);
+    return !view || view->bought - view->billed < amount;
+}
+
+void HolderBook::settle(const Reservation& reservation, Tokens actual, MoneyActions& actions)
+{
+    assert(actual <= reservation.amount && "no request costs more than its reservation");
+    if (reservation.loan != 0)
+        settleLoan(reservation, actual, actions);
+    else
+        settleGrant(reservation, actual, actions);
+    if (actual < reservation.amount)
+        actions.emplace_back(MoneyArrived { reservation.budget });
+    if (const auto desk = desks_.find(reservation.budget); desk != desks_.end())
+        work(desk->first, desk->second, actions);
+    flushRaises(actions);
+}
+
+// H7: the bill is emitted in the same call that stops counting the reservation, so it lands before any later return or
+// close of the grant.
+void HolderBook::settleGrant(const Reservation& reservation, Tokens actual, MoneyActions& actions)
+{
+    const auto found = grants_.find(reservation.grant.number);
+    assert(reservation.grant.holder == self_ && found != grants_.end() && "a grant with a reservation stays open");
+    if (actual > Tokens {})
+        actions.emplace_back(AppendEntry { Bill { reservation.key, reservation.grant, actual } });
+    found->second.settle(reservation.amount, actual);
+}
+
+void HolderBook::settleLoan(const Reservation& reservation, Tokens actual, MoneyActions& actions)
+{
+    const auto found = loans_.find(reservation.loan);
+    assert(found != loans_.end() && "a loan with a reservation is not done");
+    if (actual > Tokens {})
+        actions.emplace_back(AppendEntry { Bill { reservation.key, reservation.grant, actual } });
+    found->second.settle(reservation.key, reservation.amount, actual);
+}
+
+} // namespace swiftlift::ledger::internal
--- /dev/null
+++ b/src/ledger/HolderWork.cpp
@@ -0,0 +1,190 @@
+#include <algorithm>
+#include <utility>
+
+#include "ledger/HolderBook.h"
+
+namespace swiftlift::ledger::internal {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr Incarnation nobody {};
+    constexpr Tokens none {};
+    /** A holder that has not drawn for this long is not counted as a sharer. */
+    constexpr Duration sharerMemory = 300s;
+    /** After giving back for others' sake, no more is drawn than waits. */
+    constexpr Duration cautionAfterReturn = 3s;
+    /** Between two draws that only tell the others that money is short here. */
+    constexpr Duration signalPause = 1s;
+    /** A witness that is silent for this long is not counted on. */
+    constexpr Duration witnessPatience = 500ms;
+
+} // namespace
+
+void HolderBook::onTick(Instant now, const Surroundings& surroundings, MoneyActions& actions)
+{
+    now_ = now;
+    if (surroundings.witness != surroundings_.witness)
+        witnessSince_ = now;
+    surroundings_ = surroundings;
+    for (auto& [budget, desk] : desks_) {
+        if (!desk.quiet())
+            work(budget, desk, actions);
+    }
+    flushRaises(actions);
+}
+
+void HolderBook::work(const BudgetRef& budget, HolderDesk& desk, MoneyActions& actions)
+{
+    desk.wants.expire(now_);
+    moveLoans(desk, situationOf(budget, desk), actions);
+    giveBackSurplus(desk, situationOf(budget, desk), actions);
+    closeIdle(desk, actions);
+    draw(budget, desk, situationOf(budget, desk), actions);
+    const BudgetSituation situation = situationOf(budget, desk);
+    borrow(budget, desk, situation, actions);
+    raiseCeilings(desk, situation, actions);
+}
+
+BudgetSituation HolderBook::situationOf(const BudgetRef& budget, const HolderDesk& desk) const
+{
+    BudgetSituation situation;
+    situation.demand = desk.demand.rate(now_);
+    situation.largest = desk.demand.largest(now_);
+    situation.need = desk.wants.largest();
+    situation.smallestNeed = desk.wants.smallest();
+    situation.waiting = desk.wants.sum();
+    countFree(desk, situation);
+    situation.drawn = desk.drawn;
+    if (const std::optional<BudgetView> view = fold_->budget(budget)) {
+        situation.bought = view->bought;
+        situation.available = view->available();
+    }
+    situation.logReachable = surroundings_.logReachable;
+    const auto active
+        = std::ranges::count_if(desk.sharers, [&](const auto& sharer) { return now_ - sharer.second < sharerMemory; });
+    situation.sharers = static_cast<std::uint32_t>(active) + 1;
+    situation.cautious = now_ < desk.cautiousUntil;
+    situation.othersShort = now_ < desk.othersShortUntil ? desk.othersShort : none;
+    if (desk.returnedAt)
+        situation.sinceReturn = now_ - *desk.returnedAt;
+    return situation;
+}
+
+void HolderBook::countFree(const HolderDesk& desk, BudgetSituation& situation) const
+{
+    const auto count = [&](Tokens free) {
+        situation.free += free;
+        situation.largestFree = std::max(situation.largestFree, free);
+    };
+    for (const std::uint32_t number : desk.grants) {
+        const HolderGrant& grant = grants_.at(number);
+        const bool stuck = grant.raise.refused || witnessSilent(grant, witnessPatience);
+        count(stuck ? grant.free() : grant.remainder());
+    }
+    for (const std::uint64_t number : desk.loans)
+        count(loans_.at(number).free());
+}
+
+void HolderBook::draw(
+    const BudgetRef& budget, HolderDesk& desk, const BudgetSituation& situation, MoneyActions& actions)
+{
+    if (desk.drawing || retired_ || !surroundings_.logReachable || !fold_->budget(budget))
+        return;
+    if (surroundings_.stopping && desk.wants.empty())
+        return;
+    const std::optional<DrawDecision> decision = policy_->draw(situation);
+    if (!decision)
+        return;
+    if (situation.available < decision->least) {
+        // Nothing can come of it by itself. Made now and then, it tells the others that money is short here.
+        if (now_ < desk.nextSignal)
+            return;
+        desk.nextSignal = now_ + signalPause;
+        gather(desk, situation, actions);
+    }
+    const GrantId id { self_, ++lastGrant_ };
+    desk.drawing = id;
+    desk.drawingWanted = decision->wanted;
+    desk.drawingSince = now_;
+    desk.grants.push_back(id.number);
+    grants_.try_emplace(id.number, id, budget);
+    const Incarnation witness = policy_->witnessed() ? surroundings_.witness.value_or(nobody) : nobody;
+    actions.emplace_back(AppendEntry { Draw { id, budget, decision->wanted, decision->least, witness } });
+}
+
+// A request is covered by one grant only. Several remainders that are too small each, but not together, go back first:
+// the returns land before the draw, which then gets them as one grant.
+void HolderBook::gather(const HolderDesk& desk, const BudgetSituation& situation, MoneyActions& actions)
+{
+    const Tokens remainder = grantsRemainder(desk);
+    if (situation.largestFree < situation.need && situation.available + remainder >= situation.need)
+        giveBack(desk, remainder, actions);
+}
+
+void HolderBook::giveBackSurplus(HolderDesk& desk, const BudgetSituation& situation, MoneyActions& actions)
+{
+    if (!desk.wants.empty() || (!surroundings_.logReachable && !leaving()))
+        return;
+    const Tokens remainder = grantsRemainder(desk);
+    const Tokens surplus = leaving() ? remainder : std::min(policy_->surplus(situation), remainder);
+    if (surplus <= none)
+        return;
+    giveBack(desk, surplus, actions);
+    desk.returnedAt = now_;
+    if (situation.othersShort > none)
+        desk.cautiousUntil = now_ + cautionAfterReturn;
+    desk.othersShort = none;
+}
+
+/** Smallest remainders first, so that whole grants can be closed. */
+void HolderBook::giveBack(const HolderDesk& desk, Tokens amount, MoneyActions& actions)
+{
+    std::vector<HolderGrant*> open;
+    for (const std::uint32_t number : desk.grants) {
+        if (HolderGrant& grant = grants_.at(number); grant.remainder() > none)
+            open.push_back(&grant);
+    }
+    std::ranges::sort(open, {}, [](const HolderGrant* grant) { return grant->remainder(); });
+    for (HolderGrant* const grant : open) {
+        const Tokens part = std::min(grant->remainder(), amount);
+        if (part == none)
+            return;
+        amount -= part;
+        if (part == grant->remainder() && grant->idle()) {
+            close(*grant, actions);
+            continue;
+        }
+        grant->giveBack(part);
+        actions.emplace_back(AppendEntry { Return { grant->id(), part } });
+    }
+}
+
+void HolderBook::closeIdle(const HolderDesk& desk, MoneyActions& actions)
+{
+    for (const std::uint32_t number : desk.grants) {
+        HolderGrant& grant = grants_.at(number);
+        const bool spent = grant.isOpen() && grant.remainder() == none;
+        const bool over = spent || grant.state() == HolderGrantState::Sealed || (grant.isOpen() && retired_);
+        if (over && grant.idle())
+            close(grant, actions);
+    }
+}
+
+// H5: only when nothing of it is reserved, lent or still to be billed; every bill was emitted before.
+void HolderBook::close(HolderGrant& grant, MoneyActions& actions)
+{
+    grant.close();
+    actions.emplace_back(AppendEntry { CloseGrant { grant.id() } });
+}
+
+Tokens HolderBook::grantsRemainder(const HolderDesk& desk) const
+{
+    Tokens sum;
+    for (const std::uint32_t number : desk.grants)
+        sum += grants_.at(number).remainder();
+    return sum;
+}
+
+} // namespace swiftlift::ledger::internal
--- /dev/null
+++ b/src/ledger/LoanBorrowing.cpp
@@ -0,0 +1,152 @@
+#include <algorithm>
+
+#include "ledger/HolderBook.h"
+
+namespace swiftlift::ledger::internal {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr Tokens none {};
+    /** An ask without an answer is given up after this long, and the next lender is asked. */
+    constexpr Duration askPatience = 500ms;
+    /** A loan that was not used for this long goes back. */
+    constexpr Duration idleLoan = 3s;
+    constexpr Duration roundPause = 1s;
+    /** A draw that has been in flight for this long is not waited for alone. */
+    constexpr Duration slowDraw = 300ms;
+
+} // namespace
+
+void HolderBook::borrow(
+    const BudgetRef& budget, HolderDesk& desk, const BudgetSituation& situation, MoneyActions& actions)
+{
+    if (desk.wants.empty()) {
+        desk.loanAttempts = 0;
+        return;
+    }
+    const bool slow = desk.drawing && now_ - desk.drawingSince > slowDraw;
+    const bool logWillDo = situation.logReachable && situation.available >= situation.need && !slow;
+    if (retired_ || logWillDo || situation.largestFree >= situation.need || loanAsked(desk))
+        return;
+    const Tokens size = policy_->loanSize(situation);
+    if (size == none || surroundings_.lenders.empty() || now_ < desk.nextLoanRound)
+        return;
+    const std::uint64_t number = ++lastLoan_;
+    desk.loans.push_back(number);
+    LoanBorrowed& loan = loans_.try_emplace(number, number, nextLender(desk), budget, size, now_).first->second;
+    if (loan.repeatDue(now_))
+        actions.emplace_back(SendLoanAsk { loan.lender(), number, budget, size });
+}
+
+Incarnation HolderBook::nextLender(HolderDesk& desk) const
+{
+    const auto count = static_cast<std::uint32_t>(surroundings_.lenders.size());
+    const Incarnation lender = surroundings_.lenders.at(desk.loanAttempts % count);
+    ++desk.loanAttempts;
+    if (desk.loanAttempts % count == 0)
+        desk.nextLoanRound = now_ + roundPause;
+    return lender;
+}
+
+void HolderBook::moveLoans(HolderDesk& desk, const BudgetSituation& situation, MoneyActions& actions)
+{
+    for (const std::uint64_t number : desk.loans)
+        moveLoan(loans_.at(number), desk, situation, actions);
+}
+
+void HolderBook::moveLoan(
+    LoanBorrowed& loan, const HolderDesk& desk, const BudgetSituation& situation, MoneyActions& actions)
+{
+    const Duration age = now_ - loan.since();
+    switch (loan.state()) {
+    case LoanState::Asked:
+        if (age > askPatience || retired_)
+            endLoan(loan, actions);
+        else if (loan.repeatDue(now_))
+            actions.emplace_back(SendLoanAsk { loan.lender(), loan.number(), loan.budget(), loan.asked() });
+        return;
+    case LoanState::Held: {
+        const bool spent = loan.free() == none;
+        const bool useless = desk.wants.empty() && loan.free() < situation.largest;
+        const bool unused = age > idleLoan || (leaving() && desk.wants.empty());
+        if (loan.reserved() == none && (spent || useless || unused || retired_))
+            endLoan(loan, actions);
+        return;
+    }
+    case LoanState::Ending:
+        if (loan.repeatDue(now_))
+            actions.emplace_back(SendLoanDone { loan.lender(), loan.number(), loan.emitted() });
+        return;
+    }
+}
+
+// H10: from here on nothing of it is spent. An ask that was given up ends in the same way, since its answer may have
+// been lost: otherwise the lender would count it as lent for good.
+void HolderBook::endLoan(LoanBorrowed& loan, MoneyActions& actions)
+{
+    loan.end(now_);
+    if (loan.repeatDue(now_))
+        actions.emplace_back(SendLoanDone { loan.lender(), loan.number(), loan.emitted() });
+}
+
+void HolderBook::forgetLoan(std::uint64_t number)
+{
+    std::erase(deskOf(loans_.at(number).budget()).loans, number);
+    loans_.erase(number);
+}
+
+bool HolderBook::loanAsked(const HolderDesk& desk) const
+{
+    return std::ranges::any_of(
+        desk.loans, [&](std::uint64_t number) { return loans_.at(number).state() == LoanState::Asked; });
+}
+
+void HolderBook::onLoanGiven(
+    Incarnation from, std::uint64_t loan, GrantId grant, Tokens amount, Instant now, MoneyActions& actions)
+{
+    now_ = now;
+    const auto found = loans_.find(loan);
+    if (found == loans_.end()) {
+        if (loan <= lastLoan_)
+            actions.emplace_back(SendLoanDone { from, loan, none });
+        return;
+    }
+    LoanBorrowed& borrowed = found->second;
+    if (borrowed.lender() != from || grant.holder != from || borrowed.state() == LoanState::Held)
+        return;
+    if (borrowed.state() == LoanState::Ending) {
+        actions.emplace_back(SendLoanDone { from, loan, borrowed.emitted() });
+        return;
+    }
+    borrowed.given(grant, amount, now);
+    HolderDesk& desk = deskOf(borrowed.budget());
+    if (amount < desk.wants.smallest())
+        endLoan(borrowed, actions);
+    else
+        actions.emplace_back(MoneyArrived { borrowed.budget() });
+    borrow(borrowed.budget(), desk, situationOf(borrowed.budget(), desk), actions);
+}
+
+void HolderBook::onLoanDenied(Incarnation from, std::uint64_t loan, Tokens, Instant now, MoneyActions& actions)
+{
+    now_ = now;
+    const auto found = loans_.find(loan);
+    if (found == loans_.end() || found->second.lender() != from || found->second.state() != LoanState::Asked)
+        return;
+    const BudgetRef budget = found->second.budget();
+    forgetLoan(loan);
+    work(budget, deskOf(budget), actions);
+    flushRaises(actions);
+}
+
+void HolderBook::onLoanDoneAcked(Incarnation from, std::uint64_t loan, Instant now, MoneyActions&)
+{
+    now_ = now;
+    const auto found = loans_.find(loan);
+    if (found != loans_.end() && found->second.lender() == from && found->second.state() == LoanState::Ending)
+        forgetLoan(loan);
+}
+
+} // namespace swiftlift::ledger::internal
--- /dev/null
+++ b/src/ledger/LoanLedger.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <ostream>
+#include <utility>
+
+#include "swiftlift/base/Ids.h"
+#include "swiftlift/base/Units.h"
+
+namespace swiftlift::ledger::internal {
+
+/** What a lender answered to one ask. */
+struct LoanAnswer {
+    GrantId grant;
+    /** Zero: denied. */
+    Tokens amount;
+    /** Of a denied one: what could have been had. */
+    Tokens free;
+    bool done = false;
+};
+
+/**
+ * @brief What a lender answered to whom, so that a repeat gets the same answer (H11 of docs/HOLDINGS.md).
+ *
+ * Finished loans are forgotten in the order of their numbers; a number below the forgotten ones counts as finished.
+ */
+class LoanLedger {
+public:
+    /** @return The answer given before; nothing when this is the first ask. */
+    [[nodiscard]] std::optional<LoanAnswer> find(Incarnation borrower, std::uint64_t loan) const;
+    void record(Incarnation borrower, std::uint64_t loan, LoanAnswer answer);
+    [[nodiscard]] bool anyOpen() const;
+
+    void print(std::ostream& out) const;
+
+private:
+    struct Borrower {
+        std::map<std::uint64_t, LoanAnswer> answers;
+        /** Numbers below this one that are not in `answers` are finished. */
+        std::uint64_t forgottenBelow = 0;
+    };
+
+    void forget(Borrower& borrower);
+
+    std::map<Incarnation, Borrower> borrowers_;
+};
+
+} // namespace swiftlift::ledger::internal
--- /dev/null
+++ b/src/ledger/LoanLending.cpp
@@ -0,0 +1,90 @@
+#include <algorithm>
+
+#include "ledger/HolderBook.h"
+
+namespace swiftlift::ledger::internal {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr Tokens none {};
+    /** After this long without the witness's answer, an ask is denied rather than left to be repeated. */
+    constexpr Duration witnessPatience = 500ms;
+
+} // namespace
+
+// H11: the first answer stands. A second loan for a repeated ask would be lent for good, as its borrower knows of one.
+void HolderBook::onLoanAsk(
+    Incarnation from, std::uint64_t loan, const BudgetRef& budget, Tokens amount, Instant now, MoneyActions& actions)
+{
+    now_ = now;
+    std::optional<LoanAnswer> answer = lending_.find(from, loan);
+    if (!answer) {
+        answer = decideLoan(from, budget, amount);
+        flushRaises(actions);
+        if (!answer)
+            return;
+        lending_.record(from, loan, *answer);
+    }
+    if (answer->amount > none && !answer->done)
+        actions.emplace_back(SendLoanGiven { from, loan, budget, answer->grant, answer->amount });
+    else
+        actions.emplace_back(SendLoanDenied { from, loan, budget, answer->free });
+}
+
+/** Nothing: not decided yet, since the witness has to acknowledge first; the borrower asks again. */
+std::optional<LoanAnswer> HolderBook::decideLoan(Incarnation borrower, const BudgetRef& budget, Tokens amount)
+{
+    const auto found = desks_.find(budget);
+    if (leaving() || found == desks_.end() || amount <= none)
+        return LoanAnswer {};
+    const HolderDesk& desk = found->second;
+    const BudgetSituation situation = situationOf(budget, desk);
+    const Tokens lendable = std::max(policy_->lendable(situation), none);
+    HolderGrant* const grant = grantToLend(desk);
+    const Tokens offered = grant ? std::min({ amount, lendable, grant->remainder() }) : none;
+    if (offered == none)
+        return LoanAnswer { {}, {}, lendable };
+    if (grant->free() < offered && !grant->changingWitness() && !witnessSilent(*grant, witnessPatience)) {
+        raiseCeiling(*grant, policy_->headRoom(situation) + offered, offered);
+        return {};
+    }
+    const Tokens given = std::min(offered, grant->free());
+    if (given == none)
+        return LoanAnswer {};
+    grant->lend(borrower, given);
+    return LoanAnswer { grant->id(), given, lendable - given };
+}
+
+HolderGrant* HolderBook::grantToLend(const HolderDesk& desk)
+{
+    HolderGrant* best = nullptr;
+    for (const std::uint32_t number : desk.grants) {
+        HolderGrant& grant = grants_.at(number);
+        if (!best || grant.remainder() > best->remainder())
+            best = &grant;
+    }
+    return best;
+}
+
+// A LoanDone for an ask that never came is kept, so that the ask is denied if it comes late: its borrower has given it
+// up, and nobody else would ever give the tokens back.
+void HolderBook::onLoanDone(Incarnation from, std::uint64_t loan, Tokens billed, Instant now, MoneyActions& actions)
+{
+    now_ = now;
+    LoanAnswer answer = lending_.find(from, loan).value_or(LoanAnswer {});
+    const bool wasOpen = answer.amount > none && !answer.done;
+    answer.done = true;
+    lending_.record(from, loan, answer);
+    actions.emplace_back(SendLoanDoneAcked { from, loan });
+    if (!wasOpen)
+        return;
+    HolderGrant& grant = grants_.at(answer.grant.number);
+    grant.loanDone(from, answer.amount, billed);
+    actions.emplace_back(MoneyArrived { grant.budget() });
+    work(grant.budget(), deskOf(grant.budget()), actions);
+    flushRaises(actions);
+}
+
+} // namespace swiftlift::ledger::internal
--- /dev/null
+++ b/src/ledger/PolicyDemandGrants.cpp
@@ -0,0 +1,114 @@
+#include "ledger/PolicyDemandGrants.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace swiftlift::ledger::internal {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr Tokens none {};
+    constexpr double headRoomSeconds = 2;
+    constexpr double loanSeconds = 2;
+    /** A draw ahead of need takes at most this part of each sharer's equal share. */
+    constexpr std::int64_t shareDivisor = 2;
+    /** Surplus goes back from this multiple of the high watermark on, so that draws and returns don't alternate. */
+    constexpr std::int64_t surplusFactor = 2;
+    constexpr Duration surplusPause = 5s;
+    constexpr Duration shortagePause = 500ms;
+
+    struct Watermarks {
+        double lowSeconds;
+        double highSeconds;
+    };
+
+    Watermarks watermarksOf(Weighting weighting)
+    {
+        switch (weighting) {
+        case Weighting::Refusals:
+            return { 10, 300 };
+        case Weighting::Overspend:
+            return { 1, 10 };
+        case Weighting::Balanced:
+            break;
+        }
+        return { 2, 30 };
+    }
+
+    Tokens tokensOf(double perSecond, double seconds)
+    {
+        return Tokens { static_cast<std::int64_t>(std::llround(perSecond * seconds)) };
+    }
+
+} // namespace
+
+DemandGrantsPolicy::DemandGrantsPolicy(Weighting weighting)
+    : lowSeconds_(watermarksOf(weighting).lowSeconds)
+    , highSeconds_(watermarksOf(weighting).highSeconds)
+{
+}
+
+Tokens DemandGrantsPolicy::low(const BudgetSituation& situation) const
+{
+    return std::max(tokensOf(situation.demand, lowSeconds_), situation.largest);
+}
+
+Tokens DemandGrantsPolicy::high(const BudgetSituation& situation) const
+{
+    return tokensOf(situation.demand, highSeconds_) + situation.largest;
+}
+
+std::optional<DrawDecision> DemandGrantsPolicy::draw(const BudgetSituation& situation) const
+{
+    const bool isShort
+        = situation.need > none && (situation.largestFree < situation.need || situation.free < situation.waiting);
+    const Tokens share { situation.available.value() / (shareDivisor * situation.sharers) };
+    const Tokens ahead
+        = situation.cautious ? none : std::min(high(situation) + situation.waiting - situation.free, share);
+    if (isShort) {
+        const Tokens inHand = std::max(situation.need, situation.waiting - situation.free);
+        return DrawDecision { std::max(inHand, ahead), situation.smallestNeed };
+    }
+    const Tokens useful = std::max(situation.largest, Tokens { 1 });
+    if (situation.free >= low(situation) || ahead < useful)
+        return {};
+    return DrawDecision { ahead, useful };
+}
+
+Tokens DemandGrantsPolicy::headRoom(const BudgetSituation& situation) const
+{
+    // While the log is unreachable no seal can land, so a high ceiling costs nothing and a low one refuses.
+    if (!situation.logReachable)
+        return situation.free + situation.waiting;
+    return tokensOf(situation.demand, headRoomSeconds) + std::max(situation.largest, situation.waiting);
+}
+
+Tokens DemandGrantsPolicy::surplus(const BudgetSituation& situation) const
+{
+    if (situation.othersShort > none) {
+        if (situation.sinceReturn < shortagePause)
+            return none;
+        return std::clamp(situation.free - low(situation), none, situation.othersShort);
+    }
+    const Tokens most { high(situation).value() * surplusFactor };
+    if (situation.free <= most || situation.sinceReturn < surplusPause)
+        return none;
+    return situation.free - high(situation);
+}
+
+Tokens DemandGrantsPolicy::loanSize(const BudgetSituation& situation) const
+{
+    return std::max(situation.need, situation.waiting) + tokensOf(situation.demand, loanSeconds);
+}
+
+Tokens DemandGrantsPolicy::lendable(const BudgetSituation& situation) const
+{
+    const Tokens aboveLow = situation.free - low(situation);
+    if (situation.logReachable)
+        return std::max(aboveLow, none);
+    return std::max(aboveLow, Tokens { situation.free.value() / 2 });
+}
+
+} // namespace swiftlift::ledger::internal
--- /dev/null
+++ b/src/ledger/PolicyDemandGrants.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "swiftlift/ledger/HoldingPolicy.h"
+
+namespace swiftlift::ledger::internal {
+
+/** @brief Grants sized by demand, between a low and a high watermark, with loans from peers when the log is no help. */
+class DemandGrantsPolicy final : public HoldingPolicy {
+public:
+    explicit DemandGrantsPolicy(Weighting weighting);
+
+    [[nodiscard]] std::optional<DrawDecision> draw(const BudgetSituation& situation) const override;
+    [[nodiscard]] Tokens headRoom(const BudgetSituation& situation) const override;
+    [[nodiscard]] Tokens surplus(const BudgetSituation& situation) const override;
+    [[nodiscard]] Tokens loanSize(const BudgetSituation& situation) const override;
+    [[nodiscard]] Tokens lendable(const BudgetSituation& situation) const override;
+    [[nodiscard]] bool witnessed() const override { return true; }
+
+private:
+    [[nodiscard]] Tokens low(const BudgetSituation& situation) const;
+    [[nodiscard]] Tokens high(const BudgetSituation& situation) const;
+
+    double lowSeconds_;
+    double highSeconds_;
+};
+
+} // namespace swiftlift::ledger::internal
--- /dev/null
+++ b/src/ledger/PolicyStaticSplit.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+
+#include "swiftlift/ledger/HoldingPolicy.h"
+
+namespace swiftlift::ledger::internal {
+
+/** @brief Baseline: an equal part of what was bought, drawn at first use, never given back or lent. */
+class StaticSplitPolicy final : public HoldingPolicy {
+public:
+    explicit StaticSplitPolicy(std::uint32_t parts)
+        : parts_(std::max(parts, 1U))
+    {
+    }
+
+    [[nodiscard]] std::optional<DrawDecision> draw(const BudgetSituation& situation) const override
+    {
+        const Tokens part { situation.bought.value() / parts_ };
+        if (situation.need == Tokens {} || situation.drawn >= part)
+            return {};
+        return DrawDecision { part - situation.drawn, Tokens { 1 } };
+    }
+
+    [[nodiscard]] Tokens headRoom(const BudgetSituation& situation) const override { return situation.free; }
+    [[nodiscard]] Tokens surplus(const BudgetSituation&) const override { return {}; }
+    [[nodiscard]] Tokens loanSize(const BudgetSituation&) const override { return {}; }
+    [[nodiscard]] Tokens lendable(const BudgetSituation&) const override { return {}; }
+    [[nodiscard]] bool witnessed() const override { return false; }
+
+private:
+    std::uint32_t parts_;
+};
+
+} // namespace swiftlift::ledger::internal
