--- a/tests/standins/common/Controls.cpp
+++ b/tests/standins/common/Controls.cpp
@@ -1,14 +1,21 @@
 #include "common/Controls.h"
 
+#include <algorithm>
+
 namespace swiftlift::standins {
 
-void Controls::add(std::string name, Setter setter) { setters_.insert_or_assign(std::move(name), std::move(setter)); }
+void Controls::add(std::string name, Setter setter) { setters_.emplace_back(std::move(name), std::move(setter)); }
+
+bool Controls::knows(const std::string& name) const
+{
+    return std::any_of(setters_.begin(), setters_.end(), [&name](const auto& entry) { return entry.first == name; });
+}
 
 Findings Controls::unknownNames(const Json& change) const
 {
     Findings findings;
     for (const auto& [name, value] : change.items()) {
-        if (!setters_.contains(name)) {
+        if (!knows(name)) {
             findings.push_back({ .source = name, .message = "unknown name" });
         }
     }
@@ -25,9 +32,12 @@
     if (!findings.empty()) {
         return findings;
     }
-    for (const auto& [name, value] : change.items()) {
+    for (const auto& [name, setter] : setters_) {
+        if (!change.contains(name)) {
+            continue;
+        }
         try {
-            setters_.at(name)(value, reply);
+            setter(change.at(name), reply);
         } catch (const std::exception& error) {
             findings.push_back({ .source = name, .message = error.what() });
         }
--- a/tests/standins/common/Controls.h
+++ b/tests/standins/common/Controls.h
@@ -1,8 +1,9 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "common/Types.h"
 #include "swiftlift/base/Finding.h"
@@ -24,7 +25,8 @@
     }
 
     /**
-     * @brief Applies all members of the object, or none when one of them isn't known.
+     * @brief Applies all members of the object in the order in which their names were added, or none when one isn't
+     * known.
      * @param text The JSON object.
      * @param reply Gets the setters' additions.
      * @return What is wrong, empty when all is well.
@@ -34,7 +36,9 @@
 private:
     [[nodiscard]] Findings unknownNames(const Json& change) const;
 
-    std::map<std::string, Setter> setters_;
+    [[nodiscard]] bool knows(const std::string& name) const;
+
+    std::vector<std::pair<std::string, Setter>> setters_;
 };
 
 } // namespace swiftlift::standins
--- a/tests/standins/common/Gate.cpp
+++ b/tests/standins/common/Gate.cpp
@@ -37,7 +37,9 @@
 {
     while (holds(exchange) && !exchange.isClosed()) {
         const auto deadline = isFrozen() ? frozenUntil_ : Clock::time_point::max();
+        ++held_;
         co_await exchange.wait(changed_, deadline);
+        --held_;
     }
     if (!exchange.isClosed() && isBlocked(exchange)) {
         ++refused_;
--- a/tests/standins/common/Gate.h
+++ b/tests/standins/common/Gate.h
@@ -34,6 +34,8 @@
     /** @return When the freeze ends or has ended. */
     [[nodiscard]] Clock::time_point frozenUntil() const noexcept { return frozenUntil_; }
 
+    /** @return How many calls and answers are held now. */
+    [[nodiscard]] std::uint64_t held() const noexcept { return held_; }
     /** @return How many calls were refused or dropped. */
     [[nodiscard]] std::uint64_t refused() const noexcept { return refused_; }
 
@@ -50,6 +52,7 @@
     std::set<std::string> blocked_;
     bool blockedHang_ = false;
     Clock::time_point frozenUntil_ {};
+    std::uint64_t held_ = 0;
     std::uint64_t refused_ = 0;
     Signal changed_;
 };
--- a/tests/standins/engine/EngineService.cpp
+++ b/tests/standins/engine/EngineService.cpp
@@ -11,16 +11,9 @@
 
 namespace internal {
 
-    constexpr Milliseconds loadSampleInterval { 20 };
     constexpr Milliseconds longestCatchUp { 10 };
     constexpr unsigned lowestPriority = 2;
 
-    std::uint64_t startTime()
-    {
-        const auto now = std::chrono::system_clock::now().time_since_epoch();
-        return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
-    }
-
     std::uint64_t numberOr(const std::string& text, std::uint64_t fallback)
     {
         return text.empty() ? fallback : std::stoull(text);
@@ -36,11 +29,10 @@
 
 EngineService::EngineService(EngineSettings settings)
     : settings_(std::move(settings))
-    , generation_(internal::startTime())
     , events_(Milliseconds(settings_.eventLagMs), settings_.eventGap, settings_.seed)
     , batch_(settings_, events_)
     , orders_(settings_)
-    , load_(load())
+    , load_([this] { return load(); })
 {
     addControls();
 }
@@ -69,7 +61,7 @@
 void EngineService::start(asio::io_context& context)
 {
     asio::co_spawn(context, runSteps(), asio::detached);
-    asio::co_spawn(context, sampleLoad(), asio::detached);
+    load_.start(context);
 }
 
 Awaitable<void> EngineService::runSteps()
@@ -96,26 +88,7 @@
 Json EngineService::load() const
 {
     return { { "running", batch_.running() }, { "waiting", batch_.waiting() }, { "step_ms", batch_.lastStep().count() },
-        { "free_cache_tokens", batch_.freeTokens() }, { "models", orders_.models() }, { "leaving", leaving_ },
-        { "generation", generation_ } };
-}
-
-Json EngineService::laggedLoad()
-{
-    if (settings_.loadLagMs <= 0) {
-        return load();
-    }
-    return load_.seen(toClock(Milliseconds(settings_.loadLagMs)));
-}
-
-Awaitable<void> EngineService::sampleLoad()
-{
-    while (true) {
-        if (auto now = load(); now != load_.current()) {
-            load_.set(std::move(now));
-        }
-        co_await sleepFor(internal::loadSampleInterval);
-    }
+        { "free_cache_tokens", batch_.freeTokens() }, { "models", orders_.models() }, { "leaving", leaving_ } };
 }
 
 Awaitable<void> EngineService::serve(Exchange& exchange)
@@ -127,7 +100,7 @@
     if (exchange.path() == "/generate" && exchange.isPost()) {
         co_await generate(exchange);
     } else if (exchange.path() == "/load") {
-        co_await exchange.answerJson(200, laggedLoad());
+        co_await exchange.answerJson(200, load_.seen(Milliseconds(settings_.loadLagMs)));
     } else if (exchange.path() == "/cache-events") {
         co_await exchange.answerJson(200, events_.read(exchange.number("from", 0)));
     } else if (exchange.path() == "/orders" && exchange.isPost()) {
--- a/tests/standins/engine/EngineService.h
+++ b/tests/standins/engine/EngineService.h
@@ -4,7 +4,7 @@
 #include <string>
 
 #include "common/Gate.h"
-#include "common/Lagged.h"
+#include "common/LoadReport.h"
 #include "common/Service.h"
 #include "engine/Batch.h"
 #include "engine/CacheEvents.h"
@@ -37,9 +37,7 @@
 
     void addControls();
     [[nodiscard]] Awaitable<void> runSteps();
-    [[nodiscard]] Awaitable<void> sampleLoad();
     [[nodiscard]] Json load() const;
-    [[nodiscard]] Json laggedLoad();
     [[nodiscard]] Output makeOutput(const Exchange& exchange);
     [[nodiscard]] std::uint64_t takeBreak(std::uint64_t from);
     [[nodiscard]] Awaitable<void> generate(Exchange& exchange);
@@ -48,7 +46,6 @@
     [[nodiscard]] Awaitable<void> finish(Exchange& exchange, const Output& output);
 
     EngineSettings settings_;
-    std::uint64_t generation_;
     Gate gate_;
     CacheEvents events_;
     Batch batch_;
@@ -64,7 +61,7 @@
     std::uint64_t failAfterTokens_ = 0;
     std::uint64_t failCount_ = 0;
     /** Last, because it starts as a report on all the others. */
-    Lagged<Json> load_;
+    LoadReport load_;
 };
 
 } // namespace swiftlift::standins
--- a/tests/standins/engine/EngineSettings.h
+++ b/tests/standins/engine/EngineSettings.h
@@ -27,7 +27,7 @@
     std::uint64_t checkFencing = 1;
     /** Time to load a model through the weight store, one after another. */
     double loadMs = 500;
-    std::set<std::string> models;
+    std::set<std::string> models {};
     std::uint64_t seed = 1;
 };
 
--- /dev/null
+++ b/tests/standins/link/Link.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "link/Relay.h"
+
+namespace swiftlift::standins {
+
+/** What becomes of connections on a cut link. */
+enum class CutMode {
+    /** Bytes stop, and flow again after healing. */
+    Drop,
+    /** Connections are reset. */
+    Reset,
+};
+
+struct LinkAddresses {
+    Tcp::endpoint listen;
+    Tcp::endpoint to;
+    /** Source address towards `to`. */
+    std::optional<asio::ip::address> from;
+};
+
+/** A listening port whose connections are carried on to another address. */
+class Link {
+public:
+    /** Listens at once. `mode` must outlive the link. */
+    Link(asio::io_context& context, const LinkAddresses& addresses, const CutMode& mode);
+
+    /** Starts to accept. */
+    void start();
+    /** Cuts both paths; resets the connections if that is the mode. */
+    void cut();
+    /** Cuts the path from the side that connects. */
+    void cutForward();
+    /** Cuts the path to the side that connects. */
+    void cutBackward();
+    void heal();
+    void setDelay(Milliseconds delay) { state_->delay = delay; }
+    [[nodiscard]] Json audit() const;
+
+private:
+    [[nodiscard]] Awaitable<void> accept();
+    void startRelay(Tcp::socket socket);
+    [[nodiscard]] bool isCut() const { return state_->forward.cut || state_->backward.cut; }
+
+    asio::io_context& context_;
+    LinkAddresses addresses_;
+    Tcp::acceptor acceptor_;
+    const CutMode& mode_;
+    std::shared_ptr<LinkState> state_ = std::make_shared<LinkState>();
+    std::vector<std::weak_ptr<Relay>> relays_;
+    std::uint64_t accepted_ = 0;
+};
+
+} // namespace swiftlift::standins
--- a/tests/standins/log/LogService.cpp
+++ b/tests/standins/log/LogService.cpp
@@ -178,7 +178,9 @@
     const auto wait = std::min(exchange.number("wait_ms", 0), internal::longestWaitMs);
     const auto deadline = Clock::now() + std::chrono::milliseconds(wait);
     while (from >= stream.end() && Clock::now() < deadline && !exchange.isClosed()) {
+        ++counters_.waitingReads;
         co_await exchange.wait(stream.appended(), deadline);
+        --counters_.waitingReads;
     }
     const bool answerable = co_await gate_.leave(exchange);
     if (!answerable) {
@@ -217,7 +219,8 @@
     }
     return { { "streams", std::move(streams) }, { "appends", counters_.appends }, { "rejected", counters_.rejected },
         { "lost_answers", counters_.lostAnswers }, { "late_appends", counters_.lateAppends },
-        { "reads", counters_.reads }, { "expired_reads", counters_.expiredReads }, { "refused", gate_.refused() },
+        { "reads", counters_.reads }, { "waiting_reads", counters_.waitingReads },
+        { "expired_reads", counters_.expiredReads }, { "refused", gate_.refused() }, { "held", gate_.held() },
         { "bytes_in", byteCounts().in }, { "bytes_out", byteCounts().out } };
 }
 
--- a/tests/standins/log/LogService.h
+++ b/tests/standins/log/LogService.h
@@ -34,6 +34,8 @@
         std::uint64_t lostAnswers = 0;
         std::uint64_t lateAppends = 0;
         std::uint64_t reads = 0;
+        /** Long polls in progress. */
+        std::uint64_t waitingReads = 0;
         std::uint64_t expiredReads = 0;
     };
 
