Explore every schedule of small fleets against the ledger's promises

Cause: overspends hide in schedules that nobody writes a test for. Ruled out: depth first, as a state met first at a greater depth would hide what lies beyond the depth bound; separate loss and repeat of messages, as a message that stays deliverable for good covers both. Change: a breadth-first search over real folds, holders and witnesses with four setups: seal, change of witness, loan, loan of a sealed grant.

--- /dev/null
+++ b/tests/ledger/ExploreWorld.cpp
@@ -0,0 +1,511 @@
+#include "ledger/ExploreWorld.h"
+
+#include <algorithm>
+#include <map>
+#include <sstream>
+#include <string_view>
+
+#include <xxhash.h>
+
+namespace swiftlift::ledger::explore {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr Incarnation operators { 1 };
+    constexpr std::uint64_t firstNode = 10;
+
+    Incarnation incarnationOf(std::size_t index) { return Incarnation { firstNode + index }; }
+    std::size_t indexOf(Incarnation id) { return static_cast<std::size_t>(id.value() - firstNode); }
+
+    std::uint64_t hashOf(const std::string& text) { return XXH64(text.data(), text.size(), 0); }
+
+    std::string textOf(const GrantId& id)
+    {
+        return std::to_string(id.holder.value()) + ":" + std::to_string(id.number);
+    }
+
+    struct EntryText {
+        std::ostream& out;
+
+        void operator()(const Draw& entry) const
+        {
+            out << "draw " << textOf(entry.grant) << " wanted " << entry.wanted << " least " << entry.least
+                << " witness " << entry.witness;
+        }
+        void operator()(const Return& entry) const { out << "return " << textOf(entry.grant) << ' ' << entry.amount; }
+        void operator()(const CloseGrant& entry) const { out << "close " << textOf(entry.grant); }
+        void operator()(const ChangeWitness& entry) const
+        {
+            out << "witness " << textOf(entry.grant) << ' ' << entry.witness << " ceiling " << entry.ceiling;
+        }
+        void operator()(const Seal& entry) const { out << "seal " << textOf(entry.grant) << ' ' << entry.ceiling; }
+        void operator()(const Bill& entry) const
+        {
+            out << "bill key " << entry.key.low << " on " << textOf(entry.grant) << ' ' << entry.tokens;
+        }
+        template <typename Other> void operator()(const Other&) const { out << "other"; }
+    };
+
+    std::string textOf(const Entry& entry)
+    {
+        std::ostringstream out;
+        std::visit(EntryText { out }, entry);
+        return out.str();
+    }
+
+    struct BodyText {
+        std::ostream& out;
+
+        void ceilings(const std::vector<Ceiling>& all) const
+        {
+            for (const Ceiling& one : all)
+                out << ' ' << textOf(one.grant) << '=' << one.ceiling;
+        }
+        void operator()(const SendRaise& body) const
+        {
+            out << "raise";
+            ceilings(body.ceilings);
+        }
+        void operator()(const SendCeilingsAcked& body) const
+        {
+            out << "acked";
+            ceilings(body.ceilings);
+        }
+        void operator()(const SendCeilingsRefused& body) const
+        {
+            out << "refused";
+            for (const GrantId& grant : body.grants)
+                out << ' ' << textOf(grant);
+        }
+        void operator()(const SendLoanAsk& body) const { out << "loan ask " << body.loan << ' ' << body.amount; }
+        void operator()(const SendLoanGiven& body) const
+        {
+            out << "loan given " << body.loan << ' ' << textOf(body.grant) << ' ' << body.amount;
+        }
+        void operator()(const SendLoanDenied& body) const { out << "loan denied " << body.loan; }
+        void operator()(const SendLoanDone& body) const { out << "loan done " << body.loan << ' ' << body.billed; }
+        void operator()(const SendLoanDoneAcked& body) const { out << "loan done acked " << body.loan; }
+    };
+
+    std::string textOf(const Message& message)
+    {
+        std::ostringstream out;
+        out << message.from << "->" << message.to << ' ';
+        std::visit(BodyText { out }, message.body);
+        return out.str();
+    }
+
+    std::shared_ptr<Fold> copyOf(const Fold& fold)
+    {
+        auto copy = std::make_shared<Fold>();
+        if (!copy->restore(fold.checkpoint()))
+            return nullptr;
+        return copy;
+    }
+
+} // namespace
+
+BudgetRef exploredBudget() { return BudgetRef { AccountId { "hall" }, BudgetId { "desk" } }; }
+
+std::optional<DrawDecision> FixedPolicy::draw(const BudgetSituation& situation) const
+{
+    if (situation.need <= situation.largestFree || situation.drawn >= Tokens { setup.mostDrawn })
+        return {};
+    return DrawDecision { std::max(Tokens { setup.chunk }, situation.need), situation.need };
+}
+
+Node::Node(Incarnation incarnation, std::unique_ptr<HoldingPolicy> policy, std::shared_ptr<const Fold> start)
+    : id(incarnation)
+    , fold(std::move(start))
+    , holder(incarnation, std::move(policy), *fold)
+    , witness(incarnation, *fold)
+{
+}
+
+Node::Node(const Node& other)
+    : id(other.id)
+    , fold(other.fold)
+    , position(other.position)
+    , holder(other.holder, *fold)
+    , witness(other.witness, *fold)
+    , surroundings(other.surroundings)
+    , now(other.now)
+    , outbox(other.outbox)
+    , sequence(other.sequence)
+    , started(other.started)
+    , running(other.running)
+    , answered(other.answered)
+    , witnessChoice(other.witnessChoice)
+    , ticks(other.ticks)
+    , crashed(other.crashed)
+    , suspected(other.suspected)
+{
+}
+
+void Node::readOn(std::shared_ptr<const Fold> later)
+{
+    holder = Holder(holder, *later);
+    witness = Witness(witness, *later);
+    fold = std::move(later);
+    ++position;
+}
+
+std::string Node::text() const
+{
+    std::ostringstream out;
+    out << holder.stateText() << witness.stateText() << "at " << position << ' ' << now.time_since_epoch().count()
+        << " sequence " << sequence << " choice " << witnessChoice << " ticks " << ticks << " crashed " << crashed
+        << " stopping " << surroundings.stopping << '\n';
+    for (const Item& item : outbox)
+        out << item.sequence << ' ' << textOf(item.entry) << '\n';
+    for (const std::size_t index : started)
+        out << "started " << index << ' ';
+    for (const Running& request : running)
+        out << "running " << request.reservation.key.low << ' ' << textOf(request.reservation.grant) << ' '
+            << request.reservation.loan << ' ';
+    for (const auto& [key, tokens] : answered)
+        out << "answered " << key.low << ' ' << tokens << ' ';
+    for (const std::size_t other : suspected)
+        out << "suspects " << other << ' ';
+    return out.str();
+}
+
+World::World(const Setup& setup, const Behaviour& behaviour)
+    : setup_(&setup)
+    , behaviour_(&behaviour)
+{
+    append(Item { operators, 1, OpenAccount { exploredBudget().account, "hash" } });
+    append(Item { operators, 2, TopUp { exploredBudget(), Tokens { setup.bought } } });
+    for (std::size_t index = 0; index < setup.witnesses.size(); ++index) {
+        auto node
+            = std::make_shared<Node>(incarnationOf(index), std::make_unique<FixedPolicy>(setup), log_.back()->fold);
+        node->position = log_.size();
+        node->surroundings.logReachable = !setup.cutOff.contains(index);
+        if (const auto witness = setup.witnesses.at(index).front())
+            node->surroundings.witness = incarnationOf(*witness);
+        for (std::size_t other = 0; other < setup.witnesses.size(); ++other) {
+            if (other != index)
+                node->surroundings.lenders.push_back(incarnationOf(other));
+        }
+        MoneyActions none;
+        tick(*node, none);
+        node->ticks = 0;
+        nodeHashes_.push_back(hashOf(node->text()));
+        nodes_.push_back(std::move(node));
+    }
+    for (const std::size_t request : setup.before) {
+        const Step step { StepKind::Request, setup.requests.at(request).node, request };
+        take(step);
+        runQuiet();
+        take(step);
+        runQuiet();
+    }
+}
+
+/** Lets every entry land, every record be read and every message arrive once, until nothing is new. */
+void World::runQuiet()
+{
+    std::set<std::string> delivered;
+    const auto next = [&]() -> std::optional<Step> {
+        for (const Step& step : enabled()) {
+            if (step.kind == StepKind::Land || step.kind == StepKind::Read)
+                return step;
+            if (step.kind == StepKind::Deliver && delivered.insert(messages_.at(step.index)->text).second)
+                return step;
+        }
+        return {};
+    };
+    while (const std::optional<Step> step = next())
+        take(*step);
+}
+
+Node& World::change(std::size_t index)
+{
+    auto copy = std::make_shared<Node>(*nodes_.at(index));
+    Node& changed = *copy;
+    nodes_.at(index) = std::move(copy);
+    return changed;
+}
+
+std::vector<Step> World::enabled() const
+{
+    std::vector<Step> steps;
+    for (std::size_t index = 0; index < nodes_.size(); ++index)
+        enabledAt(index, steps);
+    for (std::size_t index = 0; index < messages_.size(); ++index) {
+        if (const std::size_t to = messages_.at(index)->to; !nodes_.at(to)->crashed)
+            steps.push_back(Step { StepKind::Deliver, to, index });
+    }
+    return steps;
+}
+
+void World::enabledAt(std::size_t index, std::vector<Step>& steps) const
+{
+    const Node& node = *nodes_.at(index);
+    if (!node.outbox.empty())
+        steps.push_back(Step { StepKind::Land, index, 0 });
+    if (node.crashed)
+        return;
+    for (std::size_t request = 0; request < setup_->requests.size(); ++request) {
+        if (setup_->requests.at(request).node == index && !node.started.contains(request))
+            steps.push_back(Step { StepKind::Request, index, request });
+    }
+    for (std::size_t running = 0; running < node.running.size(); ++running) {
+        steps.push_back(Step { StepKind::Answer, index, running });
+        if (setup_->mayRelease)
+            steps.push_back(Step { StepKind::Release, index, running });
+    }
+    if (node.position < log_.size())
+        steps.push_back(Step { StepKind::Read, index, 0 });
+    if (node.ticks < setup_->ticks.at(index))
+        steps.push_back(Step { StepKind::Tick, index, 0 });
+    if (setup_->mayCrash.contains(index))
+        steps.push_back(Step { StepKind::Crash, index, 0 });
+    if (node.witnessChoice + 1 < setup_->witnesses.at(index).size())
+        steps.push_back(Step { StepKind::Witness, index, 0 });
+    if (setup_->mayStop.contains(index) && !node.surroundings.stopping)
+        steps.push_back(Step { StepKind::Stop, index, 0 });
+    for (const auto& [who, whom] : setup_->maySuspect) {
+        if (who == index && !node.suspected.contains(whom))
+            steps.push_back(Step { StepKind::Suspect, index, whom });
+    }
+}
+
+void World::take(const Step& step)
+{
+    const std::shared_ptr<const Message> message = step.kind == StepKind::Deliver ? messages_.at(step.index) : nullptr;
+    Node& node = change(step.node);
+    MoneyActions actions;
+    switch (step.kind) {
+    case StepKind::Request:
+        request(node, step.index, actions);
+        break;
+    case StepKind::Answer:
+    case StepKind::Release: {
+        const Running done = node.running.at(step.index);
+        node.running.erase(node.running.begin() + static_cast<std::ptrdiff_t>(step.index));
+        if (step.kind == StepKind::Release) {
+            node.holder.release(done.reservation, actions);
+            break;
+        }
+        node.answered.emplace_back(done.reservation.key, done.actual);
+        node.holder.settle(done.reservation, done.actual, actions);
+        break;
+    }
+    case StepKind::Land: {
+        const Item item = node.outbox.front();
+        node.outbox.erase(node.outbox.begin());
+        append(item);
+        break;
+    }
+    case StepKind::Read:
+        read(node, actions);
+        break;
+    case StepKind::Deliver:
+        deliver(node, *message, actions);
+        break;
+    case StepKind::Tick:
+        tick(node, actions);
+        break;
+    case StepKind::Crash:
+        node.crashed = true;
+        break;
+    case StepKind::Suspect:
+        node.suspected.insert(step.index);
+        node.witness.suspect(incarnationOf(step.index), actions);
+        break;
+    case StepKind::Witness: {
+        const auto witness = setup_->witnesses.at(step.node).at(++node.witnessChoice);
+        node.surroundings.witness = witness ? std::optional(incarnationOf(*witness)) : std::nullopt;
+        node.holder.onTick(node.now, node.surroundings, actions);
+        break;
+    }
+    case StepKind::Stop:
+        node.surroundings.stopping = true;
+        node.holder.onTick(node.now, node.surroundings, actions);
+        break;
+    }
+    emit(step.node, std::move(actions));
+    nodeHashes_.at(step.node) = hashOf(node.text());
+}
+
+void World::request(Node& node, std::size_t index, MoneyActions& actions)
+{
+    const ScriptedRequest& script = setup_->requests.at(index);
+    const auto result
+        = node.holder.reserve(exploredBudget(), RequestKey { 0, script.key }, script.amount, node.now, actions);
+    if (const auto* const reservation = std::get_if<Reservation>(&result)) {
+        node.started.insert(index);
+        node.running.push_back(Running { *reservation, script.actual });
+    }
+}
+
+void World::append(const Item& item)
+{
+    auto record = std::make_shared<Record>();
+    record->batch = Batch { rulesVersion, { item } };
+    const std::shared_ptr<Fold> fold = log_.empty() ? std::make_shared<Fold>() : copyOf(*log_.back()->fold);
+    if (!fold || !fold->apply(fold->nextOffset(), record->batch, record->effects))
+        broken_ = "the fold refused a record";
+    for (const Effect& effect : record->effects) {
+        const auto* const refused = std::get_if<Refused>(&effect);
+        if (refused && std::holds_alternative<Bill>(item.entry))
+            broken_ = "the fold refused a bill: " + refused->reason;
+    }
+    if (const std::string finding = fold->inconsistency(); !finding.empty())
+        broken_ = finding;
+    record->fold = fold;
+    log_.push_back(std::move(record));
+    logHash_ = hashOf(std::to_string(logHash_) + std::to_string(item.origin.value()) + textOf(item.entry));
+}
+
+void World::read(Node& node, MoneyActions& actions)
+{
+    const std::shared_ptr<const Record> record = log_.at(node.position);
+    node.readOn(record->fold);
+    for (const Effect& effect : record->effects) {
+        node.witness.onEffect(effect, actions);
+        node.holder.onEffect(effect, node.now, actions);
+    }
+}
+
+void World::deliver(Node& node, const Message& message, MoneyActions& actions)
+{
+    const Incarnation from = incarnationOf(message.from);
+    Holder& holder = node.holder;
+    const Instant now = node.now;
+    if (const auto* const raise = std::get_if<SendRaise>(&message.body)) {
+        node.witness.onRaise(from, raise->ceilings, actions);
+        actions = behaviour_->onRaise(node, *raise, from, std::move(actions));
+    } else if (const auto* const acked = std::get_if<SendCeilingsAcked>(&message.body)) {
+        holder.onCeilingsAcked(behaviour_->acknowledgedBy(node, *acked, from), acked->ceilings, now, actions);
+    } else if (const auto* const refused = std::get_if<SendCeilingsRefused>(&message.body)) {
+        holder.onCeilingsRefused(from, refused->grants, now, actions);
+    } else if (const auto* const ask = std::get_if<SendLoanAsk>(&message.body)) {
+        holder.onLoanAsk(from, ask->loan, ask->budget, ask->amount, now, actions);
+    } else if (const auto* const given = std::get_if<SendLoanGiven>(&message.body)) {
+        holder.onLoanGiven(from, given->loan, given->budget, given->grant, given->amount, now, actions);
+    } else if (const auto* const denied = std::get_if<SendLoanDenied>(&message.body)) {
+        holder.onLoanDenied(from, denied->loan, denied->budget, denied->free, now, actions);
+    } else if (const auto* const done = std::get_if<SendLoanDone>(&message.body)) {
+        holder.onLoanDone(from, done->loan, behaviour_->billedOnLoan(*done), now, actions);
+    } else if (const auto* const doneAcked = std::get_if<SendLoanDoneAcked>(&message.body)) {
+        holder.onLoanDoneAcked(from, doneAcked->loan, now, actions);
+    }
+}
+
+void World::tick(Node& node, MoneyActions& actions)
+{
+    ++node.ticks;
+    node.now += 2s;
+    node.holder.onTick(node.now, node.surroundings, actions);
+}
+
+void World::emit(std::size_t index, MoneyActions actions)
+{
+    Node& node = const_cast<Node&>(*nodes_.at(index));
+    for (MoneyAction& action : actions) {
+        if (auto* const entry = std::get_if<AppendEntry>(&action)) {
+            MoneyActions more;
+            if (const auto effect = behaviour_->takenForRead(node, entry->entry)) {
+                node.holder.onEffect(Landed { node.id, node.sequence + 1 }, node.now, more);
+                node.holder.onEffect(*effect, node.now, more);
+            }
+            node.outbox.push_back(Item { node.id, ++node.sequence, std::move(entry->entry) });
+            emit(index, std::move(more));
+            continue;
+        }
+        std::visit(
+            [&](auto& other) {
+                using Kind = std::decay_t<decltype(other)>;
+                if constexpr (std::is_constructible_v<PeerBody, Kind>)
+                    send(index, other.to, other);
+            },
+            action);
+    }
+}
+
+void World::send(std::size_t from, Incarnation to, PeerBody body)
+{
+    auto message = std::make_shared<Message>(Message { from, indexOf(to), std::move(body), {}, 0 });
+    message->text = textOf(*message);
+    message->hash = hashOf(message->text);
+    const auto textOfMessage = [](const auto& sent) { return std::string_view(sent->text); };
+    const auto place = std::ranges::lower_bound(messages_, std::string_view(message->text), {}, textOfMessage);
+    if (place != messages_.end() && (*place)->text == message->text)
+        return;
+    messagesHash_ += message->hash;
+    messages_.insert(place, std::move(message));
+}
+
+std::string World::violation() const
+{
+    if (std::string overspend = overspent(); !overspend.empty())
+        return overspend;
+    if (!broken_.empty())
+        return broken_;
+    for (const auto& node : nodes_) {
+        if (!node->crashed && outOfBounds(*node))
+            return "a holding is above its ceiling";
+    }
+    return {};
+}
+
+bool World::outOfBounds(const Node& node) const
+{
+    return std::ranges::any_of(node.holder.holdings(), [&](const HoldingView& view) {
+        const Tokens charge = view.billed + view.reserved + view.lent;
+        const auto grant = log_.back()->fold->grant(view.grant);
+        const bool pastSeal
+            = grant && view.grant.holder == node.id && grant->state == GrantState::Sealed && charge > grant->ceiling;
+        return charge > view.ceiling || pastSeal;
+    });
+}
+
+std::string World::overspent() const
+{
+    std::map<RequestKey, Tokens> spent;
+    const auto spend = [&](RequestKey key, Tokens tokens) { spent[key] = std::max(spent[key], tokens); };
+    for (const auto& node : nodes_) {
+        for (const auto& [key, tokens] : node->answered)
+            spend(key, tokens);
+        if (node->crashed)
+            continue;
+        for (const Running& request : node->running)
+            spend(request.reservation.key, request.actual);
+    }
+    Tokens sum;
+    for (const auto& [key, tokens] : spent)
+        sum += tokens;
+    if (sum <= Tokens { setup_->bought })
+        return {};
+    return "overspent: " + std::to_string(sum.value()) + " of " + std::to_string(setup_->bought);
+}
+
+std::uint64_t World::hash() const
+{
+    std::string text = std::to_string(logHash_);
+    for (const std::uint64_t hash : nodeHashes_)
+        text += ' ' + std::to_string(hash);
+    text += ' ' + std::to_string(messagesHash_);
+    return hashOf(text);
+}
+
+std::string World::describe(const Step& step) const
+{
+    static const char* const names[]
+        = { "request", "answer", "release", "land", "read", "deliver", "tick", "crash", "suspect", "witness", "stop" };
+    std::string text = "node " + std::to_string(step.node) + ' ' + names[static_cast<std::size_t>(step.kind)];
+    const Node& node = *nodes_.at(step.node);
+    if (step.kind == StepKind::Deliver)
+        return text + ' ' + messages_.at(step.index)->text;
+    if (step.kind == StepKind::Land)
+        return text + ' ' + textOf(node.outbox.front().entry);
+    if (step.kind == StepKind::Read)
+        return text + ' ' + textOf(log_.at(node.position)->batch.items.front().entry);
+    return text + ' ' + std::to_string(step.index);
+}
+
+} // namespace swiftlift::ledger::explore
