Let a bill outlive the router that answered; number messages by shard

Ruled out: bills appended anew by the witness in its own name, since the holder, if only paused, would take the second bill for a refund that the ledger never gave; waiting for the log with each answer, which an outage would turn into refusals. Change: the holder sends each ledger item to its witness as it is, with its author and sequence; the answer waits for that copy or the log, 250 ms at most; the witness of a suspected author appends its items unchanged, which the fold takes once. Messages on grants and loans name their shard. Conclusion: a single VM's death loses no bill; holder and witness dying together during an outage still does.

--- a/include/swiftlift/ledger/Outbox.h
+++ b/include/swiftlift/ledger/Outbox.h
@@ -48,7 +48,10 @@
     /** @brief The append was answered. It counts only once read back, which is given the longest wait. */
     void onAnswered(Instant now);
 
-    /** @brief An item was read back from the stream; it and its predecessors need no append any more. */
+    /**
+     * @brief An item was read back from the stream; it and its predecessors need no append any more, also when a peer
+     * that keeps copies of them has appended them before they were sent from here.
+     */
     void onLanded(const Landed& landed, Instant now);
 
     /** @return Whether every item has landed. */
@@ -57,6 +60,12 @@
     /** @return How many items have not landed. */
     [[nodiscard]] std::size_t pending() const noexcept;
 
+    /** @return The latest sequence given out; 0 before the first. */
+    [[nodiscard]] std::uint64_t lastSequence() const noexcept { return lastSequence_; }
+
+    /** @return Items behind `sequence` that have not landed, in order, at most `maxBatchItems`; copies for a peer. */
+    [[nodiscard]] Batch copyAfter(std::uint64_t sequence) const;
+
     /** @return When `next` has to be asked again; nothing when only an event changes its answer. */
     [[nodiscard]] std::optional<Instant> wakeAt() const noexcept;
 
--- a/include/swiftlift/node/Action.h
+++ b/include/swiftlift/node/Action.h
@@ -62,6 +62,8 @@
     /** 0: whoever listens there. */
     Incarnation receiver;
     PeerMessage message;
+    /** Of messages on grants and loans: the shard of the ledger that numbers them. */
+    std::uint32_t shard = 0;
 };
 /** Poll these backend servers' load and cache events from now on; replaces the former set. */
 struct WatchBackends {
--- a/include/swiftlift/node/Event.h
+++ b/include/swiftlift/node/Event.h
@@ -90,6 +90,8 @@
     Incarnation sender;
     PeerAddress address;
     PeerMessage message;
+    /** Of messages on grants and loans: the shard of the ledger that numbers them. */
+    std::uint32_t shard = 0;
 };
 struct ListedVm {
     PeerAddress address;
--- a/include/swiftlift/node/PeerMessage.h
+++ b/include/swiftlift/node/PeerMessage.h
@@ -78,7 +78,19 @@
     std::string record;
 };
 
+/** Holder to its witness: items that have not been read back yet, to be appended in its name should it die. */
+struct CopyItems {
+    StreamName stream;
+    /** An encoded ledger::Batch. */
+    std::string batch;
+};
+/** Witness to holder: all items up to this sequence are kept here. */
+struct ItemsCopied {
+    StreamName stream;
+    std::uint64_t sequence = 0;
+};
+
 using PeerMessage = std::variant<Heartbeat, RaiseCeilings, CeilingsAcked, CeilingsRefused, LoanAsk, LoanGiven,
-    LoanDenied, LoanDone, LoanDoneAcked, ReadAsk, Records, StreamState, RelayAppend>;
+    LoanDenied, LoanDone, LoanDoneAcked, ReadAsk, Records, StreamState, RelayAppend, CopyItems, ItemsCopied>;
 
 } // namespace swiftlift::node
--- a/src/ledger/Outbox.cpp
+++ b/src/ledger/Outbox.cpp
@@ -41,13 +41,20 @@
 
 void Outbox::onLanded(const Landed& landed, Instant)
 {
-    // An item behind the batch in flight was never sent. A record that names one is not this author's, and taking its
-    // word for it would lose the item.
-    if (!inFlight_ || landed.origin != self_ || landed.sequence > inFlight_->items.back().sequence)
+    // A sequence that was never given out is not this author's, and taking its word for it would lose an item.
+    if (landed.origin != self_ || landed.sequence > lastSequence_)
+        return;
+    // A peer that keeps copies may have appended items that wait here. The fold ignores a repeat without a word, so
+    // sending them again would wait for ever to read them back.
+    while (!waiting_.empty() && waiting_.front().sequence <= landed.sequence)
+        waiting_.pop_front();
+    if (!inFlight_)
         return;
     const std::uint64_t first = inFlight_->items.front().sequence;
-    if (landed.sequence >= first)
-        landed_ = std::max(landed_, static_cast<std::size_t>(landed.sequence - first + 1));
+    if (landed.sequence >= first) {
+        const auto landedItems = static_cast<std::size_t>(landed.sequence - first + 1);
+        landed_ = std::max(landed_, std::min(landedItems, inFlight_->items.size()));
+    }
     if (landed_ == inFlight_->items.size())
         inFlight_.reset();
 }
@@ -59,6 +66,19 @@
     return waiting_.size() + (inFlight_ ? inFlight_->items.size() - landed_ : 0);
 }
 
+Batch Outbox::copyAfter(std::uint64_t sequence) const
+{
+    Batch batch;
+    const auto take = [&](const Item& item) {
+        if (item.sequence > sequence && batch.items.size() < maxBatchItems)
+            batch.items.push_back(item);
+    };
+    if (inFlight_)
+        std::for_each(inFlight_->items.begin() + static_cast<std::ptrdiff_t>(landed_), inFlight_->items.end(), take);
+    std::for_each(waiting_.begin(), waiting_.end(), take);
+    return batch;
+}
+
 std::optional<Instant> Outbox::wakeAt() const noexcept { return inFlight_ ? std::optional(retryAt_) : std::nullopt; }
 
 Batch Outbox::freeze()
--- a/src/node/Call.h
+++ b/src/node/Call.h
@@ -12,7 +12,14 @@
 
 namespace swiftlift::node {
 
-enum class Phase : std::uint8_t { WaitingForMoney, WaitingForClaim, WaitingForBackend, Running };
+enum class Phase : std::uint8_t {
+    WaitingForMoney,
+    WaitingForClaim,
+    WaitingForBackend,
+    Running,
+    /** The answer is whole and billed; the bill has to outlive this process before the caller is told. */
+    SecuringBill,
+};
 
 /** One caller's request in progress at this router. */
 struct Call {
@@ -36,6 +43,9 @@
     /** Tokens that the caller has been passed on. */
     Tokens delivered;
     std::optional<Instant> firstToken;
+    /** While SecuringBill: what is to be secured, and the bill. */
+    std::uint64_t billSequence = 0;
+    Tokens billed;
 
     [[nodiscard]] bool isModel() const noexcept { return service->kind == settings::BackendKind::Model; }
 };
--- a/src/node/CoreState.cpp
+++ b/src/node/CoreState.cpp
@@ -23,7 +23,7 @@
           context_, services_, backends_, [this](const AccountId& account) -> ShardLedger& { return shardOf(account); })
 {
     for (std::uint32_t shard = 0; shard < context_.settings().ledgerShards; ++shard) {
-        shards_.push_back(std::make_unique<ShardLedger>(context_, peers_, health_, *this, ledger::ledgerStream(shard)));
+        shards_.push_back(std::make_unique<ShardLedger>(context_, peers_, health_, *this, shard));
     }
 }
 
@@ -118,7 +118,13 @@
     }
 }
 
-void CoreState::on(const AppendAnswered&) { health_.onAnswer(context_.now()); }
+void CoreState::on(const AppendAnswered& event)
+{
+    health_.onAnswer(context_.now());
+    if (ShardLedger* shard = shardNamed(event.stream)) {
+        shard->onAppendAnswered();
+    }
+}
 
 void CoreState::on(const PeerReceived& event)
 {
@@ -153,9 +159,10 @@
     } else if (const auto* relay = std::get_if<RelayAppend>(&event.message)) {
         context_.emit(Append { relay->stream, relay->record });
     } else {
-        // Grants and loans carry no stream; only the shard that knows them reacts.
-        for (const auto& shard : shards_) {
-            shard->onPeerMessage(event.sender, event.message);
+        // What goes wrong: two shards number their grants and loans alike, and an acknowledgement meant for one raises
+        // the ceiling of the other's grant. So such messages name their shard.
+        if (event.shard < shards_.size()) {
+            shards_[event.shard]->onPeerMessage(event.sender, event.message);
         }
     }
 }
--- /dev/null
+++ b/src/node/ItemCopies.cpp
@@ -0,0 +1,74 @@
+#include "node/ItemCopies.h"
+
+#include "swiftlift/ledger/Outbox.h"
+
+namespace swiftlift::node {
+
+std::optional<std::uint64_t> ItemCopies::keep(const std::vector<ledger::Item>& items)
+{
+    if (items.empty()) {
+        return std::nullopt;
+    }
+    const Incarnation author = items.front().origin;
+    Items& kept = copies_[author];
+    const std::uint64_t landed = fold_->lastSequence(author);
+    for (const auto& item : items) {
+        const bool fits = item.origin == author && item.sequence > landed && kept.size() < maxItems;
+        if (fits) {
+            kept.emplace(item.sequence, item);
+        }
+    }
+    return contiguous(author, kept);
+}
+
+std::uint64_t ItemCopies::contiguous(Incarnation author, const Items& items) const
+{
+    std::uint64_t last = fold_->lastSequence(author);
+    for (const auto& [sequence, item] : items) {
+        if (sequence > last + 1) {
+            break;
+        }
+        last = sequence;
+    }
+    return last;
+}
+
+ledger::Batch ItemCopies::batchOf(Incarnation author) const
+{
+    ledger::Batch batch;
+    const auto found = copies_.find(author);
+    if (found == copies_.end()) {
+        return batch;
+    }
+    const std::uint64_t last = contiguous(author, found->second);
+    for (const auto& [sequence, item] : found->second) {
+        if (sequence <= last && batch.items.size() < ledger::Outbox::maxBatchItems) {
+            batch.items.push_back(item);
+        }
+    }
+    return batch;
+}
+
+void ItemCopies::onLanded(const ledger::Landed& landed)
+{
+    const auto found = copies_.find(landed.origin);
+    if (found == copies_.end()) {
+        return;
+    }
+    Items& items = found->second;
+    items.erase(items.begin(), items.upper_bound(landed.sequence));
+    if (items.empty()) {
+        copies_.erase(found);
+    }
+}
+
+std::size_t ItemCopies::size() const noexcept
+{
+    std::size_t sum = 0;
+    for (const auto& [author, items] : copies_) {
+        sum += items.size();
+    }
+    return sum;
+}
+
+} // namespace swiftlift::node
--- a/src/node/Peers.cpp
+++ b/src/node/Peers.cpp
@@ -103,10 +103,10 @@
     std::visit(internal::EventLogger(context_, suspected), event);
 }
 
-void Peers::send(Incarnation to, PeerMessage message)
+void Peers::send(Incarnation to, PeerMessage message, std::uint32_t shard)
 {
     if (const auto address = membership_.addressOf(to)) {
-        context_.emit(SendPeer { *address, to, std::move(message) });
+        context_.emit(SendPeer { *address, to, std::move(message), shard });
     }
 }
 
--- a/src/node/Peers.h
+++ b/src/node/Peers.h
@@ -20,7 +20,7 @@
     [[nodiscard]] std::vector<Incarnation> tick(const Heartbeat& own);
 
     /** Sends to an incarnation; dropped when nobody knows where it is, as any message may be. */
-    void send(Incarnation to, PeerMessage message);
+    void send(Incarnation to, PeerMessage message, std::uint32_t shard = 0);
 
     [[nodiscard]] membership::Membership& membership() noexcept { return membership_; }
     [[nodiscard]] const membership::Membership& membership() const noexcept { return membership_; }
--- a/src/node/Requests.cpp
+++ b/src/node/Requests.cpp
@@ -414,23 +414,59 @@
 
 void Requests::complete(Call& call, const AttemptEnded& ended)
 {
-    const Tokens billed = call.isModel() ? call.request.promptTokens + call.delivered : call.cost;
-    settle(call, billed);
+    call.billed = call.isModel() ? call.request.promptTokens + call.delivered : call.cost;
+    call.billSequence = settle(call, call.billed);
     context_.log(Line("answered")
                      .with("request", call.request.id.value())
                      .with("account", call.request.account.value())
                      .with("backend", call.backend.value())
-                     .with("billed", billed.value())
+                     .with("billed", call.billed.value())
                      .with("cached_prompt_tokens", ended.cachedPromptTokens.value())
                      .with("took_ms", toMilliseconds(context_.now() - call.arrived)));
     context_.count("swiftlift_billed_tokens_total", { { "account", call.request.account.value() } },
-        static_cast<double>(billed.value()));
+        static_cast<double>(call.billed.value()));
+    enter(call, Phase::SecuringBill);
+    ShardLedger& shard = shards_(call.request.account);
+    if (call.billSequence == 0) {
+        answer(call, true);
+    } else if (!shard.canSecure()) {
+        answer(call, false);
+    } else {
+        shard.flush();
+    }
+}
+
+void Requests::answerSecured()
+{
+    std::vector<std::pair<CallId, bool>> due;
+    for (const auto& [id, call] : calls_) {
+        if (call->phase != Phase::SecuringBill) {
+            continue;
+        }
+        const bool secured = shards_(call->request.account).secured(call->billSequence);
+        if (secured || context_.now() - call->since >= billPatience) {
+            due.push_back({ id, secured });
+        }
+    }
+    for (const auto& [id, secured] : due) {
+        answer(*find(id), secured);
+    }
+}
+
+void Requests::answer(Call& call, bool secured)
+{
+    if (!secured) {
+        // The bill is in this process alone: should it die before the log is back, the request stays unbilled. The
+        // account can't overspend by it, since the grant stays held; the caller is not made to wait for the platform.
+        context_.log(Line("bill_unsecured").with("request", call.request.id.value()));
+        context_.count("swiftlift_bills_unsecured_total");
+    }
     Reply reply;
     reply.call = call.id;
     reply.outcome = Outcome::Answered;
-    reply.billed = billed;
+    reply.billed = call.billed;
     context_.emit(std::move(reply));
-    end(call, Outcome::Answered, "answered", billed);
+    end(call, Outcome::Answered, "answered", call.billed);
 }
 
 void Requests::tryElsewhere(Call& call, const AttemptEnded& ended)
@@ -464,6 +500,10 @@
     if (call == nullptr) {
         return;
     }
+    if (call->phase == Phase::SecuringBill) {
+        end(*call, Outcome::Answered, "answered", call->billed);
+        return;
+    }
     const Tokens spent = spentSoFar(*call);
     cancelAttempt(*call);
     settle(*call, spent);
@@ -496,18 +536,20 @@
     return call.request.promptTokens + call.delivered;
 }
 
-void Requests::settle(Call& call, Tokens actual)
+std::uint64_t Requests::settle(Call& call, Tokens actual)
 {
     if (!call.reservation) {
-        return;
+        return 0;
     }
     ShardLedger& shard = shards_(call.request.account);
+    std::uint64_t sequence = 0;
     if (actual > Tokens {}) {
-        shard.settle(*call.reservation, std::min(actual, call.reservation->amount));
+        sequence = shard.settle(*call.reservation, std::min(actual, call.reservation->amount));
     } else {
         shard.release(*call.reservation);
     }
     call.reservation.reset();
+    return sequence;
 }
 
 void Requests::giveUp(Call& call, const GivingUp& why)
@@ -546,6 +588,7 @@
 
 void Requests::finishEvent()
 {
+    answerSecured();
     const auto arrived = std::exchange(moneyArrived_, {});
     if (arrived.empty()) {
         return;
@@ -593,7 +636,7 @@
         const bool claimLate = call->phase == Phase::WaitingForClaim && context_.now() - call->since >= claimPatience;
         if (claimLate) {
             over.push_back({ id, { 503, "claim_unavailable", "the claim was not read back", defaultRetryAfter } });
-        } else if (context_.now() >= call->deadline) {
+        } else if (call->phase != Phase::SecuringBill && context_.now() >= call->deadline) {
             over.push_back({ id, { 504, "deadline_passed", "", std::nullopt } });
         }
     }
--- a/src/node/Requests.h
+++ b/src/node/Requests.h
@@ -50,6 +50,8 @@
     /** How long a request waits for money that is under way; a draw takes two passes of the log. */
     static constexpr Duration moneyPatience = std::chrono::seconds(2);
     static constexpr Duration claimPatience = std::chrono::seconds(3);
+    /** How long an answer waits for its bill to be copied; a copy takes one exchange within the failure domain. */
+    static constexpr Duration billPatience = std::chrono::milliseconds(250);
     static constexpr Duration moneyRetryPeriod = std::chrono::milliseconds(50);
     static constexpr Duration defaultRetryAfter = std::chrono::seconds(1);
 
@@ -74,10 +76,13 @@
     [[nodiscard]] bool admitted(Call& call, const routing::Admitted& verdict);
     void dispatch(Call& call, const routing::Choice& choice);
     void complete(Call& call, const AttemptEnded& ended);
+    void answerSecured();
+    void answer(Call& call, bool secured);
     void tryElsewhere(Call& call, const AttemptEnded& ended);
     void finishAttempt(Call& call, request::AttemptEnd end, const AttemptEnded* facts);
     void cancelAttempt(Call& call);
-    void settle(Call& call, Tokens actual);
+    /** @return The ledger item to be secured; 0 when nothing was billed. */
+    std::uint64_t settle(Call& call, Tokens actual);
     void giveUp(Call& call, const GivingUp& why);
     void end(Call& call, request::Outcome outcome, const std::string& reason, Tokens billed);
     void expire();
--- a/src/node/ShardLedger.cpp
+++ b/src/node/ShardLedger.cpp
@@ -1,5 +1,6 @@
 #include "node/ShardLedger.h"
 
+#include <algorithm>
 #include <cassert>
 #include <functional>
 #include <set>
@@ -7,6 +8,7 @@
 
 #include "swiftlift/ledger/EntryCodec.h"
 #include "swiftlift/ledger/HoldingPolicy.h"
+#include "swiftlift/ledger/Shard.h"
 
 namespace swiftlift::node {
 
@@ -42,15 +44,17 @@
 } // namespace internal
 
 ShardLedger::ShardLedger(
-    Context& context, Peers& peers, const LogHealth& health, LedgerListener& listener, StreamName stream)
+    Context& context, Peers& peers, const LogHealth& health, LedgerListener& listener, std::uint32_t shard)
     : context_(context)
     , peers_(peers)
     , health_(health)
     , listener_(listener)
-    , stream_(std::move(stream))
+    , shard_(shard)
+    , stream_(ledger::ledgerStream(shard))
     , outbox_(context.self())
     , holder_(context.self(), internal::policyOf(context.settings()), fold_)
     , witness_(context.self(), fold_)
+    , copies_(fold_)
     , checkpoints_(checkpointInterval, context.settings().seed ^ std::hash<std::string> {}(stream_.value()))
 {
 }
@@ -173,8 +177,9 @@
 
 void ShardLedger::onEffect(const ledger::Effect& effect)
 {
-    if (const auto* landed = std::get_if<ledger::Landed>(&effect); landed && landed->origin == context_.self()) {
+    if (const auto* landed = std::get_if<ledger::Landed>(&effect)) {
         outbox_.onLanded(*landed, context_.now());
+        copies_.onLanded(*landed);
     }
     if (const auto* claim = std::get_if<ledger::ClaimDecided>(&effect)) {
         listener_.onClaimDecided(claim->key, claim->owner);
@@ -212,28 +217,28 @@
         std::visit(
             internal::Overloaded {
                 [this](ledger::AppendEntry& action) { append(std::move(action.entry)); },
-                [this](ledger::SendRaise& action) { peers_.send(action.to, RaiseCeilings { action.ceilings }); },
+                [this](ledger::SendRaise& action) { sendToShard(action.to, RaiseCeilings { action.ceilings }); },
                 [this](
-                    ledger::SendCeilingsAcked& action) { peers_.send(action.to, CeilingsAcked { action.ceilings }); },
+                    ledger::SendCeilingsAcked& action) { sendToShard(action.to, CeilingsAcked { action.ceilings }); },
                 [this](
-                    ledger::SendCeilingsRefused& action) { peers_.send(action.to, CeilingsRefused { action.grants }); },
+                    ledger::SendCeilingsRefused& action) { sendToShard(action.to, CeilingsRefused { action.grants }); },
                 [this](ledger::SendLoanAsk& action) {
-                    peers_.send(action.to, LoanAsk { action.loan, action.budget, action.amount });
+                    sendToShard(action.to, LoanAsk { action.loan, action.budget, action.amount });
                 },
                 [this](ledger::SendLoanGiven& action) {
                     context_.log(Line("loan")
                                      .with("budget", toText(action.budget))
                                      .with("to", toHex(action.to.value()))
                                      .with("tokens", action.amount.value()));
-                    peers_.send(action.to, LoanGiven { action.loan, action.budget, action.grant, action.amount });
+                    sendToShard(action.to, LoanGiven { action.loan, action.budget, action.grant, action.amount });
                 },
                 [this](ledger::SendLoanDenied& action) {
-                    peers_.send(action.to, LoanDenied { action.loan, action.budget, action.free });
+                    sendToShard(action.to, LoanDenied { action.loan, action.budget, action.free });
                 },
                 [this](ledger::SendLoanDone& action) {
-                    peers_.send(action.to, LoanDone { action.loan, action.billed });
+                    sendToShard(action.to, LoanDone { action.loan, action.billed });
                 },
-                [this](ledger::SendLoanDoneAcked& action) { peers_.send(action.to, LoanDoneAcked { action.loan }); },
+                [this](ledger::SendLoanDoneAcked& action) { sendToShard(action.to, LoanDoneAcked { action.loan }); },
                 [this](ledger::MoneyArrived& action) { listener_.onMoneyArrived(action.budget); },
                 [this](ledger::Retired& action) { listener_.onRetired(action.reason); },
             },
@@ -272,6 +277,8 @@
             },
             [&](const LoanDone& done) { holder_.onLoanDone(from, done.loan, done.billed, now, actions); },
             [&](const LoanDoneAcked& acked) { holder_.onLoanDoneAcked(from, acked.loan, now, actions); },
+            [&](const CopyItems& copy) { onCopyItems(from, copy); },
+            [&](const ItemsCopied& copied) { onItemsCopied(from, copied); },
             [](const auto&) {},
         },
         message);
@@ -283,8 +290,13 @@
     ledger::MoneyActions actions;
     witness_.suspect(peer, actions);
     carryOut(actions);
+    suspected_.insert(peer);
+    if (peer == copyHolder_) {
+        copyHolder_ = Incarnation {};
+    }
 }
 
+void ShardLedger::onAppendAnswered() { outbox_.onAnswered(context_.now()); }
 void ShardLedger::onAppendFailed() { outbox_.onFailure(context_.now()); }
 
 void ShardLedger::tick(bool stopping)
@@ -300,10 +312,17 @@
     holder_.onTick(now, surroundings, actions);
     carryOut(actions);
     appendCheckpointWhenDue();
-    sendBatch();
+    flush();
+    appendForTheDead();
     askPeer();
 }
 
+void ShardLedger::flush()
+{
+    sendBatch();
+    sendCopies();
+}
+
 bool ShardLedger::logInReach() const
 {
     return health_.reachable(context_.now()) || peers_.membership().logReachablePeer().has_value();
@@ -323,7 +342,11 @@
     if (!batch) {
         return;
     }
-    std::string record = ledger::encode(*batch);
+    appendRecord(ledger::encode(*batch));
+}
+
+void ShardLedger::appendRecord(std::string record)
+{
     if (!health_.reachable(context_.now())) {
         if (const auto relay = peers_.membership().logReachablePeer()) {
             peers_.send(*relay, RelayAppend { stream_, record });
@@ -332,6 +355,78 @@
     context_.emit(Append { stream_, std::move(record) });
 }
 
+void ShardLedger::sendToShard(Incarnation to, PeerMessage message) { peers_.send(to, std::move(message), shard_); }
+
+void ShardLedger::sendCopies()
+{
+    const auto witness = peers_.membership().witness();
+    if (!witness) {
+        return;
+    }
+    if (*witness != copyHolder_) {
+        copyHolder_ = *witness;
+        copied_ = 0;
+        copySent_ = 0;
+    }
+    const bool isNew = outbox_.lastSequence() > copySent_;
+    const bool retryDue = copied_ < outbox_.lastSequence() && context_.now() >= nextCopy_;
+    if (!isNew && !retryDue) {
+        return;
+    }
+    const ledger::Batch batch = outbox_.copyAfter(retryDue ? copied_ : std::max(copied_, copySent_));
+    copySent_ = outbox_.lastSequence();
+    if (batch.items.empty()) {
+        return;
+    }
+    nextCopy_ = context_.now() + copyRetryPeriod;
+    sendToShard(copyHolder_, CopyItems { stream_, ledger::encode(batch) });
+}
+
+void ShardLedger::onCopyItems(Incarnation from, const CopyItems& message)
+{
+    std::string reason;
+    const auto batch = ledger::decodeBatch(message.batch, reason);
+    if (!batch || batch->items.empty() || batch->items.front().origin != from) {
+        return;
+    }
+    if (const auto sequence = copies_.keep(batch->items)) {
+        sendToShard(from, ItemsCopied { stream_, *sequence });
+    }
+}
+
+void ShardLedger::onItemsCopied(Incarnation from, const ItemsCopied& message)
+{
+    if (from == copyHolder_ && message.sequence <= outbox_.lastSequence()) {
+        copied_ = std::max(copied_, message.sequence);
+    }
+}
+
+void ShardLedger::appendForTheDead()
+{
+    if (context_.now() < nextRelay_) {
+        return;
+    }
+    nextRelay_ = context_.now() + relayPeriod;
+    for (const Incarnation author : suspected_) {
+        const ledger::Batch batch = copies_.batchOf(author);
+        if (batch.items.empty()) {
+            continue;
+        }
+        context_.log(Line("ledger")
+                         .with("change", "appended_for_peer")
+                         .with("peer", toHex(author.value()))
+                         .with("items", static_cast<std::int64_t>(batch.items.size())));
+        appendRecord(ledger::encode(batch));
+    }
+}
+
+bool ShardLedger::secured(std::uint64_t sequence) const
+{
+    return sequence <= copied_ || sequence <= fold_.lastSequence(context_.self());
+}
+
+bool ShardLedger::canSecure() const { return peers_.membership().witness().has_value() || logInReach(); }
+
 void ShardLedger::askPeer()
 {
     if (health_.reachable(context_.now()) || context_.now() < nextReadAsk_) {
@@ -353,11 +448,12 @@
     return result;
 }
 
-void ShardLedger::settle(const ledger::Reservation& reservation, Tokens actual)
+std::uint64_t ShardLedger::settle(const ledger::Reservation& reservation, Tokens actual)
 {
     ledger::MoneyActions actions;
     holder_.settle(reservation, actual, actions);
     carryOut(actions);
+    return outbox_.lastSequence();
 }
 
 void ShardLedger::release(const ledger::Reservation& reservation)
--- a/src/node/ShardLedger.h
+++ b/src/node/ShardLedger.h
@@ -1,12 +1,15 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "node/Context.h"
+#include "node/ItemCopies.h"
 #include "node/LogHealth.h"
 #include "node/Peers.h"
 #include "node/RecordCache.h"
@@ -35,7 +38,7 @@
 /** One ledger stream as this router sees it: fold, outbox, holder and witness, kept in step. */
 class ShardLedger {
 public:
-    ShardLedger(Context& context, Peers& peers, const LogHealth& health, LedgerListener& listener, StreamName stream);
+    ShardLedger(Context& context, Peers& peers, const LogHealth& health, LedgerListener& listener, std::uint32_t shard);
 
     void start();
     void onRecords(const LogRecords& records);
@@ -43,6 +46,7 @@
     void onExpired(Offset oldest);
     /** A peer's state, after every record below `asOf`. */
     void onPeerState(Offset asOf, const std::string& state);
+    void onAppendAnswered();
     void onAppendFailed();
     void onReadAsk(Incarnation from, Offset offset);
     void onPeerMessage(Incarnation from, const PeerMessage& message);
@@ -51,7 +55,14 @@
 
     [[nodiscard]] std::variant<ledger::Reservation, ledger::Shortage> reserve(
         const BudgetRef& budget, const RequestKey& key, Tokens amount);
-    void settle(const ledger::Reservation& reservation, Tokens actual);
+    /** Bills the request. @return What has to be secured() before the caller is told. */
+    [[nodiscard]] std::uint64_t settle(const ledger::Reservation& reservation, Tokens actual);
+    /** @return True when the item survives this process: it is read back, or a peer keeps a copy. */
+    [[nodiscard]] bool secured(std::uint64_t sequence) const;
+    /** @return False when nobody could secure an item now: no peer to copy to, and the log out of reach. */
+    [[nodiscard]] bool canSecure() const;
+    /** Sends what is new to the witness and the log, without waiting for the next tick. */
+    void flush();
     void release(const ledger::Reservation& reservation);
     void append(ledger::Entry entry);
 
@@ -71,6 +82,8 @@
 private:
     static constexpr std::size_t peerAnswerBytes = 64 * 1024;
     static constexpr Duration readAskPeriod = std::chrono::milliseconds(300);
+    static constexpr Duration copyRetryPeriod = std::chrono::milliseconds(150);
+    static constexpr Duration relayPeriod = std::chrono::milliseconds(500);
     static constexpr Duration checkpointInterval = std::chrono::seconds(30);
 
     void follow(Offset from);
@@ -80,6 +93,12 @@
     void onEffect(const ledger::Effect& effect);
     void carryOut(ledger::MoneyActions& actions);
     void sendBatch();
+    void sendCopies();
+    void onCopyItems(Incarnation from, const CopyItems& message);
+    void onItemsCopied(Incarnation from, const ItemsCopied& message);
+    void appendForTheDead();
+    void appendRecord(std::string record);
+    void sendToShard(Incarnation to, PeerMessage message);
     void askPeer();
     void appendCheckpointWhenDue();
 
@@ -87,12 +106,22 @@
     Peers& peers_;
     const LogHealth& health_;
     LedgerListener& listener_;
+    std::uint32_t shard_;
     StreamName stream_;
     ledger::Fold fold_;
     ledger::Outbox outbox_;
     ledger::Holder holder_;
     ledger::Witness witness_;
     RecordCache cache_;
+    ItemCopies copies_;
+    /** Peers that were suspected: what is copied here of theirs is appended in their name. */
+    std::set<Incarnation> suspected_;
+    /** Who keeps our copies, up to which sequence, and when we last sent some. */
+    Incarnation copyHolder_;
+    std::uint64_t copied_ = 0;
+    std::uint64_t copySent_ = 0;
+    Instant nextCopy_ {};
+    Instant nextRelay_ {};
     config::SnapshotSchedule checkpoints_;
     std::optional<Offset> seekFrom_;
     Offset lastCheckpoint_;
--- a/tests/node/CoreTest.cpp
+++ b/tests/node/CoreTest.cpp
@@ -217,6 +217,24 @@
         EXPECT_EQ(billedInLedger(), Tokens { 300 });
     }
 
+    // Symptom: a request is answered and never billed.
+    // Events: the log is out; a router answers from what it holds and dies before the log is back.
+    // Cause: the bill was in that process alone.
+    TEST_F(CoreTest, BillOutlivesTheRouterThatAnswered)
+    {
+        expectAnswered(fleet.send(0, {}));
+        fleet.run(seconds(1));
+        fleet.log.outage = true;
+        fleet.run(seconds(1));
+        TestRequest during;
+        during.id = "during";
+        expectAnswered(fleet.send(0, during));
+        fleet.crash(0);
+        fleet.run(seconds(5));
+        fleet.log.outage = false;
+        EXPECT_TRUE(fleet.runUntil([&] { return billedInLedger() == Tokens { 60 }; })) << billedInLedger();
+    }
+
     TEST_F(CoreTest, PlatformOutageIsServedFromHoldings)
     {
         expectAnswered(fleet.send(0, {}));
