Measure the router's own code at several sizes

Cause: the capacity at the target has to be worked out from measured slopes, and nothing measured them. Ruled out: a simulated fleet, which would measure the simulation; wall time, which says little on a shared machine.

--- /dev/null
+++ b/apps/capacity/CoreAxes.cpp
@@ -0,0 +1,166 @@
+#include <chrono>
+#include <utility>
+
+#include "capacity/Axis.h"
+#include "capacity/CoreWorld.h"
+
+namespace swiftlift::capacity {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr int measuredSeconds = 5;
+    constexpr Duration warmUp = 5s;
+
+    /** @return Counters of a second in steady state. */
+    [[nodiscard]] Measurements secondOf(const CoreWorldSettings& settings)
+    {
+        CoreWorld world(settings);
+        world.run(warmUp);
+        world.resetCounts();
+        world.run(std::chrono::seconds(measuredSeconds));
+        const CoreWorldCounts& counts = world.counts();
+        const auto perSecond = [](double count) { return count / measuredSeconds; };
+        return { { "CPU of a second", "us", perSecond(world.microseconds()) },
+            { "answered", "1/s", perSecond(counts.answered) }, { "other ends", "1/s", perSecond(counts.otherEnds) },
+            { "appends", "1/s", perSecond(counts.appends) },
+            { "ledger bytes appended", "B/s", perSecond(counts.appendedBytes) },
+            { "ledger bytes read", "B/s", perSecond(counts.readBytes) },
+            { "peer messages sent", "1/s", perSecond(counts.messages) },
+            { "peer bytes sent", "B/s", perSecond(counts.messageBytes) },
+            { "log lines", "1/s", perSecond(counts.logLines) } };
+    }
+
+    /** @brief An axis that changes one figure of the world. */
+    class WorldAxis : public Axis {
+    public:
+        using Axis::Axis;
+
+        [[nodiscard]] Measurements run(std::size_t size) const override
+        {
+            CoreWorldSettings settings;
+            apply(size, settings);
+            return secondOf(settings);
+        }
+
+    private:
+        virtual void apply(std::size_t size, CoreWorldSettings& settings) const = 0;
+    };
+
+    class RequestRate final : public WorldAxis {
+    public:
+        RequestRate()
+            : WorldAxis("core.requests", "requests a second", { 5, 20, 80, 320 })
+        {
+        }
+
+    private:
+        void apply(std::size_t size, CoreWorldSettings& settings) const override
+        {
+            settings.requestsPerSecond = static_cast<double>(size);
+        }
+    };
+
+    class Progress final : public WorldAxis {
+    public:
+        Progress()
+            : WorldAxis("core.progress", "progress reports a second", { 20, 200, 1'000, 4'000 })
+        {
+        }
+
+    private:
+        void apply(std::size_t size, CoreWorldSettings& settings) const override
+        {
+            constexpr std::size_t requests = 20;
+            settings.requestsPerSecond = requests;
+            settings.progressReports = size / requests;
+        }
+    };
+
+    class EnginesReported final : public WorldAxis {
+    public:
+        EnginesReported()
+            : WorldAxis("core.engines", "engines reporting each second", { 24, 100, 316, 632 })
+        {
+        }
+
+    private:
+        void apply(std::size_t size, CoreWorldSettings& settings) const override { settings.engines = size; }
+    };
+
+    /** At ten requests a second, so that the slope is what an engine of the service adds to a request and a report. */
+    class EnginesUsed final : public WorldAxis {
+    public:
+        EnginesUsed()
+            : WorldAxis("core.engines_10rps", "engines of a service at 10 requests/s", { 24, 100, 316, 632 })
+        {
+        }
+
+    private:
+        void apply(std::size_t size, CoreWorldSettings& settings) const override
+        {
+            constexpr double requests = 10;
+            settings.engines = size;
+            settings.requestsPerSecond = requests;
+        }
+    };
+
+    class BudgetsInUse final : public WorldAxis {
+    public:
+        BudgetsInUse()
+            : WorldAxis("core.budgets", "budgets drawn on in turn at 40 requests/s", { 5, 20, 80, 320 })
+        {
+        }
+
+    private:
+        void apply(std::size_t size, CoreWorldSettings& settings) const override
+        {
+            constexpr double requests = 40;
+            settings.accounts = size;
+            settings.requestsPerSecond = requests;
+        }
+    };
+
+    class LedgerStreams final : public WorldAxis {
+    public:
+        LedgerStreams()
+            : WorldAxis("core.streams", "ledger streams followed", { 1, 4, 8, 20 })
+        {
+        }
+
+    private:
+        void apply(std::size_t size, CoreWorldSettings& settings) const override
+        {
+            settings.ledgerShards = static_cast<std::uint32_t>(size);
+        }
+    };
+
+    class ForeignRecords final : public WorldAxis {
+    public:
+        ForeignRecords()
+            : WorldAxis("core.foreign_records", "records of 8 bills a second by others", { 10, 50, 150, 300 })
+        {
+        }
+
+    private:
+        void apply(std::size_t size, CoreWorldSettings& settings) const override
+        {
+            settings.foreignRecordsPerSecond = size;
+        }
+    };
+
+} // namespace
+
+void addCoreAxes(Axes& axes)
+{
+    axes.push_back(std::make_unique<RequestRate>());
+    axes.push_back(std::make_unique<Progress>());
+    axes.push_back(std::make_unique<EnginesReported>());
+    axes.push_back(std::make_unique<EnginesUsed>());
+    axes.push_back(std::make_unique<BudgetsInUse>());
+    axes.push_back(std::make_unique<LedgerStreams>());
+    axes.push_back(std::make_unique<ForeignRecords>());
+}
+
+} // namespace swiftlift::capacity
