--- a/src/ledger/Fold.cpp
+++ b/src/ledger/Fold.cpp
@@ -38,7 +38,7 @@
         return fail("record " + std::to_string(offset.value()) + " is not the next one, which is "
             + std::to_string(nextOffset_.value()));
     if (batch.version == 0 || batch.version > rulesVersion) {
-        // Two releases that fold differently would each admit the same money. The older one stops instead.
+        // S14: two releases that fold differently would each admit the same money. The older one stops instead.
         return fail("record " + std::to_string(offset.value()) + " has rules of version "
             + std::to_string(batch.version) + ", known are those up to " + std::to_string(rulesVersion));
     }
@@ -46,7 +46,7 @@
     for (const Item& item : batch.items)
         rules.take(item);
     nextOffset_ = Offset { offset.value() + 1 };
-    assert(inconsistency().empty() && "held stays within bought, and the sums match");
+    assert(inconsistency().empty() && "S3, S4: held stays within bought, and the sums match");
     return true;
 }
 
--- a/src/ledger/FoldRules.cpp
+++ b/src/ledger/FoldRules.cpp
@@ -40,8 +40,8 @@
     if (item.sequence <= last)
         return;
     if (item.sequence != last + 1) {
-        // An author has one append in flight, so its items arrive in order. A hole means that an earlier item was lost
-        // for good; applying this one would act on a state that its author never saw.
+        // S5: an author has one append in flight, so its items arrive in order. A hole means that an earlier item was
+        // lost for good; applying this one would act on a state that its author never saw.
         effects_.emplace_back(Refused { item.origin, item.sequence,
             "sequence " + std::to_string(item.sequence) + " comes after " + std::to_string(last) });
         return;
@@ -200,9 +200,10 @@
         return noLongerOpen();
     if (origin != entry.witness || origin != grant->witness)
         return "only the grant's witness may seal it";
+    // S7: with less than what the holder may have spent, the freed rest would be spent twice.
     const Tokens reached = std::max({ entry.ceiling, grant->floor, grant->billed });
     state_.books.seal(*grant, std::min(reached, grant->amount));
-    // A draw that the dead holder had in flight may still land. Admitted, it would hold money that nobody spends.
+    // S9: a draw that the dead holder had in flight may still land. Admitted, it would hold money that nobody spends.
     state_.origins.at(grant->id.holder).retired = true;
     changed(*grant);
     return {};
--- a/tests/ledger/FoldTest.cpp
+++ b/tests/ledger/FoldTest.cpp
@@ -20,7 +20,7 @@
 
 // Symptom: a budget is bought twice, or a draw is granted twice.
 // Sequence: an append lands, its answer is lost, its author makes it again, and both stand in the log.
-// Cause: the second copy counted as a new item.
+// Cause: the second copy counted as a new item (S5).
 TEST_F(FoldFixture, IgnoresARepeatWithoutAWord)
 {
     open(100);
@@ -31,7 +31,7 @@
 
 // Symptom: a router acts on a state that its author never saw.
 // Sequence: an author's append is lost for good, a later one lands.
-// Cause: a hole in the author's sequence was passed over.
+// Cause: a hole in the author's sequence was passed over (S5).
 TEST_F(FoldFixture, RefusesAnItemAfterAHole)
 {
     open(100);
@@ -52,7 +52,7 @@
 
 // Symptom: two releases admit the same money to two holders.
 // Sequence: a newer release appends by rules that the older one does not know; the older one reads on.
-// Cause: the rules' version was not looked at.
+// Cause: the rules' version was not looked at (S14).
 TEST_F(FoldFixture, StopsAtLaterRules)
 {
     EXPECT_FALSE(fold.apply(Offset {}, Batch { rulesVersion + 1, {} }, effects));
@@ -156,7 +156,7 @@
 
 // Symptom: a request is billed to money that its holder gave back, and the budget is overspent.
 // Sequence: a holder closes a grant; a bill on it, or a second closing, lands afterwards.
-// Cause: a closed grant is no longer in memory, and an unknown one was taken for a new one.
+// Cause: a closed grant is no longer in memory, and an unknown one was taken for a new one (S12).
 TEST_F(FoldFixture, AClosedGrantTakesNothingMore)
 {
     open(100);
@@ -193,9 +193,23 @@
     EXPECT_EQ(view().held, Tokens { 230 });
 }
 
+TEST_F(FoldFixture, TheFloorStaysBetweenWhatIsBilledAndTheGrant)
+{
+    open(100);
+    draw(alice, 1, 50, bob);
+    take(alice, Bill { keyOf(1), grantOf(alice, 1), Tokens { 20 } });
+    take(alice, ChangeWitness { grantOf(alice, 1), carol, Tokens { 5 } });
+    EXPECT_EQ(grant(alice, 1).floor, Tokens { 20 });
+    take(alice, ChangeWitness { grantOf(alice, 1), bob, Tokens { 60 } });
+    EXPECT_EQ(grant(alice, 1).floor, Tokens { 50 });
+    EXPECT_EQ(last<GrantChanged>().witness, bob);
+    take(alice, Return { grantOf(alice, 1), Tokens { 10 } });
+    EXPECT_EQ(grant(alice, 1).floor, Tokens { 40 });
+}
+
 // Symptom: a holder spends beyond what a seal left it, and the freed rest is spent again by another.
 // Sequence: a holder changes its witness; the old one, which knows a lower ceiling, seals later in the log.
-// Cause: a seal by someone who no longer is the witness counted.
+// Cause: a seal by someone who no longer is the witness counted (S8).
 TEST_F(FoldFixture, OnlyThePresentWitnessSeals)
 {
     open(100);
@@ -215,7 +229,7 @@
 
 // Symptom: tokens stay held by a holder that is gone, until the budget has nothing left.
 // Sequence: a holder dies with a draw in flight; its grant is sealed; then the draw lands.
-// Cause: the draw of a dead holder was admitted.
+// Cause: the draw of a dead holder was admitted (S9).
 TEST_F(FoldFixture, ASealRetiresTheHolder)
 {
     open(100);
@@ -236,7 +250,7 @@
 
 // Symptom: a request that ran on two backend servers is billed twice.
 // Sequence: a router loses its backend server's answer; the request runs again elsewhere; both routers bill it.
-// Cause: the bills were told apart by grant, not by the request's key.
+// Cause: the bills were told apart by grant, not by the request's key (S10).
 TEST_F(FoldFixture, BillsAKeyOnce)
 {
     open(100);
@@ -256,7 +270,7 @@
 
 // Symptom: a non-idempotent request runs twice.
 // Sequence: two routers claim the same key, each with its own append.
-// Cause: the later claim counted too.
+// Cause: the later claim counted too (S11).
 TEST_F(FoldFixture, TheFirstClaimOrVoidStands)
 {
     take(alice, Claim { keyOf(1) });
