Add the scenario runner, its auditor, the demo and the check

The promises have to be shown on real processes, counted from outside: by callers' answers, backend servers' records and the log.

--- /dev/null
+++ b/tests/scenario/Process.cpp
@@ -0,0 +1,158 @@
+#include "Process.h"
+
+#include <csignal>
+#include <deque>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "Errors.h"
+
+namespace swiftlift::scenario {
+
+namespace internal {
+
+    constexpr int signalStatusBase = 128;
+    constexpr int cannotRun = 127;
+
+    /** Runs in the child, between fork and exec: async-signal-safe calls only. */
+    [[noreturn]] void become(char* const* arguments, int output, pid_t parent) noexcept
+    {
+        // Without this a runner that is killed leaves its fleet behind, seen as processes that hold the next run's
+        // ports. The kernel then ends the child; the second look closes the gap before the call took effect.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+        if (::getppid() != parent)
+            ::_exit(cannotRun);
+        // The runner blocks the signals that end it; a child that inherited the mask would ignore a planned stop.
+        sigset_t none;
+        ::sigemptyset(&none);
+        ::sigprocmask(SIG_SETMASK, &none, nullptr);
+        ::dup2(output, STDOUT_FILENO);
+        ::dup2(output, STDERR_FILENO);
+        ::execv(arguments[0], arguments);
+        ::_exit(cannotRun);
+    }
+
+    int toExitStatus(int status) noexcept
+    {
+        return WIFEXITED(status) ? WEXITSTATUS(status) : signalStatusBase + WTERMSIG(status);
+    }
+
+} // namespace internal
+
+Process::Process(std::string name, std::vector<std::string> command, std::filesystem::path output)
+    : name_(std::move(name))
+    , command_(std::move(command))
+    , output_(std::move(output))
+{
+}
+
+Process::~Process() { kill(); }
+
+void Process::start()
+{
+    if (running())
+        throw BrokenScript(name_ + " is running already");
+    if (::access(command_.front().c_str(), X_OK) != 0)
+        throw BrokenScript("no program " + command_.front());
+    std::error_code none;
+    printedBefore_ = std::filesystem::exists(output_) ? std::filesystem::file_size(output_, none) : 0;
+    const int output = ::open(output_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    if (output < 0)
+        throw BrokenScript("cannot write " + output_.string());
+    std::vector<char*> arguments;
+    for (auto& argument : command_)
+        arguments.push_back(argument.data());
+    arguments.push_back(nullptr);
+    const pid_t parent = ::getpid();
+    const pid_t child = ::fork();
+    if (child == 0)
+        internal::become(arguments.data(), output, parent);
+    ::close(output);
+    if (child < 0)
+        throw BrokenScript("cannot fork for " + name_);
+    pid_ = child;
+    exitStatus_.reset();
+}
+
+bool Process::running()
+{
+    if (pid_ == 0 || exitStatus_)
+        return false;
+    int status = 0;
+    if (::waitpid(pid_, &status, WNOHANG) == pid_)
+        exitStatus_ = internal::toExitStatus(status);
+    return !exitStatus_;
+}
+
+void Process::signal(int number)
+{
+    if (running())
+        ::kill(pid_, number);
+}
+
+std::optional<int> Process::waitForExit(Milliseconds bound)
+{
+    const Moment until = Clock::now() + bound;
+    while (running()) {
+        if (Clock::now() >= until)
+            return std::nullopt;
+        std::this_thread::sleep_for(lookAgain);
+    }
+    return exitStatus_;
+}
+
+void Process::kill()
+{
+    if (!running())
+        return;
+    ::kill(pid_, SIGKILL);
+    int status = 0;
+    ::waitpid(pid_, &status, 0);
+    exitStatus_ = internal::toExitStatus(status);
+}
+
+bool Process::waitForLine(const std::string& text, Milliseconds bound)
+{
+    const Moment until = Clock::now() + bound;
+    do {
+        const bool alive = running();
+        std::istringstream lines(printed());
+        for (std::string line; std::getline(lines, line);) {
+            if (line.starts_with(text))
+                return true;
+        }
+        if (!alive)
+            return false;
+        std::this_thread::sleep_for(lookAgain);
+    } while (Clock::now() < until);
+    return false;
+}
+
+std::string Process::printed() const
+{
+    std::ifstream file(output_, std::ios::binary);
+    file.seekg(static_cast<std::streamoff>(printedBefore_));
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+std::vector<std::string> lastLines(const std::filesystem::path& file, std::size_t count)
+{
+    std::ifstream input(file);
+    std::deque<std::string> lines;
+    for (std::string line; std::getline(input, line);) {
+        lines.push_back(line);
+        if (lines.size() > count)
+            lines.pop_front();
+    }
+    return { lines.begin(), lines.end() };
+}
+
+} // namespace swiftlift::scenario
--- /dev/null
+++ b/tests/scenario/World.cpp
@@ -0,0 +1,75 @@
+#include "World.h"
+
+#include <iostream>
+#include <thread>
+
+#include "Errors.h"
+
+namespace swiftlift::scenario {
+
+World::World(std::filesystem::path programs, std::filesystem::path folder, std::uint64_t seed)
+    : programs_(std::move(programs))
+    , folder_(std::move(folder))
+    , seed_(seed)
+{
+}
+
+World::~World() = default;
+
+Fleet& World::fleet()
+{
+    if (!fleet_)
+        throw BrokenScript("there is no fleet yet; the script has to begin with fleet{...}");
+    return *fleet_;
+}
+
+void World::build(Fields& fields)
+{
+    if (fleet_)
+        throw BrokenScript("there is a fleet already");
+    fleet_ = std::make_unique<Fleet>(planFleet(fields, findBasePort(seed_)), programs_, folder_, seed_);
+    fleet_->startSurroundings();
+}
+
+std::pair<int, std::string> World::runCtl(const std::vector<std::string>& arguments)
+{
+    std::vector<std::string> command { (programs_ / "swiftliftctl").string() };
+    command.insert(command.end(), arguments.begin(), arguments.end());
+    command.insert(command.end(), { "--settings", (folder_ / "ctl.yaml").string() });
+    const std::string name = "ctl-" + std::to_string(++ctlRuns_);
+    Process process(name, std::move(command), folder_ / (name + ".log"));
+    process.start();
+    const auto status = process.waitForExit(longBound);
+    if (!status)
+        throw ExpectationFailed("swiftliftctl has not ended");
+    return { *status, process.printed() };
+}
+
+Evidence World::evidence()
+{
+    Evidence evidence;
+    evidence.observations = callers_.all();
+    evidence.runs = fleet().backendRuns();
+    evidence.ledger = readLedgerTruth(fleet().plan().log);
+    evidence.purchases = purchases;
+    for (const auto& [name, service] : services) {
+        evidence.callCost[name] = service.callCost;
+        for (const auto& [account, budget] : service.budgets)
+            evidence.budgetOf[{ name, account }] = budget;
+    }
+    return evidence;
+}
+
+AuditReport World::audit(Milliseconds bound)
+{
+    const Moment until = Clock::now() + bound;
+    AuditReport report = scenario::audit(evidence());
+    while (report.value("unbilled") > 0 && Clock::now() < until) {
+        constexpr Milliseconds betweenLooks { 200 };
+        std::this_thread::sleep_for(betweenLooks);
+        report = scenario::audit(evidence());
+    }
+    return report;
+}
+
+} // namespace swiftlift::scenario
