--- /dev/null
+++ b/tests/ledger/ExploreText.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string>
+
+#include "ledger/ExploreWorld.h"
+
+namespace swiftlift::ledger::explore {
+
+[[nodiscard]] std::string textOf(const GrantId& id);
+[[nodiscard]] std::string textOf(const Entry& entry);
+[[nodiscard]] std::string textOf(const Message& message);
+
+} // namespace swiftlift::ledger::explore
--- a/tests/ledger/ExploreWorld.cpp
+++ b/tests/ledger/ExploreWorld.cpp
@@ -2,11 +2,12 @@
 
 #include <algorithm>
 #include <map>
-#include <sstream>
 #include <string_view>
 
 #include <xxhash.h>
 
+#include "ledger/ExploreText.h"
+
 namespace swiftlift::ledger::explore {
 
 namespace {
@@ -26,82 +27,6 @@
 
     std::uint64_t hashOf(const std::string& text) { return XXH64(text.data(), text.size(), 0); }
 
-    std::string textOf(const GrantId& id)
-    {
-        return std::to_string(id.holder.value()) + ":" + std::to_string(id.number);
-    }
-
-    struct EntryText {
-        std::ostream& out;
-
-        void operator()(const Draw& entry) const
-        {
-            out << "draw " << textOf(entry.grant) << " wanted " << entry.wanted << " least " << entry.least
-                << " witness " << entry.witness;
-        }
-        void operator()(const Return& entry) const { out << "return " << textOf(entry.grant) << ' ' << entry.amount; }
-        void operator()(const CloseGrant& entry) const { out << "close " << textOf(entry.grant); }
-        void operator()(const ChangeWitness& entry) const
-        {
-            out << "witness " << textOf(entry.grant) << ' ' << entry.witness << " ceiling " << entry.ceiling;
-        }
-        void operator()(const Seal& entry) const { out << "seal " << textOf(entry.grant) << ' ' << entry.ceiling; }
-        void operator()(const Bill& entry) const
-        {
-            out << "bill key " << entry.key.low << " on " << textOf(entry.grant) << ' ' << entry.tokens;
-        }
-        template <typename Other> void operator()(const Other&) const { out << "other"; }
-    };
-
-    std::string textOf(const Entry& entry)
-    {
-        std::ostringstream out;
-        std::visit(EntryText { out }, entry);
-        return out.str();
-    }
-
-    struct BodyText {
-        std::ostream& out;
-
-        void ceilings(const std::vector<Ceiling>& all) const
-        {
-            for (const Ceiling& one : all)
-                out << ' ' << textOf(one.grant) << '=' << one.ceiling;
-        }
-        void operator()(const SendRaise& body) const
-        {
-            out << "raise";
-            ceilings(body.ceilings);
-        }
-        void operator()(const SendCeilingsAcked& body) const
-        {
-            out << "acked";
-            ceilings(body.ceilings);
-        }
-        void operator()(const SendCeilingsRefused& body) const
-        {
-            out << "refused";
-            for (const GrantId& grant : body.grants)
-                out << ' ' << textOf(grant);
-        }
-        void operator()(const SendLoanAsk& body) const { out << "loan ask " << body.loan << ' ' << body.amount; }
-        void operator()(const SendLoanGiven& body) const
-        {
-            out << "loan given " << body.loan << ' ' << textOf(body.grant) << ' ' << body.amount;
-        }
-        void operator()(const SendLoanDenied& body) const { out << "loan denied " << body.loan; }
-        void operator()(const SendLoanDone& body) const { out << "loan done " << body.loan << ' ' << body.billed; }
-        void operator()(const SendLoanDoneAcked& body) const { out << "loan done acked " << body.loan; }
-    };
-
-    std::string textOf(const Message& message)
-    {
-        std::ostringstream out;
-        out << message.from << "->" << message.to << ' ';
-        std::visit(BodyText { out }, message.body);
-        return out.str();
-    }
-
     std::shared_ptr<Fold> copyOf(const Fold& fold)
     {
         auto copy = std::make_shared<Fold>();
@@ -112,69 +37,6 @@
 
 } // namespace
 
-std::optional<DrawDecision> FixedPolicy::draw(const BudgetSituation& situation) const
-{
-    if (situation.need <= situation.largestFree || situation.drawn >= Tokens { setup.mostDrawn })
-        return {};
-    return DrawDecision { std::max(Tokens { setup.chunk }, situation.need), situation.need };
-}
-
-Node::Node(Incarnation incarnation, std::unique_ptr<HoldingPolicy> policy, std::shared_ptr<const Fold> start)
-    : id(incarnation)
-    , fold(std::move(start))
-    , holder(incarnation, std::move(policy), *fold)
-    , witness(incarnation, *fold)
-{
-}
-
-Node::Node(const Node& other)
-    : id(other.id)
-    , fold(other.fold)
-    , position(other.position)
-    , holder(other.holder, *fold)
-    , witness(other.witness, *fold)
-    , surroundings(other.surroundings)
-    , now(other.now)
-    , outbox(other.outbox)
-    , sequence(other.sequence)
-    , started(other.started)
-    , running(other.running)
-    , answered(other.answered)
-    , witnessChoice(other.witnessChoice)
-    , ticks(other.ticks)
-    , crashed(other.crashed)
-    , suspected(other.suspected)
-{
-}
-
-void Node::readOn(std::shared_ptr<const Fold> later)
-{
-    holder = Holder(holder, *later);
-    witness = Witness(witness, *later);
-    fold = std::move(later);
-    ++position;
-}
-
-std::string Node::text() const
-{
-    std::ostringstream out;
-    out << holder.stateText() << witness.stateText() << "at " << position << ' ' << now.time_since_epoch().count()
-        << " sequence " << sequence << " choice " << witnessChoice << " ticks " << ticks << " crashed " << crashed
-        << " stopping " << surroundings.stopping << '\n';
-    for (const Item& item : outbox)
-        out << item.sequence << ' ' << textOf(item.entry) << '\n';
-    for (const std::size_t index : started)
-        out << "started " << index << ' ';
-    for (const Running& request : running)
-        out << "running " << request.reservation.key.low << ' ' << textOf(request.reservation.grant) << ' '
-            << request.reservation.loan << ' ';
-    for (const Running& request : answered)
-        out << "answered " << request.reservation.key.low << ' ' << request.actual << ' ';
-    for (const std::size_t other : suspected)
-        out << "suspects " << other << ' ';
-    return out.str();
-}
-
 World::World(const Setup& setup, const Behaviour& behaviour)
     : setup_(&setup)
     , behaviour_(&behaviour)
