--- /dev/null
+++ b/apps/router/RouterProcess.cpp
@@ -0,0 +1,160 @@
+#include "RouterProcess.h"
+
+#include <memory>
+#include <thread>
+#include <utility>
+
+#include "CoreDecider.h"
+#include "swiftlift/transport/Endpoint.h"
+
+namespace swiftlift::router {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr auto operatorLimit = 2s;
+    /** For callers to take what is written for them, once everything in progress has ended. */
+    constexpr auto drainLimit = 5s;
+    constexpr auto readyPoll = 20ms;
+
+    transport::Endpoint toEndpoint(const settings::Endpoint& text)
+    {
+        return transport::parseEndpoint(text.value()).value_or(transport::Endpoint {});
+    }
+
+    logging::JsonLogSettings toLogSettings(const settings::RouterSettings& settings)
+    {
+        logging::JsonLogSettings log;
+        log.file = settings.logging.file;
+        log.level = static_cast<logging::Level>(settings.logging.level);
+        log.vm = settings.vm.peer.value();
+        return log;
+    }
+
+    transport::LogClientSettings toLogClientSettings(const settings::RouterSettings& settings)
+    {
+        transport::LogClientSettings client;
+        for (const auto& endpoint : settings.logEndpoints) {
+            client.endpoints.push_back(toEndpoint(endpoint));
+        }
+        return client;
+    }
+
+    transport::PeerLinksSettings toPeerSettings(const settings::RouterSettings& settings)
+    {
+        transport::PeerLinksSettings peers;
+        peers.self = settings.vm.peer;
+        for (const auto& [peer, endpoint] : settings.peers.via) {
+            peers.via.emplace(peer, toEndpoint(endpoint));
+        }
+        return peers;
+    }
+
+    transport::PlatformSettings toPlatformSettings(const settings::RouterSettings& settings)
+    {
+        transport::PlatformSettings platform;
+        platform.vmList = toEndpoint(settings.vmListEndpoint);
+        return platform;
+    }
+
+} // namespace
+
+RouterProcess::RouterProcess(const settings::RouterSettings& settings, std::uint64_t seed)
+    : settings_(settings)
+    , seed_(seed)
+    , decisions_(transport::decisionRingCapacity)
+    , journal_(toLogSettings(settings))
+    , metrics_(traffic_)
+    , streams_(transport::StreamLimits {}, decisions_, metrics_, journal_)
+    , log_(toLogClientSettings(settings), decisions_, traffic_)
+    , peers_(toPeerSettings(settings), decisions_, traffic_, journal_)
+    , platform_(toPlatformSettings(settings), decisions_, traffic_)
+    , operators_(decisions_, operatorLimit)
+    , carrier_({ streams_, log_, peers_, platform_, operators_, metrics_, journal_ })
+    , loop_(
+          transport::drawIncarnation(),
+          [this](Incarnation incarnation) -> std::unique_ptr<transport::Decider> {
+              return std::make_unique<CoreDecider>(toCoreSettings(settings_, incarnation, seed_));
+          },
+          decisions_, carrier_)
+{
+}
+
+Findings RouterProcess::listen()
+{
+    Findings findings;
+    const auto check = [&](bool taken, const char* place, const std::string& reason) {
+        if (!taken) {
+            findings.push_back({ place, 0, 0, reason });
+        }
+    };
+    check(journal_.isOpen(), "logging.file", "can't be written to: " + settings_.logging.file);
+    check(streams_.listen(toEndpoint(settings_.callersListen)), "callers.listen", streams_.lastReason());
+    check(peers_.listen(), "vm.peer", peers_.lastReason());
+    check(operators_.start(toEndpoint(settings_.operatorsListen)), "operators.listen", operators_.lastReason());
+    check(metrics_.listen(toEndpoint(settings_.metricsListen)), "metrics.listen", metrics_.lastReason());
+    return findings;
+}
+
+void RouterProcess::start()
+{
+    addReadings();
+    journal_.write(logging::Level::Info, "start",
+        { { "seed", std::to_string(seed_) }, { "callers", settings_.callersListen.value() },
+            { "domain", settings_.vm.domain.value() } });
+    metrics_.start();
+    peers_.start();
+    streams_.start();
+    platform_.start();
+    loop_.start();
+}
+
+void RouterProcess::stop()
+{
+    const auto until = std::chrono::steady_clock::now() + settings_.stopLimit;
+    transport::TaggedEvent request { Incarnation {}, node::StopRequested {} };
+    while (!decisions_.tryPush(std::move(request)) && std::chrono::steady_clock::now() < until) {
+        std::this_thread::sleep_for(readyPoll);
+    }
+    while (!carrier_.stopReady() && std::chrono::steady_clock::now() < until) {
+        std::this_thread::sleep_for(readyPoll);
+    }
+    journal_.write(logging::Level::Info, "stop", { { "ready", carrier_.stopReady() } });
+    // The decision thread goes on until the last replies are with the callers.
+    streams_.stop(drainLimit);
+    loop_.stop();
+    operators_.stop();
+    platform_.stop();
+    log_.stop();
+    peers_.stop();
+    metrics_.stop();
+}
+
+void RouterProcess::addReadings()
+{
+    metrics_.addReading("ring_decisions_fill", "Events that wait for the decision thread",
+        [this] { return static_cast<double>(decisions_.size()); });
+    metrics_.addReading("ring_decisions_refused", "Events that found the ring of the decision thread full",
+        [this] { return static_cast<double>(decisions_.refused()); });
+    metrics_.addReading("caller_connections", "Connections of callers",
+        [this] { return static_cast<double>(streams_.counts().connections); });
+    metrics_.addReading("attempts_running", "Requests at backend servers",
+        [this] { return static_cast<double>(streams_.counts().attempts); });
+    metrics_.addReading("foreign_lines", "Lines of backend servers that were not the answer asked for",
+        [this] { return static_cast<double>(streams_.counts().foreignLines); });
+    metrics_.addReading("backend_connects", "Connections made to backend servers",
+        [this] { return static_cast<double>(streams_.counts().backendConnects); });
+    metrics_.addReading("backend_reuses", "Requests over a kept connection",
+        [this] { return static_cast<double>(streams_.counts().backendReuses); });
+    metrics_.addReading("overloaded", "Requests refused because the router was full",
+        [this] { return static_cast<double>(streams_.counts().overloaded); });
+    metrics_.addReading("peer_messages_dropped", "Messages between routers that were dropped here",
+        [this] { return static_cast<double>(peers_.dropped()); });
+    metrics_.addReading("log_lines_dropped", "Log lines that a slow consumer cost",
+        [this] { return static_cast<double>(journal_.dropped()); });
+    metrics_.addReading("incarnations_replaced", "Times that this process went on under a new incarnation",
+        [this] { return static_cast<double>(loop_.replacements()); });
+}
+
+} // namespace swiftlift::router
--- /dev/null
+++ b/include/swiftlift/logging/Fwd.h
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace swiftlift::logging {
+
+class JsonLog;
+
+} // namespace swiftlift::logging
--- /dev/null
+++ b/include/swiftlift/transport/Hashing.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "swiftlift/base/Ids.h"
+#include "swiftlift/base/Units.h"
+
+namespace swiftlift::transport {
+
+/** Bytes of a prompt that count as its prefix. */
+inline constexpr std::size_t prefixBytes = 256;
+
+/** @return The request's key: xxh128 of account, a zero byte and the caller's id. */
+[[nodiscard]] RequestKey requestKey(const AccountId& account, const CallerRequestId& id);
+
+/** @return The key as 32 hexadecimal digits. */
+[[nodiscard]] std::string toHex(const RequestKey& key);
+
+/** @return A number as 16 hexadecimal digits. */
+[[nodiscard]] std::string toHex(std::uint64_t number);
+
+/** @return SHA-256 of a client account's key, in hex; empty when the library fails. */
+[[nodiscard]] std::string keyHash(std::string_view bearerKey);
+
+/** @return xxh64 of the prompt's first bytes. */
+[[nodiscard]] std::uint64_t prefixHash(std::string_view prompt) noexcept;
+
+/** @return Tokens that a prompt counts as: a quarter of its bytes, rounded up. */
+[[nodiscard]] Tokens promptTokens(std::string_view prompt) noexcept;
+
+} // namespace swiftlift::transport
--- /dev/null
+++ b/include/swiftlift/wire/Fwd.h
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace swiftlift::wire {
+
+struct PeerEnvelope;
+
+} // namespace swiftlift::wire
--- /dev/null
+++ b/src/transport/AnswerReader.cpp
@@ -0,0 +1,88 @@
+#include "transport/AnswerReader.h"
+
+#include <utility>
+#include <variant>
+
+#include <nlohmann/json.hpp>
+
+namespace swiftlift::transport::internal {
+
+ReadState AnswerReader::broken(std::string reason)
+{
+    lastReason_ = std::move(reason);
+    return ReadState::Broken;
+}
+
+ModelAnswerReader::ModelAnswerReader(LineMatcher matcher, AnswerSink sink, std::size_t maxLineBytes)
+    : matcher_(std::move(matcher))
+    , sink_(std::move(sink))
+    , maxLineBytes_(maxLineBytes)
+{
+}
+
+ReadState ModelAnswerReader::take(std::string_view bytes)
+{
+    while (!bytes.empty()) {
+        const auto newline = bytes.find('\n');
+        partial_ += bytes.substr(0, newline);
+        if (partial_.size() > maxLineBytes_) {
+            return broken("a line is too long");
+        }
+        if (newline == std::string_view::npos) {
+            return ReadState::More;
+        }
+        const std::string line = std::exchange(partial_, {});
+        bytes.remove_prefix(newline + 1);
+        if (const ReadState state = takeLine(line); state != ReadState::More) {
+            return state;
+        }
+    }
+    return ReadState::More;
+}
+
+ReadState ModelAnswerReader::takeLine(std::string_view line)
+{
+    if (line.empty()) {
+        return ReadState::More;
+    }
+    auto matched = matcher_.match(line);
+    if (auto* token = std::get_if<TokenLine>(&matched)) {
+        sink_.part(std::move(token->token));
+        sink_.ownLine();
+    } else if (std::holds_alternative<RepeatedLine>(matched)) {
+        sink_.ownLine();
+    } else if (const auto* foreign = std::get_if<ForeignLine>(&matched)) {
+        sink_.foreignLine(foreign->reason);
+    } else if (const auto* wrong = std::get_if<BrokenLine>(&matched)) {
+        return broken(wrong->reason);
+    } else if (const auto* done = std::get_if<DoneLine>(&matched)) {
+        counts_ = *done;
+        return ReadState::Whole;
+    }
+    return ReadState::More;
+}
+
+ReadState ModelAnswerReader::end() { return broken("the answer ended before its last line"); }
+
+PlainAnswerReader::PlainAnswerReader(AnswerSink sink, std::size_t maxBytes)
+    : sink_(std::move(sink))
+    , maxBytes_(maxBytes)
+{
+}
+
+ReadState PlainAnswerReader::take(std::string_view bytes)
+{
+    body_ += bytes;
+    return body_.size() > maxBytes_ ? broken("the answer is too large") : ReadState::More;
+}
+
+ReadState PlainAnswerReader::end()
+{
+    if (!nlohmann::json::accept(body_)) {
+        return broken("the answer is not JSON");
+    }
+    sink_.part(std::move(body_));
+    return ReadState::Whole;
+}
+
+} // namespace swiftlift::transport::internal
--- /dev/null
+++ b/src/transport/AsyncHttpClient.cpp
@@ -0,0 +1,108 @@
+#include "transport/AsyncHttpClient.h"
+
+#include <utility>
+
+#include <boost/asio/write.hpp>
+
+#include "transport/HttpText.h"
+
+namespace swiftlift::transport::internal {
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+AsyncHttpClient::AsyncHttpClient(boost::asio::io_context& loop, Endpoint endpoint, TrafficCounter& traffic)
+    : loop_(loop)
+    , endpoint_(std::move(endpoint))
+    , traffic_(traffic)
+    , stream_(loop)
+{
+}
+
+void AsyncHttpClient::call(http::request<http::string_body> request, std::chrono::milliseconds limit, Done done)
+{
+    done_ = std::move(done);
+    outgoing_ = toBytes(request);
+    stream_.expires_after(limit);
+    if (connected_) {
+        write();
+    } else {
+        connect();
+    }
+}
+
+void AsyncHttpClient::connect()
+{
+    ErrorCode error;
+    const auto address = boost::asio::ip::make_address(endpoint_.ip, error);
+    if (error) {
+        boost::asio::post(loop_, [self = shared_from_this()] { self->finish(std::nullopt); });
+        return;
+    }
+    stream_.async_connect(tcp::endpoint(address, endpoint_.port), [self = shared_from_this()](ErrorCode failed) {
+        if (failed) {
+            self->finish(std::nullopt);
+            return;
+        }
+        ErrorCode ignored;
+        self->stream_.socket().set_option(tcp::no_delay(true), ignored);
+        self->connected_ = true;
+        self->write();
+    });
+}
+
+void AsyncHttpClient::write()
+{
+    traffic_.sent += outgoing_.size();
+    boost::asio::async_write(
+        stream_, boost::asio::buffer(outgoing_), [self = shared_from_this()](ErrorCode error, std::size_t) {
+            if (error) {
+                self->finish(std::nullopt);
+            } else {
+                self->read();
+            }
+        });
+}
+
+void AsyncHttpClient::read()
+{
+    buffer_.clear();
+    parser_.emplace();
+    http::async_read(stream_, buffer_, *parser_, [self = shared_from_this()](ErrorCode error, std::size_t count) {
+        self->traffic_.received += count;
+        self->answered(error);
+    });
+}
+
+void AsyncHttpClient::answered(ErrorCode error)
+{
+    if (error) {
+        finish(std::nullopt);
+        return;
+    }
+    auto message = parser_->release();
+    if (!message.keep_alive()) {
+        close();
+    }
+    stream_.expires_never();
+    finish(HttpResponse { static_cast<int>(message.result_int()), std::move(message.body()) });
+}
+
+void AsyncHttpClient::finish(std::optional<HttpResponse> answer)
+{
+    if (!answer) {
+        close();
+    }
+    if (const auto done = std::exchange(done_, nullptr)) {
+        done(std::move(answer));
+    }
+}
+
+void AsyncHttpClient::close()
+{
+    connected_ = false;
+    ErrorCode ignored;
+    stream_.socket().close(ignored);
+}
+
+} // namespace swiftlift::transport::internal
--- /dev/null
+++ b/src/transport/BackendPool.cpp
@@ -0,0 +1,116 @@
+#include "transport/BackendPool.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <sys/socket.h>
+
+namespace swiftlift::transport::internal {
+
+namespace {
+
+    /** @return Whether nothing has come and the other end has not closed: all that an idle connection may show. */
+    bool stillStands(boost::asio::ip::tcp::socket& socket)
+    {
+        char byte = 0;
+        const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
+
+} // namespace
+
+BackendConnection::BackendConnection(boost::asio::io_context& loop)
+    : socket(loop)
+{
+}
+
+BackendPool::BackendPool(StreamContext& context)
+    : context_(context)
+{
+}
+
+BackendPool::ConnectionPtr BackendPool::take(const BackendId& backend)
+{
+    const auto found = idle_.find(backend);
+    if (found == idle_.end()) {
+        return nullptr;
+    }
+    auto& connections = found->second;
+    while (!connections.empty()) {
+        const ConnectionPtr connection = connections.back();
+        connections.pop_back();
+        connection->idle = false;
+        boost::system::error_code ignored;
+        connection->socket.cancel(ignored);
+        if (stillStands(connection->socket)) {
+            return connection;
+        }
+        connection->socket.close(ignored);
+    }
+    return nullptr;
+}
+
+void BackendPool::give(const BackendId& backend, ConnectionPtr connection)
+{
+    auto& connections = idle_[backend];
+    if (connections.size() >= context_.limits.idlePerBackend) {
+        return;
+    }
+    connection->idle = true;
+    connection->idleSince = std::chrono::steady_clock::now();
+    ++connection->stay;
+    watch(backend, connection);
+    connections.push_back(std::move(connection));
+}
+
+void BackendPool::watch(const BackendId& backend, const ConnectionPtr& connection)
+{
+    connection->socket.async_wait(boost::asio::ip::tcp::socket::wait_read,
+        [this, backend, connection, stay = connection->stay](const boost::system::error_code& error) {
+            if (!error && connection->idle && connection->stay == stay) {
+                drop(backend, connection);
+            }
+        });
+}
+
+void BackendPool::drop(const BackendId& backend, const ConnectionPtr& connection)
+{
+    connection->idle = false;
+    boost::system::error_code ignored;
+    connection->socket.close(ignored);
+    auto& connections = idle_[backend];
+    std::erase(connections, connection);
+    if (connections.empty()) {
+        idle_.erase(backend);
+    }
+}
+
+void BackendPool::sweep()
+{
+    const auto oldest = std::chrono::steady_clock::now() - context_.limits.backendIdleTime;
+    std::vector<std::pair<BackendId, ConnectionPtr>> expired;
+    for (const auto& [backend, connections] : idle_) {
+        for (const auto& connection : connections) {
+            if (connection->idleSince < oldest) {
+                expired.emplace_back(backend, connection);
+            }
+        }
+    }
+    for (const auto& [backend, connection] : expired) {
+        drop(backend, connection);
+    }
+}
+
+void BackendPool::clear()
+{
+    for (auto& [backend, connections] : idle_) {
+        for (const auto& connection : connections) {
+            connection->idle = false;
+            boost::system::error_code ignored;
+            connection->socket.close(ignored);
+        }
+    }
+    idle_.clear();
+}
+
+} // namespace swiftlift::transport::internal
--- /dev/null
+++ b/src/transport/BackendPool.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "swiftlift/base/Ids.h"
+#include "transport/StreamContext.h"
+
+namespace swiftlift::transport::internal {
+
+/** A connection to a backend server. */
+struct BackendConnection {
+    explicit BackendConnection(boost::asio::io_context& loop);
+
+    boost::asio::ip::tcp::socket socket;
+    /** Set while it lies in the pool. */
+    bool idle = false;
+    std::chrono::steady_clock::time_point idleSince;
+    /** Counts its stays in the pool, so that the watch of an earlier stay is told apart. */
+    std::uint64_t stay = 0;
+};
+
+/**
+ * @brief Idle connections to backend servers, kept for the next request.
+ *
+ * What goes wrong with kept connections: the backend server closes one at the moment that a request is written to it;
+ * the request then may or may not have run. It shows as the end of the connection before any answer. Connections are
+ * therefore watched while idle, looked at once more when taken, and never used for a request that may run only once.
+ */
+class BackendPool {
+public:
+    using ConnectionPtr = std::shared_ptr<BackendConnection>;
+
+    explicit BackendPool(StreamContext& context);
+
+    /** @return An idle connection that still stands; null when there is none. */
+    [[nodiscard]] ConnectionPtr take(const BackendId& backend);
+
+    /** Keeps a connection whose last answer has been read whole. */
+    void give(const BackendId& backend, ConnectionPtr connection);
+
+    /** Closes what has been idle for too long. */
+    void sweep();
+
+    void clear();
+
+private:
+    void watch(const BackendId& backend, const ConnectionPtr& connection);
+    void drop(const BackendId& backend, const ConnectionPtr& connection);
+
+    StreamContext& context_;
+    std::unordered_map<BackendId, std::vector<ConnectionPtr>> idle_;
+};
+
+} // namespace swiftlift::transport::internal
--- /dev/null
+++ b/src/transport/CallTable.cpp
@@ -0,0 +1,303 @@
+#include "transport/CallTable.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include <boost/asio/write.hpp>
+
+#include "transport/HttpText.h"
+
+namespace swiftlift::transport::internal {
+
+namespace {
+
+    node::Reply overloaded(std::string detail)
+    {
+        auto reply = refusal(503, "overloaded", std::move(detail));
+        reply.retryAfter = std::chrono::seconds(1);
+        return reply;
+    }
+
+} // namespace
+
+CallTable::CallTable(StreamContext& context)
+    : context_(context)
+    , pool_(context)
+{
+}
+
+void CallTable::accept(boost::asio::ip::tcp::socket socket)
+{
+    if (connections_.size() < context_.limits.connections) {
+        const auto connection = std::make_shared<CallerConnection>(context_, *this, std::move(socket));
+        connections_.insert(connection);
+        connection->start();
+        return;
+    }
+    ++context_.counts.overloaded;
+    const auto refused = overloaded("too many connections");
+    const std::string bytes = jsonReply(refused.status, notAnsweredText({}, refused), false, refused.retryAfter);
+    boost::system::error_code ignored;
+    socket.non_blocking(true, ignored);
+    socket.write_some(boost::asio::buffer(bytes), ignored);
+}
+
+void CallTable::requestCame(CallerConnection& connection, ParsedRequest request)
+{
+    if (auto* call = std::get_if<node::CallerRequest>(&request)) {
+        callCame(connection, std::move(*call));
+    } else if (const auto* question = std::get_if<RequestQuestion>(&request)) {
+        questionCame(connection, *question);
+    } else {
+        refuse(connection, std::get<node::Reply>(request), {});
+    }
+}
+
+void CallTable::callCame(CallerConnection& connection, node::CallerRequest&& request)
+{
+    const CallId id(++lastNumber_);
+    const auto call = std::make_shared<Call>(context_, id, request, connection);
+    const std::string requestId = request.id.value();
+    TaggedEvent event { Incarnation {}, node::RequestArrived { id, std::move(request) } };
+    if (!context_.decisions.tryPush(std::move(event), reservedEvents)) {
+        ++context_.counts.overloaded;
+        refuse(connection, overloaded("the router has too much waiting"), requestId);
+        return;
+    }
+    calls_.emplace(id, call);
+    connection.setCall(id);
+}
+
+void CallTable::questionCame(CallerConnection& connection, const RequestQuestion& question)
+{
+    const std::uint64_t number = ++lastNumber_ | callersQuestion;
+    const std::string argument = question.account.value() + "/" + question.id.value() + "/" + question.keyHash;
+    TaggedEvent event { Incarnation {}, node::OperatorAsked { number, "request", argument } };
+    if (!context_.decisions.tryPush(std::move(event), reservedEvents)) {
+        ++context_.counts.overloaded;
+        refuse(connection, overloaded("the router has too much waiting"), question.id.value());
+        return;
+    }
+    questions_[number]
+        = { connection.weak_from_this(), std::chrono::steady_clock::now() + context_.limits.operatorTime };
+}
+
+void CallTable::refuse(CallerConnection& connection, const node::Reply& refusal, std::string_view requestId)
+{
+    connection.reply(refusal.status, notAnsweredText(requestId, refusal), refusal.retryAfter);
+}
+
+void CallTable::callerGone(CallerConnection& connection)
+{
+    const CallId id = *connection.call();
+    context_.events.push({ Incarnation {}, node::CallerGone { id } });
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) {
+        return;
+    }
+    found->second->callerGone();
+    if (auto* running = runningOf(id)) {
+        running->attempt->resume();
+    }
+    calls_.erase(found);
+}
+
+void CallTable::callerDrained(CallerConnection& connection)
+{
+    if (auto* running = runningOf(*connection.call())) {
+        running->attempt->resume();
+    }
+}
+
+void CallTable::connectionClosed(CallerConnection& connection) { connections_.erase(connection.shared_from_this()); }
+
+void CallTable::answerPartCame(Attempt& attempt, std::string part)
+{
+    const auto found = running_.find(attempt.id());
+    if (found == running_.end()) {
+        return;
+    }
+    auto& running = found->second;
+    running.call->take(std::move(part), !running.plain);
+    if (running.reportedTokens == 0 && running.call->tokens() > 0) {
+        reportProgress(running, true);
+    }
+    if (running.call->callerIsSlow()) {
+        ++context_.counts.pauses;
+        attempt.pause();
+    }
+}
+
+void CallTable::attemptEnded(Attempt& attempt, node::AttemptEnd end, const DoneLine& counts, std::string detail)
+{
+    const auto found = running_.find(attempt.id());
+    if (found == running_.end()) {
+        return;
+    }
+    const Running running = std::move(found->second);
+    running_.erase(found);
+    if (end == node::AttemptEnd::Completed) {
+        running.call->wholeAnswerCame(counts.promptTokens);
+    }
+    context_.events.push({ context_.incarnation,
+        node::AttemptEnded { attempt.id(), end, counts.promptTokens, Tokens(running.call->tokens()),
+            counts.cachedPromptTokens, std::move(detail) } });
+}
+
+void CallTable::carryOut(StreamCommand&& command)
+{
+    std::visit([this](auto&& order) { carryOut(std::forward<decltype(order)>(order)); }, std::move(command));
+}
+
+void CallTable::carryOut(node::Dispatch&& dispatch)
+{
+    const auto found = calls_.find(dispatch.call);
+    if (found == calls_.end() || running_.contains(dispatch.attempt)) {
+        cannotStart(dispatch);
+        return;
+    }
+    const auto& call = found->second;
+    AttemptOrder order;
+    order.next = call->prepare(dispatch);
+    order.mostTokens = call->mostTokens();
+    order.mayReuse = call->idempotent();
+    const bool plain = dispatch.kind == node::BackendKind::Plain;
+    const AttemptId id = dispatch.attempt;
+    order.dispatch = std::move(dispatch);
+    const auto attempt = std::make_shared<Attempt>(context_, *this, pool_, std::move(order));
+    running_.emplace(id, Running { attempt, call, plain, 0 });
+    attempt->start();
+}
+
+void CallTable::cannotStart(const node::Dispatch& dispatch)
+{
+    node::AttemptEnded ended;
+    ended.attempt = dispatch.attempt;
+    ended.end = node::AttemptEnd::NotStarted;
+    ended.detail = "the caller is gone";
+    context_.events.push({ context_.incarnation, std::move(ended) });
+}
+
+void CallTable::carryOut(node::CancelAttempt&& cancel)
+{
+    if (const auto found = running_.find(cancel.attempt); found != running_.end()) {
+        const auto attempt = found->second.attempt;
+        running_.erase(found);
+        attempt->cancel();
+    }
+}
+
+void CallTable::carryOut(node::Reply&& reply)
+{
+    const auto found = calls_.find(reply.call);
+    if (found == calls_.end()) {
+        return;
+    }
+    found->second->finish(reply);
+    calls_.erase(found);
+    // An attempt that the core lets run on has nobody to wait for any more.
+    if (auto* running = runningOf(reply.call)) {
+        running->attempt->resume();
+    }
+}
+
+void CallTable::carryOut(node::OperatorReply&& reply)
+{
+    const auto found = questions_.find(reply.question);
+    if (found == questions_.end()) {
+        return;
+    }
+    if (const auto caller = found->second.caller.lock()) {
+        caller->reply(200, std::move(reply.json), std::nullopt);
+    }
+    questions_.erase(found);
+}
+
+void CallTable::carryOut(BeginIncarnation&& begin)
+{
+    context_.incarnation = begin.incarnation;
+    // The former core said that nothing is in progress; what runs nevertheless can't be told to anybody any more.
+    for (const auto& [id, running] : std::exchange(running_, {})) {
+        running.attempt->cancel();
+    }
+}
+
+void CallTable::reportProgress(Running& running, bool mustArrive)
+{
+    running.reportedTokens = running.call->tokens();
+    TaggedEvent event { context_.incarnation,
+        node::AttemptProgress { running.attempt->id(), Tokens(running.reportedTokens) } };
+    if (mustArrive) {
+        context_.events.push(std::move(event));
+    } else {
+        context_.decisions.pushOrDrop(std::move(event));
+    }
+}
+
+void CallTable::sweep()
+{
+    context_.events.flush();
+    for (auto& [id, running] : running_) {
+        if (running.call->tokens() > running.reportedTokens) {
+            reportProgress(running, false);
+        }
+    }
+    expireQuestions();
+    pool_.sweep();
+}
+
+void CallTable::expireQuestions()
+{
+    const auto now = std::chrono::steady_clock::now();
+    std::erase_if(questions_, [&](const auto& entry) {
+        if (now < entry.second.until) {
+            return false;
+        }
+        if (const auto caller = entry.second.caller.lock()) {
+            refuse(*caller, overloaded("the router did not answer in time"), {});
+        }
+        return true;
+    });
+}
+
+void CallTable::closeIdleConnections()
+{
+    const auto connections = connections_;
+    for (const auto& connection : connections) {
+        connection->closeWhenIdle();
+    }
+}
+
+void CallTable::closeAll()
+{
+    for (const auto& [id, running] : std::exchange(running_, {})) {
+        running.attempt->cancel();
+    }
+    const auto connections = connections_;
+    for (const auto& connection : connections) {
+        connection->setCall(std::nullopt);
+        connection->close();
+    }
+    calls_.clear();
+    pool_.clear();
+}
+
+StreamCounts CallTable::counts() const
+{
+    StreamCounts counts = context_.counts;
+    counts.connections = connections_.size();
+    counts.attempts = running_.size();
+    counts.calls = calls_.size();
+    return counts;
+}
+
+CallTable::Running* CallTable::runningOf(CallId call)
+{
+    const auto found
+        = std::ranges::find_if(running_, [&](const auto& entry) { return entry.second.call->id() == call; });
+    return found == running_.end() ? nullptr : &found->second;
+}
+
+} // namespace swiftlift::transport::internal
--- /dev/null
+++ b/src/transport/CallTable.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "transport/Attempt.h"
+#include "transport/BackendPool.h"
+#include "transport/Call.h"
+#include "transport/CallerConnection.h"
+#include "transport/StreamContext.h"
+
+namespace swiftlift::transport::internal {
+
+/** All calls and attempts in progress: brings the core's orders, the callers and the backend servers together. */
+class CallTable : public CallerHost, public AttemptHost {
+public:
+    explicit CallTable(StreamContext& context);
+
+    void accept(boost::asio::ip::tcp::socket socket);
+    void carryOut(StreamCommand&& command);
+
+    /** To be called often: reports progress, drops what has waited too long. */
+    void sweep();
+
+    void closeIdleConnections();
+    void closeAll();
+    [[nodiscard]] bool hasConnections() const noexcept { return !connections_.empty(); }
+    [[nodiscard]] StreamCounts counts() const;
+
+    void requestCame(CallerConnection& connection, ParsedRequest request) override;
+    void callerGone(CallerConnection& connection) override;
+    void callerDrained(CallerConnection& connection) override;
+    void connectionClosed(CallerConnection& connection) override;
+    void answerPartCame(Attempt& attempt, std::string part) override;
+    void attemptEnded(Attempt& attempt, node::AttemptEnd end, const DoneLine& counts, std::string detail) override;
+
+private:
+    struct Running {
+        std::shared_ptr<Attempt> attempt;
+        std::shared_ptr<Call> call;
+        bool plain = false;
+        std::int64_t reportedTokens = 0;
+    };
+    struct Question {
+        std::weak_ptr<CallerConnection> caller;
+        std::chrono::steady_clock::time_point until;
+    };
+
+    void callCame(CallerConnection& connection, node::CallerRequest&& request);
+    void questionCame(CallerConnection& connection, const RequestQuestion& question);
+    void refuse(CallerConnection& connection, const node::Reply& refusal, std::string_view requestId);
+    void carryOut(node::Dispatch&& dispatch);
+    void carryOut(node::CancelAttempt&& cancel);
+    void carryOut(node::Reply&& reply);
+    void carryOut(node::OperatorReply&& reply);
+    void carryOut(BeginIncarnation&& begin);
+    void cannotStart(const node::Dispatch& dispatch);
+    void reportProgress(Running& running, bool mustArrive);
+    void expireQuestions();
+    [[nodiscard]] Running* runningOf(CallId call);
+
+    StreamContext& context_;
+    BackendPool pool_;
+    std::uint64_t lastNumber_ = 0;
+    std::unordered_set<std::shared_ptr<CallerConnection>> connections_;
+    std::unordered_map<CallId, std::shared_ptr<Call>> calls_;
+    std::unordered_map<AttemptId, Running> running_;
+    std::unordered_map<std::uint64_t, Question> questions_;
+};
+
+} // namespace swiftlift::transport::internal
--- /dev/null
+++ b/src/transport/CallerConnection.cpp
@@ -0,0 +1,361 @@
+#include "transport/CallerConnection.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "swiftlift/transport/CallerText.h"
+#include "transport/HttpText.h"
+
+namespace swiftlift::transport::internal {
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+namespace {
+
+    constexpr std::chrono::milliseconds lingerTime { 2'000 };
+    constexpr std::string_view continueLine = "HTTP/1.1 100 Continue\r\n\r\n";
+
+    std::string header(const http::request<http::string_body>& message, const char* name)
+    {
+        const auto value = message[name];
+        return { value.data(), value.size() };
+    }
+
+    RawRequest toRaw(http::request<http::string_body>&& message)
+    {
+        RawRequest raw;
+        raw.method = std::string(message.method_string());
+        raw.target = std::string(message.target());
+        raw.authorization = header(message, "Authorization");
+        raw.account = header(message, "Swiftlift-Account");
+        raw.requestId = header(message, "Swiftlift-Request-Id");
+        raw.attempt = header(message, "Swiftlift-Attempt");
+        raw.deadline = header(message, "Swiftlift-Deadline-Ms");
+        raw.idempotent = header(message, "Swiftlift-Idempotent");
+        raw.priority = header(message, "Swiftlift-Priority");
+        raw.stream = header(message, "Swiftlift-Stream");
+        raw.body = std::move(message.body());
+        return raw;
+    }
+
+} // namespace
+
+CallerConnection::CallerConnection(StreamContext& context, CallerHost& host, tcp::socket socket)
+    : context_(context)
+    , host_(host)
+    , socket_(std::move(socket))
+    , receiveDeadline_(context.loop, [this] { receiveTimePassed(); })
+    , writeDeadline_(context.loop, [this] { lost(); })
+{
+}
+
+void CallerConnection::start()
+{
+    ErrorCode ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+    nextRequest();
+}
+
+void CallerConnection::nextRequest()
+{
+    if (closeWhenIdle_ && buffer_.size() == 0) {
+        close();
+        return;
+    }
+    phase_ = Phase::Idle;
+    headerSeen_ = false;
+    streamBegun_ = false;
+    answerComplete_ = false;
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->header_limit(context_.limits.headerBytes);
+    parser_->body_limit(context_.limits.bodyBytes);
+    receiveDeadline_.arm(context_.limits.idleTime);
+    parse();
+    read();
+}
+
+void CallerConnection::read()
+{
+    if (reading_ || phase_ == Phase::Closed) {
+        return;
+    }
+    // A caller that sends on while its answer is awaited is read only so far; its going away then shows in the write.
+    if (phase_ == Phase::Answering && buffer_.size() >= context_.limits.readAheadBytes) {
+        return;
+    }
+    reading_ = true;
+    socket_.async_read_some(boost::asio::buffer(incoming_),
+        [self = shared_from_this()](ErrorCode error, std::size_t count) { self->onRead(error, count); });
+}
+
+void CallerConnection::onRead(ErrorCode error, std::size_t count)
+{
+    reading_ = false;
+    if (phase_ == Phase::Closed) {
+        return;
+    }
+    if (error) {
+        onReadEnd();
+        return;
+    }
+    if (phase_ == Phase::Lingering) {
+        read();
+        return;
+    }
+    boost::asio::buffer_copy(buffer_.prepare(count), boost::asio::buffer(incoming_, count));
+    buffer_.commit(count);
+    if (phase_ != Phase::Answering) {
+        parse();
+    }
+    read();
+}
+
+void CallerConnection::onReadEnd()
+{
+    if (phase_ == Phase::Answering) {
+        lost();
+    } else {
+        close();
+    }
+}
+
+void CallerConnection::parse()
+{
+    if (buffer_.size() == 0 || (phase_ != Phase::Idle && phase_ != Phase::Receiving)) {
+        return;
+    }
+    if (phase_ == Phase::Idle) {
+        phase_ = Phase::Receiving;
+        receiveDeadline_.arm(context_.limits.headerTime);
+    }
+    while (buffer_.size() > 0 && !parser_->is_done()) {
+        ErrorCode error;
+        const std::size_t used = parser_->put(buffer_.data(), error);
+        buffer_.consume(used);
+        if (error && error != http::error::need_more) {
+            refuseUnparsed(error);
+            return;
+        }
+        if (error || used == 0) {
+            break;
+        }
+    }
+    if (parser_->is_header_done() && !headerSeen_) {
+        headerCame();
+    }
+    if (parser_->is_done()) {
+        requestCame();
+    }
+}
+
+void CallerConnection::headerCame()
+{
+    headerSeen_ = true;
+    receiveDeadline_.arm(context_.limits.bodyTime);
+    const auto& message = parser_->get();
+    if (!parser_->is_done() && boost::beast::iequals(message[http::field::expect], "100-continue")) {
+        write(continueLine);
+    }
+}
+
+void CallerConnection::refuseUnparsed(ErrorCode error)
+{
+    keepAlive_ = false;
+    if (error == http::error::body_limit) {
+        refuse(refusal(413, "body_too_large", "the body is larger than 1 MiB"));
+    } else {
+        refuse(refusal(400, "bad_request", "not to be read as HTTP: " + error.message()));
+    }
+}
+
+void CallerConnection::receiveTimePassed()
+{
+    if (phase_ == Phase::Receiving) {
+        keepAlive_ = false;
+        refuse(refusal(408, "slow_sender", "the request did not come whole in time"));
+    } else {
+        close();
+    }
+}
+
+void CallerConnection::requestCame()
+{
+    auto message = parser_->release();
+    keepAlive_ = message.keep_alive() && !closeWhenIdle_;
+    chunked_ = message.version() >= 11;
+    beginAnswer();
+    host_.requestCame(*this, parseRequest(toRaw(std::move(message))));
+}
+
+void CallerConnection::refuse(const node::Reply& refusal)
+{
+    beginAnswer();
+    reply(refusal.status, notAnsweredText({}, refusal), refusal.retryAfter);
+}
+
+void CallerConnection::beginAnswer()
+{
+    phase_ = Phase::Answering;
+    receiveDeadline_.disarm();
+}
+
+void CallerConnection::reply(int status, std::string body, std::optional<Duration> retryAfter)
+{
+    if (phase_ != Phase::Answering) {
+        return;
+    }
+    write(jsonReply(status, std::move(body), keepAlive_, retryAfter));
+    finishAnswer();
+}
+
+void CallerConnection::streamLine(std::string_view line)
+{
+    if (phase_ != Phase::Answering) {
+        return;
+    }
+    std::string bytes;
+    if (!streamBegun_) {
+        streamBegun_ = true;
+        keepAlive_ = keepAlive_ && chunked_;
+        bytes = streamHead(chunked_, keepAlive_);
+    }
+    bytes += chunked_ ? chunk(line) : std::string(line);
+    write(bytes);
+}
+
+void CallerConnection::endStream(std::string_view line)
+{
+    if (phase_ != Phase::Answering) {
+        return;
+    }
+    streamLine(line);
+    if (chunked_) {
+        write(lastChunk());
+    }
+    finishAnswer();
+}
+
+void CallerConnection::finishAnswer()
+{
+    call_.reset();
+    answerComplete_ = true;
+    if (inFlight_.empty() && pending_.empty()) {
+        allWritten();
+    }
+}
+
+std::size_t CallerConnection::unsent() const noexcept { return pending_.size() + inFlight_.size() - inFlightSent_; }
+
+void CallerConnection::write(std::string_view bytes)
+{
+    pending_ += bytes;
+    context_.counts.mostUnsentBytes = std::max(context_.counts.mostUnsentBytes, unsent());
+    flush();
+}
+
+void CallerConnection::flush()
+{
+    if (!inFlight_.empty() || pending_.empty() || phase_ == Phase::Closed) {
+        return;
+    }
+    inFlight_.swap(pending_);
+    inFlightSent_ = 0;
+    writeSome();
+}
+
+void CallerConnection::writeSome()
+{
+    writeDeadline_.arm(context_.limits.writeStallTime);
+    const auto rest = boost::asio::buffer(inFlight_) + inFlightSent_;
+    socket_.async_write_some(
+        rest, [self = shared_from_this()](ErrorCode error, std::size_t count) { self->onWritten(error, count); });
+}
+
+void CallerConnection::onWritten(ErrorCode error, std::size_t count)
+{
+    if (phase_ == Phase::Closed) {
+        return;
+    }
+    if (error) {
+        lost();
+        return;
+    }
+    inFlightSent_ += count;
+    if (inFlightSent_ < inFlight_.size()) {
+        writeSome();
+    } else {
+        inFlight_.clear();
+        inFlightSent_ = 0;
+        writeDeadline_.disarm();
+        flush();
+    }
+    if (call_ && unsent() < context_.limits.resumeBelowBytes) {
+        host_.callerDrained(*this);
+    }
+    if (inFlight_.empty() && answerComplete_) {
+        allWritten();
+    }
+}
+
+void CallerConnection::allWritten()
+{
+    if (phase_ != Phase::Answering) {
+        return;
+    }
+    if (keepAlive_) {
+        nextRequest();
+    } else {
+        linger();
+    }
+}
+
+void CallerConnection::linger()
+{
+    // Closing while bytes of the caller are unread resets the connection, and the caller may lose a refusal that it has
+    // not read yet (a body that is too large, for one). So say that we are done, and take in what still comes.
+    phase_ = Phase::Lingering;
+    buffer_.consume(buffer_.size());
+    ErrorCode ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    receiveDeadline_.arm(lingerTime);
+    read();
+}
+
+void CallerConnection::closeWhenIdle()
+{
+    closeWhenIdle_ = true;
+    keepAlive_ = false;
+    if (phase_ == Phase::Idle) {
+        close();
+    }
+}
+
+void CallerConnection::lost()
+{
+    if (phase_ == Phase::Closed) {
+        return;
+    }
+    const auto self = shared_from_this();
+    if (call_) {
+        host_.callerGone(*this);
+        call_.reset();
+    }
+    close();
+}
+
+void CallerConnection::close()
+{
+    if (std::exchange(phase_, Phase::Closed) == Phase::Closed) {
+        return;
+    }
+    const auto self = shared_from_this();
+    receiveDeadline_.disarm();
+    writeDeadline_.disarm();
+    ErrorCode ignored;
+    socket_.close(ignored);
+    host_.connectionClosed(*this);
+}
+
+} // namespace swiftlift::transport::internal
--- /dev/null
+++ b/src/transport/Endpoint.cpp
@@ -0,0 +1,32 @@
+#include "swiftlift/transport/Endpoint.h"
+
+#include <charconv>
+
+#include <boost/asio/ip/address.hpp>
+
+namespace swiftlift::transport {
+
+std::optional<Endpoint> parseEndpoint(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const std::string_view ip = text.substr(0, colon);
+    const std::string_view digits = text.substr(colon + 1);
+    std::uint16_t port = 0;
+    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    if (error != std::errc {} || end != digits.data() + digits.size()) {
+        return std::nullopt;
+    }
+    boost::system::error_code failed;
+    boost::asio::ip::make_address_v4(std::string(ip), failed);
+    if (failed) {
+        return std::nullopt;
+    }
+    return Endpoint { std::string(ip), port };
+}
+
+std::string toText(const Endpoint& endpoint) { return endpoint.ip + ":" + std::to_string(endpoint.port); }
+
+} // namespace swiftlift::transport
--- /dev/null
+++ b/src/transport/Hashing.cpp
@@ -0,0 +1,61 @@
+#include "swiftlift/transport/Hashing.h"
+
+#include <array>
+
+#include <openssl/evp.h>
+#include <xxhash.h>
+
+namespace swiftlift::transport {
+
+RequestKey requestKey(const AccountId& account, const CallerRequestId& id)
+{
+    std::string text = account.value();
+    text.push_back('\0');
+    text += id.value();
+    const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
+    return { hash.high64, hash.low64 };
+}
+
+std::string toHex(const RequestKey& key) { return toHex(key.high) + toHex(key.low); }
+
+std::string toHex(std::uint64_t number)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    constexpr int bitsPerDigit = 4;
+    std::string text(16, '0');
+    for (auto place = text.rbegin(); place != text.rend(); ++place) {
+        *place = digits[number & 0xFU];
+        number >>= bitsPerDigit;
+    }
+    return text;
+}
+
+std::string keyHash(std::string_view bearerKey)
+{
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
+    unsigned length = 0;
+    if (EVP_Digest(bearerKey.data(), bearerKey.size(), digest.data(), &length, EVP_sha256(), nullptr) != 1) {
+        return {};
+    }
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string text;
+    for (unsigned place = 0; place < length; ++place) {
+        text.push_back(digits[digest[place] >> 4U]);
+        text.push_back(digits[digest[place] & 0xFU]);
+    }
+    return text;
+}
+
+std::uint64_t prefixHash(std::string_view prompt) noexcept
+{
+    const std::string_view prefix = prompt.substr(0, prefixBytes);
+    return XXH64(prefix.data(), prefix.size(), 0);
+}
+
+Tokens promptTokens(std::string_view prompt) noexcept
+{
+    constexpr std::size_t bytesPerToken = 4;
+    return Tokens(static_cast<std::int64_t>((prompt.size() + bytesPerToken - 1) / bytesPerToken));
+}
+
+} // namespace swiftlift::transport
--- /dev/null
+++ b/src/transport/LogEndpoints.cpp
@@ -0,0 +1,61 @@
+#include "transport/LogEndpoints.h"
+
+#include <utility>
+
+namespace swiftlift::transport::internal {
+
+LogEndpoints::LogEndpoints(const LogClientSettings& settings, TrafficCounter& traffic)
+    : settings_(settings)
+    , traffic_(traffic)
+{
+    if (!settings_.endpoints.empty()) {
+        client_.emplace(settings_.endpoints.front());
+    }
+}
+
+std::optional<HttpResponse> LogEndpoints::call(const HttpRequest& request, std::chrono::milliseconds limit)
+{
+    if (!client_) {
+        lastReason_ = "no address of the log is set";
+        return std::nullopt;
+    }
+    auto answer = client_->call(request, limit);
+    countTraffic();
+    if (!answer) {
+        lastReason_ = toText(client_->endpoint()) + ": " + client_->lastReason();
+        useNext();
+    }
+    return answer;
+}
+
+void LogEndpoints::countTraffic()
+{
+    traffic_.sent += client_->bytesSent() - std::exchange(countedSent_, client_->bytesSent());
+    traffic_.received += client_->bytesReceived() - std::exchange(countedReceived_, client_->bytesReceived());
+}
+
+void LogEndpoints::useNext()
+{
+    if (settings_.endpoints.size() < 2) {
+        return;
+    }
+    const std::lock_guard lock(clientMutex_);
+    place_ = (place_ + 1) % settings_.endpoints.size();
+    client_.emplace(settings_.endpoints[place_]);
+    countedSent_ = 0;
+    countedReceived_ = 0;
+    if (cancelled_) {
+        client_->cancel();
+    }
+}
+
+void LogEndpoints::cancel()
+{
+    const std::lock_guard lock(clientMutex_);
+    cancelled_ = true;
+    if (client_) {
+        client_->cancel();
+    }
+}
+
+} // namespace swiftlift::transport::internal
--- /dev/null
+++ b/src/transport/PeerLinks.cpp
@@ -0,0 +1,233 @@
+#include "swiftlift/transport/PeerLinks.h"
+
+#include <array>
+#include <atomic>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+
+#include <zmq.hpp>
+
+#include "swiftlift/wire/PeerCodec.h"
+
+namespace swiftlift::transport {
+
+namespace {
+
+    using Clock = std::chrono::steady_clock;
+
+    constexpr std::size_t sendRingCapacity = 4096;
+    constexpr int receiveQueue = 4096;
+    constexpr std::int64_t maxMessageBytes = 8 * 1024 * 1024;
+    constexpr std::chrono::milliseconds idleWait { 500 };
+    /** Received before what is to be sent gets its turn. */
+    constexpr int messagesPerRound = 256;
+
+    int count(std::chrono::milliseconds time) { return static_cast<int>(time.count()); }
+
+} // namespace
+
+struct PeerLinks::State {
+    State(PeerLinksSettings given, DecisionInbox& inbox, ControlTraffic& counters, logging::JsonLog& jsonLog)
+        : settings(std::move(given))
+        , decisions(inbox)
+        , traffic(counters.peers)
+        , log(jsonLog)
+        , sends(sendRingCapacity)
+        , context(1)
+        , router(context, zmq::socket_type::router)
+    {
+    }
+
+    struct Link {
+        zmq::socket_t dealer;
+        Clock::time_point lastUse;
+    };
+
+    void configure(zmq::socket_t& socket) const;
+    void run();
+    void receiveWaiting();
+    void take(const zmq::message_t& message);
+    void sendWaiting();
+    void send(const node::SendPeer& order);
+    [[nodiscard]] Link& linkTo(const PeerAddress& peer);
+    [[nodiscard]] std::string dialled(const PeerAddress& peer) const;
+    void closeIdleLinks();
+
+    const PeerLinksSettings settings;
+    DecisionInbox& decisions;
+    TrafficCounter& traffic;
+    logging::JsonLog& log;
+    PeerInbox sends;
+    zmq::context_t context;
+    zmq::socket_t router;
+    std::unordered_map<PeerAddress, Link> links;
+    std::atomic<std::uint64_t> incarnation = 0;
+    std::atomic<std::uint64_t> dropped = 0;
+    std::atomic<bool> stopping = false;
+    std::string lastReason;
+    std::thread thread;
+};
+
+void PeerLinks::State::configure(zmq::socket_t& socket) const
+{
+    socket.set(zmq::sockopt::linger, 0);
+    socket.set(zmq::sockopt::maxmsgsize, maxMessageBytes);
+    socket.set(zmq::sockopt::heartbeat_ivl, count(settings.heartbeat));
+    socket.set(zmq::sockopt::heartbeat_timeout, count(settings.heartbeatLimit));
+}
+
+void PeerLinks::State::run()
+{
+    auto nextSweep = Clock::now() + idleWait;
+    while (!stopping.load()) {
+        std::array<zmq::pollitem_t, 2> items { { { router.handle(), 0, ZMQ_POLLIN, 0 },
+            { nullptr, sends.wakeup().descriptor(), ZMQ_POLLIN, 0 } } };
+        try {
+            zmq::poll(items, idleWait);
+            receiveWaiting();
+            sendWaiting();
+        } catch (const zmq::error_t& error) {
+            // EINTR, or a peer's address that can't be dialled: neither may end the thread.
+            log.write(logging::Level::Warning, "peer_link", { { "error", std::string(error.what()) } });
+        }
+        if (Clock::now() >= nextSweep) {
+            nextSweep = Clock::now() + idleWait;
+            closeIdleLinks();
+        }
+    }
+    sendWaiting();
+    links.clear();
+    router.close();
+}
+
+void PeerLinks::State::receiveWaiting()
+{
+    for (int round = 0; round < messagesPerRound; ++round) {
+        zmq::message_t identity;
+        if (!router.recv(identity, zmq::recv_flags::dontwait)) {
+            return;
+        }
+        zmq::message_t body;
+        bool more = router.get(zmq::sockopt::rcvmore) != 0;
+        while (more) {
+            static_cast<void>(router.recv(body, zmq::recv_flags::dontwait));
+            more = router.get(zmq::sockopt::rcvmore) != 0;
+        }
+        take(body);
+    }
+}
+
+void PeerLinks::State::take(const zmq::message_t& message)
+{
+    traffic.received += message.size();
+    auto envelope = wire::decodePeerEnvelope(message.to_string_view());
+    const Incarnation self(incarnation.load());
+    // A message meant for the incarnation that had this address before us would be taken for one to us: an
+    // acknowledgement of ceilings that we never asked for, for one.
+    const bool ours
+        = envelope && (envelope->receiver == Incarnation {} || envelope->receiver == self) && envelope->sender != self;
+    if (!ours) {
+        ++dropped;
+        return;
+    }
+    TaggedEvent event { envelope->receiver,
+        node::PeerReceived {
+            envelope->sender, std::move(envelope->senderAddress), std::move(envelope->message), envelope->shard } };
+    if (!decisions.tryPush(std::move(event), reservedEvents)) {
+        ++dropped;
+    }
+}
+
+void PeerLinks::State::sendWaiting()
+{
+    sends.wakeup().consume();
+    while (const auto order = sends.tryPop()) {
+        send(*order);
+    }
+}
+
+void PeerLinks::State::send(const node::SendPeer& order)
+{
+    const std::string bytes = wire::encodePeerEnvelope(
+        { Incarnation(incarnation.load()), settings.self, order.receiver, order.message, order.shard });
+    auto& link = linkTo(order.to);
+    link.lastUse = Clock::now();
+    if (link.dealer.send(zmq::buffer(bytes), zmq::send_flags::dontwait)) {
+        traffic.sent += bytes.size();
+    } else {
+        ++dropped;
+    }
+}
+
+PeerLinks::State::Link& PeerLinks::State::linkTo(const PeerAddress& peer)
+{
+    if (const auto found = links.find(peer); found != links.end()) {
+        return found->second;
+    }
+    zmq::socket_t dealer(context, zmq::socket_type::dealer);
+    configure(dealer);
+    dealer.set(zmq::sockopt::sndhwm, settings.queued);
+    dealer.set(zmq::sockopt::connect_timeout, count(settings.connectLimit));
+    dealer.set(zmq::sockopt::reconnect_ivl, count(settings.reconnect));
+    dealer.set(zmq::sockopt::reconnect_ivl_max, count(settings.reconnectMost));
+    dealer.connect("tcp://" + dialled(peer));
+    return links.emplace(peer, Link { std::move(dealer), Clock::now() }).first->second;
+}
+
+std::string PeerLinks::State::dialled(const PeerAddress& peer) const
+{
+    const auto found = settings.via.find(peer);
+    return found == settings.via.end() ? peer.value() : toText(found->second);
+}
+
+void PeerLinks::State::closeIdleLinks()
+{
+    const auto oldest = Clock::now() - settings.idleLimit;
+    std::erase_if(links, [&](const auto& entry) { return entry.second.lastUse < oldest; });
+}
+
+PeerLinks::PeerLinks(
+    PeerLinksSettings settings, DecisionInbox& decisions, ControlTraffic& traffic, logging::JsonLog& log)
+    : state_(std::make_unique<State>(std::move(settings), decisions, traffic, log))
+{
+}
+
+PeerLinks::~PeerLinks() { stop(); }
+
+bool PeerLinks::listen()
+{
+    try {
+        state_->configure(state_->router);
+        state_->router.set(zmq::sockopt::rcvhwm, receiveQueue);
+        state_->router.bind("tcp://" + state_->settings.self.value());
+        return true;
+    } catch (const zmq::error_t& error) {
+        state_->lastReason = state_->settings.self.value() + ": " + error.what();
+        return false;
+    }
+}
+
+const std::string& PeerLinks::lastReason() const noexcept { return state_->lastReason; }
+
+void PeerLinks::start()
+{
+    state_->thread = std::thread([state = state_.get()] { state->run(); });
+}
+
+void PeerLinks::stop()
+{
+    state_->stopping.store(true);
+    state_->sends.wakeup().signal();
+    if (state_->thread.joinable()) {
+        state_->thread.join();
+    }
+}
+
+void PeerLinks::setIncarnation(Incarnation incarnation) noexcept { state_->incarnation.store(incarnation.value()); }
+
+PeerInbox& PeerLinks::inbox() noexcept { return state_->sends; }
+
+std::uint64_t PeerLinks::dropped() const noexcept { return state_->dropped.load(); }
+
+} // namespace swiftlift::transport
--- /dev/null
+++ b/src/transport/StreamContext.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+
+#include "swiftlift/ring/Outbox.h"
+#include "swiftlift/transport/StreamServer.h"
+
+namespace swiftlift::transport::internal {
+
+/** What all parts of the streams thread share. Used in that thread only. */
+struct StreamContext {
+    boost::asio::io_context& loop;
+    const StreamLimits& limits;
+    DecisionInbox& decisions;
+    /** Events that must arrive. */
+    ring::Outbox<TaggedEvent> events;
+    StreamObserver& observer;
+    logging::JsonLog& log;
+    Incarnation incarnation;
+    StreamCounts counts;
+};
+
+} // namespace swiftlift::transport::internal
--- /dev/null
+++ b/src/transport/StreamServer.cpp
@@ -0,0 +1,202 @@
+#include "swiftlift/transport/StreamServer.h"
+
+#include <atomic>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+#include <unistd.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "transport/CallTable.h"
+
+namespace swiftlift::transport {
+
+namespace {
+
+    using boost::asio::ip::tcp;
+    using ErrorCode = boost::system::error_code;
+
+    constexpr std::size_t commandRingCapacity = 16'384;
+    constexpr std::size_t commandsPerRound = 1024;
+    constexpr std::chrono::milliseconds acceptRetry { 100 };
+
+} // namespace
+
+struct StreamServer::State {
+    State(StreamLimits given, DecisionInbox& decisions, StreamObserver& observer, logging::JsonLog& log)
+        : limits(given)
+        , inbox(commandRingCapacity)
+        , context { loop, limits, decisions, ring::Outbox<TaggedEvent>(decisions), observer, log, {}, {} }
+        , table(context)
+        , acceptor(loop)
+        , commands(loop, ::dup(inbox.wakeup().descriptor()))
+        , sweepTimer(loop)
+        , acceptTimer(loop)
+    {
+    }
+
+    void accept();
+    void accepted(ErrorCode error, tcp::socket socket);
+    void awaitCommands();
+    void takeCommands();
+    void sweep();
+    void beginStop(std::chrono::milliseconds limit);
+
+    StreamLimits limits;
+    StreamInbox inbox;
+    boost::asio::io_context loop { 1 };
+    internal::StreamContext context;
+    internal::CallTable table;
+    tcp::acceptor acceptor;
+    boost::asio::posix::stream_descriptor commands;
+    boost::asio::steady_timer sweepTimer;
+    boost::asio::steady_timer acceptTimer;
+    std::optional<std::chrono::steady_clock::time_point> stopAt;
+    std::string lastReason;
+    mutable std::mutex countsMutex;
+    StreamCounts published;
+    std::thread thread;
+};
+
+void StreamServer::State::accept()
+{
+    acceptor.async_accept([this](ErrorCode error, tcp::socket socket) { accepted(error, std::move(socket)); });
+}
+
+void StreamServer::State::accepted(ErrorCode error, tcp::socket socket)
+{
+    if (error == boost::asio::error::operation_aborted) {
+        return;
+    }
+    if (!error) {
+        table.accept(std::move(socket));
+        accept();
+        return;
+    }
+    // Out of file descriptors: accept() would fail at once again and again, and the loop would do nothing else.
+    acceptTimer.expires_after(acceptRetry);
+    acceptTimer.async_wait([this](ErrorCode cancelled) {
+        if (!cancelled && acceptor.is_open()) {
+            accept();
+        }
+    });
+}
+
+void StreamServer::State::awaitCommands()
+{
+    commands.async_wait(boost::asio::posix::stream_descriptor::wait_read, [this](ErrorCode error) {
+        if (!error) {
+            takeCommands();
+            awaitCommands();
+        }
+    });
+}
+
+void StreamServer::State::takeCommands()
+{
+    inbox.wakeup().consume();
+    for (std::size_t count = 0; count < commandsPerRound; ++count) {
+        auto command = inbox.tryPop();
+        if (!command) {
+            return;
+        }
+        table.carryOut(std::move(*command));
+    }
+    // There may be more; let the sockets have their turn first.
+    inbox.wakeup().signal();
+}
+
+void StreamServer::State::sweep()
+{
+    table.sweep();
+    {
+        const std::lock_guard lock(countsMutex);
+        published = table.counts();
+    }
+    if (stopAt && (!table.hasConnections() || std::chrono::steady_clock::now() >= *stopAt)) {
+        table.closeAll();
+        loop.stop();
+        return;
+    }
+    sweepTimer.expires_after(limits.progressInterval);
+    sweepTimer.async_wait([this](ErrorCode error) {
+        if (!error) {
+            sweep();
+        }
+    });
+}
+
+void StreamServer::State::beginStop(std::chrono::milliseconds limit)
+{
+    ErrorCode ignored;
+    acceptor.close(ignored);
+    stopAt = std::chrono::steady_clock::now() + limit;
+    table.closeIdleConnections();
+}
+
+StreamServer::StreamServer(
+    StreamLimits limits, DecisionInbox& decisions, StreamObserver& observer, logging::JsonLog& log)
+    : state_(std::make_unique<State>(limits, decisions, observer, log))
+{
+}
+
+StreamServer::~StreamServer() { stop(std::chrono::milliseconds(0)); }
+
+bool StreamServer::listen(const Endpoint& endpoint)
+{
+    ErrorCode error;
+    const auto fail = [&] {
+        state_->lastReason = toText(endpoint) + ": " + error.message();
+        return false;
+    };
+    const tcp::endpoint address(boost::asio::ip::make_address(endpoint.ip, error), endpoint.port);
+    if (error || state_->acceptor.open(address.protocol(), error)) {
+        return fail();
+    }
+    state_->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (state_->acceptor.bind(address, error)
+        || state_->acceptor.listen(tcp::acceptor::max_listen_connections, error)) {
+        return fail();
+    }
+    return true;
+}
+
+const std::string& StreamServer::lastReason() const noexcept { return state_->lastReason; }
+
+std::uint16_t StreamServer::port() const
+{
+    ErrorCode ignored;
+    return state_->acceptor.local_endpoint(ignored).port();
+}
+
+void StreamServer::start()
+{
+    state_->accept();
+    state_->awaitCommands();
+    state_->sweep();
+    state_->thread = std::thread([state = state_.get()] { state->loop.run(); });
+}
+
+void StreamServer::stop(std::chrono::milliseconds limit)
+{
+    if (!state_->thread.joinable()) {
+        return;
+    }
+    boost::asio::post(state_->loop, [state = state_.get(), limit] { state->beginStop(limit); });
+    state_->thread.join();
+}
+
+StreamInbox& StreamServer::inbox() noexcept { return state_->inbox; }
+
+StreamCounts StreamServer::counts() const
+{
+    const std::lock_guard lock(state_->countsMutex);
+    return state_->published;
+}
+
+} // namespace swiftlift::transport
--- /dev/null
+++ b/src/wire/PeerReader.cpp
@@ -0,0 +1,103 @@
+#include "wire/PeerReader.h"
+
+namespace swiftlift::wire::internal {
+
+namespace {
+
+    using proto::peer::Envelope;
+
+    GrantId read(const proto::ledger::Grant& in) { return { Incarnation(in.holder()), in.number() }; }
+
+    BudgetRef read(const proto::ledger::Budget& in) { return { AccountId(in.account()), BudgetId(in.budget()) }; }
+
+    template <typename Message> std::vector<ledger::Ceiling> readCeilings(const Message& in)
+    {
+        std::vector<ledger::Ceiling> ceilings;
+        for (const auto& ceiling : in.ceilings()) {
+            ceilings.push_back({ read(ceiling.grant()), Tokens(ceiling.ceiling()) });
+        }
+        return ceilings;
+    }
+
+    node::Heartbeat read(const proto::peer::Heartbeat& in)
+    {
+        node::Heartbeat heartbeat;
+        heartbeat.domain = FailureDomain(in.domain());
+        heartbeat.region = Region(in.region());
+        heartbeat.stopping = in.stopping();
+        heartbeat.logReachable = in.log_reachable();
+        for (const auto& position : in.positions()) {
+            heartbeat.positions.push_back({ StreamName(position.stream()), Offset(position.next_offset()) });
+        }
+        return heartbeat;
+    }
+
+    node::CeilingsRefused read(const proto::peer::CeilingsRefused& in)
+    {
+        node::CeilingsRefused refused;
+        for (const auto& grant : in.grants()) {
+            refused.grants.push_back(read(grant));
+        }
+        return refused;
+    }
+
+    node::LoanAsk read(const proto::peer::LoanAsk& in) { return { in.loan(), read(in.budget()), Tokens(in.tokens()) }; }
+
+    node::LoanGiven read(const proto::peer::LoanGiven& in)
+    {
+        return { in.loan(), read(in.budget()), read(in.grant()), Tokens(in.tokens()) };
+    }
+
+    node::LoanDenied read(const proto::peer::LoanDenied& in)
+    {
+        return { in.loan(), read(in.budget()), Tokens(in.free()) };
+    }
+
+    node::Records read(const proto::peer::Records& in)
+    {
+        return { StreamName(in.stream()), Offset(in.first_offset()), { in.records().begin(), in.records().end() } };
+    }
+
+} // namespace
+
+std::optional<node::PeerMessage> readMessage(const Envelope& in)
+{
+    switch (in.body_case()) {
+    case Envelope::kHeartbeat:
+        return read(in.heartbeat());
+    case Envelope::kRaiseCeilings:
+        return node::RaiseCeilings { readCeilings(in.raise_ceilings()) };
+    case Envelope::kCeilingsAcked:
+        return node::CeilingsAcked { readCeilings(in.ceilings_acked()) };
+    case Envelope::kCeilingsRefused:
+        return read(in.ceilings_refused());
+    case Envelope::kLoanAsk:
+        return read(in.loan_ask());
+    case Envelope::kLoanGiven:
+        return read(in.loan_given());
+    case Envelope::kLoanDenied:
+        return read(in.loan_denied());
+    case Envelope::kLoanDone:
+        return node::LoanDone { in.loan_done().loan(), Tokens(in.loan_done().billed()) };
+    case Envelope::kLoanDoneAcked:
+        return node::LoanDoneAcked { in.loan_done_acked().loan() };
+    case Envelope::kReadAsk:
+        return node::ReadAsk { StreamName(in.read_ask().stream()), Offset(in.read_ask().from()) };
+    case Envelope::kRecords:
+        return read(in.records());
+    case Envelope::kStreamState:
+        return node::StreamState { StreamName(in.stream_state().stream()), Offset(in.stream_state().as_of()),
+            in.stream_state().state() };
+    case Envelope::kRelayAppend:
+        return node::RelayAppend { StreamName(in.relay_append().stream()), in.relay_append().record() };
+    case Envelope::kCopyItems:
+        return node::CopyItems { StreamName(in.copy_items().stream()), in.copy_items().batch() };
+    case Envelope::kItemsCopied:
+        return node::ItemsCopied { StreamName(in.items_copied().stream()), in.items_copied().sequence() };
+    case Envelope::BODY_NOT_SET:
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+} // namespace swiftlift::wire::internal
--- /dev/null
+++ b/src/wire/PeerWriter.cpp
@@ -0,0 +1,145 @@
+#include "wire/PeerWriter.h"
+
+namespace swiftlift::wire::internal {
+
+namespace {
+
+    void write(const GrantId& grant, proto::ledger::Grant& out)
+    {
+        out.set_holder(grant.holder.value());
+        out.set_number(grant.number);
+    }
+
+    void write(const BudgetRef& budget, proto::ledger::Budget& out)
+    {
+        out.set_account(budget.account.value());
+        out.set_budget(budget.budget.value());
+    }
+
+    template <typename Message> void writeCeilings(const std::vector<ledger::Ceiling>& ceilings, Message& out)
+    {
+        for (const auto& ceiling : ceilings) {
+            auto& added = *out.add_ceilings();
+            write(ceiling.grant, *added.mutable_grant());
+            added.set_ceiling(ceiling.ceiling.value());
+        }
+    }
+
+} // namespace
+
+void write(const node::Heartbeat& message, proto::peer::Envelope& out)
+{
+    auto& body = *out.mutable_heartbeat();
+    body.set_domain(message.domain.value());
+    body.set_region(message.region.value());
+    body.set_stopping(message.stopping);
+    body.set_log_reachable(message.logReachable);
+    for (const auto& position : message.positions) {
+        auto& added = *body.add_positions();
+        added.set_stream(position.stream.value());
+        added.set_next_offset(position.next.value());
+    }
+}
+
+void write(const node::RaiseCeilings& message, proto::peer::Envelope& out)
+{
+    writeCeilings(message.ceilings, *out.mutable_raise_ceilings());
+}
+
+void write(const node::CeilingsAcked& message, proto::peer::Envelope& out)
+{
+    writeCeilings(message.ceilings, *out.mutable_ceilings_acked());
+}
+
+void write(const node::CeilingsRefused& message, proto::peer::Envelope& out)
+{
+    auto& body = *out.mutable_ceilings_refused();
+    for (const auto& grant : message.grants) {
+        write(grant, *body.add_grants());
+    }
+}
+
+void write(const node::LoanAsk& message, proto::peer::Envelope& out)
+{
+    auto& body = *out.mutable_loan_ask();
+    body.set_loan(message.loan);
+    write(message.budget, *body.mutable_budget());
+    body.set_tokens(message.amount.value());
+}
+
+void write(const node::LoanGiven& message, proto::peer::Envelope& out)
+{
+    auto& body = *out.mutable_loan_given();
+    body.set_loan(message.loan);
+    write(message.budget, *body.mutable_budget());
+    write(message.grant, *body.mutable_grant());
+    body.set_tokens(message.amount.value());
+}
+
+void write(const node::LoanDenied& message, proto::peer::Envelope& out)
+{
+    auto& body = *out.mutable_loan_denied();
+    body.set_loan(message.loan);
+    write(message.budget, *body.mutable_budget());
+    body.set_free(message.free.value());
+}
+
+void write(const node::LoanDone& message, proto::peer::Envelope& out)
+{
+    auto& body = *out.mutable_loan_done();
+    body.set_loan(message.loan);
+    body.set_billed(message.billed.value());
+}
+
+void write(const node::LoanDoneAcked& message, proto::peer::Envelope& out)
+{
+    out.mutable_loan_done_acked()->set_loan(message.loan);
+}
+
+void write(const node::ReadAsk& message, proto::peer::Envelope& out)
+{
+    auto& body = *out.mutable_read_ask();
+    body.set_stream(message.stream.value());
+    body.set_from(message.from.value());
+}
+
+void write(const node::Records& message, proto::peer::Envelope& out)
+{
+    auto& body = *out.mutable_records();
+    body.set_stream(message.stream.value());
+    body.set_first_offset(message.first.value());
+    for (const auto& record : message.records) {
+        body.add_records(record);
+    }
+}
+
+void write(const node::StreamState& message, proto::peer::Envelope& out)
+{
+    auto& body = *out.mutable_stream_state();
+    body.set_stream(message.stream.value());
+    body.set_as_of(message.asOf.value());
+    body.set_state(message.state);
+}
+
+void write(const node::RelayAppend& message, proto::peer::Envelope& out)
+{
+    auto& body = *out.mutable_relay_append();
+    body.set_stream(message.stream.value());
+    body.set_record(message.record);
+}
+
+void write(const node::CopyItems& message, proto::peer::Envelope& out)
+{
+    auto& body = *out.mutable_copy_items();
+    body.set_stream(message.stream.value());
+    body.set_batch(message.batch);
+}
+
+void write(const node::ItemsCopied& message, proto::peer::Envelope& out)
+{
+    auto& body = *out.mutable_items_copied();
+    body.set_stream(message.stream.value());
+    body.set_sequence(message.sequence);
+}
+
+} // namespace swiftlift::wire::internal
