Measure what piles up in an outage, what a change costs a core, and loans

Cause: the hour without the log, the burst of configuration and the cold budget had no slopes. Change: axes for bills not appended yet, copies kept for a peer, budgets held and idle, a change at a core that knows many engines, accounts in a document, and the four messages of a loan.

--- a/apps/capacity/Axis.h
+++ b/apps/capacity/Axis.h
@@ -52,6 +52,7 @@
 // Each adds the axes of one module.
 void addFoldAxes(Axes& axes);
 void addReadAxes(Axes& axes);
+void addOutboxAxes(Axes& axes);
 void addHolderAxes(Axes& axes);
 void addMembershipAxes(Axes& axes);
 void addRoutingAxes(Axes& axes);
--- a/apps/capacity/ConfigAxes.cpp
+++ b/apps/capacity/ConfigAxes.cpp
@@ -20,12 +20,13 @@
     class ConfigSample {
     public:
         /** @return Bytes of the record. */
-        std::size_t publish(std::size_t service, std::size_t backends, std::size_t revision)
+        std::size_t publish(
+            std::size_t service, std::size_t backends, std::size_t revision, std::size_t accounts = someAccounts)
         {
             const ServiceName name { serviceName(service) };
             config::PublishRequest request;
             request.service = name;
-            request.document = serviceDocument(service, backends, someAccounts, revision);
+            request.document = serviceDocument(service, backends, accounts, revision);
             if (const auto* last = fold_.last(name)) {
                 request.replaces = last->revision;
             }
@@ -114,6 +115,26 @@
         }
     };
 
+    /** As with engines: the document names every account that may call the service. */
+    class Accounts final : public Axis {
+    public:
+        Accounts()
+            : Axis("config.accounts", "accounts in a document", { 10, 40, 120, 270 })
+        {
+        }
+
+        [[nodiscard]] Measurements run(std::size_t size) const override
+        {
+            constexpr int changes = 5;
+            ConfigSample sample;
+            double bytes = 0;
+            for (std::size_t change = 0; change < changes; ++change) {
+                bytes += static_cast<double>(sample.publish(0, someBackends, change, size));
+            }
+            return { { "record", "B", bytes / changes }, { "CPU of a change", "us", sample.microseconds() / changes } };
+        }
+    };
+
 } // namespace
 
 void addConfigAxes(Axes& axes)
@@ -121,6 +142,7 @@
     axes.push_back(std::make_unique<Services>());
     axes.push_back(std::make_unique<Changes>());
     axes.push_back(std::make_unique<Engines>());
+    axes.push_back(std::make_unique<Accounts>());
 }
 
 } // namespace swiftlift::capacity
--- a/apps/capacity/CoreAxes.cpp
+++ b/apps/capacity/CoreAxes.cpp
@@ -3,6 +3,7 @@
 
 #include "capacity/Axis.h"
 #include "capacity/CoreWorld.h"
+#include "capacity/Meter.h"
 
 namespace swiftlift::capacity {
 
@@ -122,6 +123,35 @@
         }
     };
 
+    /** A change of one service, at a core that knows the engines of all of them. */
+    class ConfigChange final : public Axis {
+    public:
+        ConfigChange()
+            : Axis("core.config_change", "services of 316 engines known", { 1, 4, 12, 38 })
+        {
+        }
+
+        [[nodiscard]] Measurements run(std::size_t size) const override
+        {
+            constexpr std::size_t enginesOfService = 316;
+            constexpr int changes = 4;
+            CoreWorldSettings settings;
+            settings.services = size;
+            settings.engines = enginesOfService;
+            const Meter memory;
+            CoreWorld world(settings);
+            world.run(warmUp);
+            const double heap = memory.bytes();
+            world.resetCounts();
+            for (int change = 0; change < changes; ++change) {
+                world.publish(0);
+                world.run(20ms);
+            }
+            return { { "CPU of a change", "us", world.microseconds() / changes },
+                { "heap of two cores and their log", "B", heap } };
+        }
+    };
+
     class LedgerStreams final : public WorldAxis {
     public:
         LedgerStreams()
@@ -150,6 +180,32 @@
         }
     };
 
+    /** Budgets that were drawn on and are still held: what they cost when nobody asks for them any more. */
+    class BudgetsHeld final : public Axis {
+    public:
+        BudgetsHeld()
+            : Axis("core.held_budgets", "budgets held and idle", { 50, 200, 800, 1'600 })
+        {
+        }
+
+        [[nodiscard]] Measurements run(std::size_t size) const override
+        {
+            constexpr std::size_t rounds = 2;
+            CoreWorldSettings settings;
+            settings.accounts = size;
+            settings.requestsPerSecond = static_cast<double>(size) / rounds;
+            CoreWorld world(settings);
+            world.run(std::chrono::seconds(rounds + 1));
+            world.setRequestRate(0);
+            world.run(warmUp);
+            world.resetCounts();
+            world.run(std::chrono::seconds(measuredSeconds));
+            return { { "CPU of a second", "us", world.microseconds() / measuredSeconds },
+                { "peer messages sent", "1/s", world.counts().messages / measuredSeconds },
+                { "appends", "1/s", world.counts().appends / measuredSeconds } };
+        }
+    };
+
 } // namespace
 
 void addCoreAxes(Axes& axes)
@@ -159,6 +215,8 @@
     axes.push_back(std::make_unique<EnginesReported>());
     axes.push_back(std::make_unique<EnginesUsed>());
     axes.push_back(std::make_unique<BudgetsInUse>());
+    axes.push_back(std::make_unique<BudgetsHeld>());
+    axes.push_back(std::make_unique<ConfigChange>());
     axes.push_back(std::make_unique<LedgerStreams>());
     axes.push_back(std::make_unique<ForeignRecords>());
 }
--- a/apps/capacity/CoreWorld.cpp
+++ b/apps/capacity/CoreWorld.cpp
@@ -40,7 +40,9 @@
     , now_(1h)
 {
     openLedger();
-    publishService();
+    for (std::size_t service = 0; service < settings_.services; ++service) {
+        publish(service);
+    }
     startCores();
 }
 
@@ -67,14 +69,19 @@
     streams_[stream].push_back(ledger::encode(batch));
 }
 
-void CoreWorld::publishService()
+void CoreWorld::publish(std::size_t service)
 {
+    auto& stream = streams_[StreamName { "config" }];
     config::PublishRequest request;
-    request.service = ServiceName { serviceName(0) };
-    request.document = serviceDocument(0, settings_.engines, settings_.accounts, 0);
+    request.service = ServiceName { serviceName(service) };
+    request.document = serviceDocument(service, settings_.engines, settings_.accounts, stream.size());
+    if (const auto last = revisions_.find(service); last != revisions_.end()) {
+        request.replaces = Offset { last->second };
+    }
     request.author = "operator";
-    request.id = 1;
-    streams_[StreamName { "config" }].push_back(config::encode(request));
+    request.id = stream.size() + 1;
+    revisions_[service] = stream.size();
+    stream.push_back(config::encode(request));
 }
 
 void CoreWorld::startCores()
--- a/apps/capacity/CoreWorld.h
+++ b/apps/capacity/CoreWorld.h
@@ -20,7 +20,8 @@
     std::uint32_t ledgerShards = 1;
     /** Client accounts with one budget each. */
     std::size_t accounts = 10;
-    /** Engines of the one service. */
+    std::size_t services = 1;
+    /** Engines of each service; requests go to the first one. */
     std::size_t engines = 20;
     /** Requests a second, to the measured core, over the accounts in turn. */
     double requestsPerSecond = 0;
@@ -56,6 +57,9 @@
     explicit CoreWorld(CoreWorldSettings settings);
 
     void run(Duration duration);
+    void setRequestRate(double requestsPerSecond) { settings_.requestsPerSecond = requestsPerSecond; }
+    /** Appends a new revision of the service; the cores read it with the next step. */
+    void publish(std::size_t service);
     /** Forgets what was counted; processor time too. */
     void resetCounts();
 
@@ -82,7 +86,6 @@
     };
 
     void openLedger();
-    void publishService();
     void startCores();
     void step();
     void deliver(std::size_t vm, const node::Event& event);
@@ -107,6 +110,7 @@
     std::uint64_t steps_ = 0;
     std::uint64_t requests_ = 0;
     std::uint64_t foreignBills_ = 0;
+    std::map<std::size_t, std::uint64_t> revisions_;
     double owedRequests_ = 0;
     double owedForeign_ = 0;
     CoreWorldCounts counts_;
--- a/apps/capacity/Main.cpp
+++ b/apps/capacity/Main.cpp
@@ -15,6 +15,7 @@
     Axes axes;
     addFoldAxes(axes);
     addReadAxes(axes);
+    addOutboxAxes(axes);
     addHolderAxes(axes);
     addMembershipAxes(axes);
     addRoutingAxes(axes);
--- a/apps/capacity/WireAxes.cpp
+++ b/apps/capacity/WireAxes.cpp
@@ -1,3 +1,4 @@
+#include <cstdint>
 #include <string>
 #include <utility>
 #include <vector>
@@ -69,12 +70,45 @@
         }
     };
 
+    /** A loan's four messages: asked for, given, done, acknowledged. */
+    class Loans final : public Axis {
+    public:
+        Loans()
+            : Axis("wire.loans", "loans", { 1, 10, 100, 1'000 })
+        {
+        }
+
+        [[nodiscard]] Measurements run(std::size_t size) const override
+        {
+            double bytes = 0;
+            const Meter meter;
+            for (std::uint64_t loan = 1; loan <= size; ++loan) {
+                const BudgetRef budget = budgetName(loan);
+                const node::PeerMessage messages[] = { node::LoanAsk { loan, budget, lent },
+                    node::LoanGiven { loan, budget, { firstRouter, 1 }, lent }, node::LoanDone { loan, lent },
+                    node::LoanDoneAcked { loan } };
+                for (const auto& message : messages) {
+                    const std::string text = wire::encodePeerEnvelope(
+                        { Incarnation { 1 }, PeerAddress { "10.1.0.1:7400" }, Incarnation { 2 }, message });
+                    bytes += static_cast<double>(text.size());
+                    (void)wire::decodePeerEnvelope(text);
+                }
+            }
+            return { { "bytes of all messages", "B", bytes },
+                { "CPU to encode and decode", "us", meter.microseconds() } };
+        }
+
+    private:
+        static constexpr Tokens lent { 1'000 };
+    };
+
 } // namespace
 
 void addWireAxes(Axes& axes)
 {
     axes.push_back(std::make_unique<Ceilings>());
     axes.push_back(std::make_unique<RelayedItems>());
+    axes.push_back(std::make_unique<Loans>());
 }
 
 } // namespace swiftlift::capacity
