Bound heartbeats in a large domain and the memory of prefixes

Cause: a trial with 21 routers in a domain gave 40 heartbeats a second to them alone, 92 bytes each with two stream positions: over the allowance of 3 KB a second. A trial with 632 backend servers held 186 KB of prefixes for each. Change: six peers of the domain in each period, in turn; witness, holder and whoever is watched are still heard in every period, with the short limit. The table shares 65,536 prefixes among its backend servers. Ruled out: a longer period for all, which would slow down the seal of a dead holder's grant; small domains, as today's, keep every peer in every period. Conclusion: the limit for peers that are neither witness nor watched grows with the domain, to six seconds at 21 routers.

--- a/include/swiftlift/membership/Membership.h
+++ b/include/swiftlift/membership/Membership.h
@@ -122,8 +122,10 @@
     void planAnswers(Instant now, MembershipActions& actions);
     void planHeartbeats(Instant now, MembershipActions& actions);
     void planSend(const PeerAddress& address, Instant now, MembershipActions& actions);
+    void refreshRotations();
     [[nodiscard]] std::set<PeerAddress> everyPeriod() const;
     [[nodiscard]] std::set<PeerAddress> known() const;
+    [[nodiscard]] Duration turn(const Rotation& rotation, std::uint32_t perPeriod) const;
     [[nodiscard]] Duration limitFor(Incarnation incarnation, const Peer& peer) const;
     [[nodiscard]] Duration silenceOf(Incarnation incarnation, const Peer& peer, Instant now) const;
     [[nodiscard]] bool inDomain(const PeerAddress& address) const;
@@ -146,7 +148,8 @@
     std::map<Incarnation, Instant> watched_;
     std::set<PeerAddress> answers_;
     std::unordered_map<PeerAddress, Instant> lastSent_;
-    Rotation rotation_;
+    Rotation domainRotation_;
+    Rotation distantRotation_;
     std::vector<MembershipEvent> events_;
     std::optional<Incarnation> witness_;
     Instant witnessSince_ {};
--- a/include/swiftlift/membership/MembershipSettings.h
+++ b/include/swiftlift/membership/MembershipSettings.h
@@ -27,13 +27,16 @@
     std::uint64_t seed = 1;
 
     Duration heartbeatPeriod = std::chrono::milliseconds(500);
-    /** A peer heard in every period is suspected after this long without a word. */
+    /** A peer that speaks in every period is suspected after this long without a word. */
     Duration silenceLimit = std::chrono::seconds(3);
     /** A longer gap between two ticks is this process's own pause. */
     Duration pauseThreshold = std::chrono::seconds(1);
     /** A suspected peer that the platform no longer lists is forgotten after this long. */
     Duration forgetAfter = std::chrono::minutes(2);
-    /** Heartbeats per period to peers beyond the failure domain. */
+    /** Heartbeats per period to peers of the own failure domain, in turn; a domain of no more peers hears all of them.
+     */
+    std::uint32_t domainPerPeriod = 6;
+    /** Heartbeats per period to peers beyond the failure domain, in turn. */
     std::uint32_t distantPerPeriod = 2;
     WitnessPolicy witnessPolicy = WitnessPolicy::OtherDomainWhenAlone;
 };
--- a/include/swiftlift/routing/BackendTable.h
+++ b/include/swiftlift/routing/BackendTable.h
@@ -36,8 +36,10 @@
     Duration fullPause = std::chrono::milliseconds(100);
     /** How long a sign of leaving holds against reports that don't confirm it. */
     Duration leavingHold = std::chrono::seconds(30);
-    /** Prefixes remembered of each backend server. */
+    /** Prefixes remembered of each backend server, at most. */
     std::size_t prefixesKept = 2048;
+    /** Prefixes remembered of all backend servers together: the bound of the table's memory. */
+    std::size_t prefixesInAll = 65'536;
     /** Requests an engine is taken to run at once before it has been seen to let any wait. */
     std::uint32_t assumedSlots = 8;
     /** What an engine is taken to need for a prompt token that is not cached, before it has been measured. */
@@ -124,6 +126,7 @@
 private:
     [[nodiscard]] Backend* find(const BackendId& backend) const;
     void removeUnused();
+    void sharePrefixMemory();
 
     TableSettings settings_;
     std::unique_ptr<PrefillModel> prefill_;
--- a/src/membership/Heartbeats.cpp
+++ b/src/membership/Heartbeats.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-    // Of its turns in the rotation, how many a peer beyond the domain may miss before it is suspected.
+    // Of its turns, how many a peer may miss before it is suspected.
     constexpr std::int64_t missedTurns = 3;
 
 } // namespace
@@ -40,7 +40,10 @@
     for (const PeerAddress& address : everyPeriod()) {
         planSend(address, now, actions);
     }
-    for (const PeerAddress& address : rotation_.next(settings_.distantPerPeriod)) {
+    for (const PeerAddress& address : domainRotation_.next(settings_.domainPerPeriod)) {
+        planSend(address, now, actions);
+    }
+    for (const PeerAddress& address : distantRotation_.next(settings_.distantPerPeriod)) {
         planSend(address, now, actions);
     }
 }
@@ -55,16 +58,13 @@
     actions.heartbeats.push_back(address);
 }
 
+// Witness and holder watch each other, so these few are heard in every period whatever the size of the fleet: how soon
+// a dead holder's grant is sealed depends on them alone.
 std::set<PeerAddress> Membership::everyPeriod() const
 {
     std::set<PeerAddress> addresses;
-    for (const auto& [address, vm] : listed_) {
-        if (inDomain(address)) {
-            addresses.insert(address);
-        }
-    }
     for (const auto& [incarnation, peer] : peers_) {
-        if (inDomain(peer.address) || watched_.contains(incarnation) || witness_ == incarnation) {
+        if (watched_.contains(incarnation) || witness_ == incarnation) {
             addresses.insert(peer.address);
         }
     }
@@ -76,34 +76,46 @@
 
 std::set<PeerAddress> Membership::known() const
 {
-    std::set<PeerAddress> addresses;
-    const auto add = [&](const PeerAddress& address) {
-        if (address != settings_.address && !inDomain(address)) {
-            addresses.insert(address);
-        }
-    };
-    for (const PeerAddress& seed : settings_.seeds) {
-        add(seed);
-    }
+    std::set<PeerAddress> addresses { settings_.seeds.begin(), settings_.seeds.end() };
     for (const auto& [address, vm] : listed_) {
-        add(address);
+        addresses.insert(address);
     }
     for (const auto& [address, incarnation] : current_) {
-        add(address);
+        addresses.insert(address);
     }
+    addresses.erase(settings_.address);
     return addresses;
 }
 
-// Peers beyond the domain speak once in a rotation, which grows with the fleet. Judged by the limit of the domain all
-// of them would be suspected and recover, over and over.
+void Membership::refreshRotations()
+{
+    std::set<PeerAddress> domain;
+    std::set<PeerAddress> distant;
+    for (const PeerAddress& address : known()) {
+        (inDomain(address) ? domain : distant).insert(address);
+    }
+    domainRotation_.assign(domain, random_);
+    distantRotation_.assign(distant, random_);
+}
+
+Duration Membership::turn(const Rotation& rotation, std::uint32_t perPeriod) const
+{
+    const std::size_t most = std::max<std::size_t>(perPeriod, 1);
+    const std::size_t periods = (rotation.size() + most - 1) / most;
+    return static_cast<std::int64_t>(std::max<std::size_t>(periods, 1)) * settings_.heartbeatPeriod;
+}
+
+// Peers speak once in a turn, which grows with the domain and the fleet. Judged by the limit of those that speak in
+// every period, all of them would be suspected and recover, over and over.
 Duration Membership::limitFor(Incarnation incarnation, const Peer& peer) const
 {
-    if (distance(peer) == 0 || watched_.contains(incarnation) || witness_ == incarnation) {
+    if (watched_.contains(incarnation) || witness_ == incarnation) {
         return settings_.silenceLimit;
     }
-    const std::int64_t perPeriod = std::max<std::int64_t>(settings_.distantPerPeriod, 1);
-    const auto periods = static_cast<std::int64_t>(rotation_.size()) / perPeriod + 1;
-    return std::max(settings_.silenceLimit, missedTurns * periods * settings_.heartbeatPeriod);
+    const bool near = distance(peer) == 0;
+    const Duration wait
+        = near ? turn(domainRotation_, settings_.domainPerPeriod) : turn(distantRotation_, settings_.distantPerPeriod);
+    return std::max(settings_.silenceLimit, missedTurns * wait);
 }
 
 // A peer that has just come under watch was heard when its turn was, not as often as the short limit asks.
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -20,7 +20,7 @@
     , random_(settings_.seed)
 {
     assert(settings_.self != Incarnation {} && "an incarnation is never 0");
-    rotation_.assign(known(), random_);
+    refreshRotations();
 }
 
 void Membership::onHeartbeat(Incarnation from, const PeerAddress& address, const HeartbeatFacts& facts, Instant now)
@@ -48,7 +48,7 @@
     current_[address] = from;
     candidates_.erase(address);
     events_.emplace_back(Joined { from, address, facts.domain });
-    rotation_.assign(known(), random_);
+    refreshRotations();
     answer(address, now);
 }
 
@@ -92,7 +92,7 @@
     peer.lastHeard = now;
     candidates_.erase(peer.address);
     if (moved) {
-        rotation_.assign(known(), random_);
+        refreshRotations();
     }
     if (peer.state == PeerState::Suspected) {
         peer.state = PeerState::Alive;
@@ -114,7 +114,7 @@
         }
         listed_[vm.address] = Listed { vm.domain, vm.region, vm.leaving };
     }
-    rotation_.assign(known(), random_);
+    refreshRotations();
 }
 
 void Membership::retire(Incarnation incarnation)
@@ -146,7 +146,7 @@
     current_.erase(address);
     candidates_.erase(address);
     peers_.erase(found);
-    rotation_.assign(known(), random_);
+    refreshRotations();
 }
 
 void Membership::setWatched(const std::vector<Incarnation>& watched, Instant now)
--- a/src/routing/Backend.h
+++ b/src/routing/Backend.h
@@ -32,6 +32,7 @@
     [[nodiscard]] BackendView view(const ViewRequest& request, Instant now) const;
     [[nodiscard]] const std::set<std::string>& models() const noexcept { return models_; }
     [[nodiscard]] bool idle() const noexcept { return load_.inFlight() == 0; }
+    void setPrefixesKept(std::size_t count) { cache_.setCapacity(count); }
     void setDomain(FailureDomain domain) { entry_.domain = std::move(domain); }
 
 private:
--- a/src/routing/BackendTable.cpp
+++ b/src/routing/BackendTable.cpp
@@ -1,5 +1,6 @@
 #include "swiftlift/routing/BackendTable.h"
 
+#include <algorithm>
 #include <functional>
 #include <utility>
 
@@ -35,6 +36,19 @@
         services_[service] = std::move(ids);
     }
     removeUnused();
+    sharePrefixMemory();
+}
+
+void BackendTable::sharePrefixMemory()
+{
+    if (backends_.empty()) {
+        return;
+    }
+    const std::size_t share
+        = std::clamp<std::size_t>(settings_.prefixesInAll / backends_.size(), 1, settings_.prefixesKept);
+    for (const auto& [id, backend] : backends_) {
+        backend->setPrefixesKept(share);
+    }
 }
 
 void BackendTable::tick(Instant /*now*/)
--- a/src/routing/PrefixCache.cpp
+++ b/src/routing/PrefixCache.cpp
@@ -70,11 +70,22 @@
     }
     entries_.push_front(Entry { prefix, 0, hashedTokens });
     index_[prefix] = entries_.begin();
-    if (entries_.size() > capacity_) {
+    shrink();
+    return entries_.front();
+}
+
+void PrefixCache::shrink()
+{
+    while (entries_.size() > capacity_) {
         index_.erase(entries_.back().prefix);
         entries_.pop_back();
     }
-    return entries_.front();
+}
+
+void PrefixCache::setCapacity(std::size_t capacity)
+{
+    capacity_ = capacity;
+    shrink();
 }
 
 void PrefixCache::forget(std::uint64_t prefix)
--- a/src/routing/PrefixCache.h
+++ b/src/routing/PrefixCache.h
@@ -24,6 +24,7 @@
     /** @brief A request with this prefix has run: it is cached now, and `cached` tells what was before. */
     void onAnswer(std::uint64_t prefix, Tokens promptTokens, Tokens cached);
     void clear();
+    void setCapacity(std::size_t capacity);
 
     /** @return Tokens of the prompt that need not be computed, weighed by how far the knowledge is trusted. */
     [[nodiscard]] Tokens expected(std::uint64_t prefix, Tokens promptTokens) const;
@@ -38,6 +39,7 @@
     };
     using Entries = std::list<Entry>;
 
+    void shrink();
     Entry& touch(std::uint64_t prefix);
     void forget(std::uint64_t prefix);
     void distrust();
--- a/tests/config/ConfigFoldTest.cpp
+++ b/tests/config/ConfigFoldTest.cpp
@@ -122,6 +122,8 @@
         (void)append(record);
         (void)std::get<Withdrawn>(append(publish("", Offset { 0 }, 0)));
         EXPECT_EQ(fold_.current(desk), nullptr);
+        const auto twice = std::get<Rejected>(append(publish("", Offset { 1 }, 0)));
+        EXPECT_EQ(twice.reason, RejectReason::Invalid);
         EXPECT_EQ(std::get<Rejected>(append(record)).reason, RejectReason::Overtaken);
         EXPECT_TRUE(fold_.services().empty());
         (void)std::get<Accepted>(append(publish(document("desk", 5), fold_.last(desk)->revision, 9)));
