--- a/apps/capacity/FoldAxes.cpp
+++ b/apps/capacity/FoldAxes.cpp
@@ -96,14 +96,13 @@
         [[nodiscard]] Measurements run(std::size_t size) const override
         {
             LedgerSample sample;
-            sample.addBudgets(1);
-            sample.addGrants(1, 1, 1);
+            sample.addLargeGrant();
             const Meter meter;
             constexpr std::size_t itemsPerRecord = 256;
             for (std::size_t first = 0; first < size; first += itemsPerRecord) {
                 std::vector<ledger::Entry> bills;
                 for (std::size_t key = first; key < first + itemsPerRecord; ++key) {
-                    bills.emplace_back(ledger::Bill { requestKey(key), { firstRouter, 1 }, Tokens { 0 } });
+                    bills.emplace_back(bill(key));
                 }
                 sample.append(firstRouter, std::move(bills));
             }
--- a/apps/capacity/LedgerSample.cpp
+++ b/apps/capacity/LedgerSample.cpp
@@ -16,6 +16,13 @@
     constexpr Tokens topUp { 1'000'000'000 };
     constexpr Tokens grantSize { 10'000 };
 
+    /** @return A witnessed draw of a router on budget `number`. */
+    [[nodiscard]] ledger::Draw draw(Incarnation holder, std::uint32_t grant, std::size_t number, Tokens wanted)
+    {
+        return { GrantId { holder, grant }, budgetName(number), wanted, Tokens { 1 },
+            Incarnation { holder.value() + 1 } };
+    }
+
 } // namespace
 
 AccountId accountName(std::size_t number) { return AccountId { "account-" + std::to_string(100'000 + number) }; }
@@ -34,11 +41,7 @@
 
 ledger::OpenAccount openAccount(std::size_t number) { return { accountName(number), std::string(keyHashLength, 'a') }; }
 
-ledger::Draw draw(Incarnation holder, std::uint32_t grant, std::size_t number)
-{
-    return { GrantId { holder, grant }, budgetName(number), grantSize, Tokens { 1 },
-        Incarnation { holder.value() + 1 } };
-}
+ledger::Bill bill(std::size_t key) { return { requestKey(key), { firstRouter, 1 }, sampleBill }; }
 
 ledger::Batch LedgerSample::batch(Incarnation origin, std::vector<ledger::Entry> entries)
 {
@@ -79,13 +82,19 @@
     appendAll(operatorOrigin, entries);
 }
 
+void LedgerSample::addLargeGrant()
+{
+    addBudgets(1);
+    append(firstRouter, { draw(firstRouter, 1, 0, topUp) });
+}
+
 void LedgerSample::addGrants(std::size_t grants, std::size_t budgets, std::size_t routers)
 {
     std::vector<std::vector<ledger::Entry>> byRouter(routers);
     for (std::size_t grant = 0; grant < grants; ++grant) {
         const Incarnation holder { firstRouter.value() + grant % routers };
         const auto number = static_cast<std::uint32_t>(grant / routers + 1);
-        byRouter[grant % routers].emplace_back(draw(holder, number, grant % budgets));
+        byRouter[grant % routers].emplace_back(draw(holder, number, grant % budgets, grantSize));
     }
     for (std::size_t router = 0; router < routers; ++router) {
         appendAll(Incarnation { firstRouter.value() + router }, byRouter[router]);
--- a/apps/capacity/LedgerSample.h
+++ b/apps/capacity/LedgerSample.h
@@ -20,8 +20,10 @@
 [[nodiscard]] BudgetRef budgetName(std::size_t number);
 [[nodiscard]] RequestKey requestKey(std::size_t number);
 [[nodiscard]] ledger::OpenAccount openAccount(std::size_t number);
-/** @return A witnessed draw of a router on budget `number`. */
-[[nodiscard]] ledger::Draw draw(Incarnation holder, std::uint32_t grant, std::size_t number);
+/** What a sample request costs: prompt and answer. */
+inline constexpr Tokens sampleBill { 840 };
+/** @return A bill of the first router's first grant. */
+[[nodiscard]] ledger::Bill bill(std::size_t key);
 
 /** @brief A ledger stream in memory and the fold over it. */
 class LedgerSample {
@@ -34,6 +36,8 @@
     void addBudgets(std::size_t budgets);
     /** Every router of `routers` draws on budgets in turn until there are `grants` open grants. */
     void addGrants(std::size_t grants, std::size_t budgets, std::size_t routers);
+    /** One budget, and on it one grant of the first router that covers any number of sample bills. */
+    void addLargeGrant();
     /** @return The next record of `origin`, not applied. */
     [[nodiscard]] ledger::Batch batch(Incarnation origin, std::vector<ledger::Entry> entries);
 
--- a/apps/capacity/OutboxAxes.cpp
+++ b/apps/capacity/OutboxAxes.cpp
@@ -16,10 +16,6 @@
 
     using namespace std::chrono_literals;
 
-    constexpr Tokens billed { 840 };
-
-    [[nodiscard]] ledger::Bill billOf(std::size_t key) { return { requestKey(key), { firstRouter, 1 }, billed }; }
-
     /** Items that pile up while the log is out of reach, and what it takes to hand them over afterwards. */
     class Pending final : public Axis {
     public:
@@ -33,7 +29,7 @@
             const Meter memory;
             ledger::Outbox outbox(firstRouter);
             for (std::size_t key = 0; key < size; ++key) {
-                outbox.add(billOf(key));
+                outbox.add(bill(key));
             }
             const double heap = memory.bytes();
             const Meter processor;
@@ -66,7 +62,7 @@
             LedgerSample sample;
             std::vector<ledger::Entry> bills;
             for (std::size_t key = 0; key < size; ++key) {
-                bills.emplace_back(billOf(key));
+                bills.emplace_back(bill(key));
             }
             const ledger::Batch batch = sample.batch(firstRouter, std::move(bills));
             const Meter meter;
--- a/apps/capacity/ReadAxes.cpp
+++ b/apps/capacity/ReadAxes.cpp
@@ -21,15 +21,14 @@
     [[nodiscard]] ReadCost readBills(std::size_t records, std::size_t itemsPerRecord)
     {
         LedgerSample sample;
-        sample.addBudgets(1);
-        sample.addGrants(1, 1, 1);
+        sample.addLargeGrant();
         ReadCost cost;
         std::vector<std::string> encoded;
         std::size_t key = 0;
         for (std::size_t record = 0; record < records; ++record) {
             std::vector<ledger::Entry> bills;
             for (std::size_t item = 0; item < itemsPerRecord; ++item) {
-                bills.emplace_back(ledger::Bill { requestKey(++key), { firstRouter, 1 }, Tokens { 0 } });
+                bills.emplace_back(bill(++key));
             }
             const ledger::Batch batch = sample.batch(firstRouter, std::move(bills));
             const Meter meter;
--- a/apps/capacity/WireAxes.cpp
+++ b/apps/capacity/WireAxes.cpp
@@ -63,7 +63,7 @@
             LedgerSample sample;
             std::vector<ledger::Entry> bills;
             for (std::size_t key = 0; key < size; ++key) {
-                bills.emplace_back(ledger::Bill { requestKey(key), { firstRouter, 1 }, Tokens { 600 } });
+                bills.emplace_back(bill(key));
             }
             const auto batch = sample.batch(firstRouter, std::move(bills));
             return codecCost(node::RelayAppend { StreamName { "ledger-0" }, ledger::encode(batch) });
