Show operators who sees what, and which VM holds a grant

Cause: on a run of six routers, `vms` printed six nearly equal tables, and a holder was only an incarnation. Ruled out: asking one router, whose view during a partition is not the fleet's.

--- a/apps/ctl/Routers.cpp
+++ b/apps/ctl/Routers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <future>
+#include <set>
 #include <utility>
 
 #include "ctl/Http.h"
@@ -60,6 +61,65 @@
         return routers;
     }
 
+    /** @return The list under the key; empty when the answer has none. */
+    [[nodiscard]] Json listOf(const RouterAnswer& answer, const std::string& key)
+    {
+        const bool has = answer.json && answer.json->is_object() && answer.json->contains(key);
+        return has && (*answer.json)[key].is_array() ? (*answer.json)[key] : Json::array();
+    }
+
+    /** @return The text under the key; empty when there is none. A router of another release may say other things. */
+    [[nodiscard]] std::string textOf(const Json& object, const std::string& key)
+    {
+        const bool has = object.contains(key) && object[key].is_string();
+        return has ? object[key].get<std::string>() : std::string();
+    }
+
+    /** What some routers say alike of one VM or backend server. */
+    struct SharedRow {
+        Json row;
+        std::set<std::string> seenBy;
+    };
+
+    /** @return What the routers say, equal rows once, those of the same VM or backend server next to each other. */
+    [[nodiscard]] std::vector<SharedRow> mergeViews(const RouterAnswers& answers, const std::string& topic)
+    {
+        std::vector<SharedRow> rows;
+        for (const auto& answer : answers) {
+            for (const auto& row : listOf(answer, topic)) {
+                auto same = std::find_if(rows.begin(), rows.end(), [&](const auto& each) { return each.row == row; });
+                if (same == rows.end()) {
+                    same = rows.insert(rows.end(), { row, {} });
+                }
+                same->seenBy.insert(answer.router.value());
+            }
+        }
+        const auto nameOf = [](const SharedRow& each) {
+            const auto* const key = each.row.contains("backend") ? "backend" : "peer";
+            return each.row.is_object() && each.row.contains(key) ? each.row[key].dump() : std::string();
+        };
+        std::stable_sort(rows.begin(), rows.end(),
+            [&](const SharedRow& left, const SharedRow& right) { return nameOf(left) < nameOf(right); });
+        return rows;
+    }
+
+    /** @return `all`, or whichever is shorter: who sees it, or all but whom. */
+    [[nodiscard]] std::string seenByText(const std::set<std::string>& seenBy, const RouterAnswers& answers)
+    {
+        std::string seen;
+        std::string unseen;
+        for (const auto& answer : answers) {
+            if (answer.json) {
+                auto& text = seenBy.contains(answer.router.value()) ? seen : unseen;
+                text += (text.empty() ? "" : ", ") + answer.router.value();
+            }
+        }
+        if (unseen.empty()) {
+            return "all";
+        }
+        return unseen.size() < seen.size() ? "all but " + unseen : seen;
+    }
+
     [[nodiscard]] Report noRouter(const RouterAnswers& answers)
     {
         const auto reason = answers.empty() ? "the settings name no routers (routers.operators)" : "no router answers";
@@ -69,17 +129,10 @@
         return report;
     }
 
-    /** @return The list under the key; empty when the answer has none. */
-    [[nodiscard]] Json listOf(const RouterAnswer& answer, const std::string& key)
-    {
-        const bool has = answer.json && answer.json->is_object() && answer.json->contains(key);
-        return has && (*answer.json)[key].is_array() ? (*answer.json)[key] : Json::array();
-    }
-
     /** @return One decision on one line, its kind and its age first. */
     [[nodiscard]] std::string decisionText(const Json& decision)
     {
-        std::string text = decision.value("kind", std::string("decision"));
+        std::string text = textOf(decision, "kind");
         for (const auto& [key, value] : decision.items()) {
             if (key != "kind") {
                 text += ' ' + key + '=' + (value.is_string() ? value.get<std::string>() : value.dump());
@@ -162,23 +215,13 @@
     if (!anyAnswered(answers)) {
         return noRouter(answers);
     }
-    std::vector<std::pair<Json, std::string>> views;
-    for (const auto& answer : answers) {
-        if (!answer.json) {
-            continue;
-        }
-        const auto same
-            = std::find_if(views.begin(), views.end(), [&](const auto& view) { return view.first == *answer.json; });
-        if (same == views.end()) {
-            views.emplace_back(*answer.json, answer.router.value());
-        } else {
-            same->second += ", " + answer.router.value();
-        }
-    }
-    std::string text;
-    for (const auto& [json, seenBy] : views) {
-        text += "as seen by " + seenBy + ":\n" + readable(json) + '\n';
+    auto rows = mergeViews(answers, topic);
+    Json list = Json::array();
+    for (auto& row : rows) {
+        row.row["seen_by"] = seenByText(row.seenBy, answers);
+        list.push_back(std::move(row.row));
     }
+    const auto text = list.empty() ? "no router tells of any\n" : readable(list);
     return { ExitCode::Ok, text + unreachableText(answers), { { "routers", toJson(answers) } } };
 }
 
@@ -201,13 +244,32 @@
     return { code, text + unreachableText(answers), { { "request", request }, { "routers", toJson(answers) } } };
 }
 
+VmNames vmNames(Routers& routers)
+{
+    VmNames names;
+    const auto note = [&](const Json& row) {
+        if (row.is_object() && row.contains("incarnation") && row.contains("peer")) {
+            names.emplace(textOf(row, "incarnation"), textOf(row, "peer"));
+        }
+    };
+    for (const auto& answer : routers.askAll("/status")) {
+        note(answer.json.value_or(Json()));
+    }
+    for (const auto& answer : routers.askAll("/vms")) {
+        for (const auto& row : listOf(answer, "vms")) {
+            note(row);
+        }
+    }
+    return names;
+}
+
 void addHoldings(Routers& routers, const std::optional<AccountId>& account, Report& report)
 {
     const auto answers = routers.askAll("/budgets");
     Json holdings = Json::array();
     for (const auto& answer : answers) {
         for (auto holding : listOf(answer, "holdings")) {
-            if (!holding.is_object() || (account && holding.value("account", std::string()) != account->value())) {
+            if (!holding.is_object() || (account && textOf(holding, "account") != account->value())) {
                 continue;
             }
             holding["router"] = answer.router.value();
--- a/apps/ctl/Routers.h
+++ b/apps/ctl/Routers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -49,12 +50,20 @@
 /** @brief What each router says of itself. */
 [[nodiscard]] Report routerStatus(Routers& routers);
 
-/** @brief Each router's view of `topic`: `vms` or `backends`. Cut off from each other, routers see different things. */
+/**
+ * @brief What the routers see: `vms` or `backends`. Cut off from each other, they see different things; each row says
+ * who sees it.
+ */
 [[nodiscard]] Report routerViews(Routers& routers, const std::string& topic);
 
 /** @brief The decisions of every router on a caller's request. */
 [[nodiscard]] Report explainRequest(Routers& routers, const std::string& request);
 
+/** VM of each incarnation that the reachable routers know, by its peer address. */
+using VmNames = std::map<std::string, std::string>;
+
+[[nodiscard]] VmNames vmNames(Routers& routers);
+
 /**
  * @brief Adds what the reachable routers hold now to a report of the ledger.
  * @param account Only of this account; nothing: of all.
--- a/apps/ctl/Run.cpp
+++ b/apps/ctl/Run.cpp
@@ -172,7 +172,7 @@
         {
             const auto account
                 = line_.arguments.empty() ? std::nullopt : std::optional(AccountId(line_.arguments.front()));
-            auto report = listBudgets(log_, settings_.ledgerShards, account);
+            auto report = listBudgets(log_, settings_.ledgerShards, account, vmNames(routers_));
             if (report.code == ExitCode::Ok && !settings_.routers.empty()) {
                 addHoldings(routers_, account, report);
             }
--- a/apps/ctl/Table.cpp
+++ b/apps/ctl/Table.cpp
@@ -1,8 +1,10 @@
 #include "ctl/Table.h"
 
 #include <algorithm>
+#include <array>
 #include <cassert>
 #include <cstddef>
+#include <string_view>
 #include <utility>
 
 namespace swiftlift::ctl {
@@ -35,9 +37,18 @@
             && std::all_of(value.begin(), value.end(), [](const Json& row) { return row.is_object(); });
     }
 
+    /** Columns that come first, in this order; the others follow by their names. */
+    constexpr std::array<std::string_view, 5> leadingColumns { "router", "account", "budget", "peer", "backend" };
+
     [[nodiscard]] std::string tableText(const Json& rows)
     {
         Table::Row head;
+        for (const auto column : leadingColumns) {
+            const auto has = [&](const Json& row) { return row.contains(column); };
+            if (std::any_of(rows.begin(), rows.end(), has)) {
+                head.emplace_back(column);
+            }
+        }
         for (const auto& row : rows) {
             for (const auto& [key, value] : row.items()) {
                 if (std::find(head.begin(), head.end(), key) == head.end()) {
--- a/apps/ctl/Views.cpp
+++ b/apps/ctl/Views.cpp
@@ -64,15 +64,18 @@
         return "open";
     }
 
-    [[nodiscard]] Json grantJson(const ledger::GrantView& grant)
+    [[nodiscard]] Json grantJson(const ledger::GrantView& grant, const VmNames& names)
     {
         const bool hasWitness = grant.witness != Incarnation {};
-        return { { "holder", transport::toHex(grant.id.holder.value()) }, { "grant", grant.id.number },
-            { "state", stateText(grant.state) }, { "held", grant.held().value() }, { "billed", grant.billed.value() },
+        const auto holder = transport::toHex(grant.id.holder.value());
+        const auto vm = names.find(holder);
+        return { { "holder", holder }, { "vm", vm != names.end() ? Json(vm->second) : Json() },
+            { "grant", grant.id.number }, { "state", stateText(grant.state) }, { "held", grant.held().value() },
+            { "billed", grant.billed.value() },
             { "witness", hasWitness ? Json(transport::toHex(grant.witness.value())) : Json() } };
     }
 
-    void addBudgets(const ledger::Fold& fold, const std::optional<AccountId>& account, Json& rows)
+    void addBudgets(const ledger::Fold& fold, const std::optional<AccountId>& account, const VmNames& names, Json& rows)
     {
         const auto grants = fold.openGrants();
         for (const auto& ref : fold.budgets()) {
@@ -83,7 +86,7 @@
             Json held = Json::array();
             for (const auto& grant : grants) {
                 if (grant.budget == ref) {
-                    held.push_back(grantJson(grant));
+                    held.push_back(grantJson(grant, names));
                 }
             }
             rows.push_back({ { "account", ref.account.value() }, { "budget", ref.budget.value() },
@@ -94,19 +97,21 @@
 
     [[nodiscard]] std::string number(const Json& value) { return std::to_string(value.get<std::int64_t>()); }
 
+    [[nodiscard]] std::string textOrDash(const Json& value) { return value.is_null() ? "-" : value.get<std::string>(); }
+
     [[nodiscard]] std::string budgetsText(const Json& budgets)
     {
         Table table({ "ACCOUNT", "BUDGET", "BOUGHT", "BILLED", "HELD", "FREE" });
-        Table holders({ "ACCOUNT", "BUDGET", "HOLDER", "GRANT", "STATE", "HELD", "BILLED", "WITNESS" });
+        Table holders({ "ACCOUNT", "BUDGET", "HOLDER", "VM", "GRANT", "STATE", "HELD", "BILLED", "WITNESS" });
         bool anyGrant = false;
         for (const auto& row : budgets) {
             table.add({ row["account"], row["budget"], number(row["bought"]), number(row["billed"]),
                 number(row["held"]), number(row["free"]) });
             for (const auto& grant : row["grants"]) {
                 anyGrant = true;
-                holders.add({ row["account"], row["budget"], grant["holder"], number(grant["grant"]), grant["state"],
-                    number(grant["held"]), number(grant["billed"]),
-                    grant["witness"].is_null() ? "-" : grant["witness"].get<std::string>() });
+                holders.add(
+                    { row["account"], row["budget"], grant["holder"], textOrDash(grant["vm"]), number(grant["grant"]),
+                        grant["state"], number(grant["held"]), number(grant["billed"]), textOrDash(grant["witness"]) });
             }
         }
         return table.text() + (anyGrant ? "\nheld by:\n" + holders.text() : std::string());
@@ -145,13 +150,13 @@
     return { ExitCode::Ok, table.text(), { { "accounts", rows } } };
 }
 
-Report listBudgets(Log& log, std::uint32_t shards, const std::optional<AccountId>& account)
+Report listBudgets(Log& log, std::uint32_t shards, const std::optional<AccountId>& account, const VmNames& names)
 {
     Json rows = Json::array();
     bool known = !account.has_value();
     const auto visit = [&](const ledger::Fold& fold) {
         known = known || fold.account(*account).has_value();
-        addBudgets(fold, account, rows);
+        addBudgets(fold, account, names, rows);
     };
     if (auto failed = forEachShard(log, shards, visit)) {
         return *failed;
--- a/apps/ctl/Views.h
+++ b/apps/ctl/Views.h
@@ -5,6 +5,7 @@
 
 #include "ctl/Log.h"
 #include "ctl/Report.h"
+#include "ctl/Routers.h"
 #include "swiftlift/base/Ids.h"
 
 namespace swiftlift::ctl {
@@ -12,8 +13,13 @@
 /** @brief The client accounts, from the ledger. */
 [[nodiscard]] Report listAccounts(Log& log, std::uint32_t shards);
 
-/** @brief Bought, billed, held and free tokens of the budgets, and who holds them, from the ledger. */
-[[nodiscard]] Report listBudgets(Log& log, std::uint32_t shards, const std::optional<AccountId>& account);
+/**
+ * @brief Bought, billed, held and free tokens of the budgets, and who holds them, from the ledger.
+ * @param account Only of this account; nothing: of all.
+ * @param names VMs of the holders, as far as they are known.
+ */
+[[nodiscard]] Report listBudgets(
+    Log& log, std::uint32_t shards, const std::optional<AccountId>& account, const VmNames& names);
 
 /** @brief The services in force. */
 [[nodiscard]] Report listServices(Log& log);
--- a/tests/ctl/LedgerChangeTest.cpp
+++ b/tests/ctl/LedgerChangeTest.cpp
@@ -121,7 +121,7 @@
     EXPECT_EQ(report.code, ExitCode::Unreachable);
     EXPECT_EQ(report.json["outcome"], "not_sent");
     EXPECT_EQ(log_.appends, 0);
-    EXPECT_EQ(listBudgets(log_, 1, std::nullopt).code, ExitCode::Unreachable);
+    EXPECT_EQ(listBudgets(log_, 1, std::nullopt, {}).code, ExitCode::Unreachable);
 }
 
 // Symptom: budgets show more free tokens than there are. Sequence: old records expire; a reader starts at the oldest.
@@ -136,7 +136,7 @@
     ASSERT_EQ(add(3, 20).code, ExitCode::Ok);
     put(9, 1, early);
     log_.oldest = 3;
-    EXPECT_THAT(listBudgets(log_, 1, std::nullopt).text, HasSubstr("none that is left restores them"));
+    EXPECT_THAT(listBudgets(log_, 1, std::nullopt, {}).text, HasSubstr("none that is left restores them"));
     log_.oldest = 2;
     EXPECT_EQ(bought(), 520);
     EXPECT_EQ(add(2, 500).json["outcome"], "unknown") << "landed, but its record is gone";
@@ -150,17 +150,17 @@
     const GrantId grant { Incarnation(7), 1 };
     put(7, 1, ledger::Draw { grant, desk, Tokens(200), Tokens(1), Incarnation(8) });
     put(7, 2, ledger::Bill { { 1, 2 }, grant, Tokens(30) });
-    const auto budgets = listBudgets(log_, 1, club);
+    const auto budgets = listBudgets(log_, 1, club, { { "0000000000000007", "127.0.1.1:7400" } });
     EXPECT_EQ(budgets.text,
         "ACCOUNT         BUDGET  BOUGHT  BILLED  HELD  FREE\n"
         "regina-curling  desk    500     30      200   300\n"
         "\nheld by:\n"
-        "ACCOUNT         BUDGET  HOLDER            GRANT  STATE  HELD  BILLED  WITNESS\n"
-        "regina-curling  desk    0000000000000007  1      open   200   30      0000000000000008\n");
+        "ACCOUNT         BUDGET  HOLDER            VM              GRANT  STATE  HELD  BILLED  WITNESS\n"
+        "regina-curling  desk    0000000000000007  127.0.1.1:7400  1      open   200   30      0000000000000008\n");
     EXPECT_EQ(budgets.json["budgets"][0]["grants"][0]["held"], 200);
     EXPECT_EQ(listAccounts(log_, 1).text,
         "ACCOUNT         STATE  REVISION  BUDGETS\nregina-curling  open   1         desk\n");
-    EXPECT_EQ(listBudgets(log_, 1, AccountId("nobody")).code, ExitCode::Refused);
+    EXPECT_EQ(listBudgets(log_, 1, AccountId("nobody"), {}).code, ExitCode::Refused);
 }
 
 } // namespace swiftlift::ctl
--- a/tests/ctl/TextTest.cpp
+++ b/tests/ctl/TextTest.cpp
@@ -59,22 +59,34 @@
 }
 
 // Symptom: during a partition an operator takes one router's view for the fleet's. Sequence: the domains are cut off,
-// each router sees only its own side. Cause: a command that asks one router. Each view is shown with those who have it.
-TEST(Routers, ShowsEveryViewAndWhoDidNotAnswer)
+// each router sees only its own side. Cause: a command that asks one router. Each row is shown with those who see it.
+TEST(Routers, ShowsWhoSeesWhatAndWhoDidNotAnswer)
 {
     FakeRouters routers;
     EXPECT_EQ(routerViews(routers, "vms").code, ExitCode::Unreachable);
-    const auto one = Json::parse(R"({"vms":[{"peer":"a"}]})");
-    const auto other = Json::parse(R"({"vms":[{"peer":"b"}]})");
+    const auto one = Json::parse(R"({"vms":[{"peer":"b"},{"peer":"a"}]})");
+    const auto other = Json::parse(R"({"vms":[{"peer":"a"},{"peer":"c","state":"x"}]})");
     routers.answers = { { near, one, {} }, { far, other, {} }, { settings::Endpoint("x:1"), one, {} },
         { settings::Endpoint("y:1"), std::nullopt, "refused" } };
     const auto report = routerViews(routers, "vms");
     EXPECT_EQ(routers.asked, "/vms");
     EXPECT_EQ(report.text,
-        "as seen by 127.0.1.1:8001, x:1:\nvms:\npeer\na\n\nas seen by 127.0.2.1:8001:\nvms:\npeer\nb\n\n"
+        "peer  seen_by                 state\n"
+        "a     all                     -\n"
+        "b     all but 127.0.2.1:8001  -\n"
+        "c     127.0.2.1:8001          x\n"
         "no answer from y:1 (refused)\n");
 }
 
+TEST(Routers, NamesTheVmsOfHolders)
+{
+    FakeRouters routers;
+    routers.answers
+        = { { near, Json::parse(R"({"incarnation":"07","peer":"p","vms":[{"incarnation":"08","peer":"q"}]})"), {} },
+              { far, std::nullopt, "refused" } };
+    EXPECT_EQ(vmNames(routers), (VmNames { { "07", "p" }, { "08", "q" } }));
+}
+
 TEST(Routers, ExplainsARequestOrSaysThatNobodyKnowsIt)
 {
     FakeRouters routers;
@@ -99,7 +111,7 @@
     Report report;
     addHoldings(routers, AccountId("a"), report);
     EXPECT_EQ(report.text,
-        "\nholdings now, as the routers tell:\naccount  amount  router\na        5       127.0.1.1:8001\n");
+        "\nholdings now, as the routers tell:\nrouter          account  amount\n127.0.1.1:8001  a        5\n");
     EXPECT_EQ(report.json["holdings"].size(), 1U);
     EXPECT_EQ(routerStatus(routers).json["routers"][0]["router"], "127.0.1.1:8001");
 }
