--- a/tests/standins/common/HttpClient.cpp
+++ b/tests/standins/test/HttpClient.cpp
@@ -1,4 +1,4 @@
-#include "common/HttpClient.h"
+#include "HttpClient.h"
 
 #include <array>
 #include <boost/beast/http/parser.hpp>
--- a/tests/standins/common/HttpClient.h
+++ b/tests/standins/test/HttpClient.h
@@ -23,7 +23,7 @@
     std::string body;
 };
 
-/** A blocking HTTP client on one connection, for tests and scenarios. */
+/** A blocking HTTP client on one connection, for tests. */
 class HttpClient {
 public:
     /**
--- a/tests/standins/test/RunningService.h
+++ b/tests/standins/test/RunningService.h
@@ -4,7 +4,7 @@
 #include <memory>
 #include <thread>
 
-#include "common/HttpClient.h"
+#include "HttpClient.h"
 #include "common/HttpServer.h"
 #include "common/Service.h"
 
