--- a/tests/scenario/FleetPlan.cpp
+++ b/tests/scenario/FleetPlan.cpp
@@ -225,11 +225,15 @@
             separator = ", ";
         }
     }
-    text << "]\n  via:\n";
+    text << "]\n  via: {";
+    separator = "";
     for (const auto& link : plan.links) {
-        if (link.from == vm.name && link.toDomain != "platform")
-            text << "    \"" << link.target.text() << "\": \"" << link.listen.text() << "\"\n";
+        if (link.from == vm.name && link.toDomain != "platform") {
+            text << separator << '"' << link.target.text() << "\": \"" << link.listen.text() << '"';
+            separator = ", ";
+        }
     }
+    text << "}\n";
     text << "ledger:\n  policy: " << plan.ledgerPolicy << "\n";
     if (plan.ledgerPolicy == "static_split")
         text << "  split_ways: " << plan.vms.size() << "\n";
--- a/tests/scenario/Prelude.h
+++ b/tests/scenario/Prelude.h
@@ -85,6 +85,64 @@
     end, "has read that " .. tokens .. " tokens were bought for " .. account .. "/" .. budget)
 end
 
+--- The usual beginning of a scenario: builds the fleet, starts its routers, and puts two services in force: `drafts` at
+--- the engines and `orders` (7 tokens a call) at the plain services. `tokens` is what each of `accounts` buys for its
+--- budget `fair`.
+function serve(options)
+    local accounts = options.accounts or { "league" }
+    local tokens = options.tokens or 1000000
+    local uses = {}
+    fleet(options.fleet)
+    start("routers")
+    for _, name in ipairs(accounts) do
+        account(name)
+        top_up(name, "fair", tokens)
+        uses[#uses + 1] = { account = name, budget = "fair" }
+    end
+    local drafts = publish("drafts", { kind = "model", model = "stitch-7b", accounts = uses, limits = options.limits,
+        retry = options.retry })
+    local orders = publish("orders", { kind = "plain", accounts = uses, limits = { call_cost = 7 } })
+    until_ready()
+    until_in_force("drafts", drafts)
+    until_in_force("orders", orders)
+    for _, name in ipairs(accounts) do
+        until_bought(name, "fair", tokens)
+    end
+end
+
+--- A request of the usual kind; `more` adds to it.
+function draft(vm, id, more)
+    local request = { vm = vm, account = "league", service = "drafts", id = id }
+    for name, value in pairs(more or {}) do
+        request[name] = value
+    end
+    return request
+end
+
+function order(vm, id, more)
+    local request = draft(vm, id, more)
+    request.service = "orders"
+    request.idempotent = false
+    return request
+end
+
+--- One answered request at each VM, so that each has money at hand when a fault begins.
+function warm_up(names, more)
+    for _, name in ipairs(names or vms()) do
+        ask_until(draft(name, "warm-up-" .. name, more), "answered")
+    end
+end
+
+--- The counts that no fault may change; `more` adds to them.
+function expect_promises(more)
+    local wanted = { overspend = 0, double_billed = 0, unbilled = 0, bill_mismatch = 0, wrong_answers = 0,
+        not_run_but_run = 0, non_idempotent_again = 0, grants_overdrawn = 0 }
+    for name, value in pairs(more or {}) do
+        wanted[name] = value
+    end
+    return expect_audit(wanted)
+end
+
 --- Sends and waits: the answer of one request.
 function ask(request)
     return wait(send(request))
--- a/tests/scenario/VerbsOperators.cpp
+++ b/tests/scenario/VerbsOperators.cpp
@@ -17,15 +17,17 @@
     }
 
     /** @return `{status=, output=, json=}`; `json` only when the command printed JSON. */
-    Json runCtl(World& world, const std::vector<std::string>& arguments)
+    Json ctlResult(const std::pair<int, std::string>& end)
     {
-        const auto [status, output] = world.runCtl(arguments);
+        const auto& [status, output] = end;
         Json result = { { "status", status }, { "output", output } };
         if (Json json = Json::parse(output, nullptr, false); json.is_object())
             result["json"] = std::move(json);
         return result;
     }
 
+    Json runCtl(World& world, const std::vector<std::string>& arguments) { return ctlResult(world.runCtl(arguments)); }
+
     Json runCtlOrFail(World& world, std::vector<std::string> arguments)
     {
         arguments.emplace_back("--json");
@@ -54,7 +56,40 @@
         return result;
     }
 
-    /** A table's document names the fleet's own backend servers unless it says otherwise. JSON is YAML. */
+    /** Durations and shares have to stand without quotes, so text does wherever YAML takes it for text then. */
+    std::string scalarText(const Json& value)
+    {
+        constexpr const char* plainLetters = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._%:/-";
+        if (!value.is_string())
+            return value.dump();
+        const auto& text = value.get_ref<const std::string&>();
+        const bool isPlain = !text.empty() && text.find_first_not_of(plainLetters) == std::string::npos;
+        return isPlain ? text : value.dump();
+    }
+
+    /** Writes a table as YAML in flow style. */
+    std::string yamlText(const Json& value)
+    {
+        if (!value.is_structured())
+            return scalarText(value);
+        std::string text;
+        for (const auto& [name, field] : value.items()) {
+            text += text.empty() ? "" : ", ";
+            text += value.is_object() ? name + ": " + yamlText(field) : yamlText(field);
+        }
+        return value.is_object() ? "{ " + text + " }" : "[ " + text + " ]";
+    }
+
+    /** @return One line for each member of the document. */
+    std::string yamlDocument(const Json& document)
+    {
+        std::string text;
+        for (const auto& [name, field] : document.items())
+            text += name + ": " + yamlText(field) + "\n";
+        return text;
+    }
+
+    /** A table's document names the fleet's own backend servers unless it says otherwise. */
     std::string documentText(World& world, const std::string& service, const Json& given)
     {
         if (given.is_string())
@@ -62,11 +97,11 @@
         Json document = given;
         document["service"] = service;
         if (document.contains("backends"))
-            return document.dump(2);
+            return yamlDocument(document);
         const auto& plan = world.fleet().plan();
         for (const auto& backend : document.value("kind", "") == "plain" ? plan.plains : plan.engines)
             document["backends"].push_back({ { "address", backend.address.text() }, { "domain", backend.domain } });
-        return document.dump(2);
+        return yamlDocument(document);
     }
 
     void remember(World& world, const std::string& text)
@@ -134,6 +169,16 @@
     lua.add("publish", [&world](const Arguments& arguments) { return internal::publish(world, arguments); });
     lua.add("try_publish", [&world](const Arguments& arguments) { return internal::tryPublish(world, arguments); });
     lua.add("status", [&world](const Arguments& arguments) { return internal::status(world, arguments); });
+    lua.add("start_ctl",
+        [&world](const Arguments& arguments) -> Json { return world.startCtl(internal::texts(arguments)); });
+    lua.add("wait_ctl", [&world](const Arguments& arguments) {
+        return internal::ctlResult(world.waitForCtl(static_cast<std::size_t>(arguments.number(0, "handle"))));
+    });
+    lua.add("write_document", [&world](const Arguments& arguments) -> Json {
+        const std::string service = arguments.text(0, "service");
+        const std::string text = internal::documentText(world, service, arguments.any(1));
+        return internal::writeDocument(world, arguments.text(2, "name"), text);
+    });
     lua.add(
         "ctl", [&world](const Arguments& arguments) { return internal::runCtl(world, internal::texts(arguments)); });
 }
--- a/tests/scenario/World.cpp
+++ b/tests/scenario/World.cpp
@@ -32,17 +32,29 @@
 }
 
 std::pair<int, std::string> World::runCtl(const std::vector<std::string>& arguments)
+{
+    return waitForCtl(startCtl(arguments));
+}
+
+std::size_t World::startCtl(const std::vector<std::string>& arguments)
 {
     std::vector<std::string> command { (programs_ / "swiftliftctl").string() };
     command.insert(command.end(), arguments.begin(), arguments.end());
     command.insert(command.end(), { "--settings", (folder_ / "ctl.yaml").string() });
-    const std::string name = "ctl-" + std::to_string(++ctlRuns_);
-    Process process(name, std::move(command), folder_ / (name + ".log"));
-    process.start();
-    const auto status = process.waitForExit(longBound);
+    const std::string name = "ctl-" + std::to_string(ctls_.size());
+    ctls_.push_back(std::make_unique<Process>(name, std::move(command), folder_ / (name + ".log")));
+    ctls_.back()->start();
+    return ctls_.size() - 1;
+}
+
+std::pair<int, std::string> World::waitForCtl(std::size_t handle)
+{
+    if (handle >= ctls_.size())
+        throw BrokenScript("no such handle");
+    const auto status = ctls_[handle]->waitForExit(longBound);
     if (!status)
         throw ExpectationFailed("swiftliftctl has not ended");
-    return { *status, process.printed() };
+    return { *status, ctls_[handle]->printed() };
 }
 
 Evidence World::evidence()
--- a/tests/scenario/World.h
+++ b/tests/scenario/World.h
@@ -39,6 +39,11 @@
     /** Runs `swiftliftctl` to its end. @return Its exit status and what it printed. */
     [[nodiscard]] std::pair<int, std::string> runCtl(const std::vector<std::string>& arguments);
 
+    /** Starts `swiftliftctl`. @return Its handle. */
+    [[nodiscard]] std::size_t startCtl(const std::vector<std::string>& arguments);
+    /** Waits for its end. @return Its exit status and what it printed. */
+    [[nodiscard]] std::pair<int, std::string> waitForCtl(std::size_t handle);
+
     /** @return Everything that has been seen and recorded. */
     [[nodiscard]] Evidence evidence();
     /** Waits until every answered request is billed in the log, at most so long, then audits. */
@@ -61,7 +66,7 @@
     // The order matters: the callers' threads end when the fleet's connections break, so the fleet goes first.
     Callers callers_;
     std::unique_ptr<Fleet> fleet_;
-    int ctlRuns_ = 0;
+    std::vector<std::unique_ptr<Process>> ctls_;
 };
 
 void addFleetVerbs(LuaRuntime& lua, World& world);
