Make settings and the operators' command clean under the linter

Cause: the linter found implicit widenings in sizes and a vector that grew in a loop. Ruled out: switching the checks off, since both are right. Conclusion: two findings in include/swiftlift/base are left to that module.

--- a/apps/ctl/CommandLine.cpp
+++ b/apps/ctl/CommandLine.cpp
@@ -91,6 +91,7 @@
             std::vector<std::string> words { std::string(programName) };
             words.insert(words.end(), arguments.begin(), arguments.end());
             std::vector<char*> pointers;
+            pointers.reserve(words.size() + 1);
             for (auto& word : words) {
                 pointers.push_back(word.data());
             }
--- a/include/swiftlift/settings/ServiceDocument.h
+++ b/include/swiftlift/settings/ServiceDocument.h
@@ -31,7 +31,7 @@
 
 /** Bounds of one request of a service. */
 struct Limits {
-    std::size_t maxBodyBytes = 64 * 1024;
+    std::size_t maxBodyBytes = 64UL * 1024;
     /** Of a model service. */
     Tokens maxPromptTokens { 8192 };
     /** Of a model service. */
@@ -82,7 +82,7 @@
 };
 
 /** Longer documents are refused unread. */
-inline constexpr std::size_t maxDocumentBytes = 256 * 1024;
+inline constexpr std::size_t maxDocumentBytes = 256UL * 1024;
 
 /**
  * @brief Reads and checks a service's YAML document. Never throws, whatever the text.
--- a/src/settings/CtlSettings.cpp
+++ b/src/settings/CtlSettings.cpp
@@ -14,7 +14,7 @@
     using std::chrono::hours;
     using std::chrono::milliseconds;
 
-    constexpr std::size_t maxSettingsBytes = 256 * 1024;
+    constexpr std::size_t maxSettingsBytes = 256UL * 1024;
     constexpr Range<std::uint64_t> shardRange { 1, 1'024 };
     constexpr Range<Duration> timeoutRange { milliseconds(50), hours(1) };
 
--- a/src/settings/RouterSettings.cpp
+++ b/src/settings/RouterSettings.cpp
@@ -17,7 +17,7 @@
     using std::chrono::hours;
     using std::chrono::seconds;
 
-    constexpr std::size_t maxSettingsBytes = 256 * 1024;
+    constexpr std::size_t maxSettingsBytes = 256UL * 1024;
     constexpr Range<std::uint64_t> shardRange { 1, 1'024 };
     constexpr Range<std::uint64_t> splitRange { 1, 1'024 };
     constexpr Range<Duration> stopRange { seconds(1), hours(1) };
--- a/src/settings/Text.cpp
+++ b/src/settings/Text.cpp
@@ -21,7 +21,7 @@
     // Largest first.
     constexpr std::array<Unit, 5> durationUnits { { { "h", 3'600'000'000 }, { "m", 60'000'000 }, { "s", 1'000'000 },
         { "ms", 1'000 }, { "us", 1 } } };
-    constexpr std::array<Unit, 3> sizeUnits { { { "MiB", 1024 * 1024 }, { "KiB", 1024 }, { "B", 1 } } };
+    constexpr std::array<Unit, 3> sizeUnits { { { "MiB", 1024UL * 1024 }, { "KiB", 1024 }, { "B", 1 } } };
 
     [[nodiscard]] bool isDigit(char letter) noexcept { return letter >= '0' && letter <= '9'; }
 
