Add an open-loop load tool with a paired direct arm

Cause: what the router adds to first token and token gaps can't be read off two runs on a shared machine. Ruled out: a closed loop, which waits for slow answers and so hides them; one arm after the other, which measures the hour. Change: swiftlift-load sends a seeded schedule without waiting. With engines given, each request has a twin of the same size that goes straight to an engine half a gap away, in random order; added time is the difference of the pair. Times count from the scheduled moment. Answers are checked to be whole; refusals, unknown outcomes and errors are told apart by reason. It reads processor time and memory of processes it is told.

--- /dev/null
+++ b/apps/load/Processes.cpp
@@ -0,0 +1,56 @@
+#include "load/Processes.h"
+
+#include <unistd.h>
+
+#include <fstream>
+#include <sstream>
+#include <string>
+
+namespace swiftlift::load {
+
+ProcessReading readProcess(int process)
+{
+    ProcessReading reading;
+    reading.process = process;
+    std::ifstream in("/proc/" + std::to_string(process) + "/stat");
+    std::string text;
+    if (!std::getline(in, text)) {
+        return reading;
+    }
+    // The name stands in brackets and may hold blanks; what follows is numbers: state, 10 others, user and system time.
+    std::istringstream fields(text.substr(text.rfind(')') + 2));
+    constexpr int fieldsBeforeTimes = 11;
+    constexpr int fieldsBeforeThreads = 4;
+    constexpr int fieldsBeforeResident = 3;
+    std::string skipped;
+    const auto skip = [&](int count) {
+        for (int field = 0; field < count; ++field) {
+            fields >> skipped;
+        }
+    };
+    double user = 0;
+    double system = 0;
+    double resident = 0;
+    skip(fieldsBeforeTimes);
+    fields >> user >> system;
+    skip(fieldsBeforeThreads);
+    fields >> reading.threads;
+    skip(fieldsBeforeResident);
+    fields >> resident;
+    reading.found = static_cast<bool>(fields);
+    reading.processorSeconds = (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
+    reading.residentBytes = resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+    return reading;
+}
+
+std::vector<ProcessReading> readProcesses(const std::vector<int>& processes)
+{
+    std::vector<ProcessReading> readings;
+    readings.reserve(processes.size());
+    for (const int process : processes) {
+        readings.push_back(readProcess(process));
+    }
+    return readings;
+}
+
+} // namespace swiftlift::load
--- /dev/null
+++ b/tests/load/ScheduleTest.cpp
@@ -0,0 +1,108 @@
+#include "load/Schedule.h"
+
+#include <map>
+
+#include <gtest/gtest.h>
+
+namespace swiftlift::load {
+namespace {
+
+    [[nodiscard]] Options sample()
+    {
+        Options options;
+        options.routers = { { "127.0.0.1", 8000 }, { "127.0.0.2", 8000 } };
+        options.engines = { { "127.0.0.3", 9000 } };
+        options.accounts = { { "club", "key" } };
+        options.service = "plans";
+        options.rate = 50;
+        options.duration = std::chrono::seconds(20);
+        options.promptTokensLeast = 10;
+        options.promptTokensMost = 300;
+        options.sharedPrefixShare = 0.5;
+        options.nonIdempotentShare = 0.2;
+        return options;
+    }
+
+    TEST(Schedule, IsTheSameForTheSameSeed)
+    {
+        Options options = sample();
+        const auto one = makeSchedule(options);
+        const auto same = makeSchedule(options);
+        options.seed = 2;
+        const auto other = makeSchedule(options);
+        ASSERT_EQ(one.size(), same.size());
+        for (std::size_t index = 0; index < one.size(); ++index) {
+            EXPECT_EQ(one[index].due, same[index].due);
+            EXPECT_EQ(one[index].promptTokens, same[index].promptTokens);
+        }
+        EXPECT_NE(one.front().due, other.front().due);
+    }
+
+    TEST(Schedule, KeepsToTheRateAndIsInOrder)
+    {
+        const auto schedule = makeSchedule(sample());
+        // 1,000 arrivals with a twin each; five standard deviations either way.
+        EXPECT_NEAR(static_cast<double>(schedule.size()), 2000, 2 * 160);
+        for (std::size_t index = 1; index < schedule.size(); ++index) {
+            EXPECT_LE(schedule[index - 1].due, schedule[index].due);
+        }
+    }
+
+    TEST(Schedule, GivesEachArrivalATwinOfTheSameSize)
+    {
+        std::map<std::uint64_t, std::vector<Arrival>> pairs;
+        int directFirst = 0;
+        for (const Arrival& arrival : makeSchedule(sample())) {
+            pairs[arrival.pair].push_back(arrival);
+        }
+        for (const auto& [pair, arms] : pairs) {
+            ASSERT_EQ(arms.size(), 2U);
+            EXPECT_NE(arms[0].direct, arms[1].direct);
+            EXPECT_EQ(arms[0].promptTokens, arms[1].promptTokens);
+            EXPECT_EQ(arms[0].prefix, arms[1].prefix);
+            EXPECT_EQ(promptOf(arms[0], 1).size(), promptOf(arms[1], 1).size());
+            EXPECT_NE(promptOf(arms[0], 1), promptOf(arms[1], 1));
+            directFirst += arms[0].direct ? 1 : 0;
+        }
+        const auto half = static_cast<int>(pairs.size() / 2);
+        EXPECT_NEAR(directFirst, half, 80);
+    }
+
+    TEST(Schedule, WithoutEnginesHasOneArm)
+    {
+        Options options = sample();
+        options.engines.clear();
+        for (const Arrival& arrival : makeSchedule(options)) {
+            EXPECT_FALSE(arrival.direct);
+        }
+    }
+
+    TEST(Schedule, DoesNotCountTheWarmUp)
+    {
+        Options options = sample();
+        options.warmUp = std::chrono::seconds(5);
+        for (const Arrival& arrival : makeSchedule(options)) {
+            if (arrival.due < options.warmUp) {
+                EXPECT_FALSE(arrival.counted);
+            }
+        }
+    }
+
+    TEST(Prompt, HasFourBytesATokenAndTheCommonPrefixInFront)
+    {
+        Arrival first;
+        first.pair = 1;
+        first.promptTokens = 200;
+        first.prefix = 3;
+        Arrival second = first;
+        second.pair = 2;
+        const std::string one = promptOf(first, 1);
+        const std::string other = promptOf(second, 1);
+        constexpr std::size_t recognised = 256;
+        EXPECT_EQ(one.size(), 800U);
+        EXPECT_EQ(one.substr(0, recognised), other.substr(0, recognised));
+        EXPECT_NE(one, other);
+    }
+
+} // namespace
+} // namespace swiftlift::load
