--- a/apps/load/Processes.cpp
+++ b/apps/load/Processes.cpp
@@ -8,6 +8,25 @@
 
 namespace swiftlift::load {
 
+namespace {
+
+    /** @return The peak that the kernel tells in kB; 0 when it does not. */
+    [[nodiscard]] double readPeak(int process)
+    {
+        constexpr double bytesPerKilobyte = 1024;
+        std::ifstream in("/proc/" + std::to_string(process) + "/status");
+        for (std::string name; in >> name;) {
+            if (name == "VmHWM:") {
+                double kilobytes = 0;
+                in >> kilobytes;
+                return kilobytes * bytesPerKilobyte;
+            }
+        }
+        return 0;
+    }
+
+} // namespace
+
 ProcessReading readProcess(int process)
 {
     ProcessReading reading;
@@ -40,6 +59,7 @@
     reading.found = static_cast<bool>(fields);
     reading.processorSeconds = (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
     reading.residentBytes = resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+    reading.peakBytes = readPeak(process);
     return reading;
 }
 
--- a/apps/load/Processes.h
+++ b/apps/load/Processes.h
@@ -11,6 +11,8 @@
     bool found = false;
     double processorSeconds = 0;
     double residentBytes = 0;
+    /** Most ever resident. */
+    double peakBytes = 0;
     double threads = 0;
 };
 
--- a/apps/load/Report.cpp
+++ b/apps/load/Report.cpp
@@ -34,7 +34,8 @@
     {
         return { { "process", process.process }, { "found", process.found },
             { "processor_seconds", process.processorSeconds }, { "resident_before", process.residentBefore },
-            { "resident_after", process.residentAfter }, { "threads", process.threads } };
+            { "resident_after", process.residentAfter }, { "resident_peak", process.residentPeak },
+            { "threads", process.threads } };
     }
 
     void writeLine(std::ostream& out, const std::string& name, const Percentiles& values)
@@ -77,7 +78,8 @@
         }
         out << process.processorSeconds << " s of processor time, resident "
             << process.residentBefore / bytesPerMegabyte << " MB before and "
-            << process.residentAfter / bytesPerMegabyte << " MB after, " << process.threads << " threads";
+            << process.residentAfter / bytesPerMegabyte << " MB after, at most "
+            << process.residentPeak / bytesPerMegabyte << " MB, " << process.threads << " threads";
         if (routed.answered > 0) {
             out << "; " << process.processorSeconds * millisecondsPerSecond / static_cast<double>(routed.answered)
                 << " ms for each request answered by the routers";
--- a/apps/load/Summary.cpp
+++ b/apps/load/Summary.cpp
@@ -122,7 +122,7 @@
         const ProcessReading& first = before[index];
         const ProcessReading& last = after[index];
         result.push_back({ first.process, first.found && last.found, last.processorSeconds - first.processorSeconds,
-            first.residentBytes, last.residentBytes, last.threads });
+            first.residentBytes, last.residentBytes, last.peakBytes, last.threads });
     }
     return result;
 }
--- a/apps/load/Summary.h
+++ b/apps/load/Summary.h
@@ -42,6 +42,7 @@
     double processorSeconds = 0;
     double residentBefore = 0;
     double residentAfter = 0;
+    double residentPeak = 0;
     double threads = 0;
 };
 
--- a/tests/load/SummaryTest.cpp
+++ b/tests/load/SummaryTest.cpp
@@ -58,6 +58,7 @@
         const auto readings = readProcesses({ getpid() });
         ASSERT_TRUE(readings[0].found);
         EXPECT_GT(readings[0].residentBytes, 1e6);
+        EXPECT_GE(readings[0].peakBytes, readings[0].residentBytes);
         EXPECT_GE(readings[0].threads, 1);
         EXPECT_FALSE(readProcess(-1).found);
     }
