Test the router's threads, and mend what the tests showed

Cause: the threads had not run. Tests at each interface, with the other side played over real sockets: crossed and late lines, answers with a hole, resume without gap or repeat, slow readers and senders, bounds, refusals told apart, kept connections, log reads and appends, peers, orders, operators, metrics, replacement of a retired core. Mended: Beast 1.74 refuses every body with a told length when its limit is boost::none; callers' send buffers are bounded, because a steady but slow reader counted as stalled while the system's buffer of megabytes drained; an order whose lease has run out is held back next to the write, after the connect. Ruled out: a tiny receive buffer in the slow reader's test; it measures the kernel's window probes, not us.

--- a/src/transport/AsyncHttpClient.cpp
+++ b/src/transport/AsyncHttpClient.cpp
@@ -53,6 +53,10 @@
 
 void AsyncHttpClient::write()
 {
+    if (allowed_ && !allowed_()) {
+        finish(std::nullopt);
+        return;
+    }
     traffic_.sent += outgoing_.size();
     boost::asio::async_write(
         stream_, boost::asio::buffer(outgoing_), [self = shared_from_this()](ErrorCode error, std::size_t) {
--- a/src/transport/AsyncHttpClient.h
+++ b/src/transport/AsyncHttpClient.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -27,6 +28,9 @@
     void call(boost::beast::http::request<boost::beast::http::string_body> request, std::chrono::milliseconds limit,
         Done done);
 
+    /** Calls end without an answer, and without having been written, once `allowed` says no. */
+    void sendOnlyWhile(std::function<bool()> allowed) { allowed_ = std::move(allowed); }
+
     /** A call under way ends without an answer. */
     void close();
 
@@ -49,6 +53,7 @@
     boost::beast::flat_buffer buffer_;
     std::optional<Parser> parser_;
     Done done_;
+    std::function<bool()> allowed_;
 };
 
 } // namespace swiftlift::transport::internal
--- a/src/transport/Attempt.cpp
+++ b/src/transport/Attempt.cpp
@@ -1,6 +1,8 @@
 #include "transport/Attempt.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <limits>
 #include <utility>
 
 #include <boost/asio/write.hpp>
@@ -39,7 +41,8 @@
 {
     parser_.eager(true);
     parser_.header_limit(context.limits.headerBytes);
-    parser_.body_limit(boost::none);
+    // The answer's own bounds are the readers'. "No limit" of this Beast refuses every body whose length is told.
+    parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
 }
 
 void Attempt::start()
--- a/src/transport/CallerConnection.cpp
+++ b/src/transport/CallerConnection.cpp
@@ -13,6 +13,7 @@
 
 namespace {
 
+    constexpr int sendBufferBytes = 64 * 1024;
     constexpr std::chrono::milliseconds lingerTime { 2'000 };
     constexpr std::string_view continueLine = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -54,6 +55,9 @@
 {
     ErrorCode ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
+    // The system grows this buffer to megabytes. A slow reader would then cost that much besides our own bound, and the
+    // socket would count as stalled until a third of it is free: a caller that reads steadily but slowly was cut off.
+    socket_.set_option(boost::asio::socket_base::send_buffer_size(sendBufferBytes), ignored);
     nextRequest();
 }
 
--- a/src/transport/PlatformClient.cpp
+++ b/src/transport/PlatformClient.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
 
+#include "swiftlift/transport/DecisionLoop.h"
+#include "swiftlift/transport/DecisionLoop.h"
 #include "transport/BackendPoller.h"
 #include "transport/HttpText.h"
 #include "transport/PlatformReports.h"
@@ -117,6 +119,11 @@
     auto request = internal::jsonPost(order.backend.value(), "/orders", order.body);
     request.set("X-Fencing", std::to_string(order.fencing));
     const auto client = std::make_shared<internal::AsyncHttpClient>(loop, *endpoint, context.traffic.backends);
+    if (order.notAfter) {
+        // What goes wrong: the VM is paused after the core has looked at its lease, and the order goes out when another
+        // router has it. So the clock is read once more, next to the write.
+        client->sendOnlyWhile([until = *order.notAfter] { return steadyInstant() < until; });
+    }
     client->call(std::move(request), settings.limit, answer);
 }
 
--- /dev/null
+++ b/tests/ring/InboxTest.cpp
@@ -0,0 +1,76 @@
+#include <thread>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "swiftlift/ring/Outbox.h"
+
+namespace swiftlift::ring {
+
+TEST(BoundedRing, RefusesWhatIsOverItsCapacityOrItsReserve)
+{
+    BoundedRing<int> ring(4);
+    EXPECT_TRUE(ring.tryPush(1, 2));
+    EXPECT_TRUE(ring.tryPush(2, 2));
+    EXPECT_FALSE(ring.tryPush(3, 2));
+    EXPECT_TRUE(ring.tryPush(3));
+    EXPECT_TRUE(ring.tryPush(4));
+    EXPECT_FALSE(ring.tryPush(5));
+    EXPECT_EQ(ring.tryPop(), 1);
+    EXPECT_TRUE(ring.tryPush(5));
+}
+
+TEST(BoundedRing, KeepsWhatItRefused)
+{
+    BoundedRing<std::string> ring(1);
+    EXPECT_TRUE(ring.tryPush("first"));
+    std::string second = "second";
+    EXPECT_FALSE(ring.tryPush(std::move(second)));
+    EXPECT_EQ(second, "second");
+}
+
+// Symptom: a thread sleeps while something waits in its ring. A writer pushes between the reader's last look at the
+// ring and its clearing of the signal.
+TEST(Inbox, NoPushGoesUnnoticed)
+{
+    constexpr int writers = 4;
+    constexpr int each = 20'000;
+    Inbox<int> inbox(1024);
+    std::vector<std::jthread> threads;
+    for (int writer = 0; writer < writers; ++writer) {
+        threads.emplace_back([&inbox] {
+            for (int count = 0; count < each; ++count) {
+                while (!inbox.tryPush(1)) {
+                    std::this_thread::yield();
+                }
+            }
+        });
+    }
+    int received = 0;
+    while (received < writers * each) {
+        ASSERT_TRUE(inbox.wakeup().waitFor(std::chrono::seconds(30)));
+        inbox.wakeup().consume();
+        while (inbox.tryPop()) {
+            ++received;
+        }
+    }
+}
+
+TEST(Outbox, HoldsInOrderWhatTheRingHasNoRoomFor)
+{
+    Inbox<int> inbox(2);
+    Outbox<int> outbox(inbox);
+    for (int number = 1; number <= 4; ++number) {
+        outbox.push(std::move(number));
+    }
+    EXPECT_EQ(outbox.waiting(), 2U);
+    std::vector<int> received;
+    while (const auto number = inbox.tryPop()) {
+        received.push_back(*number);
+        outbox.flush();
+    }
+    EXPECT_EQ(received, (std::vector { 1, 2, 3, 4 }));
+    EXPECT_EQ(outbox.waiting(), 0U);
+}
+
+} // namespace swiftlift::ring
--- /dev/null
+++ b/tests/transport/CallerSideTest.cpp
@@ -0,0 +1,128 @@
+#include "transport/StreamFixture.h"
+
+namespace swiftlift::transport::test {
+
+using node::RequestArrived;
+
+namespace {
+
+    std::string reasonOf(const HttpText& answer) { return nlohmann::json::parse(answer.body())["reason"]; }
+
+} // namespace
+
+// Symptom: callers that send a few bytes and then nothing hold connections until none is left.
+TEST_F(StreamFixture, SlowSenderIsRefusedInHeaderAndInBody)
+{
+    StreamLimits limits;
+    limits.headerTime = std::chrono::milliseconds(50);
+    limits.bodyTime = std::chrono::milliseconds(50);
+    start(limits);
+    for (const std::string beginning : { "POST /v1/ser", "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n{" }) {
+        auto client = caller();
+        client.write(beginning);
+        const auto answer = client.readResponse();
+        EXPECT_EQ(answer.result_int(), 408U);
+        EXPECT_EQ(reasonOf(answer), "slow_sender");
+        EXPECT_TRUE(client.closes());
+    }
+}
+
+TEST_F(StreamFixture, TooLargeABodyIsRefusedAlsoWhenItsLengthIsNotTold)
+{
+    StreamLimits limits;
+    limits.bodyBytes = 1000;
+    start(limits);
+    const std::string told = "POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n";
+    const std::string untold = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3e9\r\n" + std::string(1001, 'x');
+    for (const auto& text : { told, untold }) {
+        auto client = caller();
+        client.write(text);
+        const auto answer = client.readResponse();
+        EXPECT_EQ(answer.result_int(), 413U);
+        EXPECT_EQ(reasonOf(answer), "body_too_large");
+    }
+}
+
+TEST_F(StreamFixture, WhatIsNoRequestIsRefused)
+{
+    start();
+    const std::string longHeader = "GET / HTTP/1.1\r\nX: " + std::string(20'000, 'x') + "\r\n\r\n";
+    for (const auto& text : { request({}, "{\"prompt\":"), request({}, "[1]"), std::string("\x01\x02\r\n\r\n"),
+             std::string("GET /nowhere HTTP/1.1\r\n\r\n"), longHeader }) {
+        auto client = caller();
+        client.write(text);
+        const auto answer = client.readResponse();
+        EXPECT_EQ(answer.result_int(), 400U);
+        EXPECT_EQ(reasonOf(answer), "bad_request");
+    }
+}
+
+TEST_F(StreamFixture, OneConnectionCarriesRequestsOneAfterTheOtherAlsoWhenSentAhead)
+{
+    start();
+    auto client = caller();
+    client.write(request() + request());
+    for (int count = 0; count < 2; ++count) {
+        const auto arrived = nextEvent<RequestArrived>(decisions);
+        EXPECT_FALSE(decisions.tryPop());
+        auto refused = refusal(503, "not_ready", {});
+        refused.call = arrived.call;
+        order(refused);
+        EXPECT_EQ(client.readResponse().result_int(), 503U);
+    }
+}
+
+// Symptom: the router has more to decide than it can, and its callers wait until their deadline instead of going
+// elsewhere.
+TEST_F(StreamFixture, FullRingMeansOverloadedAtOnce)
+{
+    start();
+    while (decisions.tryPush({ Incarnation {}, node::Tick {} }, reservedEvents)) { }
+    auto client = caller();
+    client.write(request());
+    const auto answer = client.readResponse();
+    EXPECT_EQ(answer.result_int(), 503U);
+    EXPECT_EQ(reasonOf(answer), "overloaded");
+    EXPECT_EQ(answer["Retry-After"], "1");
+}
+
+TEST_F(StreamFixture, ConnectionsAreBounded)
+{
+    StreamLimits limits;
+    limits.connections = 1;
+    start(limits);
+    auto first = caller();
+    first.write(request());
+    static_cast<void>(nextEvent<RequestArrived>(decisions));
+    auto second = caller();
+    EXPECT_EQ(reasonOf(second.readResponse()), "overloaded");
+}
+
+TEST_F(StreamFixture, QuestionAboutARequestIsPutToTheCore)
+{
+    start();
+    auto client = caller();
+    client.write("GET /v1/requests/r1 HTTP/1.1\r\nAuthorization: Bearer secret\r\nSwiftlift-Account: acme\r\n\r\n");
+    const auto asked = nextEvent<node::OperatorAsked>(decisions);
+    EXPECT_EQ(asked.topic, "request");
+    EXPECT_EQ(asked.argument, "acme/r1/" + keyHash("secret"));
+    order(node::OperatorReply { asked.question, R"({"state":"running"})" });
+    EXPECT_EQ(client.readResponse().body(), R"({"state":"running"})");
+}
+
+TEST_F(StreamFixture, StopLetsACallerHaveItsAnswer)
+{
+    start();
+    auto client = caller();
+    client.write(request());
+    const auto arrived = nextEvent<RequestArrived>(decisions);
+    std::thread stopper([this] { server->stop(longWait); });
+    auto refused = refusal(503, "stopping", {});
+    refused.call = arrived.call;
+    order(refused);
+    EXPECT_EQ(reasonOf(client.readResponse()), "stopping");
+    EXPECT_TRUE(client.closes());
+    stopper.join();
+}
+
+} // namespace swiftlift::transport::test
--- /dev/null
+++ b/tests/transport/DecisionLoopTest.cpp
@@ -0,0 +1,148 @@
+#include <mutex>
+
+#include <gtest/gtest.h>
+
+#include "swiftlift/transport/DecisionLoop.h"
+#include "transport/Network.h"
+
+namespace swiftlift::transport::test {
+
+namespace {
+
+    /** Echoes operators' questions; asks to be replaced when the topic says so. */
+    class EchoDecider : public Decider {
+    public:
+        explicit EchoDecider(Incarnation self)
+            : self_(self)
+        {
+        }
+
+        void start(Instant now, node::Actions&) override { last_ = now; }
+
+        void handle(const node::Event& event, Instant now, node::Actions& actions) override
+        {
+            EXPECT_GE(now, last_);
+            last_ = now;
+            if (std::holds_alternative<node::Tick>(event)) {
+                actions.push_back(node::CountMetric { "ticks", {}, 1 });
+            } else if (const auto* asked = std::get_if<node::OperatorAsked>(&event)) {
+                actions.push_back(node::OperatorReply { asked->question, std::to_string(self_.value()) });
+                if (asked->topic == "retire") {
+                    actions.push_back(node::Restart { "asked" });
+                }
+            }
+        }
+
+    private:
+        Incarnation self_;
+        Instant last_ {};
+    };
+
+    class RecordingSink : public ActionSink {
+    public:
+        void carryOut(node::Action&& action) override
+        {
+            const std::lock_guard lock(mutex_);
+            if (const auto* reply = std::get_if<node::OperatorReply>(&action)) {
+                replies_[reply->question] = reply->json;
+            } else {
+                ++others_;
+            }
+        }
+
+        void flush() override { }
+
+        void beginIncarnation(Incarnation incarnation) override
+        {
+            const std::lock_guard lock(mutex_);
+            incarnations_.push_back(incarnation);
+        }
+
+        std::string waitForReply(std::uint64_t question)
+        {
+            const auto until = std::chrono::steady_clock::now() + longWait;
+            while (std::chrono::steady_clock::now() < until) {
+                {
+                    const std::lock_guard lock(mutex_);
+                    if (const auto found = replies_.find(question); found != replies_.end()) {
+                        return found->second;
+                    }
+                }
+                std::this_thread::sleep_for(std::chrono::milliseconds(1));
+            }
+            return "no reply";
+        }
+
+        bool hasReply(std::uint64_t question)
+        {
+            const std::lock_guard lock(mutex_);
+            return replies_.contains(question);
+        }
+
+        std::vector<Incarnation> incarnations()
+        {
+            const std::lock_guard lock(mutex_);
+            return incarnations_;
+        }
+
+        int others()
+        {
+            const std::lock_guard lock(mutex_);
+            return others_;
+        }
+
+    private:
+        std::mutex mutex_;
+        std::map<std::uint64_t, std::string> replies_;
+        std::vector<Incarnation> incarnations_;
+        int others_ = 0;
+    };
+
+    class DecisionLoopTest : public testing::Test {
+    protected:
+        DecisionLoopTest() { loop.start(); }
+
+        void ask(std::uint64_t question, const std::string& topic, Incarnation tag = {})
+        {
+            ASSERT_TRUE(inbox.tryPush({ tag, node::OperatorAsked { question, topic, {} } }));
+        }
+
+        DecisionInbox inbox { 64 };
+        RecordingSink sink;
+        DecisionLoop loop { Incarnation(5),
+            [](Incarnation incarnation) { return std::make_unique<EchoDecider>(incarnation); }, inbox, sink };
+    };
+
+} // namespace
+
+TEST_F(DecisionLoopTest, HandlesEventsAndTicks)
+{
+    ask(1, "status");
+    EXPECT_EQ(sink.waitForReply(1), "5");
+    const auto until = std::chrono::steady_clock::now() + longWait;
+    while (sink.others() < 3 && std::chrono::steady_clock::now() < until) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    EXPECT_GE(sink.others(), 3);
+}
+
+// Symptom: the end of an attempt of a retired incarnation ends an attempt of the new one, which has the same number.
+// The ledger retires the incarnation; the core asks to be replaced; answers to the old one are still in the ring.
+TEST_F(DecisionLoopTest, RetiredCoreIsReplacedAndHearsNothingMeantForTheOldOne)
+{
+    ask(1, "retire");
+    EXPECT_EQ(sink.waitForReply(1), "5");
+    ask(2, "status", Incarnation(5));
+    ask(3, "status");
+    const std::string second = sink.waitForReply(3);
+    const auto incarnations = sink.incarnations();
+    ASSERT_EQ(incarnations.size(), 2U);
+    EXPECT_NE(incarnations[1], Incarnation(5));
+    EXPECT_EQ(second, std::to_string(incarnations[1].value()));
+    loop.stop();
+    EXPECT_EQ(loop.replacements(), 1U);
+    // It was in the ring before the third one.
+    EXPECT_FALSE(sink.hasReply(2));
+}
+
+} // namespace swiftlift::transport::test
--- /dev/null
+++ b/tests/transport/LogClientTest.cpp
@@ -0,0 +1,141 @@
+#include <gtest/gtest.h>
+
+#include "log.pb.h"
+#include "swiftlift/transport/LogClient.h"
+#include "transport/StreamFixture.h"
+
+namespace swiftlift::transport::test {
+
+namespace {
+
+    const StreamName stream { "ledger-0" };
+
+    std::string readReply(std::uint64_t first, const std::vector<std::string>& records, std::uint64_t end)
+    {
+        proto::log::ReadReply reply;
+        reply.set_first_offset(first);
+        reply.set_end_offset(end);
+        for (const auto& record : records) {
+            reply.add_records(record);
+        }
+        return jsonAnswer(200, reply.SerializeAsString());
+    }
+
+    class LogClientTest : public testing::Test {
+    protected:
+        void start(std::chrono::milliseconds appendLimit = longWait)
+        {
+            LogClientSettings settings;
+            settings.endpoints = { *parseEndpoint(platform.address()) };
+            settings.appendLimit = appendLimit;
+            settings.retryFirst = std::chrono::milliseconds(10);
+            client = std::make_unique<LogClient>(settings, inbox, traffic);
+            client->beginIncarnation(Incarnation(5));
+        }
+
+        DecisionInbox inbox { 4096 };
+        ControlTraffic traffic;
+        Listener platform;
+        std::unique_ptr<LogClient> client;
+    };
+
+} // namespace
+
+TEST_F(LogClientTest, FollowsFromTheOffsetAndTellsEmptyReadsToo)
+{
+    start();
+    client->follow({ stream, Offset(3) });
+    auto connection = platform.accept();
+    EXPECT_NE(connection.readRequest().target().find("/streams/ledger-0/records?from=3&"), std::string::npos);
+    connection.write(readReply(3, { "a", "b" }, 5));
+    const auto some = nextEvent<node::LogRecords>(inbox);
+    EXPECT_EQ(some.first, Offset(3));
+    EXPECT_EQ(some.records, (std::vector<std::string> { "a", "b" }));
+    EXPECT_EQ(some.end, Offset(5));
+    EXPECT_NE(connection.readRequest().target().find("from=5&"), std::string::npos);
+    connection.write(readReply(5, {}, 5));
+    EXPECT_TRUE(nextEvent<node::LogRecords>(inbox).records.empty());
+    EXPECT_GT(traffic.log.received, 0U);
+}
+
+// Symptom: the ledger is folded with a hole. The log, or something in between, answers with records of another offset.
+TEST_F(LogClientTest, RecordsFromElsewhereAreNotTakenIn)
+{
+    start();
+    client->follow({ stream, Offset(3) });
+    auto connection = platform.accept();
+    static_cast<void>(connection.readRequest());
+    connection.write(readReply(4, { "b" }, 5));
+    EXPECT_EQ(nextEvent<node::LogUnreachable>(inbox).stream, stream);
+    EXPECT_NE(connection.readRequest().target().find("from=3&"), std::string::npos);
+}
+
+TEST_F(LogClientTest, ExpiryIsToldWithTheOldestOffsetKept)
+{
+    start();
+    client->follow({ stream, Offset(3) });
+    auto connection = platform.accept();
+    static_cast<void>(connection.readRequest());
+    connection.write(jsonAnswer(410, R"({"oldest":40})"));
+    EXPECT_EQ(nextEvent<node::LogExpired>(inbox).oldest, Offset(40));
+}
+
+TEST_F(LogClientTest, OutageIsToldAndReadingGoesOnAfterIt)
+{
+    start();
+    client->follow({ stream, Offset(0) });
+    {
+        auto connection = platform.accept();
+        static_cast<void>(connection.readRequest());
+        connection.write(jsonAnswer(503, "{}"));
+        static_cast<void>(nextEvent<node::LogUnreachable>(inbox));
+        static_cast<void>(connection.readRequest());
+    }
+    static_cast<void>(nextEvent<node::LogUnreachable>(inbox));
+    auto again = platform.accept();
+    static_cast<void>(again.readRequest());
+    again.write(readReply(0, { "a" }, 1));
+    EXPECT_EQ(nextEvent<node::LogRecords>(inbox).records.size(), 1U);
+}
+
+// Symptom: a draw lands twice, because a layer below the ledger repeated an append whose answer was lost. The log takes
+// the record and closes without an answer; that is told, and nothing is sent again.
+TEST_F(LogClientTest, AppendWithoutAnswerIsToldAndNotRepeated)
+{
+    start();
+    EXPECT_TRUE(client->append({ stream, "record" }));
+    {
+        auto connection = platform.accept();
+        proto::log::AppendRequest request;
+        ASSERT_TRUE(request.ParseFromString(connection.readRequest().body()));
+        EXPECT_EQ(request.records(0), "record");
+    }
+    EXPECT_EQ(nextEvent<node::LogUnreachable>(inbox).stream, stream);
+    EXPECT_TRUE(client->append({ stream, "another" }));
+    auto connection = platform.accept();
+    proto::log::AppendRequest request;
+    ASSERT_TRUE(request.ParseFromString(connection.readRequest().body()));
+    EXPECT_EQ(request.records(0), "another");
+    connection.write(jsonAnswer(200, {}));
+    EXPECT_EQ(nextEvent<node::AppendAnswered>(inbox).stream, stream);
+}
+
+TEST_F(LogClientTest, AppendThatHangsIsGivenUp)
+{
+    start(std::chrono::milliseconds(50));
+    EXPECT_TRUE(client->append({ stream, "record" }));
+    auto connection = platform.accept();
+    EXPECT_NE(nextEvent<node::LogUnreachable>(inbox).detail.find("timeout"), std::string::npos);
+}
+
+TEST_F(LogClientTest, StopDoesNotWaitForALongPoll)
+{
+    start();
+    client->follow({ stream, Offset(0) });
+    auto connection = platform.accept();
+    static_cast<void>(connection.readRequest());
+    client->stop();
+    EXPECT_TRUE(connection.closes());
+}
+
+} // namespace swiftlift::transport::test
--- /dev/null
+++ b/tests/transport/StreamServerTest.cpp
@@ -0,0 +1,317 @@
+#include <future>
+
+#include "transport/StreamFixture.h"
+
+namespace swiftlift::transport::test {
+
+using node::AttemptEnd;
+using node::AttemptEnded;
+using node::RequestArrived;
+
+TEST_F(StreamFixture, WholeAnswerIsCollectedAndSentWithItsBill)
+{
+    start();
+    auto client = caller();
+    client.write(request());
+    const auto arrived = nextEvent<RequestArrived>(decisions);
+    EXPECT_EQ(arrived.request.service, ServiceName("chat"));
+    EXPECT_EQ(arrived.request.promptTokens, Tokens(2));
+    EXPECT_EQ(arrived.request.keyHash, keyHash("secret"));
+    dispatch(arrived, 1);
+    auto engine = backend.accept();
+    const auto asked = engine.readRequest();
+    EXPECT_EQ(asked.target(), "/generate");
+    EXPECT_EQ(asked["X-Attempt-Id"], attemptText(1));
+    const auto& key = arrived.request.key;
+    EXPECT_EQ(asked["X-Request-Key"], toHex(key));
+    engine.write(streamHead() + line(key, attemptText(1), 0, "a") + line(key, attemptText(1), 1, "b")
+        + done(key, attemptText(1), 2));
+    const auto ended = nextEvent<AttemptEnded>(decisions);
+    EXPECT_EQ(ended.end, AttemptEnd::Completed);
+    EXPECT_EQ(ended.answerTokens, Tokens(2));
+    EXPECT_EQ(ended.cachedPromptTokens, Tokens(1));
+    replyAnswered(arrived.call, 4);
+    const auto answer = client.readResponse();
+    EXPECT_EQ(answer.result_int(), 200U);
+    EXPECT_EQ(answer.body(),
+        R"({"outcome":"answered","request":"r1","text":"ab","prompt_tokens":2,"answer_tokens":2,"billed_tokens":4})");
+}
+
+TEST_F(StreamFixture, StreamPassesEachTokenOnAndEndsWithTheBill)
+{
+    start();
+    auto client = caller();
+    client.write(request(streamed()));
+    const auto arrived = nextEvent<RequestArrived>(decisions);
+    dispatch(arrived, 1);
+    auto engine = backend.accept();
+    static_cast<void>(engine.readRequest());
+    const auto& key = arrived.request.key;
+    engine.write(streamHead() + line(key, attemptText(1), 0, "a"));
+    EXPECT_NE(client.readUntil(R"({"token":"a","index":0})").find("200 OK"), std::string::npos);
+    EXPECT_EQ(nextEvent<node::AttemptProgress>(decisions).answerTokens, Tokens(1));
+    engine.write(line(key, attemptText(1), 1, "b") + done(key, attemptText(1), 2));
+    static_cast<void>(client.readUntil(R"({"token":"b","index":1})"));
+    EXPECT_EQ(nextEvent<AttemptEnded>(decisions).end, AttemptEnd::Completed);
+    replyAnswered(arrived.call);
+    EXPECT_NE(client.readUntil("0\r\n\r\n").find(R"({"outcome":"answered")"), std::string::npos);
+    EXPECT_EQ(observer.firstTokens, 1);
+    EXPECT_EQ(observer.gaps, 1);
+}
+
+TEST_F(StreamFixture, RefusalBeforeTheFirstTokenOfAStreamHasItsOwnStatus)
+{
+    start();
+    auto client = caller();
+    client.write(request(streamed()));
+    const auto arrived = nextEvent<RequestArrived>(decisions);
+    auto refused = refusal(402, "budget_exhausted", "nothing left");
+    refused.call = arrived.call;
+    refused.retryAfter = std::chrono::milliseconds(1500);
+    order(refused);
+    const auto answer = client.readResponse();
+    EXPECT_EQ(answer.result_int(), 402U);
+    EXPECT_EQ(answer["Retry-After"], "2");
+    EXPECT_EQ(answer.body(),
+        R"({"outcome":"refused","run":"not_run","request":"r1","reason":"budget_exhausted",)"
+        R"("detail":"nothing left","retry_after_ms":1500})");
+}
+
+// Symptom: a caller gets a token of somebody else's answer, or one of an earlier attempt at its own. An engine under
+// load writes lines of another request, and lines of an attempt that was given up, between the lines of this answer.
+// Cause: only the connection, and not key and attempt, would tell whose line it is.
+TEST_F(StreamFixture, CrossedAndLateLinesAreNeverPassedOn)
+{
+    start();
+    auto client = caller();
+    client.write(request());
+    const auto arrived = nextEvent<RequestArrived>(decisions);
+    dispatch(arrived, 2);
+    auto engine = backend.accept();
+    static_cast<void>(engine.readRequest());
+    const auto& key = arrived.request.key;
+    const RequestKey other { 1, 2 };
+    engine.write(streamHead() + line(other, attemptText(2), 0, "theirs") + line(key, attemptText(1), 0, "late")
+        + done(other, attemptText(2), 1).substr(0, done(other, attemptText(2), 1).size() - 5)
+        + line(key, attemptText(2), 0, "mine") + chunkOf("no JSON\n") + done(key, attemptText(2), 1));
+    EXPECT_EQ(nextEvent<AttemptEnded>(decisions).end, AttemptEnd::Completed);
+    replyAnswered(arrived.call);
+    EXPECT_EQ(nlohmann::json::parse(client.readResponse().body())["text"], "mine");
+    while (server->counts().foreignLines < 4) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    EXPECT_EQ(server->counts().foreignLines, 4U);
+}
+
+// Symptom: an answer lacks a token and is called whole. A line went astray; the next one has an index too high, or the
+// last line counts more tokens than came.
+TEST_F(StreamFixture, AnswerWithAHoleIsBroken)
+{
+    start();
+    for (const bool atTheEnd : { false, true }) {
+        auto client = caller();
+        client.write(request());
+        const auto arrived = nextEvent<RequestArrived>(decisions);
+        const std::uint64_t attempt = atTheEnd ? 2 : 1;
+        dispatch(arrived, attempt);
+        auto engine = backend.accept();
+        static_cast<void>(engine.readRequest());
+        const auto& key = arrived.request.key;
+        engine.write(streamHead() + line(key, attemptText(attempt), 0, "a")
+            + (atTheEnd ? done(key, attemptText(attempt), 2) : line(key, attemptText(attempt), 2, "c")));
+        const auto ended = nextEvent<AttemptEnded>(decisions);
+        EXPECT_EQ(ended.end, AttemptEnd::Broken);
+        EXPECT_EQ(ended.answerTokens, Tokens(1));
+    }
+}
+
+// Symptom: a caller sees a token twice, or misses one, after its stream went on at another backend server. The first
+// one dies after two tokens; the second one ignores X-Resume-From and starts at 0.
+TEST_F(StreamFixture, ResumedStreamHasNeitherGapNorRepeat)
+{
+    start();
+    auto client = caller();
+    client.write(request(streamed()));
+    const auto arrived = nextEvent<RequestArrived>(decisions);
+    const auto& key = arrived.request.key;
+    dispatch(arrived, 1);
+    {
+        auto engine = backend.accept();
+        static_cast<void>(engine.readRequest());
+        engine.write(streamHead() + line(key, attemptText(1), 0, "a") + line(key, attemptText(1), 1, "b"));
+        static_cast<void>(client.readUntil(R"("index":1})"));
+    }
+    const auto broken = nextEvent<AttemptEnded>(decisions);
+    EXPECT_EQ(broken.end, AttemptEnd::Broken);
+    EXPECT_EQ(broken.answerTokens, Tokens(2));
+    dispatch(arrived, 2, 2);
+    auto engine = backend.accept();
+    EXPECT_EQ(engine.readRequest()["X-Resume-From"], "2");
+    engine.write(streamHead() + line(key, attemptText(2), 0, "a") + line(key, attemptText(2), 1, "b")
+        + line(key, attemptText(2), 2, "c") + done(key, attemptText(2), 3));
+    EXPECT_EQ(nextEvent<AttemptEnded>(decisions).answerTokens, Tokens(3));
+    replyAnswered(arrived.call);
+    const std::string rest = client.readUntil("0\r\n\r\n");
+    EXPECT_EQ(rest.find(R"("token":"a")"), std::string::npos);
+    EXPECT_EQ(rest.find(R"("token":"b")"), std::string::npos);
+    EXPECT_NE(rest.find(R"({"token":"c","index":2})"), std::string::npos);
+}
+
+// Symptom: a backend server goes on computing for somebody who has hung up, and its tokens are billed.
+TEST_F(StreamFixture, CallerGoneIsToldAndACancelledAttemptClosesItsConnection)
+{
+    start();
+    auto client = caller();
+    client.write(request(streamed()));
+    const auto arrived = nextEvent<RequestArrived>(decisions);
+    dispatch(arrived, 1);
+    auto engine = backend.accept();
+    static_cast<void>(engine.readRequest());
+    engine.write(streamHead() + line(arrived.request.key, attemptText(1), 0, "a"));
+    static_cast<void>(client.readUntil(R"("index":0})"));
+    client.close();
+    EXPECT_EQ(nextEvent<node::CallerGone>(decisions).call, arrived.call);
+    order(node::CancelAttempt { AttemptId(1) });
+    EXPECT_TRUE(engine.closes());
+}
+
+// Symptom: one caller that doesn't read makes the router's memory grow by all that an engine can write. The engine
+// here writes some 30 MB; the router has to stop reading it, and go on when the caller does, with nothing lost.
+TEST_F(StreamFixture, SlowReaderIsBoundedAndLosesNothing)
+{
+    constexpr int tokens = 30'000;
+    StreamLimits limits;
+    start(limits);
+    auto client = caller();
+    client.write(request(streamed(), R"({"prompt":"hello","max_tokens":100000})"));
+    const auto arrived = nextEvent<RequestArrived>(decisions);
+    dispatch(arrived, 1);
+    auto engine = backend.accept();
+    static_cast<void>(engine.readRequest());
+    const auto& key = arrived.request.key;
+    const auto writer = std::async(std::launch::async, [&] {
+        const std::string token(1000, 'x');
+        engine.write(streamHead());
+        for (int index = 0; index < tokens; ++index) {
+            engine.write(line(key, attemptText(1), index, token));
+        }
+        engine.write(done(key, attemptText(1), tokens));
+    });
+    while (server->counts().pauses == 0) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    for (int index = 0; index < tokens; ++index) {
+        const std::string mark = "\"index\":" + std::to_string(index) + "}";
+        ASSERT_LT(client.readUntil(mark).size(), 1200U) << "more than one line before index " << index;
+    }
+    EXPECT_EQ(nextEvent<AttemptEnded>(decisions).end, AttemptEnd::Completed);
+    constexpr std::size_t onePieceMore = 32 * 1024;
+    EXPECT_LT(server->counts().mostUnsentBytes, limits.pauseAboveBytes + onePieceMore);
+}
+
+TEST_F(StreamFixture, SilentBackendIsGivenUp)
+{
+    start();
+    auto client = caller();
+    client.write(request());
+    const auto arrived = nextEvent<RequestArrived>(decisions);
+    node::Dispatch order1;
+    order1.call = arrived.call;
+    order1.attempt = AttemptId(1);
+    order1.backend = BackendId(backend.address());
+    order1.silenceLimit = std::chrono::milliseconds(50);
+    order(order1);
+    auto engine = backend.accept();
+    EXPECT_EQ(nextEvent<AttemptEnded>(decisions).end, AttemptEnd::Broken);
+    EXPECT_TRUE(engine.closes());
+}
+
+TEST_F(StreamFixture, RefusalsOfBackendsAreToldApart)
+{
+    start();
+    struct Case {
+        std::string answer;
+        AttemptEnd end;
+    };
+    const std::vector<Case> cases { { jsonAnswer(429, R"({"error":"full"})"), AttemptEnd::NotStarted },
+        { jsonAnswer(503, R"({"error":"leaving"})"), AttemptEnd::Leaving },
+        { jsonAnswer(503, R"({"error":"outage"})"), AttemptEnd::NotStarted },
+        { jsonAnswer(500, "{}"), AttemptEnd::Broken }, { "garbage\r\n\r\n", AttemptEnd::Broken },
+        { "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n", AttemptEnd::Broken } };
+    std::uint64_t attempt = 0;
+    for (const auto& [answer, end] : cases) {
+        auto client = caller();
+        client.write(request());
+        const auto arrived = nextEvent<RequestArrived>(decisions);
+        dispatch(arrived, ++attempt);
+        auto engine = backend.accept();
+        static_cast<void>(engine.readRequest());
+        engine.write(answer);
+        engine.close();
+        EXPECT_EQ(nextEvent<AttemptEnded>(decisions).end, end) << answer;
+    }
+}
+
+TEST_F(StreamFixture, RefusedConnectionMeansNotStarted)
+{
+    start();
+    auto client = caller();
+    client.write(request());
+    const auto arrived = nextEvent<RequestArrived>(decisions);
+    node::Dispatch toNobody;
+    toNobody.call = arrived.call;
+    toNobody.attempt = AttemptId(1);
+    {
+        const Listener closed;
+        toNobody.backend = BackendId(closed.address());
+    }
+    order(toNobody);
+    EXPECT_EQ(nextEvent<AttemptEnded>(decisions).end, AttemptEnd::NotStarted);
+}
+
+TEST_F(StreamFixture, ConnectionsToBackendsAreKeptButNotForWhatMayRunOnlyOnce)
+{
+    start();
+    auto client = caller();
+    std::optional<Connection> engine;
+    std::uint64_t attempt = 0;
+    for (const std::string headers : { "", "", "Swiftlift-Idempotent: false\r\n" }) {
+        client.write(request(headers));
+        const auto arrived = nextEvent<RequestArrived>(decisions);
+        dispatch(arrived, ++attempt);
+        if (attempt != 2) {
+            engine.emplace(backend.accept());
+        }
+        const auto asked = engine->readRequest();
+        const auto& key = arrived.request.key;
+        engine->write(streamHead() + line(key, attemptText(attempt), 0, "a") + done(key, attemptText(attempt), 1));
+        static_cast<void>(nextEvent<AttemptEnded>(decisions));
+        replyAnswered(arrived.call);
+        EXPECT_EQ(client.readResponse().result_int(), 200U);
+    }
+    EXPECT_TRUE(engine->closes());
+    while (server->counts().backendConnects < 2) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    EXPECT_EQ(server->counts().backendConnects, 2U);
+    EXPECT_EQ(server->counts().backendReuses, 1U);
+}
+
+TEST_F(StreamFixture, PlainAnswerIsPassedOnWhole)
+{
+    start();
+    auto client = caller();
+    client.write(request({}, R"({"order":17})"));
+    const auto arrived = nextEvent<RequestArrived>(decisions);
+    dispatch(arrived, 1, 0, node::BackendKind::Plain);
+    auto service = backend.accept();
+    const auto asked = service.readRequest();
+    EXPECT_EQ(asked.target(), "/call");
+    EXPECT_EQ(asked.body(), R"({"order":17})");
+    service.write(jsonAnswer(200, R"({"ok":true})"));
+    EXPECT_EQ(nextEvent<AttemptEnded>(decisions).end, AttemptEnd::Completed);
+    replyAnswered(arrived.call);
+    EXPECT_EQ(nlohmann::json::parse(client.readResponse().body())["text"], R"({"ok":true})");
+}
+
+} // namespace swiftlift::transport::test
--- /dev/null
+++ b/tests/wire/PeerCodecTest.cpp
@@ -0,0 +1,78 @@
+#include <gtest/gtest.h>
+
+#include "swiftlift/wire/PeerCodec.h"
+
+namespace swiftlift::wire {
+
+namespace {
+
+    const GrantId grant { Incarnation(11), 3 };
+    const BudgetRef budget { AccountId("acme"), BudgetId("desk") };
+    const std::vector<ledger::Ceiling> ceilings { { grant, Tokens(500) }, { { Incarnation(12), 4 }, Tokens(0) } };
+
+    /** One message of every kind. */
+    std::vector<node::PeerMessage> messages()
+    {
+        node::Heartbeat heartbeat;
+        heartbeat.domain = FailureDomain("regina-a");
+        heartbeat.region = Region("sask-south");
+        heartbeat.stopping = true;
+        heartbeat.positions = { { StreamName("config"), Offset(7) } };
+        return { heartbeat, node::RaiseCeilings { ceilings }, node::CeilingsAcked { ceilings },
+            node::CeilingsRefused { { grant } }, node::LoanAsk { 1, budget, Tokens(5) },
+            node::LoanGiven { 2, budget, grant, Tokens(6) }, node::LoanDenied { 3, budget, Tokens(7) },
+            node::LoanDone { 4, Tokens(8) }, node::LoanDoneAcked { 5 }, node::ReadAsk { StreamName("s"), Offset(9) },
+            node::Records { StreamName("s"), Offset(9), { std::string("\0a", 2), "b" } },
+            node::StreamState { StreamName("s"), Offset(10), std::string("\0state", 6) },
+            node::RelayAppend { StreamName("s"), "record" }, node::CopyItems { StreamName("s"), "batch" },
+            node::ItemsCopied { StreamName("s"), 42 } };
+    }
+
+} // namespace
+
+// Each kind has fields of its own, so what is compared is the bytes: a field that got lost would not be there again.
+TEST(PeerCodec, EveryKindOfMessageComesBackAsItWent)
+{
+    const auto all = messages();
+    ASSERT_EQ(all.size(), std::variant_size_v<node::PeerMessage>);
+    for (const auto& message : all) {
+        const PeerEnvelope envelope { Incarnation(1), PeerAddress("127.0.1.1:7400"), Incarnation(2), message };
+        const std::string bytes = encodePeerEnvelope(envelope);
+        const auto decoded = decodePeerEnvelope(bytes);
+        ASSERT_TRUE(decoded) << "kind " << message.index();
+        EXPECT_EQ(decoded->sender, envelope.sender);
+        EXPECT_EQ(decoded->senderAddress, envelope.senderAddress);
+        EXPECT_EQ(decoded->receiver, envelope.receiver);
+        EXPECT_EQ(decoded->message.index(), message.index());
+        EXPECT_EQ(encodePeerEnvelope(*decoded), bytes) << "kind " << message.index();
+    }
+}
+
+TEST(PeerCodec, FieldsKeepTheirMeaning)
+{
+    const auto all = messages();
+    const auto roundTrip = [](const node::PeerMessage& message) {
+        return decodePeerEnvelope(encodePeerEnvelope({ Incarnation(1), PeerAddress("a"), Incarnation(), message }));
+    };
+    const auto given = std::get<node::LoanGiven>(roundTrip(all[5])->message);
+    EXPECT_EQ(given.budget, budget);
+    EXPECT_EQ(given.grant, grant);
+    EXPECT_EQ(given.amount, Tokens(6));
+    EXPECT_EQ(std::get<node::CeilingsAcked>(roundTrip(all[2])->message).ceilings, ceilings);
+    EXPECT_EQ(std::get<node::Records>(roundTrip(all[10])->message).records.front(), std::string("\0a", 2));
+    const auto heartbeat = std::get<node::Heartbeat>(roundTrip(all[0])->message);
+    EXPECT_TRUE(heartbeat.stopping);
+    EXPECT_FALSE(heartbeat.logReachable);
+    EXPECT_EQ(heartbeat.positions.front().next, Offset(7));
+}
+
+TEST(PeerCodec, WhatIsNoEnvelopeIsRefused)
+{
+    EXPECT_FALSE(decodePeerEnvelope("\xFF\xFF\xFF garbage"));
+    EXPECT_FALSE(decodePeerEnvelope(""));
+    // Nobody has sent it.
+    EXPECT_FALSE(decodePeerEnvelope(
+        encodePeerEnvelope({ Incarnation(), PeerAddress("a"), Incarnation(), node::LoanDoneAcked { 1 } })));
+}
+
+} // namespace swiftlift::wire
