End every process of a run before the runner ends on a signal

Children went with the runner by the kernel's hand, but a moment after it: seen as six processes alive right after SIGTERM to the runner. Now it kills and awaits each by its id first, under the lock that reaps.

--- a/tests/scenario/Main.cpp
+++ b/tests/scenario/Main.cpp
@@ -13,6 +13,7 @@
 #include "Errors.h"
 #include "LuaRuntime.h"
 #include "Prelude.h"
+#include "Process.h"
 #include "World.h"
 
 namespace swiftlift::scenario {
@@ -60,10 +61,7 @@
         return line;
     }
 
-    /**
-     * Ends the runner on SIGINT and SIGTERM. Its children are ended by the kernel then, since each asked to go with
-     * its parent; no handler has to walk structures that another thread is changing.
-     */
+    /** Ends the runner's processes and the runner on SIGINT and SIGTERM, whatever its other threads are doing. */
     void endOnSignals()
     {
         static sigset_t signals;
@@ -74,6 +72,7 @@
         std::thread([] {
             int number = 0;
             sigwait(&signals, &number);
+            endAllProcesses();
             ::_exit(signalStatusBase + number);
         }).detach();
     }
--- a/tests/scenario/Process.cpp
+++ b/tests/scenario/Process.cpp
@@ -3,6 +3,8 @@
 #include <csignal>
 #include <deque>
 #include <fstream>
+#include <mutex>
+#include <set>
 #include <sstream>
 #include <thread>
 
@@ -38,6 +40,19 @@
         ::_exit(cannotRun);
     }
 
+    /** Children that have not been reaped. A process id may be used again only after its child was reaped, and that
+     * happens under the same lock as signalling: so a signal never reaches a stranger. */
+    struct Children {
+        std::mutex mutex;
+        std::set<pid_t> alive;
+    };
+
+    Children& children()
+    {
+        static Children instance;
+        return instance;
+    }
+
     int toExitStatus(int status) noexcept
     {
         return WIFEXITED(status) ? WEXITSTATUS(status) : signalStatusBase + WTERMSIG(status);
@@ -69,6 +84,7 @@
     for (auto& argument : command_)
         arguments.push_back(argument.data());
     arguments.push_back(nullptr);
+    const std::scoped_lock lock(internal::children().mutex);
     const pid_t parent = ::getpid();
     const pid_t child = ::fork();
     if (child == 0)
@@ -76,23 +92,33 @@
     ::close(output);
     if (child < 0)
         throw BrokenScript("cannot fork for " + name_);
+    internal::children().alive.insert(child);
     pid_ = child;
     exitStatus_.reset();
 }
 
 bool Process::running()
+{
+    const std::scoped_lock lock(internal::children().mutex);
+    return !reap(WNOHANG);
+}
+
+bool Process::reap(int options)
 {
     if (pid_ == 0 || exitStatus_)
-        return false;
+        return true;
     int status = 0;
-    if (::waitpid(pid_, &status, WNOHANG) == pid_)
+    if (::waitpid(pid_, &status, options) == pid_) {
         exitStatus_ = internal::toExitStatus(status);
-    return !exitStatus_;
+        internal::children().alive.erase(pid_);
+    }
+    return exitStatus_.has_value();
 }
 
 void Process::signal(int number)
 {
-    if (running())
+    const std::scoped_lock lock(internal::children().mutex);
+    if (!reap(WNOHANG))
         ::kill(pid_, number);
 }
 
@@ -109,12 +135,22 @@
 
 void Process::kill()
 {
-    if (!running())
+    const std::scoped_lock lock(internal::children().mutex);
+    if (reap(WNOHANG))
         return;
     ::kill(pid_, SIGKILL);
-    int status = 0;
-    ::waitpid(pid_, &status, 0);
-    exitStatus_ = internal::toExitStatus(status);
+    reap(0);
+}
+
+void endAllProcesses()
+{
+    internal::Children& children = internal::children();
+    // Kept for good: nobody may start another process now.
+    children.mutex.lock();
+    for (const pid_t child : children.alive)
+        ::kill(child, SIGKILL);
+    for (const pid_t child : children.alive)
+        ::waitpid(child, nullptr, 0);
 }
 
 bool Process::waitForLine(const std::string& text, Milliseconds bound)
--- a/tests/scenario/Process.h
+++ b/tests/scenario/Process.h
@@ -55,6 +55,9 @@
     [[nodiscard]] pid_t pid() const noexcept { return pid_; }
 
 private:
+    /** Takes the exit status if there is one. @return Whether the process has ended, or was never started. */
+    bool reap(int options);
+
     std::string name_;
     std::vector<std::string> command_;
     std::filesystem::path output_;
@@ -63,6 +66,12 @@
     std::optional<int> exitStatus_;
 };
 
+/**
+ * Sends SIGKILL to every process that runs and waits for their ends. For a runner that is told to end: no process is
+ * started, or looked at, afterwards.
+ */
+void endAllProcesses();
+
 /** @return The last `count` lines of a file. */
 [[nodiscard]] std::vector<std::string> lastLines(const std::filesystem::path& file, std::size_t count);
 
