--- a/apps/router/RouterProcess.cpp
+++ b/apps/router/RouterProcess.cpp
@@ -100,7 +100,7 @@
 void RouterProcess::start()
 {
     addReadings();
-    journal_.write(logging::Level::Info, "start",
+    journal_.write(logging::Level::Info, "process_start",
         { { "seed", std::to_string(seed_) }, { "callers", settings_.callersListen.value() },
             { "domain", settings_.vm.domain.value() } });
     metrics_.start();
@@ -120,7 +120,7 @@
     while (!carrier_.stopReady() && std::chrono::steady_clock::now() < until) {
         std::this_thread::sleep_for(readyPoll);
     }
-    journal_.write(logging::Level::Info, "stop", { { "ready", carrier_.stopReady() } });
+    journal_.write(logging::Level::Info, "process_stop", { { "ready", carrier_.stopReady() } });
     // The decision thread goes on until the last replies are with the callers.
     streams_.stop(drainLimit);
     loop_.stop();
--- a/include/swiftlift/transport/Metrics.h
+++ b/include/swiftlift/transport/Metrics.h
@@ -19,8 +19,9 @@
 /**
  * @brief The metrics thread, and Prometheus' listener with its own.
  *
- * Families are named `swiftlift_` and the core's name. The core is trusted to keep labels few; the number of series is
- * bounded all the same, because a label that takes a caller's text would let callers fill the memory.
+ * Families are named as the core names them, with `swiftlift_` before it where the core leaves that out. The core is
+ * trusted to keep labels few; the number of series is bounded all the same, because a label that takes a caller's text
+ * would let callers fill the memory.
  */
 class Metrics : public StreamObserver {
 public:
--- a/src/transport/Metrics.cpp
+++ b/src/transport/Metrics.cpp
@@ -28,6 +28,13 @@
     const prometheus::Histogram::BucketBoundaries betweenTokensSeconds { 0.002, 0.004, 0.006, 0.01, 0.015, 0.02, 0.029,
         0.05, 0.1, 0.3, 1, 5 };
 
+    constexpr std::string_view prefix = "swiftlift_";
+
+    std::string familyName(const std::string& name)
+    {
+        return name.starts_with(prefix) ? name : std::string(prefix) + name;
+    }
+
     prometheus::Labels toLabels(const std::vector<std::pair<std::string, std::string>>& labels)
     {
         return { labels.begin(), labels.end() };
@@ -92,8 +99,7 @@
         if (!mayAdd()) {
             return;
         }
-        auto& family
-            = prometheus::BuildCounter().Name("swiftlift_" + update.name).Help(update.name).Register(*registry);
+        auto& family = prometheus::BuildCounter().Name(familyName(update.name)).Help(update.name).Register(*registry);
         found = counters.emplace(key, &family.Add(key.second)).first;
     }
     found->second->Increment(update.add);
@@ -107,7 +113,7 @@
         if (!mayAdd()) {
             return;
         }
-        auto& family = prometheus::BuildGauge().Name("swiftlift_" + update.name).Help(update.name).Register(*registry);
+        auto& family = prometheus::BuildGauge().Name(familyName(update.name)).Help(update.name).Register(*registry);
         found = gauges.emplace(key, &family.Add(key.second)).first;
     }
     found->second->Set(update.value);
--- a/tests/transport/AroundTest.cpp
+++ b/tests/transport/AroundTest.cpp
@@ -138,7 +138,7 @@
     metrics.start();
     metrics.inbox().pushOrDrop(node::CountMetric { "requests_total", { { "outcome", "answered" } }, 2 });
     metrics.inbox().pushOrDrop(node::CountMetric { "requests_total", { { "outcome", "answered" } }, 1 });
-    metrics.inbox().pushOrDrop(node::GaugeMetric { "free_tokens", {}, 9 });
+    metrics.inbox().pushOrDrop(node::GaugeMetric { "swiftlift_free_tokens", {}, 9 });
     metrics.firstToken(std::chrono::milliseconds(3));
     std::string text;
     const auto until = std::chrono::steady_clock::now() + longWait;
