Have the retention scenario wait for what the cut VM has not read

The wait was for a fixed offset, which the VM could have read before it was cut off: then no hole would have been tried. It now waits for 50 records beyond its position.

--- a/tests/scenario/scripts/retention_expired.lua
+++ b/tests/scenario/scripts/retention_expired.lua
@@ -6,14 +6,15 @@
 local calls = { { account = "league", service = "drafts", max_tokens = 4 },
     { account = "league", service = "orders", idempotent = false } }
 warm_up()
+local position = status("regina-b-2", "status").positions["ledger-0"]
 cut("regina-b-2", "platform")
 cut("regina-b-2", "regina-a")
 cut("regina-b-2", "regina-b-1")
 until_true(function()
     load { calls = calls, rate = 60, seconds = 4, from = vms("regina-a") }
     local stream = audit_of("log").streams["ledger-0"]
-    return stream and stream.oldest > 50
-end, nil, "the beginning of the ledger has expired")
+    return stream and stream.oldest > position + 50
+end, 300, "what the VM that is cut off has not read has expired")
 replace("regina-a-2")
 heal("regina-b-2", "platform")
 heal("regina-b-2", "regina-a")
