Hold more, give back all that others lack, and free what the dead held

A document's weighting was never handed on to the policy. Ruled out: closing a dead VM's grants on the platform's list or on a new process at its address, as a domain that is cut off may be replaced while its VMs still serve; a static split, which holds as much and gives nothing back. Change: the weighting of a service's document reaches its budgets; 'refusals' holds up to 300 s of demand and draws again below 60 s; a holder gives back all that another lacks; the witness closes a sealed grant once every copy it keeps has landed, and a holder tells no caller of a bill that neither landed nor is copied at the grant's witness. In an outage the witness promises not to close, so answers need no second copy; such grants are exchanged afterwards. A VM alone in its domain names no witness, so that a cut does not stop it. swiftliftctl write-off frees what nobody can close.

--- a/apps/ctl/CommandLine.h
+++ b/apps/ctl/CommandLine.h
@@ -15,6 +15,7 @@
     AccountCreate,
     AccountClose,
     TopUp,
+    WriteOff,
     Publish,
     Check,
     Show,
--- a/apps/ctl/Commands.h
+++ b/apps/ctl/Commands.h
@@ -25,7 +25,7 @@
     std::size_t optionCount;
 };
 
-inline constexpr std::array<CommandInfo, 15> commands { {
+inline constexpr std::array<CommandInfo, 16> commands { {
     { Command::AccountCreate, "account create", "NAME --key KEY", 1, 1, "create a client account",
         "The log keeps only a hash of the key. --key-file FILE reads the key from a file's first line, `-` from "
         "standard\n"
@@ -41,6 +41,11 @@
         "--id\n"
         "that it printed: the tokens are then added once at most.",
         { Option::Id }, 1 },
+    { Command::WriteOff, "write-off", "ACCOUNT HOLDER GRANT", 3, 3, "free what a lost router's grant has not billed",
+        "Only for a grant whose VM is gone for good: one without a witness, or whose witness died too (see "
+        "`budgets`).\n"
+        "A holder that still lives stops at once, and answers it gives from that grant end as unknown.",
+        { Option::Id }, 1 },
     { Command::Publish, "publish", "FILE", 1, 1, "publish a service's document",
         "Checks the document and puts it in force everywhere. The publish names the revision it replaces: with\n"
         "--expect-revision N that one (`new` for a service that never was), else the one in force when the command "
--- a/apps/ctl/LedgerChange.cpp
+++ b/apps/ctl/LedgerChange.cpp
@@ -110,6 +110,15 @@
     return change.make(entry, "account " + account.value() + " closed");
 }
 
+Report writeOff(const ChangeContext& context, std::uint32_t shards, const AccountId& account, const GrantId& grant)
+{
+    LedgerChange change(context, shards, account);
+    if (!change.readBefore()) {
+        return notSentReport(change.reader());
+    }
+    return change.make(ledger::WriteOff { grant }, "grant written off: what it had not billed is free again");
+}
+
 Report topUp(const ChangeContext& context, std::uint32_t shards, const BudgetRef& budget, Tokens amount)
 {
     LedgerChange change(context, shards, budget.account);
--- a/apps/ctl/LedgerChange.h
+++ b/apps/ctl/LedgerChange.h
@@ -19,6 +19,13 @@
 [[nodiscard]] Report closeAccount(const ChangeContext& context, std::uint32_t shards, const AccountId& account,
     const std::optional<Offset>& expected);
 
+/**
+ * @brief Frees what a grant has not billed, on the operator's word that its holder's VM is gone for good.
+ * @param account Client account that the grant's budget is of.
+ */
+[[nodiscard]] Report writeOff(
+    const ChangeContext& context, std::uint32_t shards, const AccountId& account, const GrantId& grant);
+
 /** @brief Adds prepaid tokens; the first top-up of a budget creates it. */
 [[nodiscard]] Report topUp(const ChangeContext& context, std::uint32_t shards, const BudgetRef& budget, Tokens amount);
 
--- a/apps/ctl/Run.cpp
+++ b/apps/ctl/Run.cpp
@@ -47,13 +47,19 @@
         return stream ? readText(stream) : std::nullopt;
     }
 
-    [[nodiscard]] std::optional<Tokens> parseTokens(const std::string& text)
+    /** @return The number that is the whole of the text. */
+    template <typename Number> [[nodiscard]] std::optional<Number> parseNumber(const std::string& text, int base = 10)
     {
-        std::int64_t value = 0;
+        Number value = 0;
         const auto* const end = text.data() + text.size();
-        const auto [stop, error] = std::from_chars(text.data(), end, value);
-        const bool good = error == std::errc {} && stop == end && value > 0;
-        return good ? std::optional(Tokens(value)) : std::nullopt;
+        const auto [stop, error] = std::from_chars(text.data(), end, value, base);
+        return error == std::errc {} && stop == end ? std::optional(value) : std::nullopt;
+    }
+
+    [[nodiscard]] std::optional<Tokens> parseTokens(const std::string& text)
+    {
+        const auto value = parseNumber<std::int64_t>(text);
+        return value && *value > 0 ? std::optional(Tokens(*value)) : std::nullopt;
     }
 
     /** Carries out one command, with everything that it needs. */
@@ -78,6 +84,8 @@
                 return runAccountClose();
             case Command::TopUp:
                 return runTopUp();
+            case Command::WriteOff:
+                return runWriteOff();
             case Command::Publish:
                 return runPublish();
             case Command::Withdraw:
@@ -161,6 +169,18 @@
             return topUp(context_, settings_.ledgerShards, budget, *tokens);
         }
 
+        [[nodiscard]] Report runWriteOff()
+        {
+            constexpr int hexadecimal = 16;
+            const auto holder = parseNumber<std::uint64_t>(line_.arguments[1], hexadecimal);
+            const auto number = parseNumber<std::uint32_t>(line_.arguments[2]);
+            if (!holder || !number) {
+                return usageFailure("HOLDER and GRANT have to be as `budgets` shows them");
+            }
+            const GrantId grant { Incarnation(*holder), *number };
+            return writeOff(context_, settings_.ledgerShards, AccountId(line_.arguments[0]), grant);
+        }
+
         [[nodiscard]] Report runPublish()
         {
             const auto& file = line_.arguments.front();
--- a/include/swiftlift/ledger/Entry.h
+++ b/include/swiftlift/ledger/Entry.h
@@ -59,7 +59,10 @@
     [[nodiscard]] bool operator==(const Return&) const = default;
 };
 
-/** The holder's last word on a grant: all its bills came before. Frees what was not billed. */
+/**
+ * The holder's last word on a grant: all its bills came before. Frees what was not billed. Of a sealed grant also the
+ * witness's word: what it keeps copies of has landed, and the holder tells no caller of a bill that has not.
+ */
 struct CloseGrant {
     GrantId grant;
 
@@ -115,8 +118,18 @@
     [[nodiscard]] bool operator==(const Checkpoint&) const = default;
 };
 
+/**
+ * An operator's word that the holder's VM is gone for good: what the grant has not billed is free again. Wrong, and the
+ * holder's later bills are refused, though it may have told callers of them.
+ */
+struct WriteOff {
+    GrantId grant;
+
+    [[nodiscard]] bool operator==(const WriteOff&) const = default;
+};
+
 using Entry = std::variant<OpenAccount, CloseAccount, TopUp, Draw, Return, CloseGrant, ChangeWitness, Seal, Bill, Claim,
-    VoidClaim, Checkpoint>;
+    VoidClaim, Checkpoint, WriteOff>;
 
 /**
  * An entry with its author. The fold takes an author's items in sequence and ignores a repeat, so an append whose
--- a/include/swiftlift/ledger/Holder.h
+++ b/include/swiftlift/ledger/Holder.h
@@ -60,6 +60,8 @@
 struct Ceiling {
     GrantId grant;
     Tokens ceiling;
+    /** The holder may tell callers of bills that nobody else knows of, so the witness must never close this grant. */
+    bool alone = false;
 
     [[nodiscard]] bool operator==(const Ceiling&) const = default;
 };
@@ -87,6 +89,8 @@
     BudgetRef budget;
     GrantId grant;
     Tokens amount;
+    /** As Ceiling::alone, of the lender's grant. */
+    bool alone = false;
 };
 struct SendLoanDenied {
     Incarnation to;
@@ -173,6 +177,13 @@
     /** The request was never run: nothing is billed. */
     void release(const Reservation& reservation, MoneyActions& actions);
 
+    /** Which of the two measures weighs more for this budget; the policy's own weighting until told. */
+    void setWeighting(const BudgetRef& budget, Weighting weighting);
+    /** @return Whether a loan of this holder's is on the grant. */
+    /** @return Whether nobody else can close the grant behind the reservation: its bill will count when it lands. */
+    [[nodiscard]] bool answersAlone(const Reservation& reservation) const;
+    [[nodiscard]] bool borrowsFrom(const GrantId& grant) const;
+
     /** Takes each effect of the fold, in order. */
     void onEffect(const Effect& effect, Instant now, MoneyActions& actions);
     void onCeilingsAcked(Incarnation from, const std::vector<Ceiling>& ceilings, Instant now, MoneyActions& actions);
@@ -180,7 +191,7 @@
     void onLoanAsk(Incarnation from, std::uint64_t loan, const BudgetRef& budget, Tokens amount, Instant now,
         MoneyActions& actions);
     void onLoanGiven(Incarnation from, std::uint64_t loan, const BudgetRef& budget, GrantId grant, Tokens amount,
-        Instant now, MoneyActions& actions);
+        Instant now, MoneyActions& actions, bool alone = false);
     void onLoanDenied(
         Incarnation from, std::uint64_t loan, const BudgetRef& budget, Tokens free, Instant now, MoneyActions& actions);
     /** @param billed Sum of the bill entries that the borrower emitted on this loan, counted or not. */
--- a/include/swiftlift/ledger/HoldingPolicy.h
+++ b/include/swiftlift/ledger/HoldingPolicy.h
@@ -21,6 +21,8 @@
 
 /** @brief One budget as one router sees it: all that a policy may decide from. */
 struct BudgetSituation {
+    /** Nothing: the policy's own. */
+    std::optional<Weighting> weighting;
     /** Tokens per second reserved here of late. */
     double demand = 0;
     /** Largest recent request. */
@@ -77,6 +79,8 @@
     [[nodiscard]] virtual Tokens loanSize(const BudgetSituation& situation) const = 0;
     /** @return How much of `free` a peer may borrow. */
     [[nodiscard]] virtual Tokens lendable(const BudgetSituation& situation) const = 0;
+    /** @return Whether grants that the witness promised not to close are exchanged once the log is back. */
+    [[nodiscard]] virtual bool renewsAlone() const { return true; }
     /** @return Whether grants name a witness. */
     [[nodiscard]] virtual bool witnessed() const = 0;
 };
--- a/include/swiftlift/ledger/Witness.h
+++ b/include/swiftlift/ledger/Witness.h
@@ -35,6 +35,8 @@
     /** Takes each effect of the fold, in order. */
     void onEffect(const Effect& effect, MoneyActions& actions);
 
+    /** @return Grants that are sealed under this witness, not closed, and that it never promised not to close. */
+    [[nodiscard]] std::vector<GrantId> sealed() const;
     [[nodiscard]] bool suspects(Incarnation holder) const { return suspected_.contains(holder); }
     /** @return Complete state as text; equal texts behave equally. For audits and state exploration. */
     [[nodiscard]] std::string stateText() const;
@@ -47,6 +49,8 @@
     /** Highest ceiling ever acknowledged, kept until the grant is closed. */
     std::map<GrantId, Tokens> acknowledged_;
     std::set<Incarnation> suspected_;
+    /** Grants that this witness has promised never to close. */
+    std::set<GrantId> alone_;
     /** Grants for which a seal was appended under the present tenure. */
     std::set<GrantId> sealing_;
 };
--- a/include/swiftlift/node/PeerMessage.h
+++ b/include/swiftlift/node/PeerMessage.h
@@ -43,6 +43,8 @@
     BudgetRef budget;
     GrantId grant;
     Tokens amount;
+    /** As ledger::Ceiling::alone, of the lender's grant. */
+    bool alone = false;
 };
 struct LoanDenied {
     std::uint64_t loan = 0;
--- a/src/ledger/EntryCodec.cpp
+++ b/src/ledger/EntryCodec.cpp
@@ -57,6 +57,7 @@
             written.set_tokens(entry.amount.value());
         }
 
+        void operator()(const WriteOff& entry) { toProto(entry.grant, *out_.mutable_write_off()->mutable_grant()); }
         void operator()(const CloseGrant& entry) { toProto(entry.grant, *out_.mutable_close_grant()->mutable_grant()); }
 
         void operator()(const ChangeWitness& entry) { writeCeiling(entry, *out_.mutable_change_witness()); }
--- a/src/ledger/EntryCodecReader.cpp
+++ b/src/ledger/EntryCodecReader.cpp
@@ -72,6 +72,8 @@
         return readValue(in.draw(), out.emplace<Draw>());
     case pb::Item::kReturnPart:
         return readValue(in.return_part(), out.emplace<Return>());
+    case pb::Item::kWriteOff:
+        return readValue(in.write_off(), out.emplace<WriteOff>());
     case pb::Item::kCloseGrant:
         return readValue(in.close_grant(), out.emplace<CloseGrant>());
     case pb::Item::kChangeWitness:
@@ -127,6 +129,7 @@
     return readGrant(in.grant(), out.grant) && readTokens(in.tokens(), out.amount);
 }
 
+bool BatchReader::readValue(const pb::WriteOff& in, WriteOff& out) { return readGrant(in.grant(), out.grant); }
 bool BatchReader::readValue(const pb::CloseGrant& in, CloseGrant& out) { return readGrant(in.grant(), out.grant); }
 
 bool BatchReader::readValue(const pb::ChangeWitness& in, ChangeWitness& out)
--- a/src/ledger/EntryCodecReader.h
+++ b/src/ledger/EntryCodecReader.h
@@ -27,6 +27,7 @@
     [[nodiscard]] bool readValue(const proto::ledger::TopUp& in, TopUp& out);
     [[nodiscard]] bool readValue(const proto::ledger::Draw& in, Draw& out);
     [[nodiscard]] bool readValue(const proto::ledger::Return& in, Return& out);
+    [[nodiscard]] bool readValue(const proto::ledger::WriteOff& in, WriteOff& out);
     [[nodiscard]] bool readValue(const proto::ledger::CloseGrant& in, CloseGrant& out);
     [[nodiscard]] bool readValue(const proto::ledger::ChangeWitness& in, ChangeWitness& out);
     [[nodiscard]] bool readValue(const proto::ledger::Seal& in, Seal& out);
--- a/src/ledger/FoldRules.cpp
+++ b/src/ledger/FoldRules.cpp
@@ -166,14 +166,30 @@
     GrantView* const grant = state_.books.grant(entry.grant);
     if (!grant)
         return missing(entry.grant);
-    if (origin != grant->id.holder)
+    const bool byWitness = grant->state == GrantState::Sealed && origin == grant->witness;
+    if (origin != grant->id.holder && !byWitness)
         return notHolder();
-    GrantView closed = *grant;
-    state_.books.close(*grant);
-    --state_.origins.at(origin).openGrants;
+    close(*grant);
+    return {};
+}
+
+Refusal Rules::rule(Incarnation, const WriteOff& entry)
+{
+    GrantView* const grant = state_.books.grant(entry.grant);
+    if (!grant)
+        return missing(entry.grant);
+    state_.origins.at(grant->id.holder).retired = true;
+    close(*grant);
+    return {};
+}
+
+void Rules::close(GrantView& grant)
+{
+    GrantView closed = grant;
+    state_.books.close(grant);
+    --state_.origins.at(closed.id.holder).openGrants;
     closed.state = GrantState::Closed;
     changed(closed);
-    return {};
 }
 
 Refusal Rules::rule(Incarnation origin, const ChangeWitness& entry)
--- a/src/ledger/FoldRules.h
+++ b/src/ledger/FoldRules.h
@@ -28,6 +28,8 @@
     [[nodiscard]] Refusal rule(Incarnation origin, const Draw& entry);
     [[nodiscard]] Refusal rule(Incarnation origin, const Return& entry);
     [[nodiscard]] Refusal rule(Incarnation origin, const CloseGrant& entry);
+    [[nodiscard]] Refusal rule(Incarnation origin, const WriteOff& entry);
+    void close(GrantView& grant);
     [[nodiscard]] Refusal rule(Incarnation origin, const ChangeWitness& entry);
     [[nodiscard]] Refusal rule(Incarnation origin, const Seal& entry);
     [[nodiscard]] Refusal rule(Incarnation origin, const Bill& entry);
--- a/src/ledger/Holder.cpp
+++ b/src/ledger/Holder.cpp
@@ -31,6 +31,12 @@
     book_->settle(reservation, actual, actions);
 }
 
+void Holder::setWeighting(const BudgetRef& budget, Weighting weighting) { book_->setWeighting(budget, weighting); }
+
+bool Holder::answersAlone(const Reservation& reservation) const { return book_->answersAlone(reservation); }
+
+bool Holder::borrowsFrom(const GrantId& grant) const { return book_->borrowsFrom(grant); }
+
 void Holder::release(const Reservation& reservation, MoneyActions& actions)
 {
     book_->settle(reservation, Tokens {}, actions);
@@ -58,9 +64,9 @@
 }
 
 void Holder::onLoanGiven(Incarnation from, std::uint64_t loan, const BudgetRef&, GrantId grant, Tokens amount,
-    Instant now, MoneyActions& actions)
+    Instant now, MoneyActions& actions, bool alone)
 {
-    book_->onLoanGiven(from, loan, grant, amount, now, actions);
+    book_->onLoanGiven(from, loan, grant, amount, alone, now, actions);
 }
 
 void Holder::onLoanDenied(
--- a/src/ledger/HolderBook.h
+++ b/src/ledger/HolderBook.h
@@ -32,6 +32,10 @@
         const BudgetRef& budget, RequestKey key, Tokens amount, Instant now, MoneyActions& actions);
     void settle(const Reservation& reservation, Tokens actual, MoneyActions& actions);
 
+    void setWeighting(const BudgetRef& budget, Weighting weighting);
+    [[nodiscard]] bool answersAlone(const Reservation& reservation) const;
+    [[nodiscard]] bool borrowsFrom(const GrantId& grant) const;
+
     // The log.
     void onEffect(const Effect& effect, Instant now, MoneyActions& actions);
 
@@ -45,8 +49,8 @@
     void onLoanDone(Incarnation from, std::uint64_t loan, Tokens billed, Instant now, MoneyActions& actions);
 
     // Borrowing.
-    void onLoanGiven(
-        Incarnation from, std::uint64_t loan, GrantId grant, Tokens amount, Instant now, MoneyActions& actions);
+    void onLoanGiven(Incarnation from, std::uint64_t loan, GrantId grant, Tokens amount, bool alone, Instant now,
+        MoneyActions& actions);
     void onLoanDenied(Incarnation from, std::uint64_t loan, Tokens free, Instant now, MoneyActions& actions);
     void onLoanDoneAcked(Incarnation from, std::uint64_t loan, Instant now, MoneyActions& actions);
 
@@ -89,6 +93,11 @@
 
     // Ceilings.
     void raiseCeilings(const HolderDesk& desk, const BudgetSituation& situation, MoneyActions& actions);
+    /** @return Whether the log has been out of reach for long enough to go on without it. */
+    [[nodiscard]] bool inOutage() const;
+    /** @return Whether a bill on the grant could not be secured now: its witness can't be asked, and may close it. */
+    [[nodiscard]] bool insecure(const HolderGrant& grant) const;
+    void replaceAlone(const HolderDesk& desk, MoneyActions& actions);
     void raiseCeiling(HolderGrant& grant, Tokens headRoom, Tokens waiting);
     void moveWitness(HolderGrant& grant, Tokens headRoom, MoneyActions& actions);
     [[nodiscard]] bool witnessSilent(const HolderGrant& grant, Duration patience) const;
@@ -127,6 +136,8 @@
     const Fold* fold_;
     Instant now_ {};
     Surroundings surroundings_;
+    /** Since when the log has been out of reach. */
+    std::optional<Instant> logLostAt_;
     /** Since when the surroundings have named this witness. */
     Instant witnessSince_ {};
     bool retired_ = false;
--- a/src/ledger/HolderCeilings.cpp
+++ b/src/ledger/HolderCeilings.cpp
@@ -13,6 +13,8 @@
     constexpr std::uint32_t mostDoublings = 4;
     /** After this long without an answer the witness is not counted on. */
     constexpr Duration answerPatience = 500ms;
+    /** After this long without the log, answers go out whose bills only this process knows of. */
+    constexpr Duration outagePatience = 1s;
     /** After this long without an answer another witness is named. */
     constexpr Duration changePatience = 1s;
     /** Another witness has to be the better one for this long before one that answers is replaced. */
@@ -44,19 +46,22 @@
     if (!grant.isOpen() || grant.witness() == nobody || grant.changingWitness())
         return;
     const Tokens trigger = std::max(waiting, Tokens { (headRoom.value() + 1) / 2 });
-    if (grant.ceiling() >= std::min(grant.amount(), grant.charge() + trigger))
+    const bool alone = inOutage();
+    const bool wantsAlone = alone && !grant.alone();
+    if (!wantsAlone && grant.ceiling() >= std::min(grant.amount(), grant.charge() + trigger))
         return;
     HolderGrant::Raise& raise = grant.raise;
     const bool asked = raise.attempts > 0;
-    const bool enough = raise.asked >= std::min(grant.amount(), grant.charge() + waiting);
+    const bool enough = raise.alone == alone && raise.asked >= std::min(grant.amount(), grant.charge() + waiting);
     if (asked && (enough || raise.refused) && now_ < raise.askedAt + pauseAfter(raise.attempts))
         return;
     if (!asked)
         raise.firstAskedAt = now_;
     raise.asked = std::min(grant.amount(), grant.charge() + headRoom);
+    raise.alone = alone;
     raise.askedAt = now_;
     ++raise.attempts;
-    raises_[grant.witness()].push_back(Ceiling { grant.id(), raise.asked });
+    raises_[grant.witness()].push_back(Ceiling { grant.id(), raise.asked, alone });
 }
 
 // H6: the change states the ceiling that holds until it is read back.
@@ -65,7 +70,7 @@
     const Incarnation better = surroundings_.witness.value_or(nobody);
     if (!policy_->witnessed() || !surroundings_.logReachable || leaving())
         return;
-    if (!grant.isOpen() || grant.changingWitness() || better == grant.witness())
+    if (!grant.isOpen() || grant.changingWitness() || grant.alone() || better == grant.witness())
         return;
     const bool silent = grant.raise.refused || witnessSilent(grant, changePatience);
     const bool settled = better != nobody && now_ - witnessSince_ >= settledWitness;
@@ -75,6 +80,37 @@
     actions.emplace_back(AppendEntry { ChangeWitness { grant.id(), better, ceiling } });
 }
 
+bool HolderBook::inOutage() const { return logLostAt_ && now_ - *logLostAt_ >= outagePatience; }
+
+// What goes wrong: a request is accepted on a grant whose witness can't be asked, and its bill finds the grant closed:
+// the caller has had its tokens and is told "unknown". One notices by answers that end with bill_refused.
+bool HolderBook::insecure(const HolderGrant& grant) const
+{
+    const bool witnessed = grant.witness() != nobody;
+    const bool witnessHere = surroundings_.witness == grant.witness() && !witnessSilent(grant, answerPatience);
+    return witnessed && !grant.alone() && !witnessHere && !surroundings_.logReachable;
+}
+
+// A grant whose witness has promised not to close it would be lost with this process. Once the log is back it is
+// exchanged for one that the witness may close.
+void HolderBook::replaceAlone(const HolderDesk& desk, MoneyActions& actions)
+{
+    if (!surroundings_.logReachable || !policy_->renewsAlone())
+        return;
+    for (const std::uint32_t number : desk.grants) {
+        HolderGrant& grant = grants_.at(number);
+        if (!grant.isOpen() || !grant.alone())
+            continue;
+        const Tokens remainder = grant.remainder();
+        if (grant.idle()) {
+            close(grant, actions);
+        } else if (remainder > Tokens {}) {
+            grant.giveBack(remainder);
+            actions.emplace_back(AppendEntry { Return { grant.id(), remainder } });
+        }
+    }
+}
+
 bool HolderBook::witnessSilent(const HolderGrant& grant, Duration patience) const
 {
     return grant.raise.attempts > 0 && now_ - grant.raise.firstAskedAt > patience;
@@ -109,7 +145,7 @@
             continue;
         HolderGrant& grant = found->second;
         const Tokens before = grant.free();
-        grant.acknowledged(from, acked.ceiling);
+        grant.acknowledged(from, acked.ceiling, acked.alone);
         if (grant.free() > before)
             actions.emplace_back(MoneyArrived { grant.budget() });
     }
--- a/src/ledger/HolderDesk.h
+++ b/src/ledger/HolderDesk.h
@@ -9,6 +9,7 @@
 #include "ledger/HolderDemand.h"
 #include "swiftlift/base/Ids.h"
 #include "swiftlift/base/Units.h"
+#include "swiftlift/ledger/HoldingPolicy.h"
 
 namespace swiftlift::ledger::internal {
 
@@ -18,6 +19,7 @@
     std::vector<std::uint32_t> grants;
     /** Numbers of its loans that are not acknowledged as done, oldest first. */
     std::vector<std::uint64_t> loans;
+    std::optional<Weighting> weighting;
     HolderDemand demand;
     HolderWants wants;
     /** The draw in flight; at most one (H1). */
--- a/src/ledger/HolderGrant.h
+++ b/src/ledger/HolderGrant.h
@@ -84,7 +84,11 @@
     void close() noexcept { state_ = HolderGrantState::Closing; }
     void seal() noexcept;
 
-    void acknowledged(Incarnation from, Tokens ceiling);
+    void acknowledged(Incarnation from, Tokens ceiling, bool alone);
+    /** From now on no witness is named for it. */
+    void stayAlone() noexcept { alone_ = true; }
+    /** @return Whether the witness has promised never to close it. For good, so the witness never changes again. */
+    [[nodiscard]] bool alone() const noexcept { return alone_; }
     /** @return The ceiling to state in the log. */
     Tokens changeWitness(Incarnation to, Tokens headRoom);
     /** The log says who the witness is. */
@@ -100,6 +104,7 @@
     /** The ceiling last asked for, when, how often in vain, and whether the witness refused: for repeats only. */
     struct Raise {
         Tokens asked;
+        bool alone = false;
         Instant firstAskedAt {};
         Instant askedAt {};
         std::uint32_t attempts = 0;
@@ -117,6 +122,7 @@
     Tokens amount_;
     /** Highest ceiling acknowledged, or stated in a change of witness. */
     Tokens acknowledged_;
+    bool alone_ = false;
     Tokens ownBilled_;
     Tokens reserved_;
     std::map<Incarnation, BorrowerShare> borrowers_;
--- a/src/ledger/HolderWork.cpp
+++ b/src/ledger/HolderWork.cpp
@@ -26,6 +26,10 @@
     if (surroundings.witness != surroundings_.witness)
         witnessSince_ = now;
     surroundings_ = surroundings;
+    if (surroundings.logReachable)
+        logLostAt_.reset();
+    else if (!logLostAt_)
+        logLostAt_ = now;
     for (auto& [budget, desk] : desks_) {
         if (!desk.quiet())
             work(budget, desk, actions);
@@ -36,6 +40,7 @@
 void HolderBook::work(const BudgetRef& budget, HolderDesk& desk, MoneyActions& actions)
 {
     desk.wants.expire(now_);
+    replaceAlone(desk, actions);
     moveLoans(desk, situationOf(budget, desk), actions);
     giveBackSurplus(desk, situationOf(budget, desk), actions);
     closeIdle(desk, situationOf(budget, desk), actions);
@@ -48,6 +53,7 @@
 BudgetSituation HolderBook::situationOf(const BudgetRef& budget, const HolderDesk& desk) const
 {
     BudgetSituation situation;
+    situation.weighting = desk.weighting;
     situation.demand = desk.demand.rate(now_);
     situation.largest = desk.demand.largest(now_);
     situation.need = desk.wants.largest();
@@ -78,7 +84,8 @@
     for (const std::uint32_t number : desk.grants) {
         const HolderGrant& grant = grants_.at(number);
         const bool stuck = grant.raise.refused || witnessSilent(grant, witnessPatience);
-        count(stuck ? grant.free() : grant.remainder());
+        if (!insecure(grant))
+            count(stuck ? grant.free() : grant.remainder());
     }
     for (const std::uint64_t number : desk.loans)
         count(loans_.at(number).free());
--- a/src/ledger/LoanBorrowing.cpp
+++ b/src/ledger/LoanBorrowing.cpp
@@ -104,7 +104,7 @@
 }
 
 void HolderBook::onLoanGiven(
-    Incarnation from, std::uint64_t loan, GrantId grant, Tokens amount, Instant now, MoneyActions& actions)
+    Incarnation from, std::uint64_t loan, GrantId grant, Tokens amount, bool alone, Instant now, MoneyActions& actions)
 {
     now_ = now;
     const auto found = loans_.find(loan);
@@ -120,7 +120,7 @@
         actions.emplace_back(SendLoanDone { from, loan, borrowed.emitted() });
         return;
     }
-    borrowed.given(grant, amount, now);
+    borrowed.given(grant, amount, alone, now);
     HolderDesk& desk = deskOf(borrowed.budget());
     if (amount < desk.wants.smallest())
         endLoan(borrowed, actions);
--- a/src/ledger/LoanLedger.h
+++ b/src/ledger/LoanLedger.h
@@ -19,6 +19,8 @@
     /** Of a denied one: what could have been had. */
     Tokens free;
     bool done = false;
+    /** Of a given one: nobody but this holder can close the grant. */
+    bool alone = false;
 };
 
 /**
--- a/src/ledger/LoanLending.cpp
+++ b/src/ledger/LoanLending.cpp
@@ -28,7 +28,7 @@
         lending_.record(from, loan, *answer);
     }
     if (answer->amount > none && !answer->done)
-        actions.emplace_back(SendLoanGiven { from, loan, budget, answer->grant, answer->amount });
+        actions.emplace_back(SendLoanGiven { from, loan, budget, answer->grant, answer->amount, answer->alone });
     else
         actions.emplace_back(SendLoanDenied { from, loan, budget, answer->free });
 }
@@ -53,8 +53,11 @@
     const Tokens given = std::min(offered, grant->free());
     if (given == none)
         return LoanAnswer {};
+    // A borrower's bills are not in this author's order: a witness named later could close the grant before they land.
+    if (grant->witness() == Incarnation {})
+        grant->stayAlone();
     grant->lend(borrower, given);
-    return LoanAnswer { grant->id(), given, lendable - given };
+    return LoanAnswer { grant->id(), given, lendable - given, false, grant->alone() };
 }
 
 HolderGrant* HolderBook::grantToLend(const HolderDesk& desk)
@@ -62,6 +65,10 @@
     HolderGrant* best = nullptr;
     for (const std::uint32_t number : desk.grants) {
         HolderGrant& grant = grants_.at(number);
+        // In an outage the borrower's bills can't land, so only money that nobody else can close is lent.
+        const bool closable = grant.witness() != Incarnation {} && !grant.alone();
+        if (!surroundings_.logReachable && closable)
+            continue;
         if (!best || grant.remainder() > best->remainder())
             best = &grant;
     }
@@ -80,7 +87,10 @@
     actions.emplace_back(SendLoanDoneAcked { from, loan });
     if (!wasOpen)
         return;
-    HolderGrant& grant = grants_.at(answer.grant.number);
+    const auto found = grants_.find(answer.grant.number);
+    if (found == grants_.end())
+        return;
+    HolderGrant& grant = found->second;
     grant.loanDone(from, answer.amount, billed);
     actions.emplace_back(MoneyArrived { grant.budget() });
     work(grant.budget(), deskOf(grant.budget()), actions);
--- a/src/ledger/PolicyDemandGrants.cpp
+++ b/src/ledger/PolicyDemandGrants.cpp
@@ -28,7 +28,7 @@
     {
         switch (weighting) {
         case Weighting::Refusals:
-            return { 10, 300 };
+            return { 60, 300 };
         case Weighting::Overspend:
             return { 1, 10 };
         case Weighting::Balanced:
@@ -45,19 +45,23 @@
 } // namespace
 
 DemandGrantsPolicy::DemandGrantsPolicy(Weighting weighting)
-    : lowSeconds_(watermarksOf(weighting).lowSeconds)
-    , highSeconds_(watermarksOf(weighting).highSeconds)
+    : weighting_(weighting)
 {
 }
 
+Weighting DemandGrantsPolicy::weightingOf(const BudgetSituation& situation) const
+{
+    return situation.weighting.value_or(weighting_);
+}
+
 Tokens DemandGrantsPolicy::low(const BudgetSituation& situation) const
 {
-    return std::max(tokensOf(situation.demand, lowSeconds_), situation.largest);
+    return std::max(tokensOf(situation.demand, watermarksOf(weightingOf(situation)).lowSeconds), situation.largest);
 }
 
 Tokens DemandGrantsPolicy::high(const BudgetSituation& situation) const
 {
-    return tokensOf(situation.demand, highSeconds_) + situation.largest;
+    return tokensOf(situation.demand, watermarksOf(weightingOf(situation)).highSeconds) + situation.largest;
 }
 
 std::optional<DrawDecision> DemandGrantsPolicy::draw(const BudgetSituation& situation) const
@@ -90,7 +94,7 @@
     if (situation.othersShort > none) {
         if (situation.sinceReturn < shortagePause)
             return none;
-        return std::clamp(situation.free - low(situation), none, situation.othersShort);
+        return std::clamp(situation.free, none, situation.othersShort);
     }
     const Tokens most { high(situation).value() * surplusFactor };
     if (situation.free <= most || situation.sinceReturn < surplusPause)
--- a/src/ledger/PolicyDemandGrants.h
+++ b/src/ledger/PolicyDemandGrants.h
@@ -18,11 +18,11 @@
     [[nodiscard]] bool witnessed() const override { return true; }
 
 private:
+    [[nodiscard]] Weighting weightingOf(const BudgetSituation& situation) const;
     [[nodiscard]] Tokens low(const BudgetSituation& situation) const;
     [[nodiscard]] Tokens high(const BudgetSituation& situation) const;
 
-    double lowSeconds_;
-    double highSeconds_;
+    Weighting weighting_;
 };
 
 } // namespace swiftlift::ledger::internal
--- a/src/ledger/PolicyStaticSplit.h
+++ b/src/ledger/PolicyStaticSplit.h
@@ -27,6 +27,7 @@
     [[nodiscard]] Tokens surplus(const BudgetSituation&) const override { return {}; }
     [[nodiscard]] Tokens loanSize(const BudgetSituation&) const override { return {}; }
     [[nodiscard]] Tokens lendable(const BudgetSituation&) const override { return {}; }
+    [[nodiscard]] bool renewsAlone() const override { return false; }
     [[nodiscard]] bool witnessed() const override { return false; }
 
 private:
--- a/src/ledger/Witness.cpp
+++ b/src/ledger/Witness.cpp
@@ -39,7 +39,9 @@
         }
         Tokens& highest = acknowledged_[raise.grant];
         highest = std::max(highest, raise.ceiling);
-        acked.ceilings.push_back(Ceiling { raise.grant, highest });
+        if (raise.alone)
+            alone_.insert(raise.grant);
+        acked.ceilings.push_back(Ceiling { raise.grant, highest, alone_.contains(raise.grant) });
     }
     if (!acked.ceilings.empty())
         actions.emplace_back(std::move(acked));
@@ -81,6 +83,7 @@
     if (!grant) {
         acknowledged_.erase(*changed);
         sealing_.erase(*changed);
+        alone_.erase(*changed);
         return;
     }
     // W5: a suspected holder's grant may land, or come here by a change, after the suspicion.
@@ -90,6 +93,17 @@
         seal(*grant, actions);
 }
 
+std::vector<GrantId> Witness::sealed() const
+{
+    std::vector<GrantId> result;
+    for (const GrantView& grant : fold_->openGrants()) {
+        if (grant.state == GrantState::Sealed && grant.witness == self_ && suspected_.contains(grant.id.holder)
+            && !alone_.contains(grant.id))
+            result.push_back(grant.id);
+    }
+    return result;
+}
+
 std::string Witness::stateText() const
 {
     std::ostringstream out;
@@ -100,6 +114,8 @@
         out << " suspects " << holder;
     for (const GrantId& grant : sealing_)
         out << " sealing " << grant.holder << ':' << grant.number;
+    for (const GrantId& grant : alone_)
+        out << " alone " << grant.holder << ':' << grant.number;
     out << '\n';
     return out.str();
 }
--- a/src/node/Call.h
+++ b/src/node/Call.h
@@ -45,6 +45,9 @@
     std::optional<Instant> firstToken;
     /** While SecuringBill: what is to be secured, and the bill. */
     std::uint64_t billSequence = 0;
+    GrantId billedGrant;
+    /** Nobody else can close the grant; asked before the bill, as the holding may be over after it. */
+    bool answersAlone = false;
     Tokens billed;
 
     [[nodiscard]] bool isModel() const noexcept { return service->kind == settings::BackendKind::Model; }
--- a/src/node/CoreState.cpp
+++ b/src/node/CoreState.cpp
@@ -18,7 +18,8 @@
 CoreState::CoreState(CoreSettings settings)
     : context_(std::move(settings))
     , peers_(context_)
-    , services_(context_, peers_, health_, backends_)
+    , services_(context_, peers_, health_, backends_,
+          [this](const settings::ServiceDocument& document) { onServiceInForce(document); })
     , placement_(context_, health_, services_, backends_)
     , requests_(
           context_, services_, backends_, [this](const AccountId& account) -> ShardLedger& { return shardOf(account); },
@@ -267,6 +268,15 @@
 void CoreState::onClaimDecided(const RequestKey& key, Incarnation owner) { requests_.onClaimDecided(key, owner); }
 void CoreState::onMoneyArrived(const BudgetRef& budget) { requests_.onMoneyArrived(budget); }
 
+void CoreState::onServiceInForce(const settings::ServiceDocument& document)
+{
+    const bool refusals = document.weighting == settings::Weighting::Refusals;
+    const auto weighting = refusals ? ledger::Weighting::Refusals : ledger::Weighting::Overspend;
+    for (const auto& use : document.accounts) {
+        shardOf(use.account).setWeighting({ use.account, use.budget }, weighting);
+    }
+}
+
 void CoreState::onRetired(const std::string& reason)
 {
     if (retired()) {
--- a/src/node/CoreState.h
+++ b/src/node/CoreState.h
@@ -67,6 +67,7 @@
     static constexpr Duration watchedPeriod = std::chrono::seconds(1);
 
     [[nodiscard]] Heartbeat heartbeat() const;
+    void onServiceInForce(const settings::ServiceDocument& document);
     [[nodiscard]] ShardLedger* shardNamed(const StreamName& stream) const;
     void routePeerMessage(const PeerReceived& event);
     void refreshWatched();
--- a/src/node/Peers.cpp
+++ b/src/node/Peers.cpp
@@ -15,6 +15,7 @@
         result.region = settings.region;
         result.seeds = settings.seeds;
         result.seed = settings.seed;
+        result.witnessPolicy = membership::WitnessPolicy::OwnDomainOnly;
         return result;
     }
 
--- a/src/node/Requests.cpp
+++ b/src/node/Requests.cpp
@@ -419,6 +419,10 @@
 void Requests::complete(Call& call, const AttemptEnded& ended)
 {
     call.billed = call.isModel() ? call.request.promptTokens + call.delivered : call.cost;
+    if (call.reservation) {
+        call.billedGrant = call.reservation->grant;
+        call.answersAlone = shards_(call.request.account).answersAlone(*call.reservation);
+    }
     call.billSequence = settle(call, call.billed);
     context_.log(Line("answered")
                      .with("request", call.request.id.value())
@@ -430,33 +434,44 @@
     context_.count("swiftlift_billed_tokens_total", { { "account", call.request.account.value() } },
         static_cast<double>(call.billed.value()));
     enter(call, Phase::SecuringBill);
-    ShardLedger& shard = shards_(call.request.account);
     if (call.billSequence == 0) {
         answer(call, true);
-    } else if (!shard.canSecure()) {
-        answer(call, false);
     } else {
-        shard.flush();
+        shards_(call.request.account).flush();
     }
 }
 
 void Requests::answerSecured()
 {
-    std::vector<std::pair<CallId, bool>> due;
+    std::vector<CallId> waiting;
     for (const auto& [id, call] : calls_) {
-        if (call->phase != Phase::SecuringBill) {
-            continue;
-        }
-        const bool secured = shards_(call->request.account).secured(call->billSequence);
-        if (secured || context_.now() - call->since >= billPatience) {
-            due.push_back({ id, secured });
+        if (call->phase == Phase::SecuringBill) {
+            waiting.push_back(id);
         }
     }
-    for (const auto& [id, secured] : due) {
-        answer(*find(id), secured);
+    for (const CallId id : waiting) {
+        Call& call = *find(id);
+        const Duration waited = context_.now() - call.since;
+        const BillState state
+            = shards_(call.request.account).billState(call.billSequence, call.billedGrant, call.answersAlone);
+        if (state == BillState::Secured) {
+            answer(call, true);
+        } else if (state == BillState::Alone && waited >= billPatience) {
+            answer(call, false);
+        } else if (state == BillState::Refused || (state == BillState::Pending && waited >= billDecisionPatience)) {
+            refuseBill(call);
+        }
     }
 }
 
+void Requests::refuseBill(Call& call)
+{
+    // What goes wrong otherwise: this process slept, its witness freed what it had not billed, and the tokens of this
+    // answer were sold again. The caller is told that the outcome is unknown, as for any answer that broke off.
+    table_.attemptEnded(call.request.key, AttemptEnd::Broken);
+    giveUp(call, { 502, "bill_refused", "the bill could not be entered in the ledger", defaultRetryAfter });
+}
+
 void Requests::answer(Call& call, bool secured)
 {
     if (!secured) {
--- a/src/node/Requests.h
+++ b/src/node/Requests.h
@@ -56,6 +56,8 @@
     static constexpr Duration claimPatience = std::chrono::seconds(3);
     /** How long an answer waits for its bill to be copied; a copy takes one exchange within the failure domain. */
     static constexpr Duration billPatience = std::chrono::milliseconds(250);
+    /** How long it waits when the bill may still be refused. */
+    static constexpr Duration billDecisionPatience = std::chrono::seconds(5);
     static constexpr Duration moneyRetryPeriod = std::chrono::milliseconds(50);
     static constexpr Duration defaultRetryAfter = std::chrono::seconds(1);
 
@@ -82,6 +84,7 @@
     void complete(Call& call, const AttemptEnded& ended);
     void answerSecured();
     void answer(Call& call, bool secured);
+    void refuseBill(Call& call);
     void tryElsewhere(Call& call, const AttemptEnded& ended);
     void finishAttempt(Call& call, request::AttemptEnd end, const AttemptEnded* facts);
     void cancelAttempt(Call& call);
--- a/src/node/Services.cpp
+++ b/src/node/Services.cpp
@@ -60,11 +60,13 @@
     return name;
 }
 
-Services::Services(Context& context, Peers& peers, const LogHealth& health, routing::BackendTable& backends)
+Services::Services(
+    Context& context, Peers& peers, const LogHealth& health, routing::BackendTable& backends, DocumentListener listener)
     : context_(context)
     , peers_(peers)
     , health_(health)
     , backends_(backends)
+    , listener_(std::move(listener))
     , snapshots_(snapshotInterval, context.settings().seed)
 {
 }
@@ -166,6 +168,7 @@
         documents_.erase(name);
     } else {
         documents_[name] = std::make_shared<const settings::ServiceDocument>(*revision->document);
+        listener_(*revision->document);
         for (const auto& backend : revision->document->backends) {
             entries.push_back({ backend.address, backend.domain });
         }
--- a/src/node/Services.h
+++ b/src/node/Services.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -19,10 +20,14 @@
 
 using ServiceDocumentPtr = std::shared_ptr<const settings::ServiceDocument>;
 
+/** Told of each document that comes into force. */
+using DocumentListener = std::function<void(const settings::ServiceDocument&)>;
+
 /** The services in force: the fold over stream `config`, and what follows from it for routing. */
 class Services {
 public:
-    Services(Context& context, Peers& peers, const LogHealth& health, routing::BackendTable& backends);
+    Services(Context& context, Peers& peers, const LogHealth& health, routing::BackendTable& backends,
+        DocumentListener listener);
 
     void start();
     void onRecords(const LogRecords& records);
@@ -52,6 +57,7 @@
     Peers& peers_;
     const LogHealth& health_;
     routing::BackendTable& backends_;
+    DocumentListener listener_;
     config::ConfigFold fold_;
     config::SnapshotSchedule snapshots_;
     std::map<ServiceName, ServiceDocumentPtr> documents_;
--- a/src/node/ShardLedger.cpp
+++ b/src/node/ShardLedger.cpp
@@ -186,6 +186,7 @@
     }
     if (const auto* refused = std::get_if<ledger::Refused>(&effect); refused && refused->origin == context_.self()) {
         context_.log(Line("ledger").with("change", "refused").with("reason", refused->reason));
+        refused_.insert(refused->sequence);
     }
     if (const auto* draw = std::get_if<ledger::DrawDecided>(&effect)) {
         if (draw->grant.holder == context_.self()) {
@@ -230,7 +231,8 @@
                                      .with("budget", toText(action.budget))
                                      .with("to", toHex(action.to.value()))
                                      .with("tokens", action.amount.value()));
-                    sendToShard(action.to, LoanGiven { action.loan, action.budget, action.grant, action.amount });
+                    sendToShard(
+                        action.to, LoanGiven { action.loan, action.budget, action.grant, action.amount, action.alone });
                 },
                 [this](ledger::SendLoanDenied& action) {
                     sendToShard(action.to, LoanDenied { action.loan, action.budget, action.free });
@@ -270,7 +272,7 @@
             [&](const CeilingsRefused& refused) { holder_.onCeilingsRefused(from, refused.grants, now, actions); },
             [&](const LoanAsk& ask) { holder_.onLoanAsk(from, ask.loan, ask.budget, ask.amount, now, actions); },
             [&](const LoanGiven& loan) {
-                holder_.onLoanGiven(from, loan.loan, loan.budget, loan.grant, loan.amount, now, actions);
+                holder_.onLoanGiven(from, loan.loan, loan.budget, loan.grant, loan.amount, now, actions, loan.alone);
             },
             [&](const LoanDenied& denied) {
                 holder_.onLoanDenied(from, denied.loan, denied.budget, denied.free, now, actions);
@@ -314,6 +316,7 @@
     appendCheckpointWhenDue();
     flush();
     appendForTheDead();
+    closeForTheDead();
     askPeer();
 }
 
@@ -389,6 +392,11 @@
     if (!batch || batch->items.empty() || batch->items.front().origin != from) {
         return;
     }
+    // An acknowledgement lets the holder tell its caller of a bill. After the suspicion this witness may close the
+    // holder's grants, and the bill would be refused: so none is given any more.
+    if (suspected_.contains(from)) {
+        return;
+    }
     if (const auto sequence = copies_.keep(batch->items)) {
         sendToShard(from, ItemsCopied { stream_, *sequence });
     }
@@ -420,12 +428,52 @@
     }
 }
 
-bool ShardLedger::secured(std::uint64_t sequence) const
+void ShardLedger::closeForTheDead()
 {
-    return sequence <= copied_ || sequence <= fold_.lastSequence(context_.self());
+    const Instant now = context_.now();
+    for (const GrantId& grant : witness_.sealed()) {
+        const Instant due = closeAt_.try_emplace(grant, now + closeGrace).first->second;
+        const bool copiesLanded = copies_.batchOf(grant.holder).items.empty();
+        const bool inUse = holder_.borrowsFrom(grant);
+        if (now < due || !copiesLanded || inUse || !outbox_.empty() || !closing_.insert(grant).second) {
+            continue;
+        }
+        // What goes wrong without this: a dead holder never closes its grants, and what it had not spent of its
+        // ceilings stays out of reach for good. One notices by refusals while a budget has money. It is safe because a
+        // holder tells no caller of a bill that neither has landed nor is copied here, and every copy has landed.
+        context_.log(Line("seal").with("grant", toText(grant)).with("state", "closing"));
+        append(ledger::CloseGrant { grant });
+    }
 }
 
-bool ShardLedger::canSecure() const { return peers_.membership().witness().has_value() || logInReach(); }
+BillState ShardLedger::billState(std::uint64_t sequence, const GrantId& grantId, bool alone) const
+{
+    if (refused_.contains(sequence)) {
+        return BillState::Refused;
+    }
+    if (sequence <= fold_.lastSequence(context_.self())) {
+        return BillState::Secured;
+    }
+    const auto grant = fold_.grant(grantId);
+    const Incarnation witness = grant ? grant->witness : Incarnation {};
+    const bool copied = sequence <= copied_;
+    if (copied && (alone || (grant && witness == copyHolder_))) {
+        return BillState::Secured;
+    }
+    return alone ? BillState::Alone : BillState::Pending;
+}
+
+bool ShardLedger::answersAlone(const ledger::Reservation& reservation) const
+{
+    const auto grant = fold_.grant(reservation.grant);
+    const bool ownWitness = grant && grant->witness == context_.self();
+    return ownWitness || holder_.answersAlone(reservation);
+}
+
+void ShardLedger::setWeighting(const BudgetRef& budget, ledger::Weighting weighting)
+{
+    holder_.setWeighting(budget, weighting);
+}
 
 void ShardLedger::askPeer()
 {
--- a/src/node/ShardLedger.h
+++ b/src/node/ShardLedger.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -35,6 +36,18 @@
     virtual void onRetired(const std::string& reason) = 0;
 };
 
+/** What may be told of a bill. */
+enum class BillState : std::uint8_t {
+    /** It is read back, or the grant's witness keeps a copy and will append it. */
+    Secured,
+    /** The ledger refused it: the grant was closed under a holder that slept. */
+    Refused,
+    /** It may still be refused: the grant's witness may close the grant without knowing of it. */
+    Pending,
+    /** Nobody but this process can close the grant, so the bill will count; but it would be lost with this process. */
+    Alone,
+};
+
 /** One ledger stream as this router sees it: fold, outbox, holder and witness, kept in step. */
 class ShardLedger {
 public:
@@ -57,10 +70,10 @@
         const BudgetRef& budget, const RequestKey& key, Tokens amount);
     /** Bills the request. @return What has to be secured() before the caller is told. */
     [[nodiscard]] std::uint64_t settle(const ledger::Reservation& reservation, Tokens actual);
-    /** @return True when the item survives this process: it is read back, or a peer keeps a copy. */
-    [[nodiscard]] bool secured(std::uint64_t sequence) const;
-    /** @return False when nobody could secure an item now: no peer to copy to, and the log out of reach. */
-    [[nodiscard]] bool canSecure() const;
+    /** @return Whether a caller may be told of the bill that this item is. */
+    [[nodiscard]] BillState billState(std::uint64_t sequence, const GrantId& grantId, bool alone) const;
+    [[nodiscard]] bool answersAlone(const ledger::Reservation& reservation) const;
+    void setWeighting(const BudgetRef& budget, ledger::Weighting weighting);
     /** Sends what is new to the witness and the log, without waiting for the next tick. */
     void flush();
     void release(const ledger::Reservation& reservation);
@@ -83,6 +96,8 @@
     static constexpr std::size_t peerAnswerBytes = 64 * 1024;
     static constexpr Duration readAskPeriod = std::chrono::milliseconds(300);
     static constexpr Duration copyRetryPeriod = std::chrono::milliseconds(150);
+    /** How long a sealed grant stays open for what its holder, if it was only paused, has still to bill. */
+    static constexpr Duration closeGrace = std::chrono::seconds(10);
     static constexpr Duration relayPeriod = std::chrono::milliseconds(500);
     static constexpr Duration checkpointInterval = std::chrono::seconds(30);
 
@@ -97,6 +112,7 @@
     void onCopyItems(Incarnation from, const CopyItems& message);
     void onItemsCopied(Incarnation from, const ItemsCopied& message);
     void appendForTheDead();
+    void closeForTheDead();
     void appendRecord(std::string record);
     void sendToShard(Incarnation to, PeerMessage message);
     void askPeer();
@@ -121,6 +137,11 @@
     std::uint64_t copied_ = 0;
     std::uint64_t copySent_ = 0;
     Instant nextCopy_ {};
+    /** Items of our own that the ledger refused. */
+    std::set<std::uint64_t> refused_;
+    /** Sealed grants that this witness will close, and when. */
+    std::map<GrantId, Instant> closeAt_;
+    std::set<GrantId> closing_;
     Instant nextRelay_ {};
     config::SnapshotSchedule checkpoints_;
     std::optional<Offset> seekFrom_;
--- a/src/wire/PeerReader.cpp
+++ b/src/wire/PeerReader.cpp
@@ -14,7 +14,7 @@
     {
         std::vector<ledger::Ceiling> ceilings;
         for (const auto& ceiling : in.ceilings()) {
-            ceilings.push_back({ read(ceiling.grant()), Tokens(ceiling.ceiling()) });
+            ceilings.push_back({ read(ceiling.grant()), Tokens(ceiling.ceiling()), ceiling.alone() });
         }
         return ceilings;
     }
@@ -45,7 +45,7 @@
 
     node::LoanGiven read(const proto::peer::LoanGiven& in)
     {
-        return { in.loan(), read(in.budget()), read(in.grant()), Tokens(in.tokens()) };
+        return { in.loan(), read(in.budget()), read(in.grant()), Tokens(in.tokens()), in.alone() };
     }
 
     node::LoanDenied read(const proto::peer::LoanDenied& in)
--- a/tests/ledger/FoldTest.cpp
+++ b/tests/ledger/FoldTest.cpp
@@ -318,4 +318,37 @@
     EXPECT_EQ(fold.claimOwner(keyOf(1)), std::nullopt);
 }
 
+// Symptom: money of a dead holder is out of reach for good, or an operator's word frees it twice.
+// Sequence: the holder dies without a witness; an operator writes its grant off; a late bill and a second word land.
+// Cause: only a holder or a witness could close a grant.
+TEST_F(FoldFixture, AnOperatorWritesOffAGrant)
+{
+    open(100);
+    take(alice, Draw { grantOf(alice, 1), budget, Tokens { 60 }, Tokens { 60 }, {} });
+    take(alice, Bill { keyOf(1), grantOf(alice, 1), Tokens { 10 } });
+    take(bob, WriteOff { grantOf(alice, 1) });
+    EXPECT_EQ(fold.budget(budget)->available(), Tokens { 90 });
+    take(bob, WriteOff { grantOf(alice, 1) });
+    take(alice, Bill { keyOf(2), grantOf(alice, 1), Tokens { 10 } });
+    EXPECT_EQ(fold.budget(budget)->available(), Tokens { 90 });
+    EXPECT_TRUE(fold.retired(alice));
+}
+
+// Symptom: a live holder's money is freed under it.
+// Sequence: a router that is not the witness, or a witness that has sealed nothing, closes a grant.
+// Cause: closing was open to anybody.
+TEST_F(FoldFixture, OnlyTheWitnessOfASealedGrantClosesItForItsHolder)
+{
+    open(100);
+    take(alice, Draw { grantOf(alice, 1), budget, Tokens { 60 }, Tokens { 60 }, bob });
+    take(bob, CloseGrant { grantOf(alice, 1) });
+    EXPECT_EQ(fold.budget(budget)->available(), Tokens { 40 });
+    take(bob, Seal { grantOf(alice, 1), bob, Tokens { 20 } });
+    EXPECT_EQ(fold.budget(budget)->available(), Tokens { 80 });
+    take(carol, CloseGrant { grantOf(alice, 1) });
+    EXPECT_EQ(fold.budget(budget)->available(), Tokens { 80 });
+    take(bob, CloseGrant { grantOf(alice, 1) });
+    EXPECT_EQ(fold.budget(budget)->available(), Tokens { 100 });
+}
+
 } // namespace swiftlift::ledger
--- a/tests/node/CoreTest.cpp
+++ b/tests/node/CoreTest.cpp
@@ -201,6 +201,43 @@
         EXPECT_TRUE(fleet.runUntil([&] { return billedInLedger().value() == fleet.billedByAnswers("club"); }));
     }
 
+    // Symptom: a client account overspends after a pause.
+    // Events: a VM is paused with a request in progress; its witness seals its grant and, later, closes it; the rest is
+    // sold again; the VM wakes up and has the whole answer.
+    // Cause: it tells its caller of a bill that the ledger can't take any more.
+    TEST_F(CoreTest, AnswerWhoseGrantWasClosedMeanwhileIsUnknown)
+    {
+        expectAnswered(fleet.send(0, {}));
+        fleet.run(seconds(1));
+        fleet.engines.takes = seconds(2);
+        TestRequest slow;
+        slow.id = "slow";
+        const CallId call = fleet.send(0, slow);
+        fleet.run(seconds(1));
+        fleet.freeze(0);
+        const BudgetRef ref { AccountId { "club" }, BudgetId { "main" } };
+        EXPECT_TRUE(fleet.runUntil([&] { return fleet.auditedLedger().budget(ref)->available() >= Tokens { 970 }; }))
+            << "all but the first bill is free again";
+        fleet.thaw(0);
+        const auto reply = fleet.await(call);
+        ASSERT_TRUE(reply.has_value());
+        EXPECT_EQ(reply->outcome, Outcome::Unknown);
+        EXPECT_EQ(reply->reason, "bill_refused");
+        EXPECT_EQ(billedInLedger(), Tokens { 30 });
+    }
+
+    // Symptom: money of a dead VM stays out of reach.
+    // Events: a VM dies and is never replaced.
+    // Cause: only the dead holder could close its grants.
+    TEST_F(CoreTest, AllMoneyOfADeadVmComesBack)
+    {
+        expectAnswered(fleet.send(0, {}));
+        fleet.run(seconds(1));
+        fleet.crash(0);
+        const BudgetRef ref { AccountId { "club" }, BudgetId { "main" } };
+        EXPECT_TRUE(fleet.runUntil([&] { return fleet.auditedLedger().budget(ref)->available() == Tokens { 970 }; }));
+    }
+
     // Symptom: a request is billed twice, or a grant is drawn twice.
     // Events: the log takes an append and its answer is lost; the router makes the append again.
     // Cause: the repeat counts as another append.
