--- a/src/node/Peers.cpp
+++ b/src/node/Peers.cpp
@@ -104,6 +104,15 @@
     std::visit(internal::EventLogger(context_, suspected), event);
 }
 
+std::optional<Incarnation> Peers::bestReader() const
+{
+    if (const auto reader = membership_.logReachablePeer()) {
+        return reader;
+    }
+    const auto alive = membership_.alivePeers();
+    return alive.empty() ? std::nullopt : std::optional(alive.front());
+}
+
 void Peers::send(Incarnation to, PeerMessage message, std::uint32_t shard)
 {
     if (const auto address = membership_.addressOf(to)) {
--- a/src/node/Peers.h
+++ b/src/node/Peers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <optional>
 #include <vector>
 
 #include "node/Context.h"
@@ -22,6 +23,9 @@
     /** Sends to an incarnation; dropped when nobody knows where it is, as any message may be. */
     void send(Incarnation to, PeerMessage message, std::uint32_t shard = 0);
 
+    /** @return Whom to ask for a stream's records: one that reaches the log, else the nearest that lives. */
+    [[nodiscard]] std::optional<Incarnation> bestReader() const;
+
     [[nodiscard]] membership::Membership& membership() noexcept { return membership_; }
     [[nodiscard]] const membership::Membership& membership() const noexcept { return membership_; }
 
--- a/src/node/Requests.cpp
+++ b/src/node/Requests.cpp
@@ -480,6 +480,9 @@
         context_.log(Line("bill_unsecured").with("request", call.request.id.value()));
         context_.count("swiftlift_bills_unsecured_total");
     }
+    // A retry of a request that was billed before, elsewhere or when its caller went away, costs what it cost then.
+    const auto earlier = shards_(call.request.account).fold().billed(call.request.key);
+    call.billed = earlier.value_or(call.billed);
     Reply reply;
     reply.call = call.id;
     reply.outcome = Outcome::Answered;
@@ -575,9 +578,9 @@
 {
     cancelAttempt(call);
     const Outcome outcome = table_.outcomeIfGivenUp(call.request.key);
-    // Tokens that a caller has been streamed are billed; a whole answer that never came is not.
-    const Tokens billed = call.request.stream ? spentSoFar(call) : Tokens {};
-    settle(call, billed);
+    // What goes wrong otherwise: the part that was streamed is billed, the caller asks again, and the ledger keeps that
+    // first bill while the answer names the whole one. A request that the fleet gave up costs nothing.
+    settle(call, Tokens {});
     context_.log(Line("refuse")
                      .with("request", call.request.id.value())
                      .with("account", call.request.account.value())
@@ -585,11 +588,10 @@
                      .with("outcome", internal::toText(outcome))
                      .with("reason", why.reason)
                      .with("detail", why.detail)
-                     .with("billed", billed.value())
                      .with("after_ms", toMilliseconds(context_.now() - call.arrived)));
     context_.count("swiftlift_refusals_total", { { "reason", why.reason } });
-    context_.emit(Reply { call.id, outcome, why.status, why.reason, why.detail, why.retryAfter, billed });
-    end(call, outcome, why.reason, billed);
+    context_.emit(Reply { call.id, outcome, why.status, why.reason, why.detail, why.retryAfter, Tokens {} });
+    end(call, outcome, why.reason, Tokens {});
 }
 
 void Requests::end(Call& call, Outcome outcome, const std::string& reason, Tokens billed)
--- a/src/node/Requests.h
+++ b/src/node/Requests.h
@@ -53,7 +53,7 @@
 private:
     /** How long a request waits for money that is under way; a draw takes two passes of the log. */
     static constexpr Duration moneyPatience = std::chrono::seconds(2);
-    static constexpr Duration claimPatience = std::chrono::seconds(3);
+    static constexpr Duration claimPatience = std::chrono::seconds(2);
     /** How long an answer waits for its bill to be copied; a copy takes one exchange within the failure domain. */
     static constexpr Duration billPatience = std::chrono::milliseconds(250);
     /** How long it waits when the bill may still be refused. */
--- a/src/node/Services.cpp
+++ b/src/node/Services.cpp
@@ -106,7 +106,9 @@
         }
         ++offset;
     }
-    caughtUp_ = !fold_.seeking();
+    if (records.records.empty() && records.first >= fold_.nextOffset()) {
+        caughtUp_ = true;
+    }
 }
 
 void Services::onExpired(Offset oldest)
@@ -119,6 +121,7 @@
 void Services::onReadAsk(Incarnation from, Offset offset)
 {
     if (offset >= fold_.nextOffset()) {
+        peers_.send(from, Records { stream(), offset, {} });
         return;
     }
     config::KeptRecords kept = fold_.recordsFrom(offset, peerAnswerBytes);
@@ -134,7 +137,7 @@
     }
     if (!reachable && now >= nextReadAsk_) {
         nextReadAsk_ = now + readAskPeriod;
-        if (const auto peer = peers_.membership().logReachablePeer()) {
+        if (const auto peer = peers_.bestReader()) {
             peers_.send(*peer, ReadAsk { stream(), fold_.nextOffset() });
         }
     }
--- a/src/node/ShardLedger.cpp
+++ b/src/node/ShardLedger.cpp
@@ -81,7 +81,9 @@
         }
         ++offset;
     }
-    if (records.end && !seekFrom_ && fold_.nextOffset() >= *records.end) {
+    const bool endOfLog = records.end && fold_.nextOffset() >= *records.end;
+    const bool endOfPeer = !records.end && records.records.empty() && records.first >= fold_.nextOffset();
+    if (!seekFrom_ && (endOfLog || endOfPeer)) {
         caughtUp_ = true;
     }
 }
@@ -172,7 +174,6 @@
         return;
     }
     restoreFrom(ledger::Checkpoint { asOf, state }, "peer");
-    caughtUp_ = fold_.nextOffset() == asOf;
 }
 
 void ShardLedger::onEffect(const ledger::Effect& effect)
@@ -251,6 +252,7 @@
 void ShardLedger::onReadAsk(Incarnation from, Offset offset)
 {
     if (offset >= fold_.nextOffset()) {
+        peers_.send(from, Records { stream_, offset, {} });
         return;
     }
     if (cache_.holds(offset)) {
@@ -481,7 +483,7 @@
         return;
     }
     nextReadAsk_ = context_.now() + readAskPeriod;
-    if (const auto peer = peers_.membership().logReachablePeer()) {
+    if (const auto peer = peers_.bestReader()) {
         peers_.send(*peer, ReadAsk { stream_, fold_.nextOffset() });
     }
 }
--- a/tests/node/CoreTest.cpp
+++ b/tests/node/CoreTest.cpp
@@ -318,6 +318,41 @@
         expectAnswered(fleet.send(3, {}));
     }
 
+    // Symptom: a VM that is replaced while its failure domain is cut off serves nothing until the cut is healed.
+    // Events: the domain loses the log and the other domain; one of its VMs is replaced.
+    // Cause: the fresh router asked only peers that reach the log, though its neighbour holds all it needs.
+    TEST_F(CoreTest, FreshVmInACutDomainStartsFromItsNeighbour)
+    {
+        for (std::size_t vm = 0; vm < 2; ++vm) {
+            TestRequest warm;
+            warm.id = "warm" + std::to_string(vm);
+            expectAnswered(fleet.send(vm, warm));
+        }
+        for (const std::size_t inside : { 0U, 1U }) {
+            fleet.cutFromLog(inside);
+            fleet.cut(inside, 2);
+            fleet.cut(inside, 3);
+        }
+        fleet.run(seconds(5));
+        fleet.replace(0);
+        fleet.run(seconds(5));
+        expectAnswered(fleet.send(0, {}));
+    }
+
+    // Symptom: the log's bill is not the one that the caller was told.
+    // Events: a stream breaks off after some tokens and can't be ended; the caller is told "unknown", asks again and
+    // gets the whole answer.
+    // Cause: the broken part had been billed, and the first bill of a request counts.
+    TEST_F(CoreTest, GivenUpRequestCostsNothing)
+    {
+        fleet.engines.breakNext = 3;
+        EXPECT_EQ(fleet.await(fleet.send(0, {}))->outcome, Outcome::Unknown);
+        TestRequest again;
+        again.attempt = 2;
+        expectAnswered(fleet.send(0, again));
+        EXPECT_TRUE(fleet.runUntil([&] { return billedInLedger() == Tokens { 30 }; }));
+    }
+
     TEST_F(CoreTest, FreshVmThatReachesNobodyServesNothing)
     {
         fleet.log.outage = true;
