--- a/src/node/Placement.cpp
+++ b/src/node/Placement.cpp
@@ -119,6 +119,14 @@
     planner_.emplace(placement::PlannerSettings {}, context_.now());
     catalogueAsOf_.reset();
     refreshCatalogue();
+    // What was told before anybody had the lease is told once only: it would wait for the next refusals.
+    for (const auto& [model, when] : toldAt_) {
+        planner_->onUnserved(model, context_.now());
+    }
+    for (const auto& model : needs_) {
+        planner_->onUnserved(model, context_.now());
+    }
+    needs_.clear();
 }
 
 void Placement::endTenure() { planner_.reset(); }
@@ -225,7 +233,7 @@
     }
     context_.log(Line("order")
                      .with("engine", order.backend.value())
-                     .with("kind", placement::toText(order.kind))
+                     .with("order", placement::toText(order.kind))
                      .with("name", order.model)
                      .with("fencing", internal::figure(lease_.fencing()))
                      .with("urgency", placement::toText(order.urgency))
@@ -246,7 +254,7 @@
     nextBlocked_ = context_.now() + blockedPeriod;
     for (const auto& blocked : planner_->blocked()) {
         context_.log(Line("order")
-                         .with("kind", "none")
+                         .with("order", "none")
                          .with("name", blocked.model)
                          .with("reason", "no engine of the domain can take it")
                          .with("unserved", internal::figure(blocked.unserved)));
--- a/tests/node/PlacementTest.cpp
+++ b/tests/node/PlacementTest.cpp
@@ -119,7 +119,25 @@
         run(seconds(8));
         EXPECT_EQ(ask(other)->outcome, Outcome::Answered);
         EXPECT_EQ(orders.size(), 1U);
-        ASSERT_EQ(fleet.linesOf(holder(), "order").size(), 1U);
+        const auto lines = fleet.linesOf(holder(), "order");
+        ASSERT_EQ(lines.size(), 1U);
+        for (const LogField& field : lines.front().fields) {
+            EXPECT_NE(field.name, "kind") << "would hide the line's own kind";
+        }
+    }
+
+    // Symptom: a load comes seconds later than it could.
+    // Events: a request is refused at another VM while nobody has the lease; the next holder has read of it before.
+    // Cause: what was told between two tenures is nobody's.
+    TEST_F(PlacementTest, NeedToldBetweenTwoTenuresIsServed)
+    {
+        const std::size_t gone = holder();
+        fleet.crash(gone);
+        run(seconds(5));
+        EXPECT_EQ(ask((gone + 1) % 3)->reason, "no_backend");
+        EXPECT_TRUE(orders.empty());
+        ASSERT_TRUE(runUntil([&] { return !orders.empty(); }));
+        EXPECT_NE(orders.front().vm, gone);
     }
 
     // Symptom: an engine obeys a VM that was paused while another took the lease.
