--- a/apps/capacity/Runner.cpp
+++ b/apps/capacity/Runner.cpp
@@ -24,6 +24,7 @@
     [[nodiscard]] Measurements runSize(const Axis& axis, std::size_t size, int repeats)
     {
         std::vector<Measurements> runs;
+        runs.reserve(static_cast<std::size_t>(repeats));
         for (int repeat = 0; repeat < repeats; ++repeat) {
             runs.push_back(axis.run(size));
         }
