Say 'not run' of nothing that waited while this router was paused

Ruled out: reading the wall clock of the request, which callers do not send; asking the peers, of which one may be out of reach. Change: a gap of 700 ms between two events marks every request in progress, and each that comes within 2 s, as one whose history is not known here: a refusal of it says 'unknown'. Conclusion: a reply that was decided before a pause and is read after it still says what was true then.

--- a/src/node/Core.cpp
+++ b/src/node/Core.cpp
@@ -34,6 +34,7 @@
 {
     CoreState& core = state_->core;
     core.context().begin(now, actions);
+    core.beginEvent();
     std::visit([&core](const auto& happened) { core.on(happened); }, event);
     core.finishEvent();
 }
--- a/src/node/CoreState.cpp
+++ b/src/node/CoreState.cpp
@@ -17,6 +17,7 @@
 
 CoreState::CoreState(CoreSettings settings)
     : context_(std::move(settings))
+    , changes_(context_)
     , peers_(context_)
     , services_(context_, peers_, health_, backends_,
           [this](const settings::ServiceDocument& document) { onServiceInForce(document); })
@@ -117,10 +118,8 @@
 
 void CoreState::on(const LogUnreachable& event)
 {
-    if (health_.reachable(context_.now())) {
-        context_.log(Line("log").with("change", "unreachable").with("detail", event.detail));
-    }
     health_.onFailure();
+    changes_.noteLog(false, event.detail);
     if (event.stream == placement_.stream()) {
         placement_.onAppendEnded();
     } else if (ShardLedger* shard = shardNamed(event.stream)) {
@@ -192,6 +191,7 @@
 {
     if (!event.reachable) {
         backends_.onLoadMissed(event.backend, context_.now());
+        changes_.noteBackend(event.backend, backends_);
         placement_.onLoad(event);
         return;
     }
@@ -199,6 +199,7 @@
         = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(event.stepMilliseconds));
     routing::LoadReport report { event.running, event.waiting, step, event.models, event.leaving, event.generation };
     backends_.onLoad(event.backend, report, context_.now());
+    changes_.noteBackend(event.backend, backends_);
     placement_.onLoad(event);
 }
 
@@ -218,6 +219,7 @@
 
 void CoreState::on(const Tick&)
 {
+    changes_.noteLog(health_.reachable(context_.now()), {});
     refreshWatched();
     for (const Incarnation suspected : peers_.tick(heartbeat())) {
         for (const auto& shard : shards_) {
@@ -242,6 +244,7 @@
         return;
     }
     nextWatched_ = context_.now() + watchedPeriod;
+    changes_.removeUnknown(backends_);
     std::set<Incarnation> watched;
     for (const auto& shard : shards_) {
         const auto holders = shard->witnessed();
@@ -319,6 +322,15 @@
     }
 }
 
+void CoreState::beginEvent()
+{
+    const Instant now = context_.now();
+    if (lastEvent_ && now - *lastEvent_ > pauseThreshold) {
+        requests_.onSelfPaused();
+    }
+    lastEvent_ = now;
+}
+
 void CoreState::finishEvent() { requests_.finishEvent(); }
 
 Heartbeat CoreState::heartbeat() const
--- a/src/node/CoreState.h
+++ b/src/node/CoreState.h
@@ -11,6 +11,7 @@
 #include "node/Requests.h"
 #include "node/Services.h"
 #include "node/ShardLedger.h"
+#include "node/StateChanges.h"
 #include "swiftlift/node/Core.h"
 #include "swiftlift/routing/BackendTable.h"
 
@@ -22,6 +23,8 @@
     explicit CoreState(CoreSettings settings);
 
     void start();
+    /** To be called before each event: notices that this process has not run for a while. */
+    void beginEvent();
     /** Whatever came, these follow: time-driven work and what waited for the event. */
     void finishEvent();
 
@@ -64,6 +67,8 @@
 private:
     /** After a stop or retirement with the log out of reach: how long to wait for holdings to be given back. */
     static constexpr Duration drainPatience = std::chrono::seconds(10);
+    /** Ticks come every 20 ms; no event for this long means that the process was paused. */
+    static constexpr Duration pauseThreshold = std::chrono::milliseconds(700);
     static constexpr Duration watchedPeriod = std::chrono::seconds(1);
 
     [[nodiscard]] Heartbeat heartbeat() const;
@@ -75,6 +80,7 @@
 
     Context context_;
     LogHealth health_;
+    StateChanges changes_;
     Peers peers_;
     routing::BackendTable backends_;
     Services services_;
@@ -83,6 +89,7 @@
     Requests requests_;
     std::string retiredReason_;
     std::optional<Instant> idleSince_;
+    std::optional<Instant> lastEvent_;
     Instant nextWatched_ {};
     bool stopping_ = false;
     bool over_ = false;
--- a/src/node/OperatorView.cpp
+++ b/src/node/OperatorView.cpp
@@ -60,23 +60,6 @@
         return { { "vms", list } };
     }
 
-    [[nodiscard]] const char* toText(routing::BackendState state)
-    {
-        switch (state) {
-        case routing::BackendState::Up:
-            return "up";
-        case routing::BackendState::SlowStart:
-            return "slow_start";
-        case routing::BackendState::Probing:
-            return "probing";
-        case routing::BackendState::Broken:
-            return "broken";
-        case routing::BackendState::Leaving:
-            return "leaving";
-        }
-        return "";
-    }
-
     [[nodiscard]] json backends(const CoreState& state)
     {
         json list = json::array();
--- a/src/node/Requests.cpp
+++ b/src/node/Requests.cpp
@@ -63,7 +63,7 @@
 
 void Requests::refuseAtOnce(CallId id, const CallerRequest& request, const GivingUp& why)
 {
-    const bool firstAttempt = request.attempt <= 1 && table_.find(request.key) == nullptr;
+    const bool firstAttempt = request.attempt <= 1 && table_.find(request.key) == nullptr && !inDoubt();
     const Outcome outcome = firstAttempt ? Outcome::NotRun : Outcome::Unknown;
     context_.log(Line("refuse")
                      .with("request", request.id.value())
@@ -92,6 +92,9 @@
         refuseDuplicate(*call, arrival);
         return;
     }
+    if (inDoubt()) {
+        table_.doubt(facts.key);
+    }
     byKey_[facts.key] = id;
     Call& placed = *calls_.emplace(id, std::move(call)).first->second;
     stateOf(placed).retries.onFirstAttempt(context_.now());
@@ -516,6 +519,17 @@
     seekBackend(call);
 }
 
+void Requests::onSelfPaused()
+{
+    // What goes wrong: callers lose patience with a paused router and ask elsewhere, where their requests run. Waking
+    // up, this router finds them in its buffers, refuses them, and says "not run" of what has run. One notices by a
+    // refusal that comes after the answer. So it vouches for nothing that may have waited here during the pause.
+    doubtUntil_ = context_.now() + pauseDoubt;
+    table_.doubtInProgress();
+}
+
+bool Requests::inDoubt() const { return doubtUntil_ && context_.now() < *doubtUntil_; }
+
 void Requests::callerGone(CallId id)
 {
     Call* call = find(id);
--- a/src/node/Requests.h
+++ b/src/node/Requests.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -43,6 +44,8 @@
     void onAttemptEnded(const AttemptEnded& ended);
     void onClaimDecided(const RequestKey& key, Incarnation owner);
     void onMoneyArrived(const BudgetRef& budget);
+    /** This process has not run for a while. */
+    void onSelfPaused();
     void tick();
     /** To be called after each event: tries again what waited for something that came with it. */
     void finishEvent();
@@ -59,6 +62,8 @@
     /** How long it waits when the bill may still be refused. */
     static constexpr Duration billDecisionPatience = std::chrono::seconds(5);
     static constexpr Duration moneyRetryPeriod = std::chrono::milliseconds(50);
+    /** How long after a pause buffers are taken to hold requests from before it. */
+    static constexpr Duration pauseDoubt = std::chrono::seconds(2);
     static constexpr Duration defaultRetryAfter = std::chrono::seconds(1);
 
     /** What a service's requests share. */
@@ -94,6 +99,7 @@
     void end(Call& call, request::Outcome outcome, const std::string& reason, Tokens billed);
     void expire();
     void observeFirstToken(Call& call);
+    [[nodiscard]] bool inDoubt() const;
     [[nodiscard]] Tokens spentSoFar(const Call& call) const;
     [[nodiscard]] ServiceState& stateOf(const Call& call);
     [[nodiscard]] Call* find(CallId id);
@@ -114,6 +120,8 @@
     std::set<BudgetRef> moneyArrived_;
     std::uint64_t lastAttempt_ = 0;
     Instant nextMoneyRetry_ {};
+    /** Until then a request that comes in may have waited in a buffer while this process was paused. */
+    std::optional<Instant> doubtUntil_;
 };
 
 } // namespace swiftlift::node
--- /dev/null
+++ b/src/node/StateChanges.cpp
@@ -0,0 +1,63 @@
+#include "node/StateChanges.h"
+
+#include <utility>
+
+namespace swiftlift::node {
+
+StateChanges::StateChanges(Context& context)
+    : context_(context)
+{
+}
+
+void StateChanges::noteLog(bool reachable, const std::string& detail)
+{
+    if (std::exchange(logReachable_, reachable) == reachable) {
+        return;
+    }
+    context_.log(Line("log")
+                     .with("change", reachable ? "reachable" : "unreachable")
+                     .with("detail", reachable || !detail.empty() ? detail : "no answer for too long"));
+}
+
+void StateChanges::noteBackend(const BackendId& backend, const routing::BackendTable& table)
+{
+    const auto view = table.view(backend, {}, context_.now());
+    if (!view) {
+        return;
+    }
+    const auto [entry, isNew] = backends_.try_emplace(backend, view->state);
+    const routing::BackendState before = std::exchange(entry->second, view->state);
+    if (isNew || before == view->state) {
+        return;
+    }
+    context_.log(Line("backend")
+                     .with("backend", backend.value())
+                     .with("domain", view->domain.value())
+                     .with("change", toText(view->state))
+                     .with("before", toText(before))
+                     .with("in_flight", static_cast<std::int64_t>(view->inFlight)));
+}
+
+void StateChanges::removeUnknown(const routing::BackendTable& table)
+{
+    std::erase_if(backends_, [&](const auto& entry) { return !table.view(entry.first, {}, context_.now()); });
+}
+
+const char* toText(routing::BackendState state) noexcept
+{
+    switch (state) {
+    case routing::BackendState::Up:
+        return "up";
+    case routing::BackendState::SlowStart:
+        return "slow_start";
+    case routing::BackendState::Probing:
+        return "probing";
+    case routing::BackendState::Broken:
+        return "broken";
+    case routing::BackendState::Leaving:
+        break;
+    }
+    return "leaving";
+}
+
+} // namespace swiftlift::node
--- a/tests/node/CoreTest.cpp
+++ b/tests/node/CoreTest.cpp
@@ -201,6 +201,26 @@
         EXPECT_TRUE(fleet.runUntil([&] { return billedInLedger().value() == fleet.billedByAnswers("club"); }));
     }
 
+    // Symptom: a caller is told "not run" of a request that has run.
+    // Events: a request waits in the buffers of a paused router; its caller asks elsewhere and is answered; the router
+    // wakes up, finds itself retired and refuses the request.
+    // Cause: it takes the first attempt, which it has only now seen, for the only one.
+    TEST_F(CoreTest, PausedRouterVouchesForNothingThatWaited)
+    {
+        expectAnswered(fleet.send(0, {}));
+        fleet.freeze(0);
+        TestRequest waiting;
+        waiting.id = "waiting";
+        const CallId first = fleet.send(0, waiting);
+        fleet.run(seconds(5));
+        waiting.attempt = 2;
+        expectAnswered(fleet.send(2, waiting));
+        fleet.thaw(0);
+        const auto reply = fleet.await(first);
+        ASSERT_TRUE(reply.has_value());
+        EXPECT_NE(reply->outcome, Outcome::NotRun) << reply->reason;
+    }
+
     // Symptom: a client account overspends after a pause.
     // Events: a VM is paused with a request in progress; its witness seals its grant and, later, closes it; the rest is
     // sold again; the VM wakes up and has the whole answer.
