Let a ring that refuses leave the value with its writer, and mend what the linter finds

Cause: a refused push takes an rvalue and leaves it unmoved, which reads, to the linter too, as use after a move. Change: tryPush takes an lvalue where the writer keeps what was refused; copies and narrowings that the linter named. Measured: the linter finds nothing more in src/transport, src/wire, src/ring, src/logging and apps/router; test_ring, test_logging and test_transport pass, also on a busy machine.

--- a/apps/router/RouterProcess.cpp
+++ b/apps/router/RouterProcess.cpp
@@ -114,7 +114,7 @@
 {
     const auto until = std::chrono::steady_clock::now() + settings_.stopLimit;
     transport::TaggedEvent request { Incarnation {}, node::StopRequested {} };
-    while (!decisions_.tryPush(std::move(request)) && std::chrono::steady_clock::now() < until) {
+    while (!decisions_.tryPush(request) && std::chrono::steady_clock::now() < until) {
         std::this_thread::sleep_for(readyPoll);
     }
     while (!carrier_.stopReady() && std::chrono::steady_clock::now() < until) {
--- a/include/swiftlift/logging/JsonLog.h
+++ b/include/swiftlift/logging/JsonLog.h
@@ -48,7 +48,7 @@
     void setIncarnation(std::uint64_t incarnation) noexcept;
 
     /** Never blocks. */
-    void write(Level level, std::string_view kind, Fields fields);
+    void write(Level level, std::string_view kind, const Fields& fields);
 
     [[nodiscard]] std::uint64_t dropped() const noexcept;
     [[nodiscard]] std::uint64_t written() const noexcept;
--- a/include/swiftlift/ring/BoundedRing.h
+++ b/include/swiftlift/ring/BoundedRing.h
@@ -35,7 +35,7 @@
      * @param reserve Places that have to stay free for more urgent writers.
      * @return Whether there was room.
      */
-    [[nodiscard]] bool tryPush(T&& value, std::size_t reserve = 0)
+    [[nodiscard]] bool tryPush(T& value, std::size_t reserve = 0)
     {
         if (size_.fetch_add(1) + reserve >= capacity_) {
             size_.fetch_sub(1);
@@ -51,6 +51,9 @@
         return true;
     }
 
+    /** As above, for who has no use for what was refused. */
+    [[nodiscard]] bool tryPush(T&& value, std::size_t reserve = 0) { return tryPush(value, reserve); }
+
     [[nodiscard]] std::optional<T> tryPop()
     {
         T* raw = nullptr;
--- a/include/swiftlift/ring/Inbox.h
+++ b/include/swiftlift/ring/Inbox.h
@@ -27,9 +27,9 @@
      * @param reserve Places that have to stay free for more urgent writers.
      * @return Whether there was room.
      */
-    [[nodiscard]] bool tryPush(T&& value, std::size_t reserve = 0)
+    [[nodiscard]] bool tryPush(T& value, std::size_t reserve = 0)
     {
-        if (!ring_.tryPush(std::move(value), reserve)) {
+        if (!ring_.tryPush(value, reserve)) {
             refused_.fetch_add(1);
             return false;
         }
@@ -37,8 +37,11 @@
         return true;
     }
 
+    /** As above, for who has no use for what was refused. */
+    [[nodiscard]] bool tryPush(T&& value, std::size_t reserve = 0) { return tryPush(value, reserve); }
+
     /** As tryPush() for what may be lost, such as figures and messages between routers. */
-    void pushOrDrop(T&& value) { static_cast<void>(tryPush(std::move(value))); }
+    void pushOrDrop(T&& value) { static_cast<void>(tryPush(value)); }
 
     [[nodiscard]] std::optional<T> tryPop() { return ring_.tryPop(); }
 
--- a/include/swiftlift/ring/Outbox.h
+++ b/include/swiftlift/ring/Outbox.h
@@ -26,7 +26,7 @@
 
     void push(T&& value)
     {
-        if (!waiting_.empty() || !inbox_.tryPush(std::move(value))) {
+        if (!waiting_.empty() || !inbox_.tryPush(value)) {
             waiting_.push_back(std::move(value));
         }
     }
@@ -34,7 +34,7 @@
     /** Hands over what waits, as far as there is room. To be called now and then. */
     void flush()
     {
-        while (!waiting_.empty() && inbox_.tryPush(std::move(waiting_.front()))) {
+        while (!waiting_.empty() && inbox_.tryPush(waiting_.front())) {
             waiting_.pop_front();
         }
     }
--- a/include/swiftlift/transport/ActionCarrier.h
+++ b/include/swiftlift/transport/ActionCarrier.h
@@ -40,7 +40,7 @@
 
 private:
     void take(node::Dispatch&& action);
-    void take(node::CancelAttempt&& action);
+    void take(const node::CancelAttempt& action);
     void take(node::Reply&& action);
     void take(node::Append&& action);
     void take(node::Follow&& action);
--- a/include/swiftlift/transport/LogClient.h
+++ b/include/swiftlift/transport/LogClient.h
@@ -45,8 +45,11 @@
      */
     void beginIncarnation(Incarnation incarnation);
     void follow(const node::Follow& follow);
-    /** @return Whether there was room. */
-    [[nodiscard]] bool append(node::Append&& append);
+    /**
+     * @param append Moved from only on success.
+     * @return Whether there was room.
+     */
+    [[nodiscard]] bool append(node::Append& append);
 
     void stop();
 
--- a/src/logging/JsonLog.cpp
+++ b/src/logging/JsonLog.cpp
@@ -159,7 +159,7 @@
 
 void JsonLog::setIncarnation(std::uint64_t incarnation) noexcept { state_->incarnation.store(incarnation); }
 
-void JsonLog::write(Level level, std::string_view kind, Fields fields)
+void JsonLog::write(Level level, std::string_view kind, const Fields& fields)
 {
     if (level < state_->settings.level) {
         return;
--- a/src/transport/ActionCarrier.cpp
+++ b/src/transport/ActionCarrier.cpp
@@ -13,14 +13,14 @@
 
 void ActionCarrier::carryOut(node::Action&& action)
 {
-    std::visit([this](auto&& one) { take(std::move(one)); }, std::move(action));
+    std::visit([this](auto&& one) { take(std::forward<decltype(one)>(one)); }, std::move(action));
 }
 
 void ActionCarrier::flush()
 {
     streamCommands_.flush();
     platformCommands_.flush();
-    while (!appends_.empty() && duties_.log.append(std::move(appends_.front()))) {
+    while (!appends_.empty() && duties_.log.append(appends_.front())) {
         appends_.pop_front();
     }
 }
@@ -36,13 +36,13 @@
 
 void ActionCarrier::take(node::Dispatch&& action) { streamCommands_.push(std::move(action)); }
 
-void ActionCarrier::take(node::CancelAttempt&& action) { streamCommands_.push(std::move(action)); }
+void ActionCarrier::take(const node::CancelAttempt& action) { streamCommands_.push(action); }
 
 void ActionCarrier::take(node::Reply&& action) { streamCommands_.push(std::move(action)); }
 
 void ActionCarrier::take(node::Append&& action)
 {
-    if (!appends_.empty() || !duties_.log.append(std::move(action))) {
+    if (!appends_.empty() || !duties_.log.append(action)) {
         appends_.push_back(std::move(action));
     }
 }
@@ -62,7 +62,7 @@
     for (auto& field : action.fields) {
         fields.emplace_back(std::move(field.name), std::move(field.value));
     }
-    duties_.journal.write(logging::Level::Info, action.kind, std::move(fields));
+    duties_.journal.write(logging::Level::Info, action.kind, fields);
 }
 
 void ActionCarrier::take(node::CountMetric&& action) { duties_.metrics.inbox().pushOrDrop(std::move(action)); }
--- a/src/transport/Attempt.cpp
+++ b/src/transport/Attempt.cpp
@@ -168,7 +168,7 @@
     if (std::exchange(headerSeen_, true)) {
         return;
     }
-    const int status = parser_.get().result_int();
+    const unsigned status = parser_.get().result_int();
     const bool refusal = status == 429 || status == 503;
     if (status != 200 && !refusal) {
         end(AttemptEnd::Broken, "status " + std::to_string(status));
@@ -211,7 +211,7 @@
 
 void Attempt::takeRefusal()
 {
-    const int status = parser_.get().result_int();
+    const unsigned status = parser_.get().result_int();
     const bool leaving = status == 503 && saysLeaving(refusalBody_);
     end(leaving ? AttemptEnd::Leaving : AttemptEnd::NotStarted, "status " + std::to_string(status));
 }
--- a/src/transport/BackendPool.cpp
+++ b/src/transport/BackendPool.cpp
@@ -37,7 +37,7 @@
     }
     auto& connections = found->second;
     while (!connections.empty()) {
-        const ConnectionPtr connection = connections.back();
+        ConnectionPtr connection = connections.back();
         connections.pop_back();
         connection->idle = false;
         boost::system::error_code ignored;
--- a/src/transport/Call.cpp
+++ b/src/transport/Call.cpp
@@ -18,7 +18,7 @@
 {
 }
 
-void Call::take(std::string part, bool counts)
+void Call::take(const std::string& part, bool counts)
 {
     const std::int64_t index = answer_.answerTokens.value();
     if (counts) {
--- a/src/transport/Call.h
+++ b/src/transport/Call.h
@@ -22,7 +22,7 @@
     Call(StreamContext& context, CallId id, const node::CallerRequest& request, CallerConnection& caller);
 
     /** Takes the next token, or a plain service's whole answer, and passes it on when the caller wants a stream. */
-    void take(std::string part, bool counts);
+    void take(const std::string& part, bool counts);
 
     /** Prepares for an attempt. @return Index of the first token that the caller has not got. */
     [[nodiscard]] std::int64_t prepare(const node::Dispatch& dispatch);
--- a/src/transport/CallTable.cpp
+++ b/src/transport/CallTable.cpp
@@ -120,7 +120,7 @@
         return;
     }
     auto& running = found->second;
-    running.call->take(std::move(part), !running.plain);
+    running.call->take(part, !running.plain);
     if (running.reportedTokens == 0 && running.call->tokens() > 0) {
         reportProgress(running, true);
     }
--- a/src/transport/LogClient.cpp
+++ b/src/transport/LogClient.cpp
@@ -87,7 +87,7 @@
 {
     // The core makes no further append to a stream before it has heard of the last one, so this may not be lost.
     TaggedEvent tagged { to, std::move(event) };
-    while (!decisions.tryPush(std::move(tagged)) && !stopping.load()) {
+    while (!decisions.tryPush(tagged) && !stopping.load()) {
         std::this_thread::sleep_for(std::chrono::milliseconds(1));
     }
 }
@@ -132,10 +132,10 @@
         state_->settings, state_->decisions, state_->traffic.log, Incarnation(state_->incarnation.load()), follow);
 }
 
-bool LogClient::append(node::Append&& append)
+bool LogClient::append(node::Append& append)
 {
     TaggedAppend order { Incarnation(state_->incarnation.load()), std::move(append) };
-    const bool taken = state_->appends.tryPush(std::move(order));
+    const bool taken = state_->appends.tryPush(order);
     if (!taken) {
         append = std::move(order.append);
     }
--- a/src/transport/LogFollower.cpp
+++ b/src/transport/LogFollower.cpp
@@ -119,7 +119,7 @@
 {
     // This thread may wait for room, and has to: records that are left out are a hole.
     TaggedEvent tagged { incarnation_, std::move(event) };
-    while (!decisions_.tryPush(std::move(tagged)) && !cancelled_.load()) {
+    while (!decisions_.tryPush(tagged) && !cancelled_.load()) {
         pause(pauseStep);
     }
 }
--- a/src/transport/OperatorServer.cpp
+++ b/src/transport/OperatorServer.cpp
@@ -48,7 +48,7 @@
 
         void reply(std::ostream& out, cxxtools::http::Request& request, cxxtools::http::Reply& reply) override
         {
-            const std::string url = request.url();
+            const std::string& url = request.url();
             const std::string topic = url.empty() ? url : url.substr(1);
             std::string argument = parameter(request.qparams(), "request");
             if (argument.empty()) {
--- a/src/transport/QuestionBoard.cpp
+++ b/src/transport/QuestionBoard.cpp
@@ -19,7 +19,7 @@
     if (decisions_.tryPush(std::move(event), reservedEvents)) {
         answered_.wait_for(lock, limit_, [&] { return closed_ || questions_[number].has_value(); });
     }
-    const auto answer = std::move(questions_[number]);
+    auto answer = std::move(questions_[number]);
     questions_.erase(number);
     return answer;
 }
--- a/tests/ring/InboxTest.cpp
+++ b/tests/ring/InboxTest.cpp
@@ -25,7 +25,7 @@
     BoundedRing<std::string> ring(1);
     EXPECT_TRUE(ring.tryPush("first"));
     std::string second = "second";
-    EXPECT_FALSE(ring.tryPush(std::move(second)));
+    EXPECT_FALSE(ring.tryPush(second));
     EXPECT_EQ(second, "second");
 }
 
--- a/tests/transport/LogClientTest.cpp
+++ b/tests/transport/LogClientTest.cpp
@@ -33,6 +33,12 @@
             client->beginIncarnation(Incarnation(5));
         }
 
+        bool append(const std::string& record)
+        {
+            node::Append order { stream, record };
+            return client->append(order);
+        }
+
         DecisionInbox inbox { 4096 };
         ControlTraffic traffic;
         Listener platform;
@@ -103,7 +109,7 @@
 TEST_F(LogClientTest, AppendWithoutAnswerIsToldAndNotRepeated)
 {
     start();
-    EXPECT_TRUE(client->append({ stream, "record" }));
+    EXPECT_TRUE(append("record"));
     {
         auto connection = platform.accept();
         proto::log::AppendRequest request;
@@ -111,7 +117,7 @@
         EXPECT_EQ(request.records(0), "record");
     }
     EXPECT_EQ(nextEvent<node::LogUnreachable>(inbox).stream, stream);
-    EXPECT_TRUE(client->append({ stream, "another" }));
+    EXPECT_TRUE(append("another"));
     auto connection = platform.accept();
     proto::log::AppendRequest request;
     ASSERT_TRUE(request.ParseFromString(connection.readRequest().body()));
@@ -123,7 +129,7 @@
 TEST_F(LogClientTest, AppendThatHangsIsGivenUp)
 {
     start(std::chrono::milliseconds(50));
-    EXPECT_TRUE(client->append({ stream, "record" }));
+    EXPECT_TRUE(append("record"));
     auto connection = platform.accept();
     EXPECT_NE(nextEvent<node::LogUnreachable>(inbox).detail.find("timeout"), std::string::npos);
 }
