--- a/apps/capacity/RoutingAxes.cpp
+++ b/apps/capacity/RoutingAxes.cpp
@@ -81,7 +81,7 @@
             request.promptTokens = promptTokens;
             const Meter meter;
             for (int choice = 0; choice < choices; ++choice) {
-                request.prefixHash = static_cast<std::uint64_t>(choice + 1);
+                request.prefixHash = static_cast<std::uint64_t>(choice) + 1;
                 [[maybe_unused]] const auto chosen = selector->choose(request, table, now);
                 assert(chosen && "every engine is up and empty");
             }
--- a/apps/load/Client.cpp
+++ b/apps/load/Client.cpp
@@ -119,7 +119,7 @@
         }
         lines.take({ chunk.data(), chunk.size() - parser.get().body().size }, Clock::now());
     }
-    lines.finish(parser.get().result_int());
+    lines.finish(static_cast<int>(parser.get().result_int()));
     if (parser.get().keep_alive()) {
         stream->expires_never();
         pool.push_back({ std::move(stream), Clock::now() });
