Let bills wait for company; tell callers the state of their requests

Cause: a router appended for each request that ended, 10.8 appends/s a node at the target (docs/CAPACITY.md, row 5); a caller's question after its request was answered with 'unknown topic'; 65,536 remembered authors took 14 MB a stream. Ruled out: a fixed period, which is slow for 8 routers or too much for 400. Change: an append with bills alone waits for routers x streams / 100 seconds, 4 s at most, while a witness secures them by its copies; draws, returns, claims, voids, seals and closes go at once and take the bills along. GET /v1/requests/ID gives the state that this router knows, to the account's own key only. 8,192 authors are remembered.

--- a/include/swiftlift/ledger/Fold.h
+++ b/include/swiftlift/ledger/Fold.h
@@ -110,7 +110,7 @@
 /** How much a fold remembers. All readers of a stream need the same limits, so only tests set others. */
 struct FoldLimits {
     static constexpr std::size_t defaultKeys = 200'000;
-    static constexpr std::size_t defaultOrigins = 65'536;
+    static constexpr std::size_t defaultOrigins = 8'192;
 
     /** Keys of bills, and as many of claims. */
     std::size_t keys = defaultKeys;
--- a/src/node/OperatorView.cpp
+++ b/src/node/OperatorView.cpp
@@ -1,5 +1,11 @@
 #include "node/OperatorView.h"
 
+#include <cstdlib>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <vector>
+
 #include <nlohmann/json.hpp>
 
 namespace swiftlift::node {
@@ -88,6 +94,71 @@
         return { { "services", list } };
     }
 
+    /** The parts of a caller's question `ACCOUNT/ID/KEYHASH/KEY`. */
+    struct CallersQuestion {
+        AccountId account;
+        std::string id;
+        std::string keyHash;
+        RequestKey key;
+    };
+
+    [[nodiscard]] std::optional<CallersQuestion> parseCallersQuestion(const std::string& argument)
+    {
+        constexpr std::size_t parts = 4;
+        constexpr std::size_t wordDigits = 16;
+        constexpr int hexadecimal = 16;
+        std::vector<std::string> words;
+        std::istringstream in(argument);
+        for (std::string word; std::getline(in, word, '/');) {
+            words.push_back(word);
+        }
+        if (words.size() != parts || words[3].size() != 2 * wordDigits) {
+            return std::nullopt;
+        }
+        const RequestKey key { std::strtoull(words[3].substr(0, wordDigits).c_str(), nullptr, hexadecimal),
+            std::strtoull(words[3].substr(wordDigits).c_str(), nullptr, hexadecimal) };
+        return CallersQuestion { AccountId { words[0] }, words[1], words[2], key };
+    }
+
+    [[nodiscard]] const char* stateText(const request::Record& record)
+    {
+        if (!record.ended) {
+            return "running";
+        }
+        switch (*record.ended) {
+        case Outcome::Answered:
+            return "answered";
+        case Outcome::NotRun:
+            return "refused";
+        case Outcome::Unknown:
+            return "unknown";
+        }
+        return "unknown";
+    }
+
+    /** What a caller may know of its own request. */
+    [[nodiscard]] json requestState(const CoreState& state, const std::string& argument)
+    {
+        const auto question = parseCallersQuestion(argument);
+        if (!question) {
+            return { { "error", "bad_request" } };
+        }
+        const auto account = state.shardOf(question->account).fold().account(question->account);
+        if (!account || account->keyHash != question->keyHash) {
+            return { { "request", question->id }, { "error", "bad_key" } };
+        }
+        const request::Record* record = state.requests().table().find(question->key);
+        if (record == nullptr) {
+            return { { "request", question->id }, { "state", "unknown_here" } };
+        }
+        json answer = { { "request", question->id }, { "state", stateText(*record) }, { "reason", record->reason },
+            { "billed_tokens", record->billed.value() } };
+        if (record->ended == Outcome::NotRun) {
+            answer["run"] = "not_run";
+        }
+        return answer;
+    }
+
     [[nodiscard]] json explain(const CoreState& state, const std::string& request)
     {
         json decisions = json::array();
@@ -118,6 +189,8 @@
         answer = internal::backends(state);
     } else if (question.topic == "services") {
         answer = internal::services(state);
+    } else if (question.topic == "request") {
+        answer = internal::requestState(state, question.argument);
     } else if (question.topic == "explain") {
         answer = internal::explain(state, question.argument);
     } else {
--- a/src/node/ShardLedger.cpp
+++ b/src/node/ShardLedger.cpp
@@ -341,12 +341,28 @@
     }
 }
 
+Duration ShardLedger::batchPeriod() const
+{
+    const auto routers = static_cast<std::int64_t>(peers_.membership().counts().alive) + 1;
+    const auto streams = static_cast<std::int64_t>(context_.settings().ledgerShards);
+    const Duration fair = Duration(std::chrono::seconds(1)) * (routers * streams) / unhurriedAppends;
+    return std::min(fair, longestBatchPeriod);
+}
+
 void ShardLedger::sendBatch()
 {
-    const auto batch = outbox_.next(context_.now());
+    // Bills wait for company: a copy at the witness secures them meanwhile, and an append for each would be more than
+    // the log takes from a large fleet. What somebody waits for goes at once, and takes them along.
+    const Instant now = context_.now();
+    if (!outbox_.wakeAt() && !urgent_ && now < nextBatch_) {
+        return;
+    }
+    const auto batch = outbox_.next(now);
     if (!batch) {
         return;
     }
+    urgent_ = false;
+    nextBatch_ = now + batchPeriod();
     appendRecord(ledger::encode(*batch));
 }
 
@@ -513,7 +529,13 @@
     carryOut(actions);
 }
 
-void ShardLedger::append(ledger::Entry entry) { outbox_.add(std::move(entry)); }
+void ShardLedger::append(ledger::Entry entry)
+{
+    const bool bill = std::holds_alternative<ledger::Bill>(entry);
+    const bool witnessed = peers_.membership().witness().has_value();
+    urgent_ = urgent_ || !bill || !witnessed;
+    outbox_.add(std::move(entry));
+}
 
 std::vector<Incarnation> ShardLedger::witnessed() const
 {
--- a/src/node/ShardLedger.h
+++ b/src/node/ShardLedger.h
@@ -95,6 +95,9 @@
 private:
     static constexpr std::size_t peerAnswerBytes = 64 * 1024;
     static constexpr Duration readAskPeriod = std::chrono::milliseconds(300);
+    /** Appends a second that the routers together make without need; the log takes several hundred. */
+    static constexpr std::int64_t unhurriedAppends = 100;
+    static constexpr Duration longestBatchPeriod = std::chrono::seconds(4);
     static constexpr Duration copyRetryPeriod = std::chrono::milliseconds(150);
     /** How long a sealed grant stays open for what its holder, if it was only paused, has still to bill. */
     static constexpr Duration closeGrace = std::chrono::seconds(10);
@@ -107,6 +110,7 @@
     void restoreFrom(const ledger::Checkpoint& checkpoint, const char* source);
     void onEffect(const ledger::Effect& effect);
     void carryOut(ledger::MoneyActions& actions);
+    [[nodiscard]] Duration batchPeriod() const;
     void sendBatch();
     void sendCopies();
     void onCopyItems(Incarnation from, const CopyItems& message);
@@ -136,6 +140,9 @@
     Incarnation copyHolder_;
     std::uint64_t copied_ = 0;
     std::uint64_t copySent_ = 0;
+    /** Something waits in the outbox that a caller or another router waits for. */
+    bool urgent_ = false;
+    Instant nextBatch_ {};
     Instant nextCopy_ {};
     /** Items of our own that the ledger refused. */
     std::set<std::uint64_t> refused_;
--- a/src/transport/CallTable.cpp
+++ b/src/transport/CallTable.cpp
@@ -73,7 +73,8 @@
 void CallTable::questionCame(CallerConnection& connection, const RequestQuestion& question)
 {
     const std::uint64_t number = ++lastNumber_ | callersQuestion;
-    const std::string argument = question.account.value() + "/" + question.id.value() + "/" + question.keyHash;
+    const std::string argument = question.account.value() + "/" + question.id.value() + "/" + question.keyHash + "/"
+        + toHex(requestKey(question.account, question.id));
     TaggedEvent event { Incarnation {}, node::OperatorAsked { number, "request", argument } };
     if (!context_.decisions.tryPush(std::move(event), reservedEvents)) {
         ++context_.counts.overloaded;
--- a/tests/node/CoreTest.cpp
+++ b/tests/node/CoreTest.cpp
@@ -1,3 +1,5 @@
+#include <cstdio>
+
 #include <gtest/gtest.h>
 
 #include "node/FakeFleet.h"
@@ -55,6 +57,19 @@
         EXPECT_EQ(fleet.await(fleet.send(0, lost))->reason, "unknown_service");
     }
 
+    TEST_F(CoreTest, TellsACallerTheStateOfItsOwnRequestOnly)
+    {
+        expectAnswered(fleet.send(0, {}));
+        const RequestKey key = FakeFleet::keyOf("club", "r1");
+        char digits[33] = {};
+        (void)std::snprintf(digits, sizeof digits, "%016lx%016lx", key.high, key.low);
+        const std::string mine = "club/r1/key-of-club/" + std::string(digits);
+        EXPECT_NE(fleet.asked(0, "request", mine).find("\"state\":\"answered\""), std::string::npos);
+        EXPECT_NE(fleet.asked(1, "request", mine).find("\"state\":\"unknown_here\""), std::string::npos);
+        const std::string strange = "club/r1/another/" + std::string(digits);
+        EXPECT_NE(fleet.asked(0, "request", strange).find("bad_key"), std::string::npos);
+    }
+
     TEST_F(CoreTest, SpendsTheWholeBudgetAndNotMore)
     {
         int answered = 0;
--- a/tests/node/FakeFleet.cpp
+++ b/tests/node/FakeFleet.cpp
@@ -19,11 +19,6 @@
     const StreamName ledgerName = ledger::ledgerStream(0);
     const StreamName configName { "config" };
 
-    [[nodiscard]] RequestKey keyOf(const std::string& account, const std::string& id)
-    {
-        return { std::hash<std::string> {}(account), std::hash<std::string> {}(id) };
-    }
-
 } // namespace
 
 std::string plansDocument(const std::vector<std::string>& accounts, const std::string& weighting)
@@ -46,6 +41,11 @@
 {
 }
 
+RequestKey FakeFleet::keyOf(const std::string& account, const std::string& id)
+{
+    return { std::hash<std::string> {}(account), std::hash<std::string> {}(id) };
+}
+
 void FakeFleet::later(Duration delay, std::function<void()> work)
 {
     tasks_.push({ now_ + delay, order_++, std::move(work) });
@@ -182,6 +182,18 @@
     return call;
 }
 
+std::string FakeFleet::asked(std::size_t vm, const std::string& topic, const std::string& argument)
+{
+    Actions actions;
+    vms_[vm].core->handle(OperatorAsked { 1, topic, argument }, now_, actions);
+    for (const Action& action : actions) {
+        if (const auto* reply = std::get_if<OperatorReply>(&action)) {
+            return reply->json;
+        }
+    }
+    return "";
+}
+
 void FakeFleet::stop(std::size_t vm) { deliver(vm, vms_[vm].life, StopRequested {}); }
 
 void FakeFleet::deliver(std::size_t vm, std::uint64_t life, const Event& event)
--- a/tests/node/FakeFleet.h
+++ b/tests/node/FakeFleet.h
@@ -86,6 +86,8 @@
 
     CallId send(std::size_t vm, const TestRequest& request);
     void stop(std::size_t vm);
+    /** @return What the router answers an operator's or caller's question. */
+    [[nodiscard]] std::string asked(std::size_t vm, const std::string& topic, const std::string& argument);
     /** Hands an event to a VM, as its transport would. */
     void tell(std::size_t vm, const Event& event) { deliver(vm, vms_[vm].life, event); }
 
@@ -106,6 +108,7 @@
     [[nodiscard]] bool restarted(std::size_t vm) const { return vms_[vm].restarts > 0; }
     [[nodiscard]] std::vector<LogLine> linesOf(std::size_t vm, const std::string& kind) const;
 
+    [[nodiscard]] static RequestKey keyOf(const std::string& account, const std::string& id);
     [[nodiscard]] Instant now() const noexcept { return now_; }
     [[nodiscard]] std::size_t size() const noexcept { return vms_.size(); }
     [[nodiscard]] bool running(std::size_t vm) const { return vms_[vm].running; }
