Keep the axis of billed keys within the fold's window

Change: sizes from 25,000 to the whole window. Conclusion: the largest size run is the largest there is.

--- a/apps/capacity/FoldAxes.cpp
+++ b/apps/capacity/FoldAxes.cpp
@@ -89,7 +89,7 @@
     class BillKeys final : public Axis {
     public:
         BillKeys()
-            : Axis("fold.bill_keys", "billed requests remembered", { 20'000, 60'000, 180'000, 540'000 })
+            : Axis("fold.bill_keys", "billed requests remembered", { 25'000, 50'000, 100'000, 200'000 })
         {
         }
 
