Keep the axis of authors within the fold's window

Cause: the fold remembers 8,192 authors now; the largest size of the axis was past it. Change: sizes up to 8,000. Conclusion: as for keys, the largest size run is the largest there is.

--- a/apps/capacity/FoldAxes.cpp
+++ b/apps/capacity/FoldAxes.cpp
@@ -114,7 +114,7 @@
     class Origins final : public Axis {
     public:
         Origins()
-            : Axis("fold.authors", "authors", { 400, 2'000, 8'000, 32'000 })
+            : Axis("fold.authors", "authors", { 400, 1'000, 3'000, 8'000 })
         {
         }
 
