Measure the routing policies, and test that the logs explain failures

Cause: the policies had been compared in a model only, and nothing tested that a reader can tell from the routers' logs what was done about a failure. A backend server that was found to be leaving or broken by its reports, and a log that could be reached again, wrote no line at all.

--- a/tests/scenario/Callers.cpp
+++ b/tests/scenario/Callers.cpp
@@ -52,8 +52,12 @@
 
         void takeToken(const json& object)
         {
-            if (!answer_.firstTokenAt)
-                answer_.firstTokenAt = Clock::now();
+            const Moment now = Clock::now();
+            if (answer_.firstTokenAt)
+                answer_.gapsMs.push_back(static_cast<float>(millisecondsBetween(lastTokenAt_, now)));
+            else
+                answer_.firstTokenAt = now;
+            lastTokenAt_ = now;
             if (object.value("index", std::int64_t { -1 }) != answer_.tokensSeen)
                 answer_.inOrder = false;
             answer_.text += object.value("token", "");
@@ -84,6 +88,7 @@
         Answer& answer_;
         const std::function<void(std::int64_t)>& onTokens_;
         std::string rest_;
+        Moment lastTokenAt_;
     };
 
     std::string bodyOf(const Call& call)
--- a/tests/scenario/Callers.h
+++ b/tests/scenario/Callers.h
@@ -60,6 +60,8 @@
     std::int64_t retryAfterMs = 0;
     Moment sentAt;
     std::optional<Moment> firstTokenAt;
+    /** Milliseconds from each token to the next. */
+    std::vector<float> gapsMs;
     Moment endedAt;
 };
 
--- a/tests/scenario/Fleet.cpp
+++ b/tests/scenario/Fleet.cpp
@@ -77,6 +77,8 @@
             std::to_string(plan_.stepMs), "--models", internal::modelName };
         if (plan_.capacity > 0)
             command.insert(command.end(), { "--max-batch", std::to_string(plan_.capacity) });
+        for (const auto& [name, value] : plan_.engineOptions)
+            command.insert(command.end(), { "--" + name, value });
         addMember(engine.name, std::move(command), engine.address, true);
     }
     for (const auto& plain : plan_.plains)
@@ -212,6 +214,8 @@
     return found->second;
 }
 
+std::string Fleet::printedBy(const std::string& name) { return member(name).process->printed(); }
+
 std::string Fleet::lastLogLines(std::size_t count) const
 {
     std::ostringstream text;
--- a/tests/scenario/Fleet.h
+++ b/tests/scenario/Fleet.h
@@ -65,6 +65,8 @@
     [[nodiscard]] const FleetPlan& plan() const noexcept { return plan_; }
     [[nodiscard]] const std::filesystem::path& folder() const noexcept { return folder_; }
     [[nodiscard]] const std::filesystem::path& programs() const noexcept { return programs_; }
+    /** @return Everything that a member has printed since its start; a router prints its log. */
+    [[nodiscard]] std::string printedBy(const std::string& name);
     /** @return The last lines of each router's log, for a failed run. */
     [[nodiscard]] std::string lastLogLines(std::size_t count) const;
 
--- a/tests/scenario/FleetPlan.cpp
+++ b/tests/scenario/FleetPlan.cpp
@@ -166,6 +166,15 @@
         }
     }
 
+    std::map<std::string, std::string> engineOptions(Fields& fields)
+    {
+        std::map<std::string, std::string> options;
+        const Json given = fields.any("engine_options");
+        for (const auto& [name, value] : given.items())
+            options[name] = value.is_string() ? value.get<std::string>() : value.dump();
+        return options;
+    }
+
 } // namespace internal
 
 FleetPlan planFleet(Fields& fields, std::uint16_t basePort)
@@ -177,6 +186,7 @@
     plan.domains = internal::domainsOf(fields, shape);
     plan.stepMs = fields.real("step_ms", shape.stepMs);
     plan.capacity = fields.number("capacity", 0);
+    plan.engineOptions = internal::engineOptions(fields);
     plan.retention = fields.number("retention", 0);
     plan.appendsPerSecond = fields.number("appends_per_second", 0);
     plan.ledgerPolicy = fields.text("ledger_policy", "grants");
--- a/tests/scenario/FleetPlan.h
+++ b/tests/scenario/FleetPlan.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,8 @@
     Address linkControl;
     double stepMs = 3;
     std::int64_t capacity = 0;
+    /** More flags of the engine stand-ins, by name. */
+    std::map<std::string, std::string> engineOptions;
     std::int64_t retention = 0;
     std::string ledgerPolicy;
     std::string routingPolicy;
--- a/tests/scenario/Load.cpp
+++ b/tests/scenario/Load.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cmath>
 #include <mutex>
 #include <random>
 #include <thread>
@@ -21,17 +22,26 @@
         std::uint64_t draw = 0;
     };
 
-    std::string makePrompt(int prefix, std::size_t number, int bytes)
+    std::string makePrompt(const LoadPlan& load, std::size_t prefix, std::size_t number)
     {
-        constexpr int prefixBytes = 256;
         std::string prompt = "pattern " + std::to_string(prefix) + " ";
-        prompt.resize(prefixBytes, static_cast<char>('a' + prefix % 26));
+        prompt.resize(static_cast<std::size_t>(load.prefixBytes), static_cast<char>('a' + prefix % 26));
         prompt += " order " + std::to_string(number) + " ";
-        if (prompt.size() < static_cast<std::size_t>(bytes))
-            prompt.resize(static_cast<std::size_t>(bytes), 'x');
+        if (prompt.size() < static_cast<std::size_t>(load.promptBytes))
+            prompt.resize(static_cast<std::size_t>(load.promptBytes), 'x');
         return prompt;
     }
 
+    /** @return One of the shared prefixes, or one that no other request has. */
+    std::size_t drawPrefix(const LoadPlan& load, std::size_t number, std::mt19937_64& random)
+    {
+        constexpr unsigned hundred = 100;
+        if (static_cast<int>(random() % hundred) >= load.sharedPercent)
+            return static_cast<std::size_t>(load.prefixes) + number;
+        std::uniform_real_distribution<double> share(0, 1);
+        return static_cast<std::size_t>(load.prefixes * std::pow(share(random), load.skew));
+    }
+
     /** All of it is drawn before the first call, so that equal seeds give equal loads. */
     std::vector<Arrival> plan(const LoadPlan& load)
     {
@@ -44,8 +54,7 @@
             std::tie(call.vm, call.router) = load.routers[random() % load.routers.size()];
             call.id = load.idPrefix + std::to_string(number);
             if (call.model)
-                call.prompt = makePrompt(
-                    static_cast<int>(random() % static_cast<unsigned>(load.prefixes)), number, load.promptBytes);
+                call.prompt = makePrompt(load, drawPrefix(load, number, random), number);
             arrivals.push_back({ Milliseconds(static_cast<std::int64_t>(at)), std::move(call), random() });
         }
         return arrivals;
--- a/tests/scenario/Load.h
+++ b/tests/scenario/Load.h
@@ -20,6 +20,12 @@
     std::string idPrefix;
     /** Prompts are drawn from this many prefixes. */
     int prefixes = 8;
+    /** The first is taken most often, as `skew` grows from 1, where all are equal. */
+    double skew = 1;
+    /** Length of a prefix. */
+    int prefixBytes = 256;
+    /** Of a hundred prompts, so many begin with a shared prefix; the others with one of their own. */
+    int sharedPercent = 100;
     int promptBytes = 400;
     /** A refused or unknown request of an idempotent kind is asked again at another VM, at most so many times. */
     int retries = 0;
--- a/tests/scenario/Prelude.h
+++ b/tests/scenario/Prelude.h
@@ -34,6 +34,18 @@
     return names
 end
 
+--- Address of a backend server.
+function address_of(name)
+    for _, kind in ipairs { "engines", "plains" } do
+        for _, backend in ipairs(built_fleet[kind]) do
+            if backend.name == name then
+                return backend.address
+            end
+        end
+    end
+    error("no backend server " .. name)
+end
+
 --- Looks again and again until check() gives a true value, and returns it; fails after `bound` seconds.
 function until_true(check, bound, text)
     local ends = now_ms() + (bound or 60) * 1000
--- a/tests/scenario/VerbsOperators.cpp
+++ b/tests/scenario/VerbsOperators.cpp
@@ -1,4 +1,5 @@
 #include <fstream>
+#include <sstream>
 
 #include "Errors.h"
 #include "World.h"
@@ -160,6 +161,20 @@
         return Json::parse(reply.body, nullptr, false);
     }
 
+    /** Lines of a router's log that are of one kind. */
+    Json logged(World& world, const Arguments& arguments)
+    {
+        const std::string kind = arguments.text(1, "kind");
+        Json found = Json::array();
+        std::istringstream lines(world.fleet().printedBy(arguments.text(0, "vm")));
+        for (std::string line; std::getline(lines, line);) {
+            Json object = Json::parse(line, nullptr, false);
+            if (object.is_object() && object.value("kind", "") == kind)
+                found.push_back(std::move(object));
+        }
+        return found;
+    }
+
 } // namespace internal
 
 void addOperatorVerbs(LuaRuntime& lua, World& world)
@@ -169,6 +184,7 @@
     lua.add("publish", [&world](const Arguments& arguments) { return internal::publish(world, arguments); });
     lua.add("try_publish", [&world](const Arguments& arguments) { return internal::tryPublish(world, arguments); });
     lua.add("status", [&world](const Arguments& arguments) { return internal::status(world, arguments); });
+    lua.add("logged", [&world](const Arguments& arguments) { return internal::logged(world, arguments); });
     lua.add("start_ctl",
         [&world](const Arguments& arguments) -> Json { return world.startCtl(internal::texts(arguments)); });
     lua.add("wait_ctl", [&world](const Arguments& arguments) {
--- a/tests/scenario/VerbsRequests.cpp
+++ b/tests/scenario/VerbsRequests.cpp
@@ -1,5 +1,6 @@
 #include "Errors.h"
 #include "Load.h"
+#include "Measure.h"
 #include "World.h"
 
 namespace swiftlift::scenario {
@@ -69,9 +70,9 @@
         return toJson(*observation);
     }
 
-    Json load(World& world, const Arguments& arguments)
+    LoadPlan readLoad(World& world, const Arguments& arguments)
     {
-        Fields fields("load", arguments.table(0, "load"));
+        Fields fields(arguments.verb(), arguments.table(0, "load"));
         LoadPlan plan;
         Json calls = fields.any("calls");
         if (!calls.is_array())
@@ -91,14 +92,53 @@
         plan.retries = static_cast<int>(fields.number("retries", 0));
         plan.promptBytes = static_cast<int>(fields.number("prompt_bytes", plan.promptBytes));
         plan.prefixes = static_cast<int>(fields.number("prefixes", plan.prefixes));
+        plan.prefixBytes = static_cast<int>(fields.number("prefix_bytes", plan.prefixBytes));
+        plan.sharedPercent = static_cast<int>(fields.number("shared_percent", plan.sharedPercent));
+        plan.skew = fields.real("skew", plan.skew);
+        plan.places = static_cast<int>(fields.number("places", plan.places));
         plan.idPrefix = fields.text("ids", "load-" + std::to_string(++world.drawnIds)) + "-";
         plan.seed = world.seed() + world.drawnIds;
         fields.nothingElse();
-        const LoadCounts counts = runLoad(plan, world.callers());
+        return plan;
+    }
+
+    Json toJson(const LoadCounts& counts)
+    {
         return { { "sent", counts.sent }, { "answered", counts.answered }, { "refused", counts.refused },
             { "unknown", counts.unknown }, { "broken", counts.broken }, { "started_late", counts.startedLate } };
     }
 
+    Json load(World& world, const Arguments& arguments)
+    {
+        return toJson(runLoad(readLoad(world, arguments), world.callers()));
+    }
+
+    Json startLoad(World& world, const Arguments& arguments)
+    {
+        return world.loads().start(readLoad(world, arguments), world.callers());
+    }
+
+    Json waitLoad(World& world, const Arguments& arguments)
+    {
+        return toJson(world.loads().wait(static_cast<std::size_t>(arguments.number(0, "handle"))));
+    }
+
+    Json measured(World& world, const Arguments& arguments)
+    {
+        constexpr double always = 86'400;
+        Fields fields("measured", arguments.table(0, "window"));
+        const auto handle = static_cast<std::size_t>(fields.number("load"));
+        const Moment begin = world.loads().startedAt(handle);
+        Window window;
+        window.idPrefix = world.loads().idPrefix(handle);
+        window.from = begin + seconds(fields.real("from", 0));
+        window.to = begin + seconds(fields.real("to", always));
+        if (const Json accounts = fields.any("accounts"); accounts.is_array())
+            window.accounts = accounts.get<std::set<std::string>>();
+        fields.nothingElse();
+        return measure(world.callers().all(), window);
+    }
+
 } // namespace internal
 
 void addRequestVerbs(LuaRuntime& lua, World& world)
@@ -106,6 +146,9 @@
     lua.add("send", [&world](const Arguments& arguments) { return internal::send(world, arguments); });
     lua.add("wait", [&world](const Arguments& arguments) { return internal::wait(world, arguments); });
     lua.add("load", [&world](const Arguments& arguments) { return internal::load(world, arguments); });
+    lua.add("start_load", [&world](const Arguments& arguments) { return internal::startLoad(world, arguments); });
+    lua.add("wait_load", [&world](const Arguments& arguments) { return internal::waitLoad(world, arguments); });
+    lua.add("measured", [&world](const Arguments& arguments) { return internal::measured(world, arguments); });
     lua.add("tokens_seen", [&world](const Arguments& arguments) -> Json {
         return world.callers().tokensSeen(static_cast<std::size_t>(arguments.number(0, "handle")));
     });
--- a/tests/scenario/World.h
+++ b/tests/scenario/World.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "Auditor.h"
+#include "BackgroundLoads.h"
 #include "Callers.h"
 #include "Fleet.h"
 #include "LuaRuntime.h"
@@ -49,6 +50,7 @@
     /** Waits until every answered request is billed in the log, at most so long, then audits. */
     [[nodiscard]] AuditReport audit(Milliseconds bound);
 
+    [[nodiscard]] BackgroundLoads& loads() noexcept { return loads_; }
     [[nodiscard]] Callers& callers() noexcept { return callers_; }
     [[nodiscard]] std::uint64_t seed() const noexcept { return seed_; }
     [[nodiscard]] const std::filesystem::path& folder() const noexcept { return folder_; }
@@ -65,6 +67,7 @@
     std::uint64_t seed_;
     // The order matters: the callers' threads end when the fleet's connections break, so the fleet goes first.
     Callers callers_;
+    BackgroundLoads loads_;
     std::unique_ptr<Fleet> fleet_;
     std::vector<std::unique_ptr<Process>> ctls_;
 };
--- a/tests/standins/engine/Batch.cpp
+++ b/tests/standins/engine/Batch.cpp
@@ -55,6 +55,9 @@
         const auto sequence = waiting_.begin()->second;
         waiting_.erase(waiting_.begin());
         sequence->cachedTokens = cache_.lookUp(sequence->prompt);
+        ++totals_.started;
+        totals_.promptTokens += sequence->promptTokens;
+        totals_.cachedPromptTokens += sequence->cachedTokens;
         sequence->prefillLeft = sequence->promptTokens - sequence->cachedTokens + sequence->computed;
         runningTokens_ += internal::memoryOf(*sequence);
         running_.push_back(sequence);
@@ -92,6 +95,7 @@
         if (!sequence->isComplete()) {
             ++sequence->computed;
             ++sequence->record->tokens;
+            ++totals_.answerTokens;
         }
         cache_.store(sequence->prompt);
         if (sequence->isComplete()) {
--- a/tests/standins/engine/Batch.h
+++ b/tests/standins/engine/Batch.h
@@ -12,6 +12,16 @@
 
 namespace swiftlift::standins {
 
+/** What a batch has computed since its start. */
+struct BatchTotals {
+    /** Sequences that joined. */
+    std::uint64_t started = 0;
+    std::uint64_t promptTokens = 0;
+    /** Of these, the tokens that were cached. */
+    std::uint64_t cachedPromptTokens = 0;
+    std::uint64_t answerTokens = 0;
+};
+
 /** Continuous batching: sequences join and leave between steps; those that wait join by priority, then in order. */
 class Batch {
 public:
@@ -33,6 +43,7 @@
     [[nodiscard]] std::uint64_t waiting() const noexcept { return waiting_.size(); }
     [[nodiscard]] bool isIdle() const noexcept { return running_.empty() && waiting_.empty(); }
     [[nodiscard]] std::uint64_t freeTokens() const noexcept;
+    [[nodiscard]] const BatchTotals& totals() const noexcept { return totals_; }
     [[nodiscard]] Milliseconds lastStep() const noexcept { return lastStep_; }
 
 private:
@@ -51,6 +62,7 @@
     std::uint64_t arrivals_ = 0;
     std::uint64_t runningTokens_ = 0;
     Milliseconds lastStep_;
+    BatchTotals totals_;
 };
 
 } // namespace swiftlift::standins
--- a/tests/standins/engine/EngineService.cpp
+++ b/tests/standins/engine/EngineService.cpp
@@ -226,12 +226,16 @@
 
 Json EngineService::audit(const Exchange&) const
 {
+    const BatchTotals& totals = batch_.totals();
+    Json sums = { { "started", totals.started }, { "prompt_tokens", totals.promptTokens },
+        { "cached_prompt_tokens", totals.cachedPromptTokens }, { "answer_tokens", totals.answerTokens } };
     Json keys = Json::object();
     for (const auto& [key, record] : keys_) {
         keys[key] = internal::toJson(record);
     }
-    return { { "keys", std::move(keys) }, { "rejected", rejected_ }, { "orders", orders_.audit() }, { "load", load() },
-        { "bytes_in", byteCounts().in }, { "bytes_out", byteCounts().out } };
+    return { { "keys", std::move(keys) }, { "totals", std::move(sums) }, { "rejected", rejected_ },
+        { "orders", orders_.audit() }, { "load", load() }, { "bytes_in", byteCounts().in },
+        { "bytes_out", byteCounts().out } };
 }
 
 } // namespace swiftlift::standins
