--- a/src/transport/CallTable.cpp
+++ b/src/transport/CallTable.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/write.hpp>
 
+#include "swiftlift/transport/Hashing.h"
 #include "transport/HttpText.h"
 
 namespace swiftlift::transport::internal {
@@ -37,7 +38,9 @@
         return;
     }
     ++context_.counts.overloaded;
-    const auto refused = overloaded("too many connections");
+    auto refused = overloaded("too many connections");
+    // Nothing of the request has been read, its attempt's number neither.
+    refused.outcome = node::Outcome::Unknown;
     const std::string bytes = jsonReply(refused.status, notAnsweredText({}, refused), false, refused.retryAfter);
     boost::system::error_code ignored;
     socket.non_blocking(true, ignored);
@@ -60,10 +63,13 @@
     const CallId id(++lastNumber_);
     const auto call = std::make_shared<Call>(context_, id, request, connection);
     const std::string requestId = request.id.value();
+    const std::string attempt = std::to_string(request.attempt);
     TaggedEvent event { Incarnation {}, node::RequestArrived { id, std::move(request) } };
     if (!context_.decisions.tryPush(std::move(event), reservedEvents)) {
         ++context_.counts.overloaded;
-        refuse(connection, overloaded("the router has too much waiting"), requestId);
+        auto refused = overloaded("the router has too much waiting");
+        refused.outcome = outcomeUnseen(attempt);
+        refuse(connection, refused, requestId);
         return;
     }
     calls_.emplace(id, call);
