Don't say 'not run' of a later attempt that is refused before the core

Ruled out: leaving it to the core, which never sees these requests. Change: a refusal of an attempt above 1 says "unknown"; so does one of a request whose header has not come whole, and one at the limit of connections, where nothing has been read. Left: a router that is thawed and finds its ring full still says "not run" of a first attempt that waited in its socket.

--- a/include/swiftlift/transport/CallerText.h
+++ b/include/swiftlift/transport/CallerText.h
@@ -27,7 +27,16 @@
 /** @return One token of a stream, as a line. */
 [[nodiscard]] std::string tokenLine(std::string_view token, std::int64_t index);
 
-/** @return A refusal of the transport's own, of a request that the core never saw. */
+/**
+ * @return A refusal of the transport's own, of a request that the core never saw. Its outcome is "not run", which holds
+ * for this attempt alone: see outcomeUnseen().
+ */
 [[nodiscard]] node::Reply refusal(int status, std::string reason, std::string detail);
 
+/**
+ * @param attempt What the caller's Swiftlift-Attempt says; empty: it was left out.
+ * @return What may be said of a request that is refused before the core has seen it.
+ */
+[[nodiscard]] node::Outcome outcomeUnseen(std::string_view attempt);
+
 } // namespace swiftlift::transport
--- a/src/transport/CallerConnection.cpp
+++ b/src/transport/CallerConnection.cpp
@@ -193,8 +193,12 @@
     host_.requestCame(*this, parseRequest(toRaw(std::move(message))));
 }
 
-void CallerConnection::refuse(const node::Reply& refusal)
+void CallerConnection::refuse(node::Reply refusal)
 {
+    // Before its header is whole, nothing says that this is the request's first attempt.
+    const bool attemptKnown = parser_->is_header_done();
+    refusal.outcome
+        = attemptKnown ? outcomeUnseen(header(parser_->get(), "Swiftlift-Attempt")) : node::Outcome::Unknown;
     beginAnswer();
     reply(refusal.status, notAnsweredText({}, refusal), refusal.retryAfter);
 }
--- a/src/transport/CallerConnection.h
+++ b/src/transport/CallerConnection.h
@@ -81,7 +81,7 @@
     void refuseUnparsed(ErrorCode error);
     void requestCame();
     void receiveTimePassed();
-    void refuse(const node::Reply& refusal);
+    void refuse(node::Reply refusal);
     void beginAnswer();
     void finishAnswer();
     void write(std::string_view bytes);
--- a/src/transport/RequestParsing.cpp
+++ b/src/transport/RequestParsing.cpp
@@ -168,6 +168,20 @@
         return question;
     }
 
+    ParsedRequest parse(RawRequest& raw)
+    {
+        const std::string_view path = std::string_view(raw.target).substr(0, raw.target.find('?'));
+        if (raw.method == "POST" && path.starts_with(servicesPath) && path.ends_with(requestsSuffix)
+            && path.size() > servicesPath.size() + requestsSuffix.size()) {
+            const auto length = path.size() - servicesPath.size() - requestsSuffix.size();
+            return parseCall(raw, path.substr(servicesPath.size(), length));
+        }
+        if (raw.method == "GET" && path.starts_with(requestsPath)) {
+            return parseQuestion(raw, path.substr(requestsPath.size()));
+        }
+        return badRequest("no such path or method");
+    }
+
 } // namespace
 
 bool isRequestId(std::string_view text) noexcept
@@ -181,16 +195,11 @@
 
 ParsedRequest parseRequest(RawRequest raw)
 {
-    const std::string_view path = std::string_view(raw.target).substr(0, raw.target.find('?'));
-    if (raw.method == "POST" && path.starts_with(servicesPath) && path.ends_with(requestsSuffix)
-        && path.size() > servicesPath.size() + requestsSuffix.size()) {
-        const auto length = path.size() - servicesPath.size() - requestsSuffix.size();
-        return parseCall(raw, path.substr(servicesPath.size(), length));
-    }
-    if (raw.method == "GET" && path.starts_with(requestsPath)) {
-        return parseQuestion(raw, path.substr(requestsPath.size()));
+    ParsedRequest parsed = parse(raw);
+    if (auto* refused = std::get_if<node::Reply>(&parsed)) {
+        refused->outcome = outcomeUnseen(raw.attempt);
     }
-    return badRequest("no such path or method");
+    return parsed;
 }
 
 } // namespace swiftlift::transport
--- a/tests/transport/CallerSideTest.cpp
+++ b/tests/transport/CallerSideTest.cpp
@@ -7,6 +7,7 @@
 namespace {
 
     std::string reasonOf(const HttpText& answer) { return nlohmann::json::parse(answer.body())["reason"]; }
+    std::string outcomeOf(const HttpText& answer) { return nlohmann::json::parse(answer.body())["outcome"]; }
 
 } // namespace
 
@@ -86,6 +87,26 @@
     EXPECT_EQ(answer["Retry-After"], "1");
 }
 
+// Symptom: a caller is told "not run" of a request that was run and billed. Its first attempt ran at another router and
+// the answer was lost; this router refuses the second before its core, which knows the rules, has seen it.
+TEST_F(StreamFixture, RefusalOfALaterAttemptDoesNotSayNotRun)
+{
+    StreamLimits limits;
+    limits.bodyTime = std::chrono::milliseconds(50);
+    start(limits);
+    while (decisions.tryPush({ Incarnation {}, node::Tick {} }, reservedEvents)) { }
+    const std::string unfinished = "POST / HTTP/1.1\r\nContent-Length: 9\r\n";
+    const std::string secondAttempt = "Swiftlift-Attempt: 2\r\n";
+    const std::vector<std::pair<std::string, std::string>> cases { { request(), "refused" },
+        { request(secondAttempt), "unknown" }, { unfinished + "\r\n", "refused" },
+        { unfinished + secondAttempt + "\r\n", "unknown" }, { request(secondAttempt, "[1]"), "unknown" } };
+    for (const auto& [text, outcome] : cases) {
+        auto client = caller();
+        client.write(text);
+        EXPECT_EQ(outcomeOf(client.readResponse()), outcome) << text;
+    }
+}
+
 TEST_F(StreamFixture, ConnectionsAreBounded)
 {
     StreamLimits limits;
@@ -95,7 +116,9 @@
     first.write(request());
     static_cast<void>(nextEvent<RequestArrived>(decisions));
     auto second = caller();
-    EXPECT_EQ(reasonOf(second.readResponse()), "overloaded");
+    const auto refused = second.readResponse();
+    EXPECT_EQ(reasonOf(refused), "overloaded");
+    EXPECT_EQ(outcomeOf(refused), "unknown");
 }
 
 TEST_F(StreamFixture, QuestionAboutARequestIsPutToTheCore)
