--- a/src/ledger/FoldRules.cpp
+++ b/src/ledger/FoldRules.cpp
@@ -96,7 +96,7 @@
 
 Refusal Rules::rule(Incarnation origin, const Draw& entry)
 {
-    const Refusal refusal = refusalOf(origin, entry);
+    Refusal refusal = refusalOf(origin, entry);
     if (entry.grant.holder == origin) {
         Origin& holder = state_.origins.at(origin);
         holder.highestGrant = std::max(holder.highestGrant, entry.grant.number);
