Learn how long a shared prefix is from the answers of all engines

Cause: a cache event's hash covers 64 tokens. How much longer a prefix is was known only of engines that had themselves answered from their cache, so an engine that had just computed a prefix of 1,024 tokens counted for 64 of them, and its load decided.

Ruled out: hashing more of the prompt (the engines publish this hash); taking the whole prompt of the last request as cached (its own end is not shared).

Change: PrefixLengths, one for all backend servers of a router, bounded; what an engine itself answered goes before it.

Tests of the module pass.

--- a/include/swiftlift/routing/BackendTable.h
+++ b/include/swiftlift/routing/BackendTable.h
@@ -18,6 +18,7 @@
 
 class Backend;
 class PrefillModel;
+class PrefixLengths;
 
 /** How the table judges backend servers. */
 struct TableSettings {
@@ -130,6 +131,7 @@
 
     TableSettings settings_;
     std::unique_ptr<PrefillModel> prefill_;
+    std::unique_ptr<PrefixLengths> lengths_;
     std::map<BackendId, std::unique_ptr<Backend>> backends_;
     std::map<ServiceName, std::set<BackendId>> services_;
     /** Some records wait for their last requests to end. */
--- a/src/routing/Backend.cpp
+++ b/src/routing/Backend.cpp
@@ -18,12 +18,13 @@
 
 } // namespace
 
-Backend::Backend(BackendEntry entry, const TableSettings& settings, PrefillModel& prefill, std::uint64_t seed)
+Backend::Backend(BackendEntry entry, const TableSettings& settings, PrefillModel& prefill, PrefixLengths& lengths,
+    std::uint64_t seed)
     : entry_(std::move(entry))
     , settings_(settings)
     , prefill_(&prefill)
     , load_(settings)
-    , cache_(settings.prefixesKept)
+    , cache_(settings.prefixesKept, lengths)
     , breaker_(settings, seed)
 {
 }
--- a/src/routing/Backend.h
+++ b/src/routing/Backend.h
@@ -19,7 +19,8 @@
 /** @brief One backend server as this router knows it. */
 class Backend {
 public:
-    Backend(BackendEntry entry, const TableSettings& settings, PrefillModel& prefill, std::uint64_t seed);
+    Backend(BackendEntry entry, const TableSettings& settings, PrefillModel& prefill, PrefixLengths& lengths,
+        std::uint64_t seed);
 
     void onLoad(const LoadReport& report, Instant now);
     void onLoadMissed(Instant now);
--- a/src/routing/BackendTable.cpp
+++ b/src/routing/BackendTable.cpp
@@ -11,6 +11,7 @@
 BackendTable::BackendTable(TableSettings settings)
     : settings_(settings)
     , prefill_(std::make_unique<PrefillModel>(settings.assumedPrefillPerToken))
+    , lengths_(std::make_unique<PrefixLengths>(settings.prefixesKept))
 {
 }
 
@@ -28,7 +29,7 @@
             continue;
         }
         const std::uint64_t seed = settings_.seed ^ std::hash<BackendId> {}(entry.backend);
-        backends_[entry.backend] = std::make_unique<Backend>(entry, settings_, *prefill_, seed);
+        backends_[entry.backend] = std::make_unique<Backend>(entry, settings_, *prefill_, *lengths_, seed);
     }
     if (ids.empty()) {
         services_.erase(service);
--- a/src/routing/PrefixCache.cpp
+++ b/src/routing/PrefixCache.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-    // The hash covers the first 256 bytes of a prompt; more than that is known from answers only.
+    // The hash covers the first 256 bytes of a prompt; that more is shared is known from answers only.
     constexpr Tokens hashedTokens { 64 };
     constexpr double eventTrust = 1.0;
     constexpr double answerTrust = 0.9;
@@ -56,6 +56,7 @@
     Entry& entry = touch(prefix);
     if (cached > Tokens {}) {
         entry.tokens = cached;
+        lengths_->add(prefix, cached);
         entry.trust = std::max(entry.trust, answerTrust);
         return;
     }
@@ -68,7 +69,7 @@
         entries_.splice(entries_.begin(), entries_, found->second);
         return entries_.front();
     }
-    entries_.push_front(Entry { prefix, 0, hashedTokens });
+    entries_.push_front(Entry { prefix, 0, std::nullopt });
     index_[prefix] = entries_.begin();
     shrink();
     return entries_.front();
@@ -109,8 +110,10 @@
     if (found == index_.end()) {
         return Tokens {};
     }
-    const auto tokens = static_cast<double>(std::min(promptTokens, found->second->tokens).value());
-    return Tokens { static_cast<std::int64_t>(tokens * found->second->trust) };
+    const Entry& entry = *found->second;
+    const Tokens shared = entry.tokens ? *entry.tokens : lengths_->of(prefix).value_or(hashedTokens);
+    const auto tokens = static_cast<double>(std::min(promptTokens, shared).value());
+    return Tokens { static_cast<std::int64_t>(tokens * entry.trust) };
 }
 
 } // namespace swiftlift::routing
--- a/src/routing/PrefixCache.h
+++ b/src/routing/PrefixCache.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "routing/PrefixLengths.h"
 #include "swiftlift/base/Units.h"
 #include "swiftlift/routing/BackendFacts.h"
 
@@ -15,8 +16,9 @@
 /** @brief Which prompt prefixes a backend server has cached, as far as late and gappy events and answers tell. */
 class PrefixCache {
 public:
-    explicit PrefixCache(std::size_t capacity)
+    PrefixCache(std::size_t capacity, PrefixLengths& lengths)
         : capacity_(capacity)
+        , lengths_(&lengths)
     {
     }
 
@@ -35,7 +37,8 @@
     struct Entry {
         std::uint64_t prefix = 0;
         double trust = 1;
-        Tokens tokens;
+        /** Of the last answer that had any cached here. */
+        std::optional<Tokens> tokens;
     };
     using Entries = std::list<Entry>;
 
@@ -45,6 +48,7 @@
     void distrust();
 
     std::size_t capacity_;
+    PrefixLengths* lengths_;
     /** The one used last in front. */
     Entries entries_;
     std::unordered_map<std::uint64_t, Entries::iterator> index_;
--- a/tests/routing/BackendTableTest.cpp
+++ b/tests/routing/BackendTableTest.cpp
@@ -178,6 +178,34 @@
         EXPECT_LT(view(1, 7).cachedTokens, Tokens { 30 }) << "it was expected and was not there";
     }
 
+    // Symptom: affinity finds hardly more cached tokens than a random choice. Events: an engine computes a long prefix
+    // that others hold already, and tells of it by a cache event. Cause: the event's hash covers 64 tokens, and how
+    // long the prefix is was known only of engines that had answered from their cache.
+    TEST_F(BackendTableTest, ALengthLearntFromOneAnswerHoldsForAllWithThePrefix)
+    {
+        add(3);
+        table_.onCacheEvents(engine(2), { { 0, CacheChange::Stored, 7 } }, now_);
+        EXPECT_EQ(view(2, 7).cachedTokens, Tokens { 64 });
+        table_.onFinished(engine(1), dispatch(1, 7), { EndKind::Completed, Tokens { 100 }, Tokens { 96 } }, now_);
+        EXPECT_EQ(view(2, 7).cachedTokens, Tokens { 96 });
+        EXPECT_EQ(view(3, 7).cachedTokens, Tokens {}) << "it has not told of the prefix";
+        table_.onCacheEvents(engine(2), { { 1, CacheChange::Evicted, 7 } }, now_);
+        EXPECT_EQ(view(2, 7).cachedTokens, Tokens {});
+    }
+
+    TEST_F(BackendTableTest, LengthsOfPrefixesAreBounded)
+    {
+        add(1);
+        for (std::uint64_t prefix = 0; prefix < 5'000; ++prefix) {
+            const FinishFacts facts { EndKind::Completed, Tokens { 100 }, Tokens { 96 } };
+            table_.onFinished(engine(1), dispatch(1, prefix), facts, now_);
+        }
+        table_.onLoad(engine(1), report(0, 0, 2), now_);
+        table_.onCacheEvents(engine(1), { { 0, CacheChange::Stored, 1 }, { 1, CacheChange::Stored, 4'999 } }, now_);
+        EXPECT_EQ(view(1, 1).cachedTokens, Tokens { 64 }) << "forgotten";
+        EXPECT_EQ(view(1, 4'999).cachedTokens, Tokens { 96 });
+    }
+
     TEST_F(BackendTableTest, PrefixMemoryIsBounded)
     {
         add(1);
