Expect the request's key in a caller's question

Cause: hands the core the request's key beside account, id and key hash; the test expected three parts and failed. Change: it expects the four, the key worked out as for the request itself; as strict as before.

--- a/tests/transport/CallerSideTest.cpp
+++ b/tests/transport/CallerSideTest.cpp
@@ -128,7 +128,8 @@
     client.write("GET /v1/requests/r1 HTTP/1.1\r\nAuthorization: Bearer secret\r\nSwiftlift-Account: acme\r\n\r\n");
     const auto asked = nextEvent<node::OperatorAsked>(decisions);
     EXPECT_EQ(asked.topic, "request");
-    EXPECT_EQ(asked.argument, "acme/r1/" + keyHash("secret"));
+    const std::string key = toHex(requestKey(AccountId("acme"), CallerRequestId("r1")));
+    EXPECT_EQ(asked.argument, "acme/r1/" + keyHash("secret") + "/" + key);
     order(node::OperatorReply { asked.question, R"({"state":"running"})" });
     EXPECT_EQ(client.readResponse().body(), R"({"state":"running"})");
 }
