Offer a request to others when a whole failure domain is full

Three engines that did not start a request used up its three attempts. Ruled out: more attempts for all, which lets broken requests run more often. Change: only attempts that may have been started count against the document's bound; at most 8 backend servers are offered a request. Measured: CoreRouting.EnginesThatAreFullUseUpNoAttempts fails before (no answer) and passes after; the core's 30 tests pass. The load was not run again.

--- a/src/node/Call.h
+++ b/src/node/Call.h
@@ -39,6 +39,8 @@
     AttemptId attempt;
     BackendId backend;
     std::uint32_t attemptsMade = 0;
+    /** Of these, how many may have been started. */
+    std::uint32_t attemptsBroken = 0;
     std::set<BackendId> excluded;
     /** Tokens that the caller has been passed on. */
     Tokens delivered;
--- a/src/node/Requests.h
+++ b/src/node/Requests.h
@@ -67,6 +67,8 @@
     static constexpr Duration moneyRetryPeriod = std::chrono::milliseconds(50);
     /** How long after a pause buffers are taken to hold requests from before it. */
     static constexpr Duration pauseDoubt = std::chrono::seconds(2);
+    /** Backend servers that one request is offered to before it is refused. */
+    static constexpr std::size_t mostOffers = 8;
     static constexpr Duration defaultRetryAfter = std::chrono::seconds(1);
 
     /** What a service's requests share. */
--- a/src/node/RequestsDispatch.cpp
+++ b/src/node/RequestsDispatch.cpp
@@ -215,7 +215,11 @@
         giveUp(call, { 502, "backend_lost", ended.detail, std::nullopt });
         return;
     }
-    if (call.attemptsMade >= call.service->retry.attempts) {
+    // What goes wrong otherwise: all engines of a failure domain say "full", a request spends its attempts on them in a
+    // few milliseconds and is refused, though other domains have room. An offer that was not taken up did no work, so
+    // it counts against a bound of its own.
+    call.attemptsBroken += ended.end == AttemptEnd::Broken ? 1 : 0;
+    if (call.attemptsBroken >= call.service->retry.attempts || call.excluded.size() >= mostOffers) {
         giveUp(call, { 503, "no_backend", "all attempts failed: " + ended.detail, defaultRetryAfter });
         return;
     }
--- a/tests/node/CoreTest.cpp
+++ b/tests/node/CoreTest.cpp
@@ -47,6 +47,28 @@
         EXPECT_TRUE(fleet.runUntil([&] { return billedInLedger() == Tokens { 30 }; }));
     }
 
+    // Symptom: requests are refused "no_backend" while engines of other failure domains have room.
+    // Events: all engines of the own failure domain say that they are full.
+    // Cause: each of them used up one of the request's few attempts, though none had started it.
+    TEST(CoreRouting, EnginesThatAreFullUseUpNoAttempts)
+    {
+        FakeFleet fleet;
+        fleet.addVm("a");
+        fleet.openAccount("club");
+        fleet.topUp("club", 100);
+        std::string document = plansDocument();
+        for (const char* address : { "127.0.11.2:9001", "127.0.11.3:9001", "127.0.11.4:9001" }) {
+            document += std::string("  - address: ") + address + "\n    domain: a\n";
+            fleet.engines.full.insert(BackendId { address });
+        }
+        fleet.engines.full.insert(BackendId { "127.0.11.1:9001" });
+        fleet.publish(document);
+        fleet.run(seconds(3));
+        const auto reply = fleet.await(fleet.send(0, {}));
+        ASSERT_TRUE(reply.has_value());
+        EXPECT_EQ(reply->outcome, Outcome::Answered) << reply->reason << ": " << reply->detail;
+    }
+
     TEST_F(CoreTest, RefusesAnUnknownKeyAndService)
     {
         TestRequest strange;
--- a/tests/node/FakeFleet.cpp
+++ b/tests/node/FakeFleet.cpp
@@ -261,7 +261,7 @@
 {
     const std::uint64_t life = vms_[vm].life;
     const AttemptId attempt = dispatch.attempt;
-    if (engines.refuse) {
+    if (engines.refuse || engines.full.contains(dispatch.backend)) {
         later(messageDelay, [this, vm, life, attempt] {
             deliver(vm, life, AttemptEnded { attempt, AttemptEnd::NotStarted, {}, {}, {}, "refused" });
         });
--- a/tests/node/FakeFleet.h
+++ b/tests/node/FakeFleet.h
@@ -44,6 +44,8 @@
     /** The next attempts break off after they have run. */
     int breakNext = 0;
     bool refuse = false;
+    /** These start nothing. */
+    std::set<BackendId> full;
 };
 
 /** What went between the processes, as encoded by the product. */
