Remove a setting and a function that nothing uses

Cause: read once more: CoreSettings::maxWaiting is read nowhere, since the service's document bounds what waits; the core's hex of a request key stood beside the transport's and was never called. Change: both are gone; behaviour is the same. Measured: router, capacity and experiment tools build; the core's and the transport's tests and the demo pass.

--- a/include/swiftlift/node/Core.h
+++ b/include/swiftlift/node/Core.h
@@ -27,8 +27,6 @@
     std::uint32_t splitWays = 8;
     /** `affinity` (default), `random`, `round_robin` or `least_load`. */
     std::string routingPolicy = "affinity";
-    /** Model requests that one router lets wait for a backend server. */
-    std::uint32_t maxWaiting = 256;
 };
 
 /**
--- a/src/node/Context.cpp
+++ b/src/node/Context.cpp
@@ -16,8 +16,6 @@
     return text;
 }
 
-std::string toHex(const RequestKey& key) { return toHex(key.high) + toHex(key.low); }
-
 std::string toText(const GrantId& grant) { return toHex(grant.holder.value()) + '/' + std::to_string(grant.number); }
 
 std::string toText(const BudgetRef& budget) { return budget.account.value() + '/' + budget.budget.value(); }
--- a/src/node/Context.h
+++ b/src/node/Context.h
@@ -95,8 +95,6 @@
 
 /** @return 16 hex digits. */
 [[nodiscard]] std::string toHex(std::uint64_t value);
-/** @return 32 hex digits. */
-[[nodiscard]] std::string toHex(const RequestKey& key);
 /** @return `HOLDER/NUMBER`. */
 [[nodiscard]] std::string toText(const GrantId& grant);
 /** @return `ACCOUNT/BUDGET`. */
