--- a/apps/router/CoreDecider.cpp
+++ b/apps/router/CoreDecider.cpp
@@ -1,7 +1,12 @@
 #include "CoreDecider.h"
 
+#include <algorithm>
+#include <chrono>
+#include <memory>
 #include <utility>
 
+#include "platform/ConfigCodec.h"
+
 namespace swiftlift::router {
 
 CoreDecider::CoreDecider(node::CoreSettings settings)
@@ -16,6 +21,33 @@
     core_.handle(event, now, actions);
 }
 
+namespace {
+
+    /** The platform's entry asks once a second and sends no more callers after two misses. */
+    constexpr Duration entryNotices = std::chrono::milliseconds(2500);
+    /** A draw is read back after half of this on average; each read is a call that the platform charges for. */
+    constexpr Duration ledgerReadPause = std::chrono::milliseconds(100);
+    /** Of the log's retention: the newest checkpoint is younger, also where several routers miss their turns. */
+    constexpr int checkpointsInRetention = 10;
+    constexpr Duration longestCheckpointInterval = std::chrono::seconds(2);
+    /** Attempts have ids of their own there, so no bill ever comes twice under one key. */
+    constexpr std::size_t keysRemembered = 64;
+
+    double seconds(Duration time) { return std::chrono::duration<double>(time).count(); }
+
+    void speakPlatform(const settings::RouterSettings& settings, node::CoreSettings& core)
+    {
+        core.fleetCodec = std::make_shared<platform::ConfigCodec>();
+        core.ledger.checkpoints = node::CheckpointPlace::Apart;
+        core.ledger.checkpointInterval
+            = std::min<Duration>(settings.ledger.retention / checkpointsInRetention, longestCheckpointInterval);
+        core.ledger.readPause = ledgerReadPause;
+        core.ledger.keysRemembered = keysRemembered;
+        core.stopAcceptance = entryNotices;
+    }
+
+} // namespace
+
 node::CoreSettings toCoreSettings(const settings::RouterSettings& settings, Incarnation incarnation, std::uint64_t seed)
 {
     node::CoreSettings core;
@@ -29,6 +61,17 @@
     core.moneyPolicy = settings::toText(settings.ledger.policy);
     core.splitWays = settings.ledger.splitWays;
     core.routingPolicy = settings::toText(settings.routing);
+    core.stockPercent = settings.ledger.stockPercent;
+    if (settings.ledger.highWatermark > Duration::zero()) {
+        core.watermarks = ledger::Watermarks { seconds(settings.ledger.lowWatermark), seconds(settings.ledger.highWatermark) };
+    }
+    if (settings.ledger.batchPeriod > Duration::zero()) {
+        core.ledger.batchPeriod = settings.ledger.batchPeriod;
+    }
+    core.retries = { settings.retries.ratio, settings.retries.extra, settings.retries.window };
+    if (settings.dialect == settings::SpokenDialect::Platform) {
+        speakPlatform(settings, core);
+    }
     return core;
 }
 
--- a/apps/router/RouterProcess.cpp
+++ b/apps/router/RouterProcess.cpp
@@ -1,11 +1,15 @@
 #include "RouterProcess.h"
 
+#include <algorithm>
 #include <memory>
 #include <thread>
 #include <utility>
 
 #include "CoreDecider.h"
+#include "platform/HttpDialect.h"
+#include "platform/StoreDialect.h"
 #include "swiftlift/transport/Endpoint.h"
+#include "swiftlift/transport/NativeLogDialect.h"
 
 namespace swiftlift::router {
 
@@ -17,6 +21,16 @@
     /** For callers to take what is written for them, once everything in progress has ended. */
     constexpr auto drainLimit = 5s;
     constexpr auto readyPoll = 20ms;
+    /** A round trip within a region takes 3 ms, and a lost opening packet is sent again after a second: what has not
+     * connected by then is better sought elsewhere. */
+    constexpr auto backendConnectTime = 300ms;
+    /** A connection to the log that fell silent has to show before a configuration is overdue, 2 s. */
+    constexpr auto storeWait = 1000ms;
+    constexpr auto storeLimit = 800ms;
+    constexpr auto storeRetry = 100ms;
+    constexpr auto storeRetryMost = 500ms;
+    /** Part of the time that a planned stop is given, in sixths; the rest is for callers to take what is written. */
+    constexpr int stopSixths = 5;
 
     transport::Endpoint toEndpoint(const settings::Endpoint& text)
     {
@@ -32,9 +46,43 @@
         return log;
     }
 
+    bool speaksPlatform(const settings::RouterSettings& settings)
+    {
+        return settings.dialect == settings::SpokenDialect::Platform;
+    }
+
+    std::shared_ptr<const transport::LogDialect> logDialect(const settings::RouterSettings& settings)
+    {
+        if (speaksPlatform(settings)) {
+            return std::make_shared<platform::StoreDialect>();
+        }
+        return std::make_shared<transport::NativeLogDialect>();
+    }
+
+    std::shared_ptr<const transport::PassageDialect> passageDialect(const settings::RouterSettings& settings)
+    {
+        return speaksPlatform(settings) ? std::make_shared<platform::HttpDialect>() : nullptr;
+    }
+
+    transport::StreamLimits toStreamLimits(const settings::RouterSettings& settings)
+    {
+        transport::StreamLimits limits;
+        if (speaksPlatform(settings)) {
+            limits.connectTime = backendConnectTime;
+        }
+        return limits;
+    }
+
     transport::LogClientSettings toLogClientSettings(const settings::RouterSettings& settings)
     {
         transport::LogClientSettings client;
+        if (speaksPlatform(settings)) {
+            client.pollWait = storeWait;
+            client.readLimit = storeLimit;
+            client.appendLimit = storeLimit;
+            client.retryFirst = storeRetry;
+            client.retryMost = storeRetryMost;
+        }
         for (const auto& endpoint : settings.logEndpoints) {
             client.endpoints.push_back(toEndpoint(endpoint));
         }
@@ -66,8 +114,8 @@
     , decisions_(transport::decisionRingCapacity)
     , journal_(toLogSettings(settings))
     , metrics_(traffic_)
-    , streams_(transport::StreamLimits {}, decisions_, metrics_, journal_)
-    , log_(toLogClientSettings(settings), decisions_, traffic_)
+    , streams_(toStreamLimits(settings), decisions_, metrics_, journal_, passageDialect(settings))
+    , log_(toLogClientSettings(settings), logDialect(settings), decisions_, traffic_)
     , peers_(toPeerSettings(settings), decisions_, traffic_, journal_)
     , platform_(toPlatformSettings(settings), decisions_, traffic_)
     , operators_(decisions_, operatorLimit)
@@ -91,6 +139,9 @@
     };
     check(journal_.isOpen(), "logging.file", "can't be written to: " + settings_.logging.file);
     check(streams_.listen(toEndpoint(settings_.callersListen)), "callers.listen", streams_.lastReason());
+    if (!settings_.readinessListen.value().empty()) {
+        check(streams_.listenReadiness(toEndpoint(settings_.readinessListen)), "callers.readiness", streams_.lastReason());
+    }
     check(peers_.listen(), "vm.peer", peers_.lastReason());
     check(operators_.start(toEndpoint(settings_.operatorsListen)), "operators.listen", operators_.lastReason());
     check(metrics_.listen(toEndpoint(settings_.metricsListen)), "metrics.listen", metrics_.lastReason());
@@ -106,13 +157,16 @@
     metrics_.start();
     peers_.start();
     streams_.start();
-    platform_.start();
+    if (!speaksPlatform(settings_)) {
+        platform_.start();
+    }
     loop_.start();
 }
 
 void RouterProcess::stop()
 {
-    const auto until = std::chrono::steady_clock::now() + settings_.stopLimit;
+    const auto limit = settings_.stopLimit * stopSixths / 6;
+    const auto until = std::chrono::steady_clock::now() + limit;
     transport::TaggedEvent request { Incarnation {}, node::StopRequested {} };
     while (!decisions_.tryPush(request) && std::chrono::steady_clock::now() < until) {
         std::this_thread::sleep_for(readyPoll);
@@ -122,7 +176,8 @@
     }
     journal_.write(logging::Level::Info, "process_stop", { { "ready", carrier_.stopReady() } });
     // The decision thread goes on until the last replies are with the callers.
-    streams_.stop(drainLimit);
+    streams_.stop(std::min<std::chrono::milliseconds>(
+        drainLimit, std::chrono::duration_cast<std::chrono::milliseconds>(settings_.stopLimit / 12)));
     loop_.stop();
     operators_.stop();
     platform_.stop();
--- a/include/swiftlift/base/Ids.h
+++ b/include/swiftlift/base/Ids.h
@@ -22,8 +22,12 @@
 using Incarnation = StrongType<struct IncarnationTag, std::uint64_t>;
 /** Where a router's peers reach it, as `ip:port`. */
 using PeerAddress = StrongType<struct PeerAddressTag, std::string>;
-/** A backend server's address, as `ip:port`. */
+/** A backend server: its address, or the id of one life of it where it says one. */
 using BackendId = StrongType<struct BackendIdTag, std::string>;
+/** Where a backend server is reached, as `ip:port`. */
+using BackendAddress = StrongType<struct BackendAddressTag, std::string>;
+/** Name of a route of the fleet's configuration. */
+using RouteName = StrongType<struct RouteNameTag, std::string>;
 using FailureDomain = StrongType<struct FailureDomainTag, std::string>;
 using Region = StrongType<struct RegionTag, std::string>;
 /** Position of a record in a stream of the platform's log. */
--- /dev/null
+++ b/include/swiftlift/fleet/Fwd.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace swiftlift::fleet {
+
+class FleetCodec;
+class RouteTable;
+
+struct BackendServer;
+struct FleetConfig;
+struct Route;
+
+} // namespace swiftlift::fleet
--- a/include/swiftlift/ledger/Entry.h
+++ b/include/swiftlift/ledger/Entry.h
@@ -11,7 +11,7 @@
 namespace swiftlift::ledger {
 
 /** Version of the fold's rules. A fold that reads a batch of a later version stops rather than guess. */
-inline constexpr std::uint32_t rulesVersion = 1;
+inline constexpr std::uint32_t rulesVersion = 2;
 
 struct OpenAccount {
     AccountId account;
@@ -38,6 +38,17 @@
     [[nodiscard]] bool operator==(const TopUp&) const = default;
 };
 
+/**
+ * Says how much a budget holds in all, opened when there is none yet. Every router that reads the operators' figure
+ * may write it, in any order and as often as it likes: only a higher total than before changes anything.
+ */
+struct Fund {
+    BudgetRef budget;
+    Tokens total;
+
+    [[nodiscard]] bool operator==(const Fund&) const = default;
+};
+
 /** Asks for a grant. The fold admits min(wanted, available), or nothing when that is less than `least`. */
 struct Draw {
     GrantId grant;
@@ -129,7 +140,7 @@
 };
 
 using Entry = std::variant<OpenAccount, CloseAccount, TopUp, Draw, Return, CloseGrant, ChangeWitness, Seal, Bill, Claim,
-    VoidClaim, Checkpoint, WriteOff>;
+    VoidClaim, Checkpoint, WriteOff, Fund>;
 
 /**
  * An entry with its author. The fold takes an author's items in sequence and ignores a repeat, so an append whose
--- a/include/swiftlift/ledger/Holder.h
+++ b/include/swiftlift/ledger/Holder.h
@@ -47,6 +47,8 @@
 struct Surroundings {
     bool logReachable = false;
     bool stopping = false;
+    /** Routers that live, this one included. */
+    std::uint32_t routers = 1;
     /** Incarnation to name as witness, when there is one. */
     std::optional<Incarnation> witness;
     /** Peers to ask for loans, best first. */
@@ -177,6 +179,8 @@
     /** The request was never run: nothing is billed. */
     void release(const Reservation& reservation, MoneyActions& actions);
 
+    /** Holds the policy's share of this budget from now on, also before anybody asks for it. */
+    void stock(const BudgetRef& budget);
     /** Which of the two measures weighs more for this budget; the policy's own weighting until told. */
     void setWeighting(const BudgetRef& budget, Weighting weighting);
     /** @return Whether a loan of this holder's is on the grant. */
--- a/include/swiftlift/ledger/HoldingPolicy.h
+++ b/include/swiftlift/ledger/HoldingPolicy.h
@@ -12,11 +12,23 @@
 /** Which of the two measures weighs more: it moves the figures of a policy, never its safety. */
 enum class Weighting : std::uint8_t { Balanced, Refusals, Overspend };
 
+/** @brief Between which amounts, in seconds of demand, a router keeps what it holds of a budget. */
+struct Watermarks {
+    /** Below it, more is drawn. Has to outlast a cut from the log. */
+    double lowSeconds = 0;
+    /** Up to it. What is held here is refused elsewhere until it is lent or given back. */
+    double highSeconds = 0;
+};
+
 /** @brief Figures of a policy. docs/HOLDINGS.md says what was weighed for each. */
 struct PolicySettings {
     Weighting weighting = Weighting::Balanced;
     /** Routers that a static split divides a budget between. */
     std::uint32_t splitBetween = 8;
+    /** In place of those of the weighting. */
+    std::optional<Watermarks> watermarks;
+    /** Part of a budget, in percent, that the routers together draw before any demand has been seen. */
+    std::uint32_t stockPercent = 0;
 };
 
 /** @brief One budget as one router sees it: all that a policy may decide from. */
@@ -45,6 +57,10 @@
     Tokens bought;
     Tokens available;
     bool logReachable = false;
+    /** Part of the budget is to be held here whether or not there has been demand. */
+    bool stocked = false;
+    /** Routers of the fleet that live, as far as is known, this one included. */
+    std::uint32_t routers = 1;
     /** Incarnations known to hold part of this budget, this one included. */
     std::uint32_t sharers = 1;
     /** Tokens were given back a moment ago because others were short: draw no more than what waits. */
--- a/include/swiftlift/logging/JsonLog.h
+++ b/include/swiftlift/logging/JsonLog.h
@@ -17,7 +17,7 @@
 using Fields = std::vector<std::pair<std::string, FieldValue>>;
 
 struct JsonLogSettings {
-    /** `-`: standard error. */
+    /** `-`: standard output. */
     std::string file = "-";
     Level level = Level::Info;
     /** Where this VM's peers reach it; on each line. */
--- a/include/swiftlift/node/Action.h
+++ b/include/swiftlift/node/Action.h
@@ -10,6 +10,7 @@
 #include "swiftlift/base/Ids.h"
 #include "swiftlift/base/Units.h"
 #include "swiftlift/node/Event.h"
+#include "swiftlift/node/Passage.h"
 #include "swiftlift/node/PeerMessage.h"
 #include "swiftlift/request/Outcome.h"
 
@@ -51,11 +52,25 @@
 struct Append {
     StreamName stream;
     std::string record;
+    /** Of a stream with keys: the record's key. Without a record, the key is dropped. */
+    std::string key {};
+};
+/** What a stream's records are. */
+enum class StreamKind : std::uint8_t {
+    /** Told as LogRecords, from an offset on. */
+    Plain,
+    /** Told as KeyedRecords: first all keys, then what changes. */
+    Keyed,
+    /** As Keyed, but all keys once, and no more. */
+    KeyedOnce,
 };
 /** Read from here on, by long poll, until told otherwise: from then on the transport follows the stream itself. */
 struct Follow {
     StreamName stream;
     Offset from;
+    StreamKind kind = StreamKind::Plain;
+    /** Between the end of a read and the next one; a busy stream answers each read at once. */
+    Duration pause {};
 };
 struct SendPeer {
     PeerAddress to;
@@ -115,7 +130,8 @@
 };
 
 using Action = std::variant<Dispatch, CancelAttempt, Reply, Append, Follow, SendPeer, WatchBackends, SendOrder, LogLine,
-    CountMetric, GaugeMetric, OperatorReply, StopReady, Restart>;
+    CountMetric, GaugeMetric, OperatorReply, StopReady, Restart, PassOn, PassFailureOn, AnnounceReadiness,
+    SetCallerLimits>;
 using Actions = std::vector<Action>;
 
 } // namespace swiftlift::node
--- a/include/swiftlift/node/Core.h
+++ b/include/swiftlift/node/Core.h
@@ -1,16 +1,45 @@
 #pragma once
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include "swiftlift/base/Ids.h"
 #include "swiftlift/base/Units.h"
+#include "swiftlift/fleet/Fwd.h"
+#include "swiftlift/ledger/Fold.h"
+#include "swiftlift/ledger/HoldingPolicy.h"
 #include "swiftlift/node/Action.h"
 #include "swiftlift/node/Event.h"
+#include "swiftlift/routing/RetryShare.h"
 
 namespace swiftlift::node {
 
+/** Where the ledger's checkpoints are kept. */
+enum class CheckpointPlace : std::uint8_t {
+    /** Among the records of the ledger's own stream. */
+    InStream,
+    /** In a keyed stream of their own, which outlasts the ledger's oldest records. */
+    Apart,
+};
+
+/** How the ledger's stream is written and read. */
+struct LedgerPace {
+    CheckpointPlace checkpoints = CheckpointPlace::InStream;
+    /** Between two checkpoints of the fleet. */
+    Duration checkpointInterval = std::chrono::seconds(30);
+    /** How long bills wait for company; nothing: the longer, the more routers there are. */
+    std::optional<Duration> batchPeriod;
+    /** Between the end of a read and the next one. */
+    Duration readPause {};
+    /** Keys of bills and claims that the fold remembers. All routers of a fleet need the same. */
+    std::size_t keysRemembered = ledger::FoldLimits::defaultKeys;
+};
+
 /** What a router is told at its start, and never changes. */
 struct CoreSettings {
     Incarnation incarnation;
@@ -25,8 +54,19 @@
     std::string moneyPolicy = "grants";
     /** Of `static_split`: into how many equal parts a budget is split. */
     std::uint32_t splitWays = 8;
-    /** `affinity` (default), `random`, `round_robin` or `least_load`. */
+    /** Of `grants`: in place of the figures that the services' weightings name. */
+    std::optional<ledger::Watermarks> watermarks;
+    /** Of `grants`: part of each budget, in percent, that the routers together hold before there is demand. */
+    std::uint32_t stockPercent = 0;
+    LedgerPace ledger;
+    /** `affinity` (default), `rendezvous`, `random`, `round_robin` or `least_load`. */
     std::string routingPolicy = "affinity";
+    /** Set: requests are passed on as they came, by the fleet's configuration. Unset: by services' documents. */
+    std::shared_ptr<const fleet::FleetCodec> fleetCodec;
+    /** Of requests that are passed on: what may be sent beyond each one's first time. */
+    routing::RetryBound retries;
+    /** Of a planned stop: how long new requests are still taken, until the platform's entry has noticed. */
+    Duration stopAcceptance {};
 };
 
 /**
--- a/include/swiftlift/node/Event.h
+++ b/include/swiftlift/node/Event.h
@@ -9,6 +9,8 @@
 #include "swiftlift/base/Ids.h"
 #include "swiftlift/base/Priority.h"
 #include "swiftlift/base/Units.h"
+#include "swiftlift/node/KeyedRecords.h"
+#include "swiftlift/node/Passage.h"
 #include "swiftlift/node/PeerMessage.h"
 #include "swiftlift/request/Outcome.h"
 
@@ -144,6 +146,6 @@
 
 using Event = std::variant<RequestArrived, CallerGone, AttemptProgress, AttemptEnded, LogRecords, LogExpired,
     LogUnreachable, AppendAnswered, PeerReceived, VmListRead, BackendLoad, CacheEventsRead, OrderAnswered, Tick,
-    StopRequested, OperatorAsked>;
+    StopRequested, OperatorAsked, KeyedRecords, PassageArrived, PassageProgress, PassageEnded, PassageAbandoned>;
 
 } // namespace swiftlift::node
--- a/include/swiftlift/node/Fwd.h
+++ b/include/swiftlift/node/Fwd.h
@@ -3,6 +3,8 @@
 namespace swiftlift::node {
 
 struct CallerRequest;
+struct KeyedRecords;
+struct PassageFacts;
 struct Envelope;
 
 class Core;
--- /dev/null
+++ b/include/swiftlift/node/KeyedRecords.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "swiftlift/base/Ids.h"
+
+namespace swiftlift::node {
+
+/** A record of a stream of which the log keeps the newest record of each key for good. */
+struct KeyedRecord {
+    Offset offset;
+    std::string key;
+    /** Nothing: the key was dropped. */
+    std::optional<std::string> value;
+};
+
+/** Records of such a stream, in order of their offsets. */
+struct KeyedRecords {
+    StreamName stream;
+    std::vector<KeyedRecord> records;
+    /** All keys that there are, and not only what changed. */
+    bool whole = false;
+};
+
+} // namespace swiftlift::node
--- a/include/swiftlift/routing/BackendFacts.h
+++ b/include/swiftlift/routing/BackendFacts.h
@@ -13,6 +13,8 @@
 struct BackendEntry {
     BackendId backend;
     FailureDomain domain;
+    /** Requests it runs at once; 0: not told, to be learnt from its reports. */
+    std::uint32_t slots = 0;
 };
 
 /** What a backend server says of itself, with a lag. */
--- a/include/swiftlift/routing/BackendTable.h
+++ b/include/swiftlift/routing/BackendTable.h
@@ -45,6 +45,8 @@
     std::uint32_t assumedSlots = 8;
     /** What an engine is taken to need for a prompt token that is not cached, before it has been measured. */
     Duration assumedPrefillPerToken = std::chrono::microseconds(20);
+    /** Backend servers are asked for their load; one that never reported then counts as failing when it refuses. */
+    bool polled = true;
     Duration assumedStep = std::chrono::milliseconds(3);
     Duration assumedHold = std::chrono::milliseconds(500);
 };
--- a/include/swiftlift/routing/Selector.h
+++ b/include/swiftlift/routing/Selector.h
@@ -98,10 +98,14 @@
     Selector& operator=(const Selector&) = default;
 
     /**
+     * @param request What is to be placed.
      * @param candidates Usable ones of one preference, never empty.
      * @return The one to take, its reason and alternatives.
      */
-    [[nodiscard]] virtual Choice pick(const std::vector<BackendView>& candidates) = 0;
+    [[nodiscard]] virtual Choice pick(const SelectRequest& request, const std::vector<BackendView>& candidates) = 0;
+
+    /** @return Whether all failure domains are weighed alike for this request. */
+    [[nodiscard]] virtual bool spansDomains(const SelectRequest& /*request*/) const { return false; }
 
     [[nodiscard]] std::mt19937_64& random() noexcept { return random_; }
 
@@ -121,7 +125,7 @@
     [[nodiscard]] std::string objection(const SelectRequest& request, const BackendView& view) const;
     [[nodiscard]] bool full(const SelectRequest& request, const BackendView& view) const;
     [[nodiscard]] std::optional<Choice> probe(const SelectRequest& request, const Sorted& sorted);
-    [[nodiscard]] Choice pickByDomain(const Sorted& sorted);
+    [[nodiscard]] Choice pickByDomain(const SelectRequest& request, const Sorted& sorted);
     void explain(const Sorted& sorted, Instant now);
 
     SelectorSettings settings_;
@@ -132,7 +136,7 @@
 };
 
 /**
- * @param name `affinity`, `random`, `round_robin` or `least_load`.
+ * @param name `affinity`, `rendezvous`, `random`, `round_robin` or `least_load`.
  * @return nullptr for any other name.
  */
 [[nodiscard]] std::unique_ptr<Selector> makeSelector(std::string_view name, SelectorSettings settings);
--- a/include/swiftlift/settings/RouterSettings.h
+++ b/include/swiftlift/settings/RouterSettings.h
@@ -18,7 +18,15 @@
 enum class LedgerPolicy : std::uint8_t { Grants, StaticSplit, AppendPerRequest };
 
 /** How a router chooses among backend servers. */
-enum class RoutingPolicy : std::uint8_t { Affinity, Random, RoundRobin, LeastLoad };
+enum class RoutingPolicy : std::uint8_t { Affinity, Rendezvous, Random, RoundRobin, LeastLoad };
+
+/** What a router speaks with callers, backend servers, operators and the log. */
+enum class SpokenDialect : std::uint8_t {
+    /** The project's own protocols, see docs/PROTOCOLS.md. */
+    Native,
+    /** Those of the users' platform, see docs/PLATFORM.md. */
+    Platform,
+};
 
 enum class LogLevel : std::uint8_t { Debug, Info, Warning, Error };
 
@@ -43,18 +51,39 @@
     LedgerPolicy policy = LedgerPolicy::Grants;
     /** Of `static_split`: into how many equal parts a budget is split. */
     std::uint32_t splitWays = 8;
+    /** Of `grants`: holdings are drawn when they last for less than this, and up to the other one. 0: the services say. */
+    Duration lowWatermark {};
+    Duration highWatermark {};
+    /** Of `grants`: part of each budget that the routers together hold before there is demand. */
+    std::uint32_t stockPercent = 0;
+    /** How long the log keeps records. */
+    Duration retention = std::chrono::minutes(10);
+    /** How long bills wait for company before they are appended; 0: the longer, the more routers there are. */
+    Duration batchPeriod {};
+};
+
+/** What all routers together may send to a service beyond each request's first time. */
+struct RetrySettings {
+    /** Of the requests for the service within the window. */
+    double ratio = 0.1;
+    /** Beyond that, by the whole fleet. */
+    double extra = 20;
+    Duration window = std::chrono::seconds(10);
 };
 
 struct LoggingSettings {
-    /** `-`: standard error. */
+    /** `-`: standard output. */
     std::string file = "-";
     LogLevel level = LogLevel::Info;
 };
 
 /** Settings of one `swiftlift-router`; see docs/SETTINGS.md. */
 struct RouterSettings {
+    SpokenDialect dialect = SpokenDialect::Native;
     VmSettings vm;
     Endpoint callersListen;
+    /** Where the platform asks whether this VM may be sent callers; of dialect `platform`. */
+    Endpoint readinessListen;
     Endpoint operatorsListen;
     Endpoint metricsListen;
     /** The platform's log, in the order in which they are tried. */
@@ -64,6 +93,7 @@
     PeerSettings peers;
     LedgerSettings ledger;
     RoutingPolicy routing = RoutingPolicy::Affinity;
+    RetrySettings retries;
     /** How long a planned stop waits for requests in progress. */
     Duration stopLimit = std::chrono::seconds(60);
     LoggingSettings logging;
@@ -86,7 +116,7 @@
 /** @return `grants`, `static_split` or `append_per_request`. */
 [[nodiscard]] std::string_view toText(LedgerPolicy policy) noexcept;
 
-/** @return `affinity`, `random`, `round_robin` or `least_load`. */
+/** @return `affinity`, `rendezvous`, `random`, `round_robin` or `least_load`. */
 [[nodiscard]] std::string_view toText(RoutingPolicy policy) noexcept;
 
 /** @return `debug`, `info`, `warning` or `error`. */
--- a/include/swiftlift/transport/ActionCarrier.h
+++ b/include/swiftlift/transport/ActionCarrier.h
@@ -53,6 +53,10 @@
     void take(node::OperatorReply&& action);
     void take(node::StopReady&& action);
     void take(node::Restart&& action);
+    void take(node::PassOn&& action);
+    void take(const node::PassFailureOn& action);
+    void take(const node::AnnounceReadiness& action);
+    void take(const node::SetCallerLimits& action);
 
     Duties duties_;
     ring::Outbox<StreamCommand> streamCommands_;
--- a/include/swiftlift/transport/LogClient.h
+++ b/include/swiftlift/transport/LogClient.h
@@ -9,6 +9,7 @@
 #include "swiftlift/node/Action.h"
 #include "swiftlift/transport/ControlTraffic.h"
 #include "swiftlift/transport/Endpoint.h"
+#include "swiftlift/transport/LogDialect.h"
 #include "swiftlift/transport/TaggedEvent.h"
 
 namespace swiftlift::transport {
@@ -36,7 +37,8 @@
 class LogClient {
 public:
     /** What is given by reference outlives the client. */
-    LogClient(LogClientSettings settings, DecisionInbox& decisions, ControlTraffic& traffic);
+    LogClient(LogClientSettings settings, std::shared_ptr<const LogDialect> dialect, DecisionInbox& decisions,
+        ControlTraffic& traffic);
     ~LogClient();
     LogClient(const LogClient&) = delete;
     LogClient& operator=(const LogClient&) = delete;
--- a/include/swiftlift/transport/StreamServer.h
+++ b/include/swiftlift/transport/StreamServer.h
@@ -11,6 +11,7 @@
 #include "swiftlift/logging/JsonLog.h"
 #include "swiftlift/node/Action.h"
 #include "swiftlift/transport/Endpoint.h"
+#include "swiftlift/transport/PassageDialect.h"
 #include "swiftlift/transport/TaggedEvent.h"
 
 namespace swiftlift::transport {
@@ -22,7 +23,8 @@
 
 /** What the decision thread asks of the streams thread. */
 using StreamCommand
-    = std::variant<node::Dispatch, node::CancelAttempt, node::Reply, node::OperatorReply, BeginIncarnation>;
+    = std::variant<node::Dispatch, node::CancelAttempt, node::Reply, node::OperatorReply, BeginIncarnation, node::PassOn,
+        node::PassFailureOn, node::AnnounceReadiness, node::SetCallerLimits>;
 
 /** Bit that tells callers' questions from operators'. */
 inline constexpr std::uint64_t callersQuestion = std::uint64_t { 1 } << 63U;
@@ -50,6 +52,8 @@
     std::chrono::milliseconds writeStallTime { 30'000 };
     std::chrono::milliseconds connectTime { 1'000 };
     std::chrono::milliseconds backendIdleTime { 30'000 };
+    /** Idle for no longer than this, a kept connection may also carry what may run only once. */
+    std::chrono::milliseconds freshIdleTime { 1'000 };
     /** Of a dispatch that names no limit of its own. */
     std::chrono::milliseconds defaultSilence { 30'000 };
     std::chrono::milliseconds operatorTime { 2'000 };
@@ -91,14 +95,20 @@
  */
 class StreamServer {
 public:
-    /** What is given by reference outlives the server. */
-    StreamServer(StreamLimits limits, DecisionInbox& decisions, StreamObserver& observer, logging::JsonLog& log);
+    /**
+     * What is given by reference outlives the server.
+     * @param dialect Set: requests are passed on as they came. Null: the project's own protocol is spoken.
+     */
+    StreamServer(StreamLimits limits, DecisionInbox& decisions, StreamObserver& observer, logging::JsonLog& log,
+        std::shared_ptr<const PassageDialect> dialect = nullptr);
     ~StreamServer();
     StreamServer(const StreamServer&) = delete;
     StreamServer& operator=(const StreamServer&) = delete;
 
     /** @return Whether the address could be taken; else see lastReason(). Port 0 takes a free one. */
     [[nodiscard]] bool listen(const Endpoint& endpoint);
+    /** @brief As listen(), for whoever asks whether this VM may be sent callers. */
+    [[nodiscard]] bool listenReadiness(const Endpoint& endpoint);
     [[nodiscard]] const std::string& lastReason() const noexcept;
     /** @return The port that is listened on. */
     [[nodiscard]] std::uint16_t port() const;
--- a/src/ledger/EntryCodec.cpp
+++ b/src/ledger/EntryCodec.cpp
@@ -40,6 +40,13 @@
             written.set_tokens(entry.amount.value());
         }
 
+        void operator()(const Fund& entry)
+        {
+            pb::Fund& written = *out_.mutable_fund();
+            toProto(entry.budget, *written.mutable_budget());
+            written.set_total(entry.total.value());
+        }
+
         void operator()(const Draw& entry)
         {
             pb::Draw& written = *out_.mutable_draw();
--- a/src/ledger/EntryCodecReader.cpp
+++ b/src/ledger/EntryCodecReader.cpp
@@ -68,6 +68,8 @@
         return readValue(in.close_account(), out.emplace<CloseAccount>());
     case pb::Item::kTopUp:
         return readValue(in.top_up(), out.emplace<TopUp>());
+    case pb::Item::kFund:
+        return readValue(in.fund(), out.emplace<Fund>());
     case pb::Item::kDraw:
         return readValue(in.draw(), out.emplace<Draw>());
     case pb::Item::kReturnPart:
@@ -117,6 +119,11 @@
     return readBudget(in.budget(), out.budget) && readTokens(in.tokens(), out.amount);
 }
 
+bool BatchReader::readValue(const pb::Fund& in, Fund& out)
+{
+    return readBudget(in.budget(), out.budget) && readTokens(in.total(), out.total);
+}
+
 bool BatchReader::readValue(const pb::Draw& in, Draw& out)
 {
     out.witness = Incarnation { in.witness() };
--- a/src/ledger/EntryCodecReader.h
+++ b/src/ledger/EntryCodecReader.h
@@ -25,6 +25,7 @@
     [[nodiscard]] bool readValue(const proto::ledger::OpenAccount& in, OpenAccount& out);
     [[nodiscard]] bool readValue(const proto::ledger::CloseAccount& in, CloseAccount& out);
     [[nodiscard]] bool readValue(const proto::ledger::TopUp& in, TopUp& out);
+    [[nodiscard]] bool readValue(const proto::ledger::Fund& in, Fund& out);
     [[nodiscard]] bool readValue(const proto::ledger::Draw& in, Draw& out);
     [[nodiscard]] bool readValue(const proto::ledger::Return& in, Return& out);
     [[nodiscard]] bool readValue(const proto::ledger::WriteOff& in, WriteOff& out);
--- a/src/ledger/FoldRules.cpp
+++ b/src/ledger/FoldRules.cpp
@@ -10,6 +10,8 @@
 
     constexpr Incarnation nobody {};
     constexpr Tokens none {};
+    /** Of an account that was opened by its funds: its keys are the configuration's affair, and none has this hash. */
+    constexpr const char* noKey = "-";
 
     std::string notHolder() { return "only the grant's holder may do that"; }
 
@@ -94,6 +96,23 @@
     return {};
 }
 
+// Every router writes the total that it read, so the same one comes often, and an older one may land after a newer one.
+// Added up, or taken as it comes, it would sell tokens twice or take sold ones back.
+Refusal Rules::rule(Incarnation, const Fund& entry)
+{
+    if (!state_.books.account(entry.budget.account))
+        state_.books.addAccount(entry.budget.account, AccountView { noKey, false, at_ });
+    const auto& budgets = state_.books.budgets();
+    const auto found = budgets.find(entry.budget);
+    const Tokens bought = found == budgets.end() ? none : found->second.view.bought;
+    if (entry.total <= bought)
+        return {};
+    state_.books.credit(entry.budget, entry.total - bought);
+    state_.books.account(entry.budget.account)->revision = at_;
+    effects_.emplace_back(BudgetChanged { entry.budget });
+    return {};
+}
+
 Refusal Rules::rule(Incarnation origin, const Draw& entry)
 {
     Refusal refusal = refusalOf(origin, entry);
--- a/src/ledger/FoldRules.h
+++ b/src/ledger/FoldRules.h
@@ -25,6 +25,7 @@
     [[nodiscard]] Refusal rule(Incarnation origin, const OpenAccount& entry);
     [[nodiscard]] Refusal rule(Incarnation origin, const CloseAccount& entry);
     [[nodiscard]] Refusal rule(Incarnation origin, const TopUp& entry);
+    [[nodiscard]] Refusal rule(Incarnation origin, const Fund& entry);
     [[nodiscard]] Refusal rule(Incarnation origin, const Draw& entry);
     [[nodiscard]] Refusal rule(Incarnation origin, const Return& entry);
     [[nodiscard]] Refusal rule(Incarnation origin, const CloseGrant& entry);
--- a/src/ledger/Holder.cpp
+++ b/src/ledger/Holder.cpp
@@ -31,6 +31,8 @@
     book_->settle(reservation, actual, actions);
 }
 
+void Holder::stock(const BudgetRef& budget) { book_->stock(budget); }
+
 void Holder::setWeighting(const BudgetRef& budget, Weighting weighting) { book_->setWeighting(budget, weighting); }
 
 bool Holder::answersAlone(const Reservation& reservation) const { return book_->answersAlone(reservation); }
--- a/src/ledger/HolderBook.h
+++ b/src/ledger/HolderBook.h
@@ -32,6 +32,7 @@
         const BudgetRef& budget, RequestKey key, Tokens amount, Instant now, MoneyActions& actions);
     void settle(const Reservation& reservation, Tokens actual, MoneyActions& actions);
 
+    void stock(const BudgetRef& budget);
     void setWeighting(const BudgetRef& budget, Weighting weighting);
     [[nodiscard]] bool answersAlone(const Reservation& reservation) const;
     [[nodiscard]] bool borrowsFrom(const GrantId& grant) const;
--- a/src/ledger/HolderDemand.cpp
+++ b/src/ledger/HolderDemand.cpp
@@ -13,6 +13,8 @@
     constexpr double halfLifeSeconds = 10;
     constexpr Duration largestWindow = 300s;
     constexpr Duration wantLifetime = 2s;
+    /** Demand seen for less than this is taken to have been seen for this long: one request tells no rate. */
+    constexpr double leastSeenSeconds = 2;
 
     double secondsBetween(Instant from, Instant to)
     {
@@ -26,6 +28,7 @@
     weight_
         = weight_ * std::exp2(-secondsBetween(weighedAt_, now) / halfLifeSeconds) + static_cast<double>(amount.value());
     weighedAt_ = now;
+    firstNoted_ = firstNoted_.value_or(now);
     if (now - windowStart_ >= largestWindow) {
         formerLargest_ = now - windowStart_ >= 2 * largestWindow ? Tokens {} : largest_;
         largest_ = Tokens {};
@@ -36,8 +39,14 @@
 
 double HolderDemand::rate(Instant now) const
 {
+    if (!firstNoted_)
+        return 0;
     const double decayed = weight_ * std::exp2(-secondsBetween(weighedAt_, now) / halfLifeSeconds);
-    return decayed * std::numbers::ln2 / halfLifeSeconds;
+    // A decaying sum reaches its level only after several half-lives: after 3 s of steady demand it stands at 19% of the
+    // rate, and a router that then loses the log holds a fifth of what it needs. Divided by the weight that could have
+    // come together since the first request, it is right from the start on.
+    const double seen = std::max(secondsBetween(*firstNoted_, now), leastSeenSeconds);
+    return decayed * std::numbers::ln2 / halfLifeSeconds / (1 - std::exp2(-seen / halfLifeSeconds));
 }
 
 Tokens HolderDemand::largest(Instant now) const
--- a/src/ledger/HolderDemand.h
+++ b/src/ledger/HolderDemand.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <ostream>
 
 #include "swiftlift/base/Ids.h"
@@ -23,6 +24,7 @@
 private:
     double weight_ = 0;
     Instant weighedAt_ {};
+    std::optional<Instant> firstNoted_;
     /** Largest of the present window and of the one before it. */
     Tokens largest_;
     Tokens formerLargest_;
--- a/src/ledger/HolderDesk.h
+++ b/src/ledger/HolderDesk.h
@@ -20,6 +20,8 @@
     /** Numbers of its loans that are not acknowledged as done, oldest first. */
     std::vector<std::uint64_t> loans;
     std::optional<Weighting> weighting;
+    /** A share of the budget is to be held before there is demand. */
+    bool stocked = false;
     HolderDemand demand;
     HolderWants wants;
     /** The draw in flight; at most one (H1). */
@@ -43,7 +45,7 @@
     Instant nextLoanRound {};
 
     /** @return Whether there is nothing to look after. */
-    [[nodiscard]] bool quiet() const { return grants.empty() && loans.empty() && wants.empty(); }
+    [[nodiscard]] bool quiet() const { return !stocked && grants.empty() && loans.empty() && wants.empty(); }
 
     /** Another holder drew from this budget, or holds part of it. */
     void saw(Incarnation holder, Instant now);
--- a/src/ledger/HolderRequests.cpp
+++ b/src/ledger/HolderRequests.cpp
@@ -107,6 +107,8 @@
     return !view || view->bought - view->billed < amount;
 }
 
+void HolderBook::stock(const BudgetRef& budget) { deskOf(budget).stocked = true; }
+
 void HolderBook::setWeighting(const BudgetRef& budget, Weighting weighting) { deskOf(budget).weighting = weighting; }
 
 bool HolderBook::answersAlone(const Reservation& reservation) const
--- a/src/ledger/HolderWork.cpp
+++ b/src/ledger/HolderWork.cpp
@@ -68,6 +68,8 @@
     }
     situation.logReachable = surroundings_.logReachable;
     situation.sharers = desk.sharerCount(now_);
+    situation.stocked = desk.stocked;
+    situation.routers = surroundings_.routers;
     situation.cautious = now_ < desk.cautiousUntil;
     situation.othersShort = now_ < desk.othersShortUntil ? desk.othersShort : none;
     if (desk.returnedAt)
--- a/src/ledger/PolicyDemandGrants.cpp
+++ b/src/ledger/PolicyDemandGrants.cpp
@@ -18,11 +18,7 @@
     constexpr std::int64_t surplusFactor = 2;
     constexpr Duration surplusPause = 5s;
     constexpr Duration shortagePause = 500ms;
-
-    struct Watermarks {
-        double lowSeconds;
-        double highSeconds;
-    };
+    constexpr std::int64_t wholePercent = 100;
 
     Watermarks watermarksOf(Weighting weighting)
     {
@@ -44,24 +40,35 @@
 
 } // namespace
 
-DemandGrantsPolicy::DemandGrantsPolicy(Weighting weighting)
-    : weighting_(weighting)
+DemandGrantsPolicy::DemandGrantsPolicy(const PolicySettings& settings)
+    : settings_(settings)
 {
 }
 
-Weighting DemandGrantsPolicy::weightingOf(const BudgetSituation& situation) const
+Watermarks DemandGrantsPolicy::watermarks(const BudgetSituation& situation) const
 {
-    return situation.weighting.value_or(weighting_);
+    return settings_.watermarks.value_or(watermarksOf(situation.weighting.value_or(settings_.weighting)));
+}
+
+// A cut from the log may come before demand has been seen, and then nothing can be drawn any more. One notices by
+// refusals at routers that live while the budget is untouched. So each router holds its part of a known budget from the
+// start on, and what it turns out not to need moves to the others as they run short.
+Tokens DemandGrantsPolicy::stock(const BudgetSituation& situation) const
+{
+    if (!situation.stocked)
+        return none;
+    const auto routers = std::max<std::int64_t>(situation.routers, 1);
+    return Tokens { situation.bought.value() / wholePercent * settings_.stockPercent / routers };
 }
 
 Tokens DemandGrantsPolicy::low(const BudgetSituation& situation) const
 {
-    return std::max(tokensOf(situation.demand, watermarksOf(weightingOf(situation)).lowSeconds), situation.largest);
+    return std::max(tokensOf(situation.demand, watermarks(situation).lowSeconds), situation.largest);
 }
 
 Tokens DemandGrantsPolicy::high(const BudgetSituation& situation) const
 {
-    return tokensOf(situation.demand, watermarksOf(weightingOf(situation)).highSeconds) + situation.largest;
+    return tokensOf(situation.demand, watermarks(situation).highSeconds) + situation.largest;
 }
 
 std::optional<DrawDecision> DemandGrantsPolicy::draw(const BudgetSituation& situation) const
@@ -76,6 +83,8 @@
         return DrawDecision { std::max(inHand, ahead), situation.smallestNeed };
     }
     const Tokens useful = std::max(situation.largest, Tokens { 1 });
+    if (situation.drawn == none && stock(situation) > none && !situation.cautious)
+        return DrawDecision { std::max(stock(situation), ahead), Tokens { 1 } };
     if (situation.free >= low(situation) || ahead < useful)
         return {};
     return DrawDecision { ahead, useful };
@@ -96,10 +105,10 @@
             return none;
         return std::clamp(situation.free, none, situation.othersShort);
     }
-    const Tokens most { high(situation).value() * surplusFactor };
+    const Tokens most = std::max(Tokens { high(situation).value() * surplusFactor }, stock(situation));
     if (situation.free <= most || situation.sinceReturn < surplusPause)
         return none;
-    return situation.free - high(situation);
+    return situation.free - std::max(high(situation), stock(situation));
 }
 
 Tokens DemandGrantsPolicy::loanSize(const BudgetSituation& situation) const
--- a/src/ledger/PolicyDemandGrants.h
+++ b/src/ledger/PolicyDemandGrants.h
@@ -7,7 +7,7 @@
 /** @brief Grants sized by demand, between a low and a high watermark, with loans from peers when the log is no help. */
 class DemandGrantsPolicy final : public HoldingPolicy {
 public:
-    explicit DemandGrantsPolicy(Weighting weighting);
+    explicit DemandGrantsPolicy(const PolicySettings& settings);
 
     [[nodiscard]] std::optional<DrawDecision> draw(const BudgetSituation& situation) const override;
     [[nodiscard]] Tokens headRoom(const BudgetSituation& situation) const override;
@@ -18,11 +18,12 @@
     [[nodiscard]] bool witnessed() const override { return true; }
 
 private:
-    [[nodiscard]] Weighting weightingOf(const BudgetSituation& situation) const;
+    [[nodiscard]] Watermarks watermarks(const BudgetSituation& situation) const;
+    [[nodiscard]] Tokens stock(const BudgetSituation& situation) const;
     [[nodiscard]] Tokens low(const BudgetSituation& situation) const;
     [[nodiscard]] Tokens high(const BudgetSituation& situation) const;
 
-    Weighting weighting_;
+    PolicySettings settings_;
 };
 
 } // namespace swiftlift::ledger::internal
--- a/src/node/CoreState.cpp
+++ b/src/node/CoreState.cpp
@@ -1,11 +1,9 @@
 #include "node/CoreState.h"
 
 #include <chrono>
-#include <set>
 #include <utility>
 
 #include "node/OperatorView.h"
-#include "swiftlift/ledger/Shard.h"
 
 namespace swiftlift::node {
 
@@ -22,28 +20,12 @@
     , services_(context_, peers_, health_, backends_,
           [this](const settings::ServiceDocument& document) { onServiceInForce(document); })
     , placement_(context_, health_, services_, backends_)
+    , ledgers_(context_, peers_, health_, *this)
     , requests_(
-          context_, services_, backends_, [this](const AccountId& account) -> ShardLedger& { return shardOf(account); },
+          context_, services_, backends_, [this](const AccountId& account) -> ShardLedger& { return ledgers_.of(account); },
           [this](const std::string& model) { placement_.onUnserved(model); })
+    , ending_(context_)
 {
-    for (std::uint32_t shard = 0; shard < context_.settings().ledgerShards; ++shard) {
-        shards_.push_back(std::make_unique<ShardLedger>(context_, peers_, health_, *this, shard));
-    }
-}
-
-ShardLedger& CoreState::shardOf(const AccountId& account) const
-{
-    return *shards_[ledger::shardOf(account, context_.settings().ledgerShards)];
-}
-
-ShardLedger* CoreState::shardNamed(const StreamName& stream) const
-{
-    for (const auto& shard : shards_) {
-        if (shard->stream() == stream) {
-            return shard.get();
-        }
-    }
-    return nullptr;
 }
 
 void CoreState::start()
@@ -55,22 +37,12 @@
                      .with("seed", toHex(context_.settings().seed)));
     services_.start();
     placement_.start();
-    for (const auto& shard : shards_) {
-        shard->start();
-    }
+    ledgers_.start();
 }
 
 bool CoreState::ready() const
 {
-    if (retired() || !services_.caughtUp() || !peers_.membership().settled()) {
-        return false;
-    }
-    for (const auto& shard : shards_) {
-        if (!shard->caughtUp()) {
-            return false;
-        }
-    }
-    return true;
+    return !retired() && services_.caughtUp() && peers_.membership().settled() && ledgers_.caughtUp();
 }
 
 void CoreState::on(const RequestArrived& event)
@@ -99,7 +71,7 @@
         services_.onRecords(event);
     } else if (event.stream == placement_.stream()) {
         placement_.onRecords(event);
-    } else if (ShardLedger* shard = shardNamed(event.stream)) {
+    } else if (ShardLedger* shard = ledgers_.named(event.stream)) {
         shard->onRecords(event);
     }
 }
@@ -111,7 +83,7 @@
         services_.onExpired(event.oldest);
     } else if (event.stream == placement_.stream()) {
         placement_.onExpired(event.oldest);
-    } else if (ShardLedger* shard = shardNamed(event.stream)) {
+    } else if (ShardLedger* shard = ledgers_.named(event.stream)) {
         shard->onExpired(event.oldest);
     }
 }
@@ -122,7 +94,7 @@
     changes_.noteLog(false, event.detail);
     if (event.stream == placement_.stream()) {
         placement_.onAppendEnded();
-    } else if (ShardLedger* shard = shardNamed(event.stream)) {
+    } else if (ShardLedger* shard = ledgers_.named(event.stream)) {
         shard->onAppendFailed();
     }
 }
@@ -132,7 +104,7 @@
     health_.onAnswer(context_.now());
     if (event.stream == placement_.stream()) {
         placement_.onAppendEnded();
-    } else if (ShardLedger* shard = shardNamed(event.stream)) {
+    } else if (ShardLedger* shard = ledgers_.named(event.stream)) {
         shard->onAppendAnswered();
     }
 }
@@ -154,17 +126,17 @@
     if (const auto* ask = std::get_if<ReadAsk>(&event.message)) {
         if (ask->stream == Services::stream()) {
             services_.onReadAsk(event.sender, ask->from);
-        } else if (ShardLedger* shard = shardNamed(ask->stream)) {
+        } else if (ShardLedger* shard = ledgers_.named(ask->stream)) {
             shard->onReadAsk(event.sender, ask->from);
         }
     } else if (const auto* records = std::get_if<Records>(&event.message)) {
         if (records->stream == Services::stream()) {
             services_.onPeerRecords(*records);
-        } else if (ShardLedger* shard = shardNamed(records->stream)) {
+        } else if (ShardLedger* shard = ledgers_.named(records->stream)) {
             shard->onRecords({ records->stream, records->first, records->records, std::nullopt });
         }
     } else if (const auto* state = std::get_if<StreamState>(&event.message)) {
-        if (ShardLedger* shard = shardNamed(state->stream)) {
+        if (ShardLedger* shard = ledgers_.named(state->stream)) {
             shard->onPeerState(state->asOf, state->state);
         }
     } else if (const auto* relay = std::get_if<RelayAppend>(&event.message)) {
@@ -172,8 +144,8 @@
     } else {
         // What goes wrong: two shards number their grants and loans alike, and an acknowledgement meant for one raises
         // the ceiling of the other's grant. So such messages name their shard.
-        if (event.shard < shards_.size()) {
-            shards_[event.shard]->onPeerMessage(event.sender, event.message);
+        if (ShardLedger* shard = ledgers_.numbered(event.shard)) {
+            shard->onPeerMessage(event.sender, event.message);
         }
     }
 }
@@ -222,20 +194,15 @@
     changes_.noteLog(health_.reachable(context_.now()), {});
     refreshWatched();
     for (const Incarnation suspected : peers_.tick(heartbeat())) {
-        for (const auto& shard : shards_) {
-            shard->onSuspected(suspected);
-        }
+        ledgers_.onSuspected(suspected);
     }
     services_.tick();
     placement_.tick(ready() && !stopping_);
     requests_.tick();
-    const bool leaving = stopping_ && requests_.inProgress() == 0;
-    for (const auto& shard : shards_) {
-        shard->tick(leaving);
-    }
+    ledgers_.tick(stopping_ && requests_.inProgress() == 0);
     context_.gauge("swiftlift_ready", ready() ? 1 : 0);
     context_.gauge("swiftlift_log_reachable", health_.reachable(context_.now()) ? 1 : 0);
-    finishWhenDrained();
+    ending_.tick(stopping_, retiredReason_, { requests_.inProgress(), ledgers_.drained(), ledgers_.unread() });
 }
 
 void CoreState::refreshWatched()
@@ -245,12 +212,7 @@
     }
     nextWatched_ = context_.now() + watchedPeriod;
     changes_.removeUnknown(backends_);
-    std::set<Incarnation> watched;
-    for (const auto& shard : shards_) {
-        const auto holders = shard->witnessed();
-        watched.insert(holders.begin(), holders.end());
-    }
-    peers_.membership().setWatched({ watched.begin(), watched.end() }, context_.now());
+    peers_.membership().setWatched(ledgers_.witnessed(), context_.now());
 }
 
 void CoreState::on(const StopRequested&)
@@ -276,7 +238,7 @@
     const bool refusals = document.weighting == settings::Weighting::Refusals;
     const auto weighting = refusals ? ledger::Weighting::Refusals : ledger::Weighting::Overspend;
     for (const auto& use : document.accounts) {
-        shardOf(use.account).setWeighting({ use.account, use.budget }, weighting);
+        ledgers_.of(use.account).setWeighting({ use.account, use.budget }, weighting);
     }
 }
 
@@ -289,39 +251,6 @@
     context_.log(Line("retired").with("reason", retiredReason_));
 }
 
-void CoreState::finishWhenDrained()
-{
-    const bool ending = stopping_ || retired();
-    if (!ending || over_ || requests_.inProgress() > 0) {
-        idleSince_.reset();
-        return;
-    }
-    if (!idleSince_) {
-        idleSince_ = context_.now();
-    }
-    bool drained = true;
-    for (const auto& shard : shards_) {
-        drained = drained && shard->drained();
-    }
-    // With the log out of reach the bills can't be handed over. Waiting for ever would keep a VM that has to go; what
-    // is unread then stays held by its grants, so it can't be spent twice.
-    const bool outOfPatience = context_.now() - *idleSince_ >= drainPatience;
-    if (!drained && !outOfPatience) {
-        return;
-    }
-    over_ = true;
-    std::int64_t unread = 0;
-    for (const auto& shard : shards_) {
-        unread += static_cast<std::int64_t>(shard->unread());
-    }
-    context_.log(Line("over").with("drained", drained).with("unread_items", unread));
-    if (stopping_) {
-        context_.emit(StopReady {});
-    } else {
-        context_.emit(Restart { retiredReason_ });
-    }
-}
-
 void CoreState::beginEvent()
 {
     const Instant now = context_.now();
@@ -340,7 +269,7 @@
     own.region = context_.settings().region;
     own.stopping = stopping_ || retired();
     own.logReachable = health_.reachable(context_.now());
-    for (const auto& shard : shards_) {
+    for (const auto& shard : ledgers_.all()) {
         own.positions.push_back({ shard->stream(), shard->fold().nextOffset() });
     }
     own.positions.push_back({ Services::stream(), services_.fold().nextOffset() });
--- a/src/node/CoreState.h
+++ b/src/node/CoreState.h
@@ -5,12 +5,13 @@
 #include <vector>
 
 #include "node/Context.h"
+#include "node/Ending.h"
+#include "node/Ledgers.h"
 #include "node/LogHealth.h"
 #include "node/Peers.h"
 #include "node/Placement.h"
 #include "node/Requests.h"
 #include "node/Services.h"
-#include "node/ShardLedger.h"
 #include "node/StateChanges.h"
 #include "swiftlift/node/Core.h"
 #include "swiftlift/routing/BackendTable.h"
@@ -44,6 +45,8 @@
     void on(const Tick& event);
     void on(const StopRequested& event);
     void on(const OperatorAsked& event);
+    /** What concerns requests that are passed on as they came is not this composition's. */
+    template <typename Other> void on(const Other&) { }
 
     void onClaimDecided(const RequestKey& key, Incarnation owner) override;
     void onMoneyArrived(const BudgetRef& budget) override;
@@ -61,22 +64,17 @@
     [[nodiscard]] const Services& services() const noexcept { return services_; }
     [[nodiscard]] const routing::BackendTable& backends() const noexcept { return backends_; }
     [[nodiscard]] const Requests& requests() const noexcept { return requests_; }
-    [[nodiscard]] const std::vector<std::unique_ptr<ShardLedger>>& shards() const noexcept { return shards_; }
-    [[nodiscard]] ShardLedger& shardOf(const AccountId& account) const;
+    [[nodiscard]] const Ledgers& ledgers() const noexcept { return ledgers_; }
 
 private:
-    /** After a stop or retirement with the log out of reach: how long to wait for holdings to be given back. */
-    static constexpr Duration drainPatience = std::chrono::seconds(10);
     /** Ticks come every 20 ms; no event for this long means that the process was paused. */
     static constexpr Duration pauseThreshold = std::chrono::milliseconds(700);
     static constexpr Duration watchedPeriod = std::chrono::seconds(1);
 
     [[nodiscard]] Heartbeat heartbeat() const;
     void onServiceInForce(const settings::ServiceDocument& document);
-    [[nodiscard]] ShardLedger* shardNamed(const StreamName& stream) const;
     void routePeerMessage(const PeerReceived& event);
     void refreshWatched();
-    void finishWhenDrained();
 
     Context context_;
     LogHealth health_;
@@ -85,14 +83,13 @@
     routing::BackendTable backends_;
     Services services_;
     Placement placement_;
-    std::vector<std::unique_ptr<ShardLedger>> shards_;
+    Ledgers ledgers_;
     Requests requests_;
     std::string retiredReason_;
-    std::optional<Instant> idleSince_;
     std::optional<Instant> lastEvent_;
     Instant nextWatched_ {};
+    Ending ending_;
     bool stopping_ = false;
-    bool over_ = false;
 };
 
 } // namespace swiftlift::node
--- /dev/null
+++ b/src/node/FleetBook.cpp
@@ -0,0 +1,288 @@
+#include "node/FleetBook.h"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace swiftlift::node {
+
+namespace internal {
+
+    const std::string configKey = "config";
+
+    [[nodiscard]] std::string vmText(const CoreSettings& settings)
+    {
+        return nlohmann::json { { "domain", settings.domain.value() }, { "region", settings.region.value() } }.dump();
+    }
+
+    [[nodiscard]] std::optional<ListedVm> readVm(const std::string& address, const std::string& text)
+    {
+        const auto json = nlohmann::json::parse(text, nullptr, false);
+        if (!json.is_object() || !json.contains("domain") || !json["domain"].is_string()) {
+            return std::nullopt;
+        }
+        return ListedVm { PeerAddress { address }, FailureDomain { json["domain"].get<std::string>() },
+            Region { json.value("region", "") }, false };
+    }
+
+} // namespace internal
+
+const StreamName& FleetBook::configStream()
+{
+    static const StreamName name { "fleet-config" };
+    return name;
+}
+
+const StreamName& FleetBook::serverStream()
+{
+    static const StreamName name { "backend-servers" };
+    return name;
+}
+
+const StreamName& FleetBook::vmStream()
+{
+    static const StreamName name { "vms" };
+    return name;
+}
+
+FleetBook::FleetBook(
+    Context& context, Peers& peers, const LogHealth& health, routing::BackendTable& backends, ConfigListener listener)
+    : context_(context)
+    , peers_(peers)
+    , health_(health)
+    , backends_(backends)
+    , listener_(std::move(listener))
+{
+}
+
+void FleetBook::start()
+{
+    context_.emit(Follow { configStream(), {}, StreamKind::Keyed, {} });
+    context_.emit(Follow { serverStream(), {}, StreamKind::Keyed, serverReadPause });
+    context_.emit(Follow { vmStream(), {}, StreamKind::Keyed, vmReadPause });
+}
+
+void FleetBook::onRecords(const KeyedRecords& records)
+{
+    if (records.stream == serverStream()) {
+        takeServers(records);
+        return;
+    }
+    if (records.stream == vmStream()) {
+        takeVms(records);
+        return;
+    }
+    for (const KeyedRecord& record : records.records) {
+        if (record.key == internal::configKey && record.value) {
+            takeConfig(record.offset, *record.value, "log");
+        }
+    }
+}
+
+void FleetBook::takeConfig(Offset offset, const std::string& text, const char* source)
+{
+    Findings findings;
+    auto config = context_.settings().fleetCodec->config(text, findings);
+    if (!config) {
+        logFindings("config", internal::configKey, findings);
+        return;
+    }
+    // Records of an older configuration come again when a reader starts anew, or from a peer that is behind. Taken, the
+    // fleet would go back to routes and keys that have been withdrawn.
+    if (routes_ && config->version <= routes_->config().version) {
+        return;
+    }
+    configOffset_ = offset;
+    configText_ = text;
+    context_.log(Line("config")
+                     .with("change", "in_force")
+                     .with("version", static_cast<std::int64_t>(config->version))
+                     .with("source", source)
+                     .with("routes", static_cast<std::int64_t>(config->routes.size()))
+                     .with("accounts", static_cast<std::int64_t>(config->accounts.size())));
+    routes_ = std::make_shared<const fleet::RouteTable>(std::move(*config));
+    listener_(routes_->config());
+}
+
+void FleetBook::takeServers(const KeyedRecords& records)
+{
+    if (records.whole) {
+        std::set<BackendId> present;
+        for (const KeyedRecord& record : records.records) {
+            present.insert(BackendId { record.key });
+        }
+        for (const auto& [id, server] : servers_) {
+            if (!present.contains(id)) {
+                lapsed_.try_emplace(id, context_.now());
+            }
+        }
+        serversKnown_ = true;
+    }
+    for (const KeyedRecord& record : records.records) {
+        takeServer(record);
+    }
+    publishBackends();
+}
+
+void FleetBook::takeServer(const KeyedRecord& record)
+{
+    const BackendId id { record.key };
+    if (!record.value) {
+        const bool wasAway = lastAway_ && context_.now() - *lastAway_ < awayMemory;
+        lapsed_.try_emplace(id, wasAway ? context_.now() + lapseGrace : context_.now());
+        return;
+    }
+    Findings findings;
+    auto server = context_.settings().fleetCodec->server(record.key, *record.value, findings);
+    if (!server) {
+        logFindings("server", record.key, findings);
+        return;
+    }
+    lapsed_.erase(id);
+    const auto known = servers_.find(id);
+    if (known != servers_.end() && known->second == *server) {
+        return;
+    }
+    context_.log(Line("backend")
+                     .with("backend", id.value())
+                     .with("change", server->state == fleet::ServerState::Ready ? "registered" : "leaving")
+                     .with("address", server->address.value())
+                     .with("service", server->service.value())
+                     .with("domain", server->domain.value())
+                     .with("offset", static_cast<std::int64_t>(record.offset.value())));
+    servers_[id] = std::move(*server);
+}
+
+void FleetBook::dropServer(const BackendId& id)
+{
+    if (servers_.erase(id) > 0) {
+        context_.log(Line("backend").with("backend", id.value()).with("change", "unregistered"));
+    }
+}
+
+void FleetBook::publishBackends()
+{
+    std::map<ServiceName, std::vector<routing::BackendEntry>> services;
+    for (const ServiceName& service : published_) {
+        services[service];
+    }
+    for (const auto& [id, server] : servers_) {
+        if (server.state == fleet::ServerState::Ready) {
+            services[server.service].push_back({ id, server.domain, server.slots });
+        }
+    }
+    published_.clear();
+    for (const auto& [service, entries] : services) {
+        backends_.setBackends(service, entries, context_.now());
+        if (!entries.empty()) {
+            published_.insert(service);
+        }
+    }
+}
+
+void FleetBook::takeVms(const KeyedRecords& records)
+{
+    if (records.whole) {
+        vms_.clear();
+    }
+    for (const KeyedRecord& record : records.records) {
+        const auto vm = record.value ? internal::readVm(record.key, *record.value) : std::nullopt;
+        if (vm) {
+            vms_[record.key] = *vm;
+        } else {
+            vms_.erase(record.key);
+        }
+    }
+    std::vector<ListedVm> listed;
+    for (const auto& [address, vm] : vms_) {
+        listed.push_back(vm);
+    }
+    peers_.onVmList(listed);
+}
+
+const fleet::BackendServer* FleetBook::server(const BackendId& id) const
+{
+    const auto found = servers_.find(id);
+    return found == servers_.end() ? nullptr : &found->second;
+}
+
+void FleetBook::tick(bool stopping)
+{
+    const Instant now = context_.now();
+    if (!health_.reachable(now)) {
+        lastAway_ = now;
+        askPeer();
+    }
+    bool dropped = false;
+    // While the log is away nobody can say whether a lapsed entry is back.
+    for (auto entry = lapsed_.begin(); entry != lapsed_.end() && health_.reachable(now);) {
+        if (now < entry->second) {
+            ++entry;
+            continue;
+        }
+        dropServer(entry->first);
+        dropped = true;
+        entry = lapsed_.erase(entry);
+    }
+    if (dropped) {
+        publishBackends();
+    }
+    registerSelf(stopping);
+}
+
+void FleetBook::registerSelf(bool stopping)
+{
+    const Instant now = context_.now();
+    const std::string& address = context_.settings().peerAddress.value();
+    if (stopping) {
+        if (!std::exchange(unregistered_, true)) {
+            context_.emit(Append { vmStream(), {}, address });
+        }
+        return;
+    }
+    const bool listed = vms_.contains(address);
+    if (listed || now < nextRegister_) {
+        return;
+    }
+    nextRegister_ = now + registerPeriod;
+    context_.emit(Append { vmStream(), internal::vmText(context_.settings()), address });
+}
+
+void FleetBook::askPeer()
+{
+    const Instant now = context_.now();
+    if (now < nextReadAsk_) {
+        return;
+    }
+    nextReadAsk_ = now + readAskPeriod;
+    if (const auto peer = peers_.bestReader()) {
+        const Offset from { routes_ ? configOffset_.value() + 1 : 0 };
+        peers_.send(*peer, ReadAsk { configStream(), from });
+    }
+}
+
+void FleetBook::onReadAsk(Incarnation from, Offset offset)
+{
+    if (routes_ && configOffset_ >= offset) {
+        peers_.send(from, Records { configStream(), configOffset_, { configText_ } });
+    }
+}
+
+void FleetBook::onPeerRecords(const Records& records)
+{
+    if (!records.records.empty()) {
+        takeConfig(records.first, records.records.front(), "peer");
+    }
+}
+
+void FleetBook::logFindings(const char* what, const std::string& key, const Findings& findings)
+{
+    std::string text;
+    for (const Finding& finding : findings) {
+        text += (text.empty() ? "" : "; ") + toText(finding);
+    }
+    context_.log(Line("unreadable").with("what", what).with("key", key).with("findings", text));
+    context_.count("swiftlift_unreadable_records_total", { { "what", what } });
+}
+
+} // namespace swiftlift::node
--- /dev/null
+++ b/src/node/Gateway.cpp
@@ -0,0 +1,279 @@
+#include "node/Gateway.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace swiftlift::node {
+
+namespace internal {
+
+    [[nodiscard]] routing::TableSettings tableSettings(const CoreSettings& settings)
+    {
+        routing::TableSettings table;
+        table.seed = settings.seed;
+        table.polled = false;
+        return table;
+    }
+
+} // namespace internal
+
+Gateway::Gateway(CoreSettings settings)
+    : context_(std::move(settings))
+    , changes_(context_)
+    , peers_(context_)
+    , backends_(internal::tableSettings(context_.settings()))
+    , fleet_(context_, peers_, health_, backends_, [this](const fleet::FleetConfig& config) { onConfig(config); })
+    , ledgers_(context_, peers_, health_, *this)
+    , passages_(context_, fleet_, backends_, ledgers_, [this] { return routers(); })
+    , ending_(context_)
+{
+}
+
+void Gateway::start()
+{
+    context_.log(Line("start")
+                     .with("incarnation", toHex(context_.self().value()))
+                     .with("peer", context_.settings().peerAddress.value())
+                     .with("domain", context_.settings().domain.value())
+                     .with("seed", toHex(context_.settings().seed)));
+    fleet_.start();
+    ledgers_.start();
+    announce();
+}
+
+void Gateway::finishEvent() { passages_.finishEvent(); }
+
+void Gateway::onConfig(const fleet::FleetConfig& config)
+{
+    for (const fleet::Account& account : config.accounts) {
+        if (account.budget) {
+            ledgers_.of(account.id).fund({ account.id, prepaidBudget() }, *account.budget);
+        }
+    }
+    context_.emit(SetCallerLimits { config.limits });
+}
+
+std::string Gateway::unready() const
+{
+    if (!retiredReason_.empty()) {
+        return "incarnation ends: " + retiredReason_;
+    }
+    if (!fleet_.routes()) {
+        return "no configuration read yet";
+    }
+    if (!fleet_.serversKnown()) {
+        return "backend servers not read yet";
+    }
+    if (!ledgers_.caughtUp()) {
+        return "still reading the ledger";
+    }
+    return peers_.membership().settled() ? "" : "still listening for the other routers";
+}
+
+bool Gateway::closing() const
+{
+    return stopRequested_ && context_.now() - *stopRequested_ >= context_.settings().stopAcceptance;
+}
+
+std::uint32_t Gateway::routers() const
+{
+    return std::max({ mostRouters_, static_cast<std::uint32_t>(fleet_.vms()) });
+}
+
+void Gateway::on(const PassageArrived& event)
+{
+    // What goes wrong otherwise: the platform's entry goes on sending callers for the second or two that it takes to
+    // notice a planned stop, and each of them would be refused for nothing.
+    if (closing()) {
+        passages_.refuseAtOnce(event.call, event.facts, "stopping", "this VM is leaving");
+        return;
+    }
+    if (std::string reason = unready(); !reason.empty()) {
+        passages_.refuseAtOnce(event.call, event.facts, "not_ready", std::move(reason));
+        return;
+    }
+    passages_.arrive(event.call, event.facts);
+}
+
+void Gateway::on(const PassageProgress& event) { passages_.onProgress(event); }
+void Gateway::on(const PassageEnded& event)
+{
+    passages_.onEnded(event);
+    changes_.noteBackend(passages_.lastBackend(), backends_);
+}
+void Gateway::on(const PassageAbandoned& event) { passages_.onAbandoned(event); }
+
+void Gateway::on(const KeyedRecords& event)
+{
+    health_.onAnswer(context_.now());
+    if (event.stream == Ledgers::checkpointStream()) {
+        ledgers_.onCheckpoints(event);
+    } else {
+        fleet_.onRecords(event);
+    }
+}
+
+void Gateway::on(const LogRecords& event)
+{
+    health_.onAnswer(context_.now());
+    if (ShardLedger* shard = ledgers_.named(event.stream)) {
+        shard->onRecords(event);
+    }
+}
+
+void Gateway::on(const LogExpired& event)
+{
+    health_.onAnswer(context_.now());
+    if (ShardLedger* shard = ledgers_.named(event.stream)) {
+        shard->onExpired(event.oldest);
+    }
+}
+
+void Gateway::on(const LogUnreachable& event)
+{
+    health_.onFailure();
+    changes_.noteLog(false, event.stream.value() + ": " + event.detail);
+    if (ShardLedger* shard = ledgers_.named(event.stream)) {
+        shard->onAppendFailed();
+    }
+}
+
+void Gateway::on(const AppendAnswered& event)
+{
+    health_.onAnswer(context_.now());
+    if (ShardLedger* shard = ledgers_.named(event.stream)) {
+        shard->onAppendAnswered();
+    }
+}
+
+void Gateway::on(const PeerReceived& event)
+{
+    if (event.sender == context_.self()) {
+        return;
+    }
+    if (const auto* heard = std::get_if<Heartbeat>(&event.message)) {
+        peers_.onHeartbeat(event.sender, event.address, *heard);
+        return;
+    }
+    routePeerMessage(event);
+}
+
+void Gateway::routePeerMessage(const PeerReceived& event)
+{
+    if (const auto* ask = std::get_if<ReadAsk>(&event.message)) {
+        if (ask->stream == FleetBook::configStream()) {
+            fleet_.onReadAsk(event.sender, ask->from);
+        } else if (ShardLedger* shard = ledgers_.named(ask->stream)) {
+            shard->onReadAsk(event.sender, ask->from);
+        }
+    } else if (const auto* records = std::get_if<Records>(&event.message)) {
+        if (records->stream == FleetBook::configStream()) {
+            fleet_.onPeerRecords(*records);
+        } else if (ShardLedger* shard = ledgers_.named(records->stream)) {
+            shard->onRecords({ records->stream, records->first, records->records, std::nullopt });
+        }
+    } else if (const auto* state = std::get_if<StreamState>(&event.message)) {
+        if (ShardLedger* shard = ledgers_.named(state->stream)) {
+            shard->onPeerState(state->asOf, state->state);
+        }
+    } else if (const auto* relay = std::get_if<RelayAppend>(&event.message)) {
+        context_.emit(Append { relay->stream, relay->record, {} });
+    } else if (ShardLedger* shard = ledgers_.numbered(event.shard)) {
+        shard->onPeerMessage(event.sender, event.message);
+    }
+}
+
+void Gateway::on(const Tick&)
+{
+    changes_.noteLog(health_.reachable(context_.now()), {});
+    refreshWatched();
+    for (const Incarnation suspected : peers_.tick(heartbeat())) {
+        ledgers_.onSuspected(suspected);
+    }
+    mostRouters_ = std::max(mostRouters_, static_cast<std::uint32_t>(peers_.membership().counts().alive) + 1);
+    fleet_.tick(stopRequested_.has_value());
+    passages_.tick();
+    ledgers_.tick(stopRequested_ && closing() && passages_.inProgress() == 0);
+    backends_.tick(context_.now());
+    announce();
+    const bool ending = closing() || !retiredReason_.empty();
+    if (ending) {
+        ending_.tick(closing(), retiredReason_, { passages_.inProgress(), ledgers_.drained(), ledgers_.unread() });
+    }
+}
+
+void Gateway::announce()
+{
+    const std::string reason = unready();
+    const bool ready = reason.empty() && !stopRequested_;
+    const bool close = stopRequested_.has_value();
+    if (announced_ && announced_->ready == ready && announced_->closing == close) {
+        return;
+    }
+    announced_ = AnnounceReadiness { ready, close };
+    context_.log(Line("ready").with("ready", ready).with("reason", stopRequested_ ? "stopping" : reason));
+    context_.gauge("swiftlift_ready", ready ? 1 : 0);
+    context_.emit(*announced_);
+}
+
+void Gateway::refreshWatched()
+{
+    if (context_.now() < nextWatched_) {
+        return;
+    }
+    nextWatched_ = context_.now() + watchedPeriod;
+    changes_.removeUnknown(backends_);
+    peers_.membership().setWatched(ledgers_.witnessed(), context_.now());
+    context_.gauge("swiftlift_log_reachable", health_.reachable(context_.now()) ? 1 : 0);
+}
+
+void Gateway::on(const StopRequested&)
+{
+    if (stopRequested_) {
+        return;
+    }
+    stopRequested_ = context_.now();
+    context_.log(
+        Line("stop").with("in_progress", static_cast<std::int64_t>(passages_.inProgress())).with("reason", "asked"));
+    announce();
+}
+
+void Gateway::on(const OperatorAsked& event) { context_.emit(OperatorReply { event.question, statusText() }); }
+
+std::string Gateway::statusText() const
+{
+    const auto counts = peers_.membership().counts();
+    const std::string reason = unready();
+    return nlohmann::json { { "incarnation", toHex(context_.self().value()) },
+        { "peer", context_.settings().peerAddress.value() }, { "domain", context_.settings().domain.value() },
+        { "ready", reason.empty() }, { "reason", reason }, { "stopping", stopRequested_.has_value() },
+        { "log_reachable", health_.reachable(context_.now()) }, { "in_progress", passages_.inProgress() },
+        { "peers_alive", counts.alive },
+        { "config_version", fleet_.routes() ? fleet_.routes()->config().version : 0 } }
+        .dump();
+}
+
+void Gateway::onMoneyArrived(const BudgetRef& budget) { passages_.onMoneyArrived(budget); }
+
+void Gateway::onRetired(const std::string& reason)
+{
+    if (!retiredReason_.empty()) {
+        return;
+    }
+    retiredReason_ = reason.empty() ? "retired" : reason;
+    context_.log(Line("retired").with("reason", retiredReason_));
+}
+
+Heartbeat Gateway::heartbeat() const
+{
+    Heartbeat own;
+    own.domain = context_.settings().domain;
+    own.region = context_.settings().region;
+    own.stopping = stopRequested_ || !retiredReason_.empty();
+    own.logReachable = health_.reachable(context_.now());
+    return own;
+}
+
+} // namespace swiftlift::node
--- /dev/null
+++ b/src/node/Gateway.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "node/Context.h"
+#include "node/Ending.h"
+#include "node/FleetBook.h"
+#include "node/Ledgers.h"
+#include "node/LogHealth.h"
+#include "node/Passages.h"
+#include "node/Peers.h"
+#include "node/StateChanges.h"
+#include "swiftlift/node/Core.h"
+#include "swiftlift/routing/BackendTable.h"
+
+namespace swiftlift::node {
+
+/** The parts of a core that passes requests on as they came, by the fleet's configuration. */
+class Gateway final : public LedgerListener {
+public:
+    explicit Gateway(CoreSettings settings);
+
+    void start();
+    void beginEvent() { }
+    void finishEvent();
+
+    void on(const PassageArrived& event);
+    void on(const PassageProgress& event);
+    void on(const PassageEnded& event);
+    void on(const PassageAbandoned& event);
+    void on(const KeyedRecords& event);
+    void on(const LogRecords& event);
+    void on(const LogExpired& event);
+    void on(const LogUnreachable& event);
+    void on(const AppendAnswered& event);
+    void on(const PeerReceived& event);
+    void on(const Tick& event);
+    void on(const StopRequested& event);
+    void on(const OperatorAsked& event);
+    /** What concerns the services' documents is not this composition's. */
+    template <typename Other> void on(const Other&) { }
+
+    void onClaimDecided(const RequestKey&, Incarnation) override { }
+    void onMoneyArrived(const BudgetRef& budget) override;
+    void onRetired(const std::string& reason) override;
+
+    [[nodiscard]] Context& context() noexcept { return context_; }
+
+private:
+    static constexpr Duration watchedPeriod = std::chrono::seconds(1);
+
+    void onConfig(const fleet::FleetConfig& config);
+    void routePeerMessage(const PeerReceived& event);
+    void announce();
+    void refreshWatched();
+    /** @return Why new requests can't be taken; empty: they can. */
+    [[nodiscard]] std::string unready() const;
+    [[nodiscard]] bool closing() const;
+    [[nodiscard]] std::uint32_t routers() const;
+    [[nodiscard]] Heartbeat heartbeat() const;
+    [[nodiscard]] std::string statusText() const;
+
+    Context context_;
+    LogHealth health_;
+    StateChanges changes_;
+    Peers peers_;
+    routing::BackendTable backends_;
+    FleetBook fleet_;
+    Ledgers ledgers_;
+    Passages passages_;
+    Ending ending_;
+    std::string retiredReason_;
+    std::optional<Instant> stopRequested_;
+    std::optional<AnnounceReadiness> announced_;
+    Instant nextWatched_ {};
+    /** Most routers ever seen at once: one that is silent may still send. */
+    std::uint32_t mostRouters_ = 1;
+};
+
+} // namespace swiftlift::node
--- /dev/null
+++ b/src/node/Ledgers.cpp
@@ -0,0 +1,113 @@
+#include "node/Ledgers.h"
+
+#include <algorithm>
+
+#include "swiftlift/ledger/Shard.h"
+
+namespace swiftlift::node {
+
+const StreamName& Ledgers::checkpointStream()
+{
+    static const StreamName name { "checkpoints" };
+    return name;
+}
+
+Ledgers::Ledgers(Context& context, Peers& peers, const LogHealth& health, LedgerListener& listener)
+    : context_(context)
+{
+    for (std::uint32_t shard = 0; shard < context.settings().ledgerShards; ++shard) {
+        shards_.push_back(std::make_unique<ShardLedger>(context, peers, health, listener, shard));
+    }
+}
+
+void Ledgers::start()
+{
+    for (const auto& shard : shards_) {
+        shard->start();
+    }
+    askForCheckpoints();
+}
+
+void Ledgers::askForCheckpoints()
+{
+    const bool wanted = std::ranges::any_of(shards_, [](const auto& shard) { return shard->wantsCheckpoint(); });
+    if (!wanted || context_.now() < nextAsk_) {
+        return;
+    }
+    nextAsk_ = context_.now() + checkpointPause;
+    context_.emit(Follow { checkpointStream(), {}, StreamKind::KeyedOnce, {} });
+}
+
+void Ledgers::onCheckpoints(const KeyedRecords& records)
+{
+    for (const auto& shard : shards_) {
+        if (!shard->wantsCheckpoint()) {
+            continue;
+        }
+        const auto found = std::ranges::find(records.records, shard->stream().value(), &KeyedRecord::key);
+        const bool kept = found != records.records.end() && found->value;
+        shard->onCheckpoint(kept ? &*found->value : nullptr);
+    }
+}
+
+void Ledgers::onSuspected(Incarnation peer)
+{
+    for (const auto& shard : shards_) {
+        shard->onSuspected(peer);
+    }
+}
+
+void Ledgers::tick(bool leaving)
+{
+    for (const auto& shard : shards_) {
+        shard->tick(leaving);
+    }
+    askForCheckpoints();
+}
+
+ShardLedger* Ledgers::named(const StreamName& stream) const
+{
+    const auto found = std::ranges::find_if(shards_, [&](const auto& shard) { return shard->stream() == stream; });
+    return found == shards_.end() ? nullptr : found->get();
+}
+
+ShardLedger* Ledgers::numbered(std::uint32_t shard) const
+{
+    return shard < shards_.size() ? shards_[shard].get() : nullptr;
+}
+
+ShardLedger& Ledgers::of(const AccountId& account) const
+{
+    return *shards_[ledger::shardOf(account, context_.settings().ledgerShards)];
+}
+
+bool Ledgers::caughtUp() const
+{
+    return std::ranges::all_of(shards_, [](const auto& shard) { return shard->caughtUp(); });
+}
+
+bool Ledgers::drained() const
+{
+    return std::ranges::all_of(shards_, [](const auto& shard) { return shard->drained(); });
+}
+
+std::size_t Ledgers::unread() const
+{
+    std::size_t sum = 0;
+    for (const auto& shard : shards_) {
+        sum += shard->unread();
+    }
+    return sum;
+}
+
+std::vector<Incarnation> Ledgers::witnessed() const
+{
+    std::set<Incarnation> holders;
+    for (const auto& shard : shards_) {
+        const auto of = shard->witnessed();
+        holders.insert(of.begin(), of.end());
+    }
+    return { holders.begin(), holders.end() };
+}
+
+} // namespace swiftlift::node
--- a/src/node/OperatorView.cpp
+++ b/src/node/OperatorView.cpp
@@ -19,7 +19,7 @@
         const CoreSettings& settings = state.context().settings();
         const auto counts = state.peers().membership().counts();
         json positions = json::object();
-        for (const auto& shard : state.shards()) {
+        for (const auto& shard : state.ledgers().all()) {
             positions[shard->stream().value()] = shard->fold().nextOffset().value();
         }
         positions[Services::stream().value()] = state.services().fold().nextOffset().value();
@@ -35,7 +35,7 @@
     {
         json list = json::array();
         json holdings = json::array();
-        for (const auto& shard : state.shards()) {
+        for (const auto& shard : state.ledgers().all()) {
             for (const auto& ref : shard->fold().budgets()) {
                 const auto view = shard->fold().budget(ref);
                 list.push_back({ { "account", ref.account.value() }, { "budget", ref.budget.value() },
@@ -143,7 +143,7 @@
         if (!question) {
             return { { "error", "bad_request" } };
         }
-        const auto account = state.shardOf(question->account).fold().account(question->account);
+        const auto account = state.ledgers().of(question->account).fold().account(question->account);
         if (!account || account->keyHash != question->keyHash) {
             return { { "request", question->id }, { "error", "bad_key" } };
         }
--- /dev/null
+++ b/src/node/Passage.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "node/FleetBook.h"
+#include "swiftlift/ledger/Holder.h"
+#include "swiftlift/node/Passage.h"
+#include "swiftlift/request/Outcome.h"
+
+namespace swiftlift::node {
+
+enum class PassagePhase : std::uint8_t { WaitingForMoney, WaitingForBackend, Running };
+
+/** One request that is passed on as it came, in progress at this router. */
+struct Passage {
+    CallId id;
+    PassageFacts facts;
+    /** The configuration it came under stays its own, whatever comes into force meanwhile. */
+    RouteTablePtr table;
+    const fleet::Route* route = nullptr;
+    const fleet::Service* service = nullptr;
+    /** Nobody's: the route is open. */
+    const fleet::Account* account = nullptr;
+    std::uint32_t urgency = 0;
+    PassagePhase phase = PassagePhase::WaitingForMoney;
+    Instant arrived {};
+    /** The caller's own or that of the route, whichever comes first. */
+    Instant deadline {};
+    /** When the present phase began. */
+    Instant since {};
+    /** Most tokens that it can cost. */
+    Tokens cost;
+    std::optional<ledger::Reservation> reservation;
+    /** Set while Running. */
+    AttemptId attempt;
+    BackendId backend;
+    /** Backend servers it was sent to. */
+    std::uint32_t offers = 0;
+    /** Of these, how many may have run it. */
+    std::uint32_t runs = 0;
+    std::set<BackendId> excluded;
+    /** Events that the caller has been given. */
+    std::uint64_t events = 0;
+    /** The transport keeps a failure that a backend server answered with. */
+    bool failureKept = false;
+
+    [[nodiscard]] AccountId accountId() const { return account == nullptr ? AccountId {} : account->id; }
+    /** @return Whether another backend server may run it, though one may have run it already. */
+    [[nodiscard]] bool mayRunAgain() const { return events == 0 ? route->idempotent || route->resumable : route->resumable; }
+};
+
+/** Why a passage ends without an answer, and when asking again is worth it. */
+struct PassageRefusal {
+    int status = 503;
+    std::string reason;
+    std::string detail;
+    std::optional<Duration> retryAfter;
+};
+
+} // namespace swiftlift::node
--- /dev/null
+++ b/src/node/Passages.cpp
@@ -0,0 +1,198 @@
+#include "node/Passages.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace swiftlift::node {
+
+namespace internal {
+
+    [[nodiscard]] routing::SelectorSettings passageSelectorSettings(const CoreSettings& settings)
+    {
+        routing::SelectorSettings result;
+        result.domain = settings.domain;
+        result.seed = settings.seed;
+        return result;
+    }
+
+    /** Spreads requests over a route's targets by what is new with each of them. */
+    [[nodiscard]] std::uint64_t drawOf(const PassageFacts& facts) { return std::hash<std::string> {}(facts.id); }
+
+} // namespace internal
+
+const BudgetId& prepaidBudget()
+{
+    static const BudgetId name { "prepaid" };
+    return name;
+}
+
+Passages::Passages(Context& context, const FleetBook& fleet, routing::BackendTable& backends, Ledgers& ledgers,
+    std::function<std::uint32_t()> routers)
+    : context_(context)
+    , fleet_(fleet)
+    , backends_(backends)
+    , ledgers_(ledgers)
+    , routers_(std::move(routers))
+    , selector_(routing::makeSelector(
+          context.settings().routingPolicy, internal::passageSelectorSettings(context.settings())))
+{
+    assert(selector_ != nullptr && "the settings' check lets only known policies through");
+}
+
+void Passages::refuseAtOnce(CallId id, const PassageFacts& facts, std::string reason, std::string detail)
+{
+    const PassageRefusal why { 503, std::move(reason), std::move(detail), notReadyRetry };
+    logRefusal(facts.id, why, "not_run", {});
+    context_.emit(Reply { id, Outcome::NotRun, why.status, why.reason, why.detail, why.retryAfter, Tokens {} });
+}
+
+void Passages::arrive(CallId id, const PassageFacts& facts)
+{
+    context_.count("swiftlift_requests_total");
+    auto arrived = std::make_unique<Passage>();
+    arrived->id = id;
+    arrived->facts = facts;
+    arrived->table = fleet_.routes();
+    arrived->arrived = context_.now();
+    Passage& passage = *passages_.emplace(id, std::move(arrived)).first->second;
+    enter(passage, PassagePhase::WaitingForMoney);
+    if (!findRoute(passage) || !findAccount(passage) || !findService(passage)) {
+        return;
+    }
+    stateOf(passage).retries.onRequest(context_.now());
+    seekMoney(passage);
+}
+
+bool Passages::findRoute(Passage& passage)
+{
+    passage.route = passage.table->find(passage.facts.host, passage.facts.path);
+    if (passage.route == nullptr) {
+        giveUp(passage, { 404, "no_route", "no route for this host and path", std::nullopt });
+        return false;
+    }
+    const fleet::Route& route = *passage.route;
+    const Duration limit = std::min(passage.facts.deadline.value_or(route.timeLimit), route.timeLimit);
+    passage.deadline = passage.arrived + limit;
+    passage.urgency = route.urgency;
+    return true;
+}
+
+bool Passages::findAccount(Passage& passage)
+{
+    if (!passage.table->keysNeeded() || passage.route->open) {
+        return true;
+    }
+    passage.account = passage.table->accountOf(passage.facts.key);
+    if (passage.account == nullptr) {
+        giveUp(passage, { 401, "bad_key", "no account has this key", std::nullopt });
+        return false;
+    }
+    passage.urgency = passage.account->urgency.value_or(passage.urgency);
+    return true;
+}
+
+bool Passages::findService(Passage& passage)
+{
+    const ServiceName name = fleet::RouteTable::target(*passage.route, internal::drawOf(passage.facts));
+    passage.service = passage.table->service(name);
+    if (passage.service == nullptr) {
+        giveUp(passage, { 503, "no_service", "the route names no service that is configured", defaultRetryAfter });
+        return false;
+    }
+    if (passage.account != nullptr && passage.account->budget) {
+        passage.cost = passage.facts.promptTokens + passage.facts.maxAnswerTokens;
+    }
+    return true;
+}
+
+BudgetRef Passages::budgetOf(const Passage& passage) const { return { passage.accountId(), prepaidBudget() }; }
+
+RequestKey Passages::keyOf(const Passage& passage) const { return { context_.self().value(), passage.id.value() }; }
+
+void Passages::seekMoney(Passage& passage)
+{
+    if (passage.cost <= Tokens {}) {
+        seekBackend(passage);
+        return;
+    }
+    auto result = ledgers_.of(passage.accountId()).reserve(budgetOf(passage), keyOf(passage), passage.cost);
+    if (auto* reservation = std::get_if<ledger::Reservation>(&result)) {
+        passage.reservation = std::move(*reservation);
+        seekBackend(passage);
+        return;
+    }
+    const auto& shortage = std::get<ledger::Shortage>(result);
+    if (shortage.pending && context_.now() - passage.since < moneyPatience) {
+        return;
+    }
+    // "The balance does not cover it" may be said only where it is certain. Money that is merely elsewhere may be here
+    // a moment later, and a caller that is told to pay would not ask again.
+    const bool exhausted = shortage.reason == ledger::ShortReason::BudgetExhausted;
+    giveUp(passage,
+        { exhausted ? 402 : 503, exhausted ? "budget_exhausted" : "budget_elsewhere",
+            "short of " + std::to_string(passage.cost.value()), shortage.retryAfter });
+}
+
+void Passages::finishEvent()
+{
+    const auto arrived = std::exchange(moneyArrived_, {});
+    if (!arrived.empty()) {
+        retryForMoney([&](const Passage& passage) { return arrived.contains(budgetOf(passage)); });
+    }
+}
+
+void Passages::retryForMoney(const std::function<bool(const Passage&)>& wanted)
+{
+    std::vector<CallId> waiting;
+    for (const auto& [id, passage] : passages_) {
+        if (passage->phase == PassagePhase::WaitingForMoney && wanted(*passage)) {
+            waiting.push_back(id);
+        }
+    }
+    for (const CallId id : waiting) {
+        if (Passage* passage = find(id)) {
+            seekMoney(*passage);
+        }
+    }
+}
+
+void Passages::tick()
+{
+    expire();
+    if (context_.now() >= nextMoneyRetry_) {
+        nextMoneyRetry_ = context_.now() + moneyRetryPeriod;
+        retryForMoney([](const Passage&) { return true; });
+    }
+    for (const auto& [service, state] : services_) {
+        pump(service);
+    }
+}
+
+void Passages::enter(Passage& passage, PassagePhase phase)
+{
+    passage.phase = phase;
+    passage.since = context_.now();
+}
+
+Passages::ServiceState& Passages::stateOf(const Passage& passage)
+{
+    return services_
+        .try_emplace(passage.service->name,
+            ServiceState { routing::Admission(mostWaiting), routing::RetryShare(context_.settings().retries) })
+        .first->second;
+}
+
+Passage* Passages::find(CallId id)
+{
+    const auto found = passages_.find(id);
+    return found == passages_.end() ? nullptr : found->second.get();
+}
+
+Passage* Passages::ofAttempt(AttemptId attempt)
+{
+    const auto found = byAttempt_.find(attempt);
+    return found == byAttempt_.end() ? nullptr : find(found->second);
+}
+
+} // namespace swiftlift::node
--- /dev/null
+++ b/src/node/Passages.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "node/Context.h"
+#include "node/FleetBook.h"
+#include "node/Ledgers.h"
+#include "node/Passage.h"
+#include "swiftlift/routing/Admission.h"
+#include "swiftlift/routing/BackendTable.h"
+#include "swiftlift/routing/RetryShare.h"
+#include "swiftlift/routing/Selector.h"
+
+namespace swiftlift::node {
+
+/**
+ * @brief Takes each request that is passed on as it came from arrival to its one final answer.
+ *
+ * Arrival and money stand in Passages.cpp, the way to a backend server in PassagesDispatch.cpp, the end and its bill in
+ * PassagesEnd.cpp. A caller's id names one attempt of it and is never used again, so nothing is remembered of a request
+ * beyond its end.
+ */
+class Passages {
+public:
+    /** @param routers Routers of the fleet, for this router's share of what all may do together. */
+    Passages(Context& context, const FleetBook& fleet, routing::BackendTable& backends, Ledgers& ledgers,
+        std::function<std::uint32_t()> routers);
+
+    void arrive(CallId id, const PassageFacts& facts);
+    void refuseAtOnce(CallId id, const PassageFacts& facts, std::string reason, std::string detail);
+    void onProgress(const PassageProgress& progress);
+    void onEnded(const PassageEnded& ended);
+    void onAbandoned(const PassageAbandoned& abandoned);
+    void onMoneyArrived(const BudgetRef& budget) { moneyArrived_.insert(budget); }
+    void tick();
+    /** To be called after each event: tries again what waited for something that came with it. */
+    void finishEvent();
+
+    [[nodiscard]] std::size_t inProgress() const noexcept { return passages_.size(); }
+    /** @return The backend server of the attempt that ended last. */
+    [[nodiscard]] const BackendId& lastBackend() const noexcept { return lastBackend_; }
+
+private:
+    /** How long a request waits for money that is under way; a draw takes two passes of the log. */
+    static constexpr Duration moneyPatience = std::chrono::seconds(1);
+    static constexpr Duration moneyRetryPeriod = std::chrono::milliseconds(50);
+    /** Backend servers that one request is sent to at most, those that did not start it included. */
+    static constexpr std::uint32_t mostOffers = 4;
+    /** Requests of one service that one router lets wait for a backend server. */
+    static constexpr std::size_t mostWaiting = 256;
+    /** With less time left, no backend server is tried any more: an answer takes a round trip and some work. */
+    static constexpr Duration leastTimeLeft = std::chrono::milliseconds(20);
+    /** A repeatable whole answer that takes this many times its objective is sought elsewhere. */
+    static constexpr int silentObjectives = 3;
+    static constexpr Duration leastSilence = std::chrono::milliseconds(300);
+    /** A stream that may be resumed elsewhere is given up by its backend server's silence for so long. */
+    static constexpr Duration resumableSilence = std::chrono::milliseconds(2500);
+    static constexpr Duration notReadyRetry = std::chrono::milliseconds(500);
+    static constexpr Duration defaultRetryAfter = std::chrono::milliseconds(500);
+
+    /** What the requests of one service share. */
+    struct ServiceState {
+        routing::Admission admission;
+        routing::RetryShare retries;
+    };
+
+    // Arrival and money.
+    [[nodiscard]] bool findRoute(Passage& passage);
+    [[nodiscard]] bool findAccount(Passage& passage);
+    [[nodiscard]] bool findService(Passage& passage);
+    void seekMoney(Passage& passage);
+    [[nodiscard]] BudgetRef budgetOf(const Passage& passage) const;
+    [[nodiscard]] RequestKey keyOf(const Passage& passage) const;
+    void retryForMoney(const std::function<bool(const Passage&)>& wanted);
+
+    // The way to a backend server.
+    void seekBackend(Passage& passage);
+    [[nodiscard]] bool admitted(Passage& passage, const routing::Admitted& verdict);
+    void dispatch(Passage& passage, const routing::Choice& choice);
+    void tryElsewhere(Passage& passage, const PassageEnded& ended);
+    [[nodiscard]] std::string objectionToRepeat(Passage& passage);
+    void pump(const ServiceName& service);
+    [[nodiscard]] routing::SelectRequest selectRequest(const Passage& passage) const;
+    [[nodiscard]] routing::WaitingCall waitingCall(const Passage& passage) const;
+    [[nodiscard]] std::optional<Duration> silenceLimit(const Passage& passage) const;
+
+    // The end.
+    void complete(Passage& passage, const PassageEnded& ended);
+    void giveUp(Passage& passage, const PassageRefusal& why);
+    void passFailureOn(Passage& passage, const std::string& why);
+    void cancelAttempt(Passage& passage);
+    void closeAttempt(Passage& passage, routing::EndKind kind);
+    void settle(Passage& passage, Tokens actual);
+    [[nodiscard]] Tokens used(const Passage& passage) const;
+    void end(Passage& passage);
+    void expire();
+    void logRefusal(const std::string& id, const PassageRefusal& why, const char* outcome, Duration after);
+
+    [[nodiscard]] ServiceState& stateOf(const Passage& passage);
+    [[nodiscard]] Passage* find(CallId id);
+    [[nodiscard]] Passage* ofAttempt(AttemptId attempt);
+    void enter(Passage& passage, PassagePhase phase);
+
+    Context& context_;
+    const FleetBook& fleet_;
+    routing::BackendTable& backends_;
+    Ledgers& ledgers_;
+    std::function<std::uint32_t()> routers_;
+    std::unique_ptr<routing::Selector> selector_;
+    std::map<CallId, std::unique_ptr<Passage>> passages_;
+    std::map<AttemptId, CallId> byAttempt_;
+    std::map<ServiceName, ServiceState> services_;
+    /** Budgets with new money since the last event; tried only after it, as reserving may bring more. */
+    std::set<BudgetRef> moneyArrived_;
+    BackendId lastBackend_;
+    std::uint64_t lastAttempt_ = 0;
+    Instant nextMoneyRetry_ {};
+};
+
+/** Name of the one budget of an account that the fleet's configuration gives one. */
+[[nodiscard]] const BudgetId& prepaidBudget();
+
+} // namespace swiftlift::node
--- /dev/null
+++ b/src/node/PassagesDispatch.cpp
@@ -0,0 +1,285 @@
+#include <algorithm>
+#include <utility>
+
+#include "node/Passages.h"
+
+namespace swiftlift::node {
+
+namespace internal {
+
+    [[nodiscard]] Priority priorityOf(std::uint32_t urgency)
+    {
+        if (urgency == 0) {
+            return Priority::Interactive;
+        }
+        return urgency == 1 ? Priority::Normal : Priority::Batch;
+    }
+
+    /** The deepest part of the prompt that other requests may share; the last part is the request's own. */
+    [[nodiscard]] std::uint64_t sharedPrefix(const std::vector<PrefixPart>& parts)
+    {
+        if (parts.empty()) {
+            return 0;
+        }
+        return parts.size() == 1 ? parts.front().hash : parts[parts.size() - 2].hash;
+    }
+
+    [[nodiscard]] routing::EndKind toEndKind(PassageEnd end)
+    {
+        switch (end) {
+        case PassageEnd::Completed:
+            return routing::EndKind::Completed;
+        case PassageEnd::Refused:
+            return routing::EndKind::NotStarted;
+        case PassageEnd::Misdirected:
+            return routing::EndKind::Leaving;
+        case PassageEnd::Unreachable:
+        case PassageEnd::Failed:
+        case PassageEnd::Broken:
+            return routing::EndKind::Broken;
+        }
+        return routing::EndKind::Broken;
+    }
+
+    [[nodiscard]] const char* toText(PassageEnd end)
+    {
+        switch (end) {
+        case PassageEnd::Completed:
+            return "completed";
+        case PassageEnd::Unreachable:
+            return "unreachable";
+        case PassageEnd::Refused:
+            return "refused";
+        case PassageEnd::Misdirected:
+            return "misdirected";
+        case PassageEnd::Failed:
+            return "failed";
+        case PassageEnd::Broken:
+            return "broken";
+        }
+        return "broken";
+    }
+
+} // namespace internal
+
+routing::SelectRequest Passages::selectRequest(const Passage& passage) const
+{
+    routing::SelectRequest request;
+    request.service = passage.service->name;
+    request.priority = internal::priorityOf(passage.urgency);
+    request.idempotent = passage.mayRunAgain();
+    request.excluded = passage.excluded;
+    if (passage.route->sharesPrefixes && !passage.facts.prefix.empty()) {
+        request.prefixHash = internal::sharedPrefix(passage.facts.prefix);
+        // What is shared is taken to be cached where the request goes, so only its own part costs time.
+        request.promptTokens = passage.facts.prefix.back().tokens;
+    }
+    return request;
+}
+
+routing::WaitingCall Passages::waitingCall(const Passage& passage) const
+{
+    return { passage.id, passage.accountId(), 1, std::max(passage.cost, Tokens { 1 }),
+        internal::priorityOf(passage.urgency), passage.deadline };
+}
+
+std::optional<Duration> Passages::silenceLimit(const Passage& passage) const
+{
+    // A backend server's silence is no reason to end what can't be had elsewhere.
+    if (!passage.mayRunAgain() || passage.runs + 1 >= passage.route->mostServers) {
+        return std::nullopt;
+    }
+    if (passage.route->answer == fleet::AnswerKind::Events) {
+        return resumableSilence;
+    }
+    return std::max<Duration>(passage.route->objective * silentObjectives, leastSilence);
+}
+
+void Passages::seekBackend(Passage& passage)
+{
+    enter(passage, PassagePhase::WaitingForBackend);
+    const auto choice = selector_->choose(selectRequest(passage), backends_, context_.now());
+    if (!choice && selector_->noChoice() == routing::NoChoice::NoBackend) {
+        if (passage.failureKept) {
+            passFailureOn(passage, selector_->lastReason());
+        } else {
+            giveUp(passage, { 503, "no_backend", selector_->lastReason(), selector_->retryAfter() });
+        }
+        return;
+    }
+    const auto predicted
+        = choice ? std::optional<Duration> { choice->predictedFirstToken } : std::optional<Duration> {};
+    const auto verdict = stateOf(passage).admission.admit(waitingCall(passage), predicted, context_.now());
+    if (admitted(passage, verdict) && choice) {
+        dispatch(passage, *choice);
+    }
+}
+
+bool Passages::admitted(Passage& passage, const routing::Admitted& verdict)
+{
+    const CallId id = passage.id;
+    for (const CallId displaced : verdict.displaced) {
+        if (Passage* loser = find(displaced)) {
+            giveUp(*loser, { 429, "account_over_share", "gave way to accounts below their share", defaultRetryAfter });
+        }
+    }
+    if (verdict.verdict != routing::Verdict::Refuse) {
+        return verdict.verdict == routing::Verdict::Dispatch;
+    }
+    const bool overShare = verdict.refusal == routing::AdmissionRefusal::AccountOverShare;
+    if (Passage* refused = find(id)) {
+        giveUp(*refused,
+            { overShare ? 429 : 503, routing::toText(verdict.refusal), verdict.detail, verdict.retryAfter });
+    }
+    return false;
+}
+
+void Passages::pump(const ServiceName& service)
+{
+    const auto state = services_.find(service);
+    if (state == services_.end()) {
+        return;
+    }
+    routing::FairQueue& waiting = state->second.admission.queue();
+    while (const auto next = waiting.peek()) {
+        Passage* passage = find(next->call);
+        if (passage == nullptr) {
+            waiting.remove(next->call);
+            continue;
+        }
+        const auto choice = selector_->choose(selectRequest(*passage), backends_, context_.now());
+        if (!choice && selector_->noChoice() != routing::NoChoice::NoBackend) {
+            return;
+        }
+        (void)waiting.pop(context_.now());
+        if (choice) {
+            dispatch(*passage, *choice);
+        } else {
+            giveUp(*passage, { 503, "no_backend", selector_->lastReason(), selector_->retryAfter() });
+        }
+    }
+}
+
+void Passages::dispatch(Passage& passage, const routing::Choice& choice)
+{
+    const fleet::BackendServer* server = fleet_.server(choice.backend);
+    if (server == nullptr) {
+        giveUp(passage, { 503, "no_backend", "the backend server is not registered any more", defaultRetryAfter });
+        return;
+    }
+    enter(passage, PassagePhase::Running);
+    passage.attempt = AttemptId { ++lastAttempt_ };
+    passage.backend = choice.backend;
+    ++passage.offers;
+    byAttempt_[passage.attempt] = passage.id;
+    const auto& own = passage.facts.prefix;
+    const Tokens toRead = own.empty() ? passage.facts.promptTokens : own.back().tokens;
+    backends_.onDispatched(choice.backend, passage.attempt, { 0, toRead, choice.predictedFirstToken }, context_.now());
+    context_.log(Line("route")
+                     .with("request", passage.facts.id)
+                     .with("account", passage.accountId().value())
+                     .with("route", passage.route->name.value())
+                     .with("config", static_cast<std::int64_t>(passage.table->config().version))
+                     .with("service", passage.service->name.value())
+                     .with("backend", choice.backend.value())
+                     .with("offer", static_cast<std::int64_t>(passage.offers))
+                     .with("after_event", static_cast<std::int64_t>(passage.events))
+                     .with("waited_ms", toMilliseconds(context_.now() - passage.arrived))
+                     .with("left_ms", toMilliseconds(passage.deadline - context_.now()))
+                     .with("predicted_first_ms", toMilliseconds(choice.predictedFirstToken))
+                     .with("reason", choice.reason));
+    PassOn order;
+    order.call = passage.id;
+    order.attempt = passage.attempt;
+    order.backend = choice.backend;
+    order.address = server->address;
+    order.account = passage.accountId();
+    order.urgency = passage.urgency;
+    order.timeLeft = passage.deadline - context_.now();
+    order.answer = passage.route->answer;
+    order.resume = passage.events > 0;
+    order.silenceLimit = silenceLimit(passage);
+    context_.emit(std::move(order));
+}
+
+void Passages::onProgress(const PassageProgress& progress)
+{
+    Passage* passage = ofAttempt(progress.attempt);
+    if (passage == nullptr) {
+        return;
+    }
+    const bool first = passage->events == 0 && progress.events > 0;
+    passage->events = std::max(passage->events, progress.events);
+    if (first) {
+        backends_.onFirstToken(passage->backend, passage->attempt, context_.now());
+        stateOf(*passage).admission.onFirstToken(context_.now() - passage->since);
+    }
+}
+
+void Passages::onEnded(const PassageEnded& ended)
+{
+    Passage* passage = ofAttempt(ended.attempt);
+    if (passage == nullptr) {
+        // A late word on an attempt that was given up: its caller has its final answer already.
+        return;
+    }
+    const ServiceName service = passage->service->name;
+    lastBackend_ = passage->backend;
+    passage->events = std::max(passage->events, ended.events);
+    if (ended.end == PassageEnd::Completed && passage->route->answer == fleet::AnswerKind::Whole) {
+        backends_.onFirstToken(passage->backend, passage->attempt, context_.now());
+    }
+    closeAttempt(*passage, internal::toEndKind(ended.end));
+    if (ended.end == PassageEnd::Completed) {
+        complete(*passage, ended);
+    } else {
+        tryElsewhere(*passage, ended);
+    }
+    pump(service);
+}
+
+void Passages::tryElsewhere(Passage& passage, const PassageEnded& ended)
+{
+    const bool mayHaveRun = ended.end == PassageEnd::Failed || ended.end == PassageEnd::Broken;
+    passage.runs += mayHaveRun ? 1 : 0;
+    passage.failureKept = passage.failureKept || ended.end == PassageEnd::Failed;
+    context_.log(Line("attempt_failed")
+                     .with("request", passage.facts.id)
+                     .with("backend", passage.backend.value())
+                     .with("end", internal::toText(ended.end))
+                     .with("status", static_cast<std::int64_t>(ended.status))
+                     .with("events", static_cast<std::int64_t>(passage.events))
+                     .with("detail", ended.detail));
+    const std::string objection = objectionToRepeat(passage);
+    if (objection.empty()) {
+        seekBackend(passage);
+    } else if (passage.failureKept) {
+        passFailureOn(passage, objection);
+    } else if (passage.runs > 0) {
+        giveUp(passage, { 502, "backend_lost", ended.detail + "; " + objection, std::nullopt });
+    } else {
+        giveUp(passage, { 503, "not_started", ended.detail + "; " + objection, defaultRetryAfter });
+    }
+}
+
+std::string Passages::objectionToRepeat(Passage& passage)
+{
+    if (passage.runs > 0 && !passage.mayRunAgain()) {
+        return "it may run only once";
+    }
+    if (passage.runs >= passage.route->mostServers) {
+        return "as many backend servers as the route allows may have run it";
+    }
+    if (passage.offers >= mostOffers) {
+        return "offered to enough backend servers";
+    }
+    if (passage.deadline - context_.now() < leastTimeLeft) {
+        return "no time left";
+    }
+    if (!stateOf(passage).retries.take(routers_(), context_.now())) {
+        return "this router's share of the fleet's retries is used up";
+    }
+    return {};
+}
+
+} // namespace swiftlift::node
--- /dev/null
+++ b/src/node/PassagesEnd.cpp
@@ -0,0 +1,176 @@
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "node/Passages.h"
+
+namespace swiftlift::node {
+
+namespace {
+
+    constexpr int statusTooMany = 429;
+    constexpr int statusBadGateway = 502;
+    constexpr int statusUnavailable = 503;
+
+} // namespace
+
+void Passages::complete(Passage& passage, const PassageEnded& ended)
+{
+    passage.runs += 1;
+    const Tokens billed = used(passage);
+    settle(passage, billed);
+    context_.log(Line("answered")
+                     .with("request", passage.facts.id)
+                     .with("account", passage.accountId().value())
+                     .with("backend", passage.backend.value())
+                     .with("status", static_cast<std::int64_t>(ended.status))
+                     .with("events", static_cast<std::int64_t>(passage.events))
+                     .with("billed", billed.value())
+                     .with("took_ms", toMilliseconds(context_.now() - passage.arrived)));
+    context_.count("swiftlift_answers_total");
+    end(passage);
+}
+
+void Passages::passFailureOn(Passage& passage, const std::string& why)
+{
+    settle(passage, used(passage));
+    context_.log(Line("failure_passed_on")
+                     .with("request", passage.facts.id)
+                     .with("account", passage.accountId().value())
+                     .with("backend", passage.backend.value())
+                     .with("not_repeated", why)
+                     .with("took_ms", toMilliseconds(context_.now() - passage.arrived)));
+    context_.count("swiftlift_failures_passed_on_total");
+    context_.emit(PassFailureOn { passage.id });
+    end(passage);
+}
+
+void Passages::giveUp(Passage& passage, const PassageRefusal& why)
+{
+    const bool running = passage.phase == PassagePhase::Running && passage.attempt != AttemptId {};
+    passage.runs += running ? 1 : 0;
+    cancelAttempt(passage);
+    // How many events the caller has been given by now, only the transport knows: the whole reservation covers them.
+    const bool cutStream = running && passage.events > 0;
+    settle(passage, cutStream ? passage.cost : used(passage));
+    const Outcome outcome = passage.runs > 0 ? Outcome::Unknown : Outcome::NotRun;
+    PassageRefusal told = why;
+    // These statuses say that a request has not run. Of one that may have run, that would be a lie.
+    if (passage.runs > 0 && (why.status == statusTooMany || why.status == statusUnavailable)) {
+        told.status = statusBadGateway;
+    }
+    logRefusal(passage.facts.id, told, toText(outcome), context_.now() - passage.arrived);
+    context_.emit(Reply { passage.id, outcome, told.status, told.reason, told.detail, told.retryAfter, Tokens {} });
+    end(passage);
+}
+
+void Passages::logRefusal(const std::string& id, const PassageRefusal& why, const char* outcome, Duration after)
+{
+    context_.log(Line("refuse")
+                     .with("request", id)
+                     .with("outcome", outcome)
+                     .with("status", static_cast<std::int64_t>(why.status))
+                     .with("reason", why.reason)
+                     .with("detail", why.detail)
+                     .with("retry_after_ms", why.retryAfter ? toMilliseconds(*why.retryAfter) : -1)
+                     .with("after_ms", toMilliseconds(after)));
+    context_.count("swiftlift_refusals_total", { { "reason", why.reason } });
+}
+
+void Passages::onAbandoned(const PassageAbandoned& abandoned)
+{
+    Passage* passage = find(abandoned.call);
+    if (passage == nullptr) {
+        return;
+    }
+    passage->events = std::max(passage->events, abandoned.events);
+    const ServiceName service = passage->service->name;
+    passage->runs += passage->phase == PassagePhase::Running ? 1 : 0;
+    cancelAttempt(*passage);
+    const Tokens billed = used(*passage);
+    settle(*passage, billed);
+    context_.log(Line("caller_gone")
+                     .with("request", passage->facts.id)
+                     .with("account", passage->accountId().value())
+                     .with("events", static_cast<std::int64_t>(passage->events))
+                     .with("billed", billed.value())
+                     .with("after_ms", toMilliseconds(context_.now() - passage->arrived)));
+    end(*passage);
+    pump(service);
+}
+
+void Passages::cancelAttempt(Passage& passage)
+{
+    if (passage.phase != PassagePhase::Running || passage.attempt == AttemptId {}) {
+        return;
+    }
+    context_.emit(CancelAttempt { passage.attempt });
+    closeAttempt(passage, routing::EndKind::Cancelled);
+}
+
+void Passages::closeAttempt(Passage& passage, routing::EndKind kind)
+{
+    backends_.onFinished(passage.backend, passage.attempt, { kind, Tokens {}, Tokens {} }, context_.now());
+    byAttempt_.erase(passage.attempt);
+    passage.excluded.insert(passage.backend);
+    passage.attempt = AttemptId {};
+}
+
+// The prompt counts once for a request that may have run, and of the answer what the caller was given. Whether a
+// request that broke off before its first event ran at all, nobody can say; counted, no account is ever used beyond
+// what it paid.
+Tokens Passages::used(const Passage& passage) const
+{
+    if (passage.runs == 0) {
+        return {};
+    }
+    const std::uint64_t perEvent = passage.service->engine ? passage.service->engine->tokensPerEvent : 1;
+    const Tokens answer { static_cast<std::int64_t>(passage.events * perEvent) };
+    return passage.facts.promptTokens + std::min(answer, passage.facts.maxAnswerTokens);
+}
+
+void Passages::settle(Passage& passage, Tokens actual)
+{
+    if (!passage.reservation) {
+        return;
+    }
+    ShardLedger& shard = ledgers_.of(passage.accountId());
+    if (actual > Tokens {}) {
+        (void)shard.settle(*passage.reservation, std::min(actual, passage.reservation->amount));
+    } else {
+        shard.release(*passage.reservation);
+    }
+    passage.reservation.reset();
+}
+
+void Passages::end(Passage& passage)
+{
+    if (passage.service != nullptr) {
+        stateOf(passage).admission.queue().remove(passage.id);
+    }
+    passages_.erase(passage.id);
+}
+
+void Passages::expire()
+{
+    std::vector<std::pair<CallId, PassageRefusal>> over;
+    for (auto& [service, state] : services_) {
+        for (const CallId id : state.admission.expire(context_.now())) {
+            over.push_back({ id, { 503, "deadline_too_short", "waited as long as it could", defaultRetryAfter } });
+        }
+    }
+    for (const auto& [id, passage] : passages_) {
+        if (context_.now() < passage->deadline) {
+            continue;
+        }
+        const bool running = passage->phase == PassagePhase::Running || passage->runs > 0;
+        over.push_back({ id, { running ? 504 : 503, "deadline_passed", "", std::nullopt } });
+    }
+    for (const auto& [id, why] : over) {
+        if (Passage* passage = find(id)) {
+            giveUp(*passage, why);
+        }
+    }
+}
+
+} // namespace swiftlift::node
--- a/src/node/ShardLedger.cpp
+++ b/src/node/ShardLedger.cpp
@@ -6,6 +6,7 @@
 #include <set>
 #include <utility>
 
+#include "node/Ledgers.h"
 #include "swiftlift/ledger/EntryCodec.h"
 #include "swiftlift/ledger/HoldingPolicy.h"
 #include "swiftlift/ledger/Shard.h"
@@ -18,11 +19,20 @@
     {
         ledger::PolicySettings figures;
         figures.splitBetween = settings.splitWays;
+        figures.watermarks = settings.watermarks;
+        figures.stockPercent = settings.stockPercent;
         auto policy = ledger::makePolicy(settings.moneyPolicy, figures);
         assert(policy != nullptr && "the settings' check lets only known policies through");
         return policy;
     }
 
+    [[nodiscard]] ledger::FoldLimits foldLimits(const CoreSettings& settings)
+    {
+        ledger::FoldLimits limits;
+        limits.keys = settings.ledger.keysRemembered;
+        return limits;
+    }
+
     [[nodiscard]] const char* toText(ledger::GrantState state)
     {
         switch (state) {
@@ -46,17 +56,53 @@
     , listener_(listener)
     , shard_(shard)
     , stream_(ledger::ledgerStream(shard))
+    , fold_(internal::foldLimits(context.settings()))
     , outbox_(context.self())
     , holder_(context.self(), internal::policyOf(context.settings()), fold_)
     , witness_(context.self(), fold_)
     , copies_(fold_)
-    , checkpoints_(checkpointInterval, context.settings().seed ^ std::hash<std::string> {}(stream_.value()))
+    , checkpoints_(
+          context.settings().ledger.checkpointInterval, context.settings().seed ^ std::hash<std::string> {}(stream_.value()))
+    , random_(context.settings().seed)
 {
 }
 
-void ShardLedger::start() { follow(fold_.nextOffset()); }
+void ShardLedger::start()
+{
+    // A reader that begins at the oldest record kept, where older ones have expired, would be told so anyway.
+    wantsCheckpoint_ = checkpointsApart();
+    if (!wantsCheckpoint_) {
+        follow(fold_.nextOffset());
+    }
+}
 
-void ShardLedger::follow(Offset from) { context_.emit(Follow { stream_, from }); }
+void ShardLedger::follow(Offset from)
+{
+    context_.emit(Follow { stream_, from, StreamKind::Plain, context_.settings().ledger.readPause });
+}
+
+bool ShardLedger::checkpointsApart() const noexcept
+{
+    return context_.settings().ledger.checkpoints == CheckpointPlace::Apart;
+}
+
+void ShardLedger::onCheckpoint(const std::string* record)
+{
+    wantsCheckpoint_ = false;
+    std::string reason;
+    const auto batch = record == nullptr ? std::nullopt : ledger::decodeBatch(*record, reason);
+    if (record != nullptr && !batch) {
+        context_.log(Line("ledger").with("change", "bad_checkpoint").with("reason", reason));
+    }
+    for (const auto& item : batch.value_or(ledger::Batch {}).items) {
+        const auto* checkpoint = std::get_if<ledger::Checkpoint>(&item.entry);
+        if (checkpoint != nullptr && checkpoint->asOf > fold_.nextOffset()) {
+            restoreFrom(*checkpoint, "kept apart");
+            return;
+        }
+    }
+    follow(fold_.nextOffset());
+}
 
 void ShardLedger::onRecords(const LogRecords& records)
 {
@@ -109,10 +155,10 @@
     }
 }
 
-Duration ShardLedger::checkpointIntervalOf(std::size_t bytes)
+Duration ShardLedger::checkpointIntervalOf(std::size_t bytes) const
 {
     const Duration fair = std::chrono::seconds(bytes / checkpointBytesPerSecond);
-    return std::clamp(fair, checkpointInterval, longestCheckpointInterval);
+    return std::clamp(fair, context_.settings().ledger.checkpointInterval, longestCheckpointInterval);
 }
 
 void ShardLedger::onExpired(Offset oldest)
@@ -128,8 +174,12 @@
                      .with("change", "expired")
                      .with("stream", stream_.value())
                      .with("oldest", static_cast<std::int64_t>(oldest.value())));
-    seekFrom_ = oldest;
     caughtUp_ = false;
+    if (checkpointsApart()) {
+        wantsCheckpoint_ = true;
+        return;
+    }
+    seekFrom_ = oldest;
     follow(oldest);
 }
 
@@ -222,6 +272,7 @@
     ledger::Surroundings surroundings;
     surroundings.logReachable = logInReach();
     surroundings.stopping = stopping;
+    surroundings.routers = static_cast<std::uint32_t>(peers_.membership().counts().alive) + 1;
     surroundings.witness = peers_.membership().witness();
     constexpr std::size_t lenders = 3;
     surroundings.lenders = peers_.membership().lenders(lenders);
@@ -229,6 +280,7 @@
     holder_.onTick(now, surroundings, actions);
     carryOut(actions);
     appendCheckpointWhenDue();
+    fundWhenDue();
     flush();
     if (now >= nextRelay_) {
         nextRelay_ = now + relayPeriod;
@@ -252,13 +304,56 @@
 void ShardLedger::appendCheckpointWhenDue()
 {
     const bool worthIt = caughtUp_ && health_.reachable(context_.now()) && fold_.nextOffset().value() > 0;
-    if (worthIt && checkpoints_.due(context_.now())) {
+    if (!worthIt || !checkpoints_.due(context_.now())) {
+        return;
+    }
+    if (checkpointsApart()) {
+        keepCheckpointApart();
+    } else {
         append(fold_.checkpoint());
     }
 }
 
+// Nobody reads the others' checkpoints, so nobody knows that one was just kept: the interval is the fleet's, and each
+// router takes its turn once in as many intervals as there are routers.
+void ShardLedger::keepCheckpointApart()
+{
+    const auto routers = static_cast<std::int64_t>(peers_.membership().counts().alive) + 1;
+    checkpoints_.setInterval(context_.settings().ledger.checkpointInterval * routers);
+    ledger::Batch batch;
+    batch.items.push_back({ context_.self(), 1, fold_.checkpoint() });
+    context_.emit(Append { Ledgers::checkpointStream(), ledger::encode(batch), stream_.value() });
+}
+
+void ShardLedger::fund(const BudgetRef& budget, Tokens total)
+{
+    const auto stagger = static_cast<std::uint64_t>(fundStagger.count() + 1);
+    funding_[budget] = { total, context_.now() + Duration { static_cast<Duration::rep>(random_() % stagger) } };
+    holder_.stock(budget);
+}
+
+void ShardLedger::fundWhenDue()
+{
+    if (!caughtUp_ || !health_.reachable(context_.now())) {
+        return;
+    }
+    for (auto& [budget, funding] : funding_) {
+        const auto view = fold_.budget(budget);
+        const bool funded = view && view->bought >= funding.total;
+        if (funded || context_.now() < funding.due) {
+            continue;
+        }
+        funding.due = context_.now() + fundRepeat;
+        context_.log(Line("fund").with("budget", toText(budget)).with("total", funding.total.value()));
+        append(ledger::Fund { budget, funding.total });
+    }
+}
+
 Duration ShardLedger::batchPeriod() const
 {
+    if (const auto set = context_.settings().ledger.batchPeriod) {
+        return *set;
+    }
     const auto routers = static_cast<std::int64_t>(peers_.membership().counts().alive) + 1;
     const auto streams = static_cast<std::int64_t>(context_.settings().ledgerShards);
     const Duration fair = Duration(std::chrono::seconds(1)) * (routers * streams) / unhurriedAppends;
--- a/src/node/ShardLedger.h
+++ b/src/node/ShardLedger.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <variant>
@@ -59,6 +60,10 @@
 
     void start();
     void onRecords(const LogRecords& records);
+    /** @return True while it needs the newest checkpoint that is kept apart. */
+    [[nodiscard]] bool wantsCheckpoint() const noexcept { return wantsCheckpoint_; }
+    /** @param record The newest checkpoint that is kept apart; null when there is none. */
+    void onCheckpoint(const std::string* record);
     /** The log no longer has what was asked for. */
     void onExpired(Offset oldest);
     /** A peer's state, after every record below `asOf`. */
@@ -77,6 +82,8 @@
     /** @return Whether a caller may be told of the bill that this item is. */
     [[nodiscard]] BillState billState(std::uint64_t sequence, const GrantId& grantId, bool alone) const;
     [[nodiscard]] bool answersAlone(const ledger::Reservation& reservation) const;
+    /** Sees to it that the budget holds so much in all, and that a share of it is held here. */
+    void fund(const BudgetRef& budget, Tokens total);
     void setWeighting(const BudgetRef& budget, ledger::Weighting weighting);
     /** Sends what is new to the witness and the log, without waiting for the next tick. */
     void flush();
@@ -106,10 +113,12 @@
     /** How long a sealed grant stays open for what its holder, if it was only paused, has still to bill. */
     static constexpr Duration closeGrace = std::chrono::seconds(10);
     static constexpr Duration relayPeriod = std::chrono::milliseconds(500);
-    static constexpr Duration checkpointInterval = std::chrono::seconds(30);
     static constexpr Duration longestCheckpointInterval = std::chrono::minutes(5);
     /** What checkpoints may add to what each reader of the stream reads. */
     static constexpr std::size_t checkpointBytesPerSecond = 1000;
+    /** All routers read a new total at the same moment; each writes it only if nobody has within this time. */
+    static constexpr Duration fundStagger = std::chrono::milliseconds(300);
+    static constexpr Duration fundRepeat = std::chrono::seconds(2);
 
     void follow(Offset from);
     void applyRecord(Offset offset, const std::string& record);
@@ -127,8 +136,11 @@
     void appendRecord(std::string record);
     void sendToShard(Incarnation to, PeerMessage message);
     void askPeer();
-    [[nodiscard]] static Duration checkpointIntervalOf(std::size_t bytes);
+    [[nodiscard]] Duration checkpointIntervalOf(std::size_t bytes) const;
     void appendCheckpointWhenDue();
+    void keepCheckpointApart();
+    void fundWhenDue();
+    [[nodiscard]] bool checkpointsApart() const noexcept;
 
     Context& context_;
     Peers& peers_;
@@ -163,6 +175,14 @@
     Instant nextReadAsk_ {};
     bool caughtUp_ = false;
     bool holeReported_ = false;
+    bool wantsCheckpoint_ = false;
+    /** What the configuration says that budgets hold in all, and when it may next be written. */
+    struct Funding {
+        Tokens total;
+        Instant due {};
+    };
+    std::map<BudgetRef, Funding> funding_;
+    std::mt19937_64 random_;
 };
 
 } // namespace swiftlift::node
--- a/src/routing/Backend.cpp
+++ b/src/routing/Backend.cpp
@@ -23,7 +23,7 @@
     : entry_(std::move(entry))
     , settings_(settings)
     , prefill_(&prefill)
-    , load_(settings)
+    , load_(settings, entry_.slots)
     , cache_(settings.prefixesKept, lengths)
     , breaker_(settings, seed)
 {
@@ -144,7 +144,7 @@
         pausedUntil_ = now + settings_.fullPause;
         // "Full" is not a fault: breakers that open under overload would shrink what is left. But one that doesn't
         // answer its polls either refused the connection, not the request.
-        if (missed_ || !reported_) {
+        if (missed_ || (settings_.polled && !reported_)) {
             breaker_.onFailure(attempt, now);
         }
         breaker_.onNothingLearnt(attempt);
--- a/src/routing/LoadEstimate.cpp
+++ b/src/routing/LoadEstimate.cpp
@@ -11,10 +11,10 @@
 
 } // namespace
 
-LoadEstimate::LoadEstimate(const TableSettings& settings)
+LoadEstimate::LoadEstimate(const TableSettings& settings, std::uint32_t slots)
     : lag_(settings.reportLag)
     , lifetime_(settings.reportLifetime)
-    , slots_(std::max<std::uint32_t>(settings.assumedSlots, 1))
+    , slots_(std::max<std::uint32_t>(slots > 0 ? slots : settings.assumedSlots, 1))
     , hold_(settings.assumedHold)
     , step_(settings.assumedStep)
 {
--- a/src/routing/LoadEstimate.h
+++ b/src/routing/LoadEstimate.h
@@ -22,7 +22,8 @@
  */
 class LoadEstimate {
 public:
-    explicit LoadEstimate(const TableSettings& settings);
+    /** @param slots Requests the backend server runs at once; 0: not told. */
+    LoadEstimate(const TableSettings& settings, std::uint32_t slots);
 
     void onReport(const LoadReport& report, Instant now);
     void onDispatched(AttemptId attempt, Instant now);
--- /dev/null
+++ b/src/routing/RendezvousSelector.cpp
@@ -0,0 +1,88 @@
+#include "routing/RendezvousSelector.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <utility>
+
+namespace swiftlift::routing {
+
+namespace {
+
+    /** An engine may always have this many in flight from one router: below it, the mean says little. */
+    constexpr std::uint32_t leastBound = 4;
+    /** Beyond it, an engine may have this multiple of the mean; 1.25 to 2 are usual for bounded loads. */
+    constexpr std::uint32_t boundFactor = 2;
+
+    /** Finalizer of SplitMix64: every bit of the input moves every bit of the result. */
+    [[nodiscard]] std::uint64_t mix(std::uint64_t value) noexcept
+    {
+        value += 0x9E3779B97F4A7C15U;
+        value = (value ^ (value >> 30U)) * 0xBF58476D1CE4E5B9U;
+        value = (value ^ (value >> 27U)) * 0x94D049BB133111EBU;
+        return value ^ (value >> 31U);
+    }
+
+    /** FNV-1a: the same on every router, whatever its library's own hash is. */
+    [[nodiscard]] std::uint64_t hashOf(const std::string& text) noexcept
+    {
+        std::uint64_t hash = 0xCBF29CE484222325U;
+        for (const char letter : text) {
+            hash = (hash ^ static_cast<unsigned char>(letter)) * 0x100000001B3U;
+        }
+        return hash;
+    }
+
+    [[nodiscard]] Choice choiceOf(const BackendView& view, std::string reason)
+    {
+        return { view.backend, view.predictedFirstToken, std::move(reason), {}, false };
+    }
+
+} // namespace
+
+Choice RendezvousSelector::pick(const SelectRequest& request, const std::vector<BackendView>& candidates)
+{
+    if (request.prefixHash == 0) {
+        return leastLoaded(candidates);
+    }
+    std::uint32_t inFlight = 0;
+    for (const BackendView& view : candidates) {
+        inFlight += view.inFlight;
+    }
+    const auto count = static_cast<std::uint32_t>(candidates.size());
+    const std::uint32_t bound = std::max(leastBound, boundFactor * (inFlight + count) / count);
+    const BackendView* best = nullptr;
+    const BackendView* home = nullptr;
+    std::uint64_t bestRank = 0;
+    std::uint64_t homeRank = 0;
+    for (const BackendView& view : candidates) {
+        const std::uint64_t rank = mix(request.prefixHash ^ mix(hashOf(view.backend.value())));
+        if (home == nullptr || rank > homeRank) {
+            home = &view;
+            homeRank = rank;
+        }
+        if (view.inFlight < bound && (best == nullptr || rank > bestRank)) {
+            best = &view;
+            bestRank = rank;
+        }
+    }
+    if (best == nullptr) {
+        return leastLoaded(candidates);
+    }
+    return choiceOf(*best, best == home ? "home of the prefix" : "next to the prefix's busy home");
+}
+
+Choice RendezvousSelector::leastLoaded(const std::vector<BackendView>& candidates)
+{
+    // Routers that start together would all begin with the first of several that are equal.
+    const std::size_t start = random()() % candidates.size();
+    const BackendView* best = nullptr;
+    for (std::size_t step = 0; step < candidates.size(); ++step) {
+        const BackendView& view = candidates[(start + step) % candidates.size()];
+        const bool better = best == nullptr || view.inFlight * best->slots < best->inFlight * view.slots;
+        best = better ? &view : best;
+    }
+    return choiceOf(*best, "least in flight");
+}
+
+} // namespace swiftlift::routing
--- /dev/null
+++ b/src/routing/RendezvousSelector.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <string_view>
+#include <vector>
+
+#include "swiftlift/routing/Selector.h"
+
+namespace swiftlift::routing {
+
+/**
+ * @brief Sends requests with one prefix to one engine, on all routers alike, without a word between them.
+ *
+ * The load pattern it answers: a few hundred prefixes, each asked for every few seconds by the fleet but seldom by any
+ * one router. A router that goes by what it has seen itself then finds a prefix uncached almost every time. Here each
+ * prefix has an order of engines by rendezvous hashing (Thaler and Ravishankar 1998), so the loss of one engine moves
+ * only its own prefixes. An engine that has much more in flight from this router than the mean is passed over, so that
+ * one popular prefix can't drown it.
+ */
+class RendezvousSelector final : public Selector {
+public:
+    using Selector::Selector;
+
+    [[nodiscard]] std::string_view name() const noexcept override { return "rendezvous"; }
+
+private:
+    [[nodiscard]] Choice pick(const SelectRequest& request, const std::vector<BackendView>& candidates) override;
+    [[nodiscard]] bool spansDomains(const SelectRequest& request) const override { return request.prefixHash != 0; }
+    [[nodiscard]] Choice leastLoaded(const std::vector<BackendView>& candidates);
+};
+
+} // namespace swiftlift::routing
--- a/src/routing/Selector.cpp
+++ b/src/routing/Selector.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <utility>
 
+#include "routing/RendezvousSelector.h"
 #include "routing/Selectors.h"
 
 namespace swiftlift::routing {
@@ -45,7 +46,7 @@
         explain(sorted, now);
         return std::nullopt;
     }
-    return pickByDomain(sorted);
+    return pickByDomain(request, sorted);
 }
 
 std::string Selector::objection(const SelectRequest& request, const BackendView& view) const
@@ -116,19 +117,24 @@
     return Choice { view.backend, view.predictedFirstToken, "probe of an open breaker", {}, true };
 }
 
-Choice Selector::pickByDomain(const Sorted& sorted)
+Choice Selector::pickByDomain(const SelectRequest& request, const Sorted& sorted)
 {
+    if (spansDomains(request)) {
+        std::vector<BackendView> all = sorted.own;
+        all.insert(all.end(), sorted.others.begin(), sorted.others.end());
+        return pick(request, all);
+    }
     if (sorted.own.empty()) {
-        Choice choice = pick(sorted.others);
+        Choice choice = pick(request, sorted.others);
         choice.reason += ", other domain: own has none to use";
         return choice;
     }
-    Choice own = pick(sorted.own);
+    Choice own = pick(request, sorted.own);
     if (own.predictedFirstToken <= settings_.domainOverload || sorted.others.empty()) {
         own.reason += ", own domain";
         return own;
     }
-    Choice other = pick(sorted.others);
+    Choice other = pick(request, sorted.others);
     if (other.predictedFirstToken * 100 < own.predictedFirstToken * betterByPercent) {
         other.reason += ", other domain: own is overloaded";
         return other;
@@ -158,6 +164,9 @@
     if (name == "affinity") {
         return std::make_unique<AffinitySelector>(std::move(settings));
     }
+    if (name == "rendezvous") {
+        return std::make_unique<RendezvousSelector>(std::move(settings));
+    }
     if (name == "random") {
         return std::make_unique<RandomSelector>(std::move(settings));
     }
--- a/src/routing/Selectors.cpp
+++ b/src/routing/Selectors.cpp
@@ -49,7 +49,7 @@
 
 // All routers see the same late reports. If each took the best of all, all would take the same one until the next
 // report, and then the next; the sample makes them differ.
-Choice AffinitySelector::pick(const std::vector<BackendView>& candidates)
+Choice AffinitySelector::pick(const SelectRequest& /*request*/, const std::vector<BackendView>& candidates)
 {
     std::vector<const BackendView*> all;
     std::vector<const BackendView*> holders;
@@ -74,12 +74,12 @@
     return choice;
 }
 
-Choice RandomSelector::pick(const std::vector<BackendView>& candidates)
+Choice RandomSelector::pick(const SelectRequest& /*request*/, const std::vector<BackendView>& candidates)
 {
     return choiceOf(candidates[random()() % candidates.size()], "at random");
 }
 
-Choice RoundRobinSelector::pick(const std::vector<BackendView>& candidates)
+Choice RoundRobinSelector::pick(const SelectRequest& /*request*/, const std::vector<BackendView>& candidates)
 {
     // Routers that started together would all begin with the same one.
     if (last_ == BackendId {}) {
@@ -92,7 +92,7 @@
     return choiceOf(view, "in turn");
 }
 
-Choice LeastLoadSelector::pick(const std::vector<BackendView>& candidates)
+Choice LeastLoadSelector::pick(const SelectRequest& /*request*/, const std::vector<BackendView>& candidates)
 {
     const auto least = std::min_element(candidates.begin(), candidates.end(),
         [](const BackendView& left, const BackendView& right) { return load(left) < load(right); });
--- a/src/routing/Selectors.h
+++ b/src/routing/Selectors.h
@@ -19,7 +19,7 @@
     [[nodiscard]] std::string_view name() const noexcept override { return "affinity"; }
 
 private:
-    [[nodiscard]] Choice pick(const std::vector<BackendView>& candidates) override;
+    [[nodiscard]] Choice pick(const SelectRequest& request, const std::vector<BackendView>& candidates) override;
     void draw(std::vector<const BackendView*> from, std::vector<const BackendView*>& sample);
 };
 
@@ -31,7 +31,7 @@
     [[nodiscard]] std::string_view name() const noexcept override { return "random"; }
 
 private:
-    [[nodiscard]] Choice pick(const std::vector<BackendView>& candidates) override;
+    [[nodiscard]] Choice pick(const SelectRequest& request, const std::vector<BackendView>& candidates) override;
 };
 
 /** @brief Each in turn. */
@@ -42,7 +42,7 @@
     [[nodiscard]] std::string_view name() const noexcept override { return "round_robin"; }
 
 private:
-    [[nodiscard]] Choice pick(const std::vector<BackendView>& candidates) override;
+    [[nodiscard]] Choice pick(const SelectRequest& request, const std::vector<BackendView>& candidates) override;
 
     BackendId last_;
 };
@@ -55,7 +55,7 @@
     [[nodiscard]] std::string_view name() const noexcept override { return "least_load"; }
 
 private:
-    [[nodiscard]] Choice pick(const std::vector<BackendView>& candidates) override;
+    [[nodiscard]] Choice pick(const SelectRequest& request, const std::vector<BackendView>& candidates) override;
 };
 
 } // namespace swiftlift::routing
--- a/src/settings/Checker.cpp
+++ b/src/settings/Checker.cpp
@@ -1,5 +1,6 @@
 #include "settings/Checker.h"
 
+#include <charconv>
 #include <limits>
 #include <set>
 #include <tuple>
@@ -173,6 +174,24 @@
     }
 }
 
+void Checker::fraction(std::string_view key, Need need, Range<double> range, double& target)
+{
+    const auto* const node = plainNode(key, need);
+    if (node == nullptr) {
+        return;
+    }
+    double number = 0;
+    const std::string& text = node->scalar;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc {} || end != text.data() + text.size()) {
+        reportAt(node->place, pathOf(key), "expected a number such as 0.2, found " + kindText(*node));
+    } else if (number < range.least || number > range.most) {
+        reportRange(key, *node, std::to_string(range.least), std::to_string(range.most));
+    } else {
+        target = number;
+    }
+}
+
 void Checker::percent(std::string_view key, Need need, Range<std::uint64_t> range, std::uint32_t& target)
 {
     const auto* const node = plainNode(key, need);
--- a/src/settings/Checker.h
+++ b/src/settings/Checker.h
@@ -57,6 +57,8 @@
     void tokens(std::string_view key, Need need, Range<std::uint64_t> range, Tokens& target);
     void duration(std::string_view key, Need need, Range<Duration> range, Duration& target);
     void size(std::string_view key, Need need, Range<std::uint64_t> range, std::size_t& target);
+    /** A number with or without a fraction, such as 0.2. */
+    void fraction(std::string_view key, Need need, Range<double> range, double& target);
     void percent(std::string_view key, Need need, Range<std::uint64_t> range, std::uint32_t& target);
 
     /** A word that can name something; see isName(). */
--- a/src/settings/RouterSettings.cpp
+++ b/src/settings/RouterSettings.cpp
@@ -20,6 +20,13 @@
     constexpr std::size_t maxSettingsBytes = 256UL * 1024;
     constexpr Range<std::uint64_t> shardRange { 1, 1'024 };
     constexpr Range<std::uint64_t> splitRange { 1, 1'024 };
+    constexpr Range<Duration> watermarkRange { seconds(0), hours(1) };
+    constexpr Range<Duration> retentionRange { seconds(1), hours(1000) };
+    constexpr Range<Duration> batchRange { seconds(0), seconds(10) };
+    constexpr Range<std::uint64_t> wholePercent { 0, 100 };
+    constexpr Range<double> ratioRange { 0, 10 };
+    constexpr Range<double> extraRange { 0, 1'000'000 };
+    constexpr Range<Duration> windowRange { seconds(1), hours(1) };
     constexpr Range<Duration> stopRange { seconds(1), hours(1) };
     constexpr Range<std::uint64_t> seedRange { 0, std::numeric_limits<std::uint64_t>::max() };
 
@@ -43,7 +50,11 @@
 
     void readListeners(Checker& root, RouterSettings& settings)
     {
-        settings.callersListen = readListener(root, "callers");
+        auto callers = root.section("callers", Need::Required);
+        callers.address("listen", Need::Required, settings.callersListen);
+        const Need readiness = settings.dialect == SpokenDialect::Platform ? Need::Required : Need::Optional;
+        callers.address("readiness", readiness, settings.readinessListen);
+        callers.finish();
         settings.operatorsListen = readListener(root, "operators");
         settings.metricsListen = readListener(root, "metrics");
         // Two listeners on one address: the second one would fail to bind, and only after the first had callers.
@@ -62,8 +73,10 @@
         auto log = root.section("log", Need::Required);
         log.addresses("endpoints", Need::Required, settings.logEndpoints);
         log.finish();
-        auto vmList = root.section("vm_list", Need::Required);
-        vmList.address("endpoint", Need::Required, settings.vmListEndpoint);
+        // Routers that speak the platform's dialect find each other through the log.
+        const Need listNeeded = settings.dialect == SpokenDialect::Native ? Need::Required : Need::Optional;
+        auto vmList = root.section("vm_list", listNeeded);
+        vmList.address("endpoint", listNeeded, settings.vmListEndpoint);
         vmList.finish();
     }
 
@@ -86,6 +99,11 @@
                 { "append_per_request", LedgerPolicy::AppendPerRequest } },
             ledger.policy);
         checker.unsignedNumber("split_ways", Need::Optional, splitRange, ledger.splitWays);
+        checker.duration("low_watermark", Need::Optional, watermarkRange, ledger.lowWatermark);
+        checker.duration("high_watermark", Need::Optional, watermarkRange, ledger.highWatermark);
+        checker.percent("stock", Need::Optional, wholePercent, ledger.stockPercent);
+        checker.duration("retention", Need::Optional, retentionRange, ledger.retention);
+        checker.duration("batch_period", Need::Optional, batchRange, ledger.batchPeriod);
         checker.finish();
         if (checker.has("split_ways") && ledger.policy != LedgerPolicy::StaticSplit) {
             checker.report("split_ways", "has a meaning only with policy static_split");
@@ -96,12 +114,27 @@
     {
         auto checker = root.section("routing", Need::Optional);
         checker.choice<RoutingPolicy>("policy", Need::Optional,
-            { { "affinity", RoutingPolicy::Affinity }, { "random", RoutingPolicy::Random },
+            { { "affinity", RoutingPolicy::Affinity }, { "rendezvous", RoutingPolicy::Rendezvous }, { "random", RoutingPolicy::Random },
                 { "round_robin", RoutingPolicy::RoundRobin }, { "least_load", RoutingPolicy::LeastLoad } },
             routing);
         checker.finish();
     }
 
+    void readRetries(Checker& root, RetrySettings& retries)
+    {
+        auto checker = root.section("retries", Need::Optional);
+        checker.fraction("ratio", Need::Optional, ratioRange, retries.ratio);
+        checker.fraction("extra", Need::Optional, extraRange, retries.extra);
+        checker.duration("window", Need::Optional, windowRange, retries.window);
+        checker.finish();
+    }
+
+    void readDialect(Checker& root, SpokenDialect& dialect)
+    {
+        root.choice<SpokenDialect>("dialect", Need::Optional,
+            { { "native", SpokenDialect::Native }, { "platform", SpokenDialect::Platform } }, dialect);
+    }
+
     void readStop(Checker& root, Duration& limit)
     {
         auto checker = root.section("stop", Need::Optional);
@@ -119,7 +152,7 @@
             logging.level);
         checker.finish();
         if (logging.file.empty()) {
-            checker.report("file", "expected a path, or - for standard error");
+            checker.report("file", "expected a path, or - for standard output");
         }
     }
 
@@ -135,12 +168,14 @@
     [[nodiscard]] RouterSettings readSettings(Checker& root)
     {
         RouterSettings settings;
+        readDialect(root, settings.dialect);
         readVm(root, settings.vm);
         readListeners(root, settings);
         readPlatform(root, settings);
         readPeers(root, settings.peers);
         readLedger(root, settings.ledger);
         readRouting(root, settings.routing);
+        readRetries(root, settings.retries);
         readStop(root, settings.stopLimit);
         readLogging(root, settings.logging);
         readSeed(root, settings.seed);
@@ -190,6 +225,8 @@
     switch (policy) {
     case RoutingPolicy::Affinity:
         return "affinity";
+    case RoutingPolicy::Rendezvous:
+        return "rendezvous";
     case RoutingPolicy::Random:
         return "random";
     case RoutingPolicy::RoundRobin:
--- a/src/transport/ActionCarrier.cpp
+++ b/src/transport/ActionCarrier.cpp
@@ -80,6 +80,11 @@
 
 void ActionCarrier::take(node::StopReady&&) { stopReady_.store(true); }
 
+void ActionCarrier::take(node::PassOn&& action) { streamCommands_.push(std::move(action)); }
+void ActionCarrier::take(const node::PassFailureOn& action) { streamCommands_.push(action); }
+void ActionCarrier::take(const node::AnnounceReadiness& action) { streamCommands_.push(action); }
+void ActionCarrier::take(const node::SetCallerLimits& action) { streamCommands_.push(action); }
+
 // The decision loop acts on it itself.
 void ActionCarrier::take(node::Restart&&) { }
 
--- a/src/transport/AnswerReader.cpp
+++ b/src/transport/AnswerReader.cpp
@@ -13,6 +13,31 @@
     return ReadState::Broken;
 }
 
+HeadVerdict NativeAnswerReader::head(const AnswerHead& head)
+{
+    constexpr int ok = 200;
+    constexpr int tooMany = 429;
+    constexpr int unavailable = 503;
+    status_ = head.status;
+    if (status_ == tooMany || status_ == unavailable) {
+        return HeadVerdict::Refusal;
+    }
+    if (status_ == ok) {
+        return HeadVerdict::Body;
+    }
+    static_cast<void>(broken("status " + std::to_string(status_)));
+    return HeadVerdict::Broken;
+}
+
+AttemptResult NativeAnswerReader::refusal(const std::string& body) const
+{
+    constexpr int unavailable = 503;
+    const auto json = nlohmann::json::parse(body, nullptr, false);
+    const bool leaving
+        = status_ == unavailable && json.is_object() && json.value("error", nlohmann::json()) == "leaving";
+    return leaving ? AttemptResult::Leaving : AttemptResult::Refused;
+}
+
 ModelAnswerReader::ModelAnswerReader(LineMatcher matcher, AnswerSink sink, std::size_t maxLineBytes)
     : matcher_(std::move(matcher))
     , sink_(std::move(sink))
--- a/src/transport/AnswerReader.h
+++ b/src/transport/AnswerReader.h
@@ -6,13 +6,42 @@
 #include <string>
 #include <string_view>
 
+#include "swiftlift/transport/HeaderFields.h"
 #include "swiftlift/transport/LineMatcher.h"
 
 namespace swiftlift::transport::internal {
 
+/** What the head of an answer makes of it. */
+enum class HeadVerdict : std::uint8_t {
+    /** Its body is the answer. */
+    Body,
+    /** The backend server did not start the request; its body says why. */
+    Refusal,
+    /** It answers another request: it is to be read and dropped, and ours follows. */
+    Foreign,
+    Broken,
+};
+
 enum class ReadState : std::uint8_t { More, Whole, Broken };
 
-/** Understands the body of a backend server's answer, piece by piece. */
+/** How an attempt ended. */
+enum class AttemptResult : std::uint8_t {
+    Completed,
+    /** No connection was made: nothing was sent. */
+    Unreachable,
+    /** The backend server did not start it. */
+    Refused,
+    /** As Refused, and the backend server says that it is leaving. */
+    Leaving,
+    /** As Refused: another server has the address now. */
+    Misdirected,
+    /** The backend server answered with a failure, which has come whole. */
+    Failed,
+    /** It may have run. */
+    Broken,
+};
+
+/** Understands a backend server's answer, piece by piece. */
 class AnswerReader {
 public:
     AnswerReader() = default;
@@ -20,11 +49,17 @@
     AnswerReader(const AnswerReader&) = delete;
     AnswerReader& operator=(const AnswerReader&) = delete;
 
+    [[nodiscard]] virtual HeadVerdict head(const AnswerHead& head) = 0;
     /** @return Whether the answer is whole, or can't become so any more. */
     [[nodiscard]] virtual ReadState take(std::string_view bytes) = 0;
     /** The body is over. */
     [[nodiscard]] virtual ReadState end() = 0;
 
+    /** @return What a refusal means. */
+    [[nodiscard]] virtual AttemptResult refusal(const std::string& body) const = 0;
+    /** @return What the whole answer means. */
+    [[nodiscard]] virtual AttemptResult result() const { return AttemptResult::Completed; }
+
     /** @return The engine's own counts, of a whole answer. */
     [[nodiscard]] const DoneLine& counts() const noexcept { return counts_; }
     /** @return Why it is broken. */
@@ -49,8 +84,18 @@
     std::function<void(const std::string&)> foreignLine;
 };
 
+/** The statuses of the project's own protocol towards backend servers. */
+class NativeAnswerReader : public AnswerReader {
+public:
+    [[nodiscard]] HeadVerdict head(const AnswerHead& head) override;
+    [[nodiscard]] AttemptResult refusal(const std::string& body) const override;
+
+private:
+    int status_ = 0;
+};
+
 /** Lines of a model engine. */
-class ModelAnswerReader : public AnswerReader {
+class ModelAnswerReader : public NativeAnswerReader {
 public:
     ModelAnswerReader(LineMatcher matcher, AnswerSink sink, std::size_t maxLineBytes);
 
@@ -67,7 +112,7 @@
 };
 
 /** The one JSON text of a plain service. */
-class PlainAnswerReader : public AnswerReader {
+class PlainAnswerReader : public NativeAnswerReader {
 public:
     PlainAnswerReader(AnswerSink sink, std::size_t maxBytes);
 
--- a/src/transport/Attempt.cpp
+++ b/src/transport/Attempt.cpp
@@ -1,21 +1,21 @@
 #include "transport/Attempt.h"
 
 #include <algorithm>
+#include <charconv>
 #include <cstdint>
 #include <limits>
 #include <utility>
 
+#include <netinet/tcp.h>
+
 #include <boost/asio/write.hpp>
-#include <nlohmann/json.hpp>
 
-#include "swiftlift/transport/Hashing.h"
-#include "transport/HttpText.h"
+#include "swiftlift/transport/Endpoint.h"
 
 namespace swiftlift::transport::internal {
 
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
-using node::AttemptEnd;
 
 namespace {
 
@@ -23,11 +23,49 @@
     constexpr std::size_t maxRefusalBytes = 4 * 1024;
     /** How long the end of a whole answer may take before its connection is closed rather than kept. */
     constexpr std::chrono::milliseconds recycleTime { 500 };
+    /** Seconds of idleness before a connection is probed, between probes, and probes without an answer: a backend server
+     * that fell silent without closing shows after about 3 s instead of the system's two hours. */
+    constexpr int probeAfter = 1;
+    constexpr int probeEvery = 1;
+    constexpr int probesLost = 2;
+    /** Milliseconds that sent bytes may go unacknowledged. */
+    constexpr unsigned unacknowledgedLimit = 2'500;
+
+    template <int level, int name> using IntOption = boost::asio::detail::socket_option::integer<level, name>;
+
+    void watchForSilence(tcp::socket& socket)
+    {
+        boost::system::error_code ignored;
+        socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+        socket.set_option(IntOption<IPPROTO_TCP, TCP_KEEPIDLE>(probeAfter), ignored);
+        socket.set_option(IntOption<IPPROTO_TCP, TCP_KEEPINTVL>(probeEvery), ignored);
+        socket.set_option(IntOption<IPPROTO_TCP, TCP_KEEPCNT>(probesLost), ignored);
+        socket.set_option(IntOption<IPPROTO_TCP, TCP_USER_TIMEOUT>(unacknowledgedLimit), ignored);
+    }
+
+    template <typename Fields> AnswerHead headOf(int status, const Fields& fields)
+    {
+        AnswerHead head { status, {} };
+        for (const auto& field : fields) {
+            const auto name = field.name_string();
+            const auto value = field.value();
+            head.fields.push_back({ { name.data(), name.size() }, { value.data(), value.size() } });
+        }
+        return head;
+    }
 
-    bool saysLeaving(const std::string& body)
+    /** @return How long the other end keeps an idle connection, as its `Keep-Alive: timeout=N` says. */
+    std::optional<std::chrono::seconds> toldIdleTime(std::string_view keepAlive)
     {
-        const auto json = nlohmann::json::parse(body, nullptr, false);
-        return json.is_object() && json.value("error", nlohmann::json()) == "leaving";
+        constexpr std::string_view mark = "timeout=";
+        const auto place = keepAlive.find(mark);
+        if (place == std::string_view::npos) {
+            return std::nullopt;
+        }
+        const std::string_view digits = keepAlive.substr(place + mark.size());
+        int seconds = 0;
+        const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+        return error == std::errc {} ? std::optional(std::chrono::seconds(seconds)) : std::nullopt;
     }
 
 } // namespace
@@ -39,18 +77,24 @@
     , order_(std::move(order))
     , deadline_(context.loop, [this] { silencePassed(); })
 {
-    parser_.eager(true);
-    parser_.header_limit(context.limits.headerBytes);
+    startParser();
+}
+
+void Attempt::startParser()
+{
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->header_limit(context_.limits.headerBytes);
     // The answer's own bounds are the readers'. "No limit" of this Beast refuses every body whose length is told.
-    parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
+    parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+    verdict_.reset();
 }
 
 void Attempt::start()
 {
-    reader_ = makeReader();
-    outgoing_ = requestBytes();
-    if (order_.mayReuse) {
-        connection_ = pool_.take(order_.dispatch.backend);
+    reader_ = order_.makeReader(sink());
+    if (order_.reuse != Reuse::Never) {
+        connection_ = pool_.take(order_.backend, order_.reuse == Reuse::Any);
     }
     if (connection_) {
         ++context_.counts.backendReuses;
@@ -65,12 +109,12 @@
     const auto self = shared_from_this();
     connection_ = std::make_shared<BackendConnection>(context_.loop);
     ++context_.counts.backendConnects;
-    const auto endpoint = parseEndpoint(order_.dispatch.backend.value());
+    const auto endpoint = parseEndpoint(order_.address.value());
     if (!endpoint) {
-        boost::asio::post(context_.loop, [self] { self->end(AttemptEnd::NotStarted, "no address"); });
+        boost::asio::post(context_.loop, [self] { self->end(AttemptResult::Unreachable, "no address"); });
         return;
     }
-    const auto silence = std::chrono::duration_cast<std::chrono::milliseconds>(order_.dispatch.silenceLimit);
+    const auto silence = std::chrono::duration_cast<std::chrono::milliseconds>(order_.silenceLimit);
     deadline_.arm(silence.count() > 0 ? std::min(context_.limits.connectTime, silence) : context_.limits.connectTime);
     const tcp::endpoint address(boost::asio::ip::make_address(endpoint->ip), endpoint->port);
     connection_->socket.async_connect(address, [self](ErrorCode error) {
@@ -78,11 +122,12 @@
             return;
         }
         if (error) {
-            self->end(AttemptEnd::NotStarted, "connect: " + error.message());
+            self->end(AttemptResult::Unreachable, "connect: " + error.message());
             return;
         }
         ErrorCode ignored;
         self->connection_->socket.set_option(tcp::no_delay(true), ignored);
+        watchForSilence(self->connection_->socket);
         self->write();
     });
 }
@@ -93,7 +138,7 @@
     armSilence();
     writing_ = true;
     // A failed write is left to the reading side: the backend server may have refused without taking the whole body.
-    boost::asio::async_write(connection_->socket, boost::asio::buffer(outgoing_),
+    boost::asio::async_write(connection_->socket, boost::asio::buffer(order_.request),
         [self = shared_from_this()](ErrorCode, std::size_t) { self->writing_ = false; });
     read();
 }
@@ -130,71 +175,85 @@
         return;
     }
     ErrorCode failed;
-    if (error == boost::asio::error::eof && parser_.is_header_done()) {
-        parser_.put_eof(failed);
-        if (!failed && parser_.is_done()) {
+    if (error == boost::asio::error::eof && parser_->is_header_done()) {
+        parser_->put_eof(failed);
+        if (!failed && parser_->is_done()) {
             takeEnd();
+            if (!ended_) {
+                end(AttemptResult::Broken, "connection closed after another request's answer");
+            }
             return;
         }
     }
-    end(AttemptEnd::Broken, "connection lost: " + error.message());
+    end(AttemptResult::Broken, "connection lost: " + error.message());
 }
 
 void Attempt::parse()
 {
-    while (buffer_.size() > 0 && !parser_.is_done() && !closed_) {
+    while (buffer_.size() > 0 && !closed_ && !(ended_ && parser_->is_done())) {
         ErrorCode error;
-        const std::size_t used = parser_.put(buffer_.data(), error);
+        const std::size_t used = parser_->put(buffer_.data(), error);
         buffer_.consume(used);
         if (error && error != http::error::need_more) {
-            end(AttemptEnd::Broken, "not to be read as HTTP: " + error.message());
+            end(AttemptResult::Broken, "not to be read as HTTP: " + error.message());
             return;
         }
-        if (parser_.is_header_done()) {
+        if (parser_->is_header_done()) {
             takeHeader();
             takeBody();
         }
-        if (error || used == 0) {
-            break;
+        if (parser_->is_done() && !closed_) {
+            takeEnd();
+        } else if (error || used == 0) {
+            return;
         }
     }
-    if (parser_.is_done() && !closed_) {
-        takeEnd();
-    }
 }
 
 void Attempt::takeHeader()
 {
-    if (std::exchange(headerSeen_, true)) {
+    if (verdict_ || ended_) {
+        return;
+    }
+    const auto& message = parser_->get();
+    const AnswerHead head = headOf(static_cast<int>(message.result_int()), message);
+    verdict_ = reader_->head(head);
+    if (*verdict_ == HeadVerdict::Foreign) {
+        logForeignAnswer(reader_->lastReason());
         return;
     }
-    const unsigned status = parser_.get().result_int();
-    const bool refusal = status == 429 || status == 503;
-    if (status != 200 && !refusal) {
-        end(AttemptEnd::Broken, "status " + std::to_string(status));
+    status_ = head.status;
+    if (*verdict_ == HeadVerdict::Broken) {
+        end(AttemptResult::Broken, reader_->lastReason());
     }
 }
 
 void Attempt::takeBody()
 {
-    const std::string body = std::exchange(parser_.get().body(), {});
-    if (ended_ || body.empty()) {
+    const std::string body = std::exchange(parser_->get().body(), {});
+    if (ended_ || body.empty() || !verdict_) {
         return;
     }
-    if (parser_.get().result_int() == 200) {
+    if (*verdict_ == HeadVerdict::Body) {
         follow(reader_->take(body));
-    } else if (refusalBody_.size() + body.size() <= maxRefusalBytes) {
+    } else if (*verdict_ == HeadVerdict::Refusal && refusalBody_.size() + body.size() <= maxRefusalBytes) {
         refusalBody_ += body;
     }
 }
 
 void Attempt::takeEnd()
 {
+    // An answer to an earlier request comes late, where ours is expected. It belongs to nobody any more; taken for ours,
+    // a caller would get another one's answer.
+    if (!ended_ && verdict_ == HeadVerdict::Foreign) {
+        startParser();
+        return;
+    }
     if (!ended_) {
-        if (parser_.get().result_int() == 200) {
+        if (verdict_ == HeadVerdict::Body) {
             follow(reader_->end());
         } else {
-            takeRefusal();
+            end(reader_->refusal(refusalBody_), "status " + std::to_string(status_));
         }
     }
     recycle();
@@ -203,44 +262,37 @@
 void Attempt::follow(ReadState state)
 {
     if (state == ReadState::Broken) {
-        end(AttemptEnd::Broken, reader_->lastReason());
+        end(AttemptResult::Broken, reader_->lastReason());
     } else if (state == ReadState::Whole) {
-        end(AttemptEnd::Completed, {});
+        end(reader_->result(), {});
     }
 }
 
-void Attempt::takeRefusal()
-{
-    const unsigned status = parser_.get().result_int();
-    const bool leaving = status == 503 && saysLeaving(refusalBody_);
-    end(leaving ? AttemptEnd::Leaving : AttemptEnd::NotStarted, "status " + std::to_string(status));
-}
-
 void Attempt::silencePassed()
 {
     if (ended_) {
         closeSocket();
     } else if (maybeStarted_) {
-        end(AttemptEnd::Broken, "silent for too long");
+        end(AttemptResult::Broken, "silent for too long");
     } else {
-        end(AttemptEnd::NotStarted, "connect: timeout");
+        end(AttemptResult::Unreachable, "connect: timeout");
     }
 }
 
-void Attempt::end(AttemptEnd end, std::string detail)
+void Attempt::end(AttemptResult result, std::string detail)
 {
     if (std::exchange(ended_, true)) {
         return;
     }
     const auto self = shared_from_this();
-    if (end == AttemptEnd::Completed) {
+    if (result == AttemptResult::Completed) {
         // Its connection may be kept, once the end of the body has come.
         paused_ = false;
         deadline_.arm(recycleTime);
-    } else if (end == AttemptEnd::Broken || !parser_.is_done()) {
+    } else if (result == AttemptResult::Broken || !parser_->is_done()) {
         closeSocket();
     }
-    host_.attemptEnded(*this, end, reader_->counts(), std::move(detail));
+    host_.attemptEnded(*this, result, std::move(detail));
 }
 
 void Attempt::recycle()
@@ -248,13 +300,17 @@
     if (closed_) {
         return;
     }
-    if (order_.mayReuse && !writing_ && parser_.is_done() && parser_.keep_alive() && buffer_.size() == 0) {
-        closed_ = true;
-        deadline_.disarm();
-        pool_.give(order_.dispatch.backend, std::move(connection_));
-    } else {
+    // What follows a whole answer belongs to nobody, and a request whose body is still being written would be followed
+    // by the rest of that body: such connections are not kept.
+    const bool clean = !writing_ && parser_->is_done() && parser_->keep_alive() && buffer_.size() == 0;
+    if (order_.reuse == Reuse::Never || !clean) {
         closeSocket();
+        return;
     }
+    closed_ = true;
+    deadline_.disarm();
+    const auto keepAlive = parser_->get()[http::field::keep_alive];
+    pool_.give(order_.backend, std::move(connection_), toldIdleTime({ keepAlive.data(), keepAlive.size() }));
 }
 
 void Attempt::cancel()
@@ -292,36 +348,14 @@
 
 void Attempt::armSilence()
 {
-    if (order_.dispatch.silenceLimit > Duration::zero()) {
-        deadline_.arm(order_.dispatch.silenceLimit);
+    if (order_.silenceLimit > Duration::zero()) {
+        deadline_.arm(order_.silenceLimit);
     } else {
         deadline_.arm(context_.limits.defaultSilence);
     }
 }
 
-std::string Attempt::attemptText() const
-{
-    return toHex(context_.incarnation.value()) + "-" + std::to_string(order_.dispatch.attempt.value());
-}
-
-std::string Attempt::requestBytes() const
-{
-    const auto& dispatch = order_.dispatch;
-    const bool model = dispatch.kind == node::BackendKind::Model;
-    auto request = jsonPost(dispatch.backend.value(), model ? "/generate" : "/call", dispatch.body);
-    request.set("X-Request-Key", toHex(dispatch.key));
-    request.set("X-Attempt-Id", attemptText());
-    if (model) {
-        request.set("X-Priority", std::to_string(static_cast<int>(dispatch.priority)));
-    }
-    if (model && order_.next > 0) {
-        request.set("X-Resume-From", std::to_string(order_.next));
-    }
-    request.keep_alive(order_.mayReuse);
-    return toBytes(request);
-}
-
-std::unique_ptr<AnswerReader> Attempt::makeReader()
+AnswerSink Attempt::sink()
 {
     AnswerSink sink;
     sink.part = [this](std::string part) { host_.answerPartCame(*this, std::move(part)); };
@@ -331,20 +365,16 @@
             armSilence();
         }
     };
-    sink.foreignLine = [this](const std::string& reason) { logForeignLine(reason); };
-    if (order_.dispatch.kind == node::BackendKind::Plain) {
-        return std::make_unique<PlainAnswerReader>(std::move(sink), context_.limits.answerBytes);
-    }
-    LineMatcher matcher(toHex(order_.dispatch.key), attemptText(), order_.next, order_.mostTokens);
-    return std::make_unique<ModelAnswerReader>(std::move(matcher), std::move(sink), context_.limits.lineBytes);
+    sink.foreignLine = [this](const std::string& reason) { logForeignAnswer(reason); };
+    return sink;
 }
 
-void Attempt::logForeignLine(const std::string& reason)
+void Attempt::logForeignAnswer(const std::string& reason)
 {
     ++context_.counts.foreignLines;
     context_.log.write(logging::Level::Warning, "foreign_line",
-        { { "backend", order_.dispatch.backend.value() }, { "key", toHex(order_.dispatch.key) },
-            { "attempt", attemptText() }, { "reason", reason } });
+        { { "backend", order_.backend.value() }, { "request", order_.name },
+            { "attempt", static_cast<std::int64_t>(order_.attempt.value()) }, { "reason", reason } });
 }
 
 } // namespace swiftlift::transport::internal
--- a/src/transport/Attempt.h
+++ b/src/transport/Attempt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -9,7 +10,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
-#include "swiftlift/node/Action.h"
 #include "transport/AnswerReader.h"
 #include "transport/BackendPool.h"
 #include "transport/Deadline.h"
@@ -27,21 +27,36 @@
     AttemptHost(const AttemptHost&) = delete;
     AttemptHost& operator=(const AttemptHost&) = delete;
 
-    /** The next token, or a plain service's whole body. */
+    /** The next part of the answer, as its reader makes parts. */
     virtual void answerPartCame(Attempt& attempt, std::string part) = 0;
     /** Told exactly once, unless the attempt is cancelled before. */
-    virtual void attemptEnded(Attempt& attempt, node::AttemptEnd end, const DoneLine& counts, std::string detail) = 0;
+    virtual void attemptEnded(Attempt& attempt, AttemptResult result, std::string detail) = 0;
+};
+
+/** Which connections a request may go over. */
+enum class Reuse : std::uint8_t {
+    /** A new one, closed afterwards. */
+    Never,
+    /** A kept one that has not been idle for long: an idle one may close at the moment of the write. */
+    Fresh,
+    /** Any kept one: the request may run twice. */
+    Any,
 };
 
 /** How an attempt is to be made. */
 struct AttemptOrder {
-    node::Dispatch dispatch;
-    /** Index of the first token that the caller has not got. */
-    std::int64_t next = 0;
-    /** Most tokens of the answer; 0: no bound. */
-    std::int64_t mostTokens = 0;
-    /** Whether a kept connection may be used: only for what may run twice. */
-    bool mayReuse = false;
+    AttemptId attempt;
+    CallId call;
+    BackendId backend;
+    BackendAddress address;
+    /** The whole request. */
+    std::string request;
+    std::function<std::shared_ptr<AnswerReader>(AnswerSink)> makeReader;
+    Reuse reuse = Reuse::Never;
+    /** How long the backend server may take to answer at all, and between two parts; zero: the limits' default. */
+    Duration silenceLimit {};
+    /** For logs: the request, as its caller names it. */
+    std::string name;
 };
 
 /** One request at one backend server: connect, write, read the answer. */
@@ -58,13 +73,18 @@
     void pause();
     void resume();
 
-    [[nodiscard]] AttemptId id() const noexcept { return order_.dispatch.attempt; }
-    [[nodiscard]] CallId call() const noexcept { return order_.dispatch.call; }
+    [[nodiscard]] AttemptId id() const noexcept { return order_.attempt; }
+    [[nodiscard]] CallId call() const noexcept { return order_.call; }
+    /** @return The engine's own counts, of a whole answer. */
+    [[nodiscard]] const DoneLine& counts() const noexcept { return reader_->counts(); }
+    /** @return Status of the answer; 0 while none has come. */
+    [[nodiscard]] int status() const noexcept { return status_; }
 
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
     using ErrorCode = boost::system::error_code;
 
+    void startParser();
     void connect();
     void write();
     void read();
@@ -75,16 +95,13 @@
     void takeBody();
     void takeEnd();
     void follow(ReadState state);
-    void takeRefusal();
     void silencePassed();
-    void end(node::AttemptEnd end, std::string detail);
+    void end(AttemptResult result, std::string detail);
     void recycle();
     void closeSocket();
     void armSilence();
-    [[nodiscard]] std::string attemptText() const;
-    [[nodiscard]] std::string requestBytes() const;
-    [[nodiscard]] std::unique_ptr<AnswerReader> makeReader();
-    void logForeignLine(const std::string& reason);
+    [[nodiscard]] AnswerSink sink();
+    void logForeignAnswer(const std::string& reason);
 
     StreamContext& context_;
     AttemptHost& host_;
@@ -92,12 +109,12 @@
     AttemptOrder order_;
     Deadline deadline_;
     BackendPool::ConnectionPtr connection_;
-    std::unique_ptr<AnswerReader> reader_;
-    Parser parser_;
+    std::shared_ptr<AnswerReader> reader_;
+    std::optional<Parser> parser_;
     boost::beast::flat_buffer buffer_;
-    std::string outgoing_;
     std::string refusalBody_;
-    bool headerSeen_ = false;
+    int status_ = 0;
+    std::optional<HeadVerdict> verdict_;
     /** A byte of the request may have reached the backend server. */
     bool maybeStarted_ = false;
     bool reading_ = false;
--- a/src/transport/BackendPool.cpp
+++ b/src/transport/BackendPool.cpp
@@ -29,20 +29,25 @@
 {
 }
 
-BackendPool::ConnectionPtr BackendPool::take(const BackendId& backend)
+BackendPool::ConnectionPtr BackendPool::take(const BackendId& backend, bool anyAge)
 {
     const auto found = idle_.find(backend);
     if (found == idle_.end()) {
         return nullptr;
     }
     auto& connections = found->second;
+    const auto now = std::chrono::steady_clock::now();
     while (!connections.empty()) {
+        // The one given last: others may be left to grow old.
         ConnectionPtr connection = connections.back();
+        if (!anyAge && now - connection->idleSince > context_.limits.freshIdleTime) {
+            return nullptr;
+        }
         connections.pop_back();
         connection->idle = false;
         boost::system::error_code ignored;
         connection->socket.cancel(ignored);
-        if (stillStands(connection->socket)) {
+        if (now - connection->idleSince <= connection->idleLimit && stillStands(connection->socket)) {
             return connection;
         }
         connection->socket.close(ignored);
@@ -50,8 +55,10 @@
     return nullptr;
 }
 
-void BackendPool::give(const BackendId& backend, ConnectionPtr connection)
+void BackendPool::give(
+    const BackendId& backend, ConnectionPtr connection, std::optional<std::chrono::milliseconds> toldIdleTime)
 {
+    connection->idleLimit = std::min(context_.limits.backendIdleTime, toldIdleTime.value_or(context_.limits.backendIdleTime) / 2);
     auto& connections = idle_[backend];
     if (connections.size() >= context_.limits.idlePerBackend) {
         return;
@@ -87,11 +94,11 @@
 
 void BackendPool::sweep()
 {
-    const auto oldest = std::chrono::steady_clock::now() - context_.limits.backendIdleTime;
+    const auto now = std::chrono::steady_clock::now();
     std::vector<std::pair<BackendId, ConnectionPtr>> expired;
     for (const auto& [backend, connections] : idle_) {
         for (const auto& connection : connections) {
-            if (connection->idleSince < oldest) {
+            if (now - connection->idleSince > connection->idleLimit) {
                 expired.emplace_back(backend, connection);
             }
         }
--- a/src/transport/BackendPool.h
+++ b/src/transport/BackendPool.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -21,6 +22,8 @@
     /** Set while it lies in the pool. */
     bool idle = false;
     std::chrono::steady_clock::time_point idleSince;
+    /** How long it may lie in the pool. */
+    std::chrono::milliseconds idleLimit { 0 };
     /** Counts its stays in the pool, so that the watch of an earlier stay is told apart. */
     std::uint64_t stay = 0;
 };
@@ -30,7 +33,8 @@
  *
  * What goes wrong with kept connections: the backend server closes one at the moment that a request is written to it;
  * the request then may or may not have run. It shows as the end of the connection before any answer. Connections are
- * therefore watched while idle, looked at once more when taken, and never used for a request that may run only once.
+ * therefore watched while idle, looked at once more when taken, given up well before the time that the backend server
+ * says it keeps them, and used for a request that may run only once only where it was used a moment ago.
  */
 class BackendPool {
 public:
@@ -38,11 +42,18 @@
 
     explicit BackendPool(StreamContext& context);
 
-    /** @return An idle connection that still stands; null when there is none. */
-    [[nodiscard]] ConnectionPtr take(const BackendId& backend);
+    /**
+     * @param anyAge Also one that has been idle for longer than a moment.
+     * @return An idle connection that still stands; null when there is none.
+     */
+    [[nodiscard]] ConnectionPtr take(const BackendId& backend, bool anyAge);
 
-    /** Keeps a connection whose last answer has been read whole. */
-    void give(const BackendId& backend, ConnectionPtr connection);
+    /**
+     * @brief Keeps a connection whose last answer has been read whole.
+     * @param toldIdleTime How long the backend server says it keeps it idle.
+     */
+    void give(
+        const BackendId& backend, ConnectionPtr connection, std::optional<std::chrono::milliseconds> toldIdleTime);
 
     /** Closes what has been idle for too long. */
     void sweep();
--- a/src/transport/Call.cpp
+++ b/src/transport/Call.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "transport/JsonCaller.h"
+
 namespace swiftlift::transport::internal {
 
 using std::chrono::steady_clock;
@@ -30,7 +32,7 @@
         return;
     }
     if (caller_) {
-        caller_->streamLine(tokenLine(part, index));
+        streamLine(*caller_, tokenLine(part, index));
     }
 }
 
@@ -68,9 +70,9 @@
     std::string text
         = answered ? answeredText(requestId_, answer_, reply.billed, !asStream) : notAnsweredText(requestId_, reply);
     if (asStream) {
-        caller->endStream(text + "\n");
+        endStream(*caller, text + "\n");
     } else {
-        caller->reply(reply.status, std::move(text), reply.retryAfter);
+        replyJson(*caller, reply.status, std::move(text), reply.retryAfter);
     }
 }
 
--- a/src/transport/CallTable.cpp
+++ b/src/transport/CallTable.cpp
@@ -9,6 +9,7 @@
 
 #include "swiftlift/transport/Hashing.h"
 #include "transport/HttpText.h"
+#include "transport/JsonCaller.h"
 
 namespace swiftlift::transport::internal {
 
@@ -21,6 +22,63 @@
         return reply;
     }
 
+    std::string header(const CallerMessage& message, const char* name)
+    {
+        const auto value = message[name];
+        return { value.data(), value.size() };
+    }
+
+    RawRequest toRaw(CallerMessage&& message)
+    {
+        RawRequest raw;
+        raw.method = std::string(message.method_string());
+        raw.target = std::string(message.target());
+        raw.authorization = header(message, "Authorization");
+        raw.account = header(message, "Swiftlift-Account");
+        raw.requestId = header(message, "Swiftlift-Request-Id");
+        raw.attempt = header(message, "Swiftlift-Attempt");
+        raw.deadline = header(message, "Swiftlift-Deadline-Ms");
+        raw.idempotent = header(message, "Swiftlift-Idempotent");
+        raw.priority = header(message, "Swiftlift-Priority");
+        raw.stream = header(message, "Swiftlift-Stream");
+        raw.body = std::move(message.body());
+        return raw;
+    }
+
+    node::AttemptEnd toEnd(AttemptResult result)
+    {
+        switch (result) {
+        case AttemptResult::Completed:
+            return node::AttemptEnd::Completed;
+        case AttemptResult::Unreachable:
+        case AttemptResult::Refused:
+        case AttemptResult::Misdirected:
+            return node::AttemptEnd::NotStarted;
+        case AttemptResult::Leaving:
+            return node::AttemptEnd::Leaving;
+        case AttemptResult::Failed:
+        case AttemptResult::Broken:
+            return node::AttemptEnd::Broken;
+        }
+        return node::AttemptEnd::Broken;
+    }
+
+    std::string requestBytes(const node::Dispatch& dispatch, const std::string& attempt, std::int64_t next, bool keepAlive)
+    {
+        const bool model = dispatch.kind == node::BackendKind::Model;
+        auto request = jsonPost(dispatch.backend.value(), model ? "/generate" : "/call", dispatch.body);
+        request.set("X-Request-Key", toHex(dispatch.key));
+        request.set("X-Attempt-Id", attempt);
+        if (model) {
+            request.set("X-Priority", std::to_string(static_cast<int>(dispatch.priority)));
+        }
+        if (model && next > 0) {
+            request.set("X-Resume-From", std::to_string(next));
+        }
+        request.keep_alive(keepAlive);
+        return toBytes(request);
+    }
+
 } // namespace
 
 CallTable::CallTable(StreamContext& context)
@@ -47,8 +105,17 @@
     socket.write_some(boost::asio::buffer(bytes), ignored);
 }
 
-void CallTable::requestCame(CallerConnection& connection, ParsedRequest request)
+void CallTable::requestUnreadable(CallerConnection& connection, const UnreadableRequest& why)
+{
+    auto refused = refusal(why.status, why.reason, why.detail);
+    // Before its header is whole, nothing says that this is the request's first attempt.
+    refused.outcome = why.head == nullptr ? node::Outcome::Unknown : outcomeUnseen(header(*why.head, "Swiftlift-Attempt"));
+    refuse(connection, refused, {});
+}
+
+void CallTable::requestCame(CallerConnection& connection, CallerMessage&& message)
 {
+    ParsedRequest request = parseRequest(toRaw(std::move(message)));
     if (auto* call = std::get_if<node::CallerRequest>(&request)) {
         callCame(connection, std::move(*call));
     } else if (const auto* question = std::get_if<RequestQuestion>(&request)) {
@@ -93,7 +160,7 @@
 
 void CallTable::refuse(CallerConnection& connection, const node::Reply& refusal, std::string_view requestId)
 {
-    connection.reply(refusal.status, notAnsweredText(requestId, refusal), refusal.retryAfter);
+    replyJson(connection, refusal.status, notAnsweredText(requestId, refusal), refusal.retryAfter);
 }
 
 void CallTable::callerGone(CallerConnection& connection)
@@ -137,7 +204,7 @@
     }
 }
 
-void CallTable::attemptEnded(Attempt& attempt, node::AttemptEnd end, const DoneLine& counts, std::string detail)
+void CallTable::attemptEnded(Attempt& attempt, AttemptResult result, std::string detail)
 {
     const auto found = running_.find(attempt.id());
     if (found == running_.end()) {
@@ -145,11 +212,12 @@
     }
     const Running running = std::move(found->second);
     running_.erase(found);
-    if (end == node::AttemptEnd::Completed) {
+    const DoneLine& counts = attempt.counts();
+    if (result == AttemptResult::Completed) {
         running.call->wholeAnswerCame(counts.promptTokens);
     }
     context_.events.push({ context_.incarnation,
-        node::AttemptEnded { attempt.id(), end, counts.promptTokens, Tokens(running.call->tokens()),
+        node::AttemptEnded { attempt.id(), toEnd(result), counts.promptTokens, Tokens(running.call->tokens()),
             counts.cachedPromptTokens, std::move(detail) } });
 }
 
@@ -166,18 +234,42 @@
         return;
     }
     const auto& call = found->second;
-    AttemptOrder order;
-    order.next = call->prepare(dispatch);
-    order.mostTokens = call->mostTokens();
-    order.mayReuse = call->idempotent();
     const bool plain = dispatch.kind == node::BackendKind::Plain;
     const AttemptId id = dispatch.attempt;
-    order.dispatch = std::move(dispatch);
-    const auto attempt = std::make_shared<Attempt>(context_, *this, pool_, std::move(order));
+    const auto attempt = std::make_shared<Attempt>(context_, *this, pool_, orderOf(std::move(dispatch), *call));
     running_.emplace(id, Running { attempt, call, plain, 0 });
     attempt->start();
 }
 
+AttemptOrder CallTable::orderOf(node::Dispatch&& dispatch, Call& call)
+{
+    const std::int64_t next = call.prepare(dispatch);
+    const std::string attempt = toHex(context_.incarnation.value()) + "-" + std::to_string(dispatch.attempt.value());
+    const std::string key = toHex(dispatch.key);
+    AttemptOrder order;
+    order.attempt = dispatch.attempt;
+    order.call = dispatch.call;
+    order.backend = dispatch.backend;
+    order.address = BackendAddress(dispatch.backend.value());
+    // A kept connection may close at the moment of the write, and then nobody knows whether the request ran.
+    order.reuse = call.idempotent() ? Reuse::Any : Reuse::Never;
+    order.request = requestBytes(dispatch, attempt, next, order.reuse != Reuse::Never);
+    order.silenceLimit = dispatch.silenceLimit;
+    order.name = key;
+    if (dispatch.kind == node::BackendKind::Plain) {
+        order.makeReader = [most = context_.limits.answerBytes](AnswerSink sink) -> std::shared_ptr<AnswerReader> {
+            return std::make_shared<PlainAnswerReader>(std::move(sink), most);
+        };
+        return order;
+    }
+    LineMatcher matcher(key, attempt, next, call.mostTokens());
+    order.makeReader
+        = [matcher, most = context_.limits.lineBytes](AnswerSink sink) -> std::shared_ptr<AnswerReader> {
+        return std::make_shared<ModelAnswerReader>(matcher, std::move(sink), most);
+    };
+    return order;
+}
+
 void CallTable::cannotStart(const node::Dispatch& dispatch)
 {
     node::AttemptEnded ended;
@@ -217,7 +309,7 @@
         return;
     }
     if (const auto caller = found->second.caller.lock()) {
-        caller->reply(200, std::move(reply.json), std::nullopt);
+        replyJson(*caller, 200, std::move(reply.json), std::nullopt);
     }
     questions_.erase(found);
 }
--- a/src/transport/CallTable.h
+++ b/src/transport/CallTable.h
@@ -10,32 +10,33 @@
 #include "transport/BackendPool.h"
 #include "transport/Call.h"
 #include "transport/CallerConnection.h"
+#include "swiftlift/transport/RequestParsing.h"
 #include "transport/StreamContext.h"
+#include "transport/StreamTable.h"
 
 namespace swiftlift::transport::internal {
 
 /** All calls and attempts in progress: brings the core's orders, the callers and the backend servers together. */
-class CallTable : public CallerHost, public AttemptHost {
+class CallTable final : public StreamTable, public CallerHost, public AttemptHost {
 public:
     explicit CallTable(StreamContext& context);
 
-    void accept(boost::asio::ip::tcp::socket socket);
-    void carryOut(StreamCommand&& command);
+    void accept(boost::asio::ip::tcp::socket socket) override;
+    void acceptReadiness(boost::asio::ip::tcp::socket) override { }
+    void carryOut(StreamCommand&& command) override;
+    void sweep() override;
+    void closeIdleConnections() override;
+    void closeAll() override;
+    [[nodiscard]] bool hasConnections() const noexcept override { return !connections_.empty(); }
+    [[nodiscard]] StreamCounts counts() const override;
 
-    /** To be called often: reports progress, drops what has waited too long. */
-    void sweep();
-
-    void closeIdleConnections();
-    void closeAll();
-    [[nodiscard]] bool hasConnections() const noexcept { return !connections_.empty(); }
-    [[nodiscard]] StreamCounts counts() const;
-
-    void requestCame(CallerConnection& connection, ParsedRequest request) override;
+    void requestCame(CallerConnection& connection, CallerMessage&& request) override;
+    void requestUnreadable(CallerConnection& connection, const UnreadableRequest& why) override;
     void callerGone(CallerConnection& connection) override;
     void callerDrained(CallerConnection& connection) override;
     void connectionClosed(CallerConnection& connection) override;
     void answerPartCame(Attempt& attempt, std::string part) override;
-    void attemptEnded(Attempt& attempt, node::AttemptEnd end, const DoneLine& counts, std::string detail) override;
+    void attemptEnded(Attempt& attempt, AttemptResult result, std::string detail) override;
 
 private:
     struct Running {
@@ -57,6 +58,9 @@
     void carryOut(node::Reply&& reply);
     void carryOut(node::OperatorReply&& reply);
     void carryOut(BeginIncarnation&& begin);
+    /** What concerns requests that are passed on as they came is another table's. */
+    template <typename Other> void carryOut(Other&&) { }
+    [[nodiscard]] AttemptOrder orderOf(node::Dispatch&& dispatch, Call& call);
     void cannotStart(const node::Dispatch& dispatch);
     void reportProgress(Running& running, bool mustArrive);
     void expireQuestions();
--- a/src/transport/CallerConnection.cpp
+++ b/src/transport/CallerConnection.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "swiftlift/transport/CallerText.h"
-#include "transport/HttpText.h"
 
 namespace swiftlift::transport::internal {
 
@@ -17,29 +15,6 @@
     constexpr std::chrono::milliseconds lingerTime { 2'000 };
     constexpr std::string_view continueLine = "HTTP/1.1 100 Continue\r\n\r\n";
 
-    std::string header(const http::request<http::string_body>& message, const char* name)
-    {
-        const auto value = message[name];
-        return { value.data(), value.size() };
-    }
-
-    RawRequest toRaw(http::request<http::string_body>&& message)
-    {
-        RawRequest raw;
-        raw.method = std::string(message.method_string());
-        raw.target = std::string(message.target());
-        raw.authorization = header(message, "Authorization");
-        raw.account = header(message, "Swiftlift-Account");
-        raw.requestId = header(message, "Swiftlift-Request-Id");
-        raw.attempt = header(message, "Swiftlift-Attempt");
-        raw.deadline = header(message, "Swiftlift-Deadline-Ms");
-        raw.idempotent = header(message, "Swiftlift-Idempotent");
-        raw.priority = header(message, "Swiftlift-Priority");
-        raw.stream = header(message, "Swiftlift-Stream");
-        raw.body = std::move(message.body());
-        return raw;
-    }
-
 } // namespace
 
 CallerConnection::CallerConnection(StreamContext& context, CallerHost& host, tcp::socket socket)
@@ -166,19 +141,20 @@
 
 void CallerConnection::refuseUnparsed(ErrorCode error)
 {
-    keepAlive_ = false;
     if (error == http::error::body_limit) {
-        refuse(refusal(413, "body_too_large", "the body is larger than 1 MiB"));
+        refuse(413, "body_too_large", "the body is larger than " + std::to_string(context_.limits.bodyBytes) + " bytes");
+    } else if (error == http::error::header_limit) {
+        refuse(431, "header_too_large",
+            "the header is larger than " + std::to_string(context_.limits.headerBytes) + " bytes");
     } else {
-        refuse(refusal(400, "bad_request", "not to be read as HTTP: " + error.message()));
+        refuse(400, "bad_request", "not to be read as HTTP: " + error.message());
     }
 }
 
 void CallerConnection::receiveTimePassed()
 {
     if (phase_ == Phase::Receiving) {
-        keepAlive_ = false;
-        refuse(refusal(408, "slow_sender", "the request did not come whole in time"));
+        refuse(408, "slow_sender", "the request did not come whole in time");
     } else {
         close();
     }
@@ -190,17 +166,16 @@
     keepAlive_ = message.keep_alive() && !closeWhenIdle_;
     chunked_ = message.version() >= 11;
     beginAnswer();
-    host_.requestCame(*this, parseRequest(toRaw(std::move(message))));
+    host_.requestCame(*this, std::move(message));
 }
 
-void CallerConnection::refuse(node::Reply refusal)
+void CallerConnection::refuse(int status, std::string reason, std::string detail)
 {
-    // Before its header is whole, nothing says that this is the request's first attempt.
-    const bool attemptKnown = parser_->is_header_done();
-    refusal.outcome
-        = attemptKnown ? outcomeUnseen(header(parser_->get(), "Swiftlift-Attempt")) : node::Outcome::Unknown;
+    keepAlive_ = false;
+    const bool headKnown = parser_->is_header_done();
     beginAnswer();
-    reply(refusal.status, notAnsweredText({}, refusal), refusal.retryAfter);
+    host_.requestUnreadable(
+        *this, { status, std::move(reason), std::move(detail), headKnown ? &parser_->get() : nullptr });
 }
 
 void CallerConnection::beginAnswer()
@@ -209,40 +184,33 @@
     receiveDeadline_.disarm();
 }
 
-void CallerConnection::reply(int status, std::string body, std::optional<Duration> retryAfter)
+void CallerConnection::reply(std::string_view answer)
 {
     if (phase_ != Phase::Answering) {
         return;
     }
-    write(jsonReply(status, std::move(body), keepAlive_, retryAfter));
+    write(answer);
     finishAnswer();
 }
 
-void CallerConnection::streamLine(std::string_view line)
+void CallerConnection::beginStream()
 {
-    if (phase_ != Phase::Answering) {
-        return;
-    }
-    std::string bytes;
-    if (!streamBegun_) {
-        streamBegun_ = true;
-        keepAlive_ = keepAlive_ && chunked_;
-        bytes = streamHead(chunked_, keepAlive_);
-    }
-    bytes += chunked_ ? chunk(line) : std::string(line);
-    write(bytes);
+    streamBegun_ = true;
+    keepAlive_ = keepAlive_ && chunked_;
 }
 
-void CallerConnection::endStream(std::string_view line)
+void CallerConnection::stream(std::string_view piece)
 {
-    if (phase_ != Phase::Answering) {
-        return;
+    if (phase_ == Phase::Answering) {
+        write(piece);
     }
-    streamLine(line);
-    if (chunked_) {
-        write(lastChunk());
+}
+
+void CallerConnection::endStream()
+{
+    if (phase_ == Phase::Answering) {
+        finishAnswer();
     }
-    finishAnswer();
 }
 
 void CallerConnection::finishAnswer()
--- a/src/transport/CallerConnection.h
+++ b/src/transport/CallerConnection.h
@@ -11,7 +11,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
-#include "swiftlift/transport/RequestParsing.h"
 #include "transport/Deadline.h"
 #include "transport/StreamContext.h"
 
@@ -19,6 +18,17 @@
 
 class CallerConnection;
 
+using CallerMessage = boost::beast::http::request<boost::beast::http::string_body>;
+
+/** Why a request can't be taken in. */
+struct UnreadableRequest {
+    int status = 400;
+    std::string reason;
+    std::string detail;
+    /** Its head, where that has come whole; null otherwise. */
+    const CallerMessage* head = nullptr;
+};
+
 /** What a caller's connection tells. */
 class CallerHost {
 public:
@@ -28,7 +38,9 @@
     CallerHost& operator=(const CallerHost&) = delete;
 
     /** A request has come whole; the connection waits for its answer. */
-    virtual void requestCame(CallerConnection& connection, ParsedRequest request) = 0;
+    virtual void requestCame(CallerConnection& connection, CallerMessage&& request) = 0;
+    /** A request can't be taken in; it has to be answered, and the connection closes after that. */
+    virtual void requestUnreadable(CallerConnection& connection, const UnreadableRequest& why) = 0;
     /** The caller went away before its answer was written. */
     virtual void callerGone(CallerConnection& connection) = 0;
     /** The caller has taken most of what was written. */
@@ -44,16 +56,23 @@
 
     void start();
 
-    /** Writes a whole answer; the request is over. */
-    void reply(int status, std::string body, std::optional<Duration> retryAfter);
-
-    /** Writes one line of a streamed answer; the first one is preceded by the status line. */
-    void streamLine(std::string_view line);
+    /** Writes a whole answer, its head included; the request is over. */
+    void reply(std::string_view answer);
 
-    /** Writes the last line of a streamed answer; the request is over. */
-    void endStream(std::string_view line);
+    /** From here on the answer is written piece by piece. To be called before its head is made. */
+    void beginStream();
+    /** Writes a piece of a streamed answer. */
+    void stream(std::string_view piece);
+    /** The streamed answer has been written; the request is over. */
+    void endStream();
 
     [[nodiscard]] bool streamBegun() const noexcept { return streamBegun_; }
+    /** @return Whether a request is in progress that still has to be answered. */
+    [[nodiscard]] bool answering() const noexcept { return phase_ == Phase::Answering && !answerComplete_; }
+    /** @return Whether the connection stays open after the present answer, as its head has to say. */
+    [[nodiscard]] bool keepAlive() const noexcept { return keepAlive_; }
+    /** @return Whether the caller understands answers in chunks. */
+    [[nodiscard]] bool chunked() const noexcept { return chunked_; }
 
     /** @return Bytes that are written but not yet taken by the caller's host. */
     [[nodiscard]] std::size_t unsent() const noexcept;
@@ -81,7 +100,7 @@
     void refuseUnparsed(ErrorCode error);
     void requestCame();
     void receiveTimePassed();
-    void refuse(node::Reply refusal);
+    void refuse(int status, std::string reason, std::string detail);
     void beginAnswer();
     void finishAnswer();
     void write(std::string_view bytes);
--- /dev/null
+++ b/src/transport/HeaderFields.cpp
@@ -0,0 +1,70 @@
+#include "swiftlift/transport/HeaderFields.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <iterator>
+
+namespace swiftlift::transport {
+
+namespace {
+
+    /** RFC 9110, section 7.6.1, and what an intermediary works out itself: the framing of the body. */
+    constexpr std::array<std::string_view, 11> ofOneConnection { "Connection", "Keep-Alive", "Proxy-Connection",
+        "Proxy-Authenticate", "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+        "Content-Length" };
+
+    std::string_view trimmed(std::string_view text)
+    {
+        const auto first = text.find_first_not_of(" \t");
+        const auto last = text.find_last_not_of(" \t");
+        return first == std::string_view::npos ? std::string_view {} : text.substr(first, last - first + 1);
+    }
+
+    /** @return Whether the comma-separated list holds the name. */
+    bool lists(std::string_view list, std::string_view name)
+    {
+        while (!list.empty()) {
+            const auto comma = list.find(',');
+            if (sameName(trimmed(list.substr(0, comma)), name)) {
+                return true;
+            }
+            list = comma == std::string_view::npos ? std::string_view {} : list.substr(comma + 1);
+        }
+        return false;
+    }
+
+} // namespace
+
+bool sameName(std::string_view left, std::string_view right) noexcept
+{
+    return std::ranges::equal(left, right,
+        [](unsigned char one, unsigned char other) { return std::tolower(one) == std::tolower(other); });
+}
+
+std::optional<std::string_view> valueOf(const HeaderFields& fields, std::string_view name) noexcept
+{
+    const auto found
+        = std::ranges::find_if(fields, [&](const HeaderField& field) { return sameName(field.name, name); });
+    return found == fields.end() ? std::nullopt : std::optional<std::string_view>(found->value);
+}
+
+std::size_t countOf(const HeaderFields& fields, std::string_view name) noexcept
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(fields, [&](const HeaderField& field) { return sameName(field.name, name); }));
+}
+
+HeaderFields endToEnd(const HeaderFields& fields)
+{
+    const std::string_view named = valueOf(fields, "Connection").value_or(std::string_view {});
+    HeaderFields kept;
+    std::ranges::copy_if(fields, std::back_inserter(kept), [&](const HeaderField& field) {
+        const bool listed = std::ranges::any_of(
+            ofOneConnection, [&](std::string_view name) { return sameName(name, field.name); });
+        return !listed && !lists(named, field.name);
+    });
+    return kept;
+}
+
+} // namespace swiftlift::transport
--- a/src/transport/LogClient.cpp
+++ b/src/transport/LogClient.cpp
@@ -5,7 +5,6 @@
 #include <thread>
 #include <utility>
 
-#include "log.pb.h"
 #include "swiftlift/ring/Inbox.h"
 #include "transport/LogFollower.h"
 
@@ -14,7 +13,6 @@
 namespace {
 
     constexpr std::size_t appendRingCapacity = 1024;
-    constexpr int statusOk = 200;
     constexpr std::chrono::milliseconds idleWait { 500 };
 
     struct TaggedAppend {
@@ -25,8 +23,10 @@
 } // namespace
 
 struct LogClient::State {
-    State(LogClientSettings given, DecisionInbox& inbox, ControlTraffic& counters)
+    State(LogClientSettings given, std::shared_ptr<const LogDialect> spoken, DecisionInbox& inbox,
+        ControlTraffic& counters)
         : settings(std::move(given))
+        , dialect(std::move(spoken))
         , decisions(inbox)
         , traffic(counters)
         , appends(appendRingCapacity)
@@ -42,6 +42,7 @@
     void dropEnded();
 
     const LogClientSettings settings;
+    const std::shared_ptr<const LogDialect> dialect;
     DecisionInbox& decisions;
     ControlTraffic& traffic;
     std::atomic<std::uint64_t> incarnation = 0;
@@ -67,20 +68,13 @@
 
 void LogClient::State::appendOnce(const TaggedAppend& order)
 {
-    proto::log::AppendRequest body;
-    body.add_records(order.append.record);
-    HttpRequest request;
-    request.method = "POST";
-    request.target = "/streams/" + order.append.stream.value() + "/append";
-    request.contentType = "application/x-protobuf";
-    request.body = body.SerializeAsString();
-    const auto answer = appendLog.call(request, settings.appendLimit);
-    if (answer && answer->status == statusOk) {
+    const auto answer = appendLog.call(dialect->append(order.append), settings.appendLimit);
+    const auto problem = answer ? dialect->appendProblem(*answer) : std::optional(LogProblem { appendLog.lastReason() });
+    if (problem) {
+        push(order.incarnation, node::LogUnreachable { order.append.stream, "append: " + problem->detail });
+    } else {
         push(order.incarnation, node::AppendAnswered { order.append.stream });
-        return;
     }
-    const std::string detail = answer ? "append: status " + std::to_string(answer->status) : appendLog.lastReason();
-    push(order.incarnation, node::LogUnreachable { order.append.stream, detail });
 }
 
 void LogClient::State::push(Incarnation to, node::Event&& event)
@@ -108,8 +102,9 @@
     std::erase_if(ending, [](const auto& follower) { return follower->ended(); });
 }
 
-LogClient::LogClient(LogClientSettings settings, DecisionInbox& decisions, ControlTraffic& traffic)
-    : state_(std::make_unique<State>(std::move(settings), decisions, traffic))
+LogClient::LogClient(LogClientSettings settings, std::shared_ptr<const LogDialect> dialect, DecisionInbox& decisions,
+    ControlTraffic& traffic)
+    : state_(std::make_unique<State>(std::move(settings), std::move(dialect), decisions, traffic))
 {
 }
 
@@ -129,7 +124,8 @@
     state_->cancelFollower(follow.stream);
     state_->dropEnded();
     state_->followers[follow.stream] = std::make_unique<internal::LogFollower>(
-        state_->settings, state_->decisions, state_->traffic.log, Incarnation(state_->incarnation.load()), follow);
+        state_->settings, *state_->dialect, state_->decisions, state_->traffic.log,
+        Incarnation(state_->incarnation.load()), follow);
 }
 
 bool LogClient::append(node::Append& append)
