--- a/src/transport/LogFollower.cpp
+++ b/src/transport/LogFollower.cpp
@@ -1,29 +1,29 @@
 #include "transport/LogFollower.h"
 
 #include <algorithm>
+#include <iterator>
+#include <optional>
 #include <utility>
-
-#include <nlohmann/json.hpp>
-
-#include "log.pb.h"
+#include <variant>
 
 namespace swiftlift::transport::internal {
 
 namespace {
 
-    constexpr int statusOk = 200;
-    constexpr int statusGone = 410;
-    constexpr std::chrono::milliseconds pauseStep { 20 };
+    /** Before a full ring is tried again. */
+    constexpr std::chrono::milliseconds fullRingPause { 20 };
 
 } // namespace
 
-LogFollower::LogFollower(const LogClientSettings& settings, DecisionInbox& decisions, TrafficCounter& traffic,
-    Incarnation incarnation, node::Follow follow)
+LogFollower::LogFollower(const LogClientSettings& settings, const LogDialect& dialect, DecisionInbox& decisions,
+    TrafficCounter& traffic, Incarnation incarnation, node::Follow follow)
     : settings_(settings)
+    , dialect_(dialect)
     , decisions_(decisions)
     , incarnation_(incarnation)
-    , stream_(std::move(follow.stream))
-    , next_(follow.from.value())
+    , follow_(std::move(follow))
+    , next_(follow_.from.value())
+    , allKeysDue_(follow_.kind != node::StreamKind::Plain)
     , log_(settings, traffic)
     , thread_([this] { run(); })
 {
@@ -37,7 +37,11 @@
 
 void LogFollower::cancel()
 {
-    cancelled_.store(true);
+    {
+        const std::lock_guard lock(pauseMutex_);
+        cancelled_.store(true);
+    }
+    pauseEnds_.notify_all();
     log_.cancel();
 }
 
@@ -45,8 +49,13 @@
 {
     auto retry = settings_.retryFirst;
     while (!cancelled_.load()) {
-        if (readOnce()) {
+        const bool answered = allKeysDue_ ? readAllKeys() : readOnce();
+        if (answered && follow_.kind == node::StreamKind::KeyedOnce) {
+            break;
+        }
+        if (answered) {
             retry = settings_.retryFirst;
+            pause(std::chrono::duration_cast<std::chrono::milliseconds>(follow_.pause));
             continue;
         }
         pause(retry);
@@ -57,10 +66,8 @@
 
 bool LogFollower::readOnce()
 {
-    HttpRequest request;
-    request.target = "/streams/" + stream_.value() + "/records?from=" + std::to_string(next_)
-        + "&max=" + std::to_string(settings_.recordsPerRead) + "&wait_ms=" + std::to_string(settings_.pollWait.count());
-    const auto answer = log_.call(request, settings_.pollWait + settings_.readLimit);
+    const LogPosition position { follow_.stream, Offset(next_), settings_.pollWait, settings_.recordsPerRead };
+    const auto answer = log_.call(dialect_.read(position), settings_.pollWait + settings_.readLimit);
     if (cancelled_.load()) {
         return false;
     }
@@ -68,68 +75,101 @@
         tellUnreachable(log_.lastReason());
         return false;
     }
-    if (answer->status == statusOk) {
-        return take(*answer);
+    auto read = dialect_.readAnswer(*answer, Offset(next_));
+    if (auto* records = std::get_if<LogRead>(&read)) {
+        take(std::move(*records));
+        return true;
     }
-    if (answer->status == statusGone) {
-        return takeExpired(*answer);
+    if (const auto* gone = std::get_if<LogGone>(&read)) {
+        takeGone(*gone);
+        return false;
     }
-    tellUnreachable("status " + std::to_string(answer->status));
+    tellUnreachable(std::get<LogProblem>(read).detail);
     return false;
 }
 
-bool LogFollower::take(const HttpResponse& answer)
+bool LogFollower::readAllKeys()
 {
-    proto::log::ReadReply reply;
-    if (!reply.ParseFromString(answer.body)) {
-        tellUnreachable("an answer that can't be decoded");
-        return false;
-    }
-    // Records from elsewhere would be folded at the wrong offsets: a hole, or the same record twice.
-    if (reply.records_size() > 0 && reply.first_offset() != next_) {
-        tellUnreachable("records from another offset than asked for");
-        return false;
+    node::KeyedRecords all { follow_.stream, {}, true };
+    bool more = true;
+    // Pages are no snapshot: a key that changes meanwhile comes again when the stream is read from the first page's end.
+    std::optional<Offset> end;
+    while (more) {
+        const std::string after = all.records.empty() ? std::string {} : all.records.back().key;
+        const auto answer = log_.call(dialect_.newest(follow_.stream, after), settings_.readLimit);
+        if (cancelled_.load()) {
+            return false;
+        }
+        if (!answer) {
+            tellUnreachable(log_.lastReason());
+            return false;
+        }
+        auto page = dialect_.newestAnswer(*answer);
+        if (const auto* problem = std::get_if<LogProblem>(&page)) {
+            tellUnreachable(problem->detail);
+            return false;
+        }
+        auto& newest = std::get<NewestRead>(page);
+        end = end.value_or(newest.end);
+        more = newest.more && !newest.records.empty();
+        std::ranges::move(newest.records, std::back_inserter(all.records));
     }
-    node::LogRecords records;
-    records.stream = stream_;
-    records.first = Offset(next_);
-    records.records.assign(reply.records().begin(), reply.records().end());
-    records.end = Offset(reply.end_offset());
-    next_ += records.records.size();
-    push(std::move(records));
+    std::ranges::stable_sort(all.records, {}, &node::KeyedRecord::offset);
+    next_ = end->value();
+    allKeysDue_ = false;
+    push(std::move(all));
     return true;
 }
 
-bool LogFollower::takeExpired(const HttpResponse& answer)
+void LogFollower::take(LogRead&& read)
 {
-    const auto json = nlohmann::json::parse(answer.body, nullptr, false);
-    const auto oldest = json.is_object() ? json.find("oldest") : json.end();
-    if (oldest == json.end() || !oldest->is_number_unsigned()) {
-        tellUnreachable("a 410 without the oldest offset");
-        return false;
+    if (follow_.kind == node::StreamKind::Plain) {
+        node::LogRecords records { follow_.stream, Offset(next_), std::move(read.records), read.end };
+        next_ += records.records.size();
+        push(std::move(records));
+        return;
+    }
+    node::KeyedRecords changed { follow_.stream, {}, false };
+    for (const std::string& record : read.records) {
+        const Offset offset(next_++);
+        if (auto keyed = dialect_.keyedRecord(offset, record)) {
+            changed.records.push_back(std::move(*keyed));
+        } else {
+            tellUnreachable("record " + std::to_string(offset.value()) + " has no key that can be read");
+        }
     }
-    push(node::LogExpired { stream_, Offset(oldest->get<std::uint64_t>()) });
+    push(std::move(changed));
+}
+
+void LogFollower::takeGone(const LogGone& gone)
+{
+    if (follow_.kind != node::StreamKind::Plain) {
+        // Of a keyed stream nothing is lost: the newest record of each key is still there.
+        allKeysDue_ = true;
+        return;
+    }
+    push(node::LogExpired { follow_.stream, gone.oldest });
     // What to do is the core's decision; until it says Follow with another offset, asking again tells nothing new.
-    return false;
 }
 
-void LogFollower::tellUnreachable(std::string detail) { push(node::LogUnreachable { stream_, std::move(detail) }); }
+void LogFollower::tellUnreachable(std::string detail)
+{
+    push(node::LogUnreachable { follow_.stream, std::move(detail) });
+}
 
 void LogFollower::push(node::Event&& event)
 {
     // This thread may wait for room, and has to: records that are left out are a hole.
     TaggedEvent tagged { incarnation_, std::move(event) };
     while (!decisions_.tryPush(tagged) && !cancelled_.load()) {
-        pause(pauseStep);
+        pause(fullRingPause);
     }
 }
 
 void LogFollower::pause(std::chrono::milliseconds limit)
 {
-    const auto until = std::chrono::steady_clock::now() + limit;
-    while (!cancelled_.load() && std::chrono::steady_clock::now() < until) {
-        std::this_thread::sleep_for(std::min(limit, pauseStep));
-    }
+    std::unique_lock lock(pauseMutex_);
+    static_cast<void>(pauseEnds_.wait_for(lock, limit, [this] { return cancelled_.load(); }));
 }
 
 } // namespace swiftlift::transport::internal
--- a/src/transport/LogFollower.h
+++ b/src/transport/LogFollower.h
@@ -2,8 +2,11 @@
 
 #include <atomic>
 #include <chrono>
+#include <condition_variable>
+#include <mutex>
 #include <thread>
 
+#include "swiftlift/transport/LogDialect.h"
 #include "swiftlift/transport/TaggedEvent.h"
 #include "transport/LogEndpoints.h"
 
@@ -12,8 +15,9 @@
 /** Reads one stream of the log by long polls, in a thread of its own, from an offset on. */
 class LogFollower {
 public:
-    LogFollower(const LogClientSettings& settings, DecisionInbox& decisions, TrafficCounter& traffic,
-        Incarnation incarnation, node::Follow follow);
+    /** What is given by reference outlives the follower. */
+    LogFollower(const LogClientSettings& settings, const LogDialect& dialect, DecisionInbox& decisions,
+        TrafficCounter& traffic, Incarnation incarnation, node::Follow follow);
     /** Waits for the thread; call cancel() before, to have that done soon. */
     ~LogFollower();
     LogFollower(const LogFollower&) = delete;
@@ -29,19 +33,26 @@
     void run();
     /** @return Whether the log answered the read. */
     [[nodiscard]] bool readOnce();
-    [[nodiscard]] bool take(const HttpResponse& answer);
-    [[nodiscard]] bool takeExpired(const HttpResponse& answer);
+    /** @return Whether the log answered. */
+    [[nodiscard]] bool readAllKeys();
+    void take(LogRead&& read);
+    void takeGone(const LogGone& gone);
     void tellUnreachable(std::string detail);
     void push(node::Event&& event);
     void pause(std::chrono::milliseconds limit);
 
     const LogClientSettings& settings_;
+    const LogDialect& dialect_;
     DecisionInbox& decisions_;
     Incarnation incarnation_;
-    StreamName stream_;
+    node::Follow follow_;
     std::uint64_t next_;
+    /** Of a keyed stream: all keys have to be read before what changes them. */
+    bool allKeysDue_;
     LogEndpoints log_;
     std::atomic<bool> cancelled_ = false;
+    std::mutex pauseMutex_;
+    std::condition_variable pauseEnds_;
     std::atomic<bool> ended_ = false;
     std::thread thread_;
 };
--- /dev/null
+++ b/src/transport/PassageCall.cpp
@@ -0,0 +1,133 @@
+#include "transport/PassageCall.h"
+
+#include <utility>
+
+#include "transport/HttpText.h"
+#include "transport/PassageText.h"
+
+namespace swiftlift::transport::internal {
+
+using std::chrono::steady_clock;
+
+namespace {
+
+    std::chrono::microseconds since(steady_clock::time_point moment)
+    {
+        return std::chrono::duration_cast<std::chrono::microseconds>(steady_clock::now() - moment);
+    }
+
+} // namespace
+
+PassageCall::PassageCall(StreamContext& context, const PassageDialect& dialect, CallId id, RequestHead head,
+    std::string body, std::string requestId, CallerConnection& caller)
+    : context_(context)
+    , dialect_(dialect)
+    , id_(id)
+    , head_(std::move(head))
+    , body_(std::move(body))
+    , requestId_(std::move(requestId))
+    , caller_(caller.shared_from_this())
+    , arrived_(steady_clock::now())
+{
+}
+
+std::string PassageCall::requestFor(const node::PassOn& order) const
+{
+    const HeaderFields fields = dialect_.towardsBackend(endToEnd(head_.fields), order, lastEvent_);
+    return requestText(head_.method, head_.target, fields, body_);
+}
+
+void PassageCall::passEvent(std::string&& event)
+{
+    observeEvent();
+    ++events_;
+    if (const auto* reader = dynamic_cast<const EventPassageReader*>(reader_.get())) {
+        lastEvent_ = reader->last();
+    }
+    if (!caller_) {
+        return;
+    }
+    std::string bytes;
+    if (!caller_->streamBegun()) {
+        caller_->beginStream();
+        const Framing framing = caller_->chunked() ? Framing::Chunks : Framing::Close;
+        bytes = answerHeadText(reader_->answerHead(), framing, 0, caller_->keepAlive());
+    }
+    bytes += caller_->chunked() ? chunk(event) : event;
+    caller_->stream(bytes);
+}
+
+void PassageCall::observeEvent()
+{
+    if (events_ == 0) {
+        context_.observer.firstToken(since(arrived_));
+    } else {
+        context_.observer.betweenTokens(since(lastPart_));
+    }
+    lastPart_ = steady_clock::now();
+}
+
+void PassageCall::passEnd()
+{
+    const auto caller = std::exchange(caller_, nullptr);
+    if (!caller) {
+        return;
+    }
+    if (caller->streamBegun()) {
+        if (caller->chunked()) {
+            caller->stream(lastChunk());
+        }
+        caller->endStream();
+        return;
+    }
+    context_.observer.firstToken(since(arrived_));
+    caller->reply(answerHeadText(reader_->answerHead(), Framing::Length, reader_->body().size(), caller->keepAlive())
+        + reader_->body());
+}
+
+void PassageCall::keepFailure() { failure_ = reader_; }
+
+void PassageCall::passFailure()
+{
+    const auto caller = std::exchange(caller_, nullptr);
+    if (!caller) {
+        return;
+    }
+    if (caller->streamBegun() || !failure_) {
+        caller->close();
+        return;
+    }
+    caller->reply(answerHeadText(failure_->answerHead(), Framing::Length, failure_->body().size(), caller->keepAlive())
+        + failure_->body());
+}
+
+void PassageCall::finish(const node::Reply& reply)
+{
+    const auto caller = std::exchange(caller_, nullptr);
+    if (!caller) {
+        return;
+    }
+    // An answer that has begun can't become a refusal. Ended in due form, its half would be taken for a whole one; so
+    // its connection is broken off, which every caller takes for a failure.
+    if (caller->streamBegun()) {
+        caller->close();
+        return;
+    }
+    writeRefusal(*caller, dialect_, reply, requestId_);
+}
+
+bool PassageCall::callerIsSlow() const noexcept
+{
+    return caller_ && caller_->unsent() > context_.limits.pauseAboveBytes;
+}
+
+void writeRefusal(CallerConnection& caller, const PassageDialect& dialect, const node::Reply& refusal,
+    const std::string& requestId)
+{
+    AnswerHead head { refusal.status, dialect.ofRefusal(refusal, requestId) };
+    head.fields.push_back({ "Content-Type", "text/plain" });
+    const std::string body = refusal.reason + "\n";
+    caller.reply(answerHeadText(head, Framing::Length, body.size(), caller.keepAlive()) + body);
+}
+
+} // namespace swiftlift::transport::internal
--- /dev/null
+++ b/src/transport/PassageTable.cpp
@@ -0,0 +1,352 @@
+#include "transport/PassageTable.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "swiftlift/transport/CallerText.h"
+#include "transport/PassageText.h"
+
+namespace swiftlift::transport::internal {
+
+namespace {
+
+    constexpr int statusReady = 200;
+    constexpr int statusNotReady = 503;
+
+    RequestHead headOf(const CallerMessage& message)
+    {
+        RequestHead head;
+        head.method = std::string(message.method_string());
+        head.target = std::string(message.target());
+        for (const auto& field : message) {
+            const auto name = field.name_string();
+            const auto value = field.value();
+            head.fields.push_back({ { name.data(), name.size() }, { value.data(), value.size() } });
+        }
+        return head;
+    }
+
+    node::PassageEnd toEnd(AttemptResult result)
+    {
+        switch (result) {
+        case AttemptResult::Completed:
+            return node::PassageEnd::Completed;
+        case AttemptResult::Unreachable:
+            return node::PassageEnd::Unreachable;
+        case AttemptResult::Refused:
+        case AttemptResult::Leaving:
+            return node::PassageEnd::Refused;
+        case AttemptResult::Misdirected:
+            return node::PassageEnd::Misdirected;
+        case AttemptResult::Failed:
+            return node::PassageEnd::Failed;
+        case AttemptResult::Broken:
+            return node::PassageEnd::Broken;
+        }
+        return node::PassageEnd::Broken;
+    }
+
+    node::Reply overloaded()
+    {
+        auto reply = refusal(statusNotReady, "overloaded", "the router has too much waiting");
+        reply.retryAfter = std::chrono::seconds(1);
+        return reply;
+    }
+
+} // namespace
+
+PassageTable::PassageTable(StreamContext& context, std::shared_ptr<const PassageDialect> dialect)
+    : context_(context)
+    , dialect_(std::move(dialect))
+    , pool_(context)
+{
+}
+
+void PassageTable::accept(boost::asio::ip::tcp::socket socket) { addCaller(std::move(socket), false); }
+void PassageTable::acceptReadiness(boost::asio::ip::tcp::socket socket) { addCaller(std::move(socket), true); }
+
+void PassageTable::addCaller(boost::asio::ip::tcp::socket socket, bool asksReadiness)
+{
+    if (connections_.size() >= context_.limits.connections) {
+        ++context_.counts.overloaded;
+        return;
+    }
+    const auto connection = std::make_shared<CallerConnection>(context_, *this, std::move(socket));
+    connections_.insert(connection);
+    if (asksReadiness) {
+        readinessAskers_.insert(connection.get());
+    }
+    connection->start();
+}
+
+void PassageTable::answerReadiness(CallerConnection& connection) const
+{
+    const AnswerHead head { readiness_.ready ? statusReady : statusNotReady, {} };
+    connection.reply(answerHeadText(head, Framing::Length, 0, connection.keepAlive()));
+}
+
+void PassageTable::requestCame(CallerConnection& connection, CallerMessage&& request)
+{
+    if (readinessAskers_.contains(&connection)) {
+        answerReadiness(connection);
+        return;
+    }
+    if (readiness_.closing) {
+        connection.closeWhenIdle();
+    }
+    RequestHead head = headOf(request);
+    auto facts = dialect_->facts(head);
+    if (const auto* refused = std::get_if<node::Reply>(&facts)) {
+        writeRefusal(connection, *dialect_, *refused, {});
+        return;
+    }
+    auto& known = std::get<node::PassageFacts>(facts);
+    const CallId id(++lastNumber_);
+    const std::string requestId = known.id;
+    TaggedEvent event { Incarnation {}, node::PassageArrived { id, std::move(known) } };
+    if (!context_.decisions.tryPush(std::move(event), reservedEvents)) {
+        ++context_.counts.overloaded;
+        writeRefusal(connection, *dialect_, overloaded(), requestId);
+        return;
+    }
+    calls_.emplace(id,
+        std::make_shared<PassageCall>(
+            context_, *dialect_, id, std::move(head), std::move(request.body()), requestId, connection));
+    connection.setCall(id);
+}
+
+void PassageTable::requestUnreadable(CallerConnection& connection, const UnreadableRequest& why)
+{
+    context_.log.write(logging::Level::Info, "unreadable_request",
+        { { "status", std::int64_t { why.status } }, { "reason", why.reason }, { "detail", why.detail } });
+    writeRefusal(connection, *dialect_, refusal(why.status, why.reason, why.detail), {});
+}
+
+void PassageTable::callerGone(CallerConnection& connection)
+{
+    if (const auto call = take(*connection.call())) {
+        context_.events.push({ Incarnation {}, node::PassageAbandoned { call->id(), call->events() } });
+        call->callerGone();
+        if (auto* running = runningOf(call->id())) {
+            running->attempt->resume();
+        }
+    }
+}
+
+void PassageTable::callerDrained(CallerConnection& connection)
+{
+    if (auto* running = runningOf(*connection.call())) {
+        running->attempt->resume();
+    }
+}
+
+void PassageTable::connectionClosed(CallerConnection& connection)
+{
+    readinessAskers_.erase(&connection);
+    connections_.erase(connection.shared_from_this());
+}
+
+void PassageTable::answerPartCame(Attempt& attempt, std::string part)
+{
+    const auto found = running_.find(attempt.id());
+    if (found == running_.end()) {
+        return;
+    }
+    auto& running = found->second;
+    running.call->passEvent(std::move(part));
+    if (running.reportedEvents == 0) {
+        reportProgress(running, true);
+    }
+    if (running.call->callerIsSlow()) {
+        ++context_.counts.pauses;
+        attempt.pause();
+    }
+}
+
+void PassageTable::attemptEnded(Attempt& attempt, AttemptResult result, std::string detail)
+{
+    const auto found = running_.find(attempt.id());
+    if (found == running_.end()) {
+        return;
+    }
+    const Running running = std::move(found->second);
+    running_.erase(found);
+    if (result == AttemptResult::Completed) {
+        running.call->passEnd();
+        calls_.erase(running.call->id());
+    } else if (result == AttemptResult::Failed) {
+        running.call->keepFailure();
+    }
+    context_.events.push({ context_.incarnation,
+        node::PassageEnded { attempt.id(), toEnd(result), attempt.status(), running.call->events(),
+            std::move(detail) } });
+}
+
+void PassageTable::carryOut(StreamCommand&& command)
+{
+    std::visit([this](auto&& order) { carryOut(std::forward<decltype(order)>(order)); }, std::move(command));
+}
+
+void PassageTable::carryOut(node::PassOn&& order)
+{
+    const auto found = calls_.find(order.call);
+    if (found == calls_.end() || running_.contains(order.attempt)) {
+        context_.events.push({ context_.incarnation,
+            node::PassageEnded { order.attempt, node::PassageEnd::Unreachable, 0, 0, "the caller is gone" } });
+        return;
+    }
+    const auto call = found->second;
+    const auto attempt = std::make_shared<Attempt>(context_, *this, pool_, orderOf(order, *call));
+    running_.emplace(order.attempt, Running { attempt, call, call->events() });
+    attempt->start();
+}
+
+AttemptOrder PassageTable::orderOf(const node::PassOn& passOn, PassageCall& call) const
+{
+    AttemptOrder order;
+    order.attempt = passOn.attempt;
+    order.call = passOn.call;
+    order.backend = passOn.backend;
+    order.address = passOn.address;
+    order.request = call.requestFor(passOn);
+    order.reuse = passOn.silenceLimit ? Reuse::Any : Reuse::Fresh;
+    order.silenceLimit = passOn.silenceLimit.value_or(passOn.timeLeft + context_.limits.connectTime);
+    order.name = call.requestId();
+    const ExpectedAnswer expected { dialect_.get(), call.requestId(), context_.limits.answerBytes,
+        context_.limits.lineBytes };
+    const bool events = passOn.answer == fleet::AnswerKind::Events;
+    order.makeReader = [expected, events, &call](AnswerSink sink) -> std::shared_ptr<AnswerReader> {
+        // The call goes on reading the answer's head and body after the attempt has ended.
+        std::shared_ptr<PassageReader> reader;
+        if (events) {
+            reader = std::make_shared<EventPassageReader>(expected, std::move(sink), call.lastEvent());
+        } else {
+            reader = std::make_shared<WholePassageReader>(expected);
+        }
+        call.readBy(reader);
+        return reader;
+    };
+    return order;
+}
+
+void PassageTable::carryOut(node::PassFailureOn&& order)
+{
+    if (const auto call = take(order.call)) {
+        call->passFailure();
+    }
+}
+
+void PassageTable::carryOut(node::CancelAttempt&& cancel)
+{
+    if (const auto found = running_.find(cancel.attempt); found != running_.end()) {
+        const auto attempt = found->second.attempt;
+        running_.erase(found);
+        attempt->cancel();
+    }
+}
+
+void PassageTable::carryOut(node::Reply&& reply)
+{
+    if (const auto call = take(reply.call)) {
+        call->finish(reply);
+    }
+}
+
+void PassageTable::carryOut(node::AnnounceReadiness&& readiness)
+{
+    readiness_ = readiness;
+    if (readiness.closing) {
+        closeIdleConnections();
+    }
+}
+
+void PassageTable::carryOut(node::SetCallerLimits&& limits)
+{
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    context_.limits.headerBytes = static_cast<std::uint32_t>(limits.limits.headerBytes);
+    context_.limits.bodyBytes = limits.limits.bodyBytes;
+    context_.limits.headerTime = duration_cast<milliseconds>(limits.limits.headerTime);
+    context_.limits.idleTime = duration_cast<milliseconds>(limits.limits.idleTime);
+}
+
+void PassageTable::carryOut(BeginIncarnation&& begin)
+{
+    context_.incarnation = begin.incarnation;
+    // The former core said that nothing is in progress; what runs nevertheless can't be told to anybody any more.
+    for (const auto& [id, running] : std::exchange(running_, {})) {
+        running.attempt->cancel();
+    }
+}
+
+void PassageTable::reportProgress(Running& running, bool mustArrive)
+{
+    running.reportedEvents = running.call->events();
+    TaggedEvent event { context_.incarnation,
+        node::PassageProgress { running.attempt->id(), running.reportedEvents } };
+    if (mustArrive) {
+        context_.events.push(std::move(event));
+    } else {
+        context_.decisions.pushOrDrop(std::move(event));
+    }
+}
+
+void PassageTable::sweep()
+{
+    context_.events.flush();
+    pool_.sweep();
+}
+
+void PassageTable::closeIdleConnections()
+{
+    const auto connections = connections_;
+    for (const auto& connection : connections) {
+        if (!readinessAskers_.contains(connection.get())) {
+            connection->closeWhenIdle();
+        }
+    }
+}
+
+void PassageTable::closeAll()
+{
+    for (const auto& [id, running] : std::exchange(running_, {})) {
+        running.attempt->cancel();
+    }
+    const auto connections = connections_;
+    for (const auto& connection : connections) {
+        connection->setCall(std::nullopt);
+        connection->close();
+    }
+    calls_.clear();
+    pool_.clear();
+}
+
+StreamCounts PassageTable::counts() const
+{
+    StreamCounts counts = context_.counts;
+    counts.connections = connections_.size();
+    counts.attempts = running_.size();
+    counts.calls = calls_.size();
+    return counts;
+}
+
+PassageTable::Running* PassageTable::runningOf(CallId call)
+{
+    const auto found
+        = std::ranges::find_if(running_, [&](const auto& entry) { return entry.second.call->id() == call; });
+    return found == running_.end() ? nullptr : &found->second;
+}
+
+std::shared_ptr<PassageCall> PassageTable::take(CallId call)
+{
+    const auto found = calls_.find(call);
+    if (found == calls_.end()) {
+        return nullptr;
+    }
+    const auto taken = found->second;
+    calls_.erase(found);
+    return taken;
+}
+
+} // namespace swiftlift::transport::internal
--- a/src/transport/StreamContext.h
+++ b/src/transport/StreamContext.h
@@ -10,7 +10,7 @@
 /** What all parts of the streams thread share. Used in that thread only. */
 struct StreamContext {
     boost::asio::io_context& loop;
-    const StreamLimits& limits;
+    StreamLimits& limits;
     DecisionInbox& decisions;
     /** Events that must arrive. */
     ring::Outbox<TaggedEvent> events;
--- a/src/transport/StreamServer.cpp
+++ b/src/transport/StreamServer.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "transport/CallTable.h"
+#include "transport/PassageTable.h"
 
 namespace swiftlift::transport {
 
@@ -25,23 +26,46 @@
     constexpr std::size_t commandsPerRound = 1024;
     constexpr std::chrono::milliseconds acceptRetry { 100 };
 
+    std::unique_ptr<internal::StreamTable> makeTable(
+        internal::StreamContext& context, std::shared_ptr<const PassageDialect> dialect)
+    {
+        if (dialect) {
+            return std::make_unique<internal::PassageTable>(context, std::move(dialect));
+        }
+        return std::make_unique<internal::CallTable>(context);
+    }
+
+    /** An address that is listened on. */
+    struct Listener {
+        explicit Listener(boost::asio::io_context& loop)
+            : acceptor(loop)
+            , retryTimer(loop)
+        {
+        }
+
+        tcp::acceptor acceptor;
+        boost::asio::steady_timer retryTimer;
+    };
+
 } // namespace
 
 struct StreamServer::State {
-    State(StreamLimits given, DecisionInbox& decisions, StreamObserver& observer, logging::JsonLog& log)
+    State(StreamLimits given, DecisionInbox& decisions, StreamObserver& observer, logging::JsonLog& log,
+        std::shared_ptr<const PassageDialect> dialect)
         : limits(given)
         , inbox(commandRingCapacity)
         , context { loop, limits, decisions, ring::Outbox<TaggedEvent>(decisions), observer, log, {}, {} }
-        , table(context)
-        , acceptor(loop)
+        , table(makeTable(context, std::move(dialect)))
+        , callers(loop)
+        , readiness(loop)
         , commands(loop, ::dup(inbox.wakeup().descriptor()))
         , sweepTimer(loop)
-        , acceptTimer(loop)
     {
     }
 
-    void accept();
-    void accepted(ErrorCode error, tcp::socket socket);
+    [[nodiscard]] bool open(Listener& listener, const Endpoint& endpoint);
+    void accept(Listener& listener);
+    void accepted(Listener& listener, ErrorCode error, tcp::socket socket);
     void awaitCommands();
     void takeCommands();
     void sweep();
@@ -51,11 +75,11 @@
     StreamInbox inbox;
     boost::asio::io_context loop { 1 };
     internal::StreamContext context;
-    internal::CallTable table;
-    tcp::acceptor acceptor;
+    std::unique_ptr<internal::StreamTable> table;
+    Listener callers;
+    Listener readiness;
     boost::asio::posix::stream_descriptor commands;
     boost::asio::steady_timer sweepTimer;
-    boost::asio::steady_timer acceptTimer;
     std::optional<std::chrono::steady_clock::time_point> stopAt;
     std::string lastReason;
     mutable std::mutex countsMutex;
@@ -63,26 +87,50 @@
     std::thread thread;
 };
 
-void StreamServer::State::accept()
+bool StreamServer::State::open(Listener& listener, const Endpoint& endpoint)
+{
+    ErrorCode error;
+    const auto fail = [&] {
+        lastReason = toText(endpoint) + ": " + error.message();
+        return false;
+    };
+    const tcp::endpoint address(boost::asio::ip::make_address(endpoint.ip, error), endpoint.port);
+    tcp::acceptor& acceptor = listener.acceptor;
+    if (error || acceptor.open(address.protocol(), error)) {
+        return fail();
+    }
+    acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (acceptor.bind(address, error) || acceptor.listen(tcp::acceptor::max_listen_connections, error)) {
+        return fail();
+    }
+    return true;
+}
+
+void StreamServer::State::accept(Listener& listener)
 {
-    acceptor.async_accept([this](ErrorCode error, tcp::socket socket) { accepted(error, std::move(socket)); });
+    listener.acceptor.async_accept(
+        [this, &listener](ErrorCode error, tcp::socket socket) { accepted(listener, error, std::move(socket)); });
 }
 
-void StreamServer::State::accepted(ErrorCode error, tcp::socket socket)
+void StreamServer::State::accepted(Listener& listener, ErrorCode error, tcp::socket socket)
 {
     if (error == boost::asio::error::operation_aborted) {
         return;
     }
     if (!error) {
-        table.accept(std::move(socket));
-        accept();
+        if (&listener == &callers) {
+            table->accept(std::move(socket));
+        } else {
+            table->acceptReadiness(std::move(socket));
+        }
+        accept(listener);
         return;
     }
     // Out of file descriptors: accept() would fail at once again and again, and the loop would do nothing else.
-    acceptTimer.expires_after(acceptRetry);
-    acceptTimer.async_wait([this](ErrorCode cancelled) {
-        if (!cancelled && acceptor.is_open()) {
-            accept();
+    listener.retryTimer.expires_after(acceptRetry);
+    listener.retryTimer.async_wait([this, &listener](ErrorCode cancelled) {
+        if (!cancelled && listener.acceptor.is_open()) {
+            accept(listener);
         }
     });
 }
@@ -105,7 +153,7 @@
         if (!command) {
             return;
         }
-        table.carryOut(std::move(*command));
+        table->carryOut(std::move(*command));
     }
     // There may be more; let the sockets have their turn first.
     inbox.wakeup().signal();
@@ -113,13 +161,13 @@
 
 void StreamServer::State::sweep()
 {
-    table.sweep();
+    table->sweep();
     {
         const std::lock_guard lock(countsMutex);
-        published = table.counts();
+        published = table->counts();
     }
-    if (stopAt && (!table.hasConnections() || std::chrono::steady_clock::now() >= *stopAt)) {
-        table.closeAll();
+    if (stopAt && (!table->hasConnections() || std::chrono::steady_clock::now() >= *stopAt)) {
+        table->closeAll();
         loop.stop();
         return;
     }
@@ -134,49 +182,39 @@
 void StreamServer::State::beginStop(std::chrono::milliseconds limit)
 {
     ErrorCode ignored;
-    acceptor.close(ignored);
+    callers.acceptor.close(ignored);
+    readiness.acceptor.close(ignored);
     stopAt = std::chrono::steady_clock::now() + limit;
-    table.closeIdleConnections();
+    table->closeIdleConnections();
 }
 
 StreamServer::StreamServer(
-    StreamLimits limits, DecisionInbox& decisions, StreamObserver& observer, logging::JsonLog& log)
-    : state_(std::make_unique<State>(limits, decisions, observer, log))
+    StreamLimits limits, DecisionInbox& decisions, StreamObserver& observer, logging::JsonLog& log,
+    std::shared_ptr<const PassageDialect> dialect)
+    : state_(std::make_unique<State>(limits, decisions, observer, log, std::move(dialect)))
 {
 }
 
 StreamServer::~StreamServer() { stop(std::chrono::milliseconds(0)); }
 
-bool StreamServer::listen(const Endpoint& endpoint)
-{
-    ErrorCode error;
-    const auto fail = [&] {
-        state_->lastReason = toText(endpoint) + ": " + error.message();
-        return false;
-    };
-    const tcp::endpoint address(boost::asio::ip::make_address(endpoint.ip, error), endpoint.port);
-    if (error || state_->acceptor.open(address.protocol(), error)) {
-        return fail();
-    }
-    state_->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    if (state_->acceptor.bind(address, error)
-        || state_->acceptor.listen(tcp::acceptor::max_listen_connections, error)) {
-        return fail();
-    }
-    return true;
-}
+bool StreamServer::listen(const Endpoint& endpoint) { return state_->open(state_->callers, endpoint); }
+
+bool StreamServer::listenReadiness(const Endpoint& endpoint) { return state_->open(state_->readiness, endpoint); }
 
 const std::string& StreamServer::lastReason() const noexcept { return state_->lastReason; }
 
 std::uint16_t StreamServer::port() const
 {
     ErrorCode ignored;
-    return state_->acceptor.local_endpoint(ignored).port();
+    return state_->callers.acceptor.local_endpoint(ignored).port();
 }
 
 void StreamServer::start()
 {
-    state_->accept();
+    state_->accept(state_->callers);
+    if (state_->readiness.acceptor.is_open()) {
+        state_->accept(state_->readiness);
+    }
     state_->awaitCommands();
     state_->sweep();
     state_->thread = std::thread([state = state_.get()] { state->loop.run(); });
--- a/tests/ledger/ExploreText.cpp
+++ b/tests/ledger/ExploreText.cpp
@@ -20,6 +20,7 @@
         void operator()(const Return& entry) const { out << "return " << textOf(entry.grant) << ' ' << entry.amount; }
         void operator()(const CloseGrant& entry) const { out << "close " << textOf(entry.grant); }
         void operator()(const WriteOff& entry) const { out << "write off " << textOf(entry.grant); }
+        void operator()(const Fund& entry) const { out << "fund " << entry.budget.account << " with " << entry.total; }
         void operator()(const ChangeWitness& entry) const
         {
             out << "witness " << textOf(entry.grant) << ' ' << entry.witness << " ceiling " << entry.ceiling;
