--- a/apps/router/RouterProcess.cpp
+++ b/apps/router/RouterProcess.cpp
@@ -163,6 +163,30 @@
     loop_.start();
 }
 
+void RouterProcess::reload(const settings::RouterSettings& changed)
+{
+    const auto level = changed.logging.level;
+    const bool levelChanged = level != settings_.logging.level;
+    settings_.logging.level = level;
+    journal_.setLevel(static_cast<logging::Level>(level));
+    // A listener or the log's address changes with the VM's own: the process then starts anew anyway.
+    const bool placeChanged = changed.vm.peer != settings_.vm.peer || changed.callersListen != settings_.callersListen
+        || changed.logEndpoints != settings_.logEndpoints;
+    journal_.write(logging::Level::Info, "reload",
+        { { "outcome", std::string("in_force") }, { "level_changed", levelChanged },
+            { "needs_restart", placeChanged } });
+}
+
+void RouterProcess::rejectReload(const Findings& findings)
+{
+    std::string text;
+    for (const Finding& finding : findings) {
+        text += (text.empty() ? "" : "; ") + toText(finding);
+    }
+    journal_.write(
+        logging::Level::Error, "reload", { { "outcome", std::string("rejected") }, { "findings", text } });
+}
+
 void RouterProcess::stop()
 {
     const auto limit = settings_.stopLimit * stopSixths / 6;
--- a/apps/router/RouterProcess.h
+++ b/apps/router/RouterProcess.h
@@ -20,6 +20,11 @@
 
     void start();
 
+    /** Takes over what of new settings can change in a running process, and logs what can't. */
+    void reload(const settings::RouterSettings& changed);
+    /** New settings can't be read: those in force stay. */
+    void rejectReload(const Findings& findings);
+
     /** Asks the core to stop, waits until it is ready, but no longer than the settings' limit, and ends all threads. */
     void stop();
 
--- a/include/swiftlift/ledger/HoldingPolicy.h
+++ b/include/swiftlift/ledger/HoldingPolicy.h
@@ -57,7 +57,7 @@
     Tokens bought;
     Tokens available;
     bool logReachable = false;
-    /** Part of the budget is to be held here whether or not there has been demand. */
+    /** Part of the budget is to be held here though demand has not been seen for long enough to go by it. */
     bool stocked = false;
     /** Routers of the fleet that live, as far as is known, this one included. */
     std::uint32_t routers = 1;
--- a/include/swiftlift/logging/JsonLog.h
+++ b/include/swiftlift/logging/JsonLog.h
@@ -44,6 +44,9 @@
     /** @return Whether the log can be written to. */
     [[nodiscard]] bool isOpen() const noexcept;
 
+    /** Lines below this level are left out from now on. For any thread. */
+    void setLevel(Level level) noexcept;
+
     /** Goes on each line from now on. */
     void setIncarnation(std::uint64_t incarnation) noexcept;
 
--- a/src/ledger/HolderBook.h
+++ b/src/ledger/HolderBook.h
@@ -139,6 +139,8 @@
     Surroundings surroundings_;
     /** Since when the log has been out of reach. */
     std::optional<Instant> logLostAt_;
+    /** Since when there have been requests. */
+    std::optional<Instant> busySince_;
     /** Since when the surroundings have named this witness. */
     Instant witnessSince_ {};
     bool retired_ = false;
--- a/src/ledger/HolderDesk.h
+++ b/src/ledger/HolderDesk.h
@@ -40,6 +40,7 @@
     Instant othersShortUntil {};
     /** A draw that the budget can't cover is made only to tell the others; not before this. */
     Instant nextSignal {};
+    std::optional<Instant> signalledAt;
     /** Position in the round of lenders, and when the next round may begin. */
     std::uint32_t loanAttempts = 0;
     Instant nextLoanRound {};
--- a/src/ledger/HolderRequests.cpp
+++ b/src/ledger/HolderRequests.cpp
@@ -11,6 +11,8 @@
 
     /** How long a request waits for what others may give back, or for a draw, before it is told no. */
     constexpr Duration patience = 2s;
+    /** How long a signal that money is short takes to be read, answered with a return, and read back. */
+    constexpr Duration returnPatience = 400ms;
     constexpr Duration retrySoon = 100ms;
     constexpr Duration retryElsewhere = 1s;
     constexpr Duration retryOutage = 2s;
@@ -35,6 +37,7 @@
 {
     assert(amount > Tokens {} && "a request costs something");
     now_ = now;
+    busySince_ = busySince_.value_or(now);
     HolderDesk& desk = deskOf(budget);
     if (desk.wants.add(key, amount, now))
         desk.demand.note(amount, now);
@@ -97,7 +100,9 @@
     if (!surroundings_.logReachable || now_ - desk.wants.since(key, now_) > patience)
         return false;
     const bool drawCovers = desk.drawing && desk.drawingWanted >= amount;
-    const bool othersWereTold = desk.nextSignal > now_;
+    // Whoever can give back does so as soon as it reads the signal. A second of waiting for it, and a caller with little
+    // time is held to its deadline for nothing.
+    const bool othersWereTold = desk.signalledAt && now_ - *desk.signalledAt < returnPatience;
     return drawCovers || othersWereTold;
 }
 
--- a/src/ledger/HolderWork.cpp
+++ b/src/ledger/HolderWork.cpp
@@ -15,6 +15,8 @@
     constexpr Duration cautionAfterReturn = 3s;
     /** Between two draws that only tell the others that money is short here. */
     constexpr Duration signalPause = 1s;
+    /** After so long with requests of any account, their demand is known, and no stock is kept beyond it. */
+    constexpr Duration demandSeen = 5s;
     /** A witness that is silent for this long is not counted on. */
     constexpr Duration witnessPatience = 500ms;
 
@@ -65,10 +67,13 @@
     if (const std::optional<BudgetView> view = fold_->budget(budget)) {
         situation.bought = view->bought;
         situation.available = view->available();
+        // A router that starts anew amid traffic sees demand at once, and a stock would be what it takes from the others.
+        const bool untouched = view->billed == none || grantsRemainder(desk) > none;
+        const bool demandUnknown = !busySince_ || now_ - *busySince_ < demandSeen;
+        situation.stocked = desk.stocked && untouched && demandUnknown;
     }
     situation.logReachable = surroundings_.logReachable;
     situation.sharers = desk.sharerCount(now_);
-    situation.stocked = desk.stocked;
     situation.routers = surroundings_.routers;
     situation.cautious = now_ < desk.cautiousUntil;
     situation.othersShort = now_ < desk.othersShortUntil ? desk.othersShort : none;
@@ -108,6 +113,7 @@
         if (now_ < desk.nextSignal)
             return;
         desk.nextSignal = now_ + signalPause;
+        desk.signalledAt = now_;
     }
     const GrantId id { self_, ++lastGrant_ };
     desk.drawing = id;
--- a/src/ledger/PolicyDemandGrants.cpp
+++ b/src/ledger/PolicyDemandGrants.cpp
@@ -16,6 +16,10 @@
     constexpr std::int64_t shareDivisor = 2;
     /** Surplus goes back from this multiple of the high watermark on, so that draws and returns don't alternate. */
     constexpr std::int64_t surplusFactor = 2;
+    /** As above, in percent, where the watermarks are set: what is held above them is lost with its holder, and a fleet that
+     * loses all its routers at once loses all of it. */
+    constexpr std::int64_t tightSurplusPercent = 130;
+    constexpr Duration tightSurplusPause = 1s;
     constexpr Duration surplusPause = 5s;
     constexpr Duration shortagePause = 500ms;
     constexpr std::int64_t wholePercent = 100;
@@ -68,6 +72,8 @@
 
 Tokens DemandGrantsPolicy::high(const BudgetSituation& situation) const
 {
+    if (settings_.watermarks)
+        return std::max(tokensOf(situation.demand, settings_.watermarks->highSeconds), situation.largest);
     return tokensOf(situation.demand, watermarks(situation).highSeconds) + situation.largest;
 }
 
@@ -105,8 +111,10 @@
             return none;
         return std::clamp(situation.free, none, situation.othersShort);
     }
-    const Tokens most = std::max(Tokens { high(situation).value() * surplusFactor }, stock(situation));
-    if (situation.free <= most || situation.sinceReturn < surplusPause)
+    const bool tight = settings_.watermarks.has_value();
+    const std::int64_t percent = tight ? tightSurplusPercent : surplusFactor * wholePercent;
+    const Tokens most = std::max(Tokens { high(situation).value() * percent / wholePercent }, stock(situation));
+    if (situation.free <= most || situation.sinceReturn < (tight ? tightSurplusPause : surplusPause))
         return none;
     return situation.free - std::max(high(situation), stock(situation));
 }
--- a/src/logging/JsonLog.cpp
+++ b/src/logging/JsonLog.cpp
@@ -54,6 +54,7 @@
 struct JsonLog::State {
     explicit State(JsonLogSettings given)
         : settings(std::move(given))
+        , least(settings.level)
         , inbox(settings.capacity)
     {
     }
@@ -65,6 +66,7 @@
     [[nodiscard]] std::string compose(Level level, std::string_view kind, const Fields& fields) const;
 
     JsonLogSettings settings;
+    std::atomic<Level> least;
     ring::Inbox<Line> inbox;
     std::atomic<std::uint64_t> incarnation = 0;
     std::atomic<std::uint64_t> writtenLines = 0;
@@ -157,11 +159,13 @@
 
 bool JsonLog::isOpen() const noexcept { return state_->usable; }
 
+void JsonLog::setLevel(Level level) noexcept { state_->least.store(level); }
+
 void JsonLog::setIncarnation(std::uint64_t incarnation) noexcept { state_->incarnation.store(incarnation); }
 
 void JsonLog::write(Level level, std::string_view kind, const Fields& fields)
 {
-    if (level < state_->settings.level) {
+    if (level < state_->least.load()) {
         return;
     }
     state_->inbox.pushOrDrop({ level, state_->compose(level, kind, fields) });
--- a/src/node/FleetBook.cpp
+++ b/src/node/FleetBook.cpp
@@ -121,6 +121,7 @@
     for (const KeyedRecord& record : records.records) {
         takeServer(record);
     }
+    static_cast<void>(dropLapsed());
     publishBackends();
 }
 
@@ -128,8 +129,7 @@
 {
     const BackendId id { record.key };
     if (!record.value) {
-        const bool wasAway = lastAway_ && context_.now() - *lastAway_ < awayMemory;
-        lapsed_.try_emplace(id, wasAway ? context_.now() + lapseGrace : context_.now());
+        lapsed_.try_emplace(id, context_.now());
         return;
     }
     Findings findings;
@@ -153,11 +153,40 @@
     servers_[id] = std::move(*server);
 }
 
-void FleetBook::dropServer(const BackendId& id)
+bool FleetBook::mostLapsed(const ServiceName& service) const
 {
-    if (servers_.erase(id) > 0) {
-        context_.log(Line("backend").with("backend", id.value()).with("change", "unregistered"));
+    std::size_t registered = 0;
+    std::size_t lapsed = 0;
+    for (const auto& [id, server] : servers_) {
+        if (server.service == service && server.state == fleet::ServerState::Ready) {
+            ++(lapsed_.contains(id) ? lapsed : registered);
+        }
     }
+    return lapsed > registered;
+}
+
+bool FleetBook::dropLapsed()
+{
+    bool dropped = false;
+    for (auto entry = lapsed_.begin(); entry != lapsed_.end();) {
+        const auto server = servers_.find(entry->first);
+        const bool known = server != servers_.end();
+        const bool wait = known && mostLapsed(server->second.service) && context_.now() - entry->second < lapseGrace;
+        if (wait) {
+            ++entry;
+            continue;
+        }
+        if (known) {
+            context_.log(Line("backend")
+                             .with("backend", entry->first.value())
+                             .with("change", "unregistered")
+                             .with("missing_ms", toMilliseconds(context_.now() - entry->second)));
+            servers_.erase(server);
+            dropped = true;
+        }
+        entry = lapsed_.erase(entry);
+    }
+    return dropped;
 }
 
 void FleetBook::publishBackends()
@@ -210,21 +239,8 @@
 {
     const Instant now = context_.now();
     if (!health_.reachable(now)) {
-        lastAway_ = now;
         askPeer();
-    }
-    bool dropped = false;
-    // While the log is away nobody can say whether a lapsed entry is back.
-    for (auto entry = lapsed_.begin(); entry != lapsed_.end() && health_.reachable(now);) {
-        if (now < entry->second) {
-            ++entry;
-            continue;
-        }
-        dropServer(entry->first);
-        dropped = true;
-        entry = lapsed_.erase(entry);
-    }
-    if (dropped) {
+    } else if (dropLapsed()) {
         publishBackends();
     }
     registerSelf(stopping);
--- a/src/node/FleetBook.h
+++ b/src/node/FleetBook.h
@@ -61,15 +61,21 @@
     static constexpr Duration vmReadPause = std::chrono::seconds(1);
     static constexpr Duration registerPeriod = std::chrono::seconds(10);
     static constexpr Duration readAskPeriod = std::chrono::milliseconds(300);
-    /** Entries that lapsed while the log was away are back about 2 s after its return, if their servers live. */
-    static constexpr Duration lapseGrace = std::chrono::milliseconds(2500);
-    /** The log counts as having been away for so long after it was last out of reach. */
-    static constexpr Duration awayMemory = std::chrono::milliseconds(1500);
+    /**
+     * What goes wrong: an outage of the log lets the entries of sound servers lapse, and a service is without any until
+     * they have registered again, about 2 s after its return. One notices by "the service has no backend server". But
+     * some servers announce that they leave by nothing else than the end of their entry, and may get nothing new 2 s
+     * later. So a few missing entries count as gone at once; where most of a service's are missing, the outage is the
+     * likelier cause, and they are kept for this long.
+     */
+    static constexpr Duration lapseGrace = std::chrono::milliseconds(1500);
 
     void takeConfig(Offset offset, const std::string& text, const char* source);
     void takeServers(const KeyedRecords& records);
     void takeServer(const KeyedRecord& record);
-    void dropServer(const BackendId& id);
+    /** @return Whether any was dropped. */
+    bool dropLapsed();
+    [[nodiscard]] bool mostLapsed(const ServiceName& service) const;
     void takeVms(const KeyedRecords& records);
     void publishBackends();
     void registerSelf(bool stopping);
@@ -85,12 +91,11 @@
     Offset configOffset_;
     std::string configText_;
     std::map<BackendId, fleet::BackendServer> servers_;
-    /** Entries that are gone, but maybe only lapsed, and when they count as gone. */
+    /** Entries that are gone, but maybe only lapsed, and since when. */
     std::map<BackendId, Instant> lapsed_;
     std::set<ServiceName> published_;
     std::map<std::string, ListedVm> vms_;
     bool serversKnown_ = false;
-    std::optional<Instant> lastAway_;
     Instant nextRegister_ {};
     Instant nextReadAsk_ {};
     bool unregistered_ = false;
--- a/src/node/Passages.cpp
+++ b/src/node/Passages.cpp
@@ -129,9 +129,10 @@
     // "The balance does not cover it" may be said only where it is certain. Money that is merely elsewhere may be here
     // a moment later, and a caller that is told to pay would not ask again.
     const bool exhausted = shortage.reason == ledger::ShortReason::BudgetExhausted;
+    const Duration retryAfter = std::max(shortage.retryAfter, moneyRetryAfter);
     giveUp(passage,
         { exhausted ? 402 : 503, exhausted ? "budget_exhausted" : "budget_elsewhere",
-            "short of " + std::to_string(passage.cost.value()), shortage.retryAfter });
+            "short of " + std::to_string(passage.cost.value()), retryAfter });
 }
 
 void Passages::finishEvent()
--- a/src/node/ShardLedger.cpp
+++ b/src/node/ShardLedger.cpp
@@ -242,11 +242,15 @@
     }
     if (const auto* draw = std::get_if<ledger::DrawDecided>(&effect)) {
         if (draw->grant.holder == context_.self()) {
+            const ledger::BudgetView budgetNow = fold_.budget(draw->budget).value_or(ledger::BudgetView {});
             context_.log(Line("grant")
                              .with("budget", toText(draw->budget))
                              .with("grant", toText(draw->grant))
                              .with("admitted", draw->admitted.value())
                              .with("short_by", draw->shortBy.value())
+                             .with("bought", budgetNow.bought.value())
+                             .with("billed", budgetNow.billed.value())
+                             .with("held", budgetNow.held.value())
                              .with("witness", toHex(draw->witness.value())));
         }
     }
--- a/tests/transport/LogClientTest.cpp
+++ b/tests/transport/LogClientTest.cpp
@@ -2,6 +2,7 @@
 
 #include "log.pb.h"
 #include "swiftlift/transport/LogClient.h"
+#include "swiftlift/transport/NativeLogDialect.h"
 #include "transport/StreamFixture.h"
 
 namespace swiftlift::transport::test {
@@ -29,7 +30,7 @@
             settings.endpoints = { *parseEndpoint(platform.address()) };
             settings.appendLimit = appendLimit;
             settings.retryFirst = std::chrono::milliseconds(10);
-            client = std::make_unique<LogClient>(settings, inbox, traffic);
+            client = std::make_unique<LogClient>(settings, std::make_shared<NativeLogDialect>(), inbox, traffic);
             client->beginIncarnation(Incarnation(5));
         }
 
