--- a/apps/router/CoreDecider.cpp
+++ b/apps/router/CoreDecider.cpp
@@ -27,6 +27,8 @@
     constexpr Duration entryNotices = std::chrono::milliseconds(2500);
     /** A draw is read back after half of this on average; each read is a call that the platform charges for. */
     constexpr Duration ledgerReadPause = std::chrono::milliseconds(100);
+    /** No caller waits for a copy there; a router that dies loses so much of its bills to its grant's end. */
+    constexpr Duration copyPeriod = std::chrono::milliseconds(250);
     /** Of the log's retention: the newest checkpoint is younger, also where several routers miss their turns. */
     constexpr int checkpointsInRetention = 10;
     constexpr Duration longestCheckpointInterval = std::chrono::seconds(2);
@@ -42,6 +44,7 @@
         core.ledger.checkpointInterval
             = std::min<Duration>(settings.ledger.retention / checkpointsInRetention, longestCheckpointInterval);
         core.ledger.readPause = ledgerReadPause;
+        core.ledger.copyPeriod = copyPeriod;
         core.ledger.keysRemembered = keysRemembered;
         core.stopAcceptance = entryNotices;
     }
--- a/apps/router/RouterProcess.cpp
+++ b/apps/router/RouterProcess.cpp
@@ -21,9 +21,15 @@
     /** For callers to take what is written for them, once everything in progress has ended. */
     constexpr auto drainLimit = 5s;
     constexpr auto readyPoll = 20ms;
+    /** On a quarter of a core each tick costs as much as a short request; nothing of the core's needs it more often. */
+    constexpr Duration smallVmTick = 50ms;
     /** A round trip within a region takes 3 ms, and a lost opening packet is sent again after a second: what has not
      * connected by then is better sought elsewhere. */
-    constexpr auto backendConnectTime = 300ms;
+    constexpr auto backendConnectTime = 200ms;
+    /** At about 1 ms a decision on a quarter of a core, a tenth of a second's work: a third of the shortest objective. */
+    constexpr std::size_t mostDecisionsWaiting = 100;
+    /** As long again in the sockets. */
+    constexpr auto mostLag = 100ms;
     /** A connection to the log that fell silent has to show before a configuration is overdue, 2 s. */
     constexpr auto storeWait = 1000ms;
     constexpr auto storeLimit = 800ms;
@@ -69,6 +75,8 @@
         transport::StreamLimits limits;
         if (speaksPlatform(settings)) {
             limits.connectTime = backendConnectTime;
+            limits.mostDecisionsWaiting = mostDecisionsWaiting;
+            limits.mostLag = mostLag;
         }
         return limits;
     }
@@ -125,7 +133,7 @@
           [this](Incarnation incarnation) -> std::unique_ptr<transport::Decider> {
               return std::make_unique<CoreDecider>(toCoreSettings(settings_, incarnation, seed_));
           },
-          decisions_, carrier_)
+          decisions_, carrier_, speaksPlatform(settings) ? smallVmTick : transport::DecisionLoop::defaultTick)
 {
 }
 
--- a/include/swiftlift/ledger/HoldingPolicy.h
+++ b/include/swiftlift/ledger/HoldingPolicy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -97,6 +98,8 @@
     [[nodiscard]] virtual Tokens lendable(const BudgetSituation& situation) const = 0;
     /** @return Whether grants that the witness promised not to close are exchanged once the log is back. */
     [[nodiscard]] virtual bool renewsAlone() const { return true; }
+    /** @return How long a request waits for what the others may give back, after they were told that money is short. */
+    [[nodiscard]] virtual Duration returnPatience() const { return std::chrono::seconds(1); }
     /** @return Whether grants name a witness. */
     [[nodiscard]] virtual bool witnessed() const = 0;
 };
--- a/include/swiftlift/node/Core.h
+++ b/include/swiftlift/node/Core.h
@@ -34,6 +34,8 @@
     Duration checkpointInterval = std::chrono::seconds(30);
     /** How long bills wait for company; nothing: the longer, the more routers there are. */
     std::optional<Duration> batchPeriod;
+    /** How long items wait for company before they are copied to the witness. */
+    Duration copyPeriod {};
     /** Between the end of a read and the next one. */
     Duration readPause {};
     /** Keys of bills and claims that the fold remembers. All routers of a fleet need the same. */
--- a/include/swiftlift/node/KeyedRecords.h
+++ b/include/swiftlift/node/KeyedRecords.h
@@ -14,6 +14,8 @@
     std::string key;
     /** Nothing: the key was dropped. */
     std::optional<std::string> value;
+
+    [[nodiscard]] bool operator==(const KeyedRecord&) const = default;
 };
 
 /** Records of such a stream, in order of their offsets. */
--- a/include/swiftlift/node/Passage.h
+++ b/include/swiftlift/node/Passage.h
@@ -40,6 +40,8 @@
 struct PassageArrived {
     CallId call;
     PassageFacts facts;
+    /** When it had come: its caller's time runs from then on, also while it waits to be looked at. */
+    Instant at {};
 };
 
 /** Events of the answer have been passed on to the caller. */
--- a/include/swiftlift/transport/DecisionLoop.h
+++ b/include/swiftlift/transport/DecisionLoop.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <memory>
 #include <thread>
 
@@ -22,12 +23,16 @@
  */
 class DecisionLoop {
 public:
+    /** Between two ticks of the core, which asks for one every 50 ms at least. */
+    static constexpr Duration defaultTick = std::chrono::milliseconds(20);
+
     /**
      * @param first Incarnation of the first decider; later ones are drawn.
      * @param inbox Ring of events; outlives the loop.
      * @param sink Takes the actions; outlives the loop.
      */
-    DecisionLoop(Incarnation first, DeciderFactory factory, DecisionInbox& inbox, ActionSink& sink);
+    DecisionLoop(Incarnation first, DeciderFactory factory, DecisionInbox& inbox, ActionSink& sink,
+        Duration tick = defaultTick);
     ~DecisionLoop();
     DecisionLoop(const DecisionLoop&) = delete;
     DecisionLoop& operator=(const DecisionLoop&) = delete;
@@ -53,6 +58,7 @@
     DeciderFactory factory_;
     DecisionInbox& inbox_;
     ActionSink& sink_;
+    Duration tickInterval_;
     std::unique_ptr<Decider> decider_;
     node::Actions actions_;
     Instant lastTick_ {};
--- a/include/swiftlift/transport/StreamServer.h
+++ b/include/swiftlift/transport/StreamServer.h
@@ -56,6 +56,10 @@
     std::chrono::milliseconds freshIdleTime { 1'000 };
     /** Of a dispatch that names no limit of its own. */
     std::chrono::milliseconds defaultSilence { 30'000 };
+    /** Events that may wait for the decision thread before new requests are refused; 0: as many as its ring holds. */
+    std::size_t mostDecisionsWaiting = 0;
+    /** The streams thread may be late by so much before new requests are refused; zero: by any time. */
+    std::chrono::milliseconds mostLag { 0 };
     std::chrono::milliseconds operatorTime { 2'000 };
     /** Shortest time between two reports of one attempt's progress. */
     std::chrono::milliseconds progressInterval { 100 };
--- a/src/ledger/HolderRequests.cpp
+++ b/src/ledger/HolderRequests.cpp
@@ -11,8 +11,6 @@
 
     /** How long a request waits for what others may give back, or for a draw, before it is told no. */
     constexpr Duration patience = 2s;
-    /** How long a signal that money is short takes to be read, answered with a return, and read back. */
-    constexpr Duration returnPatience = 400ms;
     constexpr Duration retrySoon = 100ms;
     constexpr Duration retryElsewhere = 1s;
     constexpr Duration retryOutage = 2s;
@@ -102,7 +100,7 @@
     const bool drawCovers = desk.drawing && desk.drawingWanted >= amount;
     // Whoever can give back does so as soon as it reads the signal. A second of waiting for it, and a caller with little
     // time is held to its deadline for nothing.
-    const bool othersWereTold = desk.signalledAt && now_ - *desk.signalledAt < returnPatience;
+    const bool othersWereTold = desk.signalledAt && now_ - *desk.signalledAt < policy_->returnPatience();
     return drawCovers || othersWereTold;
 }
 
--- a/src/ledger/PolicyDemandGrants.cpp
+++ b/src/ledger/PolicyDemandGrants.cpp
@@ -22,6 +22,8 @@
     constexpr Duration tightSurplusPause = 1s;
     constexpr Duration surplusPause = 5s;
     constexpr Duration shortagePause = 500ms;
+    /** A signal that money is short takes so long to be read, answered with a return, and read back. */
+    constexpr Duration tightReturnPatience = 400ms;
     constexpr std::int64_t wholePercent = 100;
 
     Watermarks watermarksOf(Weighting weighting)
@@ -104,6 +106,11 @@
     return tokensOf(situation.demand, headRoomSeconds) + std::max(situation.largest, situation.waiting);
 }
 
+Duration DemandGrantsPolicy::returnPatience() const
+{
+    return settings_.watermarks ? tightReturnPatience : HoldingPolicy::returnPatience();
+}
+
 Tokens DemandGrantsPolicy::surplus(const BudgetSituation& situation) const
 {
     if (situation.othersShort > none) {
--- a/src/ledger/PolicyDemandGrants.h
+++ b/src/ledger/PolicyDemandGrants.h
@@ -15,6 +15,7 @@
     [[nodiscard]] Tokens fragment(const BudgetSituation& situation) const override { return situation.largest; }
     [[nodiscard]] Tokens loanSize(const BudgetSituation& situation) const override;
     [[nodiscard]] Tokens lendable(const BudgetSituation& situation) const override;
+    [[nodiscard]] Duration returnPatience() const override;
     [[nodiscard]] bool witnessed() const override { return true; }
 
 private:
--- a/src/logging/JsonLog.cpp
+++ b/src/logging/JsonLog.cpp
@@ -20,7 +20,9 @@
 
     using Json = nlohmann::ordered_json;
 
-    constexpr std::chrono::milliseconds idleWait { 200 };
+    constexpr std::chrono::milliseconds idleWait { 500 };
+    /** Lines gathered into one write: a wake-up and four system calls for each line were half of what a request cost. */
+    constexpr std::chrono::milliseconds gatherTime { 50 };
 
     struct Line {
         Level level = Level::Info;
@@ -104,7 +106,9 @@
 void JsonLog::State::run()
 {
     while (!stopping.load()) {
-        static_cast<void>(inbox.wakeup().waitFor(idleWait));
+        if (inbox.wakeup().waitFor(idleWait) && !stopping.load()) {
+            std::this_thread::sleep_for(gatherTime);
+        }
         inbox.wakeup().consume();
         drain();
     }
@@ -113,9 +117,15 @@
 
 void JsonLog::State::drain()
 {
+    std::string gathered;
+    std::uint64_t count = 0;
     while (const auto line = inbox.tryPop()) {
-        CLOG(INFO, loggerName.c_str()) << line->text;
-        writtenLines.fetch_add(1);
+        gathered += (gathered.empty() ? "" : "\n") + line->text;
+        ++count;
+    }
+    if (count > 0) {
+        CLOG(INFO, loggerName.c_str()) << gathered;
+        writtenLines.fetch_add(count);
     }
     reportDropped();
 }
--- a/src/node/Gateway.cpp
+++ b/src/node/Gateway.cpp
@@ -94,7 +94,7 @@
         passages_.refuseAtOnce(event.call, event.facts, "not_ready", std::move(reason));
         return;
     }
-    passages_.arrive(event.call, event.facts);
+    passages_.arrive(event.call, event.facts, event.at);
 }
 
 void Gateway::on(const PassageProgress& event) { passages_.onProgress(event); }
--- a/src/node/Passages.cpp
+++ b/src/node/Passages.cpp
@@ -47,14 +47,14 @@
     context_.emit(Reply { id, Outcome::NotRun, why.status, why.reason, why.detail, why.retryAfter, Tokens {} });
 }
 
-void Passages::arrive(CallId id, const PassageFacts& facts)
+void Passages::arrive(CallId id, const PassageFacts& facts, Instant at)
 {
     context_.count("swiftlift_requests_total");
     auto arrived = std::make_unique<Passage>();
     arrived->id = id;
     arrived->facts = facts;
     arrived->table = fleet_.routes();
-    arrived->arrived = context_.now();
+    arrived->arrived = std::min(at, context_.now());
     Passage& passage = *passages_.emplace(id, std::move(arrived)).first->second;
     enter(passage, PassagePhase::WaitingForMoney);
     if (!findRoute(passage) || !findAccount(passage) || !findService(passage)) {
@@ -75,6 +75,10 @@
     const Duration limit = std::min(passage.facts.deadline.value_or(route.timeLimit), route.timeLimit);
     passage.deadline = passage.arrived + limit;
     passage.urgency = route.urgency;
+    if (passage.deadline - context_.now() < leastTimeLeft) {
+        giveUp(passage, { 503, "deadline_too_short", "no time left when it was looked at", defaultRetryAfter });
+        return false;
+    }
     return true;
 }
 
--- a/src/node/Passages.h
+++ b/src/node/Passages.h
@@ -32,7 +32,8 @@
     Passages(Context& context, const FleetBook& fleet, routing::BackendTable& backends, Ledgers& ledgers,
         std::function<std::uint32_t()> routers);
 
-    void arrive(CallId id, const PassageFacts& facts);
+    /** @param at When it came; not later than now. */
+    void arrive(CallId id, const PassageFacts& facts, Instant at);
     void refuseAtOnce(CallId id, const PassageFacts& facts, std::string reason, std::string detail);
     void onProgress(const PassageProgress& progress);
     void onEnded(const PassageEnded& ended);
--- a/src/node/ShardLedger.h
+++ b/src/node/ShardLedger.h
@@ -164,6 +164,7 @@
     bool urgent_ = false;
     Instant nextBatch_ {};
     Instant nextCopy_ {};
+    Instant nextNewCopy_ {};
     /** Items of our own that the ledger refused. */
     std::set<std::uint64_t> refused_;
     /** Sealed grants that this witness will close, and when. */
--- a/src/node/ShardLedgerPeers.cpp
+++ b/src/node/ShardLedgerPeers.cpp
@@ -70,7 +70,7 @@
         copied_ = 0;
         copySent_ = 0;
     }
-    const bool isNew = outbox_.lastSequence() > copySent_;
+    const bool isNew = outbox_.lastSequence() > copySent_ && context_.now() >= nextNewCopy_;
     const bool retryDue = copied_ < outbox_.lastSequence() && context_.now() >= nextCopy_;
     if (!isNew && !retryDue) {
         return;
@@ -81,6 +81,7 @@
         return;
     }
     nextCopy_ = context_.now() + copyRetryPeriod;
+    nextNewCopy_ = context_.now() + context_.settings().ledger.copyPeriod;
     sendToShard(copyHolder_, CopyItems { stream_, ledger::encode(batch) });
 }
 
--- a/src/transport/CallerConnection.cpp
+++ b/src/transport/CallerConnection.cpp
@@ -1,8 +1,11 @@
 #include "transport/CallerConnection.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <utility>
 
+#include <sys/socket.h>
+
 
 namespace swiftlift::transport::internal {
 
@@ -299,6 +302,13 @@
     read();
 }
 
+bool CallerConnection::ended() noexcept
+{
+    char byte = 0;
+    const auto got = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void CallerConnection::closeWhenIdle()
 {
     closeWhenIdle_ = true;
--- a/src/transport/CallerConnection.h
+++ b/src/transport/CallerConnection.h
@@ -77,6 +77,9 @@
     /** @return Bytes that are written but not yet taken by the caller's host. */
     [[nodiscard]] std::size_t unsent() const noexcept;
 
+    /** @return Whether the other side has closed, though that may not have been read yet. */
+    [[nodiscard]] bool ended() noexcept;
+
     /** Closes now when nothing is in progress, else after the present answer. */
     void closeWhenIdle();
 
--- a/src/transport/DecisionLoop.cpp
+++ b/src/transport/DecisionLoop.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-    constexpr Duration tickInterval = std::chrono::milliseconds(20);
     /** Events handled before the clock is looked at again, so that ticks come also under load. */
     constexpr int eventsPerRound = 256;
 
@@ -32,11 +31,13 @@
     return Incarnation(number);
 }
 
-DecisionLoop::DecisionLoop(Incarnation first, DeciderFactory factory, DecisionInbox& inbox, ActionSink& sink)
+DecisionLoop::DecisionLoop(
+    Incarnation first, DeciderFactory factory, DecisionInbox& inbox, ActionSink& sink, Duration tick)
     : incarnation_(first)
     , factory_(std::move(factory))
     , inbox_(inbox)
     , sink_(sink)
+    , tickInterval_(tick)
 {
 }
 
@@ -60,7 +61,7 @@
 {
     begin(incarnation_);
     while (!stopping_.load()) {
-        const Duration untilTick = std::max(lastTick_ + tickInterval - steadyInstant(), Duration::zero());
+        const Duration untilTick = std::max(lastTick_ + tickInterval_ - steadyInstant(), Duration::zero());
         const auto limit = std::chrono::ceil<std::chrono::milliseconds>(untilTick);
         if (inbox_.wakeup().waitFor(limit)) {
             inbox_.wakeup().consume();
@@ -104,7 +105,7 @@
 
 void DecisionLoop::tickWhenDue()
 {
-    if (const Instant now = steadyInstant(); now - lastTick_ >= tickInterval) {
+    if (const Instant now = steadyInstant(); now - lastTick_ >= tickInterval_) {
         lastTick_ = now;
         handle(node::Tick {});
     }
--- a/src/transport/Metrics.cpp
+++ b/src/transport/Metrics.cpp
@@ -20,6 +20,8 @@
     constexpr std::size_t updateRingCapacity = 8192;
     constexpr std::size_t maxSeries = 4096;
     constexpr std::chrono::milliseconds idleWait { 500 };
+    /** Updates gathered before the thread looks at them; a scrape comes every few seconds. */
+    constexpr std::chrono::milliseconds gatherTime { 200 };
     constexpr std::size_t listenerThreads = 1;
     constexpr double secondsPerMicrosecond = 1e-6;
 
@@ -81,7 +83,9 @@
 void Metrics::State::run()
 {
     while (!stopping.load()) {
-        static_cast<void>(updates.wakeup().waitFor(idleWait));
+        if (updates.wakeup().waitFor(idleWait) && !stopping.load()) {
+            std::this_thread::sleep_for(gatherTime);
+        }
         updates.wakeup().consume();
         while (const auto update = updates.tryPop()) {
             std::visit([this](const auto& one) { take(one); }, *update);
--- a/src/transport/PassageCall.h
+++ b/src/transport/PassageCall.h
@@ -41,7 +41,8 @@
     void finish(const node::Reply& reply);
 
     void callerGone() noexcept { caller_.reset(); }
-    [[nodiscard]] bool hasCaller() const noexcept { return caller_ != nullptr; }
+    /** @return Whether the caller's connection has ended, as the system knows it now. */
+    [[nodiscard]] bool callerHasLeft() const noexcept { return !caller_ || caller_->ended(); }
     /** @return Whether the caller takes its answer more slowly than it comes. */
     [[nodiscard]] bool callerIsSlow() const noexcept;
 
--- a/src/transport/PassageTable.cpp
+++ b/src/transport/PassageTable.cpp
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "swiftlift/transport/CallerText.h"
+#include "swiftlift/transport/DecisionLoop.h"
 #include "transport/PassageText.h"
 
 namespace swiftlift::transport::internal {
@@ -47,7 +48,7 @@
         return node::PassageEnd::Broken;
     }
 
-    node::Reply overloaded()
+    node::Reply overloadedReply()
     {
         auto reply = refusal(statusNotReady, "overloaded", "the router has too much waiting");
         reply.retryAfter = std::chrono::seconds(1);
@@ -104,10 +105,13 @@
     auto& known = std::get<node::PassageFacts>(facts);
     const CallId id(++lastNumber_);
     const std::string requestId = known.id;
-    TaggedEvent event { Incarnation {}, node::PassageArrived { id, std::move(known) } };
+    if (overloaded()) {
+        refuseOverloaded(connection, requestId);
+        return;
+    }
+    TaggedEvent event { Incarnation {}, node::PassageArrived { id, std::move(known), steadyInstant() } };
     if (!context_.decisions.tryPush(std::move(event), reservedEvents)) {
-        ++context_.counts.overloaded;
-        writeRefusal(connection, *dialect_, overloaded(), requestId);
+        refuseOverloaded(connection, requestId);
         return;
     }
     calls_.emplace(id,
@@ -116,6 +120,28 @@
     connection.setCall(id);
 }
 
+// The load it answers: one account sends several times its usual through one VM, more than a quarter of a core can pass
+// on. Taken in, each request makes all others later: answers in progress miss their pauses, and callers that have left
+// are heard of seconds too late. Refused here, it costs a tenth of what it would, and its caller can ask another VM.
+bool PassageTable::overloaded() const
+{
+    const StreamLimits& limits = context_.limits;
+    const bool late = limits.mostLag.count() > 0 && context_.lag > limits.mostLag;
+    const bool deep = limits.mostDecisionsWaiting > 0 && context_.decisions.size() > limits.mostDecisionsWaiting;
+    return late || deep;
+}
+
+void PassageTable::refuseOverloaded(CallerConnection& connection, const std::string& requestId)
+{
+    ++context_.counts.overloaded;
+    context_.log.write(logging::Level::Info, "refuse",
+        { { "request", requestId }, { "outcome", std::string("not_run") }, { "status", std::int64_t { statusNotReady } },
+            { "reason", std::string("overloaded") },
+            { "lag_ms", std::int64_t { std::chrono::duration_cast<std::chrono::milliseconds>(context_.lag).count() } },
+            { "decisions_waiting", static_cast<std::int64_t>(context_.decisions.size()) } });
+    writeRefusal(connection, *dialect_, overloadedReply(), requestId);
+}
+
 void PassageTable::requestUnreadable(CallerConnection& connection, const UnreadableRequest& why)
 {
     context_.log.write(logging::Level::Info, "unreadable_request",
@@ -197,6 +223,12 @@
         return;
     }
     const auto call = found->second;
+    // A caller's leaving may wait to be read behind much else. Sent on nevertheless, its request would work for nobody.
+    if (call->callerHasLeft()) {
+        context_.events.push({ Incarnation {}, node::PassageAbandoned { call->id(), call->events() } });
+        calls_.erase(found);
+        return;
+    }
     const auto attempt = std::make_shared<Attempt>(context_, *this, pool_, orderOf(order, *call));
     running_.emplace(order.attempt, Running { attempt, call, call->events() });
     attempt->start();
--- a/src/transport/PassageTable.h
+++ b/src/transport/PassageTable.h
@@ -55,8 +55,10 @@
     void carryOut(BeginIncarnation&& begin);
     /** What concerns the services' own requests is another table's. */
     template <typename Other> void carryOut(Other&&) { }
+    [[nodiscard]] bool overloaded() const;
     [[nodiscard]] AttemptOrder orderOf(const node::PassOn& passOn, PassageCall& call) const;
     void addCaller(boost::asio::ip::tcp::socket socket, bool asksReadiness);
+    void refuseOverloaded(CallerConnection& connection, const std::string& requestId);
     void answerReadiness(CallerConnection& connection) const;
     void reportProgress(Running& running, bool mustArrive);
     [[nodiscard]] Running* runningOf(CallId call);
--- a/src/transport/StreamContext.h
+++ b/src/transport/StreamContext.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <chrono>
+
 #include <boost/asio/io_context.hpp>
 
 #include "swiftlift/ring/Outbox.h"
@@ -18,6 +20,8 @@
     logging::JsonLog& log;
     Incarnation incarnation;
     StreamCounts counts;
+    /** By how much the last sweep came late: what waits in the sockets waits at least as long. */
+    std::chrono::steady_clock::duration lag {};
 };
 
 } // namespace swiftlift::transport::internal
--- a/src/transport/StreamServer.cpp
+++ b/src/transport/StreamServer.cpp
@@ -1,5 +1,6 @@
 #include "swiftlift/transport/StreamServer.h"
 
+#include <algorithm>
 #include <atomic>
 #include <mutex>
 #include <thread>
@@ -54,7 +55,7 @@
         std::shared_ptr<const PassageDialect> dialect)
         : limits(given)
         , inbox(commandRingCapacity)
-        , context { loop, limits, decisions, ring::Outbox<TaggedEvent>(decisions), observer, log, {}, {} }
+        , context { loop, limits, decisions, ring::Outbox<TaggedEvent>(decisions), observer, log, {}, {}, {} }
         , table(makeTable(context, std::move(dialect)))
         , callers(loop)
         , readiness(loop)
@@ -80,6 +81,7 @@
     Listener readiness;
     boost::asio::posix::stream_descriptor commands;
     boost::asio::steady_timer sweepTimer;
+    std::chrono::steady_clock::time_point sweepDue = std::chrono::steady_clock::now();
     std::optional<std::chrono::steady_clock::time_point> stopAt;
     std::string lastReason;
     mutable std::mutex countsMutex;
@@ -161,6 +163,7 @@
 
 void StreamServer::State::sweep()
 {
+    context.lag = std::max(std::chrono::steady_clock::now() - sweepDue, std::chrono::steady_clock::duration::zero());
     table->sweep();
     {
         const std::lock_guard lock(countsMutex);
@@ -171,7 +174,8 @@
         loop.stop();
         return;
     }
-    sweepTimer.expires_after(limits.progressInterval);
+    sweepDue = std::chrono::steady_clock::now() + limits.progressInterval;
+    sweepTimer.expires_at(sweepDue);
     sweepTimer.async_wait([this](ErrorCode error) {
         if (!error) {
             sweep();
--- /dev/null
+++ b/tests/platform/HttpDialectTest.cpp
@@ -0,0 +1,102 @@
+#include "platform/HttpDialect.h"
+
+#include <gtest/gtest.h>
+
+namespace swiftlift::platform {
+namespace {
+
+    using transport::HeaderFields;
+    using transport::RequestHead;
+    using transport::valueOf;
+
+    RequestHead validRequest()
+    {
+        return { "POST", "/lohu930/2f?x=1",
+            { { "Host", "ficu95.example" }, { "Request-Id", "9c41d07be2a35f68" }, { "Model", "m" },
+                { "Token-Usage", "1460,80" }, { "Prefix-Hash", "5c1e07a2:800,91bd3f06:410,e4402b7d:250" },
+                { "Deadline-Ms", "12000" }, { "Credential", "secret" } } };
+    }
+
+    TEST(HttpDialectTest, ReadsWhatRoutingAndMoneyNeed)
+    {
+        const auto parsed = HttpDialect().facts(validRequest());
+        ASSERT_TRUE(std::holds_alternative<node::PassageFacts>(parsed));
+        const auto& facts = std::get<node::PassageFacts>(parsed);
+        EXPECT_EQ(facts.id, "9c41d07be2a35f68");
+        EXPECT_EQ(facts.path, "/lohu930/2f");
+        EXPECT_EQ(facts.key, "secret");
+        EXPECT_EQ(facts.deadline, std::chrono::seconds(12));
+        EXPECT_EQ(facts.promptTokens, Tokens(1460));
+        EXPECT_EQ(facts.maxAnswerTokens, Tokens(80));
+        ASSERT_EQ(facts.prefix.size(), 3U);
+        EXPECT_EQ(facts.prefix[1].hash, 0x91bd3f06U);
+        EXPECT_EQ(facts.prefix[1].tokens, Tokens(410));
+    }
+
+    // Symptom: a request runs under another one's id, or its cost is taken for nothing.
+    // Events: two ids or hosts, counts that are no numbers, a target that is no path.
+    // Cause: the first, or none, was taken instead of refusing.
+    TEST(HttpDialectTest, RefusesWhatCanBeReadInTwoWays)
+    {
+        const auto refused = [](auto change) {
+            RequestHead request = validRequest();
+            change(request);
+            const auto parsed = HttpDialect().facts(request);
+            const auto* reply = std::get_if<node::Reply>(&parsed);
+            return reply != nullptr && reply->status == 400;
+        };
+        EXPECT_TRUE(refused([](RequestHead& head) { head.fields.push_back({ "host", "other.example" }); }));
+        EXPECT_TRUE(refused([](RequestHead& head) { head.fields.push_back({ "Request-Id", "another" }); }));
+        EXPECT_TRUE(refused([](RequestHead& head) { head.fields.erase(head.fields.begin() + 1); }));
+        EXPECT_TRUE(refused([](RequestHead& head) { head.fields[3].value = "1460"; }));
+        EXPECT_TRUE(refused([](RequestHead& head) { head.fields[3].value = "-5,80"; }));
+        EXPECT_TRUE(refused([](RequestHead& head) { head.fields[4].value = "xyz:1"; }));
+        EXPECT_TRUE(refused([](RequestHead& head) { head.fields[5].value = "soon"; }));
+        EXPECT_TRUE(refused([](RequestHead& head) { head.target = "http://ficu95.example/lohu930/"; }));
+    }
+
+    // Symptom: an engine sees a caller's key, or takes a caller's word for whom it works.
+    // Events: a caller sends headers that are the system's to set.
+    // Cause: all headers were passed on.
+    TEST(HttpDialectTest, SetsWhatIsTheSystemsToSet)
+    {
+        RequestHead request = validRequest();
+        request.fields.push_back({ "tenant", "somebody" });
+        request.fields.push_back({ "Kv-From", "10.0.0.1:1/h" });
+        node::PassOn order;
+        order.backend = BackendId("i-7f3a91c2");
+        order.account = AccountId("hule930");
+        order.urgency = 1;
+        order.timeLeft = std::chrono::milliseconds(1234);
+        const HeaderFields sent = HttpDialect().towardsBackend(request.fields, order, std::nullopt);
+        EXPECT_EQ(valueOf(sent, "Credential"), std::nullopt);
+        EXPECT_EQ(valueOf(sent, "Kv-From"), std::nullopt);
+        EXPECT_EQ(countOf(sent, "Tenant"), 1U);
+        EXPECT_EQ(valueOf(sent, "Tenant"), "hule930");
+        EXPECT_EQ(valueOf(sent, "Deadline-Ms"), "1234");
+        EXPECT_EQ(valueOf(sent, "Expect-Instance"), "i-7f3a91c2");
+        EXPECT_EQ(valueOf(sent, "Prefix-Hash"), "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+        EXPECT_EQ(valueOf(sent, "Last-Event-Id"), std::nullopt);
+        EXPECT_EQ(valueOf(HttpDialect().towardsBackend(request.fields, order, 17), "Last-Event-Id"), "17");
+    }
+
+    TEST(HttpDialectTest, ReadsWhatAnAnswerSaysOfItself)
+    {
+        const auto served = HttpDialect().marks({ 200, { { "request-id", "a" }, { "Server-Stamp", "x" } } });
+        EXPECT_TRUE(served.genuine && !served.notStarted && !served.otherServer);
+        EXPECT_EQ(served.requestId, "a");
+        EXPECT_TRUE(HttpDialect().marks({ 503, { { "Not-Executed", "1" } } }).notStarted);
+        EXPECT_TRUE(HttpDialect().marks({ 421, {} }).otherServer);
+    }
+
+    TEST(HttpDialectTest, TellsWhenToComeBackInFractions)
+    {
+        node::Reply refusal;
+        refusal.retryAfter = std::chrono::milliseconds(2050);
+        const HeaderFields fields = HttpDialect().ofRefusal(refusal, "r1");
+        EXPECT_EQ(valueOf(fields, "Retry-After"), "2.050");
+        EXPECT_EQ(valueOf(fields, "Request-Id"), "r1");
+    }
+
+} // namespace
+} // namespace swiftlift::platform
--- /dev/null
+++ b/tests/platform/PlatformFleet.cpp
@@ -0,0 +1,189 @@
+#include "platform/PlatformFleet.h"
+
+#include <fstream>
+#include <thread>
+
+#include <boost/asio/ip/address.hpp>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+namespace swiftlift::platform::test {
+
+using nlohmann::json;
+using standins::RunningService;
+using standins::Tcp;
+
+namespace {
+
+    constexpr std::chrono::seconds longBound { 60 };
+    constexpr std::chrono::milliseconds pollInterval { 20 };
+    constexpr std::size_t modelEngines = 2;
+    constexpr std::size_t plainEngines = 2;
+    const std::vector<std::string> domains { "regina-a", "regina-b" };
+
+    /** @return A port of loopback that is free at the moment. */
+    std::uint16_t freePort()
+    {
+        standins::asio::io_context context;
+        const Tcp::acceptor acceptor(context, Tcp::endpoint(standins::asio::ip::make_address("127.0.0.1"), 0));
+        return acceptor.local_endpoint().port();
+    }
+
+    std::string freeAddress() { return "127.0.0.1:" + std::to_string(freePort()); }
+
+    Tcp::endpoint endpointOf(const std::string& address) { return standins::parseEndpoint(address); }
+
+    std::string serviceOf(std::size_t engine) { return engine < modelEngines ? "model" : "plain"; }
+
+    json routeOf(const std::string& name, const std::string& type)
+    {
+        return { { "name", name }, { "hostname", "desk.example" }, { "path_prefix", "/" + name + "/" },
+            { "type", type }, { "timeout_ms", 5000 }, { "target_latency_ms", 300 }, { "priority", 0 },
+            { "backend", type == "streaming" ? "model" : "plain" }, { "max_attempts", 2 }, { "public", false },
+            { "sticky", type == "streaming" }, { "resumable", name == "resumable" }, { "gap_aim_ms", 300 } };
+    }
+
+    json configOf(std::uint64_t version, std::int64_t budget)
+    {
+        json config;
+        config["version"] = version;
+        config["routes"] = { routeOf("stream", "streaming"), routeOf("resumable", "streaming"),
+            routeOf("plain", "safe"), routeOf("order", "unsafe") };
+        config["backends"] = { { { "name", "model" }, { "engine", { { "slots", 32 }, { "stride", 7 } } } },
+            { { "name", "plain" } } };
+        config["limits"] = { { "max_header_bytes", 16384 }, { "max_body_bytes", 65536 },
+            { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 } };
+        config["tenants"]
+            = { { { "name", "club" }, { "api_keys", { "key-one" } }, { "priority", 1 }, { "reserved", budget } } };
+        return config;
+    }
+
+} // namespace
+
+PlatformFleet::PlatformFleet(std::string router, std::filesystem::path folder, std::int64_t budget)
+    : program_(std::move(router))
+    , folder_(std::move(folder))
+    , budget_(budget)
+    , store_(std::make_unique<RunningService>(std::make_unique<standin::StoreService>()))
+{
+    std::filesystem::create_directories(folder_);
+    for (std::size_t index = 0; index < modelEngines + plainEngines; ++index) {
+        standin::EngineSettings settings;
+        settings.id = "i-" + std::to_string(index);
+        engines_.push_back(std::make_unique<RunningService>(std::make_unique<standin::EngineService>(settings)));
+    }
+    for (std::size_t index = 0; index < domains.size(); ++index) {
+        seeds_.push_back(freeAddress());
+    }
+    for (std::size_t index = 0; index < domains.size(); ++index) {
+        addRouter(index, domains[index]);
+    }
+}
+
+void PlatformFleet::addRouter(std::size_t index, const std::string& domain)
+{
+    Router router;
+    router.callers = freeAddress();
+    router.readiness = freeAddress();
+    router.settings = folder_ / ("router-" + std::to_string(index) + ".yaml");
+    std::ofstream file(router.settings);
+    file << "dialect: platform\nvm:\n  peer: " << seeds_[index] << "\n  domain: " << domain
+         << "\n  region: sask-south\ncallers:\n  listen: " << router.callers << "\n  readiness: " << router.readiness
+         << "\noperators:\n  listen: " << freeAddress() << "\nmetrics:\n  listen: " << freeAddress()
+         << "\nlog:\n  endpoints:\n    - " << store_->address() << "\npeers:\n  seeds:\n";
+    for (const std::string& seed : seeds_) {
+        file << "    - " << seed << "\n";
+    }
+    file << "ledger:\n  low_watermark: 8s\n  high_watermark: 10s\n  stock: 50%\n  retention: 300s\n"
+            "  batch_period: 100ms\nrouting:\n  policy: rendezvous\nretries:\n  ratio: 0.2\n  extra: 50\n"
+            "  window: 10s\nstop:\n  limit: 8s\n";
+    file.close();
+    const auto output = folder_ / ("router-" + std::to_string(index) + ".log");
+    router.process = std::make_unique<scenario::Process>("router-" + std::to_string(index),
+        std::vector<std::string> { program_, "--settings", router.settings.string() }, output);
+    routers_.push_back(std::move(router));
+}
+
+bool PlatformFleet::start()
+{
+    for (std::size_t index = 0; index < engines_.size(); ++index) {
+        registerEngine(index, "ready");
+    }
+    publish(budget_);
+    bool ready = true;
+    for (const Router& router : routers_) {
+        router.process->start();
+    }
+    for (std::size_t index = 0; index < routers_.size(); ++index) {
+        ready = ready && waitForReadiness(index, 200);
+    }
+    return ready;
+}
+
+void PlatformFleet::publish(std::int64_t budget)
+{
+    budget_ = budget;
+    version_ += 3;
+    store_->control(
+        { { "put", { { "topic", "keyed.op" }, { "key", "config" }, { "value", configOf(version_, budget).dump() } } } });
+}
+
+void PlatformFleet::registerEngine(std::size_t engine, const std::string& state)
+{
+    const json entry { { "backend", serviceOf(engine) }, { "address", engines_.at(engine)->address() },
+        { "zone", domains[engine % domains.size()] }, { "version", "v1" }, { "slots", 32 }, { "state", state },
+        { "warmup_left_ms", 0 }, { "sequence", 1 } };
+    store_->control({ { "put",
+        { { "topic", "keyed.servers" }, { "key", "i-" + std::to_string(engine) }, { "value", entry.dump() } } } });
+}
+
+void PlatformFleet::unregisterEngine(std::size_t engine)
+{
+    store_->control({ { "put", { { "topic", "keyed.servers" }, { "key", "i-" + std::to_string(engine) } } } });
+}
+
+CallerAnswer PlatformFleet::send(std::size_t router, const CallerRequest& request) const
+{
+    standins::HttpClient client(endpointOf(routers_.at(router).callers));
+    std::map<std::string, std::string> headers { { "Host", "desk.example" }, { "Request-Id", request.id },
+        { "Credential", request.key }, { "Deadline-Ms", std::to_string(request.deadlineMs) }, { "Model", "m" } };
+    if (!request.tokens.empty()) {
+        headers["Token-Usage"] = request.tokens;
+        headers["Prefix-Hash"] = "5c1e07a2:8,e4402b7d:4";
+    }
+    const auto reply = client.call({ .body = "{}", .target = request.path, .headers = std::move(headers) });
+    return reply ? CallerAnswer { reply->status, reply->body, true } : CallerAnswer {};
+}
+
+unsigned PlatformFleet::readiness(std::size_t router) const
+{
+    standins::HttpClient client(endpointOf(routers_.at(router).readiness));
+    const auto reply = client.call({ .body = {}, .target = "/-/readyz", .headers = {} });
+    return reply ? reply->status : 0;
+}
+
+bool PlatformFleet::waitForReadiness(std::size_t router, unsigned status) const
+{
+    const auto until = std::chrono::steady_clock::now() + longBound;
+    while (std::chrono::steady_clock::now() < until) {
+        if (readiness(router) == status) {
+            return true;
+        }
+        std::this_thread::sleep_for(pollInterval);
+    }
+    return false;
+}
+
+std::uint64_t PlatformFleet::runsOf(const std::string& id)
+{
+    std::uint64_t runs = 0;
+    for (const auto& engine : engines_) {
+        const auto audit = engine->get();
+        if (audit["runs"].contains(id)) {
+            runs += audit["runs"][id]["runs"].get<std::uint64_t>();
+        }
+    }
+    return runs;
+}
+
+} // namespace swiftlift::platform::test
--- /dev/null
+++ b/tests/platform/StoreDialectTest.cpp
@@ -0,0 +1,113 @@
+#include "platform/StoreDialect.h"
+
+#include <gtest/gtest.h>
+
+namespace swiftlift::platform {
+namespace {
+
+    using transport::HttpResponse;
+    using transport::LogGone;
+    using transport::LogProblem;
+    using transport::LogRead;
+    using transport::NewestRead;
+
+    const StreamName ledger { "ledger-0" };
+
+    class StoreDialectTest : public testing::Test {
+    protected:
+        [[nodiscard]] LogRead readOf(const std::string& body) const
+        {
+            return std::get<LogRead>(dialect_.readAnswer({ 200, body }, Offset(840)));
+        }
+
+        StoreDialect dialect_;
+    };
+
+    TEST_F(StoreDialectTest, AppendsOneRecordWithItsLengthBefore)
+    {
+        const auto request = dialect_.append({ ledger, "ab", {} });
+        EXPECT_EQ(request.method, "POST");
+        EXPECT_EQ(request.target, "/-/log-append?topic=ledger-0&part=0");
+        EXPECT_EQ(request.body, std::string("\0\0\0\2ab", 6));
+    }
+
+    TEST_F(StoreDialectTest, AppendsKeyedRecordsAndDropsKeys)
+    {
+        const StreamName vms { "vms" };
+        const auto put = dialect_.append({ vms, "{}", "a:1" });
+        EXPECT_EQ(put.target, "/-/log-append?topic=keyed.vms&part=0");
+        EXPECT_EQ(put.body, std::string("\0\0\0\6\3a:1{}", 10));
+        EXPECT_EQ(dialect_.append({ vms, {}, "a:1" }).body, std::string("\0\0\0\4\3a:1", 8));
+    }
+
+    TEST_F(StoreDialectTest, ReadsRecordsAndTheEnd)
+    {
+        const std::string body("\0\0\0\0\0\0\3\x4a\0\0\0\0\0\0\0\0\0\0\0\2ab\0\0\0\1c", 27);
+        const LogRead read = readOf(body);
+        EXPECT_EQ(read.end, Offset(842));
+        EXPECT_EQ(read.records, (std::vector<std::string> { "ab", "c" }));
+    }
+
+    // Symptom: a reader folds half a record, or stops without a word.
+    // Events: an answer is cut within a record or its length.
+    // Cause: lengths were trusted beyond the answer's end.
+    TEST_F(StoreDialectTest, CutAnswersAreProblemsWithAReason)
+    {
+        const std::string whole("\0\0\0\0\0\0\3\x4a\0\0\0\0\0\0\0\0\0\0\0\2ab", 22);
+        for (const std::size_t size : { std::size_t { 9 }, std::size_t { 18 }, std::size_t { 21 } }) {
+            const auto answer = dialect_.readAnswer({ 200, whole.substr(0, size) }, Offset(840));
+            ASSERT_TRUE(std::holds_alternative<LogProblem>(answer)) << size;
+            EXPECT_FALSE(std::get<LogProblem>(answer).detail.empty());
+        }
+    }
+
+    TEST_F(StoreDialectTest, ExpiryTellsTheOldestOffset)
+    {
+        const auto gone = dialect_.readAnswer({ 410, R"({"first_offset":17})" }, Offset(3));
+        EXPECT_EQ(std::get<LogGone>(gone).oldest, Offset(17));
+        EXPECT_TRUE(std::holds_alternative<LogProblem>(dialect_.readAnswer({ 410, "{}" }, Offset(3))));
+    }
+
+    TEST_F(StoreDialectTest, TopicThatDoesNotExistYetIsEmpty)
+    {
+        const auto read = dialect_.readAnswer({ 404, "" }, Offset(0));
+        EXPECT_TRUE(std::get<LogRead>(read).records.empty());
+        EXPECT_TRUE(std::get<NewestRead>(dialect_.newestAnswer({ 404, "" })).records.empty());
+    }
+
+    TEST_F(StoreDialectTest, ReadsTheNewestOfEachKey)
+    {
+        const auto answer = dialect_.newestAnswer(
+            { 200, R"({"entries":[{"key":"config","value":"eyJhIjoxfQ==","offset":4}],"has_more":true,"end_offset":6})" });
+        const auto& read = std::get<NewestRead>(answer);
+        ASSERT_EQ(read.records.size(), 1U);
+        EXPECT_EQ(read.records[0].key, "config");
+        EXPECT_EQ(read.records[0].value, R"({"a":1})");
+        EXPECT_EQ(read.records[0].offset, Offset(4));
+        EXPECT_TRUE(read.more);
+        EXPECT_EQ(dialect_.newest(StreamName("fleet-config"), "a b").target,
+            "/-/log-newest?topic=keyed.op&part=0&after=a%20b");
+    }
+
+    TEST_F(StoreDialectTest, GarbledListsAreProblems)
+    {
+        for (const char* body : { "", "[]", R"({"end_offset":1})", R"({"end_offset":1,"entries":[{"key":1}]})",
+                 R"({"end_offset":1,"entries":[{"key":"k","value":"?","offset":1}]})" }) {
+            EXPECT_TRUE(std::holds_alternative<LogProblem>(dialect_.newestAnswer({ 200, body }))) << body;
+        }
+        EXPECT_TRUE(std::holds_alternative<LogProblem>(dialect_.newestAnswer({ 503, "" })));
+    }
+
+    TEST_F(StoreDialectTest, TakesKeyedRecordsApart)
+    {
+        const auto put = dialect_.keyedRecord(Offset(9), std::string("\3key{}", 6));
+        ASSERT_TRUE(put);
+        EXPECT_EQ(put->key, "key");
+        EXPECT_EQ(put->value, "{}");
+        EXPECT_EQ(dialect_.keyedRecord(Offset(9), std::string("\3key", 4))->value, std::nullopt);
+        EXPECT_EQ(dialect_.keyedRecord(Offset(9), std::string("\7key", 4)), std::nullopt);
+        EXPECT_EQ(dialect_.keyedRecord(Offset(9), ""), std::nullopt);
+    }
+
+} // namespace
+} // namespace swiftlift::platform
--- /dev/null
+++ b/tests/platform/standin/EngineService.cpp
@@ -0,0 +1,139 @@
+#include "platform/standin/EngineService.h"
+
+#include <charconv>
+#include <utility>
+
+#include "common/Text.h"
+
+namespace swiftlift::platform::standin {
+
+using standins::Awaitable;
+using standins::Exchange;
+using standins::Json;
+using standins::Milliseconds;
+
+namespace {
+
+    /** @return Whether one was left, which is taken. */
+    bool take(std::uint64_t& left)
+    {
+        if (left == 0) {
+            return false;
+        }
+        --left;
+        return true;
+    }
+
+    std::string eventText(std::uint64_t id) { return "id: " + std::to_string(id) + "\ndata: piece\n\n"; }
+
+} // namespace
+
+EngineService::EngineService(EngineSettings settings)
+    : settings_(std::move(settings))
+{
+    controls().addValue("fail_next", failNext_);
+    controls().addValue("break_next", breakNext_);
+    controls().addValue("half_event", halfEvent_);
+    controls().addValue("full", full_);
+    controls().addValue("id", settings_.id);
+    controls().addValue("events", settings_.events);
+    controls().addValue("between_events_ms", settings_.betweenEventsMs);
+}
+
+bool EngineService::refuses(const Exchange& exchange) const
+{
+    const std::string expected = exchange.header("Expect-Instance");
+    return full_ || exchange.header("Request-Id").empty() || (!expected.empty() && expected != settings_.id);
+}
+
+Awaitable<void> EngineService::refuse(Exchange& exchange)
+{
+    ++refused_;
+    if (full_) {
+        exchange.setHeader("Not-Executed", "1");
+        co_await exchange.answerError(503, "full");
+    } else if (exchange.header("Request-Id").empty()) {
+        exchange.setHeader("Not-Executed", "1");
+        co_await exchange.answerError(400, "no id");
+    } else {
+        exchange.setHeader("Instance-Id", settings_.id);
+        co_await exchange.answerError(421, "another instance");
+    }
+}
+
+void EngineService::sign(Exchange& exchange) const
+{
+    const std::string id = exchange.header("Request-Id");
+    exchange.setHeader("Request-Id", id);
+    exchange.setHeader("Server-Stamp", standins::toHex(standins::hashOf(id + settings_.id)));
+}
+
+Awaitable<void> EngineService::serve(Exchange& exchange)
+{
+    if (refuses(exchange)) {
+        co_await refuse(exchange);
+        co_return;
+    }
+    Run& run = runs_[exchange.header("Request-Id")];
+    ++run.runs;
+    run.account = exchange.header("Tenant");
+    run.resumedAfter = exchange.header("Last-Event-Id");
+    run.keySeen = run.keySeen || !exchange.header("Credential").empty();
+    sign(exchange);
+    if (exchange.header("Token-Usage").empty()) {
+        co_await whole(exchange, run);
+    } else {
+        co_await stream(exchange, run);
+    }
+}
+
+Awaitable<void> EngineService::whole(Exchange& exchange, Run& run)
+{
+    co_await exchange.sleep(Milliseconds(settings_.wholeMs));
+    run.cut = exchange.isClosed();
+    if (take(breakNext_)) {
+        exchange.drop();
+    } else if (take(failNext_)) {
+        co_await exchange.answer(500, "text/plain", "failed");
+    } else {
+        co_await exchange.answer(200, "text/plain", "served by " + settings_.id);
+    }
+}
+
+Awaitable<void> EngineService::stream(Exchange& exchange, Run& run)
+{
+    if (take(failNext_)) {
+        co_await exchange.answer(500, "text/plain", "failed");
+        co_return;
+    }
+    std::uint64_t after = 0;
+    std::from_chars(run.resumedAfter.data(), run.resumedAfter.data() + run.resumedAfter.size(), after);
+    const bool breaks = take(breakNext_);
+    co_await exchange.startStream("text/event-stream");
+    for (std::uint64_t id = after + 1; id <= settings_.events && !exchange.isClosed(); ++id) {
+        if (breaks && id == after + 2) {
+            if (halfEvent_) {
+                co_await exchange.writeChunk(eventText(id).substr(0, 7));
+            }
+            exchange.drop();
+            co_return;
+        }
+        co_await exchange.writeChunk(eventText(id));
+        ++run.events;
+        co_await exchange.sleep(Milliseconds(settings_.betweenEventsMs));
+    }
+    run.cut = exchange.isClosed();
+    co_await exchange.endStream();
+}
+
+Json EngineService::audit(const Exchange&) const
+{
+    Json runs = Json::object();
+    for (const auto& [id, run] : runs_) {
+        runs[id] = { { "runs", run.runs }, { "account", run.account }, { "resumed_after", run.resumedAfter },
+            { "key_seen", run.keySeen }, { "events", run.events }, { "cut", run.cut } };
+    }
+    return { { "runs", std::move(runs) }, { "refused", refused_ } };
+}
+
+} // namespace swiftlift::platform::standin
--- /dev/null
+++ b/tests/platform/standin/StoreService.cpp
@@ -0,0 +1,206 @@
+#include "platform/standin/StoreService.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "common/Text.h"
+
+namespace swiftlift::platform::standin {
+
+using standins::Awaitable;
+using standins::Exchange;
+using standins::Json;
+
+namespace {
+
+    constexpr std::size_t lengthBytes = 4;
+    constexpr std::size_t numberBytes = 8;
+    constexpr unsigned bitsPerByte = 8;
+    constexpr std::uint64_t longestWaitMs = 30'000;
+    constexpr std::size_t mostEntries = 500;
+
+    std::string bigEndian(std::uint64_t number, std::size_t bytes)
+    {
+        std::string text(bytes, '\0');
+        for (std::size_t place = bytes; place > 0; --place) {
+            text[place - 1] = static_cast<char>(number & 0xFFU);
+            number >>= bitsPerByte;
+        }
+        return text;
+    }
+
+    std::optional<std::deque<std::string>> splitRecords(const std::string& body)
+    {
+        std::deque<std::string> records;
+        std::size_t place = 0;
+        while (place < body.size()) {
+            if (body.size() - place < lengthBytes) {
+                return std::nullopt;
+            }
+            std::size_t length = 0;
+            for (std::size_t byte = 0; byte < lengthBytes; ++byte) {
+                length = (length << bitsPerByte) | static_cast<unsigned char>(body[place + byte]);
+            }
+            place += lengthBytes;
+            if (body.size() - place < length) {
+                return std::nullopt;
+            }
+            records.push_back(body.substr(place, length));
+            place += length;
+        }
+        return records;
+    }
+
+    Json appendedReply(std::uint64_t offset, const Topic& topic)
+    {
+        return { { "offset", offset }, { "end_offset", topic.end() } };
+    }
+
+    Json goneReply(const Topic& topic) { return { { "first_offset", topic.first() } }; }
+
+    Json newestReply(const Topic& topic, const std::string& after)
+    {
+        Json entries = Json::array();
+        auto entry = topic.newest().upper_bound(after);
+        for (; entry != topic.newest().end() && entries.size() < mostEntries; ++entry) {
+            entries.push_back({ { "key", entry->first }, { "value", standins::toBase64(entry->second.value) },
+                { "offset", entry->second.offset } });
+        }
+        const bool more = entry != topic.newest().end();
+        return { { "entries", std::move(entries) }, { "has_more", more }, { "end_offset", topic.end() } };
+    }
+
+} // namespace
+
+std::uint64_t Topic::append(std::deque<std::string> records)
+{
+    const std::uint64_t offset = end();
+    for (std::string& record : records) {
+        if (keyed_) {
+            index(end(), record);
+        }
+        records_.push_back(std::move(record));
+    }
+    appended_.notify();
+    return offset;
+}
+
+void Topic::index(std::uint64_t offset, const std::string& record)
+{
+    const auto length = static_cast<std::size_t>(static_cast<unsigned char>(record.at(0)));
+    const std::string key = record.substr(1, length);
+    if (record.size() == 1 + length) {
+        newest_.erase(key);
+    } else {
+        newest_[key] = Newest { offset, record.substr(1 + length) };
+    }
+}
+
+void Topic::keepNewest(std::uint64_t count)
+{
+    while (records_.size() > count) {
+        records_.pop_front();
+        ++first_;
+    }
+}
+
+StoreService::StoreService()
+{
+    gate_.addControls(controls());
+    controls().addValue("turn_away", turnAway_);
+    controls().add("keep", [this](const Json& value, Json&) {
+        for (auto& [name, topic] : topics_) {
+            topic.keepNewest(value.get<std::uint64_t>());
+        }
+    });
+    controls().add("put", [this](const Json& value, Json&) {
+        const auto key = value.at("key").get<std::string>();
+        const std::string record = bigEndian(key.size(), 1) + key + value.value("value", "");
+        topicNamed(value.at("topic").get<std::string>()).append({ record });
+    });
+}
+
+Topic& StoreService::topicNamed(const std::string& name)
+{
+    return topics_.try_emplace(name, name.starts_with("keyed.")).first->second;
+}
+
+Awaitable<void> StoreService::serve(Exchange& exchange)
+{
+    const bool entered = co_await gate_.enter(exchange);
+    if (!entered) {
+        co_return;
+    }
+    if (turnAway_ != 0) {
+        co_await exchange.answerError(turnAway_, "turned away");
+    } else if (exchange.path() == "/-/log-append" && exchange.isPost()) {
+        co_await append(exchange);
+    } else if (exchange.path() == "/-/log-read") {
+        co_await read(exchange);
+    } else if (exchange.path() == "/-/log-newest") {
+        co_await newest(exchange);
+    }
+}
+
+Awaitable<void> StoreService::append(Exchange& exchange)
+{
+    ++appends_;
+    auto records = splitRecords(exchange.body());
+    if (!records) {
+        co_await exchange.answerError(400, "not a sequence of records");
+        co_return;
+    }
+    Topic& topic = topicNamed(exchange.parameter("topic"));
+    const auto offset = topic.append(std::move(*records));
+    const bool answerable = co_await gate_.leave(exchange);
+    if (answerable) {
+        co_await exchange.answerJson(200, appendedReply(offset, topic));
+    }
+}
+
+Awaitable<void> StoreService::read(Exchange& exchange)
+{
+    ++reads_;
+    Topic& topic = topicNamed(exchange.parameter("topic"));
+    const auto from = exchange.number("from", 0);
+    const auto wait = std::min(exchange.number("wait_ms", 0), longestWaitMs);
+    const auto deadline = standins::Clock::now() + std::chrono::milliseconds(wait);
+    while (from >= topic.end() && standins::Clock::now() < deadline && !exchange.isClosed()) {
+        co_await exchange.wait(topic.appended(), deadline);
+    }
+    const bool answerable = co_await gate_.leave(exchange);
+    if (!answerable) {
+        co_return;
+    }
+    if (from < topic.first()) {
+        co_await exchange.answerJson(410, goneReply(topic));
+        co_return;
+    }
+    std::string body = bigEndian(topic.end(), numberBytes) + bigEndian(topic.first(), numberBytes);
+    for (auto offset = from; offset < topic.end(); ++offset) {
+        body += bigEndian(topic.record(offset).size(), lengthBytes) + topic.record(offset);
+    }
+    co_await exchange.answer(200, "application/octet-stream", std::move(body));
+}
+
+Awaitable<void> StoreService::newest(Exchange& exchange)
+{
+    ++reads_;
+    Topic& topic = topicNamed(exchange.parameter("topic"));
+    co_await exchange.answerJson(200, newestReply(topic, exchange.parameter("after")));
+}
+
+Json StoreService::audit(const Exchange&) const
+{
+    Json topics = Json::object();
+    for (const auto& [name, topic] : topics_) {
+        Json keys = Json::object();
+        for (const auto& [key, newest] : topic.newest()) {
+            keys[key] = newest.offset;
+        }
+        topics[name] = { { "first", topic.first() }, { "end", topic.end() }, { "keys", std::move(keys) } };
+    }
+    return { { "topics", std::move(topics) }, { "appends", appends_ }, { "reads", reads_ } };
+}
+
+} // namespace swiftlift::platform::standin
--- /dev/null
+++ b/tests/platform/standin/StoreService.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "common/Gate.h"
+#include "common/Service.h"
+#include "common/Signal.h"
+
+namespace swiftlift::platform::standin {
+
+/** One topic with one partition: records with offsets from 0, and of keyed topics the newest record of each key. */
+class Topic {
+public:
+    explicit Topic(bool keyed)
+        : keyed_(keyed)
+    {
+    }
+
+    /** @return The offset of the first record. */
+    std::uint64_t append(std::deque<std::string> records);
+    /** Lets all but the newest records expire; the newest record of each key stays. */
+    void keepNewest(std::uint64_t count);
+
+    [[nodiscard]] std::uint64_t first() const noexcept { return first_; }
+    [[nodiscard]] std::uint64_t end() const noexcept { return first_ + records_.size(); }
+    [[nodiscard]] const std::string& record(std::uint64_t offset) const { return records_.at(offset - first_); }
+    [[nodiscard]] standins::Signal& appended() noexcept { return appended_; }
+
+    struct Newest {
+        std::uint64_t offset = 0;
+        std::string value;
+    };
+    [[nodiscard]] const std::map<std::string, Newest>& newest() const noexcept { return newest_; }
+
+private:
+    void index(std::uint64_t offset, const std::string& record);
+
+    bool keyed_;
+    std::uint64_t first_ = 0;
+    std::deque<std::string> records_;
+    std::map<std::string, Newest> newest_;
+    standins::Signal appended_;
+};
+
+/**
+ * @brief Stands in for the platform's metadata store, as far as the router uses it.
+ *
+ * `POST /control` takes, beside the gate's names, `put` ({"topic", "key", "value"}: a write of the operator or an
+ * engine; without a value the key is dropped), `keep` (records that each topic keeps) and `turn_away` (a status that
+ * every call gets; 0: none).
+ */
+class StoreService final : public standins::Service {
+public:
+    StoreService();
+
+    [[nodiscard]] standins::Awaitable<void> serve(standins::Exchange& exchange) override;
+    [[nodiscard]] standins::Json audit(const standins::Exchange& exchange) const override;
+
+private:
+    [[nodiscard]] Topic& topicNamed(const std::string& name);
+    [[nodiscard]] standins::Awaitable<void> append(standins::Exchange& exchange);
+    [[nodiscard]] standins::Awaitable<void> read(standins::Exchange& exchange);
+    [[nodiscard]] standins::Awaitable<void> newest(standins::Exchange& exchange);
+
+    standins::Gate gate_;
+    std::map<std::string, Topic> topics_;
+    std::uint64_t appends_ = 0;
+    std::uint64_t reads_ = 0;
+    unsigned turnAway_ = 0;
+};
+
+} // namespace swiftlift::platform::standin
