--- a/src/ledger/HolderDemand.cpp
+++ b/src/ledger/HolderDemand.cpp
@@ -14,7 +14,7 @@
     constexpr Duration largestWindow = 300s;
     constexpr Duration wantLifetime = 2s;
     /** Demand seen for less than this is taken to have been seen for this long: one request tells no rate. */
-    constexpr double leastSeenSeconds = 2;
+    constexpr double leastSeenSeconds = 5;
 
     double secondsBetween(Instant from, Instant to)
     {
--- /dev/null
+++ b/tests/node/GatewayTest.cpp
@@ -0,0 +1,252 @@
+#include <gtest/gtest.h>
+
+#include "node/GatewayWorld.h"
+
+namespace swiftlift::node::testing {
+namespace {
+
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+
+    class GatewayTest : public ::testing::Test {
+    protected:
+        void SetUp() override
+        {
+            world.settle();
+            ASSERT_TRUE(world.ready());
+        }
+
+        [[nodiscard]] PassOn ordered(CallId call)
+        {
+            const auto order = world.orderOf(call);
+            EXPECT_TRUE(order.has_value());
+            return order.value_or(PassOn {});
+        }
+
+        void expectRefused(CallId call, int status, const std::string& reason)
+        {
+            const auto reply = world.replyOf(call);
+            ASSERT_TRUE(reply.has_value());
+            EXPECT_EQ(reply->status, status);
+            EXPECT_EQ(reply->reason, reason);
+        }
+
+        GatewayWorld world;
+    };
+
+    TEST(GatewayStart, IsNotReadyAndRefusesHonestlyBeforeItKnowsAnything)
+    {
+        GatewayWorld world;
+        EXPECT_FALSE(world.ready());
+        const CallId call = world.arrive("/plain/x");
+        ASSERT_TRUE(world.replyOf(call));
+        EXPECT_EQ(world.replyOf(call)->status, 503);
+        EXPECT_EQ(world.replyOf(call)->outcome, Outcome::NotRun);
+        EXPECT_TRUE(world.replyOf(call)->retryAfter);
+    }
+
+    TEST_F(GatewayTest, PassesARequestOnAndBillsPromptAndEvents)
+    {
+        const PassOn order = ordered(world.arrive("/stream/x", 100, 70));
+        EXPECT_EQ(order.account, AccountId("club"));
+        world.progress(order, 1);
+        world.end(order, PassageEnd::Completed, 200, 4);
+        world.run(seconds(2));
+        EXPECT_EQ(world.billed(), Tokens { 100 + 4 * 7 });
+    }
+
+    TEST_F(GatewayTest, UnknownPathAndKeyAreRefused)
+    {
+        expectRefused(world.arrive("/nowhere/x"), 404, "no_route");
+        expectRefused(world.arrive("/plain/x", 0, 0, seconds(5), "other"), 401, "bad_key");
+    }
+
+    // Symptom: an order is placed twice.
+    // Events: the server's connection breaks before any answer.
+    // Cause: the request was sent to another server, though the first may have run it.
+    TEST_F(GatewayTest, WhatRunsOnceIsNeverSentAgainOnceItMayHaveRun)
+    {
+        const CallId call = world.arrive("/order/x");
+        world.end(ordered(call), PassageEnd::Broken, 0);
+        EXPECT_FALSE(world.orderOf(call));
+        expectRefused(call, 502, "backend_lost");
+        EXPECT_EQ(world.replyOf(call)->outcome, Outcome::Unknown);
+    }
+
+    // Symptom: a caller is told to come back for what another server would have run at once.
+    // Events: the server says that it is full, or can't be reached.
+    // Cause: that was taken for a run.
+    TEST_F(GatewayTest, WhatWasNotStartedGoesToAnotherServer)
+    {
+        for (const PassageEnd end : { PassageEnd::Refused, PassageEnd::Unreachable, PassageEnd::Misdirected }) {
+            const CallId call = world.arrive("/order/x");
+            const PassOn first = ordered(call);
+            world.end(first, end, 503);
+            EXPECT_NE(ordered(call).backend, first.backend);
+            world.end(ordered(call), PassageEnd::Completed);
+        }
+    }
+
+    TEST_F(GatewayTest, FailureOfARepeatableRequestIsPassedOnOnlyWhenNobodyElseMayRunIt)
+    {
+        const CallId call = world.arrive("/plain/x");
+        world.end(ordered(call), PassageEnd::Failed, 500);
+        EXPECT_FALSE(world.failurePassedOn(call));
+        world.end(ordered(call), PassageEnd::Failed, 500);
+        EXPECT_TRUE(world.failurePassedOn(call));
+        EXPECT_FALSE(world.replyOf(call));
+    }
+
+    // Symptom: a caller is told that its request has not run, and it has.
+    // Events: a repeatable request breaks off at one server, and no other is left.
+    // Cause: the last refusal spoke for all attempts.
+    TEST_F(GatewayTest, NotRunIsNotSaidAfterARun)
+    {
+        world.dropServer("p-2");
+        world.dropServer("p-3");
+        world.run(seconds(3));
+        const CallId call = world.arrive("/plain/x");
+        world.end(ordered(call), PassageEnd::Broken, 0);
+        ASSERT_TRUE(world.replyOf(call));
+        EXPECT_EQ(world.replyOf(call)->status, 502);
+        EXPECT_EQ(world.replyOf(call)->outcome, Outcome::Unknown);
+    }
+
+    TEST_F(GatewayTest, StreamIsTakenUpElsewhereOnlyWhereItMayBe)
+    {
+        const CallId resumable = world.arrive("/resumable/x", 10, 70);
+        const PassOn first = ordered(resumable);
+        world.progress(first, 3);
+        world.end(first, PassageEnd::Broken, 200, 3);
+        EXPECT_TRUE(ordered(resumable).resume);
+        EXPECT_NE(ordered(resumable).backend, first.backend);
+        const CallId once = world.arrive("/stream/x", 10, 70);
+        const PassOn only = ordered(once);
+        world.progress(only, 3);
+        world.end(only, PassageEnd::Broken, 200, 3);
+        EXPECT_FALSE(world.orderOf(once));
+        EXPECT_TRUE(world.replyOf(once));
+    }
+
+    // Symptom: an engine works on for a caller that has left.
+    // Events: the caller's connection ends in the middle of a stream.
+    // Cause: nobody told the engine; what was delivered was not billed either.
+    TEST_F(GatewayTest, AbandonedRequestIsCancelledAndBilledForWhatWasDelivered)
+    {
+        const CallId call = world.arrive("/stream/x", 100, 70);
+        const PassOn order = ordered(call);
+        world.tell(PassageAbandoned { call, 2 });
+        EXPECT_TRUE(world.cancelled(order));
+        world.run(seconds(2));
+        EXPECT_EQ(world.billed(), Tokens { 100 + 2 * 7 });
+    }
+
+    TEST_F(GatewayTest, TimeThatARequestWaitedToBeLookedAtCounts)
+    {
+        PassageArrived late;
+        late.call = CallId { 900 };
+        late.facts.id = "late";
+        late.facts.host = "desk";
+        late.facts.path = "/plain/x";
+        late.facts.key = "k";
+        late.facts.deadline = milliseconds(500);
+        late.at = Instant { seconds(1) };
+        world.tell(late);
+        EXPECT_FALSE(world.orderOf(late.call));
+        expectRefused(late.call, 503, "deadline_too_short");
+    }
+
+    TEST_F(GatewayTest, RouteTimeEndsWithAFinalAnswer)
+    {
+        const CallId call = world.arrive("/plain/x", 0, 0, seconds(60));
+        const PassOn order = ordered(call);
+        world.run(seconds(11));
+        EXPECT_TRUE(world.cancelled(order));
+        expectRefused(call, 504, "deadline_passed");
+    }
+
+    // Symptom: a fleet goes back to routes and keys that were withdrawn.
+    // Events: an older configuration is read again, or a record that nobody can read.
+    // Cause: whatever came last was taken.
+    TEST_F(GatewayTest, ConfigurationNeverGoesBackAndABrokenOneChangesNothing)
+    {
+        world.publish([](fleet::FleetConfig& config) { config.routes.erase(config.routes.begin()); });
+        expectRefused(world.arrive("/plain/x"), 404, "no_route");
+        world.tell(KeyedRecords { StreamName("fleet-config"), { { Offset { 1 }, "config", "version 3" } }, true });
+        expectRefused(world.arrive("/plain/x"), 404, "no_route");
+        world.tell(KeyedRecords { StreamName("fleet-config"), { { Offset { 99 }, "config", "{garbled" } }, false });
+        EXPECT_TRUE(world.orderOf(world.arrive("/order/x")));
+        ASSERT_EQ(world.lines("unreadable").size(), 1U);
+    }
+
+    TEST_F(GatewayTest, ServerThatLeavesGetsNothingNew)
+    {
+        world.putServer("p-1", "app", "a", fleet::ServerState::Leaving);
+        world.dropServer("p-2");
+        world.run(milliseconds(40));
+        for (int request = 0; request < 10; ++request) {
+            const CallId call = world.arrive("/plain/x");
+            EXPECT_EQ(ordered(call).backend, BackendId("p-3"));
+            world.end(ordered(call), PassageEnd::Completed);
+        }
+    }
+
+    // Symptom: "no backend server" right after the log is back.
+    // Events: an outage of the log lets the entries of all servers lapse; they register again within 2 s.
+    // Cause: a lapsed entry was taken for a server that left.
+    TEST_F(GatewayTest, ServersWhoseEntriesLapsedTogetherAreKeptForAMoment)
+    {
+        for (const char* id : { "p-1", "p-2", "p-3" }) {
+            world.dropServer(id);
+        }
+        world.run(seconds(1));
+        EXPECT_TRUE(world.orderOf(world.arrive("/plain/x")));
+        world.run(seconds(1));
+        expectRefused(world.arrive("/plain/x"), 503, "no_backend");
+    }
+
+    TEST_F(GatewayTest, BudgetEndsWithItsOwnRefusalAndARaiseOpensIt)
+    {
+        expectRefused(world.arrive("/stream/x", 10, 2'000'000), 402, "budget_exhausted");
+        world.publish([](fleet::FleetConfig& config) { config.accounts[0].budget = Tokens { 5'000'000 }; });
+        world.run(seconds(3));
+        const CallId call = world.arrive("/stream/x", 10, 2'000'000);
+        world.run(milliseconds(300));
+        EXPECT_TRUE(world.orderOf(call));
+    }
+
+    // Symptom: a live router refuses for money while the budget is nearly whole.
+    // Events: the log goes out of reach before there was any demand.
+    // Cause: nothing had been drawn.
+    TEST_F(GatewayTest, ServesThroughAnOutageThatComesBeforeAnyDemand)
+    {
+        world.logReachable = false;
+        world.run(seconds(5));
+        for (int request = 0; request < 20; ++request) {
+            const CallId call = world.arrive("/stream/x", 10'000, 70);
+            ASSERT_TRUE(world.orderOf(call)) << request;
+            world.end(*world.orderOf(call), PassageEnd::Completed, 200, 10);
+        }
+        EXPECT_TRUE(world.ready());
+        world.logReachable = true;
+        world.run(seconds(5));
+        EXPECT_EQ(world.billed(), Tokens { 20 * (10'000 + 70) });
+    }
+
+    // Symptom: callers are refused though the process that stops could still serve them.
+    // Events: a planned stop; the platform's entry goes on sending callers for two seconds.
+    // Cause: the router refused from the signal on.
+    TEST_F(GatewayTest, PlannedStopGoesOnServingUntilTheEntryHasNoticed)
+    {
+        world.tell(StopRequested {});
+        EXPECT_FALSE(world.ready());
+        const CallId call = world.arrive("/plain/x");
+        world.end(ordered(call), PassageEnd::Completed);
+        world.run(seconds(3));
+        expectRefused(world.arrive("/plain/x"), 503, "stopping");
+        world.run(seconds(2));
+        EXPECT_TRUE(world.stopReady());
+    }
+
+} // namespace
+} // namespace swiftlift::node::testing
--- /dev/null
+++ b/tests/node/GatewayWorld.cpp
@@ -0,0 +1,271 @@
+#include "node/GatewayWorld.h"
+
+#include <gtest/gtest.h>
+
+#include "swiftlift/ledger/EntryCodec.h"
+
+namespace swiftlift::node::testing {
+
+namespace {
+
+    constexpr Duration tickPeriod = std::chrono::milliseconds(20);
+    const StreamName ledgerName { "ledger-0" };
+    const StreamName configName { "fleet-config" };
+    const StreamName serverName { "backend-servers" };
+
+    fleet::Route route(const std::string& name, fleet::AnswerKind answer)
+    {
+        fleet::Route made;
+        made.name = RouteName(name);
+        made.host = "desk";
+        made.pathPrefix = "/" + name + "/";
+        made.answer = answer;
+        made.idempotent = name == "plain" || name == "resumable";
+        made.resumable = name == "resumable";
+        made.sharesPrefixes = answer == fleet::AnswerKind::Events;
+        made.timeLimit = std::chrono::seconds(10);
+        made.objective = std::chrono::milliseconds(200);
+        made.mostServers = 2;
+        made.targets = { { ServiceName(answer == fleet::AnswerKind::Events ? "model" : "app"), 1 } };
+        return made;
+    }
+
+} // namespace
+
+std::optional<fleet::FleetConfig> NamedCodec::config(std::string_view text, Findings& findings) const
+{
+    const auto found = configs.find(std::string(text));
+    if (found == configs.end()) {
+        findings.push_back({ "config", 3, 7, "no configuration" });
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+std::optional<fleet::BackendServer> NamedCodec::server(
+    const std::string& id, std::string_view text, Findings& findings) const
+{
+    const auto found = servers.find(std::string(text));
+    if (found == servers.end()) {
+        findings.push_back({ id, 1, 1, "no server" });
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+GatewayWorld::GatewayWorld(std::int64_t budget)
+{
+    using fleet::AnswerKind;
+    config_.routes = { route("plain", AnswerKind::Whole), route("order", AnswerKind::Whole),
+        route("stream", AnswerKind::Events), route("resumable", AnswerKind::Events) };
+    config_.services = { { ServiceName("model"), fleet::EngineFacts { 8, 7 } }, { ServiceName("app"), std::nullopt } };
+    config_.accounts = { { AccountId("club"), { "k" }, std::nullopt, Tokens { budget } } };
+    CoreSettings settings;
+    settings.incarnation = Incarnation { 77 };
+    settings.peerAddress = PeerAddress { "127.0.0.1:7400" };
+    settings.domain = FailureDomain { "a" };
+    settings.region = Region { "r" };
+    settings.routingPolicy = "rendezvous";
+    settings.fleetCodec = codec_;
+    settings.ledger.checkpoints = CheckpointPlace::Apart;
+    settings.ledger.batchPeriod = std::chrono::milliseconds(100);
+    settings.watermarks = ledger::Watermarks { 8, 10 };
+    settings.stockPercent = 50;
+    settings.retries = { 0.2, 50, std::chrono::seconds(10) };
+    settings.stopAcceptance = std::chrono::seconds(2);
+    core_ = std::make_unique<Core>(settings);
+    Actions actions;
+    core_->start(now_, actions);
+    carryOut(actions);
+}
+
+void GatewayWorld::settle()
+{
+    config_.version = 3;
+    putConfig(config_);
+    tell(KeyedRecords { serverName, {}, true });
+    for (const char* id : { "m-1", "m-2", "m-3" }) {
+        putServer(id, "model", "a");
+    }
+    for (const char* id : { "p-1", "p-2", "p-3" }) {
+        putServer(id, "app", "a");
+    }
+    run(std::chrono::seconds(5));
+}
+
+void GatewayWorld::putConfig(fleet::FleetConfig config)
+{
+    config_ = std::move(config);
+    const std::string name = "version " + std::to_string(config_.version);
+    codec_->configs[name] = config_;
+    tell(KeyedRecords { configName, { { Offset { ++keyedOffset_ }, "config", name } }, false });
+}
+
+void GatewayWorld::putServer(
+    const std::string& id, const std::string& service, const std::string& domain, fleet::ServerState state)
+{
+    const std::string name = id + (state == fleet::ServerState::Ready ? "" : " leaving");
+    codec_->servers[name]
+        = { BackendId(id), BackendAddress("127.0.0.1:1"), ServiceName(service), FailureDomain(domain), 8, state };
+    tell(KeyedRecords { serverName, { { Offset { ++keyedOffset_ }, id, name } }, false });
+}
+
+void GatewayWorld::dropServer(const std::string& id)
+{
+    tell(KeyedRecords { serverName, { { Offset { ++keyedOffset_ }, id, std::nullopt } }, false });
+}
+
+void GatewayWorld::tell(const Event& event)
+{
+    Actions actions;
+    core_->handle(event, now_, actions);
+    carryOut(actions);
+}
+
+void GatewayWorld::run(Duration time)
+{
+    const Instant end = now_ + time;
+    while (now_ < end) {
+        now_ += tickPeriod;
+        readLog();
+        tell(Tick {});
+    }
+}
+
+void GatewayWorld::readLog()
+{
+    while (!pending_.empty()) {
+        const Event event = pending_.front();
+        pending_.pop_front();
+        tell(event);
+    }
+    if (!following_) {
+        return;
+    }
+    if (!logReachable) {
+        tell(LogUnreachable { ledgerName, "read" });
+        return;
+    }
+    LogRecords records { ledgerName, Offset { read_ }, {}, Offset { ledger_.size() } };
+    for (; read_ < ledger_.size(); ++read_) {
+        records.records.push_back(ledger_[read_]);
+    }
+    tell(records);
+}
+
+CallId GatewayWorld::arrive(const std::string& path, std::int64_t promptTokens, std::int64_t answerTokens,
+    Duration deadline, const std::string& key)
+{
+    PassageArrived arrived;
+    arrived.call = CallId { ++lastCall_ };
+    arrived.facts.id = "r" + std::to_string(lastCall_);
+    arrived.facts.host = "desk";
+    arrived.facts.path = path;
+    arrived.facts.key = key;
+    arrived.facts.deadline = deadline;
+    arrived.facts.promptTokens = Tokens { promptTokens };
+    arrived.facts.maxAnswerTokens = Tokens { answerTokens };
+    arrived.facts.prefix = { { 5, Tokens { promptTokens } } };
+    arrived.at = now_;
+    tell(arrived);
+    return arrived.call;
+}
+
+void GatewayWorld::end(const PassOn& order, PassageEnd how, int status, std::uint64_t events)
+{
+    orders_.erase(order.call);
+    tell(PassageEnded { order.attempt, how, status, events, "played" });
+}
+
+void GatewayWorld::progress(const PassOn& order, std::uint64_t events)
+{
+    tell(PassageProgress { order.attempt, events });
+}
+
+std::optional<PassOn> GatewayWorld::orderOf(CallId call) const
+{
+    const auto found = orders_.find(call);
+    return found == orders_.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::optional<Reply> GatewayWorld::replyOf(CallId call) const
+{
+    const auto found = replies_.find(call);
+    return found == replies_.end() ? std::nullopt : std::optional(found->second);
+}
+
+Tokens GatewayWorld::billed() const
+{
+    ledger::FoldLimits limits;
+    ledger::Fold fold(limits);
+    std::uint64_t offset = 0;
+    for (const std::string& record : ledger_) {
+        std::string reason;
+        std::vector<ledger::Effect> effects;
+        const auto batch = ledger::decodeBatch(record, reason);
+        EXPECT_TRUE(batch && fold.apply(Offset { offset++ }, *batch, effects)) << reason;
+    }
+    const auto budget = fold.budget({ AccountId("club"), BudgetId("prepaid") });
+    return budget ? budget->billed : Tokens {};
+}
+
+std::vector<LogLine> GatewayWorld::lines(const std::string& kind) const
+{
+    std::vector<LogLine> found;
+    for (const LogLine& line : lines_) {
+        if (line.kind == kind) {
+            found.push_back(line);
+        }
+    }
+    return found;
+}
+
+void GatewayWorld::carryOut(Actions& actions)
+{
+    for (const Action& action : actions) {
+        if (const auto* order = std::get_if<PassOn>(&action)) {
+            orders_[order->call] = *order;
+        } else if (const auto* reply = std::get_if<Reply>(&action)) {
+            EXPECT_FALSE(replies_.contains(reply->call)) << "a caller gets one final answer";
+            replies_[reply->call] = *reply;
+        } else if (const auto* failure = std::get_if<PassFailureOn>(&action)) {
+            failures_.insert(failure->call);
+        } else if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
+            cancelled_.insert(cancel->attempt);
+        } else if (const auto* readiness = std::get_if<AnnounceReadiness>(&action)) {
+            ready_ = readiness->ready;
+        } else if (const auto* append = std::get_if<Append>(&action)) {
+            on(*append);
+        } else if (const auto* follow = std::get_if<Follow>(&action)) {
+            on(*follow);
+        } else if (const auto* line = std::get_if<LogLine>(&action)) {
+            lines_.push_back(*line);
+        }
+        stopReady_ = stopReady_ || std::holds_alternative<StopReady>(action);
+    }
+}
+
+void GatewayWorld::on(const Append& append)
+{
+    if (append.stream != ledgerName) {
+        return;
+    }
+    if (logReachable) {
+        ledger_.push_back(append.record);
+        pending_.push_back(AppendAnswered { append.stream });
+    } else {
+        pending_.push_back(LogUnreachable { append.stream, "append" });
+    }
+}
+
+void GatewayWorld::on(const Follow& follow)
+{
+    if (follow.stream == ledgerName) {
+        following_ = true;
+        read_ = follow.from.value();
+    } else if (follow.kind == StreamKind::KeyedOnce) {
+        pending_.push_back(KeyedRecords { follow.stream, {}, true });
+    }
+}
+
+} // namespace swiftlift::node::testing
--- /dev/null
+++ b/tests/routing/RendezvousSelectorTest.cpp
@@ -0,0 +1,98 @@
+#include <map>
+
+#include "routing/TableFixture.h"
+
+namespace swiftlift::routing::test {
+namespace {
+
+    class RendezvousSelectorTest : public TableTest {
+    protected:
+        [[nodiscard]] static SelectRequest about(std::uint64_t prefix)
+        {
+            SelectRequest request;
+            request.service = drafts;
+            request.prefixHash = prefix;
+            request.promptTokens = Tokens { 100 };
+            return request;
+        }
+
+        [[nodiscard]] static std::unique_ptr<Selector> router(std::uint64_t seed, FailureDomain domain)
+        {
+            SelectorSettings settings;
+            settings.domain = std::move(domain);
+            settings.seed = seed;
+            return makeSelector("rendezvous", settings);
+        }
+
+        [[nodiscard]] BackendId choose(Selector& selector, std::uint64_t prefix)
+        {
+            return selector.choose(about(prefix), table_, now_).value().backend;
+        }
+    };
+
+    // Symptom: engines compute the same shared prompt again and again, though one of them has it cached.
+    // Events: hundreds of prefixes, each asked for seldom by any one router.
+    // Cause: each router went by what it had seen itself.
+    TEST_F(RendezvousSelectorTest, AllRoutersSendOnePrefixToOneEngine)
+    {
+        add(10, 10);
+        const auto left = router(1, home);
+        const auto right = router(2, away);
+        std::map<BackendId, int> used;
+        for (std::uint64_t prefix = 1; prefix <= 400; ++prefix) {
+            EXPECT_EQ(choose(*left, prefix), choose(*right, prefix));
+            ++used[choose(*left, prefix)];
+        }
+        EXPECT_EQ(used.size(), 20U);
+        for (const auto& [backend, count] : used) {
+            EXPECT_LT(count, 60) << backend;
+        }
+    }
+
+    TEST_F(RendezvousSelectorTest, LossOfAnEngineMovesOnlyItsPrefixes)
+    {
+        add(20);
+        const auto selector = router(1, home);
+        std::map<std::uint64_t, BackendId> before;
+        for (std::uint64_t prefix = 1; prefix <= 200; ++prefix) {
+            before[prefix] = choose(*selector, prefix);
+        }
+        const BackendId lost = engine(7);
+        table_.onLeaving(lost, now_);
+        for (const auto& [prefix, backend] : before) {
+            if (backend != lost) {
+                EXPECT_EQ(choose(*selector, prefix), backend);
+            }
+        }
+    }
+
+    // Symptom: one engine is full and late while the others idle.
+    // Events: a quarter of all requests are about one thing.
+    // Cause: its prefix has one home, whatever waits there.
+    TEST_F(RendezvousSelectorTest, PopularPrefixSpreadsOverItsNextEngines)
+    {
+        add(20);
+        const auto selector = router(1, home);
+        std::map<BackendId, int> used;
+        for (int request = 0; request < 40; ++request) {
+            const BackendId backend = choose(*selector, 99);
+            ++used[backend];
+            table_.onDispatched(backend, AttemptId { ++lastAttempt_ }, { 0, Tokens { 100 }, {} }, now_);
+        }
+        for (const auto& [backend, count] : used) {
+            EXPECT_LE(count, 6) << backend;
+        }
+    }
+
+    TEST_F(RendezvousSelectorTest, WithoutAPrefixTheLeastLoadedOfTheOwnDomainIsTaken)
+    {
+        add(2, 2);
+        dispatch(1);
+        const auto selector = router(1, home);
+        for (int request = 0; request < 20; ++request) {
+            EXPECT_EQ(choose(*selector, 0), engine(2));
+        }
+    }
+
+} // namespace
+} // namespace swiftlift::routing::test
