Hold the largest recent request again, not twice the mean one

Change tried: a floor of min(largest, 2 x mean recent request) and a surplus of 120 %. Ruled out with it: that the largest request is what binds; what a killed router held is (docs/PLATFORM.md).

--- a/include/swiftlift/ledger/HoldingPolicy.h
+++ b/include/swiftlift/ledger/HoldingPolicy.h
@@ -40,8 +40,6 @@
     double demand = 0;
     /** Largest recent request. */
     Tokens largest;
-    /** Mean of the recent requests. */
-    Tokens mean;
     /** Largest request that waits for money now; zero when none does. */
     Tokens need;
     /** Smallest request that waits for money now; zero when none does. */
--- a/src/ledger/HolderDemand.cpp
+++ b/src/ledger/HolderDemand.cpp
@@ -13,8 +13,6 @@
     constexpr double halfLifeSeconds = 10;
     constexpr Duration largestWindow = 300s;
     constexpr Duration wantLifetime = 2s;
-    /** Weight of a new request in the mean: one in sixteen. */
-    constexpr std::int64_t meanSmoothing = 16;
     /** Demand seen for less than this is taken to have been seen for this long: one request tells no rate. */
     constexpr double leastSeenSeconds = 5;
 
@@ -37,8 +35,6 @@
         windowStart_ = now;
     }
     largest_ = std::max(largest_, amount);
-    const Tokens step { (amount - mean_).value() / meanSmoothing };
-    mean_ = mean_ == Tokens {} ? amount : mean_ + step;
 }
 
 double HolderDemand::rate(Instant now) const
@@ -62,7 +58,7 @@
 
 void HolderDemand::print(std::ostream& out) const
 {
-    out << "demand " << weight_ << '@' << weighedAt_.time_since_epoch().count() << ' ' << largest_ << ' ' << mean_ << ' '
+    out << "demand " << weight_ << '@' << weighedAt_.time_since_epoch().count() << ' ' << largest_ << ' '
         << formerLargest_ << '@' << windowStart_.time_since_epoch().count() << '\n';
 }
 
--- a/src/ledger/HolderDemand.h
+++ b/src/ledger/HolderDemand.h
@@ -18,7 +18,6 @@
     /** @return Tokens per second. */
     [[nodiscard]] double rate(Instant now) const;
     [[nodiscard]] Tokens largest(Instant now) const;
-    [[nodiscard]] Tokens mean() const noexcept { return mean_; }
 
     void print(std::ostream& out) const;
 
@@ -29,7 +28,6 @@
     /** Largest of the present window and of the one before it. */
     Tokens largest_;
     Tokens formerLargest_;
-    Tokens mean_;
     Instant windowStart_ {};
 };
 
--- a/src/ledger/HolderWork.cpp
+++ b/src/ledger/HolderWork.cpp
@@ -58,7 +58,6 @@
     situation.weighting = desk.weighting;
     situation.demand = desk.demand.rate(now_);
     situation.largest = desk.demand.largest(now_);
-    situation.mean = desk.demand.mean();
     situation.need = desk.wants.largest();
     situation.smallestNeed = desk.wants.smallest();
     situation.waiting = desk.wants.sum();
--- a/src/ledger/PolicyDemandGrants.cpp
+++ b/src/ledger/PolicyDemandGrants.cpp
@@ -18,8 +18,7 @@
     constexpr std::int64_t surplusFactor = 2;
     /** As above, in percent, where the watermarks are set: what is held above them is lost with its holder, and a fleet that
      * loses all its routers at once loses all of it. */
-    constexpr std::int64_t tightSurplusPercent = 120;
-    constexpr std::int64_t meansHeld = 2;
+    constexpr std::int64_t tightSurplusPercent = 130;
     constexpr Duration tightSurplusPause = 1s;
     constexpr Duration surplusPause = 5s;
     constexpr Duration shortagePause = 500ms;
@@ -68,24 +67,15 @@
     return Tokens { situation.bought.value() / wholePercent * settings_.stockPercent / routers };
 }
 
-// Every router that sees an account now and then would hold its largest request for good. With prompts whose largest is
-// ten times their mean, that is most of what a small account's money is held for.
-Tokens DemandGrantsPolicy::floor(const BudgetSituation& situation) const
-{
-    if (!settings_.watermarks)
-        return situation.largest;
-    return std::min(situation.largest, Tokens { situation.mean.value() * meansHeld });
-}
-
 Tokens DemandGrantsPolicy::low(const BudgetSituation& situation) const
 {
-    return std::max(tokensOf(situation.demand, watermarks(situation).lowSeconds), floor(situation));
+    return std::max(tokensOf(situation.demand, watermarks(situation).lowSeconds), situation.largest);
 }
 
 Tokens DemandGrantsPolicy::high(const BudgetSituation& situation) const
 {
     if (settings_.watermarks)
-        return std::max(tokensOf(situation.demand, settings_.watermarks->highSeconds), floor(situation));
+        return std::max(tokensOf(situation.demand, settings_.watermarks->highSeconds), situation.largest);
     return tokensOf(situation.demand, watermarks(situation).highSeconds) + situation.largest;
 }
 
@@ -100,7 +90,7 @@
         const Tokens inHand = std::max(situation.need, situation.waiting - situation.free);
         return DrawDecision { std::max(inHand, ahead), situation.smallestNeed };
     }
-    const Tokens useful = std::max(floor(situation), Tokens { 1 });
+    const Tokens useful = std::max(situation.largest, Tokens { 1 });
     if (situation.drawn == none && stock(situation) > none && !situation.cautious)
         return DrawDecision { std::max(stock(situation), ahead), Tokens { 1 } };
     if (situation.free >= low(situation) || ahead < useful)
--- a/src/ledger/PolicyDemandGrants.h
+++ b/src/ledger/PolicyDemandGrants.h
@@ -21,8 +21,6 @@
 private:
     [[nodiscard]] Watermarks watermarks(const BudgetSituation& situation) const;
     [[nodiscard]] Tokens stock(const BudgetSituation& situation) const;
-    /** @return What is held for the sake of single requests, however seldom they come. */
-    [[nodiscard]] Tokens floor(const BudgetSituation& situation) const;
     [[nodiscard]] Tokens low(const BudgetSituation& situation) const;
     [[nodiscard]] Tokens high(const BudgetSituation& situation) const;
 
--- a/tests/ledger/FundTest.cpp
+++ b/tests/ledger/FundTest.cpp
@@ -98,7 +98,6 @@
         situation_.free = Tokens { 100'000 };
         situation_.demand = 2'000;
         situation_.largest = Tokens { 5'000 };
-        situation_.mean = Tokens { 1000 };
         EXPECT_EQ(policy_->surplus(situation_), Tokens { 80'000 });
     }
 
@@ -108,7 +107,6 @@
         situation_.drawn = Tokens { 1 };
         situation_.demand = 1'000;
         situation_.largest = Tokens { 100 };
-        situation_.mean = Tokens { 100 };
         situation_.free = Tokens { 8'100 };
         EXPECT_FALSE(policy_->draw(situation_));
         situation_.free = Tokens { 7'900 };
