--- a/apps/router/CoreDecider.cpp
+++ b/apps/router/CoreDecider.cpp
@@ -66,7 +66,8 @@
     core.routingPolicy = settings::toText(settings.routing);
     core.stockPercent = settings.ledger.stockPercent;
     if (settings.ledger.highWatermark > Duration::zero()) {
-        core.watermarks = ledger::Watermarks { seconds(settings.ledger.lowWatermark), seconds(settings.ledger.highWatermark) };
+        core.watermarks
+            = ledger::Watermarks { seconds(settings.ledger.lowWatermark), seconds(settings.ledger.highWatermark) };
     }
     if (settings.ledger.batchPeriod > Duration::zero()) {
         core.ledger.batchPeriod = settings.ledger.batchPeriod;
--- a/apps/router/Main.cpp
+++ b/apps/router/Main.cpp
@@ -27,8 +27,8 @@
 }
 
 /**
- * Signals are taken by the main thread alone: blocked here, before any other thread exists. One that nobody takes, such as
- * the hang-up that tells of changed settings, would end the process and every stream in it.
+ * Signals are taken by the main thread alone: blocked here, before any other thread exists. One that nobody takes, such
+ * as the hang-up that tells of changed settings, would end the process and every stream in it.
  */
 sigset_t blockSignals()
 {
--- a/apps/router/RouterProcess.cpp
+++ b/apps/router/RouterProcess.cpp
@@ -26,7 +26,8 @@
     /** A round trip within a region takes 3 ms, and a lost opening packet is sent again after a second: what has not
      * connected by then is better sought elsewhere. */
     constexpr auto backendConnectTime = 200ms;
-    /** At about 1 ms a decision on a quarter of a core, a tenth of a second's work: a third of the shortest objective. */
+    /** At about 1 ms a decision on a quarter of a core, a tenth of a second's work: a third of the shortest objective.
+     */
     constexpr std::size_t mostDecisionsWaiting = 100;
     /** As long again in the sockets. */
     constexpr auto mostLag = 100ms;
@@ -148,7 +149,8 @@
     check(journal_.isOpen(), "logging.file", "can't be written to: " + settings_.logging.file);
     check(streams_.listen(toEndpoint(settings_.callersListen)), "callers.listen", streams_.lastReason());
     if (!settings_.readinessListen.value().empty()) {
-        check(streams_.listenReadiness(toEndpoint(settings_.readinessListen)), "callers.readiness", streams_.lastReason());
+        check(streams_.listenReadiness(toEndpoint(settings_.readinessListen)), "callers.readiness",
+            streams_.lastReason());
     }
     check(peers_.listen(), "vm.peer", peers_.lastReason());
     check(operators_.start(toEndpoint(settings_.operatorsListen)), "operators.listen", operators_.lastReason());
@@ -191,8 +193,7 @@
     for (const Finding& finding : findings) {
         text += (text.empty() ? "" : "; ") + toText(finding);
     }
-    journal_.write(
-        logging::Level::Error, "reload", { { "outcome", std::string("rejected") }, { "findings", text } });
+    journal_.write(logging::Level::Error, "reload", { { "outcome", std::string("rejected") }, { "findings", text } });
 }
 
 void RouterProcess::stop()
--- a/include/swiftlift/fleet/FleetCodec.h
+++ b/include/swiftlift/fleet/FleetCodec.h
@@ -32,8 +32,7 @@
      * @return The backend server; nothing when anything was found.
      */
     [[nodiscard]] virtual std::optional<BackendServer> server(
-        const std::string& id, std::string_view text, Findings& findings) const
-        = 0;
+        const std::string& id, std::string_view text, Findings& findings) const = 0;
 };
 
 } // namespace swiftlift::fleet
--- a/include/swiftlift/settings/RouterSettings.h
+++ b/include/swiftlift/settings/RouterSettings.h
@@ -51,7 +51,8 @@
     LedgerPolicy policy = LedgerPolicy::Grants;
     /** Of `static_split`: into how many equal parts a budget is split. */
     std::uint32_t splitWays = 8;
-    /** Of `grants`: holdings are drawn when they last for less than this, and up to the other one. 0: the services say. */
+    /** Of `grants`: holdings are drawn when they last for less than this, and up to the other one. 0: the services say.
+     */
     Duration lowWatermark {};
     Duration highWatermark {};
     /** Of `grants`: part of each budget that the routers together hold before there is demand. */
--- a/include/swiftlift/transport/DecisionLoop.h
+++ b/include/swiftlift/transport/DecisionLoop.h
@@ -31,8 +31,8 @@
      * @param inbox Ring of events; outlives the loop.
      * @param sink Takes the actions; outlives the loop.
      */
-    DecisionLoop(Incarnation first, DeciderFactory factory, DecisionInbox& inbox, ActionSink& sink,
-        Duration tick = defaultTick);
+    DecisionLoop(
+        Incarnation first, DeciderFactory factory, DecisionInbox& inbox, ActionSink& sink, Duration tick = defaultTick);
     ~DecisionLoop();
     DecisionLoop(const DecisionLoop&) = delete;
     DecisionLoop& operator=(const DecisionLoop&) = delete;
--- a/include/swiftlift/transport/LogDialect.h
+++ b/include/swiftlift/transport/LogDialect.h
@@ -60,15 +60,14 @@
 
     [[nodiscard]] virtual HttpRequest read(const LogPosition& position) const = 0;
     [[nodiscard]] virtual std::variant<LogRead, LogGone, LogProblem> readAnswer(
-        const HttpResponse& answer, Offset from) const
-        = 0;
+        const HttpResponse& answer, Offset from) const = 0;
 
     /** @param after The last key read so far; empty: from the first one on. */
     [[nodiscard]] virtual HttpRequest newest(const StreamName& stream, const std::string& after) const = 0;
     [[nodiscard]] virtual std::variant<NewestRead, LogProblem> newestAnswer(const HttpResponse& answer) const = 0;
     /** @return A keyed stream's record, taken apart; nothing when it can't be. */
-    [[nodiscard]] virtual std::optional<node::KeyedRecord> keyedRecord(Offset offset, const std::string& record) const
-        = 0;
+    [[nodiscard]] virtual std::optional<node::KeyedRecord> keyedRecord(
+        Offset offset, const std::string& record) const = 0;
 };
 
 } // namespace swiftlift::transport
--- a/include/swiftlift/transport/PassageDialect.h
+++ b/include/swiftlift/transport/PassageDialect.h
@@ -41,8 +41,7 @@
      * @return What the backend server is sent.
      */
     [[nodiscard]] virtual HeaderFields towardsBackend(
-        const HeaderFields& fields, const node::PassOn& order, std::optional<std::uint64_t> lastEvent) const
-        = 0;
+        const HeaderFields& fields, const node::PassOn& order, std::optional<std::uint64_t> lastEvent) const = 0;
 
     [[nodiscard]] virtual AnswerMarks marks(const AnswerHead& answer) const = 0;
 
--- a/include/swiftlift/transport/StreamServer.h
+++ b/include/swiftlift/transport/StreamServer.h
@@ -22,9 +22,8 @@
 };
 
 /** What the decision thread asks of the streams thread. */
-using StreamCommand
-    = std::variant<node::Dispatch, node::CancelAttempt, node::Reply, node::OperatorReply, BeginIncarnation, node::PassOn,
-        node::PassFailureOn, node::AnnounceReadiness, node::SetCallerLimits>;
+using StreamCommand = std::variant<node::Dispatch, node::CancelAttempt, node::Reply, node::OperatorReply,
+    BeginIncarnation, node::PassOn, node::PassFailureOn, node::AnnounceReadiness, node::SetCallerLimits>;
 
 /** Bit that tells callers' questions from operators'. */
 inline constexpr std::uint64_t callersQuestion = std::uint64_t { 1 } << 63U;
--- a/src/ledger/HolderDemand.cpp
+++ b/src/ledger/HolderDemand.cpp
@@ -42,9 +42,9 @@
     if (!firstNoted_)
         return 0;
     const double decayed = weight_ * std::exp2(-secondsBetween(weighedAt_, now) / halfLifeSeconds);
-    // A decaying sum reaches its level only after several half-lives: after 3 s of steady demand it stands at 19% of the
-    // rate, and a router that then loses the log holds a fifth of what it needs. Divided by the weight that could have
-    // come together since the first request, it is right from the start on.
+    // A decaying sum reaches its level only after several half-lives: after 3 s of steady demand it stands at 19% of
+    // the rate, and a router that then loses the log holds a fifth of what it needs. Divided by the weight that could
+    // have come together since the first request, it is right from the start on.
     const double seen = std::max(secondsBetween(*firstNoted_, now), leastSeenSeconds);
     return decayed * std::numbers::ln2 / halfLifeSeconds / (1 - std::exp2(-seen / halfLifeSeconds));
 }
--- a/src/ledger/HolderRequests.cpp
+++ b/src/ledger/HolderRequests.cpp
@@ -98,8 +98,8 @@
     if (!surroundings_.logReachable || now_ - desk.wants.since(key, now_) > patience)
         return false;
     const bool drawCovers = desk.drawing && desk.drawingWanted >= amount;
-    // Whoever can give back does so as soon as it reads the signal. A second of waiting for it, and a caller with little
-    // time is held to its deadline for nothing.
+    // Whoever can give back does so as soon as it reads the signal. A second of waiting for it, and a caller with
+    // little time is held to its deadline for nothing.
     const bool othersWereTold = desk.signalledAt && now_ - *desk.signalledAt < policy_->returnPatience();
     return drawCovers || othersWereTold;
 }
--- a/src/ledger/HolderWork.cpp
+++ b/src/ledger/HolderWork.cpp
@@ -67,7 +67,8 @@
     if (const std::optional<BudgetView> view = fold_->budget(budget)) {
         situation.bought = view->bought;
         situation.available = view->available();
-        // A router that starts anew amid traffic sees demand at once, and a stock would be what it takes from the others.
+        // A router that starts anew amid traffic sees demand at once, and a stock would be what it takes from the
+        // others.
         const bool untouched = view->billed == none || grantsRemainder(desk) > none;
         const bool demandUnknown = !busySince_ || now_ - *busySince_ < demandSeen;
         situation.stocked = desk.stocked && untouched && demandUnknown;
--- a/src/ledger/PolicyDemandGrants.cpp
+++ b/src/ledger/PolicyDemandGrants.cpp
@@ -16,8 +16,8 @@
     constexpr std::int64_t shareDivisor = 2;
     /** Surplus goes back from this multiple of the high watermark on, so that draws and returns don't alternate. */
     constexpr std::int64_t surplusFactor = 2;
-    /** As above, in percent, where the watermarks are set: what is held above them is lost with its holder, and a fleet that
-     * loses all its routers at once loses all of it. */
+    /** As above, in percent, where the watermarks are set: what is held above them is lost with its holder, and a fleet
+     * that loses all its routers at once loses all of it. */
     constexpr std::int64_t tightSurplusPercent = 130;
     constexpr Duration tightSurplusPause = 1s;
     constexpr Duration surplusPause = 5s;
--- a/src/logging/JsonLog.cpp
+++ b/src/logging/JsonLog.cpp
@@ -21,7 +21,8 @@
     using Json = nlohmann::ordered_json;
 
     constexpr std::chrono::milliseconds idleWait { 500 };
-    /** Lines gathered into one write: a wake-up and four system calls for each line were half of what a request cost. */
+    /** Lines gathered into one write: a wake-up and four system calls for each line were half of what a request cost.
+     */
     constexpr std::chrono::milliseconds gatherTime { 50 };
 
     struct Line {
--- a/src/node/CoreState.cpp
+++ b/src/node/CoreState.cpp
@@ -22,7 +22,8 @@
     , placement_(context_, health_, services_, backends_)
     , ledgers_(context_, peers_, health_, *this)
     , requests_(
-          context_, services_, backends_, [this](const AccountId& account) -> ShardLedger& { return ledgers_.of(account); },
+          context_, services_, backends_,
+          [this](const AccountId& account) -> ShardLedger& { return ledgers_.of(account); },
           [this](const std::string& model) { placement_.onUnserved(model); })
     , ending_(context_)
 {
--- a/src/node/FleetBook.h
+++ b/src/node/FleetBook.h
@@ -32,8 +32,8 @@
  */
 class FleetBook {
 public:
-    FleetBook(
-        Context& context, Peers& peers, const LogHealth& health, routing::BackendTable& backends, ConfigListener listener);
+    FleetBook(Context& context, Peers& peers, const LogHealth& health, routing::BackendTable& backends,
+        ConfigListener listener);
 
     void start();
     void onRecords(const KeyedRecords& records);
--- a/src/node/Gateway.cpp
+++ b/src/node/Gateway.cpp
@@ -77,10 +77,7 @@
     return stopRequested_ && context_.now() - *stopRequested_ >= context_.settings().stopAcceptance;
 }
 
-std::uint32_t Gateway::routers() const
-{
-    return std::max({ mostRouters_, static_cast<std::uint32_t>(fleet_.vms()) });
-}
+std::uint32_t Gateway::routers() const { return std::max({ mostRouters_, static_cast<std::uint32_t>(fleet_.vms()) }); }
 
 void Gateway::on(const PassageArrived& event)
 {
@@ -246,13 +243,13 @@
 {
     const auto counts = peers_.membership().counts();
     const std::string reason = unready();
-    return nlohmann::json { { "incarnation", toHex(context_.self().value()) },
-        { "peer", context_.settings().peerAddress.value() }, { "domain", context_.settings().domain.value() },
-        { "ready", reason.empty() }, { "reason", reason }, { "stopping", stopRequested_.has_value() },
-        { "log_reachable", health_.reachable(context_.now()) }, { "in_progress", passages_.inProgress() },
-        { "peers_alive", counts.alive },
-        { "config_version", fleet_.routes() ? fleet_.routes()->config().version : 0 } }
-        .dump();
+    return nlohmann::json {
+        { "incarnation", toHex(context_.self().value()) }, { "peer", context_.settings().peerAddress.value() },
+        { "domain", context_.settings().domain.value() }, { "ready", reason.empty() }, { "reason", reason },
+        { "stopping", stopRequested_.has_value() }, { "log_reachable", health_.reachable(context_.now()) },
+        { "in_progress", passages_.inProgress() }, { "peers_alive", counts.alive },
+        { "config_version", fleet_.routes() ? fleet_.routes()->config().version : 0 }
+    }.dump();
 }
 
 void Gateway::onMoneyArrived(const BudgetRef& budget) { passages_.onMoneyArrived(budget); }
--- a/src/node/Passage.h
+++ b/src/node/Passage.h
@@ -49,7 +49,10 @@
 
     [[nodiscard]] AccountId accountId() const { return account == nullptr ? AccountId {} : account->id; }
     /** @return Whether another backend server may run it, though one may have run it already. */
-    [[nodiscard]] bool mayRunAgain() const { return events == 0 ? route->idempotent || route->resumable : route->resumable; }
+    [[nodiscard]] bool mayRunAgain() const
+    {
+        return events == 0 ? route->idempotent || route->resumable : route->resumable;
+    }
 };
 
 /** Why a passage ends without an answer, and when asking again is worth it. */
--- a/src/node/Passages.h
+++ b/src/node/Passages.h
@@ -50,8 +50,8 @@
 private:
     /** How long a request waits for money that is under way; a draw takes two passes of the log. */
     static constexpr Duration moneyPatience = std::chrono::milliseconds(600);
-    /** What a request is short of here after its wait is not here a moment later: it has to be given back elsewhere, read
-     * from the log and drawn. A caller that came back at once would be refused again. */
+    /** What a request is short of here after its wait is not here a moment later: it has to be given back elsewhere,
+     * read from the log and drawn. A caller that came back at once would be refused again. */
     static constexpr Duration moneyRetryAfter = std::chrono::seconds(2);
     static constexpr Duration moneyRetryPeriod = std::chrono::milliseconds(50);
     /** Backend servers that one request is sent to at most, those that did not start it included. */
--- a/src/node/PassagesDispatch.cpp
+++ b/src/node/PassagesDispatch.cpp
@@ -128,8 +128,8 @@
     }
     const bool overShare = verdict.refusal == routing::AdmissionRefusal::AccountOverShare;
     if (Passage* refused = find(id)) {
-        giveUp(*refused,
-            { overShare ? 429 : 503, routing::toText(verdict.refusal), verdict.detail, verdict.retryAfter });
+        giveUp(
+            *refused, { overShare ? 429 : 503, routing::toText(verdict.refusal), verdict.detail, verdict.retryAfter });
     }
     return false;
 }
--- a/src/node/ShardLedger.cpp
+++ b/src/node/ShardLedger.cpp
@@ -61,8 +61,8 @@
     , holder_(context.self(), internal::policyOf(context.settings()), fold_)
     , witness_(context.self(), fold_)
     , copies_(fold_)
-    , checkpoints_(
-          context.settings().ledger.checkpointInterval, context.settings().seed ^ std::hash<std::string> {}(stream_.value()))
+    , checkpoints_(context.settings().ledger.checkpointInterval,
+          context.settings().seed ^ std::hash<std::string> {}(stream_.value()))
     , random_(context.settings().seed)
 {
 }
--- a/src/settings/RouterSettings.cpp
+++ b/src/settings/RouterSettings.cpp
@@ -114,8 +114,9 @@
     {
         auto checker = root.section("routing", Need::Optional);
         checker.choice<RoutingPolicy>("policy", Need::Optional,
-            { { "affinity", RoutingPolicy::Affinity }, { "rendezvous", RoutingPolicy::Rendezvous }, { "random", RoutingPolicy::Random },
-                { "round_robin", RoutingPolicy::RoundRobin }, { "least_load", RoutingPolicy::LeastLoad } },
+            { { "affinity", RoutingPolicy::Affinity }, { "rendezvous", RoutingPolicy::Rendezvous },
+                { "random", RoutingPolicy::Random }, { "round_robin", RoutingPolicy::RoundRobin },
+                { "least_load", RoutingPolicy::LeastLoad } },
             routing);
         checker.finish();
     }
--- a/src/transport/Attempt.cpp
+++ b/src/transport/Attempt.cpp
@@ -23,8 +23,8 @@
     constexpr std::size_t maxRefusalBytes = 4 * 1024;
     /** How long the end of a whole answer may take before its connection is closed rather than kept. */
     constexpr std::chrono::milliseconds recycleTime { 500 };
-    /** Seconds of idleness before a connection is probed, between probes, and probes without an answer: a backend server
-     * that fell silent without closing shows after about 3 s instead of the system's two hours. */
+    /** Seconds of idleness before a connection is probed, between probes, and probes without an answer: a backend
+     * server that fell silent without closing shows after about 3 s instead of the system's two hours. */
     constexpr int probeAfter = 1;
     constexpr int probeEvery = 1;
     constexpr int probesLost = 2;
@@ -243,8 +243,8 @@
 
 void Attempt::takeEnd()
 {
-    // An answer to an earlier request comes late, where ours is expected. It belongs to nobody any more; taken for ours,
-    // a caller would get another one's answer.
+    // An answer to an earlier request comes late, where ours is expected. It belongs to nobody any more; taken for
+    // ours, a caller would get another one's answer.
     if (!ended_ && verdict_ == HeadVerdict::Foreign) {
         startParser();
         return;
--- a/src/transport/BackendPool.cpp
+++ b/src/transport/BackendPool.cpp
@@ -58,7 +58,8 @@
 void BackendPool::give(
     const BackendId& backend, ConnectionPtr connection, std::optional<std::chrono::milliseconds> toldIdleTime)
 {
-    connection->idleLimit = std::min(context_.limits.backendIdleTime, toldIdleTime.value_or(context_.limits.backendIdleTime) / 2);
+    connection->idleLimit
+        = std::min(context_.limits.backendIdleTime, toldIdleTime.value_or(context_.limits.backendIdleTime) / 2);
     auto& connections = idle_[backend];
     if (connections.size() >= context_.limits.idlePerBackend) {
         return;
--- a/src/transport/CallTable.cpp
+++ b/src/transport/CallTable.cpp
@@ -63,7 +63,8 @@
         return node::AttemptEnd::Broken;
     }
 
-    std::string requestBytes(const node::Dispatch& dispatch, const std::string& attempt, std::int64_t next, bool keepAlive)
+    std::string requestBytes(
+        const node::Dispatch& dispatch, const std::string& attempt, std::int64_t next, bool keepAlive)
     {
         const bool model = dispatch.kind == node::BackendKind::Model;
         auto request = jsonPost(dispatch.backend.value(), model ? "/generate" : "/call", dispatch.body);
@@ -109,7 +110,8 @@
 {
     auto refused = refusal(why.status, why.reason, why.detail);
     // Before its header is whole, nothing says that this is the request's first attempt.
-    refused.outcome = why.head == nullptr ? node::Outcome::Unknown : outcomeUnseen(header(*why.head, "Swiftlift-Attempt"));
+    refused.outcome
+        = why.head == nullptr ? node::Outcome::Unknown : outcomeUnseen(header(*why.head, "Swiftlift-Attempt"));
     refuse(connection, refused, {});
 }
 
@@ -263,8 +265,7 @@
         return order;
     }
     LineMatcher matcher(key, attempt, next, call.mostTokens());
-    order.makeReader
-        = [matcher, most = context_.limits.lineBytes](AnswerSink sink) -> std::shared_ptr<AnswerReader> {
+    order.makeReader = [matcher, most = context_.limits.lineBytes](AnswerSink sink) -> std::shared_ptr<AnswerReader> {
         return std::make_shared<ModelAnswerReader>(matcher, std::move(sink), most);
     };
     return order;
--- a/src/transport/CallTable.h
+++ b/src/transport/CallTable.h
@@ -6,11 +6,11 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "swiftlift/transport/RequestParsing.h"
 #include "transport/Attempt.h"
 #include "transport/BackendPool.h"
 #include "transport/Call.h"
 #include "transport/CallerConnection.h"
-#include "swiftlift/transport/RequestParsing.h"
 #include "transport/StreamContext.h"
 #include "transport/StreamTable.h"
 
--- a/src/transport/CallerConnection.cpp
+++ b/src/transport/CallerConnection.cpp
@@ -6,7 +6,6 @@
 
 #include <sys/socket.h>
 
-
 namespace swiftlift::transport::internal {
 
 namespace http = boost::beast::http;
@@ -145,7 +144,8 @@
 void CallerConnection::refuseUnparsed(ErrorCode error)
 {
     if (error == http::error::body_limit) {
-        refuse(413, "body_too_large", "the body is larger than " + std::to_string(context_.limits.bodyBytes) + " bytes");
+        refuse(
+            413, "body_too_large", "the body is larger than " + std::to_string(context_.limits.bodyBytes) + " bytes");
     } else if (error == http::error::header_limit) {
         refuse(431, "header_too_large",
             "the header is larger than " + std::to_string(context_.limits.headerBytes) + " bytes");
--- a/src/transport/HeaderFields.cpp
+++ b/src/transport/HeaderFields.cpp
@@ -38,8 +38,8 @@
 
 bool sameName(std::string_view left, std::string_view right) noexcept
 {
-    return std::ranges::equal(left, right,
-        [](unsigned char one, unsigned char other) { return std::tolower(one) == std::tolower(other); });
+    return std::ranges::equal(
+        left, right, [](unsigned char one, unsigned char other) { return std::tolower(one) == std::tolower(other); });
 }
 
 std::optional<std::string_view> valueOf(const HeaderFields& fields, std::string_view name) noexcept
@@ -60,8 +60,8 @@
     const std::string_view named = valueOf(fields, "Connection").value_or(std::string_view {});
     HeaderFields kept;
     std::ranges::copy_if(fields, std::back_inserter(kept), [&](const HeaderField& field) {
-        const bool listed = std::ranges::any_of(
-            ofOneConnection, [&](std::string_view name) { return sameName(name, field.name); });
+        const bool listed
+            = std::ranges::any_of(ofOneConnection, [&](std::string_view name) { return sameName(name, field.name); });
         return !listed && !lists(named, field.name);
     });
     return kept;
--- a/src/transport/LogClient.cpp
+++ b/src/transport/LogClient.cpp
@@ -69,7 +69,8 @@
 void LogClient::State::appendOnce(const TaggedAppend& order)
 {
     const auto answer = appendLog.call(dialect->append(order.append), settings.appendLimit);
-    const auto problem = answer ? dialect->appendProblem(*answer) : std::optional(LogProblem { appendLog.lastReason() });
+    const auto problem
+        = answer ? dialect->appendProblem(*answer) : std::optional(LogProblem { appendLog.lastReason() });
     if (problem) {
         push(order.incarnation, node::LogUnreachable { order.append.stream, "append: " + problem->detail });
     } else {
@@ -123,9 +124,8 @@
 {
     state_->cancelFollower(follow.stream);
     state_->dropEnded();
-    state_->followers[follow.stream] = std::make_unique<internal::LogFollower>(
-        state_->settings, *state_->dialect, state_->decisions, state_->traffic.log,
-        Incarnation(state_->incarnation.load()), follow);
+    state_->followers[follow.stream] = std::make_unique<internal::LogFollower>(state_->settings, *state_->dialect,
+        state_->decisions, state_->traffic.log, Incarnation(state_->incarnation.load()), follow);
 }
 
 bool LogClient::append(node::Append& append)
--- a/src/transport/LogFollower.cpp
+++ b/src/transport/LogFollower.cpp
@@ -92,7 +92,8 @@
 {
     node::KeyedRecords all { follow_.stream, {}, true };
     bool more = true;
-    // Pages are no snapshot: a key that changes meanwhile comes again when the stream is read from the first page's end.
+    // Pages are no snapshot: a key that changes meanwhile comes again when the stream is read from the first page's
+    // end.
     std::optional<Offset> end;
     while (more) {
         const std::string after = all.records.empty() ? std::string {} : all.records.back().key;
--- a/src/transport/PassageCall.cpp
+++ b/src/transport/PassageCall.cpp
@@ -121,8 +121,8 @@
     return caller_ && caller_->unsent() > context_.limits.pauseAboveBytes;
 }
 
-void writeRefusal(CallerConnection& caller, const PassageDialect& dialect, const node::Reply& refusal,
-    const std::string& requestId)
+void writeRefusal(
+    CallerConnection& caller, const PassageDialect& dialect, const node::Reply& refusal, const std::string& requestId)
 {
     AnswerHead head { refusal.status, dialect.ofRefusal(refusal, requestId) };
     head.fields.push_back({ "Content-Type", "text/plain" });
--- a/src/transport/PassageCall.h
+++ b/src/transport/PassageCall.h
@@ -70,7 +70,7 @@
 };
 
 /** Writes a refusal, its status and what it tells besides. */
-void writeRefusal(CallerConnection& caller, const PassageDialect& dialect, const node::Reply& refusal,
-    const std::string& requestId);
+void writeRefusal(
+    CallerConnection& caller, const PassageDialect& dialect, const node::Reply& refusal, const std::string& requestId);
 
 } // namespace swiftlift::transport::internal
--- a/src/transport/PassageReaders.h
+++ b/src/transport/PassageReaders.h
@@ -24,8 +24,9 @@
 /**
  * @brief An answer that is passed on as it came: whose it is, and whether it is one at all.
  *
- * What goes wrong without these checks: an engine hands out another request's answer, or bytes that it never signed, and
- * a caller takes them for its own. One notices by a request id that isn't the one asked for, or a missing signature.
+ * What goes wrong without these checks: an engine hands out another request's answer, or bytes that it never signed,
+ * and a caller takes them for its own. One notices by a request id that isn't the one asked for, or a missing
+ * signature.
  */
 class PassageReader : public AnswerReader {
 public:
--- a/src/transport/PassageTable.cpp
+++ b/src/transport/PassageTable.cpp
@@ -135,8 +135,8 @@
 {
     ++context_.counts.overloaded;
     context_.log.write(logging::Level::Info, "refuse",
-        { { "request", requestId }, { "outcome", std::string("not_run") }, { "status", std::int64_t { statusNotReady } },
-            { "reason", std::string("overloaded") },
+        { { "request", requestId }, { "outcome", std::string("not_run") },
+            { "status", std::int64_t { statusNotReady } }, { "reason", std::string("overloaded") },
             { "lag_ms", std::int64_t { std::chrono::duration_cast<std::chrono::milliseconds>(context_.lag).count() } },
             { "decisions_waiting", static_cast<std::int64_t>(context_.decisions.size()) } });
     writeRefusal(connection, *dialect_, overloadedReply(), requestId);
@@ -205,8 +205,8 @@
         running.call->keepFailure();
     }
     context_.events.push({ context_.incarnation,
-        node::PassageEnded { attempt.id(), toEnd(result), attempt.status(), running.call->events(),
-            std::move(detail) } });
+        node::PassageEnded {
+            attempt.id(), toEnd(result), attempt.status(), running.call->events(), std::move(detail) } });
 }
 
 void PassageTable::carryOut(StreamCommand&& command)
@@ -315,8 +315,7 @@
 void PassageTable::reportProgress(Running& running, bool mustArrive)
 {
     running.reportedEvents = running.call->events();
-    TaggedEvent event { context_.incarnation,
-        node::PassageProgress { running.attempt->id(), running.reportedEvents } };
+    TaggedEvent event { context_.incarnation, node::PassageProgress { running.attempt->id(), running.reportedEvents } };
     if (mustArrive) {
         context_.events.push(std::move(event));
     } else {
@@ -376,7 +375,7 @@
     if (found == calls_.end()) {
         return nullptr;
     }
-    const auto taken = found->second;
+    auto taken = found->second;
     calls_.erase(found);
     return taken;
 }
--- a/src/transport/PassageText.h
+++ b/src/transport/PassageText.h
@@ -21,7 +21,6 @@
  * @param length Of the body; matters only where the framing tells it.
  * @return Status line and fields of an answer to a caller.
  */
-[[nodiscard]] std::string answerHeadText(
-    const AnswerHead& head, Framing framing, std::size_t length, bool keepAlive);
+[[nodiscard]] std::string answerHeadText(const AnswerHead& head, Framing framing, std::size_t length, bool keepAlive);
 
 } // namespace swiftlift::transport::internal
--- a/src/transport/StreamServer.cpp
+++ b/src/transport/StreamServer.cpp
@@ -192,9 +192,8 @@
     table->closeIdleConnections();
 }
 
-StreamServer::StreamServer(
-    StreamLimits limits, DecisionInbox& decisions, StreamObserver& observer, logging::JsonLog& log,
-    std::shared_ptr<const PassageDialect> dialect)
+StreamServer::StreamServer(StreamLimits limits, DecisionInbox& decisions, StreamObserver& observer,
+    logging::JsonLog& log, std::shared_ptr<const PassageDialect> dialect)
     : state_(std::make_unique<State>(limits, decisions, observer, log, std::move(dialect)))
 {
 }
