Name the account and what was known of its budget where a request is refused

A line of a refusal for money held its reason alone, so an id led nowhere. It now tells the account, the configuration's version, what the ledger here knew of the budget, up to which record it had been read and whether the log was in reach.

--- a/src/node/Passage.h
+++ b/src/node/Passage.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "node/FleetBook.h"
+#include "swiftlift/ledger/Fold.h"
 #include "swiftlift/ledger/Holder.h"
 #include "swiftlift/node/Passage.h"
 #include "swiftlift/request/Outcome.h"
@@ -55,12 +56,22 @@
     }
 };
 
+/** What was known of a budget when a request was refused for it. */
+struct KnownBudget {
+    ledger::BudgetView figures;
+    /** The ledger's stream had been read up to here. */
+    Offset readTo;
+    /** The log was reached, by this router itself or through a peer: the figures are of this moment. */
+    bool logInReach = false;
+};
+
 /** Why a passage ends without an answer, and when asking again is worth it. */
 struct PassageRefusal {
     int status = 503;
     std::string reason;
     std::string detail;
     std::optional<Duration> retryAfter;
+    std::optional<KnownBudget> budget = std::nullopt;
 };
 
 } // namespace swiftlift::node
--- a/src/node/Passages.cpp
+++ b/src/node/Passages.cpp
@@ -43,7 +43,8 @@
 void Passages::refuseAtOnce(CallId id, const PassageFacts& facts, std::string reason, std::string detail)
 {
     const PassageRefusal why { 503, std::move(reason), std::move(detail), notReadyRetry };
-    logRefusal(facts.id, why, "not_run", {});
+    logRefusal(
+        why, Line("refuse").with("request", facts.id).with("outcome", "not_run").with("after_ms", std::int64_t { 0 }));
     context_.emit(Reply { id, Outcome::NotRun, why.status, why.reason, why.detail, why.retryAfter, Tokens {} });
 }
 
@@ -136,7 +137,14 @@
     const Duration retryAfter = std::max(shortage.retryAfter, moneyRetryAfter);
     giveUp(passage,
         { exhausted ? 402 : 503, exhausted ? "budget_exhausted" : "budget_elsewhere",
-            "short of " + std::to_string(passage.cost.value()), retryAfter });
+            "may cost " + std::to_string(passage.cost.value()), retryAfter, knownOf(passage) });
+}
+
+KnownBudget Passages::knownOf(const Passage& passage) const
+{
+    const ShardLedger& shard = ledgers_.of(passage.accountId());
+    const auto figures = shard.fold().budget(budgetOf(passage));
+    return { figures.value_or(ledger::BudgetView {}), shard.fold().nextOffset(), shard.logInReach() };
 }
 
 void Passages::finishEvent()
--- a/src/node/Passages.h
+++ b/src/node/Passages.h
@@ -79,6 +79,7 @@
     [[nodiscard]] bool findAccount(Passage& passage);
     [[nodiscard]] bool findService(Passage& passage);
     void seekMoney(Passage& passage);
+    [[nodiscard]] KnownBudget knownOf(const Passage& passage) const;
     [[nodiscard]] BudgetRef budgetOf(const Passage& passage) const;
     [[nodiscard]] RequestKey keyOf(const Passage& passage) const;
     void retryForMoney(const std::function<bool(const Passage&)>& wanted);
@@ -104,7 +105,8 @@
     [[nodiscard]] Tokens used(const Passage& passage) const;
     void end(Passage& passage);
     void expire();
-    void logRefusal(const std::string& id, const PassageRefusal& why, const char* outcome, Duration after);
+    /** @param line What is known of the request; the reason is added to it. */
+    void logRefusal(const PassageRefusal& why, Line line);
 
     [[nodiscard]] ServiceState& stateOf(const Passage& passage);
     [[nodiscard]] Passage* find(CallId id);
--- a/src/node/PassagesEnd.cpp
+++ b/src/node/PassagesEnd.cpp
@@ -59,21 +59,31 @@
     if (passage.runs > 0 && (why.status == statusTooMany || why.status == statusUnavailable)) {
         told.status = statusBadGateway;
     }
-    logRefusal(passage.facts.id, told, toText(outcome), context_.now() - passage.arrived);
+    logRefusal(told,
+        Line("refuse")
+            .with("request", passage.facts.id)
+            .with("account", passage.accountId().value())
+            .with("config", static_cast<std::int64_t>(passage.table->config().version))
+            .with("outcome", toText(outcome))
+            .with("after_ms", toMilliseconds(context_.now() - passage.arrived)));
     context_.emit(Reply { passage.id, outcome, told.status, told.reason, told.detail, told.retryAfter, Tokens {} });
     end(passage);
 }
 
-void Passages::logRefusal(const std::string& id, const PassageRefusal& why, const char* outcome, Duration after)
+void Passages::logRefusal(const PassageRefusal& why, Line line)
 {
-    context_.log(Line("refuse")
-                     .with("request", id)
-                     .with("outcome", outcome)
-                     .with("status", static_cast<std::int64_t>(why.status))
-                     .with("reason", why.reason)
-                     .with("detail", why.detail)
-                     .with("retry_after_ms", why.retryAfter ? toMilliseconds(*why.retryAfter) : -1)
-                     .with("after_ms", toMilliseconds(after)));
+    line = line.with("status", static_cast<std::int64_t>(why.status))
+               .with("reason", why.reason)
+               .with("detail", why.detail)
+               .with("retry_after_ms", why.retryAfter ? toMilliseconds(*why.retryAfter) : -1);
+    if (why.budget) {
+        line = line.with("bought", why.budget->figures.bought.value())
+                   .with("billed", why.budget->figures.billed.value())
+                   .with("held", why.budget->figures.held.value())
+                   .with("read_to", static_cast<std::int64_t>(why.budget->readTo.value()))
+                   .with("log_in_reach", why.budget->logInReach);
+    }
+    context_.log(line);
     context_.count("swiftlift_refusals_total", { { "reason", why.reason } });
 }
 
--- a/tests/node/GatewayTest.cpp
+++ b/tests/node/GatewayTest.cpp
@@ -1,3 +1,6 @@
+#include <set>
+#include <string>
+
 #include <gtest/gtest.h>
 
 #include "node/GatewayWorld.h"
@@ -215,6 +218,24 @@
         EXPECT_TRUE(world.orderOf(call));
     }
 
+    // Symptom: a request was refused for money, and its id leads to no account and to no figure.
+    // Events: the budget is too small for the request.
+    // Cause: the line of a refusal before any backend server was chosen held nothing but the reason.
+    TEST_F(GatewayTest, LineOfARefusalForMoneyNamesTheAccountAndWhatWasKnownOfItsBudget)
+    {
+        expectRefused(world.arrive("/stream/x", 10, 2'000'000), 402, "budget_exhausted");
+        const auto lines = world.lines("refuse");
+        ASSERT_EQ(lines.size(), 1U);
+        std::set<std::string> names;
+        for (const LogField& field : lines.front().fields) {
+            names.insert(field.name);
+        }
+        for (const char* name :
+            { "request", "account", "config", "bought", "billed", "held", "read_to", "log_in_reach" }) {
+            EXPECT_TRUE(names.contains(name)) << name;
+        }
+    }
+
     // Symptom: a live router refuses for money while the budget is nearly whole.
     // Events: the log goes out of reach before there was any demand.
     // Cause: nothing had been drawn.
