Use servers that answer when the breakers hold back all of a service's

Ruled out: servers that were not reached; the attempts' lines say failed 500, and 85 % were answered beside them. Change: a failure that was answered is told apart from one that was not; where nothing else is usable, a server that answers is used though its breaker is open or slow.

--- a/include/swiftlift/routing/BackendFacts.h
+++ b/include/swiftlift/routing/BackendFacts.h
@@ -54,6 +54,8 @@
     Leaving,
     /** Broken off, or silent too long. */
     Broken,
+    /** Answered, with a failure: it is reached, and runs at least some requests. */
+    Failed,
     /** Given up by this router: says nothing about the backend server. */
     Cancelled,
 };
--- a/include/swiftlift/routing/BackendTable.h
+++ b/include/swiftlift/routing/BackendTable.h
@@ -72,6 +72,8 @@
     Duration predictionError {};
     /** False when nothing may be sent to it now. */
     bool usable = false;
+    /** It answers and has room: to be used though its breaker holds it back, where nothing else is left. */
+    bool lastResort = false;
     /** A request sent now is the breaker's one probe. */
     bool probe = false;
     /** When it may become usable again, as far as is known. */
--- a/include/swiftlift/routing/Selector.h
+++ b/include/swiftlift/routing/Selector.h
@@ -116,11 +116,14 @@
         std::vector<BackendView> others;
         std::vector<BackendView> probes;
         std::vector<BackendView> full;
+        /** Kept back by their breakers, though they answer. */
+        std::vector<BackendView> heldBack;
         /** How many can't be used, by reason. */
         std::map<std::string, int> unusable;
         std::optional<Instant> usableAt;
     };
 
+    [[nodiscard]] static Choice lastResort(const std::vector<BackendView>& heldBack);
     [[nodiscard]] Sorted sort(const SelectRequest& request, std::vector<BackendView> views) const;
     [[nodiscard]] std::string objection(const SelectRequest& request, const BackendView& view) const;
     [[nodiscard]] bool full(const SelectRequest& request, const BackendView& view) const;
--- a/src/node/PassagesDispatch.cpp
+++ b/src/node/PassagesDispatch.cpp
@@ -33,8 +33,9 @@
             return routing::EndKind::NotStarted;
         case PassageEnd::Misdirected:
             return routing::EndKind::Leaving;
-        case PassageEnd::Unreachable:
         case PassageEnd::Failed:
+            return routing::EndKind::Failed;
+        case PassageEnd::Unreachable:
         case PassageEnd::Broken:
             return routing::EndKind::Broken;
         }
--- a/src/routing/Backend.cpp
+++ b/src/routing/Backend.cpp
@@ -78,6 +78,7 @@
 void Backend::onLoadMissed(Instant now)
 {
     missed_ = true;
+    answers_ = false;
     breaker_.onFailure(std::nullopt, now);
 }
 
@@ -128,13 +129,19 @@
 {
     switch (facts.kind) {
     case EndKind::Completed:
+        answers_ = true;
         breaker_.onSuccess(now);
         break;
+    case EndKind::Failed:
+        answers_ = true;
+        breaker_.onFailure(attempt, now);
+        break;
     case EndKind::Leaving:
         breaker_.onNothingLearnt(attempt);
         onLeaving(now);
         break;
     case EndKind::Broken:
+        answers_ = false;
         breaker_.onFailure(attempt, now);
         break;
     case EndKind::Cancelled:
@@ -175,6 +182,12 @@
     return load_.inFlight() < breaker_.allowed(load_.slots(), now);
 }
 
+bool Backend::lastResort(Instant now) const
+{
+    const bool paused = pausedUntil_ && now < *pausedUntil_;
+    return answers_ && !leaving_ && !paused && load_.inFlight() < load_.slots();
+}
+
 std::optional<Instant> Backend::usableAt(Instant now) const
 {
     if (leaving_) {
@@ -218,6 +231,7 @@
     view.predictedFirstToken = predict(request.promptTokens - view.cachedTokens, now) + offset(now);
     view.predictionError = predictionError_;
     view.usable = usable(now);
+    view.lastResort = lastResort(now);
     view.probe = breaker_.mayProbe(now);
     view.usableAt = usableAt(now);
     view.reportAge = load_.reportAge(now);
--- a/src/routing/Backend.h
+++ b/src/routing/Backend.h
@@ -57,6 +57,7 @@
     void noteEnd(AttemptId attempt, const FinishFacts& facts, Instant now);
     [[nodiscard]] BackendState state(Instant now) const;
     [[nodiscard]] bool usable(Instant now) const;
+    [[nodiscard]] bool lastResort(Instant now) const;
     [[nodiscard]] std::optional<Instant> usableAt(Instant now) const;
     [[nodiscard]] Duration predict(Tokens uncached, Instant now) const;
     [[nodiscard]] Duration offset(Instant now) const;
@@ -73,6 +74,8 @@
     std::optional<std::uint64_t> generation_;
     std::optional<Leaving> leaving_;
     bool missed_ = false;
+    /** The last attempt that told anything was answered, be it with a failure. */
+    bool answers_ = true;
     std::optional<Instant> pausedUntil_;
     /** Mean of how much later first tokens come than predicted. */
     Duration offset_ {};
--- a/src/routing/Selector.cpp
+++ b/src/routing/Selector.cpp
@@ -42,6 +42,9 @@
     if (std::optional<Choice> choice = probe(request, sorted)) {
         return choice;
     }
+    if (sorted.own.empty() && sorted.others.empty() && sorted.full.empty() && !sorted.heldBack.empty()) {
+        return lastResort(sorted.heldBack);
+    }
     if (sorted.own.empty() && sorted.others.empty()) {
         explain(sorted, now);
         return std::nullopt;
@@ -87,6 +90,9 @@
             if (mayReturn && (!sorted.usableAt || *view.usableAt < *sorted.usableAt)) {
                 sorted.usableAt = view.usableAt;
             }
+            if (view.lastResort && mayReturn) {
+                sorted.heldBack.push_back(std::move(view));
+            }
         } else if (view.probe) {
             sorted.probes.push_back(std::move(view));
         } else if (full(request, view)) {
@@ -117,6 +123,17 @@
     return Choice { view.backend, view.predictedFirstToken, "probe of an open breaker", {}, true };
 }
 
+// What goes wrong: a service that answers one request in nine with a failure, on all its servers alike, opens the
+// breakers of all of them at a router with little traffic, which then refuses what eight in nine servers would have
+// answered. One notices by `no_backend` with nothing but "broken" and "paused" in its detail. A breaker is there to
+// send requests to better servers; where there is none, one that answers at all is better than a refusal.
+Choice Selector::lastResort(const std::vector<BackendView>& heldBack)
+{
+    const auto best = std::min_element(heldBack.begin(), heldBack.end(),
+        [](const auto& left, const auto& right) { return left.inFlight < right.inFlight; });
+    return { best->backend, best->predictedFirstToken, "all are held back; this one answers", {}, false };
+}
+
 Choice Selector::pickByDomain(const SelectRequest& request, const Sorted& sorted)
 {
     if (spansDomains(request)) {
--- a/tests/routing/SelectorTest.cpp
+++ b/tests/routing/SelectorTest.cpp
@@ -52,6 +52,30 @@
         }
     };
 
+    // Symptom: `no_backend`, "4 broken", while the service answers eight requests in nine.
+    // Events: each of its servers answers three requests in a row with a failure.
+    // Cause: their breakers were all open, and nothing was sent to servers that were known to answer.
+    TEST_F(SelectorTest, ServersThatAnswerAreUsedWhenAllAreHeldBack)
+    {
+        add(3, 1);
+        const auto any = selector("rendezvous");
+        for (int number = 1; number <= 4; ++number) {
+            for (int time = 0; time < 3; ++time) {
+                finish(number, dispatch(number), EndKind::Failed);
+            }
+            EXPECT_EQ(view(number).state, BackendState::Broken);
+        }
+        SelectRequest once = request();
+        once.idempotent = false;
+        EXPECT_TRUE(any->choose(once, table_, now_));
+        EXPECT_TRUE(any->choose(request(), table_, now_));
+        // One that is not reached at all is no resort.
+        for (int number = 1; number <= 4; ++number) {
+            finish(number, dispatch(number), EndKind::Broken);
+        }
+        EXPECT_FALSE(any->choose(request(), table_, now_));
+    }
+
     TEST_F(SelectorTest, MakesEachByName)
     {
         for (const std::string name : { "affinity", "random", "round_robin", "least_load" }) {
