Pass over failure domains whose servers were not reached a moment ago

Ruled out: breakers; they learn it server by server and opened 1.2 s to 2 s later. Change: two servers of a domain missed with nothing of it reached between, and the other domains are preferred for 2 s.

--- a/include/swiftlift/routing/Fwd.h
+++ b/include/swiftlift/routing/Fwd.h
@@ -8,6 +8,7 @@
 
 class Admission;
 class BackendTable;
+class DomainReach;
 class FairQueue;
 class RetryBudget;
 class Selector;
--- a/include/swiftlift/routing/Selector.h
+++ b/include/swiftlift/routing/Selector.h
@@ -30,6 +30,8 @@
     bool idempotent = true;
     /** Tried already, for this request. */
     std::set<BackendId> excluded;
+    /** Failure domains that seem out of reach: used when nothing else is left. */
+    std::set<FailureDomain> doubtful;
 };
 
 /** A backend server that was weighed, with its figures. */
@@ -118,6 +120,8 @@
         std::vector<BackendView> full;
         /** Kept back by their breakers, though they answer. */
         std::vector<BackendView> heldBack;
+        /** Usable, but in a domain that seems out of reach. */
+        std::vector<BackendView> doubtful;
         /** How many can't be used, by reason. */
         std::map<std::string, int> unusable;
         std::optional<Instant> usableAt;
--- a/src/node/Passage.h
+++ b/src/node/Passage.h
@@ -38,6 +38,8 @@
     /** Set while Running. */
     AttemptId attempt;
     BackendId backend;
+    /** Where that one stands. */
+    FailureDomain domain;
     /** Backend servers it was sent to. */
     std::uint32_t offers = 0;
     /** Of these, how many may have run it. */
--- a/src/node/Passages.h
+++ b/src/node/Passages.h
@@ -14,6 +14,7 @@
 #include "node/Passage.h"
 #include "swiftlift/routing/Admission.h"
 #include "swiftlift/routing/BackendTable.h"
+#include "swiftlift/routing/DomainReach.h"
 #include "swiftlift/routing/RetryShare.h"
 #include "swiftlift/routing/Selector.h"
 
@@ -96,6 +97,7 @@
     [[nodiscard]] std::optional<Duration> silenceLimit(const Passage& passage) const;
 
     // The end.
+    void noteReach(const Passage& passage, PassageEnd end);
     void complete(Passage& passage, const PassageEnded& ended);
     void giveUp(Passage& passage, const PassageRefusal& why);
     void passFailureOn(Passage& passage, const std::string& why);
@@ -119,6 +121,7 @@
     Ledgers& ledgers_;
     std::function<std::uint32_t()> routers_;
     std::unique_ptr<routing::Selector> selector_;
+    routing::DomainReach reach_;
     std::map<CallId, std::unique_ptr<Passage>> passages_;
     std::map<AttemptId, CallId> byAttempt_;
     std::map<ServiceName, ServiceState> services_;
--- a/src/node/PassagesDispatch.cpp
+++ b/src/node/PassagesDispatch.cpp
@@ -70,6 +70,7 @@
     request.priority = internal::priorityOf(passage.urgency);
     request.idempotent = passage.mayRunAgain();
     request.excluded = passage.excluded;
+    request.doubtful = reach_.doubtful(context_.now());
     if (passage.route->sharesPrefixes && !passage.facts.prefix.empty()) {
         request.prefixHash = internal::sharedPrefix(passage.facts.prefix);
         // What is shared is taken to be cached where the request goes, so only its own part costs time.
@@ -171,6 +172,7 @@
     enter(passage, PassagePhase::Running);
     passage.attempt = AttemptId { ++lastAttempt_ };
     passage.backend = choice.backend;
+    passage.domain = server->domain;
     ++passage.offers;
     byAttempt_[passage.attempt] = passage.id;
     const auto& own = passage.facts.prefix;
@@ -213,6 +215,7 @@
     passage->events = std::max(passage->events, progress.events);
     if (first) {
         backends_.onFirstToken(passage->backend, passage->attempt, context_.now());
+        reach_.onReached(passage->domain);
         stateOf(*passage).admission.onFirstToken(context_.now() - passage->since);
     }
 }
@@ -230,6 +233,7 @@
     if (ended.end == PassageEnd::Completed && passage->route->answer == fleet::AnswerKind::Whole) {
         backends_.onFirstToken(passage->backend, passage->attempt, context_.now());
     }
+    noteReach(*passage, ended.end);
     closeAttempt(*passage, internal::toEndKind(ended.end));
     if (ended.end == PassageEnd::Completed) {
         complete(*passage, ended);
@@ -239,6 +243,24 @@
     pump(service);
 }
 
+void Passages::noteReach(const Passage& passage, PassageEnd end)
+{
+    const Instant now = context_.now();
+    const bool before = reach_.doubtful(now).contains(passage.domain);
+    if (end == PassageEnd::Unreachable) {
+        reach_.onUnreached(passage.domain, passage.backend, now);
+    } else if (end != PassageEnd::Broken) {
+        reach_.onReached(passage.domain);
+    }
+    if (const bool after = reach_.doubtful(now).contains(passage.domain); after != before) {
+        context_.log(Line("domain")
+                         .with("domain", passage.domain.value())
+                         .with("change", after ? "doubtful" : "reached")
+                         .with("request", passage.facts.id)
+                         .with("backend", passage.backend.value()));
+    }
+}
+
 void Passages::tryElsewhere(Passage& passage, const PassageEnded& ended)
 {
     const bool mayHaveRun = ended.end == PassageEnd::Failed || ended.end == PassageEnd::Broken;
--- a/src/routing/Selector.cpp
+++ b/src/routing/Selector.cpp
@@ -38,13 +38,16 @@
 std::optional<Choice> Selector::choose(const SelectRequest& request, const BackendTable& table, Instant now)
 {
     const ViewRequest wanted { request.model, request.prefixHash, request.promptTokens };
-    const Sorted sorted = sort(request, table.views(request.service, wanted, now));
+    Sorted sorted = sort(request, table.views(request.service, wanted, now));
     if (std::optional<Choice> choice = probe(request, sorted)) {
         return choice;
     }
     if (sorted.own.empty() && sorted.others.empty() && sorted.full.empty() && !sorted.heldBack.empty()) {
         return lastResort(sorted.heldBack);
     }
+    if (sorted.own.empty() && sorted.full.empty() && sorted.others.empty()) {
+        sorted.others = std::move(sorted.doubtful);
+    }
     if (sorted.own.empty() && sorted.others.empty()) {
         explain(sorted, now);
         return std::nullopt;
@@ -97,6 +100,8 @@
             sorted.probes.push_back(std::move(view));
         } else if (full(request, view)) {
             sorted.full.push_back(std::move(view));
+        } else if (request.doubtful.contains(view.domain)) {
+            sorted.doubtful.push_back(std::move(view));
         } else if (view.domain == settings_.domain) {
             sorted.own.push_back(std::move(view));
         } else {
