--- a/tests/platform/ConfigCodecTest.cpp
+++ b/tests/platform/ConfigCodecTest.cpp
@@ -78,6 +78,18 @@
         EXPECT_FALSE(codec_.config("{\"version\":", findings_));
     }
 
+    // Symptom: an account with a huge total has a negative budget, a route with a huge time limit ends at once.
+    // Events: numbers beyond what 64 bits hold.
+    // Cause: they were cast.
+    TEST_F(ConfigCodecTest, NumbersThatWouldWrapAroundAreFaults)
+    {
+        json document = validConfig();
+        document["tenants"][0]["reserved"] = 1e19;
+        document["routes"][0]["timeout_ms"] = 18446744073709551615U;
+        EXPECT_FALSE(read(document));
+        EXPECT_EQ(findings_.size(), 2U);
+    }
+
     TEST_F(ConfigCodecTest, FieldsThatAreNotKnownAreLeftOut)
     {
         auto later = validConfig();
--- a/tests/platform/HttpDialectTest.cpp
+++ b/tests/platform/HttpDialectTest.cpp
@@ -55,6 +55,37 @@
         EXPECT_TRUE(refused([](RequestHead& head) { head.target = "http://ficu95.example/lohu930/"; }));
     }
 
+    // Symptom: a request that costs more than any budget runs, and nothing is reserved for it.
+    // Events: a caller names counts near the end of 64 bits, or two different ones.
+    // Cause: their sum came out negative; of two fields the first was read, and an engine may read the other.
+    TEST(HttpDialectTest, CountsThatOverflowOrContradictAreRefused)
+    {
+        const auto refused = [](const char* field, const char* value, bool again) {
+            RequestHead request = validRequest();
+            if (again) {
+                request.fields.push_back({ field, value });
+            } else {
+                request.fields[3] = { field, value };
+            }
+            return std::holds_alternative<node::Reply>(HttpDialect().facts(request));
+        };
+        EXPECT_TRUE(refused("Token-Usage", "9223372036854775807,1", false));
+        EXPECT_TRUE(refused("Token-Usage", "1,9223372036854775807", false));
+        EXPECT_TRUE(refused("token-usage", "1,1", true));
+        EXPECT_TRUE(refused("Credential", "another", true));
+        EXPECT_TRUE(refused("Deadline-Ms", "1", true));
+        EXPECT_FALSE(refused("Token-Usage", "1000000,1000000", false));
+    }
+
+    TEST(HttpDialectTest, ADeadlineFarAwayDoesNotWrapAround)
+    {
+        RequestHead request = validRequest();
+        request.fields[5].value = "9223372036854775807";
+        const auto parsed = HttpDialect().facts(request);
+        ASSERT_TRUE(std::holds_alternative<node::PassageFacts>(parsed));
+        EXPECT_GT(*std::get<node::PassageFacts>(parsed).deadline, std::chrono::hours(1));
+    }
+
     // Symptom: an engine sees a caller's key, or takes a caller's word for whom it works.
     // Events: a caller sends headers that are the system's to set.
     // Cause: all headers were passed on.
