Never free what a dead router may have delivered: its witness seals, and closes nothing

Cause: where a domain has two VMs, grants do have a witness. It closed a killed router's grants after 10 s, which frees all that was not billed. On the project's own interface no caller is told the end of an answer before its bill is safe; requests that are passed on stream events as they come, so the last half second of bills was delivered and then freed. Ruled out: bills the ledger refused (none), keys billed twice (none), loans. Change: the witness still seals at the ceiling, which is safe at any time, and closes nothing of such a fleet. The price: what a dead router held below its ceiling stays spent. The test failed first: its witness closed.

--- a/include/swiftlift/node/Core.h
+++ b/include/swiftlift/node/Core.h
@@ -69,6 +69,9 @@
     routing::RetryBound retries;
     /** Of a planned stop: how long new requests are still taken, until the platform's entry has noticed. */
     Duration stopAcceptance {};
+
+    /** @return Whether a caller is given the end of an answer only once its bill is safe (LEDGER.md, S15). */
+    [[nodiscard]] bool answersWaitForBills() const noexcept { return fleetCodec == nullptr; }
 };
 
 /**
--- a/src/node/ShardLedgerPeers.cpp
+++ b/src/node/ShardLedgerPeers.cpp
@@ -126,6 +126,12 @@
 
 void ShardLedger::closeForTheDead()
 {
+    // What goes wrong otherwise: a router that passes events on as they come has given its callers tokens whose bills
+    // nobody else knows of. Closing frees them, and the account gets them twice. One notices only once the budget is
+    // used up: more was delivered than bought. So up to its ceiling a dead router's grant stays spent.
+    if (!context_.settings().answersWaitForBills()) {
+        return;
+    }
     const Instant now = context_.now();
     for (const GrantId& grant : witness_.sealed()) {
         const Instant due = closeAt_.try_emplace(grant, now + closeGrace).first->second;
--- a/tests/node/GatewayTest.cpp
+++ b/tests/node/GatewayTest.cpp
@@ -254,6 +254,35 @@
         EXPECT_EQ(world.billed(), Tokens { 20 * (10'000 + 70) });
     }
 
+    // Symptom: an account gets more than it has paid for, by a few answers' tokens.
+    // Events: a VM is killed with answers on their way whose bills nobody else knows; its witness lives on; the account
+    // then uses its budget up.
+    // Cause: the witness closed the dead router's grants after 10 s, which frees what was not billed. That is safe only
+    // where no caller is given anything before its bill is copied or landed. Here events go out as they come.
+    TEST_F(GatewayTest, WitnessOfADeadRouterNeverFreesWhatItMayHaveDelivered)
+    {
+        const Incarnation holder { 88 };
+        const GrantId grant { holder, 1 };
+        const PeerReceived alive { holder, PeerAddress { "127.0.0.2:7400" },
+            Heartbeat { FailureDomain { "a" }, Region { "r" }, false, true, {} }, 0 };
+        world.tell(alive);
+        const BudgetRef budget { AccountId("club"), BudgetId("prepaid") };
+        world.writeLedger(holder, ledger::Draw { grant, budget, Tokens { 10'000 }, Tokens { 1 }, Incarnation { 77 } });
+        world.run(seconds(1));
+        const PeerReceived raise { holder, alive.address, RaiseCeilings { { { grant, Tokens { 6'000 } } } }, 0 };
+        world.tell(raise);
+        world.run(seconds(30));
+        std::set<std::string> states;
+        for (const LogLine& line : world.lines("seal")) {
+            for (const LogField& field : line.fields) {
+                if (field.name == "state") {
+                    states.insert(std::get<std::string>(field.value));
+                }
+            }
+        }
+        EXPECT_EQ(states, std::set<std::string> { "sealed" }) << "what is above its ceiling is free, no more";
+    }
+
     // Symptom: callers are refused though the process that stops could still serve them.
     // Events: a planned stop; the platform's entry goes on sending callers for two seconds.
     // Cause: the router refused from the signal on.
--- a/tests/node/GatewayWorld.cpp
+++ b/tests/node/GatewayWorld.cpp
@@ -115,6 +115,13 @@
     tell(KeyedRecords { serverName, { { Offset { ++keyedOffset_ }, id, std::nullopt } }, false });
 }
 
+void GatewayWorld::writeLedger(Incarnation author, ledger::Entry entry)
+{
+    ledger::Batch batch;
+    batch.items.push_back({ author, ++lastWritten_, std::move(entry) });
+    ledger_.push_back(ledger::encode(batch));
+}
+
 void GatewayWorld::tell(const Event& event)
 {
     Actions actions;
--- a/tests/node/GatewayWorld.h
+++ b/tests/node/GatewayWorld.h
@@ -67,6 +67,8 @@
     void putServer(const std::string& id, const std::string& service, const std::string& domain,
         fleet::ServerState state = fleet::ServerState::Ready);
     void dropServer(const std::string& id);
+    /** Another router writes to the ledger. */
+    void writeLedger(Incarnation author, ledger::Entry entry);
 
     /** False: reads and appends fail. */
     bool logReachable = true;
@@ -87,6 +89,7 @@
     bool following_ = false;
     std::deque<Event> pending_;
     std::uint64_t keyedOffset_ = 0;
+    std::uint64_t lastWritten_ = 0;
     std::uint64_t lastCall_ = 0;
     std::map<CallId, PassOn> orders_;
     std::map<CallId, Reply> replies_;
