Let one piece of code serve where the change had written it twice

Nothing that a caller, an operator or the log sees changes; no check, bound or expectation of a test is touched. - Ledgers takes the log's and the peers' events of its streams itself; both compositions of the core had routed them. - RunningAttempts holds the attempts of both stream tables; each had its own map, search, cancel and end. - One refusal of what is one too many, one line of findings, one closing of all connections, one count of routers. - parseWhole reads a number that is the whole of a text: eight copies before. parseChecked is the common end of the three readers of YAML. - DomainReach::doubts asks about one domain; two sets were built for each attempt that ended. - The reader of an answer tells its last event itself, in place of a cast for each event. - Dead code: progress of passages that need not arrive was never reported.

--- a/apps/capacity/Options.cpp
+++ b/apps/capacity/Options.cpp
@@ -1,8 +1,9 @@
 #include "capacity/Options.h"
 
+#include "swiftlift/base/Numbers.h"
+
 #include <getopt.h>
 
-#include <charconv>
 #include <iostream>
 #include <string_view>
 
@@ -14,9 +15,8 @@
 
     [[nodiscard]] bool readRepeats(std::string_view text, int& repeats)
     {
-        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), repeats);
-        const bool whole = error == std::errc {} && end == text.data() + text.size();
-        return whole && repeats >= 1 && repeats <= mostRepeats;
+        repeats = parseWhole<int>(text).value_or(0);
+        return repeats >= 1 && repeats <= mostRepeats;
     }
 
 } // namespace
--- a/apps/ctl/CommandLine.cpp
+++ b/apps/ctl/CommandLine.cpp
@@ -1,11 +1,11 @@
 #include "ctl/CommandLine.h"
 
 #include <algorithm>
-#include <charconv>
 
 #include <getopt.h>
 
 #include "ctl/Commands.h"
+#include "swiftlift/base/Numbers.h"
 
 namespace swiftlift::ctl {
 
@@ -37,14 +37,6 @@
         { nullptr, 0, nullptr, 0 },
     } };
 
-    [[nodiscard]] std::optional<std::uint64_t> parseNumber(std::string_view text, int base)
-    {
-        std::uint64_t value = 0;
-        const auto* const end = text.data() + text.size();
-        const auto [stop, error] = std::from_chars(text.data(), end, value, base);
-        return error == std::errc {} && stop == end && !text.empty() ? std::optional(value) : std::nullopt;
-    }
-
     [[nodiscard]] std::string optionName(Option each)
     {
         return "--" + std::string(specialNames[static_cast<std::size_t>(each)]);
@@ -149,7 +141,7 @@
 
         void takeId(const std::string& value)
         {
-            line_.id = parseNumber(value, hexadecimal);
+            line_.id = parseWhole<std::uint64_t>(value, hexadecimal);
             if (line_.id.value_or(0) == 0) {
                 report("--id: expected an id of up to 16 hexadecimal digits, found \"" + value + '"');
             }
@@ -157,7 +149,7 @@
 
         void takeRevision(const std::string& value)
         {
-            const auto number = parseNumber(value, decimal);
+            const auto number = parseWhole<std::uint64_t>(value, decimal);
             if (!number && value != "new") {
                 report("--expect-revision: expected a revision or `new`, found \"" + value + '"');
             }
--- a/apps/ctl/Run.cpp
+++ b/apps/ctl/Run.cpp
@@ -1,6 +1,5 @@
 #include "ctl/Run.h"
 
-#include <charconv>
 #include <fstream>
 #include <iostream>
 #include <limits>
@@ -12,6 +11,7 @@
 #include "ctl/Publish.h"
 #include "ctl/Routers.h"
 #include "ctl/Views.h"
+#include "swiftlift/base/Numbers.h"
 #include "swiftlift/settings/Names.h"
 #include "swiftlift/settings/ServiceDocument.h"
 #include "swiftlift/transport/DecisionLoop.h"
@@ -47,18 +47,9 @@
         return stream ? readText(stream) : std::nullopt;
     }
 
-    /** @return The number that is the whole of the text. */
-    template <typename Number> [[nodiscard]] std::optional<Number> parseNumber(const std::string& text, int base = 10)
-    {
-        Number value = 0;
-        const auto* const end = text.data() + text.size();
-        const auto [stop, error] = std::from_chars(text.data(), end, value, base);
-        return error == std::errc {} && stop == end ? std::optional(value) : std::nullopt;
-    }
-
     [[nodiscard]] std::optional<Tokens> parseTokens(const std::string& text)
     {
-        const auto value = parseNumber<std::int64_t>(text);
+        const auto value = parseWhole<std::int64_t>(text);
         return value && *value > 0 ? std::optional(Tokens(*value)) : std::nullopt;
     }
 
@@ -172,8 +163,8 @@
         [[nodiscard]] Report runWriteOff()
         {
             constexpr int hexadecimal = 16;
-            const auto holder = parseNumber<std::uint64_t>(line_.arguments[1], hexadecimal);
-            const auto number = parseNumber<std::uint32_t>(line_.arguments[2]);
+            const auto holder = parseWhole<std::uint64_t>(line_.arguments[1], hexadecimal);
+            const auto number = parseWhole<std::uint32_t>(line_.arguments[2]);
             if (!holder || !number) {
                 return usageFailure("HOLDER and GRANT have to be as `budgets` shows them");
             }
--- a/apps/router/RouterProcess.cpp
+++ b/apps/router/RouterProcess.cpp
@@ -36,8 +36,11 @@
     constexpr auto storeLimit = 800ms;
     constexpr auto storeRetry = 100ms;
     constexpr auto storeRetryMost = 500ms;
-    /** Part of the time that a planned stop is given, in sixths; the rest is for callers to take what is written. */
-    constexpr int stopSixths = 5;
+    /** Twelfths of the time that a planned stop is given: for what is in progress, then for callers to take what is
+     * written; the rest is for the threads to end. */
+    constexpr int stopParts = 12;
+    constexpr int stopPartsInProgress = 10;
+    constexpr int stopPartsDraining = 1;
 
     transport::Endpoint toEndpoint(const settings::Endpoint& text)
     {
@@ -189,16 +192,13 @@
 
 void RouterProcess::rejectReload(const Findings& findings)
 {
-    std::string text;
-    for (const Finding& finding : findings) {
-        text += (text.empty() ? "" : "; ") + toText(finding);
-    }
-    journal_.write(logging::Level::Error, "reload", { { "outcome", std::string("rejected") }, { "findings", text } });
+    journal_.write(
+        logging::Level::Error, "reload", { { "outcome", std::string("rejected") }, { "findings", toText(findings) } });
 }
 
 void RouterProcess::stop()
 {
-    const auto limit = settings_.stopLimit * stopSixths / 6;
+    const auto limit = settings_.stopLimit * stopPartsInProgress / stopParts;
     const auto until = std::chrono::steady_clock::now() + limit;
     transport::TaggedEvent request { Incarnation {}, node::StopRequested {} };
     while (!decisions_.tryPush(request) && std::chrono::steady_clock::now() < until) {
@@ -209,8 +209,8 @@
     }
     journal_.write(logging::Level::Info, "process_stop", { { "ready", carrier_.stopReady() } });
     // The decision thread goes on until the last replies are with the callers.
-    streams_.stop(std::min<std::chrono::milliseconds>(
-        drainLimit, std::chrono::duration_cast<std::chrono::milliseconds>(settings_.stopLimit / 12)));
+    streams_.stop(std::min<std::chrono::milliseconds>(drainLimit,
+        std::chrono::duration_cast<std::chrono::milliseconds>(settings_.stopLimit * stopPartsDraining / stopParts)));
     loop_.stop();
     operators_.stop();
     platform_.stop();
--- a/include/swiftlift/base/Finding.h
+++ b/include/swiftlift/base/Finding.h
@@ -24,4 +24,7 @@
  */
 [[nodiscard]] std::string toText(const Finding& finding);
 
+/** @return All of them in one line. */
+[[nodiscard]] std::string toText(const Findings& findings);
+
 } // namespace swiftlift
--- a/include/swiftlift/routing/DomainReach.h
+++ b/include/swiftlift/routing/DomainReach.h
@@ -25,6 +25,8 @@
     void onReached(const FailureDomain& domain);
     void onUnreached(const FailureDomain& domain, const BackendId& backend, Instant now);
 
+    /** @return Whether the domain is to be passed over while others have a usable backend server. */
+    [[nodiscard]] bool doubts(const FailureDomain& domain, Instant now) const;
     /** @return Domains to be passed over while others have a usable backend server. */
     [[nodiscard]] std::set<FailureDomain> doubtful(Instant now) const;
 
--- a/include/swiftlift/transport/CallerText.h
+++ b/include/swiftlift/transport/CallerText.h
@@ -33,6 +33,9 @@
  */
 [[nodiscard]] node::Reply refusal(int status, std::string reason, std::string detail);
 
+/** @return The refusal of a request that is one too many. */
+[[nodiscard]] node::Reply overloadedRefusal(std::string detail);
+
 /**
  * @param attempt What the caller's Swiftlift-Attempt says; empty: it was left out.
  * @return What may be said of a request that is refused before the core has seen it.
--- a/src/base/Finding.cpp
+++ b/src/base/Finding.cpp
@@ -11,4 +11,13 @@
     return text + ": " + finding.message;
 }
 
+std::string toText(const Findings& findings)
+{
+    std::string text;
+    for (const Finding& finding : findings) {
+        text += (text.empty() ? "" : "; ") + toText(finding);
+    }
+    return text;
+}
+
 } // namespace swiftlift
--- a/src/node/CoreState.cpp
+++ b/src/node/CoreState.cpp
@@ -72,8 +72,8 @@
         services_.onRecords(event);
     } else if (event.stream == placement_.stream()) {
         placement_.onRecords(event);
-    } else if (ShardLedger* shard = ledgers_.named(event.stream)) {
-        shard->onRecords(event);
+    } else {
+        ledgers_.on(event);
     }
 }
 
@@ -84,8 +84,8 @@
         services_.onExpired(event.oldest);
     } else if (event.stream == placement_.stream()) {
         placement_.onExpired(event.oldest);
-    } else if (ShardLedger* shard = ledgers_.named(event.stream)) {
-        shard->onExpired(event.oldest);
+    } else {
+        ledgers_.on(event);
     }
 }
 
@@ -95,8 +95,8 @@
     changes_.noteLog(false, event.detail);
     if (event.stream == placement_.stream()) {
         placement_.onAppendEnded();
-    } else if (ShardLedger* shard = ledgers_.named(event.stream)) {
-        shard->onAppendFailed();
+    } else {
+        ledgers_.on(event);
     }
 }
 
@@ -105,8 +105,8 @@
     health_.onAnswer(context_.now());
     if (event.stream == placement_.stream()) {
         placement_.onAppendEnded();
-    } else if (ShardLedger* shard = ledgers_.named(event.stream)) {
-        shard->onAppendAnswered();
+    } else {
+        ledgers_.on(event);
     }
 }
 
@@ -124,30 +124,16 @@
 
 void CoreState::routePeerMessage(const PeerReceived& event)
 {
-    if (const auto* ask = std::get_if<ReadAsk>(&event.message)) {
-        if (ask->stream == Services::stream()) {
-            services_.onReadAsk(event.sender, ask->from);
-        } else if (ShardLedger* shard = ledgers_.named(ask->stream)) {
-            shard->onReadAsk(event.sender, ask->from);
-        }
-    } else if (const auto* records = std::get_if<Records>(&event.message)) {
-        if (records->stream == Services::stream()) {
-            services_.onPeerRecords(*records);
-        } else if (ShardLedger* shard = ledgers_.named(records->stream)) {
-            shard->onRecords({ records->stream, records->first, records->records, std::nullopt });
-        }
-    } else if (const auto* state = std::get_if<StreamState>(&event.message)) {
-        if (ShardLedger* shard = ledgers_.named(state->stream)) {
-            shard->onPeerState(state->asOf, state->state);
-        }
+    const auto* ask = std::get_if<ReadAsk>(&event.message);
+    const auto* records = std::get_if<Records>(&event.message);
+    if (ask != nullptr && ask->stream == Services::stream()) {
+        services_.onReadAsk(event.sender, ask->from);
+    } else if (records != nullptr && records->stream == Services::stream()) {
+        services_.onPeerRecords(*records);
     } else if (const auto* relay = std::get_if<RelayAppend>(&event.message)) {
         context_.emit(Append { relay->stream, relay->record });
     } else {
-        // What goes wrong: two shards number their grants and loans alike, and an acknowledgement meant for one raises
-        // the ceiling of the other's grant. So such messages name their shard.
-        if (ShardLedger* shard = ledgers_.numbered(event.shard)) {
-            shard->onPeerMessage(event.sender, event.message);
-        }
+        ledgers_.on(event);
     }
 }
 
--- a/src/node/FleetBook.cpp
+++ b/src/node/FleetBook.cpp
@@ -293,11 +293,7 @@
 
 void FleetBook::logFindings(const char* what, const std::string& key, const Findings& findings)
 {
-    std::string text;
-    for (const Finding& finding : findings) {
-        text += (text.empty() ? "" : "; ") + toText(finding);
-    }
-    context_.log(Line("unreadable").with("what", what).with("key", key).with("findings", text));
+    context_.log(Line("unreadable").with("what", what).with("key", key).with("findings", toText(findings)));
     context_.count("swiftlift_unreadable_records_total", { { "what", what } });
 }
 
--- a/src/node/Gateway.cpp
+++ b/src/node/Gateway.cpp
@@ -115,34 +115,26 @@
 void Gateway::on(const LogRecords& event)
 {
     health_.onAnswer(context_.now());
-    if (ShardLedger* shard = ledgers_.named(event.stream)) {
-        shard->onRecords(event);
-    }
+    ledgers_.on(event);
 }
 
 void Gateway::on(const LogExpired& event)
 {
     health_.onAnswer(context_.now());
-    if (ShardLedger* shard = ledgers_.named(event.stream)) {
-        shard->onExpired(event.oldest);
-    }
+    ledgers_.on(event);
 }
 
 void Gateway::on(const LogUnreachable& event)
 {
     health_.onFailure();
     changes_.noteLog(false, event.stream.value() + ": " + event.detail);
-    if (ShardLedger* shard = ledgers_.named(event.stream)) {
-        shard->onAppendFailed();
-    }
+    ledgers_.on(event);
 }
 
 void Gateway::on(const AppendAnswered& event)
 {
     health_.onAnswer(context_.now());
-    if (ShardLedger* shard = ledgers_.named(event.stream)) {
-        shard->onAppendAnswered();
-    }
+    ledgers_.on(event);
 }
 
 void Gateway::on(const PeerReceived& event)
@@ -159,26 +151,16 @@
 
 void Gateway::routePeerMessage(const PeerReceived& event)
 {
-    if (const auto* ask = std::get_if<ReadAsk>(&event.message)) {
-        if (ask->stream == FleetBook::configStream()) {
-            fleet_.onReadAsk(event.sender, ask->from);
-        } else if (ShardLedger* shard = ledgers_.named(ask->stream)) {
-            shard->onReadAsk(event.sender, ask->from);
-        }
-    } else if (const auto* records = std::get_if<Records>(&event.message)) {
-        if (records->stream == FleetBook::configStream()) {
-            fleet_.onPeerRecords(*records);
-        } else if (ShardLedger* shard = ledgers_.named(records->stream)) {
-            shard->onRecords({ records->stream, records->first, records->records, std::nullopt });
-        }
-    } else if (const auto* state = std::get_if<StreamState>(&event.message)) {
-        if (ShardLedger* shard = ledgers_.named(state->stream)) {
-            shard->onPeerState(state->asOf, state->state);
-        }
+    const auto* ask = std::get_if<ReadAsk>(&event.message);
+    const auto* records = std::get_if<Records>(&event.message);
+    if (ask != nullptr && ask->stream == FleetBook::configStream()) {
+        fleet_.onReadAsk(event.sender, ask->from);
+    } else if (records != nullptr && records->stream == FleetBook::configStream()) {
+        fleet_.onPeerRecords(*records);
     } else if (const auto* relay = std::get_if<RelayAppend>(&event.message)) {
         context_.emit(Append { relay->stream, relay->record, {} });
-    } else if (ShardLedger* shard = ledgers_.numbered(event.shard)) {
-        shard->onPeerMessage(event.sender, event.message);
+    } else {
+        ledgers_.on(event);
     }
 }
 
--- a/src/node/Ledgers.cpp
+++ b/src/node/Ledgers.cpp
@@ -50,6 +50,53 @@
     }
 }
 
+void Ledgers::on(const LogRecords& event)
+{
+    if (ShardLedger* shard = named(event.stream)) {
+        shard->onRecords(event);
+    }
+}
+
+void Ledgers::on(const LogExpired& event)
+{
+    if (ShardLedger* shard = named(event.stream)) {
+        shard->onExpired(event.oldest);
+    }
+}
+
+void Ledgers::on(const LogUnreachable& event)
+{
+    if (ShardLedger* shard = named(event.stream)) {
+        shard->onAppendFailed();
+    }
+}
+
+void Ledgers::on(const AppendAnswered& event)
+{
+    if (ShardLedger* shard = named(event.stream)) {
+        shard->onAppendAnswered();
+    }
+}
+
+void Ledgers::on(const PeerReceived& event)
+{
+    if (const auto* ask = std::get_if<ReadAsk>(&event.message)) {
+        if (ShardLedger* shard = named(ask->stream)) {
+            shard->onReadAsk(event.sender, ask->from);
+        }
+    } else if (const auto* records = std::get_if<Records>(&event.message)) {
+        on(LogRecords { records->stream, records->first, records->records, std::nullopt });
+    } else if (const auto* state = std::get_if<StreamState>(&event.message)) {
+        if (ShardLedger* shard = named(state->stream)) {
+            shard->onPeerState(state->asOf, state->state);
+        }
+    } else if (ShardLedger* shard = numbered(event.shard)) {
+        // What goes wrong: two shards number their grants and loans alike, and an acknowledgement meant for one raises
+        // the ceiling of the other's grant. So such messages name their shard.
+        shard->onPeerMessage(event.sender, event.message);
+    }
+}
+
 void Ledgers::onSuspected(Incarnation peer)
 {
     for (const auto& shard : shards_) {
--- a/src/node/Ledgers.h
+++ b/src/node/Ledgers.h
@@ -19,13 +19,15 @@
 
     void start();
     void onCheckpoints(const KeyedRecords& records);
+    // What concerns none of the ledger's streams is passed over.
+    void on(const LogRecords& event);
+    void on(const LogExpired& event);
+    void on(const LogUnreachable& event);
+    void on(const AppendAnswered& event);
+    void on(const PeerReceived& event);
     void onSuspected(Incarnation peer);
     void tick(bool leaving);
 
-    /** @return The shard of that stream; null when it is none of the ledger's. */
-    [[nodiscard]] ShardLedger* named(const StreamName& stream) const;
-    /** @return The shard that numbers the grants and loans of a message; null when there is none of that number. */
-    [[nodiscard]] ShardLedger* numbered(std::uint32_t shard) const;
     [[nodiscard]] ShardLedger& of(const AccountId& account) const;
     [[nodiscard]] const std::vector<std::unique_ptr<ShardLedger>>& all() const noexcept { return shards_; }
 
@@ -44,6 +46,10 @@
     static constexpr Duration checkpointPause = std::chrono::milliseconds(300);
 
     void askForCheckpoints();
+    /** @return The shard of that stream; null when it is none of the ledger's. */
+    [[nodiscard]] ShardLedger* named(const StreamName& stream) const;
+    /** @return The shard that numbers the grants and loans of a message; null when there is none of that number. */
+    [[nodiscard]] ShardLedger* numbered(std::uint32_t shard) const;
 
     Context& context_;
     std::vector<std::unique_ptr<ShardLedger>> shards_;
--- a/src/node/PassagesDispatch.cpp
+++ b/src/node/PassagesDispatch.cpp
@@ -246,13 +246,13 @@
 void Passages::noteReach(const Passage& passage, PassageEnd end)
 {
     const Instant now = context_.now();
-    const bool before = reach_.doubtful(now).contains(passage.domain);
+    const bool before = reach_.doubts(passage.domain, now);
     if (end == PassageEnd::Unreachable) {
         reach_.onUnreached(passage.domain, passage.backend, now);
     } else if (end != PassageEnd::Broken) {
         reach_.onReached(passage.domain);
     }
-    if (const bool after = reach_.doubtful(now).contains(passage.domain); after != before) {
+    if (const bool after = reach_.doubts(passage.domain, now); after != before) {
         context_.log(Line("domain")
                          .with("domain", passage.domain.value())
                          .with("change", after ? "doubtful" : "reached")
--- a/src/node/ShardLedger.cpp
+++ b/src/node/ShardLedger.cpp
@@ -81,6 +81,11 @@
     context_.emit(Follow { stream_, from, StreamKind::Plain, context_.settings().ledger.readPause });
 }
 
+std::uint32_t ShardLedger::routers() const
+{
+    return static_cast<std::uint32_t>(peers_.membership().counts().alive) + 1;
+}
+
 bool ShardLedger::checkpointsApart() const noexcept
 {
     return context_.settings().ledger.checkpoints == CheckpointPlace::Apart;
@@ -276,7 +281,7 @@
     ledger::Surroundings surroundings;
     surroundings.logReachable = logInReach();
     surroundings.stopping = stopping;
-    surroundings.routers = static_cast<std::uint32_t>(peers_.membership().counts().alive) + 1;
+    surroundings.routers = routers();
     surroundings.witness = peers_.membership().witness();
     constexpr std::size_t lenders = 3;
     surroundings.lenders = peers_.membership().lenders(lenders);
@@ -322,8 +327,7 @@
 // router takes its turn once in as many intervals as there are routers.
 void ShardLedger::keepCheckpointApart()
 {
-    const auto routers = static_cast<std::int64_t>(peers_.membership().counts().alive) + 1;
-    checkpoints_.setInterval(context_.settings().ledger.checkpointInterval * routers);
+    checkpoints_.setInterval(context_.settings().ledger.checkpointInterval * routers());
     ledger::Batch batch;
     batch.items.push_back({ context_.self(), 1, fold_.checkpoint() });
     context_.emit(Append { Ledgers::checkpointStream(), ledger::encode(batch), stream_.value() });
@@ -358,9 +362,8 @@
     if (const auto set = context_.settings().ledger.batchPeriod) {
         return *set;
     }
-    const auto routers = static_cast<std::int64_t>(peers_.membership().counts().alive) + 1;
     const auto streams = static_cast<std::int64_t>(context_.settings().ledgerShards);
-    const Duration fair = Duration(std::chrono::seconds(1)) * (routers * streams) / unhurriedAppends;
+    const Duration fair = Duration(std::chrono::seconds(1)) * (std::int64_t { routers() } * streams) / unhurriedAppends;
     return std::min(fair, longestBatchPeriod);
 }
 
--- a/src/node/ShardLedger.h
+++ b/src/node/ShardLedger.h
@@ -141,6 +141,8 @@
     void keepCheckpointApart();
     void fundWhenDue();
     [[nodiscard]] bool checkpointsApart() const noexcept;
+    /** @return Routers that live, as far as is known, this one included. */
+    [[nodiscard]] std::uint32_t routers() const;
 
     Context& context_;
     Peers& peers_;
--- a/src/routing/Backend.cpp
+++ b/src/routing/Backend.cpp
@@ -173,10 +173,11 @@
     return breaker_.slowStart(now) ? BackendState::SlowStart : BackendState::Up;
 }
 
+bool Backend::paused(Instant now) const { return pausedUntil_ && now < *pausedUntil_; }
+
 bool Backend::usable(Instant now) const
 {
-    const bool paused = pausedUntil_ && now < *pausedUntil_;
-    if (leaving_ || paused || breaker_.open(now)) {
+    if (leaving_ || paused(now) || breaker_.open(now)) {
         return false;
     }
     return load_.inFlight() < breaker_.allowed(load_.slots(), now);
@@ -184,8 +185,7 @@
 
 bool Backend::lastResort(Instant now) const
 {
-    const bool paused = pausedUntil_ && now < *pausedUntil_;
-    return answers_ && !leaving_ && !paused && load_.inFlight() < load_.slots();
+    return answers_ && !leaving_ && !paused(now) && load_.inFlight() < load_.slots();
 }
 
 std::optional<Instant> Backend::usableAt(Instant now) const
--- a/src/routing/Backend.h
+++ b/src/routing/Backend.h
@@ -56,6 +56,7 @@
     void noteLeaving(const LoadReport& report, Instant now);
     void noteEnd(AttemptId attempt, const FinishFacts& facts, Instant now);
     [[nodiscard]] BackendState state(Instant now) const;
+    [[nodiscard]] bool paused(Instant now) const;
     [[nodiscard]] bool usable(Instant now) const;
     [[nodiscard]] bool lastResort(Instant now) const;
     [[nodiscard]] std::optional<Instant> usableAt(Instant now) const;
--- a/src/routing/DomainReach.cpp
+++ b/src/routing/DomainReach.cpp
@@ -11,11 +11,18 @@
     missed.last = now;
 }
 
+bool DomainReach::doubts(const FailureDomain& domain, Instant now) const
+{
+    const auto found = missed_.find(domain);
+    return found != missed_.end() && found->second.servers.size() >= serversForDoubt
+        && now - found->second.last < doubtLasts;
+}
+
 std::set<FailureDomain> DomainReach::doubtful(Instant now) const
 {
     std::set<FailureDomain> domains;
     for (const auto& [domain, missed] : missed_) {
-        if (missed.servers.size() >= serversForDoubt && now - missed.last < doubtLasts) {
+        if (doubts(domain, now)) {
             domains.insert(domain);
         }
     }
--- a/src/settings/Checker.h
+++ b/src/settings/Checker.h
@@ -150,4 +150,26 @@
 /** @brief Puts the findings from `first` on in the order of their places. */
 void sortFindings(Findings& findings, std::size_t first);
 
+/**
+ * @param read Turns the checker of the whole document into a value.
+ * @return The value; nothing when anything was found.
+ */
+template <typename Read>
+[[nodiscard]] auto parseChecked(std::string_view text, const std::string& source, std::size_t mostBytes,
+    Findings& findings, const Read& read) -> std::optional<decltype(read(std::declval<Checker&>()))>
+{
+    const auto before = findings.size();
+    const auto tree = loadYaml(text, source, mostBytes, findings);
+    if (!tree) {
+        return std::nullopt;
+    }
+    Checker root(*tree, source, findings);
+    auto value = read(root);
+    sortFindings(findings, before);
+    if (findings.size() > before) {
+        return std::nullopt;
+    }
+    return value;
+}
+
 } // namespace swiftlift::settings::internal
--- a/src/settings/RouterSettings.cpp
+++ b/src/settings/RouterSettings.cpp
@@ -188,18 +188,8 @@
 
 std::optional<RouterSettings> parseRouterSettings(std::string_view text, const std::string& source, Findings& findings)
 {
-    const auto before = findings.size();
-    const auto tree = internal::loadYaml(text, source, maxSettingsBytes, findings);
-    if (!tree) {
-        return std::nullopt;
-    }
-    Checker root(*tree, source, findings);
-    auto settings = readSettings(root);
-    internal::sortFindings(findings, before);
-    if (findings.size() > before) {
-        return std::nullopt;
-    }
-    return settings;
+    return internal::parseChecked(
+        text, source, maxSettingsBytes, findings, [](Checker& root) { return readSettings(root); });
 }
 
 std::optional<RouterSettings> readRouterSettings(const std::string& file, Findings& findings)
--- a/src/settings/ServiceDocument.cpp
+++ b/src/settings/ServiceDocument.cpp
@@ -145,18 +145,8 @@
 std::optional<ServiceDocument> parseServiceDocument(
     std::string_view text, const std::string& source, Findings& findings)
 {
-    const auto before = findings.size();
-    const auto tree = internal::loadYaml(text, source, maxDocumentBytes, findings);
-    if (!tree) {
-        return std::nullopt;
-    }
-    Checker root(*tree, source, findings);
-    auto document = readDocument(root);
-    internal::sortFindings(findings, before);
-    if (findings.size() > before) {
-        return std::nullopt;
-    }
-    return document;
+    return internal::parseChecked(
+        text, source, maxDocumentBytes, findings, [](Checker& root) { return readDocument(root); });
 }
 
 std::string_view toText(BackendKind kind) noexcept { return kind == BackendKind::Model ? "model" : "plain"; }
--- a/src/settings/Text.cpp
+++ b/src/settings/Text.cpp
@@ -1,8 +1,9 @@
 #include "settings/Text.h"
 
+#include "swiftlift/base/Numbers.h"
+
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <fstream>
 #include <limits>
 #include <span>
@@ -118,16 +119,7 @@
     return std::nullopt;
 }
 
-std::optional<std::uint64_t> parseUnsigned(std::string_view text) noexcept
-{
-    std::uint64_t value = 0;
-    const auto* const end = text.data() + text.size();
-    const auto [stop, error] = std::from_chars(text.data(), end, value);
-    if (text.empty() || error != std::errc {} || stop != end) {
-        return std::nullopt;
-    }
-    return value;
-}
+std::optional<std::uint64_t> parseUnsigned(std::string_view text) noexcept { return parseWhole<std::uint64_t>(text); }
 
 std::optional<Duration> parseDuration(std::string_view text) noexcept
 {
--- a/src/transport/CallTable.cpp
+++ b/src/transport/CallTable.cpp
@@ -15,13 +15,6 @@
 
 namespace {
 
-    node::Reply overloaded(std::string detail)
-    {
-        auto reply = refusal(503, "overloaded", std::move(detail));
-        reply.retryAfter = std::chrono::seconds(1);
-        return reply;
-    }
-
     std::string header(const CallerMessage& message, const char* name)
     {
         const auto value = message[name];
@@ -97,7 +90,7 @@
         return;
     }
     ++context_.counts.overloaded;
-    auto refused = overloaded("too many connections");
+    auto refused = overloadedRefusal("too many connections");
     // Nothing of the request has been read, its attempt's number neither.
     refused.outcome = node::Outcome::Unknown;
     const std::string bytes = jsonReply(refused.status, notAnsweredText({}, refused), false, refused.retryAfter);
@@ -136,7 +129,7 @@
     TaggedEvent event { Incarnation {}, node::RequestArrived { id, std::move(request) } };
     if (!context_.decisions.tryPush(std::move(event), reservedEvents)) {
         ++context_.counts.overloaded;
-        auto refused = overloaded("the router has too much waiting");
+        auto refused = overloadedRefusal("the router has too much waiting");
         refused.outcome = outcomeUnseen(attempt);
         refuse(connection, refused, requestId);
         return;
@@ -153,7 +146,7 @@
     TaggedEvent event { Incarnation {}, node::OperatorAsked { number, "request", argument } };
     if (!context_.decisions.tryPush(std::move(event), reservedEvents)) {
         ++context_.counts.overloaded;
-        refuse(connection, overloaded("the router has too much waiting"), question.id.value());
+        refuse(connection, overloadedRefusal("the router has too much waiting"), question.id.value());
         return;
     }
     questions_[number]
@@ -174,28 +167,21 @@
         return;
     }
     found->second->callerGone();
-    if (auto* running = runningOf(id)) {
-        running->attempt->resume();
-    }
+    running_.resume(id);
     calls_.erase(found);
 }
 
-void CallTable::callerDrained(CallerConnection& connection)
-{
-    if (auto* running = runningOf(*connection.call())) {
-        running->attempt->resume();
-    }
-}
+void CallTable::callerDrained(CallerConnection& connection) { running_.resume(*connection.call()); }
 
 void CallTable::connectionClosed(CallerConnection& connection) { connections_.erase(connection.shared_from_this()); }
 
 void CallTable::answerPartCame(Attempt& attempt, std::string part)
 {
-    const auto found = running_.find(attempt.id());
-    if (found == running_.end()) {
+    Running* const found = running_.find(attempt.id());
+    if (found == nullptr) {
         return;
     }
-    auto& running = found->second;
+    Running& running = *found;
     running.call->take(part, !running.plain);
     if (running.reportedTokens == 0 && running.call->tokens() > 0) {
         reportProgress(running, true);
@@ -208,18 +194,16 @@
 
 void CallTable::attemptEnded(Attempt& attempt, AttemptResult result, std::string detail)
 {
-    const auto found = running_.find(attempt.id());
-    if (found == running_.end()) {
+    const auto running = running_.take(attempt.id());
+    if (!running) {
         return;
     }
-    const Running running = std::move(found->second);
-    running_.erase(found);
     const DoneLine& counts = attempt.counts();
     if (result == AttemptResult::Completed) {
-        running.call->wholeAnswerCame(counts.promptTokens);
+        running->call->wholeAnswerCame(counts.promptTokens);
     }
     context_.events.push({ context_.incarnation,
-        node::AttemptEnded { attempt.id(), toEnd(result), counts.promptTokens, Tokens(running.call->tokens()),
+        node::AttemptEnded { attempt.id(), toEnd(result), counts.promptTokens, Tokens(running->call->tokens()),
             counts.cachedPromptTokens, std::move(detail) } });
 }
 
@@ -239,7 +223,7 @@
     const bool plain = dispatch.kind == node::BackendKind::Plain;
     const AttemptId id = dispatch.attempt;
     const auto attempt = std::make_shared<Attempt>(context_, *this, pool_, orderOf(std::move(dispatch), *call));
-    running_.emplace(id, Running { attempt, call, plain, 0 });
+    running_.add(id, Running { attempt, call, plain, 0 });
     attempt->start();
 }
 
@@ -280,14 +264,7 @@
     context_.events.push({ context_.incarnation, std::move(ended) });
 }
 
-void CallTable::carryOut(node::CancelAttempt&& cancel)
-{
-    if (const auto found = running_.find(cancel.attempt); found != running_.end()) {
-        const auto attempt = found->second.attempt;
-        running_.erase(found);
-        attempt->cancel();
-    }
-}
+void CallTable::carryOut(node::CancelAttempt&& cancel) { running_.cancel(cancel.attempt); }
 
 void CallTable::carryOut(node::Reply&& reply)
 {
@@ -298,9 +275,7 @@
     found->second->finish(reply);
     calls_.erase(found);
     // An attempt that the core lets run on has nobody to wait for any more.
-    if (auto* running = runningOf(reply.call)) {
-        running->attempt->resume();
-    }
+    running_.resume(reply.call);
 }
 
 void CallTable::carryOut(node::OperatorReply&& reply)
@@ -319,9 +294,7 @@
 {
     context_.incarnation = begin.incarnation;
     // The former core said that nothing is in progress; what runs nevertheless can't be told to anybody any more.
-    for (const auto& [id, running] : std::exchange(running_, {})) {
-        running.attempt->cancel();
-    }
+    running_.cancelAll();
 }
 
 void CallTable::reportProgress(Running& running, bool mustArrive)
@@ -356,7 +329,7 @@
             return false;
         }
         if (const auto caller = entry.second.caller.lock()) {
-            refuse(*caller, overloaded("the router did not answer in time"), {});
+            refuse(*caller, overloadedRefusal("the router did not answer in time"), {});
         }
         return true;
     });
@@ -372,14 +345,8 @@
 
 void CallTable::closeAll()
 {
-    for (const auto& [id, running] : std::exchange(running_, {})) {
-        running.attempt->cancel();
-    }
-    const auto connections = connections_;
-    for (const auto& connection : connections) {
-        connection->setCall(std::nullopt);
-        connection->close();
-    }
+    running_.cancelAll();
+    closeConnections(connections_);
     calls_.clear();
     pool_.clear();
 }
@@ -393,11 +360,4 @@
     return counts;
 }
 
-CallTable::Running* CallTable::runningOf(CallId call)
-{
-    const auto found
-        = std::ranges::find_if(running_, [&](const auto& entry) { return entry.second.call->id() == call; });
-    return found == running_.end() ? nullptr : &found->second;
-}
-
 } // namespace swiftlift::transport::internal
--- a/src/transport/CallTable.h
+++ b/src/transport/CallTable.h
@@ -11,6 +11,7 @@
 #include "transport/BackendPool.h"
 #include "transport/Call.h"
 #include "transport/CallerConnection.h"
+#include "transport/RunningAttempts.h"
 #include "transport/StreamContext.h"
 #include "transport/StreamTable.h"
 
@@ -64,14 +65,13 @@
     void cannotStart(const node::Dispatch& dispatch);
     void reportProgress(Running& running, bool mustArrive);
     void expireQuestions();
-    [[nodiscard]] Running* runningOf(CallId call);
 
     StreamContext& context_;
     BackendPool pool_;
     std::uint64_t lastNumber_ = 0;
-    std::unordered_set<std::shared_ptr<CallerConnection>> connections_;
+    CallerConnections connections_;
     std::unordered_map<CallId, std::shared_ptr<Call>> calls_;
-    std::unordered_map<AttemptId, Running> running_;
+    RunningAttempts<Running> running_;
     std::unordered_map<std::uint64_t, Question> questions_;
 };
 
--- a/src/transport/CallerConnection.cpp
+++ b/src/transport/CallerConnection.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <utility>
+#include <vector>
 
 #include <sys/socket.h>
 
@@ -344,4 +345,14 @@
     host_.connectionClosed(*this);
 }
 
+void closeConnections(const CallerConnections& connections)
+{
+    // One that closes leaves its table's set.
+    const std::vector<std::shared_ptr<CallerConnection>> all(connections.begin(), connections.end());
+    for (const auto& connection : all) {
+        connection->setCall(std::nullopt);
+        connection->close();
+    }
+}
+
 } // namespace swiftlift::transport::internal
--- a/src/transport/CallerConnection.h
+++ b/src/transport/CallerConnection.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -138,4 +139,9 @@
     std::optional<CallId> call_;
 };
 
+using CallerConnections = std::unordered_set<std::shared_ptr<CallerConnection>>;
+
+/** Closes all at once, whatever they wait for. */
+void closeConnections(const CallerConnections& connections);
+
 } // namespace swiftlift::transport::internal
--- a/src/transport/CallerText.cpp
+++ b/src/transport/CallerText.cpp
@@ -64,6 +64,15 @@
     return reply;
 }
 
+node::Reply overloadedRefusal(std::string detail)
+{
+    constexpr int unavailable = 503;
+    constexpr Duration retryAfter = std::chrono::seconds(1);
+    node::Reply reply = refusal(unavailable, "overloaded", std::move(detail));
+    reply.retryAfter = retryAfter;
+    return reply;
+}
+
 // What goes wrong: the first attempt ran at another router and its answer was lost; this router is too busy to look at
 // the second, refuses it and says "not run" of what has run. One notices by a refusal of a request that was billed.
 node::Outcome outcomeUnseen(std::string_view attempt)
--- a/src/transport/Endpoint.cpp
+++ b/src/transport/Endpoint.cpp
@@ -1,6 +1,6 @@
 #include "swiftlift/transport/Endpoint.h"
 
-#include <charconv>
+#include "swiftlift/base/Numbers.h"
 
 #include <boost/asio/ip/address.hpp>
 
@@ -14,9 +14,8 @@
     }
     const std::string_view ip = text.substr(0, colon);
     const std::string_view digits = text.substr(colon + 1);
-    std::uint16_t port = 0;
-    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
-    if (error != std::errc {} || end != digits.data() + digits.size()) {
+    const auto port = parseWhole<std::uint16_t>(digits);
+    if (!port) {
         return std::nullopt;
     }
     boost::system::error_code failed;
@@ -24,7 +23,7 @@
     if (failed) {
         return std::nullopt;
     }
-    return Endpoint { std::string(ip), port };
+    return Endpoint { std::string(ip), *port };
 }
 
 std::string toText(const Endpoint& endpoint) { return endpoint.ip + ":" + std::to_string(endpoint.port); }
--- a/src/transport/EventSplitter.cpp
+++ b/src/transport/EventSplitter.cpp
@@ -1,8 +1,8 @@
 #include "swiftlift/transport/EventSplitter.h"
 
+#include "swiftlift/base/Numbers.h"
+
 #include <algorithm>
-#include <charconv>
-#include <system_error>
 
 namespace swiftlift::transport {
 
@@ -20,10 +20,7 @@
             }
             line.remove_prefix(mark.size());
             line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
-            std::uint64_t id = 0;
-            const auto [last, error] = std::from_chars(line.data(), line.data() + line.size(), id);
-            const bool whole = error == std::errc {} && last == line.data() + line.size();
-            return whole ? std::optional(id) : std::nullopt;
+            return parseWhole<std::uint64_t>(line);
         }
         return std::nullopt;
     }
--- a/src/transport/PassageCall.cpp
+++ b/src/transport/PassageCall.cpp
@@ -41,9 +41,7 @@
 {
     observeEvent();
     ++events_;
-    if (const auto* reader = dynamic_cast<const EventPassageReader*>(reader_.get())) {
-        lastEvent_ = reader->last();
-    }
+    lastEvent_ = reader_->last();
     if (!caller_) {
         return;
     }
--- a/src/transport/PassageReaders.h
+++ b/src/transport/PassageReaders.h
@@ -36,6 +36,8 @@
     [[nodiscard]] AttemptResult refusal(const std::string& body) const override;
 
     [[nodiscard]] const AnswerHead& answerHead() const noexcept { return head_; }
+    /** @return The last event that the caller has; nothing: it has none. */
+    [[nodiscard]] virtual std::optional<std::uint64_t> last() const noexcept { return std::nullopt; }
     /** @return The body of an answer that is passed on whole. */
     [[nodiscard]] std::string& body() noexcept { return body_; }
 
@@ -72,8 +74,7 @@
     [[nodiscard]] ReadState end() override;
     [[nodiscard]] AttemptResult result() const override;
 
-    /** @return The last event that was handed on. */
-    [[nodiscard]] std::optional<std::uint64_t> last() const noexcept { return last_; }
+    [[nodiscard]] std::optional<std::uint64_t> last() const noexcept override { return last_; }
 
 private:
     [[nodiscard]] ReadState takeEvent(StreamEvent&& event);
--- a/src/transport/PassageTable.cpp
+++ b/src/transport/PassageTable.cpp
@@ -48,13 +48,6 @@
         return node::PassageEnd::Broken;
     }
 
-    node::Reply overloadedReply()
-    {
-        auto reply = refusal(statusNotReady, "overloaded", "the router has too much waiting");
-        reply.retryAfter = std::chrono::seconds(1);
-        return reply;
-    }
-
 } // namespace
 
 PassageTable::PassageTable(StreamContext& context, std::shared_ptr<const PassageDialect> dialect)
@@ -134,12 +127,13 @@
 void PassageTable::refuseOverloaded(CallerConnection& connection, const std::string& requestId)
 {
     ++context_.counts.overloaded;
+    const node::Reply reply = overloadedRefusal("the router has too much waiting");
     context_.log.write(logging::Level::Info, "refuse",
-        { { "request", requestId }, { "outcome", std::string("not_run") },
-            { "status", std::int64_t { statusNotReady } }, { "reason", std::string("overloaded") },
+        { { "request", requestId }, { "outcome", std::string("not_run") }, { "status", std::int64_t { reply.status } },
+            { "reason", reply.reason },
             { "lag_ms", std::int64_t { std::chrono::duration_cast<std::chrono::milliseconds>(context_.lag).count() } },
             { "decisions_waiting", static_cast<std::int64_t>(context_.decisions.size()) } });
-    writeRefusal(connection, *dialect_, overloadedReply(), requestId);
+    writeRefusal(connection, *dialect_, reply, requestId);
 }
 
 void PassageTable::requestUnreadable(CallerConnection& connection, const UnreadableRequest& why)
@@ -154,18 +148,11 @@
     if (const auto call = take(*connection.call())) {
         context_.events.push({ Incarnation {}, node::PassageAbandoned { call->id(), call->events() } });
         call->callerGone();
-        if (auto* running = runningOf(call->id())) {
-            running->attempt->resume();
-        }
+        running_.resume(call->id());
     }
 }
 
-void PassageTable::callerDrained(CallerConnection& connection)
-{
-    if (auto* running = runningOf(*connection.call())) {
-        running->attempt->resume();
-    }
-}
+void PassageTable::callerDrained(CallerConnection& connection) { running_.resume(*connection.call()); }
 
 void PassageTable::connectionClosed(CallerConnection& connection)
 {
@@ -175,14 +162,14 @@
 
 void PassageTable::answerPartCame(Attempt& attempt, std::string part)
 {
-    const auto found = running_.find(attempt.id());
-    if (found == running_.end()) {
+    Running* const found = running_.find(attempt.id());
+    if (found == nullptr) {
         return;
     }
-    auto& running = found->second;
+    Running& running = *found;
     running.call->passEvent(std::move(part));
     if (running.reportedEvents == 0) {
-        reportProgress(running, true);
+        reportFirstEvent(running);
     }
     if (running.call->callerIsSlow()) {
         ++context_.counts.pauses;
@@ -192,21 +179,19 @@
 
 void PassageTable::attemptEnded(Attempt& attempt, AttemptResult result, std::string detail)
 {
-    const auto found = running_.find(attempt.id());
-    if (found == running_.end()) {
+    const auto running = running_.take(attempt.id());
+    if (!running) {
         return;
     }
-    const Running running = std::move(found->second);
-    running_.erase(found);
     if (result == AttemptResult::Completed) {
-        running.call->passEnd();
-        calls_.erase(running.call->id());
+        running->call->passEnd();
+        calls_.erase(running->call->id());
     } else if (result == AttemptResult::Failed) {
-        running.call->keepFailure();
+        running->call->keepFailure();
     }
     context_.events.push({ context_.incarnation,
         node::PassageEnded {
-            attempt.id(), toEnd(result), attempt.status(), running.call->events(), std::move(detail) } });
+            attempt.id(), toEnd(result), attempt.status(), running->call->events(), std::move(detail) } });
 }
 
 void PassageTable::carryOut(StreamCommand&& command)
@@ -230,7 +215,7 @@
         return;
     }
     const auto attempt = std::make_shared<Attempt>(context_, *this, pool_, orderOf(order, *call));
-    running_.emplace(order.attempt, Running { attempt, call, call->events() });
+    running_.add(order.attempt, Running { attempt, call, call->events() });
     attempt->start();
 }
 
@@ -269,14 +254,7 @@
     }
 }
 
-void PassageTable::carryOut(node::CancelAttempt&& cancel)
-{
-    if (const auto found = running_.find(cancel.attempt); found != running_.end()) {
-        const auto attempt = found->second.attempt;
-        running_.erase(found);
-        attempt->cancel();
-    }
-}
+void PassageTable::carryOut(node::CancelAttempt&& cancel) { running_.cancel(cancel.attempt); }
 
 void PassageTable::carryOut(node::Reply&& reply)
 {
@@ -307,20 +285,14 @@
 {
     context_.incarnation = begin.incarnation;
     // The former core said that nothing is in progress; what runs nevertheless can't be told to anybody any more.
-    for (const auto& [id, running] : std::exchange(running_, {})) {
-        running.attempt->cancel();
-    }
+    running_.cancelAll();
 }
 
-void PassageTable::reportProgress(Running& running, bool mustArrive)
+void PassageTable::reportFirstEvent(Running& running)
 {
     running.reportedEvents = running.call->events();
-    TaggedEvent event { context_.incarnation, node::PassageProgress { running.attempt->id(), running.reportedEvents } };
-    if (mustArrive) {
-        context_.events.push(std::move(event));
-    } else {
-        context_.decisions.pushOrDrop(std::move(event));
-    }
+    context_.events.push(
+        { context_.incarnation, node::PassageProgress { running.attempt->id(), running.reportedEvents } });
 }
 
 void PassageTable::sweep()
@@ -341,14 +313,8 @@
 
 void PassageTable::closeAll()
 {
-    for (const auto& [id, running] : std::exchange(running_, {})) {
-        running.attempt->cancel();
-    }
-    const auto connections = connections_;
-    for (const auto& connection : connections) {
-        connection->setCall(std::nullopt);
-        connection->close();
-    }
+    running_.cancelAll();
+    closeConnections(connections_);
     calls_.clear();
     pool_.clear();
 }
@@ -362,13 +328,6 @@
     return counts;
 }
 
-PassageTable::Running* PassageTable::runningOf(CallId call)
-{
-    const auto found
-        = std::ranges::find_if(running_, [&](const auto& entry) { return entry.second.call->id() == call; });
-    return found == running_.end() ? nullptr : &found->second;
-}
-
 std::shared_ptr<PassageCall> PassageTable::take(CallId call)
 {
     const auto found = calls_.find(call);
--- a/src/transport/PassageTable.h
+++ b/src/transport/PassageTable.h
@@ -9,6 +9,7 @@
 #include "transport/BackendPool.h"
 #include "transport/CallerConnection.h"
 #include "transport/PassageCall.h"
+#include "transport/RunningAttempts.h"
 #include "transport/StreamContext.h"
 #include "transport/StreamTable.h"
 
@@ -60,8 +61,7 @@
     void addCaller(boost::asio::ip::tcp::socket socket, bool asksReadiness);
     void refuseOverloaded(CallerConnection& connection, const std::string& requestId);
     void answerReadiness(CallerConnection& connection) const;
-    void reportProgress(Running& running, bool mustArrive);
-    [[nodiscard]] Running* runningOf(CallId call);
+    void reportFirstEvent(Running& running);
     [[nodiscard]] std::shared_ptr<PassageCall> take(CallId call);
 
     StreamContext& context_;
@@ -69,11 +69,11 @@
     BackendPool pool_;
     std::uint64_t lastNumber_ = 0;
     node::AnnounceReadiness readiness_;
-    std::unordered_set<std::shared_ptr<CallerConnection>> connections_;
+    CallerConnections connections_;
     /** Of these, the ones on which the platform asks whether this VM is ready. */
     std::unordered_set<const CallerConnection*> readinessAskers_;
     std::unordered_map<CallId, std::shared_ptr<PassageCall>> calls_;
-    std::unordered_map<AttemptId, Running> running_;
+    RunningAttempts<Running> running_;
 };
 
 } // namespace swiftlift::transport::internal
--- a/src/transport/RequestParsing.cpp
+++ b/src/transport/RequestParsing.cpp
@@ -1,12 +1,12 @@
 #include "swiftlift/transport/RequestParsing.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cstdint>
 #include <optional>
 
 #include <nlohmann/json.hpp>
 
+#include "swiftlift/base/Numbers.h"
 #include "swiftlift/transport/CallerText.h"
 #include "swiftlift/transport/Hashing.h"
 
@@ -30,12 +30,8 @@
 
     std::optional<std::int64_t> parseNumber(std::string_view text, std::int64_t least, std::int64_t most)
     {
-        std::int64_t number = 0;
-        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-        if (error != std::errc {} || end != text.data() + text.size() || number < least || number > most) {
-            return std::nullopt;
-        }
-        return number;
+        const auto number = parseWhole<std::int64_t>(text);
+        return number && *number >= least && *number <= most ? number : std::nullopt;
     }
 
     std::optional<bool> parseFlag(std::string_view text, bool absent)
