--- a/src/node/Gateway.cpp
+++ b/src/node/Gateway.cpp
@@ -174,7 +174,7 @@
     mostRouters_ = std::max(mostRouters_, static_cast<std::uint32_t>(peers_.membership().counts().alive) + 1);
     fleet_.tick(stopRequested_.has_value());
     passages_.tick();
-    ledgers_.tick(stopRequested_ && closing() && passages_.inProgress() == 0);
+    ledgers_.tick(closing());
     backends_.tick(context_.now());
     announce();
     const bool ending = closing() || !retiredReason_.empty();
--- a/tests/node/GatewayTest.cpp
+++ b/tests/node/GatewayTest.cpp
@@ -298,5 +298,25 @@
         EXPECT_TRUE(world.stopReady());
     }
 
+    // Symptom: 483,000 of an account's 7.6 million tokens are out of reach for the rest of the day after a planned
+    // stop, and 430 of its requests are refused though they are paid for. Events: a router is to stop; its last stream
+    // ends 1.3 s before its time is over; its grants are not closed by then. Cause: it began to give back what it held
+    // only once nothing was in progress, and a grant takes two passes of the log to be closed.
+    TEST_F(GatewayTest, PlannedStopGivesMoneyBackWhileTheLastStreamsRun)
+    {
+        const CallId call = world.arrive("/stream/x", 1'000, 100);
+        world.progress(ordered(call), 1);
+        const Tokens cost { 1'100 };
+        ASSERT_GT(world.budget().held, cost) << "more is held than the one request needs";
+        world.tell(StopRequested {});
+        world.run(seconds(4));
+        EXPECT_FALSE(world.stopReady()) << "the stream is still there";
+        EXPECT_EQ(world.budget().held, cost);
+        world.end(ordered(call), PassageEnd::Completed);
+        world.run(seconds(1));
+        EXPECT_TRUE(world.stopReady());
+        EXPECT_EQ(world.budget().held, world.budget().billed);
+    }
+
 } // namespace
 } // namespace swiftlift::node::testing
--- a/tests/node/GatewayWorld.cpp
+++ b/tests/node/GatewayWorld.cpp
@@ -201,7 +201,7 @@
     return found == replies_.end() ? std::nullopt : std::optional(found->second);
 }
 
-Tokens GatewayWorld::billed() const
+ledger::BudgetView GatewayWorld::budget() const
 {
     ledger::FoldLimits limits;
     ledger::Fold fold(limits);
@@ -213,7 +213,7 @@
         EXPECT_TRUE(batch && fold.apply(Offset { offset++ }, *batch, effects)) << reason;
     }
     const auto budget = fold.budget({ AccountId("club"), BudgetId("prepaid") });
-    return budget ? budget->billed : Tokens {};
+    return budget.value_or(ledger::BudgetView {});
 }
 
 std::vector<LogLine> GatewayWorld::lines(const std::string& kind) const
--- a/tests/node/GatewayWorld.h
+++ b/tests/node/GatewayWorld.h
@@ -53,7 +53,9 @@
     [[nodiscard]] bool cancelled(const PassOn& order) const { return cancelled_.contains(order.attempt); }
     [[nodiscard]] bool ready() const noexcept { return ready_; }
     [[nodiscard]] bool stopReady() const noexcept { return stopReady_; }
-    [[nodiscard]] Tokens billed() const;
+    /** @return The account's budget as the log has it. */
+    [[nodiscard]] ledger::BudgetView budget() const;
+    [[nodiscard]] Tokens billed() const { return budget().billed; }
     [[nodiscard]] std::vector<LogLine> lines(const std::string& kind) const;
 
     /** Publishes a configuration like the present one, changed. */
