--- a/include/swiftlift/transport/NativeLogDialect.h
+++ b/include/swiftlift/transport/NativeLogDialect.h
@@ -5,7 +5,7 @@
 namespace swiftlift::transport {
 
 /** The project's own log protocol, see docs/PROTOCOLS.md: protobuf bodies, no keyed streams. */
-class NativeLogDialect final : public LogDialect {
+class NativeLogDialect : public LogDialect {
 public:
     [[nodiscard]] HttpRequest append(const node::Append& append) const override;
     [[nodiscard]] std::optional<LogProblem> appendProblem(const HttpResponse& answer) const override;
--- a/src/transport/LogFollower.cpp
+++ b/src/transport/LogFollower.cpp
@@ -13,7 +13,7 @@
     /** After a read that failed, the next one asks for this part of the records; after one that did not, for twice as
      * many. */
     constexpr std::uint32_t fewerDivisor = 4;
-    constexpr std::uint32_t fewestRecords = 8;
+    constexpr std::uint32_t fewestRecords = 64;
     /** Before a full ring is tried again. */
     constexpr std::chrono::milliseconds fullRingPause { 20 };
 
@@ -155,8 +155,12 @@
 // What goes wrong otherwise: on a link that is full, what has gathered during an outage does not come through within a
 // read's time; the next read asks for as much and more, and the reader stays where it was for good. One notices by
 // refusals that all name the same `read_to`.
+// A keyed stream's record may be a whole configuration: it is never asked for in parts, or it would not come at all.
 void LogFollower::askForFewer()
 {
+    if (follow_.kind != node::StreamKind::Plain) {
+        return;
+    }
     const std::uint32_t fewest = std::min(fewestRecords, settings_.recordsPerRead);
     recordsPerRead_ = std::max(recordsPerRead_ / fewerDivisor, fewest);
 }
--- a/tests/transport/LogClientTest.cpp
+++ b/tests/transport/LogClientTest.cpp
@@ -22,15 +22,25 @@
         return jsonAnswer(200, reply.SerializeAsString());
     }
 
+    /** A log that keeps keys, and has none yet. */
+    class KeyedDialect final : public NativeLogDialect {
+    public:
+        [[nodiscard]] std::variant<NewestRead, LogProblem> newestAnswer(const HttpResponse& /*answer*/) const override
+        {
+            return NewestRead {};
+        }
+    };
+
     class LogClientTest : public testing::Test {
     protected:
-        void start(std::chrono::milliseconds appendLimit = longWait)
+        void start(std::chrono::milliseconds appendLimit = longWait,
+            std::shared_ptr<const LogDialect> dialect = std::make_shared<NativeLogDialect>())
         {
             LogClientSettings settings;
             settings.endpoints = { *parseEndpoint(platform.address()) };
             settings.appendLimit = appendLimit;
             settings.retryFirst = std::chrono::milliseconds(10);
-            client = std::make_unique<LogClient>(settings, std::make_shared<NativeLogDialect>(), inbox, traffic);
+            client = std::make_unique<LogClient>(settings, std::move(dialect), inbox, traffic);
             client->beginIncarnation(Incarnation(5));
         }
 
@@ -124,6 +134,23 @@
     EXPECT_NE(connection.readRequest().target().find("max=250&"), std::string::npos);
 }
 
+// Symptom: a router goes on for seconds by a configuration that has been replaced.
+// Sequence: an outage, with reads that fail; its end; a new configuration, one record of 60 KB.
+// Cause: after reads that failed less was asked for than the record takes, so it did not come.
+TEST_F(LogClientTest, AsksForAllOfAKeyedStreamAlsoAfterReadsThatFailed)
+{
+    start(longWait, std::make_shared<KeyedDialect>());
+    client->follow({ stream, Offset(0), node::StreamKind::Keyed });
+    {
+        auto connection = platform.accept();
+        EXPECT_NE(connection.readRequest().target().find("/newest"), std::string::npos);
+        connection.write(jsonAnswer(200, ""));
+        EXPECT_NE(connection.readRequest().target().find("max=500&"), std::string::npos);
+    }
+    auto connection = platform.accept();
+    EXPECT_NE(connection.readRequest().target().find("max=500&"), std::string::npos);
+}
+
 // Symptom: a draw lands twice, because a layer below the ledger repeated an append whose answer was lost. The log takes
 // the record and closes without an answer; that is told, and nothing is sent again.
 TEST_F(LogClientTest, AppendWithoutAnswerIsToldAndNotRepeated)
