--- a/include/swiftlift/routing/Intake.h
+++ b/include/swiftlift/routing/Intake.h
@@ -87,6 +87,7 @@
     /** The link is judged over this time: shorter, a few large requests would count as much as a flood. */
     static constexpr Duration linkWindow = std::chrono::milliseconds(500);
 
+    [[nodiscard]] IntakeVerdict verdictOn(const IntakeLoad& load) const;
     void forget(Instant now);
     [[nodiscard]] bool linkBeyond(std::uint64_t percent) const;
 
--- a/src/node/ShardLedger.cpp
+++ b/src/node/ShardLedger.cpp
@@ -34,6 +34,11 @@
         return limits;
     }
 
+    [[nodiscard]] std::uint64_t checkpointSeed(const CoreSettings& settings, const StreamName& stream)
+    {
+        return settings.seed ^ std::hash<std::string> {}(stream.value());
+    }
+
     [[nodiscard]] const char* toText(ledger::GrantState state)
     {
         switch (state) {
@@ -62,10 +67,9 @@
     , holder_(context.self(), internal::policyOf(context.settings()), fold_)
     , witness_(context.self(), fold_)
     , copies_(fold_)
-    , checkpoints_(context.settings().ledger.checkpointInterval,
-          context.settings().seed ^ std::hash<std::string> {}(stream_.value()))
-    , checkpointTurns_(context.settings().ledger.checkpointInterval,
-          context.settings().seed ^ std::hash<std::string> {}(stream_.value()))
+    , checkpoints_(context.settings().ledger.checkpointInterval, internal::checkpointSeed(context.settings(), stream_))
+    , checkpointTurns_(
+          context.settings().ledger.checkpointInterval, internal::checkpointSeed(context.settings(), stream_))
     , random_(context.settings().seed)
 {
 }
--- a/src/routing/Intake.cpp
+++ b/src/routing/Intake.cpp
@@ -9,13 +9,19 @@
 {
 }
 
-IntakeVerdict Intake::onRequest(const IntakeLoad& load, Instant now)
+IntakeVerdict Intake::verdictOn(const IntakeLoad& load) const
 {
+    if (load.callerLeft) {
+        return IntakeVerdict::Drop;
+    }
     const bool late = limits_.mostLag > Duration {} && load.lag > limits_.mostLag;
-    const bool deep = (limits_.mostWaiting > 0 && load.waiting > limits_.mostWaiting) || linkBeyond(fullPercent);
-    const IntakeVerdict verdict = load.callerLeft ? IntakeVerdict::Drop
-        : late || deep                            ? IntakeVerdict::Refuse
-                                                  : IntakeVerdict::TakeIn;
+    const bool deep = limits_.mostWaiting > 0 && load.waiting > limits_.mostWaiting;
+    return late || deep || linkBeyond(fullPercent) ? IntakeVerdict::Refuse : IntakeVerdict::TakeIn;
+}
+
+IntakeVerdict Intake::onRequest(const IntakeLoad& load, Instant now)
+{
+    const IntakeVerdict verdict = verdictOn(load);
     const bool turnedAway = verdict != IntakeVerdict::TakeIn;
     seen_.push_back({ now, turnedAway });
     turnedAway_ += turnedAway ? 1 : 0;
--- a/src/transport/LogFollower.h
+++ b/src/transport/LogFollower.h
@@ -52,7 +52,7 @@
     bool allKeysDue_;
     /** Asked for at once; fewer after reads that failed. */
     std::uint32_t recordsPerRead_;
-    /** The last read brought as much as was asked for: there is more. */
+    /** The log goes on beyond what the last read brought, so the next one need not wait. */
     bool moreWaits_ = false;
     LogEndpoints log_;
     std::atomic<bool> cancelled_ = false;
