Keep those who wait for money in lines; a refused request is no demand

With 130 requests in line each bill that was read and each answer that ended tried all of them, and each try summed up all that wait. What was refused counted as demand with each try and waited on for 2 s. Ruled out: the store (the others read in time), the link (11 of 1,000 Mbit/s). Change: a line a budget, tried only while what came fits somebody; sums kept up with each change; a repeat only looks; a request that ends without money is withdrawn, and its demand with it.

--- a/include/swiftlift/ledger/Holder.h
+++ b/include/swiftlift/ledger/Holder.h
@@ -171,6 +171,10 @@
      */
     [[nodiscard]] std::variant<Reservation, Shortage> reserve(
         const BudgetRef& budget, RequestKey key, Tokens amount, Instant now, MoneyActions& actions);
+    /** @brief The request with this key was refused for good: it waits no more, and doesn't count as demand. */
+    void withdraw(const BudgetRef& budget, RequestKey key, Instant now);
+    /** @return The largest amount that one request could be given now. */
+    [[nodiscard]] Tokens spendable(const BudgetRef& budget) const;
     /**
      * @brief Bills what the request did cost and frees the rest.
      * @param actual Not above the reservation's amount; zero bills nothing.
@@ -183,9 +187,9 @@
     void stock(const BudgetRef& budget);
     /** Which of the two measures weighs more for this budget; the policy's own weighting until told. */
     void setWeighting(const BudgetRef& budget, Weighting weighting);
-    /** @return Whether a loan of this holder's is on the grant. */
     /** @return Whether nobody else can close the grant behind the reservation: its bill will count when it lands. */
     [[nodiscard]] bool answersAlone(const Reservation& reservation) const;
+    /** @return Whether a loan of this holder's is on the grant. */
     [[nodiscard]] bool borrowsFrom(const GrantId& grant) const;
 
     /** Takes each effect of the fold, in order. */
--- a/src/ledger/Holder.cpp
+++ b/src/ledger/Holder.cpp
@@ -26,6 +26,10 @@
     return book_->reserve(budget, key, amount, now, actions);
 }
 
+void Holder::withdraw(const BudgetRef& budget, RequestKey key, Instant now) { book_->withdraw(budget, key, now); }
+
+Tokens Holder::spendable(const BudgetRef& budget) const { return book_->spendable(budget); }
+
 void Holder::settle(const Reservation& reservation, Tokens actual, MoneyActions& actions)
 {
     book_->settle(reservation, actual, actions);
--- a/src/ledger/HolderBook.h
+++ b/src/ledger/HolderBook.h
@@ -30,6 +30,8 @@
     // Requests.
     [[nodiscard]] std::variant<Reservation, Shortage> reserve(
         const BudgetRef& budget, RequestKey key, Tokens amount, Instant now, MoneyActions& actions);
+    void withdraw(const BudgetRef& budget, RequestKey key, Instant now);
+    [[nodiscard]] Tokens spendable(const BudgetRef& budget) const;
     void settle(const Reservation& reservation, Tokens actual, MoneyActions& actions);
 
     void stock(const BudgetRef& budget);
@@ -98,6 +100,8 @@
     [[nodiscard]] bool inOutage() const;
     /** @return Whether a bill on the grant could not be secured now: its witness can't be asked, and may close it. */
     [[nodiscard]] bool insecure(const HolderGrant& grant) const;
+    /** @return Whether a bill on the loan would count, as far as can be told now. */
+    [[nodiscard]] bool secure(const LoanBorrowed& loan) const;
     void replaceAlone(const HolderDesk& desk, MoneyActions& actions);
     void raiseCeiling(HolderGrant& grant, Tokens headRoom, Tokens waiting);
     void moveWitness(HolderGrant& grant, Tokens headRoom, MoneyActions& actions);
--- a/src/ledger/HolderDemand.cpp
+++ b/src/ledger/HolderDemand.cpp
@@ -37,6 +37,14 @@
     largest_ = std::max(largest_, amount);
 }
 
+void HolderDemand::withdraw(Tokens amount, Instant noted, Instant now)
+{
+    const double left = static_cast<double>(amount.value()) * std::exp2(-secondsBetween(noted, now) / halfLifeSeconds);
+    const double decayed = weight_ * std::exp2(-secondsBetween(weighedAt_, now) / halfLifeSeconds);
+    weight_ = std::max(decayed - left, 0.0);
+    weighedAt_ = now;
+}
+
 double HolderDemand::rate(Instant now) const
 {
     if (!firstNoted_)
@@ -64,42 +72,47 @@
 
 bool HolderWants::add(RequestKey key, Tokens amount, Instant now)
 {
-    const auto [found, isNew] = wants_.try_emplace(key, Want { amount, now, now });
-    found->second.amount = amount;
+    const auto [found, isNew] = wants_.try_emplace(key, HolderWant { amount, now, now });
     found->second.askedAt = now;
+    if (isNew) {
+        amounts_.insert(amount);
+        sum_ += amount;
+    }
     return isNew;
 }
 
-void HolderWants::expire(Instant now)
+std::optional<HolderWant> HolderWants::remove(RequestKey key)
 {
-    std::erase_if(wants_, [&](const auto& want) { return now - want.second.askedAt > wantLifetime; });
+    const auto found = wants_.find(key);
+    if (found == wants_.end())
+        return std::nullopt;
+    const HolderWant want = found->second;
+    forget(want.amount);
+    wants_.erase(found);
+    return want;
 }
 
-Tokens HolderWants::largest() const
+void HolderWants::expire(Instant now)
 {
-    Tokens largest;
-    for (const auto& [key, want] : wants_)
-        largest = std::max(largest, want.amount);
-    return largest;
+    for (auto want = wants_.begin(); want != wants_.end();) {
+        if (now - want->second.askedAt <= wantLifetime) {
+            ++want;
+            continue;
+        }
+        forget(want->second.amount);
+        want = wants_.erase(want);
+    }
 }
 
-Tokens HolderWants::smallest() const
+void HolderWants::forget(Tokens amount)
 {
-    if (wants_.empty())
-        return {};
-    Tokens smallest = wants_.begin()->second.amount;
-    for (const auto& [key, want] : wants_)
-        smallest = std::min(smallest, want.amount);
-    return smallest;
+    amounts_.erase(amounts_.find(amount));
+    sum_ -= amount;
 }
 
-Tokens HolderWants::sum() const
-{
-    Tokens sum;
-    for (const auto& [key, want] : wants_)
-        sum += want.amount;
-    return sum;
-}
+Tokens HolderWants::largest() const { return amounts_.empty() ? Tokens {} : *amounts_.rbegin(); }
+
+Tokens HolderWants::smallest() const { return amounts_.empty() ? Tokens {} : *amounts_.begin(); }
 
 Instant HolderWants::since(RequestKey key, Instant now) const
 {
--- a/src/ledger/HolderDemand.h
+++ b/src/ledger/HolderDemand.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <ostream>
+#include <set>
 
 #include "swiftlift/base/Ids.h"
 #include "swiftlift/base/Units.h"
@@ -14,6 +15,8 @@
 class HolderDemand {
 public:
     void note(Tokens amount, Instant now);
+    /** Takes back what was noted at `noted`: it was refused, and comes again as another request if it comes at all. */
+    void withdraw(Tokens amount, Instant noted, Instant now);
 
     /** @return Tokens per second. */
     [[nodiscard]] double rate(Instant now) const;
@@ -31,32 +34,44 @@
     Instant windowStart_ {};
 };
 
-/** @brief Requests that were told to wait, until they are covered or forgotten. */
+/** @brief A request that was told to wait. */
+struct HolderWant {
+    Tokens amount;
+    /** When it was first short, and when it was last asked about. */
+    Instant since {};
+    Instant askedAt {};
+};
+
+/**
+ * @brief Requests that were told to wait, until they are covered, withdrawn or forgotten.
+ *
+ * Sums are kept up with each change: an account's flood has a hundred requests waiting, and each of them, and each bill
+ * that is read, asks for the sums again.
+ */
 class HolderWants {
 public:
     /** @return Whether this key is new: its demand has not been counted yet. */
     bool add(RequestKey key, Tokens amount, Instant now);
-    void remove(RequestKey key) { wants_.erase(key); }
-    /** Forgets requests that nobody has asked about for long: nobody says when a request is given up. */
+    /** @return What was removed; nothing when the key does not wait. */
+    std::optional<HolderWant> remove(RequestKey key);
+    /** Forgets requests that nobody has asked about for long and nobody has withdrawn. */
     void expire(Instant now);
 
     [[nodiscard]] bool empty() const noexcept { return wants_.empty(); }
     [[nodiscard]] Tokens largest() const;
     [[nodiscard]] Tokens smallest() const;
-    [[nodiscard]] Tokens sum() const;
+    [[nodiscard]] Tokens sum() const noexcept { return sum_; }
     /** @return When this request was first short; `now` when it is not waiting. */
     [[nodiscard]] Instant since(RequestKey key, Instant now) const;
 
     void print(std::ostream& out) const;
 
 private:
-    struct Want {
-        Tokens amount;
-        Instant since;
-        Instant askedAt;
-    };
+    void forget(Tokens amount);
 
-    std::map<RequestKey, Want> wants_;
+    std::map<RequestKey, HolderWant> wants_;
+    std::multiset<Tokens> amounts_;
+    Tokens sum_;
 };
 
 } // namespace swiftlift::ledger::internal
--- a/src/ledger/HolderRequests.cpp
+++ b/src/ledger/HolderRequests.cpp
@@ -37,18 +37,56 @@
     now_ = now;
     busySince_ = busySince_.value_or(now);
     HolderDesk& desk = deskOf(budget);
-    if (desk.wants.add(key, amount, now))
+    const bool isNew = desk.wants.add(key, amount, now);
+    if (isNew)
         desk.demand.note(amount, now);
     std::optional<Reservation> reservation = take(budget, desk, key, amount);
     if (reservation)
         desk.wants.remove(key);
-    work(budget, desk, actions);
-    flushRaises(actions);
+    // What a repeat asks for is known since its first time, and each tick and effect works on it.
+    if (isNew || reservation) {
+        work(budget, desk, actions);
+        flushRaises(actions);
+    }
     if (reservation)
         return *reservation;
     return shortage(budget, desk, key, amount);
 }
 
+// What goes wrong otherwise: a caller's tries, each refused, count as demand each time, and what they asked for goes on
+// waiting here. The router then draws for many times what its callers use. One notices by one holder's grants of half
+// of what is left, one after the other, of which little is ever billed: all of it is lost with the holder.
+void HolderBook::withdraw(const BudgetRef& budget, RequestKey key, Instant now)
+{
+    const auto desk = desks_.find(budget);
+    if (desk == desks_.end())
+        return;
+    if (const auto want = desk->second.wants.remove(key))
+        desk->second.demand.withdraw(want->amount, want->since, now);
+}
+
+Tokens HolderBook::spendable(const BudgetRef& budget) const
+{
+    Tokens most;
+    const auto found = desks_.find(budget);
+    if (retired_ || found == desks_.end())
+        return most;
+    for (const std::uint64_t number : found->second.loans) {
+        if (const LoanBorrowed& loan = loans_.at(number); secure(loan))
+            most = std::max(most, loan.free());
+    }
+    for (const std::uint32_t number : found->second.grants) {
+        if (const HolderGrant& grant = grants_.at(number); !insecure(grant))
+            most = std::max(most, grant.free());
+    }
+    return most;
+}
+
+bool HolderBook::secure(const LoanBorrowed& loan) const
+{
+    return loan.alone() || surroundings_.logReachable || !policy_->witnessesClose();
+}
+
 // Loans first, so that they are soon done; then own grants, oldest first, so that few stay open.
 std::optional<Reservation> HolderBook::take(
     const BudgetRef& budget, const HolderDesk& desk, RequestKey key, Tokens amount)
@@ -57,8 +95,7 @@
         return {};
     for (const std::uint64_t number : desk.loans) {
         LoanBorrowed& loan = loans_.at(number);
-        const bool secure = loan.alone() || surroundings_.logReachable || !policy_->witnessesClose();
-        if (loan.free() < amount || !secure)
+        if (loan.free() < amount || !secure(loan))
             continue;
         loan.reserve(amount, now_);
         return Reservation { key, budget, loan.grant(), amount, number };
--- a/src/ledger/HolderWork.cpp
+++ b/src/ledger/HolderWork.cpp
@@ -33,6 +33,7 @@
     else if (!logLostAt_)
         logLostAt_ = now;
     for (auto& [budget, desk] : desks_) {
+        desk.wants.expire(now_);
         if (!desk.quiet())
             work(budget, desk, actions);
     }
@@ -41,7 +42,6 @@
 
 void HolderBook::work(const BudgetRef& budget, HolderDesk& desk, MoneyActions& actions)
 {
-    desk.wants.expire(now_);
     replaceAlone(desk, actions);
     moveLoans(desk, situationOf(budget, desk), actions);
     giveBackSurplus(desk, situationOf(budget, desk), actions);
--- a/src/node/Passages.cpp
+++ b/src/node/Passages.cpp
@@ -124,11 +124,13 @@
     auto result = ledgers_.of(passage.accountId()).reserve(budgetOf(passage), keyOf(passage), passage.cost);
     if (auto* reservation = std::get_if<ledger::Reservation>(&result)) {
         passage.reservation = std::move(*reservation);
+        leaveMoneyLine(passage);
         seekBackend(passage);
         return;
     }
     const auto& shortage = std::get<ledger::Shortage>(result);
     if (shortage.pending && context_.now() - passage.since < moneyPatience) {
+        moneyLines_[budgetOf(passage)].insert(passage.id);
         return;
     }
     // "The balance does not cover it" may be said only where it is certain. Money that is merely elsewhere may be here
@@ -149,19 +151,42 @@
 
 void Passages::finishEvent()
 {
-    const auto arrived = std::exchange(moneyArrived_, {});
-    if (!arrived.empty()) {
-        retryForMoney([&](const Passage& passage) { return arrived.contains(budgetOf(passage)); });
+    for (const BudgetRef& budget : std::exchange(moneyArrived_, {})) {
+        spendArrived(budget);
     }
 }
 
-void Passages::retryForMoney(const std::function<bool(const Passage&)>& wanted)
+// What goes wrong when each that waits is tried at each arrival: with a hundred in line, every bill that is read and
+// every answer that ends costs a hundred tries, the router has no time left to read its own draws, and the line grows.
+// One notices by `read_to` that stands still while callers are refused.
+void Passages::spendArrived(const BudgetRef& budget)
 {
-    std::vector<CallId> waiting;
-    for (const auto& [id, passage] : passages_) {
-        if (passage->phase == PassagePhase::WaitingForMoney && wanted(*passage)) {
-            waiting.push_back(id);
+    const auto line = moneyLines_.find(budget);
+    if (line == moneyLines_.end()) {
+        return;
+    }
+    const ledger::Holder& holder = ledgers_.of(budget.account).holder();
+    // Those who have waited longest come first; smaller ones behind them may still fit.
+    const std::vector<CallId> waiting(line->second.begin(), line->second.end());
+    Tokens most = holder.spendable(budget);
+    for (const CallId id : waiting) {
+        if (most <= Tokens {}) {
+            return;
         }
+        Passage* passage = find(id);
+        if (passage == nullptr || passage->cost > most) {
+            continue;
+        }
+        seekMoney(*passage);
+        most = holder.spendable(budget);
+    }
+}
+
+void Passages::retryForMoney()
+{
+    std::vector<CallId> waiting;
+    for (const auto& [budget, line] : moneyLines_) {
+        waiting.insert(waiting.end(), line.begin(), line.end());
     }
     for (const CallId id : waiting) {
         if (Passage* passage = find(id)) {
@@ -170,12 +195,23 @@
     }
 }
 
+void Passages::leaveMoneyLine(const Passage& passage)
+{
+    const auto line = moneyLines_.find(budgetOf(passage));
+    if (line == moneyLines_.end() || line->second.erase(passage.id) == 0) {
+        return;
+    }
+    if (line->second.empty()) {
+        moneyLines_.erase(line);
+    }
+}
+
 void Passages::tick()
 {
     expire();
     if (context_.now() >= nextMoneyRetry_) {
         nextMoneyRetry_ = context_.now() + moneyRetryPeriod;
-        retryForMoney([](const Passage&) { return true; });
+        retryForMoney();
     }
     for (const auto& [service, state] : services_) {
         pump(service);
--- a/src/node/Passages.h
+++ b/src/node/Passages.h
@@ -83,7 +83,11 @@
     [[nodiscard]] KnownBudget knownOf(const Passage& passage) const;
     [[nodiscard]] BudgetRef budgetOf(const Passage& passage) const;
     [[nodiscard]] RequestKey keyOf(const Passage& passage) const;
-    void retryForMoney(const std::function<bool(const Passage&)>& wanted);
+    /** Gives money that has come to those who wait for it. */
+    void spendArrived(const BudgetRef& budget);
+    /** Asks again for all that wait: what they wait for may have failed. */
+    void retryForMoney();
+    void leaveMoneyLine(const Passage& passage);
 
     // The way to a backend server.
     void seekBackend(Passage& passage);
@@ -125,6 +129,8 @@
     std::map<CallId, std::unique_ptr<Passage>> passages_;
     std::map<AttemptId, CallId> byAttempt_;
     std::map<ServiceName, ServiceState> services_;
+    /** Who waits for money of each budget, in the order in which they came. */
+    std::map<BudgetRef, std::set<CallId>> moneyLines_;
     /** Budgets with new money since the last event; tried only after it, as reserving may bring more. */
     std::set<BudgetRef> moneyArrived_;
     BackendId lastBackend_;
--- a/src/node/PassagesEnd.cpp
+++ b/src/node/PassagesEnd.cpp
@@ -156,6 +156,10 @@
 
 void Passages::end(Passage& passage)
 {
+    if (passage.phase == PassagePhase::WaitingForMoney && passage.cost > Tokens {}) {
+        leaveMoneyLine(passage);
+        ledgers_.of(passage.accountId()).withdraw(budgetOf(passage), keyOf(passage));
+    }
     if (passage.service != nullptr) {
         stateOf(passage).admission.queue().remove(passage.id);
     }
--- a/src/node/RequestsEnd.cpp
+++ b/src/node/RequestsEnd.cpp
@@ -128,6 +128,9 @@
 
 void Requests::end(Call& call, Outcome outcome, const std::string& reason, Tokens billed)
 {
+    if (call.phase == Phase::WaitingForMoney && call.cost > Tokens {}) {
+        shards_(call.request.account).withdraw({ call.request.account, call.use.budget }, call.request.key);
+    }
     const RequestKey key = call.request.key;
     if (table_.end(key, outcome, reason, billed)) {
         shards_(call.request.account).append(ledger::VoidClaim { key });
--- a/src/node/ShardLedger.h
+++ b/src/node/ShardLedger.h
@@ -78,6 +78,8 @@
 
     [[nodiscard]] std::variant<ledger::Reservation, ledger::Shortage> reserve(
         const BudgetRef& budget, const RequestKey& key, Tokens amount);
+    /** The request was refused while it waited for money: it is no demand any more. */
+    void withdraw(const BudgetRef& budget, const RequestKey& key) { holder_.withdraw(budget, key, context_.now()); }
     /** Bills the request. @return What has to be secured() before the caller is told. */
     [[nodiscard]] std::uint64_t settle(const ledger::Reservation& reservation, Tokens actual);
     /** @return Whether a caller may be told of the bill that this item is. */
--- a/tests/ledger/HolderTest.cpp
+++ b/tests/ledger/HolderTest.cpp
@@ -230,6 +230,52 @@
     EXPECT_EQ(reservation.grant, holding().grant);
 }
 
+// Symptom: one holder draws half of what is left of a budget, again and again, and hardly any of it is ever billed.
+// Events: money is short for two seconds; 40 callers are refused and come back; then the money comes.
+// Cause: each refused try counted as demand and went on waiting for two more seconds.
+TEST_F(HolderTest, ARefusedRequestIsNoDemandAndWaitsNoMore)
+{
+    startSealOnly(10'000'000);
+    surroundings.logReachable = false;
+    tick();
+    for (std::uint64_t key = 1; key <= 40; ++key) {
+        EXPECT_FALSE(reserve(key, 10'000));
+        holder->withdraw(budget, keyOf(key), now);
+    }
+    pass(std::chrono::milliseconds { 100 });
+    surroundings.logReachable = true;
+    tick();
+    EXPECT_FALSE(lastEntry<Draw>());
+    EXPECT_FALSE(reserve(41, 10'000));
+    ASSERT_TRUE(lastEntry<Draw>());
+    EXPECT_LT(lastEntry<Draw>()->wanted, tokens(100'000));
+}
+
+// Symptom: a router that has a hundred requests in line falls behind with the ledger, and refuses them all.
+// Events: each of them asks again with each bill that is read.
+// Cause: each repeat did the whole work of the budget, over all that waits.
+TEST_F(HolderTest, ARepeatEmitsNothingNew)
+{
+    start(1000);
+    EXPECT_FALSE(reserve(1, 100));
+    actions.clear();
+    EXPECT_FALSE(reserve(1, 100));
+    EXPECT_TRUE(actions.empty());
+}
+
+TEST_F(HolderTest, TellsTheLargestAmountThatOneRequestCouldHave)
+{
+    start(1000);
+    EXPECT_EQ(holder->spendable(budget), tokens(0));
+    const Reservation reservation = have(1, 100);
+    const Tokens left = holder->spendable(budget);
+    const bool fits = left == tokens(0) || reserve(2, left.value()).has_value();
+    EXPECT_TRUE(fits);
+    EXPECT_FALSE(reserve(3, holder->spendable(budget).value() + 1));
+    holder->release(reservation, actions);
+    EXPECT_GE(holder->spendable(budget), tokens(100));
+}
+
 TEST_F(HolderTest, StaticSplitDrawsItsPartOnce)
 {
     start(800, "static_split");
