Bound a batch of the ledger by bytes, and append at once when the log answers again

Cause: after an outage of 8 s a draw stood behind seven batches of 256 bills, each read back before the next, and the first of them waited up to 2 s for its turn to be appended again. Callers were refused for money that nobody had drawn. Ruled out: the holder (it emitted the draw at once), the fold. Change: a batch holds up to 128 KB (some 1,500 bills); what failed is appended as soon as any call to the log is answered. A refused item's line names its entry and grant. Weighed: summed bills (keys are needed against double billing on the own interface); draws before bills (items are numbered when they are emitted, copies at the witness go by the number).

--- a/apps/capacity/LedgerSample.cpp
+++ b/apps/capacity/LedgerSample.cpp
@@ -62,8 +62,8 @@
 
 void LedgerSample::appendAll(Incarnation origin, const std::vector<ledger::Entry>& entries)
 {
-    for (std::size_t first = 0; first < entries.size(); first += ledger::Outbox::maxBatchItems) {
-        const std::size_t last = std::min(entries.size(), first + ledger::Outbox::maxBatchItems);
+    for (std::size_t first = 0; first < entries.size(); first += ledger::Outbox::maxCopyItems) {
+        const std::size_t last = std::min(entries.size(), first + ledger::Outbox::maxCopyItems);
         append(origin,
             { entries.begin() + static_cast<std::ptrdiff_t>(first),
                 entries.begin() + static_cast<std::ptrdiff_t>(last) });
--- a/include/swiftlift/ledger/Entry.h
+++ b/include/swiftlift/ledger/Entry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -142,6 +143,11 @@
 using Entry = std::variant<OpenAccount, CloseAccount, TopUp, Draw, Return, CloseGrant, ChangeWitness, Seal, Bill, Claim,
     VoidClaim, Checkpoint, WriteOff, Fund>;
 
+/** @return The entry's kind, for log lines. */
+[[nodiscard]] const char* kindOf(const Entry& entry) noexcept;
+/** @return The grant that the entry is about; nothing when it is about none. */
+[[nodiscard]] std::optional<GrantId> grantOf(const Entry& entry) noexcept;
+
 /**
  * An entry with its author. The fold takes an author's items in sequence and ignores a repeat, so an append whose
  * answer was lost is simply made again, by the author or through a relay.
--- a/include/swiftlift/ledger/Outbox.h
+++ b/include/swiftlift/ledger/Outbox.h
@@ -21,8 +21,14 @@
  */
 class Outbox {
 public:
-    /** Most items of a batch. */
-    static constexpr std::size_t maxBatchItems = 256;
+    /**
+     * Most bytes of a batch, by sizeBound(). Half of the smallest record that a log has to take (256 KB): some 1,500
+     * bills, what a router with 190 requests a second gathers in an outage of 8 s. With 256 items a batch, each read
+     * back before the next, a draw stood for 2 to 3 s behind the bills of such an outage.
+     */
+    static constexpr std::size_t maxBatchBytes = 128 * 1024;
+    /** Most items that are copied to a peer at once; bills of a second and a half, in one message of 16 KB. */
+    static constexpr std::size_t maxCopyItems = 256;
     /** First wait before a batch is appended again; it doubles with each further time. */
     static constexpr Duration firstRetry = std::chrono::milliseconds { 200 };
     static constexpr Duration longestRetry = std::chrono::seconds { 2 };
@@ -45,6 +51,13 @@
     /** @brief The append failed or timed out. It may land all the same, so it is made again after a wait. */
     void onFailure(Instant now);
 
+    /**
+     * @brief The log answers again after an outage: what failed meanwhile is appended again at once.
+     *
+     * Otherwise it would wait for up to `longestRetry` while callers are refused for a draw that stands behind it.
+     */
+    void onReachable(Instant now);
+
     /** @brief The append was answered. It counts only once read back, which is given the longest wait. */
     void onAnswered(Instant now);
 
@@ -63,12 +76,15 @@
     /** @return The latest sequence given out; 0 before the first. */
     [[nodiscard]] std::uint64_t lastSequence() const noexcept { return lastSequence_; }
 
-    /** @return Items behind `sequence` that have not landed, in order, at most `maxBatchItems`; copies for a peer. */
+    /** @return Items behind `sequence` that have not landed, in order, at most `maxCopyItems`; copies for a peer. */
     [[nodiscard]] Batch copyAfter(std::uint64_t sequence) const;
 
     /** @return When `next` has to be asked again; nothing when only an event changes its answer. */
     [[nodiscard]] std::optional<Instant> wakeAt() const noexcept;
 
+    /** @return At least as many bytes as the item takes in an encoded batch. */
+    [[nodiscard]] static std::size_t sizeBound(const Item& item) noexcept;
+
 private:
     [[nodiscard]] Batch freeze();
 
@@ -80,6 +96,8 @@
     std::optional<Batch> inFlight_;
     /** How many items of the batch in flight have landed. */
     std::size_t landed_ = 0;
+    /** The append in flight failed, and has not been made again since. */
+    bool failed_ = false;
     Instant retryAt_ {};
     Duration wait_ = firstRetry;
 };
--- a/src/ledger/Outbox.cpp
+++ b/src/ledger/Outbox.cpp
@@ -3,9 +3,20 @@
 #include <algorithm>
 #include <iterator>
 #include <utility>
+#include <variant>
+
+#include "swiftlift/ledger/EntryCodec.h"
 
 namespace swiftlift::ledger {
 
+namespace {
+
+    /** Most bytes of a bill with its origin and sequence: six numbers of eight bytes and three smaller ones, each with
+     * its tag. */
+    constexpr std::size_t billBound = 86;
+
+} // namespace
+
 Outbox::Outbox(Incarnation self)
     : self_(self)
 {
@@ -32,12 +43,29 @@
         wait_ = firstRetry;
     }
     retryAt_ = now + wait_;
+    failed_ = false;
     return inFlight_;
 }
 
-void Outbox::onFailure(Instant now) { retryAt_ = now + wait_; }
+void Outbox::onFailure(Instant now)
+{
+    retryAt_ = now + wait_;
+    failed_ = true;
+}
 
-void Outbox::onAnswered(Instant now) { retryAt_ = now + longestRetry; }
+void Outbox::onReachable(Instant now)
+{
+    if (!inFlight_ || !failed_)
+        return;
+    retryAt_ = now;
+    wait_ = firstRetry;
+}
+
+void Outbox::onAnswered(Instant now)
+{
+    retryAt_ = now + longestRetry;
+    failed_ = false;
+}
 
 void Outbox::onLanded(const Landed& landed, Instant)
 {
@@ -70,7 +98,7 @@
 {
     Batch batch;
     const auto take = [&](const Item& item) {
-        if (item.sequence > sequence && batch.items.size() < maxBatchItems)
+        if (item.sequence > sequence && batch.items.size() < maxCopyItems)
             batch.items.push_back(item);
     };
     if (inFlight_)
@@ -83,12 +111,28 @@
 
 Batch Outbox::freeze()
 {
-    const auto count = static_cast<std::ptrdiff_t>(std::min(waiting_.size(), maxBatchItems));
-    const auto end = waiting_.begin() + count;
+    // One item always goes, whatever its size: a checkpoint may be larger than a batch of bills.
+    auto end = waiting_.begin() + 1;
+    for (std::size_t bytes = sizeBound(waiting_.front()); end != waiting_.end(); ++end) {
+        bytes += sizeBound(*end);
+        if (bytes > maxBatchBytes)
+            break;
+    }
     Batch batch;
     batch.items.assign(std::make_move_iterator(waiting_.begin()), std::make_move_iterator(end));
     waiting_.erase(waiting_.begin(), end);
     return batch;
 }
 
+std::size_t Outbox::sizeBound(const Item& item) noexcept
+{
+    // Origin, sequence, tags and lengths, and the numbers of any entry: eleven fields of at most ten bytes and a tag.
+    constexpr std::size_t numbers = 128;
+    if (std::holds_alternative<Bill>(item.entry))
+        return billBound;
+    if (const auto* const checkpoint = std::get_if<Checkpoint>(&item.entry))
+        return numbers + checkpoint->state.size();
+    return numbers + 2 * maxNameBytes + maxKeyHashBytes;
+}
+
 } // namespace swiftlift::ledger
--- a/src/node/ItemCopies.cpp
+++ b/src/node/ItemCopies.cpp
@@ -42,7 +42,7 @@
     }
     const std::uint64_t last = contiguous(author, found->second);
     for (const auto& [sequence, item] : found->second) {
-        if (sequence <= last && batch.items.size() < ledger::Outbox::maxBatchItems) {
+        if (sequence <= last && batch.items.size() < ledger::Outbox::maxCopyItems) {
             batch.items.push_back(item);
         }
     }
--- a/src/node/ShardLedger.cpp
+++ b/src/node/ShardLedger.cpp
@@ -163,10 +163,30 @@
         }
     }
     for (const auto& effect : effects) {
+        if (const auto* refused = std::get_if<ledger::Refused>(&effect);
+            refused && refused->origin == context_.self()) {
+            noteRefused(*refused, *batch);
+        }
         onEffect(effect);
     }
 }
 
+void ShardLedger::noteRefused(const ledger::Refused& refused, const ledger::Batch& batch)
+{
+    refused_.insert(refused.sequence);
+    const auto item = std::ranges::find_if(batch.items, [&](const ledger::Item& candidate) {
+        return candidate.origin == refused.origin && candidate.sequence == refused.sequence;
+    });
+    const bool found = item != batch.items.end();
+    const auto grant = found ? ledger::grantOf(item->entry) : std::nullopt;
+    context_.log(Line("ledger")
+                     .with("change", "refused")
+                     .with("entry", found ? ledger::kindOf(item->entry) : "")
+                     .with("grant", grant ? toText(*grant) : "")
+                     .with("sequence", static_cast<std::int64_t>(refused.sequence))
+                     .with("reason", refused.reason));
+}
+
 Duration ShardLedger::checkpointIntervalOf(std::size_t bytes) const
 {
     const Duration fair = std::chrono::seconds(bytes / checkpointBytesPerSecond);
@@ -248,10 +268,6 @@
     if (const auto* claim = std::get_if<ledger::ClaimDecided>(&effect)) {
         listener_.onClaimDecided(claim->key, claim->owner);
     }
-    if (const auto* refused = std::get_if<ledger::Refused>(&effect); refused && refused->origin == context_.self()) {
-        context_.log(Line("ledger").with("change", "refused").with("reason", refused->reason));
-        refused_.insert(refused->sequence);
-    }
     if (const auto* draw = std::get_if<ledger::DrawDecided>(&effect)) {
         if (draw->grant.holder == context_.self()) {
             const ledger::BudgetView budgetNow = fold_.budget(draw->budget).value_or(ledger::BudgetView {});
@@ -285,6 +301,10 @@
 void ShardLedger::tick(bool stopping)
 {
     const Instant now = context_.now();
+    const bool reachable = health_.reachable(now);
+    if (const bool before = std::exchange(logWasReachable_, reachable); reachable && !before) {
+        outbox_.onReachable(now);
+    }
     ledger::Surroundings surroundings;
     surroundings.logReachable = logInReach();
     surroundings.stopping = stopping;
--- a/src/node/ShardLedger.h
+++ b/src/node/ShardLedger.h
@@ -128,6 +128,8 @@
     void seekCheckpoint(Offset offset, const std::string& record);
     void restoreFrom(const ledger::Checkpoint& checkpoint, const char* source);
     void onEffect(const ledger::Effect& effect);
+    /** An item of our own was refused. */
+    void noteRefused(const ledger::Refused& refused, const ledger::Batch& batch);
     void carryOut(ledger::MoneyActions& actions);
     [[nodiscard]] Duration batchPeriod() const;
     void sendBatch();
@@ -181,6 +183,7 @@
     std::optional<Offset> seekFrom_;
     Instant nextReadAsk_ {};
     bool caughtUp_ = false;
+    bool logWasReachable_ = false;
     bool holeReported_ = false;
     bool wantsCheckpoint_ = false;
     /** What the configuration says that budgets hold in all, and when it may next be written. */
