A server that starts again under its id is a new one; another writer's entries name none

One entry without key, offset or base64 made the whole list of servers a failure; a keyed record without a key counted as an outage of the log; an unreadable entry was logged with each record. Change: `BackendServer::startedAt`; with a later one breaker, cache, load, slots and signs of leaving start anew, a record of an earlier life changes nothing, and attempts that were sent while the former life surely ran are lost: the request goes elsewhere or ends at once. An entry that can't be read is passed over, told in one line for each key and reason (64 in a process' life) and counted.

--- a/include/swiftlift/fleet/BackendServer.h
+++ b/include/swiftlift/fleet/BackendServer.h
@@ -14,8 +14,12 @@
 
 /** A backend server as it has registered itself. */
 struct BackendServer {
-    /** One life of it: a server that starts again has another id, though maybe the same address. */
     BackendId id;
+    /**
+     * Milliseconds of Unix time at which its present life began: a server may start again under its id, and then holds
+     * and knows nothing of before. 0: it does not say.
+     */
+    std::uint64_t startedAt = 0;
     BackendAddress address;
     ServiceName service;
     FailureDomain domain;
--- a/include/swiftlift/transport/LogDialect.h
+++ b/include/swiftlift/transport/LogDialect.h
@@ -29,8 +29,10 @@
 struct NewestRead {
     std::vector<node::KeyedRecord> records;
     Offset end;
-    /** There are more keys, after the last one of `records`. */
+    /** There are more keys, after `lastKey`. */
     bool more = false;
+    std::string lastKey = {};
+    std::vector<node::UnreadableRecord> unreadable = {};
 };
 /** No answer that means anything. */
 struct LogProblem {
--- a/src/node/FleetBook.cpp
+++ b/src/node/FleetBook.cpp
@@ -25,6 +25,14 @@
             Region { json.value("region", "") }, false };
     }
 
+    [[nodiscard]] const char* changeOf(const fleet::BackendServer& server, bool newLife)
+    {
+        if (server.state != fleet::ServerState::Ready) {
+            return "leaving";
+        }
+        return newLife ? "started_again" : "registered";
+    }
+
 } // namespace internal
 
 const StreamName& FleetBook::configStream()
@@ -46,12 +54,12 @@
 }
 
 FleetBook::FleetBook(
-    Context& context, Peers& peers, const LogHealth& health, routing::BackendTable& backends, ConfigListener listener)
+    Context& context, Peers& peers, const LogHealth& health, routing::BackendTable& backends, FleetListener& listener)
     : context_(context)
     , peers_(peers)
     , health_(health)
     , backends_(backends)
-    , listener_(std::move(listener))
+    , listener_(listener)
 {
 }
 
@@ -64,6 +72,9 @@
 
 void FleetBook::onRecords(const KeyedRecords& records)
 {
+    for (const UnreadableRecord& record : records.unreadable) {
+        logUnreadable(records.stream.value().c_str(), record.key, record.reason);
+    }
     if (records.stream == serverStream()) {
         takeServers(records);
         return;
@@ -101,7 +112,7 @@
                      .with("routes", static_cast<std::int64_t>(config->routes.size()))
                      .with("accounts", static_cast<std::int64_t>(config->accounts.size())));
     routes_ = std::make_shared<const fleet::RouteTable>(std::move(*config));
-    listener_(routes_->config());
+    listener_.onConfig(routes_->config());
 }
 
 void FleetBook::takeServers(const KeyedRecords& records)
@@ -111,6 +122,9 @@
         for (const KeyedRecord& record : records.records) {
             present.insert(BackendId { record.key });
         }
+        for (const UnreadableRecord& record : records.unreadable) {
+            present.insert(BackendId { record.key });
+        }
         for (const auto& [id, server] : servers_) {
             if (!present.contains(id)) {
                 lapsed_.try_emplace(id, context_.now());
@@ -118,14 +132,15 @@
         }
         serversKnown_ = true;
     }
+    const Instant readBefore = std::exchange(serversReadAt_, context_.now());
     for (const KeyedRecord& record : records.records) {
-        takeServer(record);
+        takeServer(record, readBefore);
     }
     static_cast<void>(dropLapsed());
     publishBackends();
 }
 
-void FleetBook::takeServer(const KeyedRecord& record)
+void FleetBook::takeServer(const KeyedRecord& record, Instant readBefore)
 {
     const BackendId id { record.key };
     if (!record.value) {
@@ -138,19 +153,30 @@
         logFindings("server", record.key, findings);
         return;
     }
-    lapsed_.erase(id);
     const auto known = servers_.find(id);
+    // A record of a former life may come late; taken, it would bring an address or a state back that is over.
+    if (known != servers_.end() && server->startedAt < known->second.startedAt) {
+        return;
+    }
+    lapsed_.erase(id);
+    const Instant aliveAt = std::exchange(aliveAt_[id], readBefore);
     if (known != servers_.end() && known->second == *server) {
         return;
     }
+    const bool newLife
+        = known != servers_.end() && known->second.startedAt != 0 && server->startedAt > known->second.startedAt;
     context_.log(Line("backend")
                      .with("backend", id.value())
-                     .with("change", server->state == fleet::ServerState::Ready ? "registered" : "leaving")
+                     .with("change", internal::changeOf(*server, newLife))
+                     .with("started_at", static_cast<std::int64_t>(server->startedAt))
                      .with("address", server->address.value())
                      .with("service", server->service.value())
                      .with("domain", server->domain.value())
                      .with("offset", static_cast<std::int64_t>(record.offset.value())));
     servers_[id] = std::move(*server);
+    if (newLife) {
+        listener_.onServerRestarted(id, aliveAt);
+    }
 }
 
 bool FleetBook::mostLapsed(const ServiceName& service) const
@@ -182,6 +208,7 @@
                              .with("change", "unregistered")
                              .with("missing_ms", toMilliseconds(context_.now() - entry->second)));
             servers_.erase(server);
+            aliveAt_.erase(entry->first);
             dropped = true;
         }
         entry = lapsed_.erase(entry);
@@ -197,7 +224,7 @@
     }
     for (const auto& [id, server] : servers_) {
         if (server.state == fleet::ServerState::Ready) {
-            services[server.service].push_back({ id, server.domain, server.slots });
+            services[server.service].push_back({ id, server.domain, server.slots, server.startedAt });
         }
     }
     published_.clear();
@@ -293,8 +320,19 @@
 
 void FleetBook::logFindings(const char* what, const std::string& key, const Findings& findings)
 {
-    context_.log(Line("unreadable").with("what", what).with("key", key).with("findings", toText(findings)));
+    logUnreadable(what, key, toText(findings));
+}
+
+void FleetBook::logUnreadable(const char* what, const std::string& key, const std::string& reason)
+{
     context_.count("swiftlift_unreadable_records_total", { { "what", what } });
+    // Another writer may repeat its record every second, or write ever new ones.
+    const bool known = unreadable_.contains({ key, reason });
+    if (known || unreadable_.size() >= unreadableLines) {
+        return;
+    }
+    unreadable_.insert({ key, reason });
+    context_.log(Line("unreadable").with("what", what).with("key", key).with("findings", reason));
 }
 
 } // namespace swiftlift::node
--- a/src/node/FleetBook.h
+++ b/src/node/FleetBook.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include <chrono>
-#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "node/Context.h"
@@ -21,8 +21,22 @@
 
 using RouteTablePtr = std::shared_ptr<const fleet::RouteTable>;
 
-/** Told of each configuration that comes into force. */
-using ConfigListener = std::function<void(const fleet::FleetConfig&)>;
+/** Told of what changes outside the fleet. */
+class FleetListener {
+public:
+    FleetListener() = default;
+    virtual ~FleetListener() = default;
+    FleetListener(const FleetListener&) = delete;
+    FleetListener& operator=(const FleetListener&) = delete;
+
+    /** A configuration has come into force. */
+    virtual void onConfig(const fleet::FleetConfig& config) = 0;
+    /**
+     * A backend server has started again under its id.
+     * @param aliveAt Its former life still ran then: what was sent to it before is lost.
+     */
+    virtual void onServerRestarted(const BackendId& server, Instant aliveAt) = 0;
+};
 
 /**
  * @brief What the fleet is told from outside, by keyed streams of the log: its configuration, its backend servers, its
@@ -33,7 +47,7 @@
 class FleetBook {
 public:
     FleetBook(Context& context, Peers& peers, const LogHealth& health, routing::BackendTable& backends,
-        ConfigListener listener);
+        FleetListener& listener);
 
     void start();
     void onRecords(const KeyedRecords& records);
@@ -70,9 +84,13 @@
      */
     static constexpr Duration lapseGrace = std::chrono::milliseconds(1500);
 
+    /** Lines on unreadable records, in the life of the process: more tell nothing that the counter doesn't. */
+    static constexpr std::size_t unreadableLines = 64;
+
     void takeConfig(Offset offset, const std::string& text, const char* source);
     void takeServers(const KeyedRecords& records);
-    void takeServer(const KeyedRecord& record);
+    /** @param readBefore When the stream was read before: the record was written later. */
+    void takeServer(const KeyedRecord& record, Instant readBefore);
     /** @return Whether any was dropped. */
     bool dropLapsed();
     [[nodiscard]] bool mostLapsed(const ServiceName& service) const;
@@ -81,21 +99,27 @@
     void registerSelf(bool stopping);
     void askPeer();
     void logFindings(const char* what, const std::string& key, const Findings& findings);
+    void logUnreadable(const char* what, const std::string& key, const std::string& reason);
 
     Context& context_;
     Peers& peers_;
     const LogHealth& health_;
     routing::BackendTable& backends_;
-    ConfigListener listener_;
+    FleetListener& listener_;
     RouteTablePtr routes_;
     Offset configOffset_;
     std::string configText_;
     std::map<BackendId, fleet::BackendServer> servers_;
+    /** When the stream of servers was last read, and a moment at which each server's present life surely ran. */
+    Instant serversReadAt_ {};
+    std::map<BackendId, Instant> aliveAt_;
     /** Entries that are gone, but maybe only lapsed, and since when. */
     std::map<BackendId, Instant> lapsed_;
     std::set<ServiceName> published_;
     std::map<std::string, ListedVm> vms_;
     bool serversKnown_ = false;
+    /** Key and reason of what was found unreadable, each logged once. */
+    std::set<std::pair<std::string, std::string>> unreadable_;
     Instant nextRegister_ {};
     Instant nextReadAsk_ {};
     bool unregistered_ = false;
--- a/src/node/Gateway.cpp
+++ b/src/node/Gateway.cpp
@@ -24,7 +24,7 @@
     , changes_(context_)
     , peers_(context_)
     , backends_(internal::tableSettings(context_.settings()))
-    , fleet_(context_, peers_, health_, backends_, [this](const fleet::FleetConfig& config) { onConfig(config); })
+    , fleet_(context_, peers_, health_, backends_, *this)
     , ledgers_(context_, peers_, health_, *this)
     , passages_(context_, fleet_, backends_, ledgers_, [this] { return routers(); })
     , ending_(context_)
@@ -55,6 +55,11 @@
     context_.emit(SetCallerLimits { config.limits });
 }
 
+void Gateway::onServerRestarted(const BackendId& server, Instant aliveAt)
+{
+    passages_.onServerRestarted(server, aliveAt);
+}
+
 std::string Gateway::unready() const
 {
     if (!retiredReason_.empty()) {
--- a/src/node/Gateway.h
+++ b/src/node/Gateway.h
@@ -17,7 +17,7 @@
 namespace swiftlift::node {
 
 /** The parts of a core that passes requests on as they came, by the fleet's configuration. */
-class Gateway final : public LedgerListener {
+class Gateway final : public LedgerListener, public FleetListener {
 public:
     explicit Gateway(CoreSettings settings);
 
@@ -44,13 +44,14 @@
     void onClaimDecided(const RequestKey&, Incarnation) override { }
     void onMoneyArrived(const BudgetRef& budget) override;
     void onRetired(const std::string& reason) override;
+    void onConfig(const fleet::FleetConfig& config) override;
+    void onServerRestarted(const BackendId& server, Instant aliveAt) override;
 
     [[nodiscard]] Context& context() noexcept { return context_; }
 
 private:
     static constexpr Duration watchedPeriod = std::chrono::seconds(1);
 
-    void onConfig(const fleet::FleetConfig& config);
     void routePeerMessage(const PeerReceived& event);
     void announce();
     void refreshWatched();
--- a/src/node/Passages.h
+++ b/src/node/Passages.h
@@ -39,6 +39,8 @@
     void onProgress(const PassageProgress& progress);
     void onEnded(const PassageEnded& ended);
     void onAbandoned(const PassageAbandoned& abandoned);
+    /** @param aliveAt What was sent to the server before is lost with its former life. */
+    void onServerRestarted(const BackendId& server, Instant aliveAt);
     void onMoneyArrived(const BudgetRef& budget) { moneyArrived_.insert(budget); }
     void tick();
     /** To be called after each event: tries again what waited for something that came with it. */
--- a/src/node/PassagesDispatch.cpp
+++ b/src/node/PassagesDispatch.cpp
@@ -254,6 +254,23 @@
     pump(service);
 }
 
+// What goes wrong otherwise: a server that loses its power closes no connection, and what ran there is waited for until
+// its caller has left, though its next life has registered already and another server could answer.
+void Passages::onServerRestarted(const BackendId& server, Instant aliveAt)
+{
+    std::vector<PassageEnded> lost;
+    for (const auto& [attempt, call] : byAttempt_) {
+        const Passage* passage = find(call);
+        if (passage != nullptr && passage->backend == server && passage->since < aliveAt) {
+            lost.push_back({ attempt, PassageEnd::Broken, 0, passage->events, "the backend server started again" });
+        }
+    }
+    for (const PassageEnded& ended : lost) {
+        context_.emit(CancelAttempt { ended.attempt });
+        onEnded(ended);
+    }
+}
+
 void Passages::noteReach(const Passage& passage, PassageEnd end)
 {
     const Instant now = context_.now();
--- a/src/routing/Backend.cpp
+++ b/src/routing/Backend.cpp
@@ -29,6 +29,27 @@
 {
 }
 
+// What goes wrong: a server that starts again under its id has an empty cache, closed connections and counts that start
+// anew. Judged by its former life it would get prompts for prefixes that it no longer has, wait out a breaker that its
+// crash opened, or be left alone since it once said that it was leaving.
+void Backend::setEntry(const BackendEntry& entry, Instant now)
+{
+    entry_.domain = entry.domain;
+    const bool newLife = entry.life > entry_.life && entry_.life != 0;
+    entry_.life = std::max(entry_.life, entry.life);
+    if (!newLife) {
+        return;
+    }
+    entry_.slots = entry.slots;
+    load_ = LoadEstimate(settings_, entry.slots);
+    sent_.clear();
+    generation_.reset();
+    reported_ = false;
+    missed_ = false;
+    answers_ = true;
+    startAnew(now);
+}
+
 void Backend::onLoad(const LoadReport& report, Instant now)
 {
     if (generation_ && report.generation < *generation_) {
--- a/src/routing/Backend.h
+++ b/src/routing/Backend.h
@@ -34,7 +34,8 @@
     [[nodiscard]] const std::set<std::string>& models() const noexcept { return models_; }
     [[nodiscard]] bool idle() const noexcept { return load_.inFlight() == 0; }
     void setPrefixesKept(std::size_t count) { cache_.setCapacity(count); }
-    void setDomain(FailureDomain domain) { entry_.domain = std::move(domain); }
+    /** @param entry What is told of it now; another life makes all that was learnt of the one before void. */
+    void setEntry(const BackendEntry& entry, Instant now);
 
 private:
     struct Sent {
--- a/src/routing/BackendTable.cpp
+++ b/src/routing/BackendTable.cpp
@@ -19,13 +19,13 @@
 BackendTable::BackendTable(BackendTable&&) noexcept = default;
 BackendTable& BackendTable::operator=(BackendTable&&) noexcept = default;
 
-void BackendTable::setBackends(const ServiceName& service, const std::vector<BackendEntry>& backends, Instant /*now*/)
+void BackendTable::setBackends(const ServiceName& service, const std::vector<BackendEntry>& backends, Instant now)
 {
     std::set<BackendId> ids;
     for (const BackendEntry& entry : backends) {
         ids.insert(entry.backend);
         if (Backend* known = find(entry.backend)) {
-            known->setDomain(entry.domain);
+            known->setEntry(entry, now);
             continue;
         }
         const std::uint64_t seed = settings_.seed ^ std::hash<BackendId> {}(entry.backend);
--- a/src/transport/LogFollower.cpp
+++ b/src/transport/LogFollower.cpp
@@ -102,11 +102,11 @@
 {
     node::KeyedRecords all { follow_.stream, {}, true };
     bool more = true;
+    std::string after;
     // Pages are no snapshot: a key that changes meanwhile comes again when the stream is read from the first page's
     // end.
     std::optional<Offset> end;
     while (more) {
-        const std::string after = all.records.empty() ? std::string {} : all.records.back().key;
         const auto answer = log_.call(dialect_.newest(follow_.stream, after), settings_.readLimit);
         if (cancelled_.load()) {
             return false;
@@ -122,8 +122,11 @@
         }
         auto& newest = std::get<NewestRead>(page);
         end = end.value_or(newest.end);
-        more = newest.more && !newest.records.empty();
+        // A page that names no further key would be asked for again for ever.
+        more = newest.more && newest.lastKey > after;
+        after = std::move(newest.lastKey);
         std::ranges::move(newest.records, std::back_inserter(all.records));
+        std::ranges::move(newest.unreadable, std::back_inserter(all.unreadable));
     }
     std::ranges::stable_sort(all.records, {}, &node::KeyedRecord::offset);
     next_ = end->value();
@@ -146,7 +149,7 @@
         if (auto keyed = dialect_.keyedRecord(offset, record)) {
             changed.records.push_back(std::move(*keyed));
         } else {
-            tellUnreachable("record " + std::to_string(offset.value()) + " has no key that can be read");
+            changed.unreadable.push_back({ {}, "no key in record " + std::to_string(offset.value()) });
         }
     }
     push(std::move(changed));
--- a/tests/node/GatewayTest.cpp
+++ b/tests/node/GatewayTest.cpp
@@ -208,6 +208,66 @@
         expectRefused(world.arrive("/plain/x"), 503, "no_backend");
     }
 
+    // Symptom: a server that is back is left alone, for the sake of what its former life said.
+    // Events: a server says that it is leaving, crashes, and starts again under its id; a late record of the former
+    // life follows. Cause: an id was taken for one life.
+    TEST_F(GatewayTest, ServerThatStartsAgainUnderItsIdIsANewOne)
+    {
+        world.putServer("p-1", "app", "a", fleet::ServerState::Leaving, 1000);
+        world.dropServer("p-2");
+        world.dropServer("p-3");
+        world.run(seconds(2));
+        expectRefused(world.arrive("/plain/x"), 503, "no_backend");
+        world.putServer("p-1", "app", "a", fleet::ServerState::Ready, 2000);
+        world.putServer("p-1", "app", "a", fleet::ServerState::Leaving, 1000);
+        const CallId call = world.arrive("/plain/x");
+        EXPECT_EQ(ordered(call).backend, BackendId("p-1"));
+        EXPECT_FALSE(world.lines("backend").empty());
+    }
+
+    // Symptom: callers wait for servers that have started again meanwhile.
+    // Events: a server loses its power under two requests, and starts again; one of them may run only once.
+    // Cause: a server without power closes no connection, so nothing ended the attempts.
+    TEST_F(GatewayTest, WhatRanOnAServersFormerLifeIsLost)
+    {
+        world.putServer("p-1", "app", "a", fleet::ServerState::Ready, 1000);
+        world.dropServer("p-2");
+        world.dropServer("p-3");
+        world.run(milliseconds(100));
+        const CallId repeatable = world.arrive("/plain/x");
+        const CallId once = world.arrive("/order/x");
+        const PassOn order = ordered(once);
+        world.run(milliseconds(300));
+        world.putServer("p-9", "app", "a", fleet::ServerState::Ready, 1000);
+        world.run(milliseconds(300));
+        world.putServer("p-1", "app", "a", fleet::ServerState::Ready, 1000);
+        const CallId late = world.arrive("/order/x");
+        const BackendId lateAt = ordered(late).backend;
+        world.putServer("p-1", "app", "a", fleet::ServerState::Ready, 2000);
+        expectRefused(once, 502, "backend_lost");
+        EXPECT_EQ(world.replyOf(once)->outcome, Outcome::Unknown);
+        EXPECT_TRUE(world.cancelled(order));
+        EXPECT_EQ(ordered(repeatable).backend, BackendId("p-9"));
+        // Sent after the last sign of the former life was read: it may have reached the new one.
+        EXPECT_EQ(ordered(late).backend, lateAt);
+    }
+
+    // Symptom: no server is known, or the log fills up with one complaint.
+    // Events: another writer leaves records that can't be read, under an id of its own and under that of a server.
+    // Cause: what can't be read was taken for a word on servers.
+    TEST_F(GatewayTest, RecordsOfAnotherWriterTakeNoServerAway)
+    {
+        for (int time = 0; time < 100; ++time) {
+            world.putForeign("stranger");
+            world.putForeign("p-1");
+        }
+        world.dropServer("p-2");
+        world.dropServer("p-3");
+        const CallId call = world.arrive("/plain/x");
+        EXPECT_EQ(ordered(call).backend, BackendId("p-1"));
+        EXPECT_EQ(world.lines("unreadable").size(), 2U);
+    }
+
     TEST_F(GatewayTest, BudgetEndsWithItsOwnRefusalAndARaiseOpensIt)
     {
         expectRefused(world.arrive("/stream/x", 10, 2'000'000), 402, "budget_exhausted");
--- a/tests/platform/ConfigCodecTest.cpp
+++ b/tests/platform/ConfigCodecTest.cpp
@@ -112,5 +112,46 @@
         EXPECT_FALSE(findings.empty());
     }
 
+    TEST_F(ConfigCodecTest, ReadsWhenAServersLifeBegan)
+    {
+        Findings findings;
+        const auto with = [&](const std::string& born) {
+            return codec_.server("i-1",
+                R"({"backend":"h","address":"10.0.0.1:80","zone":"a","slots":4,"state":"ready")" + born + "}",
+                findings);
+        };
+        EXPECT_EQ(with("")->startedAt, 0U);
+        EXPECT_EQ(with(R"(,"born":1774825920123)")->startedAt, 1774825920123U);
+        EXPECT_TRUE(findings.empty());
+        for (const char* foreign : { R"(,"born":"1774825920123")", R"(,"born":1774825920.5)", R"(,"born":-1)",
+                 R"(,"born":[])", R"(,"born":1e300)" }) {
+            EXPECT_FALSE(with(foreign)) << foreign;
+        }
+        EXPECT_EQ(findings.size(), 5U);
+    }
+
+    // Symptom: the process ends, or a server that nobody runs gets requests.
+    // Events: another writer's entry has fields missing, of another type, unknown words, or is no text at all.
+    // Cause: it was taken for what it is not.
+    TEST_F(ConfigCodecTest, AnEntryOfAnotherWriterNamesNoServer)
+    {
+        const json sound = json::parse(
+            R"({"backend":"h","address":"10.0.0.1:80","zone":"a","slots":4,"state":"ready","born":1774825920123})");
+        Findings findings;
+        ASSERT_TRUE(codec_.server("i-1", sound.dump(), findings));
+        for (const char* field : { "backend", "address", "zone", "slots", "state" }) {
+            json missing = sound;
+            missing.erase(field);
+            EXPECT_FALSE(codec_.server("i-1", missing.dump(), findings)) << field;
+            json other = sound;
+            other[field] = json::array({ 1 });
+            EXPECT_FALSE(codec_.server("i-1", other.dump(), findings)) << field;
+        }
+        for (const std::string& bytes : { std::string("\xff\xfe\0{", 4), std::string("[]"), std::string("{") }) {
+            EXPECT_FALSE(codec_.server("i-1", bytes, findings));
+        }
+        EXPECT_FALSE(toText(findings).empty());
+    }
+
 } // namespace
 } // namespace swiftlift::platform
--- a/tests/routing/BackendTableTest.cpp
+++ b/tests/routing/BackendTableTest.cpp
@@ -53,6 +53,33 @@
         EXPECT_EQ(view(1).state, BackendState::SlowStart);
     }
 
+    // Symptom: a server that has just started gets nothing for half a minute.
+    // Events: it crashes; requests fail until its breaker opens; it starts again under its id, which the list tells.
+    // Cause: breaker, load and cache were those of its former life.
+    TEST_F(BackendTableTest, ANewLifeUnderTheSameIdStartsAnew)
+    {
+        const ServiceName service = drafts;
+        const auto tell = [&](std::uint64_t life, std::uint32_t slots) {
+            table_.setBackends(service, { { engine(1), home, slots, life } }, now_);
+        };
+        tell(100, 4);
+        const AttemptId lost = dispatch(1);
+        for (int failure = 0; failure < 3; ++failure) {
+            finish(1, dispatch(1), EndKind::Broken);
+        }
+        EXPECT_FALSE(view(1).usable);
+        tell(100, 4);
+        EXPECT_FALSE(view(1).usable) << "the same life, told again";
+        tell(200, 6);
+        EXPECT_TRUE(view(1).usable);
+        EXPECT_EQ(view(1).inFlight, 0U) << "what ran there is lost";
+        EXPECT_EQ(view(1).slots, 6U);
+        finish(1, lost, EndKind::Broken);
+        EXPECT_EQ(view(1).inFlight, 0U);
+        tell(100, 4);
+        EXPECT_EQ(view(1).slots, 6U) << "a late word of the former life";
+    }
+
     TEST_F(BackendTableTest, TheFirstSignOfLeavingCountsWhereverItComesFrom)
     {
         add(2);
