Send a prompt to the second home of its prefix when the first has much to read

Ruled out: the mean load of the engines (45% of their reading at 1.8 times the usual), the VMs (219 ms at p90 of one VM only). Change: a backend server's view tells what it still has to read of the prompts this router sent it; the next engine in the prefix's order is taken where its unread prompts, the shared part and 10 ms are less than that.

--- a/include/swiftlift/routing/BackendTable.h
+++ b/include/swiftlift/routing/BackendTable.h
@@ -68,6 +68,10 @@
     /** Prompt tokens expected in its cache, for the request asked about. */
     Tokens cachedTokens;
     Duration predictedFirstToken {};
+    /** What it still has to read of the prompts that this router has sent it and that have no answer yet. */
+    Duration unread {};
+    /** What it takes to read the shared part of the request asked about, where it is not cached. */
+    Duration sharedPart {};
     /** Mean of how far first tokens were from what their choice predicted. */
     Duration predictionError {};
     /** False when nothing may be sent to it now. */
@@ -89,6 +93,8 @@
     std::string model;
     std::uint64_t prefixHash = 0;
     Tokens promptTokens;
+    /** Of the prompt, what other requests share and a home of the prefix has cached. */
+    Tokens sharedTokens = {};
 };
 
 /**
--- a/include/swiftlift/routing/Selector.h
+++ b/include/swiftlift/routing/Selector.h
@@ -54,6 +54,8 @@
     std::vector<Alternative> alternatives;
     /** The breaker's one probe. */
     bool probe = false;
+    /** The shared part of the prompt is taken not to be cached there: it has to be read as well. */
+    bool readsShared = false;
 };
 
 enum class NoChoice : std::uint8_t {
--- a/src/node/PassagesDispatch.cpp
+++ b/src/node/PassagesDispatch.cpp
@@ -185,8 +185,9 @@
     passage.domain = server->domain;
     ++passage.offers;
     byAttempt_[passage.attempt] = passage.id;
-    const auto& own = passage.facts.prefix;
-    const Tokens toRead = own.empty() ? passage.facts.promptTokens : own.back().tokens;
+    const auto& parts = passage.facts.prefix;
+    const Tokens own = parts.empty() ? passage.facts.promptTokens : parts.back().tokens;
+    const Tokens toRead = own + (choice.readsShared ? internal::sharedTokens(parts) : Tokens {});
     backends_.onDispatched(choice.backend, passage.attempt, { 0, toRead, choice.predictedFirstToken }, context_.now());
     context_.log(Line("route")
                      .with("request", passage.facts.id)
--- a/src/routing/Backend.cpp
+++ b/src/routing/Backend.cpp
@@ -43,6 +43,7 @@
     entry_.slots = entry.slots;
     load_ = LoadEstimate(settings_, entry.slots);
     sent_.clear();
+    unread_ = Tokens {};
     generation_.reset();
     reported_ = false;
     missed_ = false;
@@ -107,6 +108,7 @@
 {
     const Tokens uncached = facts.promptTokens - cache_.expected(facts.prefixHash, facts.promptTokens);
     sent_[attempt] = Sent { facts, now, uncached, predict(uncached, now), load_.now(now).waiting > 0 };
+    unread_ += uncached;
     load_.onDispatched(attempt, now);
     breaker_.onDispatched(attempt, now);
 }
@@ -118,6 +120,7 @@
         return;
     }
     Sent& sent = found->second;
+    noteRead(sent);
     sent.answered = true;
     breaker_.onSuccess(now);
     const Duration took = now - sent.at;
@@ -131,6 +134,13 @@
     predictionError_ += (error - predictionError_) / offsetSmoothing;
 }
 
+void Backend::noteRead(const Sent& sent)
+{
+    if (!sent.answered) {
+        unread_ -= sent.uncached;
+    }
+}
+
 void Backend::onFinished(AttemptId attempt, const FinishFacts& facts, Instant now)
 {
     const auto found = sent_.find(attempt);
@@ -138,6 +148,7 @@
         return;
     }
     const Sent sent = found->second;
+    noteRead(sent);
     sent_.erase(found);
     (void)load_.onFinished(attempt, facts.kind == EndKind::Completed, now);
     if (facts.kind == EndKind::Completed && facts.promptTokens > Tokens {}) {
@@ -250,6 +261,8 @@
     view.slots = load_.slots();
     view.cachedTokens = cache_.expected(request.prefixHash, request.promptTokens);
     view.predictedFirstToken = predict(request.promptTokens - view.cachedTokens, now) + offset(now);
+    view.unread = prefill_->cost(unread_);
+    view.sharedPart = prefill_->cost(request.sharedTokens);
     view.predictionError = predictionError_;
     view.usable = usable(now);
     view.lastResort = lastResort(now);
--- a/src/routing/Backend.h
+++ b/src/routing/Backend.h
@@ -54,6 +54,8 @@
     };
 
     void startAnew(Instant now);
+    /** Its prompt is read, or never will be. */
+    void noteRead(const Sent& sent);
     void noteLeaving(const LoadReport& report, Instant now);
     void noteEnd(AttemptId attempt, const FinishFacts& facts, Instant now);
     [[nodiscard]] BackendState state(Instant now) const;
@@ -71,6 +73,8 @@
     PrefixCache cache_;
     Breaker breaker_;
     std::map<AttemptId, Sent> sent_;
+    /** Sum over `sent_` of what has no answer yet. */
+    Tokens unread_;
     std::set<std::string> models_;
     bool reported_ = false;
     std::optional<std::uint64_t> generation_;
--- a/src/routing/RendezvousSelector.cpp
+++ b/src/routing/RendezvousSelector.cpp
@@ -1,6 +1,7 @@
 #include "routing/RendezvousSelector.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <utility>
@@ -18,6 +19,10 @@
      * a ms, against 1 to 3 ms there and back and the bytes in between. */
     constexpr Tokens longPrefix { 2'000 };
 
+    /** A second home has to be quicker by this much: a few steps of an engine, so that homes don't change for nothing.
+     */
+    constexpr Duration leastGain = std::chrono::milliseconds(10);
+
     /** Finalizer of SplitMix64: every bit of the input moves every bit of the result. */
     [[nodiscard]] std::uint64_t mix(std::uint64_t value) noexcept
     {
@@ -60,25 +65,56 @@
     }
     const auto count = static_cast<std::uint32_t>(candidates.size());
     const std::uint32_t bound = std::max(leastBound, boundFactor * (inFlight + count) / count);
-    const BackendView* best = nullptr;
-    const BackendView* home = nullptr;
-    std::uint64_t bestRank = 0;
+    const Ranked ranked = rank(request, candidates, bound);
+    if (ranked.first == nullptr) {
+        return leastLoaded(candidates);
+    }
+    if (ranked.second != nullptr && quicker(*ranked.second, *ranked.first)) {
+        Choice choice = choiceOf(*ranked.second, "second home: the first has much to read");
+        choice.readsShared = true;
+        return choice;
+    }
+    const bool isHome = ranked.first == ranked.home;
+    Choice choice = choiceOf(*ranked.first, isHome ? "home of the prefix" : "next to the prefix's busy home");
+    choice.readsShared = !isHome;
+    return choice;
+}
+
+RendezvousSelector::Ranked RendezvousSelector::rank(
+    const SelectRequest& request, const std::vector<BackendView>& candidates, std::uint32_t bound)
+{
+    Ranked ranked;
     std::uint64_t homeRank = 0;
+    std::uint64_t firstRank = 0;
+    std::uint64_t secondRank = 0;
     for (const BackendView& view : candidates) {
         const std::uint64_t rank = mix(request.prefixHash ^ mix(hashOf(view.backend.value())));
-        if (home == nullptr || rank > homeRank) {
-            home = &view;
+        if (ranked.home == nullptr || rank > homeRank) {
+            ranked.home = &view;
             homeRank = rank;
         }
-        if (view.inFlight < bound && (best == nullptr || rank > bestRank)) {
-            best = &view;
-            bestRank = rank;
+        if (view.inFlight >= bound) {
+            continue;
+        }
+        if (ranked.first == nullptr || rank > firstRank) {
+            ranked.second = ranked.first;
+            secondRank = firstRank;
+            ranked.first = &view;
+            firstRank = rank;
+        } else if (ranked.second == nullptr || rank > secondRank) {
+            ranked.second = &view;
+            secondRank = rank;
         }
     }
-    if (best == nullptr) {
-        return leastLoaded(candidates);
-    }
-    return choiceOf(*best, best == home ? "home of the prefix" : "next to the prefix's busy home");
+    return ranked;
+}
+
+// What goes wrong otherwise: one prompt of 40,000 tokens, or a few in a row, keep an engine reading for a quarter of a
+// second, and each prompt whose home it is waits behind them. One notices by first events that come later than
+// predicted at homes of prefixes while other engines are quick. Reading the shared part once more is a known cost.
+bool RendezvousSelector::quicker(const BackendView& second, const BackendView& first) noexcept
+{
+    return second.unread + second.sharedPart + leastGain < first.unread;
 }
 
 Choice RendezvousSelector::leastLoaded(const std::vector<BackendView>& candidates)
--- a/src/routing/RendezvousSelector.h
+++ b/src/routing/RendezvousSelector.h
@@ -26,6 +26,18 @@
 private:
     [[nodiscard]] Choice pick(const SelectRequest& request, const std::vector<BackendView>& candidates) override;
     [[nodiscard]] bool spansDomains(const SelectRequest& request) const override;
+    /** Engines in the prefix's order; null where there is none. */
+    struct Ranked {
+        /** Of all. */
+        const BackendView* home = nullptr;
+        /** Of those that are not passed over. */
+        const BackendView* first = nullptr;
+        const BackendView* second = nullptr;
+    };
+
+    [[nodiscard]] static Ranked rank(
+        const SelectRequest& request, const std::vector<BackendView>& candidates, std::uint32_t bound);
+    [[nodiscard]] static bool quicker(const BackendView& second, const BackendView& first) noexcept;
     [[nodiscard]] Choice leastLoaded(const std::vector<BackendView>& candidates);
 };
 
--- a/src/routing/Selector.cpp
+++ b/src/routing/Selector.cpp
@@ -37,7 +37,7 @@
 
 std::optional<Choice> Selector::choose(const SelectRequest& request, const BackendTable& table, Instant now)
 {
-    const ViewRequest wanted { request.model, request.prefixHash, request.promptTokens };
+    const ViewRequest wanted { request.model, request.prefixHash, request.promptTokens, request.sharedTokens };
     Sorted sorted = sort(request, table.views(request.service, wanted, now));
     if (std::optional<Choice> choice = probe(request, sorted)) {
         return choice;
--- a/tests/routing/RendezvousSelectorTest.cpp
+++ b/tests/routing/RendezvousSelectorTest.cpp
@@ -89,6 +89,44 @@
     // hundred cached tokens.
     // Events: requests share 200 to 600 tokens each; their home is in another domain.
     // Cause: a prefix had one home in the whole fleet, however short it was.
+    // Symptom: in a flood first events come a quarter of a second late at homes of prefixes, while other engines are
+    // quick. Events: prompts of ten thousand tokens come to a prefix's home, one right after the other. Cause: an
+    // engine was judged by how many requests it has, not by what it still has to read.
+    TEST_F(RendezvousSelectorTest, HomeThatHasMuchToReadIsPassedOverUntilItHasRead)
+    {
+        add(10);
+        const auto selector = router(1, home);
+        const BackendId first = choose(*selector, 5);
+        const auto reads = [&](const BackendId& backend) {
+            const AttemptId attempt { ++lastAttempt_ };
+            table_.onDispatched(backend, attempt, { 0, Tokens { 10'000 }, {} }, now_);
+            return attempt;
+        };
+        const AttemptId reading = reads(first);
+        const Choice second = selector->choose(about(5), table_, now_).value();
+        EXPECT_NE(second.backend, first);
+        EXPECT_TRUE(second.readsShared);
+        EXPECT_EQ(choose(*selector, 5), second.backend) << "always the same second home, so that it has the prefix";
+        const AttemptId there = reads(second.backend);
+        EXPECT_EQ(choose(*selector, 5), first) << "where both have as much to read, the shared part decides";
+        table_.onFirstToken(first, reading, now_);
+        EXPECT_EQ(choose(*selector, 5), first);
+        table_.onFinished(second.backend, there, { EndKind::Cancelled, {}, {} }, now_);
+        EXPECT_EQ(choose(*selector, 5), first);
+    }
+
+    // Symptom: a prefix is read again by engine after engine, though its home is a moment away from free.
+    // Events: the home has one short prompt to read.
+    // Cause: any difference moved a request.
+    TEST_F(RendezvousSelectorTest, AShortWaitAtHomeIsCheaperThanReadingAgain)
+    {
+        add(10);
+        const auto selector = router(1, home);
+        const BackendId first = choose(*selector, 5);
+        table_.onDispatched(first, AttemptId { ++lastAttempt_ }, { 0, Tokens { 4'000 }, {} }, now_);
+        EXPECT_EQ(choose(*selector, 5), first);
+    }
+
     TEST_F(RendezvousSelectorTest, ShortPrefixHasAHomeInEachDomain)
     {
         add(10, 10);
