Hold at most half of what a budget still lasts

Change: the holder measures what all routers bill; watermarks shrink so that a router holds at most half of the time that the budget lasts, unheld and held here.

--- a/include/swiftlift/ledger/Holder.h
+++ b/include/swiftlift/ledger/Holder.h
@@ -47,6 +47,8 @@
 struct Surroundings {
     bool logReachable = false;
     bool stopping = false;
+    /** The fold has reached the log's end: what it reads from now on is news. */
+    bool caughtUp = true;
     /** Routers that live, this one included. */
     std::uint32_t routers = 1;
     /** Incarnation to name as witness, when there is one. */
--- a/include/swiftlift/ledger/HoldingPolicy.h
+++ b/include/swiftlift/ledger/HoldingPolicy.h
@@ -40,6 +40,8 @@
     std::optional<Weighting> weighting;
     /** Tokens per second reserved here of late. */
     double demand = 0;
+    /** Tokens per second that all routers have billed of late, as far as the fold is read; zero: not known. */
+    double fleetRate = 0;
     /** Largest recent request. */
     Tokens largest;
     /** Largest request that waits for money now; zero when none does. */
--- a/src/ledger/HolderBook.h
+++ b/src/ledger/HolderBook.h
@@ -90,6 +90,7 @@
     void on(const Refused&, MoneyActions&) { }
     void ownDrawDecided(const DrawDecided& effect, MoneyActions& actions);
     void otherDrawDecided(const DrawDecided& effect, MoneyActions& actions);
+    void noteBilled(const BillDecided& effect);
     void borrowedBillDecided(const BillDecided& effect, MoneyActions& actions);
     void forgetGrant(std::uint32_t number);
     void retire(std::string reason, MoneyActions& actions);
--- a/src/ledger/HolderDesk.h
+++ b/src/ledger/HolderDesk.h
@@ -23,6 +23,8 @@
     /** A share of the budget is to be held before there is demand. */
     bool stocked = false;
     HolderDemand demand;
+    /** What all routers bill. */
+    HolderDemand billed;
     HolderWants wants;
     /** The draw in flight; at most one (H1). */
     std::optional<GrantId> drawing;
--- a/src/ledger/HolderEffects.cpp
+++ b/src/ledger/HolderEffects.cpp
@@ -93,6 +93,7 @@
 
 void HolderBook::on(const BillDecided& effect, MoneyActions& actions)
 {
+    noteBilled(effect);
     if (effect.grant.holder != self_) {
         if (author_ == self_)
             borrowedBillDecided(effect, actions);
@@ -112,6 +113,17 @@
     work(grant.budget(), deskOf(grant.budget()), actions);
 }
 
+// A router that starts reads the bills of minutes within a moment: noted, they would pass for a flood.
+void HolderBook::noteBilled(const BillDecided& effect)
+{
+    if (!effect.counted || !surroundings_.caughtUp)
+        return;
+    const auto grant = fold_->grant(effect.grant);
+    const auto desk = grant ? desks_.find(grant->budget) : desks_.end();
+    if (desk != desks_.end())
+        desk->second.billed.note(effect.tokens, now_);
+}
+
 void HolderBook::borrowedBillDecided(const BillDecided& effect, MoneyActions& actions)
 {
     for (auto& [number, loan] : loans_) {
--- a/src/ledger/HolderWork.cpp
+++ b/src/ledger/HolderWork.cpp
@@ -57,6 +57,7 @@
     BudgetSituation situation;
     situation.weighting = desk.weighting;
     situation.demand = desk.demand.rate(now_);
+    situation.fleetRate = desk.billed.rate(now_);
     situation.largest = desk.demand.largest(now_);
     situation.need = desk.wants.largest();
     situation.smallestNeed = desk.wants.smallest();
--- a/src/ledger/PolicyDemandGrants.cpp
+++ b/src/ledger/PolicyDemandGrants.cpp
@@ -31,6 +31,9 @@
     /** A signal that money is short takes so long to be read, answered with a return, and read back. */
     constexpr Duration tightReturnPatience = 400ms;
     constexpr std::int64_t wholePercent = 100;
+    /** Of the time that a budget still lasts, a router holds at most this part in advance. Held is what a fleet without
+     * power loses, and what one place keeps from another: of the last 14 s of a budget 13 s were lost so, now 7 s. */
+    constexpr double lastingParts = 2;
 
     Watermarks watermarksOf(Weighting weighting)
     {
@@ -73,15 +76,29 @@
     return Tokens { situation.bought.value() / wholePercent * settings_.stockPercent / routers };
 }
 
+// What goes wrong otherwise: as a budget comes to its end, the same seconds of demand are an ever larger part of what
+// is left of it, until all of it is held somewhere. One notices by refusals with `held` = `bought` while a tenth and
+// more was never billed: lost with routers that died, or at routers whose callers have gone elsewhere.
+double DemandGrantsPolicy::shrunk(const BudgetSituation& situation) const
+{
+    if (!settings_.watermarks || situation.fleetRate <= 0 || situation.demand <= 0)
+        return 1;
+    const double unheld = static_cast<double>(situation.available.value()) / situation.fleetRate;
+    const double heldHere = static_cast<double>(situation.free.value()) / situation.demand;
+    return std::min((unheld + heldHere) / lastingParts / settings_.watermarks->highSeconds, 1.0);
+}
+
 Tokens DemandGrantsPolicy::low(const BudgetSituation& situation) const
 {
-    return std::max(tokensOf(situation.demand, watermarks(situation).lowSeconds), situation.largest);
+    const double seconds = watermarks(situation).lowSeconds * shrunk(situation);
+    return std::max(tokensOf(situation.demand, seconds), situation.largest);
 }
 
 Tokens DemandGrantsPolicy::high(const BudgetSituation& situation) const
 {
     if (settings_.watermarks)
-        return std::max(tokensOf(situation.demand, settings_.watermarks->highSeconds), situation.largest);
+        return std::max(
+            tokensOf(situation.demand, settings_.watermarks->highSeconds * shrunk(situation)), situation.largest);
     return tokensOf(situation.demand, watermarks(situation).highSeconds) + situation.largest;
 }
 
--- a/src/ledger/PolicyDemandGrants.h
+++ b/src/ledger/PolicyDemandGrants.h
@@ -20,6 +20,8 @@
     [[nodiscard]] bool witnessesClose() const override { return settings_.witnessesClose; }
 
 private:
+    /** @return What part of its watermarks a router may hold, from 0 to 1, by how long the budget still lasts. */
+    [[nodiscard]] double shrunk(const BudgetSituation& situation) const;
     [[nodiscard]] Watermarks watermarks(const BudgetSituation& situation) const;
     [[nodiscard]] Tokens stock(const BudgetSituation& situation) const;
     [[nodiscard]] Tokens low(const BudgetSituation& situation) const;
--- a/src/node/ShardLedger.cpp
+++ b/src/node/ShardLedger.cpp
@@ -308,6 +308,7 @@
     ledger::Surroundings surroundings;
     surroundings.logReachable = logInReach();
     surroundings.stopping = stopping;
+    surroundings.caughtUp = caughtUp_;
     // Routers that start together have heard few of the others yet, but the list of VMs is there.
     const auto listed = static_cast<std::uint32_t>(peers_.membership().counts().listed) + 1;
     surroundings.routers = std::max(routers(), listed);
