Wait for a draw only while it is expected, and tell callers at once when it is overdue

Held that long, the caller had no time left to come back. Change: a draw is waited for twice as long as draws took of late (200 to 400 ms), a lender 200 ms. Ruled out: a shorter fixed wait (a draw of a large fleet takes longer, and the wait would end just before it).

--- a/src/ledger/HolderBook.h
+++ b/src/ledger/HolderBook.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -76,6 +77,8 @@
         const BudgetRef& budget, const HolderDesk& desk, RequestKey key, Tokens amount) const;
     [[nodiscard]] bool mayStillCome(
         const BudgetRef& budget, const HolderDesk& desk, RequestKey key, Tokens amount) const;
+    /** @return How long after its emission a draw is waited for. */
+    [[nodiscard]] Duration drawPatience() const;
     [[nodiscard]] bool isExhausted(const BudgetRef& budget, Tokens amount) const;
     void settleLoan(const Reservation& reservation, Tokens actual, MoneyActions& actions);
     void settleGrant(const Reservation& reservation, Tokens actual, MoneyActions& actions);
@@ -144,6 +147,8 @@
     const Fold* fold_;
     Instant now_ {};
     Surroundings surroundings_;
+    /** How long draws take of late, from emission until they are read back. */
+    Duration drawTook_ = std::chrono::milliseconds(100);
     /** Since when the log has been out of reach. */
     std::optional<Instant> logLostAt_;
     /** Since when there have been requests. */
--- a/src/ledger/HolderEffects.cpp
+++ b/src/ledger/HolderEffects.cpp
@@ -11,6 +11,8 @@
 
     /** How long another holder's shortage is answered with what is not needed here. */
     constexpr Duration shortageMemory = 2s;
+    /** Weight of a new sample of how long draws take: one in four. */
+    constexpr int drawSmoothing = 4;
 
 } // namespace
 
@@ -42,6 +44,7 @@
     if (grant == grants_.end() || grant->second.state() != HolderGrantState::Drawing)
         return;
     HolderDesk& desk = deskOf(effect.budget);
+    drawTook_ += (now_ - desk.drawingSince - drawTook_) / drawSmoothing;
     desk.drawing.reset();
     if (effect.admitted == Tokens {}) {
         forgetGrant(effect.grant.number);
--- a/src/ledger/HolderRequests.cpp
+++ b/src/ledger/HolderRequests.cpp
@@ -12,6 +12,12 @@
     /** How long a request waits for what others may give back, or for a draw, before it is told no. */
     constexpr Duration patience = 2s;
     constexpr Duration retrySoon = 100ms;
+    /** A draw that takes this many times as long as they did of late is not waited for. */
+    constexpr int overdueFactor = 2;
+    /** An append that gathers company, and its way back through the log, on a quiet day. */
+    constexpr Duration leastDrawPatience = 200ms;
+    /** Twice the shortest objective of a stream: later, most callers would have their answer late anyway. */
+    constexpr Duration mostDrawPatience = 400ms;
     constexpr Duration retryElsewhere = 1s;
     constexpr Duration retryOutage = 2s;
     constexpr Duration retryExhausted = 10s;
@@ -134,13 +140,21 @@
         return true;
     if (!surroundings_.logReachable || now_ - desk.wants.since(key, now_) > patience)
         return false;
-    const bool drawCovers = desk.drawing && desk.drawingWanted >= amount;
+    const bool drawCovers = desk.drawing && desk.drawingWanted >= amount && now_ - desk.drawingSince <= drawPatience();
     // Whoever can give back does so as soon as it reads the signal. A second of waiting for it, and a caller with
     // little time is held to its deadline for nothing.
     const bool othersWereTold = desk.signalledAt && now_ - *desk.signalledAt < policy_->returnPatience();
     return drawCovers || othersWereTold;
 }
 
+// What goes wrong otherwise: while the log is slow, or behind with bills, each request waits for a draw as long as its
+// caller may be held, and is refused then, its time used up. One notices by refusals that all come after the same time.
+// Whoever comes while a draw is overdue is told at once, with when to come back.
+Duration HolderBook::drawPatience() const
+{
+    return std::clamp(drawTook_ * overdueFactor, leastDrawPatience, mostDrawPatience);
+}
+
 bool HolderBook::isExhausted(const BudgetRef& budget, Tokens amount) const
 {
     const std::optional<BudgetView> view = fold_->budget(budget);
--- a/src/ledger/LoanBorrowing.cpp
+++ b/src/ledger/LoanBorrowing.cpp
@@ -14,6 +14,8 @@
     /** The next lender is asked beside one that has not answered for this long: a hundred round trips of a region, and
      * still a tenth of what callers wait at most when money is short. */
     constexpr Duration slowLender = 60ms;
+    /** A request waits this long for a lender's answer: two rounds of asking, each repeated once. */
+    constexpr Duration answerPatience = 200ms;
     /** A loan that was not used for this long goes back. */
     constexpr Duration idleLoan = 3s;
     /** Before lenders that all had nothing are asked again. */
@@ -104,8 +106,10 @@
 
 bool HolderBook::loanAsked(const HolderDesk& desk) const
 {
-    return std::ranges::any_of(
-        desk.loans, [&](std::uint64_t number) { return loans_.at(number).state() == LoanState::Asked; });
+    return std::ranges::any_of(desk.loans, [&](std::uint64_t number) {
+        const LoanBorrowed& loan = loans_.at(number);
+        return loan.state() == LoanState::Asked && now_ - loan.since() < answerPatience;
+    });
 }
 
 bool HolderBook::askedJustNow(const HolderDesk& desk) const
--- a/tests/ledger/HolderTest.cpp
+++ b/tests/ledger/HolderTest.cpp
@@ -251,6 +251,25 @@
     EXPECT_LT(lastEntry<Draw>()->wanted, tokens(100'000));
 }
 
+// Symptom: after an outage a hundred callers are each held for 600 ms and refused then.
+// Events: a draw stands behind the bills of the outage and is not read back for a second.
+// Cause: every request waited for it, however late it was already.
+TEST_F(HolderTest, AnOverdueDrawIsNotWaitedFor)
+{
+    startSealOnly(10'000'000);
+    EXPECT_FALSE(reserve(1, 100));
+    EXPECT_TRUE(lastShortage.pending);
+    pass(std::chrono::milliseconds { 150 });
+    EXPECT_FALSE(reserve(2, 100));
+    EXPECT_TRUE(lastShortage.pending);
+    pass(std::chrono::milliseconds { 100 });
+    EXPECT_FALSE(reserve(3, 100));
+    EXPECT_FALSE(lastShortage.pending) << "twice as late as draws usually are";
+    land();
+    acknowledge();
+    EXPECT_TRUE(reserve(4, 100));
+}
+
 // Symptom: a router that has a hundred requests in line falls behind with the ledger, and refuses them all.
 // Events: each of them asks again with each bill that is read.
 // Cause: each repeat did the whole work of the budget, over all that waits.
