Name no witness that is silent, and count what it holds up as held

Ruled out: demand (50 thousand tokens a second, as routed), requests in line (fewer than ten). Change: a draw ahead of need counts all that is held; a witness that is silent for 500 ms is not named for 3 s, and its grants change to no witness, which makes them spendable. A test fails without it.

--- a/src/ledger/HolderBook.h
+++ b/src/ledger/HolderBook.h
@@ -108,6 +108,10 @@
     [[nodiscard]] bool secure(const LoanBorrowed& loan) const;
     void replaceAlone(const HolderDesk& desk, MoneyActions& actions);
     void raiseCeiling(HolderGrant& grant, Tokens headRoom, Tokens waiting);
+    /** @return Whom to name as witness now; nobody when there is none, or it doesn't answer. */
+    [[nodiscard]] Incarnation witnessToName() const;
+    /** Notes a witness that doesn't answer. */
+    void noteSilence(const HolderGrant& grant);
     void moveWitness(HolderGrant& grant, Tokens headRoom, MoneyActions& actions);
     [[nodiscard]] bool witnessSilent(const HolderGrant& grant, Duration patience) const;
     [[nodiscard]] bool raisePending(const HolderDesk& desk, Tokens amount) const;
@@ -147,6 +151,9 @@
     const Fold* fold_;
     Instant now_ {};
     Surroundings surroundings_;
+    /** A witness that did not answer, and until when it is not named again. */
+    Incarnation silentWitness_;
+    Instant silentUntil_ {};
     /** How long draws take of late, from emission until they are read back. */
     Duration drawTook_ = std::chrono::milliseconds(100);
     /** Since when the log has been out of reach. */
--- a/src/ledger/HolderCeilings.cpp
+++ b/src/ledger/HolderCeilings.cpp
@@ -17,6 +17,9 @@
     constexpr Duration outagePatience = 1s;
     /** After this long without an answer another witness is named. */
     constexpr Duration changePatience = 1s;
+    /** A witness that was silent is named again after this long: by then it has read what it lacked, or is suspected.
+     */
+    constexpr Duration silencePause = 3s;
     /** Another witness has to be the better one for this long before one that answers is replaced. */
     constexpr Duration settledWitness = 3s;
 
@@ -67,7 +70,8 @@
 // H6: the change states the ceiling that holds until it is read back.
 void HolderBook::moveWitness(HolderGrant& grant, Tokens headRoom, MoneyActions& actions)
 {
-    const Incarnation better = surroundings_.witness.value_or(nobody);
+    noteSilence(grant);
+    const Incarnation better = witnessToName();
     if (!policy_->witnessed() || !surroundings_.logReachable || leaving())
         return;
     if (!grant.isOpen() || grant.changingWitness() || grant.alone() || better == grant.witness())
@@ -80,6 +84,24 @@
     actions.emplace_back(AppendEntry { ChangeWitness { grant.id(), better, ceiling } });
 }
 
+// What goes wrong otherwise: after an outage a witness that is slow to read the log knows none of the new grants and
+// stays silent. Each draw names it again, nothing of it may be spent, and the next draw takes half of what is left. One
+// notices by grants in quick succession of which nothing is billed, and by refusals beside them. A grant without a
+// witness is spendable as soon as it is read; it is lost with its holder, which is the smaller loss.
+void HolderBook::noteSilence(const HolderGrant& grant)
+{
+    if (grant.witness() == nobody || !grant.isOpen() || !witnessSilent(grant, answerPatience))
+        return;
+    silentWitness_ = grant.witness();
+    silentUntil_ = now_ + silencePause;
+}
+
+Incarnation HolderBook::witnessToName() const
+{
+    const Incarnation witness = surroundings_.witness.value_or(nobody);
+    return witness == silentWitness_ && now_ < silentUntil_ ? nobody : witness;
+}
+
 bool HolderBook::inOutage() const { return logLostAt_ && now_ - *logLostAt_ >= outagePatience; }
 
 // What goes wrong: a request is accepted on a grant whose witness can't be asked, and its bill finds the grant closed:
@@ -139,6 +161,8 @@
     Incarnation from, const std::vector<Ceiling>& ceilings, Instant now, MoneyActions& actions)
 {
     now_ = now;
+    if (from == silentWitness_)
+        silentUntil_ = now;
     for (const Ceiling& acked : ceilings) {
         const auto found = grants_.find(acked.grant.number);
         if (acked.grant.holder != self_ || found == grants_.end())
--- a/src/ledger/HolderWork.cpp
+++ b/src/ledger/HolderWork.cpp
@@ -123,7 +123,7 @@
     desk.drawingSince = now_;
     desk.grants.push_back(id.number);
     grants_.try_emplace(id.number, id, budget);
-    const Incarnation witness = policy_->witnessed() ? surroundings_.witness.value_or(nobody) : nobody;
+    const Incarnation witness = policy_->witnessed() ? witnessToName() : nobody;
     actions.emplace_back(AppendEntry { Draw { id, budget, decision->wanted, decision->least, witness } });
 }
 
--- a/src/ledger/PolicyDemandGrants.cpp
+++ b/src/ledger/PolicyDemandGrants.cpp
@@ -108,8 +108,9 @@
         = situation.need > none && (situation.largestFree < situation.need || situation.free < situation.waiting);
     const std::int64_t parts = settings_.watermarks ? tightShareDivisor : shareDivisor * situation.sharers;
     const Tokens share { situation.available.value() / parts };
-    const Tokens ahead
-        = situation.cautious ? none : std::min(high(situation) + situation.waiting - situation.free, share);
+    // What a silent witness holds up is held all the same: drawn for once more, it is half of what is left each time.
+    const Tokens held = std::max(situation.free, situation.remainder);
+    const Tokens ahead = situation.cautious ? none : std::min(high(situation) + situation.waiting - held, share);
     if (isShort) {
         const Tokens inHand = std::max(situation.need, situation.waiting - situation.free);
         return DrawDecision { std::max(inHand, ahead), situation.smallestNeed };
--- a/tests/ledger/HolderTest.cpp
+++ b/tests/ledger/HolderTest.cpp
@@ -251,6 +251,31 @@
     EXPECT_LT(lastEntry<Draw>()->wanted, tokens(100'000));
 }
 
+// Symptom: in a few seconds after an outage one router draws half of a budget, half of the rest, and so on, and refuses
+// its callers all the while.
+// Events: the witness reads the log late and answers no raise; requests wait.
+// Cause: what the witness held up did not count as held, and each new grant named the same witness.
+TEST_F(HolderTest, ASilentWitnessIsNoReasonToDrawTheBudget)
+{
+    PolicySettings figures;
+    figures.witnessesClose = false;
+    figures.watermarks = Watermarks { 8, 10 };
+    start(10'000'000, "grants", figures);
+    surroundings.witness = bob;
+    pass(std::chrono::seconds { 4 });
+    std::uint64_t key = 0;
+    int served = 0;
+    for (int step = 0; step < 40; ++step) {
+        pass(std::chrono::milliseconds { 50 });
+        served += reserve(++key, 1'000) ? 1 : 0;
+        land();
+    }
+    const auto view = fold.budget(budget);
+    ASSERT_TRUE(view);
+    EXPECT_LT(view->held, tokens(2'000'000)) << "20,000 tokens a second are asked for";
+    EXPECT_GT(served, 15) << "once the witness is known to be silent, grants name nobody";
+}
+
 // Symptom: after an outage a hundred callers are each held for 600 ms and refused then.
 // Events: a draw stands behind the bills of the outage and is not read back for a second.
 // Cause: every request waited for it, however late it was already.
