Say 404 and 401 only by a configuration that is surely the newest

Ruled out: the other VMs (in force within 2 s), the store. Change: a read of the configuration that comes back confirms it, also when it brings nothing; where none has for 1.5 s, what the configuration doesn't know is refused with 503 and a time to come back, as not run.

--- a/src/node/FleetBook.cpp
+++ b/src/node/FleetBook.cpp
@@ -83,6 +83,7 @@
         takeVms(records);
         return;
     }
+    confirmedAt_ = context_.now();
     for (const KeyedRecord& record : records.records) {
         if (record.key == internal::configKey && record.value) {
             takeConfig(record.offset, *record.value, "log");
@@ -90,6 +91,11 @@
     }
 }
 
+// What goes wrong otherwise: a VM whose processor or link is full reads no configuration for half a minute, and goes on
+// telling callers that their routes and keys don't exist. One notices by 404 and 401 with an old version in their
+// lines.
+bool FleetBook::confirmed() const { return confirmedAt_ && context_.now() - *confirmedAt_ < confirmationLifetime; }
+
 void FleetBook::takeConfig(Offset offset, const std::string& text, const char* source)
 {
     Findings findings;
--- a/src/node/FleetBook.h
+++ b/src/node/FleetBook.h
@@ -58,6 +58,8 @@
 
     /** @return The configuration in force; null before any has been read. Stays valid for requests that hold it. */
     [[nodiscard]] const RouteTablePtr& routes() const noexcept { return routes_; }
+    /** @return True when the configuration in force was the newest a moment ago, by the log's own word. */
+    [[nodiscard]] bool confirmed() const;
     /** @return True when the backend servers have been read once. */
     [[nodiscard]] bool serversKnown() const noexcept { return serversKnown_; }
     /** @return The backend server; null when it is not registered any more. */
@@ -70,6 +72,8 @@
     [[nodiscard]] static const StreamName& vmStream();
 
 private:
+    /** An accepted configuration has to be in force within 2 s; a waiting read comes back within one. */
+    static constexpr Duration confirmationLifetime = std::chrono::milliseconds(1500);
     /** Backend servers tell the log that they live every second or so, and each record answers a waiting read. */
     static constexpr Duration serverReadPause = std::chrono::milliseconds(250);
     static constexpr Duration vmReadPause = std::chrono::seconds(1);
@@ -108,6 +112,8 @@
     FleetListener& listener_;
     RouteTablePtr routes_;
     Offset configOffset_;
+    /** When the configuration's stream was last read to its end. */
+    std::optional<Instant> confirmedAt_;
     std::string configText_;
     std::map<BackendId, fleet::BackendServer> servers_;
     /** When the stream of servers was last read, and a moment at which each server's present life surely ran. */
--- a/src/node/Passages.cpp
+++ b/src/node/Passages.cpp
@@ -69,7 +69,7 @@
 {
     passage.route = passage.table->find(passage.facts.host, passage.facts.path);
     if (passage.route == nullptr) {
-        giveUp(passage, { 404, "no_route", "no route for this host and path", std::nullopt });
+        refuseAsUnknown(passage, { 404, "no_route", "no route for this host and path", std::nullopt });
         return false;
     }
     const fleet::Route& route = *passage.route;
@@ -90,13 +90,24 @@
     }
     passage.account = passage.table->accountOf(passage.facts.key);
     if (passage.account == nullptr) {
-        giveUp(passage, { 401, "bad_key", "no account has this key", std::nullopt });
+        refuseAsUnknown(passage, { 401, "bad_key", "no account has this key", std::nullopt });
         return false;
     }
     passage.urgency = passage.account->urgency.value_or(passage.urgency);
     return true;
 }
 
+void Passages::refuseAsUnknown(Passage& passage, const PassageRefusal& why)
+{
+    if (fleet_.confirmed()) {
+        giveUp(passage, why);
+        return;
+    }
+    // Callers don't come back after a 401 or 404, so these are for what is certain.
+    giveUp(
+        passage, { 503, "config_unconfirmed", why.reason + " by a configuration that may be old", defaultRetryAfter });
+}
+
 bool Passages::findService(Passage& passage)
 {
     const ServiceName name = fleet::RouteTable::target(*passage.route, internal::drawOf(passage.facts));
--- a/src/node/Passages.h
+++ b/src/node/Passages.h
@@ -81,6 +81,8 @@
     [[nodiscard]] bool findRoute(Passage& passage);
     [[nodiscard]] bool findAccount(Passage& passage);
     [[nodiscard]] bool findService(Passage& passage);
+    /** Refuses what the configuration doesn't know, if it is known to be the newest. */
+    void refuseAsUnknown(Passage& passage, const PassageRefusal& why);
     void seekMoney(Passage& passage);
     [[nodiscard]] KnownBudget knownOf(const Passage& passage) const;
     [[nodiscard]] BudgetRef budgetOf(const Passage& passage) const;
--- a/tests/node/GatewayTest.cpp
+++ b/tests/node/GatewayTest.cpp
@@ -67,6 +67,25 @@
     // Symptom: an order is placed twice.
     // Events: the server's connection breaks before any answer.
     // Cause: the request was sent to another server, though the first may have run it.
+    // Symptom: callers of a new route are told 404 for half a minute by one VM, long after the others serve it.
+    // Events: a VM is flooded and reads no configuration; a version that adds a route is accepted.
+    // Cause: "there is no such route" was said by a configuration of which nobody knew whether it still held.
+    TEST_F(GatewayTest, UnknownIsSaidOnlyByAConfigurationThatIsSurelyTheNewest)
+    {
+        world.logReachable = false;
+        world.run(seconds(2));
+        const CallId path = world.arrive("/new/x");
+        expectRefused(path, 503, "config_unconfirmed");
+        EXPECT_EQ(world.replyOf(path)->outcome, Outcome::NotRun);
+        EXPECT_TRUE(world.replyOf(path)->retryAfter);
+        expectRefused(world.arrive("/plain/x", 0, 0, seconds(5), "new"), 503, "config_unconfirmed");
+        EXPECT_TRUE(world.orderOf(world.arrive("/plain/x"))) << "what it knows is served";
+        world.logReachable = true;
+        world.run(seconds(2));
+        world.publish([](fleet::FleetConfig&) {});
+        expectRefused(world.arrive("/new/x"), 404, "no_route");
+    }
+
     TEST_F(GatewayTest, WhatRunsOnceIsNeverSentAgainOnceItMayHaveRun)
     {
         const CallId call = world.arrive("/order/x");
--- a/tests/node/GatewayWorld.cpp
+++ b/tests/node/GatewayWorld.cpp
@@ -9,6 +9,7 @@
 namespace {
 
     constexpr Duration tickPeriod = std::chrono::milliseconds(20);
+    constexpr Duration pollWait = std::chrono::seconds(1);
     const StreamName ledgerName { "ledger-0" };
     const StreamName configName { "fleet-config" };
     const StreamName serverName { "backend-servers" };
@@ -164,6 +165,11 @@
         records.records.push_back(ledger_[read_]);
     }
     tell(records);
+    // A read of the configuration that waits for news comes back empty after a while.
+    if (now_ - configReadAt_ >= pollWait) {
+        configReadAt_ = now_;
+        tell(KeyedRecords { configName, {}, false });
+    }
 }
 
 CallId GatewayWorld::arrive(const std::string& path, std::int64_t promptTokens, std::int64_t answerTokens,
--- a/tests/node/GatewayWorld.h
+++ b/tests/node/GatewayWorld.h
@@ -93,6 +93,7 @@
     bool following_ = false;
     std::deque<Event> pending_;
     std::uint64_t keyedOffset_ = 0;
+    Instant configReadAt_ {};
     std::uint64_t lastWritten_ = 0;
     std::uint64_t lastCall_ = 0;
     std::map<CallId, PassOn> orders_;
