Do not wait for lenders after a round of them that brought nothing; account of the rounds begun

Cause: what is said of signals holds for lenders: where the last round of asks brought nothing, each request still waited up to 200 ms for the next one. Change: an ask is made all the same, and what it brings serves those who come then; nobody waits for it.

--- a/src/ledger/HolderDesk.cpp
+++ b/src/ledger/HolderDesk.cpp
@@ -36,6 +36,8 @@
 {
     signalAnswered = true;
     formerSignalInVain = false;
+    loanRoundOver = false;
+    formerRoundInVain = false;
 }
 
 void HolderDesk::print(std::ostream& out) const
@@ -48,7 +50,8 @@
         << drawn << " returned " << (returnedAt ? at(*returnedAt) : -1) << " cautious " << at(cautiousUntil)
         << " others " << othersShort << '@' << at(othersShortUntil) << " signal " << at(nextSignal) << "/"
         << (signalledAt ? at(*signalledAt) : -1) << (signalAnswered ? " answered" : "")
-        << (formerSignalInVain ? " in vain" : "") << " loans " << nextLender << ' ' << loansInVain << '@'
+        << (formerSignalInVain ? " in vain" : "") << (loanRoundOver ? " round over" : "")
+        << (formerRoundInVain ? " lent in vain" : "") << " loans " << nextLender << ' ' << loansInVain << '@'
         << at(nextLoanRound) << " stocked " << stocked;
     for (const auto& [sharer, seen] : sharers)
         out << " sharer " << sharer << '@' << at(seen);
--- a/src/ledger/HolderDesk.h
+++ b/src/ledger/HolderDesk.h
@@ -46,6 +46,9 @@
     /** Money came since the last signal, and none came after the one before it. */
     bool signalAnswered = false;
     bool formerSignalInVain = false;
+    /** All lenders were asked, and no money came since; the same of the round before this one. */
+    bool loanRoundOver = false;
+    bool formerRoundInVain = false;
 
     /** The others are told that money is short here. */
     void signalled(Instant now);
--- a/src/ledger/LoanBorrowing.cpp
+++ b/src/ledger/LoanBorrowing.cpp
@@ -50,8 +50,11 @@
     // neighbours by halves and is refused, while those farther away hold what nobody asks them for.
     const auto count = static_cast<std::uint32_t>(surroundings_.lenders.size());
     const Incarnation lender = surroundings_.lenders.at(desk.nextLender++ % count);
+    if (desk.loansInVain == 0)
+        desk.formerRoundInVain = desk.loanRoundOver;
     if (++desk.loansInVain >= count) {
         desk.loansInVain = 0;
+        desk.loanRoundOver = true;
         desk.nextLoanRound = now_ + roundPause;
     }
     return lender;
@@ -106,6 +109,9 @@
 
 bool HolderBook::loanAsked(const HolderDesk& desk) const
 {
+    // Lenders are asked again every second. Where the last round brought nothing, callers don't wait for this one.
+    if (desk.formerRoundInVain)
+        return false;
     return std::ranges::any_of(desk.loans, [&](std::uint64_t number) {
         const LoanBorrowed& loan = loans_.at(number);
         return loan.state() == LoanState::Asked && now_ - loan.since() < answerPatience;
--- a/tests/ledger/HolderLoanTest.cpp
+++ b/tests/ledger/HolderLoanTest.cpp
@@ -268,4 +268,26 @@
     EXPECT_TRUE(ledger.find(Incarnation { 2000 }, 1));
 }
 
+// Symptom: in a long outage each caller is held for a fifth of a second, and refused.
+// Events: all lenders are asked each second, and none has anything to lend.
+// Cause: an ask in flight was always waited for.
+TEST_F(HolderLoanTest, LendersThatHadNothingAreNotWaitedFor)
+{
+    start(1000);
+    surroundings.logReachable = false;
+    surroundings.lenders = { bob };
+    tick();
+    EXPECT_FALSE(reserve(1, 100));
+    const auto ask = lastOf<SendLoanAsk>();
+    ASSERT_TRUE(ask);
+    EXPECT_TRUE(lastShortage.pending);
+    holder->onLoanDenied(bob, ask->loan, budget, tokens(0), now, actions);
+    holder->withdraw(budget, keyOf(1), now);
+    pass(std::chrono::milliseconds { 1100 });
+    actions.clear();
+    EXPECT_FALSE(reserve(2, 100));
+    EXPECT_TRUE(lastOf<SendLoanAsk>()) << "asked all the same, for those who come later";
+    EXPECT_FALSE(lastShortage.pending);
+}
+
 } // namespace swiftlift::ledger
