--- a/src/node/ShardLedger.h
+++ b/src/node/ShardLedger.h
@@ -53,7 +53,8 @@
 /**
  * @brief One ledger stream as this router sees it: fold, outbox, holder and witness, kept in step.
  *
- * What goes through the log stands in ShardLedger.cpp, what goes between routers in ShardLedgerPeers.cpp.
+ * What is read stands in ShardLedgerReading.cpp, what is appended in ShardLedger.cpp, what goes between routers in
+ * ShardLedgerPeers.cpp.
  */
 class ShardLedger {
 public:
--- /dev/null
+++ b/src/node/ShardLedgerReading.cpp
@@ -0,0 +1,223 @@
+#include <algorithm>
+#include <utility>
+
+#include "node/ShardLedger.h"
+#include "swiftlift/ledger/EntryCodec.h"
+
+namespace swiftlift::node {
+
+namespace internal {
+
+    [[nodiscard]] const char* toText(ledger::GrantState state)
+    {
+        switch (state) {
+        case ledger::GrantState::Open:
+            return "open";
+        case ledger::GrantState::Sealed:
+            return "sealed";
+        case ledger::GrantState::Closed:
+            return "closed";
+        }
+        return "";
+    }
+
+} // namespace internal
+
+void ShardLedger::onCheckpoint(const std::string* record)
+{
+    wantsCheckpoint_ = false;
+    std::string reason;
+    const auto batch = record == nullptr ? std::nullopt : ledger::decodeBatch(*record, reason);
+    if (record != nullptr && !batch) {
+        context_.log(Line("ledger").with("change", "bad_checkpoint").with("reason", reason));
+    }
+    for (const auto& item : batch.value_or(ledger::Batch {}).items) {
+        const auto* checkpoint = std::get_if<ledger::Checkpoint>(&item.entry);
+        if (checkpoint != nullptr && checkpoint->asOf > fold_.nextOffset()) {
+            restoreFrom(*checkpoint, "kept apart");
+            return;
+        }
+    }
+    follow(fold_.nextOffset());
+}
+
+void ShardLedger::onRecords(const LogRecords& records)
+{
+    std::uint64_t offset = records.first.value();
+    for (const auto& record : records.records) {
+        if (seekFrom_) {
+            seekCheckpoint(Offset { offset }, record);
+            if (!seekFrom_) {
+                return;
+            }
+        } else if (offset > fold_.nextOffset().value()) {
+            // A reader that skipped records would fold another state than the others: read again from the gap on.
+            follow(fold_.nextOffset());
+            return;
+        } else if (offset == fold_.nextOffset().value()) {
+            applyRecord(Offset { offset }, record);
+        }
+        ++offset;
+    }
+    const bool endOfLog = records.end && fold_.nextOffset() >= *records.end;
+    const bool endOfPeer = !records.end && records.records.empty() && records.first >= fold_.nextOffset();
+    if (!seekFrom_ && (endOfLog || endOfPeer)) {
+        caughtUp_ = true;
+    }
+}
+
+void ShardLedger::applyRecord(Offset offset, const std::string& record)
+{
+    std::string reason;
+    const auto batch = ledger::decodeBatch(record, reason);
+    std::vector<ledger::Effect> effects;
+    // An unreadable record is one that nobody can read: all readers skip it alike, as an empty batch.
+    if (!fold_.apply(offset, batch.value_or(ledger::Batch {}), effects)) {
+        listener_.onRetired(fold_.lastReason());
+        return;
+    }
+    cache_.add(offset, record);
+    if (!batch) {
+        context_.log(Line("ledger").with("change", "unreadable").with("reason", reason));
+        return;
+    }
+    for (const auto& item : batch->items) {
+        if (const auto* checkpoint = std::get_if<ledger::Checkpoint>(&item.entry)) {
+            checkpoints_.setInterval(checkpointIntervalOf(checkpoint->state.size()));
+            checkpoints_.onSnapshot(context_.now());
+        }
+    }
+    for (const auto& effect : effects) {
+        if (const auto* refused = std::get_if<ledger::Refused>(&effect);
+            refused && refused->origin == context_.self()) {
+            noteRefused(*refused, *batch);
+        }
+        onEffect(effect);
+    }
+}
+
+void ShardLedger::noteRefused(const ledger::Refused& refused, const ledger::Batch& batch)
+{
+    refused_.insert(refused.sequence);
+    const auto item = std::ranges::find_if(batch.items, [&](const ledger::Item& candidate) {
+        return candidate.origin == refused.origin && candidate.sequence == refused.sequence;
+    });
+    const bool found = item != batch.items.end();
+    const auto grant = found ? ledger::grantOf(item->entry) : std::nullopt;
+    context_.log(Line("ledger")
+                     .with("change", "refused")
+                     .with("entry", found ? ledger::kindOf(item->entry) : "")
+                     .with("grant", grant ? toText(*grant) : "")
+                     .with("sequence", static_cast<std::int64_t>(refused.sequence))
+                     .with("reason", refused.reason));
+}
+
+Duration ShardLedger::checkpointIntervalOf(std::size_t bytes) const
+{
+    const Duration fair = std::chrono::seconds(bytes / checkpointBytesPerSecond);
+    return std::clamp(fair, context_.settings().ledger.checkpointInterval, longestCheckpointInterval);
+}
+
+void ShardLedger::onExpired(Offset oldest)
+{
+    // What goes wrong: the log has dropped records this reader has not seen. One notices it by the log's 410. A fold
+    // that went on after the hole would miss bills and grants, and admit money that is spent: so it starts again from a
+    // checkpoint, and this incarnation, whose own items it may have missed, takes on nothing new.
+    if (fold_.nextOffset().value() > 0 && !holeReported_) {
+        holeReported_ = true;
+        listener_.onRetired("records expired before they were read");
+    }
+    context_.log(Line("ledger")
+                     .with("change", "expired")
+                     .with("stream", stream_.value())
+                     .with("oldest", static_cast<std::int64_t>(oldest.value())));
+    caughtUp_ = false;
+    if (checkpointsApart()) {
+        wantsCheckpoint_ = true;
+        return;
+    }
+    seekFrom_ = oldest;
+    follow(oldest);
+}
+
+void ShardLedger::seekCheckpoint(Offset offset, const std::string& record)
+{
+    std::string reason;
+    const auto batch = ledger::decodeBatch(record, reason);
+    if (!batch) {
+        return;
+    }
+    for (const auto& item : batch->items) {
+        const auto* checkpoint = std::get_if<ledger::Checkpoint>(&item.entry);
+        if (checkpoint != nullptr && checkpoint->asOf >= *seekFrom_ && checkpoint->asOf <= offset) {
+            restoreFrom(*checkpoint, "log");
+            return;
+        }
+    }
+}
+
+void ShardLedger::restoreFrom(const ledger::Checkpoint& checkpoint, const char* source)
+{
+    if (!fold_.restore(checkpoint)) {
+        context_.log(Line("ledger").with("change", "bad_checkpoint").with("reason", fold_.lastReason()));
+        return;
+    }
+    seekFrom_.reset();
+    context_.log(Line("ledger")
+                     .with("change", "restored")
+                     .with("stream", stream_.value())
+                     .with("source", source)
+                     .with("as_of", static_cast<std::int64_t>(checkpoint.asOf.value())));
+    const std::uint64_t landed = fold_.lastSequence(context_.self());
+    for (std::uint64_t sequence = 1; sequence <= landed; ++sequence) {
+        outbox_.onLanded(ledger::Landed { context_.self(), sequence }, context_.now());
+    }
+    follow(fold_.nextOffset());
+}
+
+void ShardLedger::onPeerState(Offset asOf, const std::string& state)
+{
+    const bool fresh = fold_.nextOffset().value() == 0;
+    if (!fresh || asOf.value() == 0) {
+        return;
+    }
+    restoreFrom(ledger::Checkpoint { asOf, state }, "peer");
+}
+
+void ShardLedger::onEffect(const ledger::Effect& effect)
+{
+    if (const auto* landed = std::get_if<ledger::Landed>(&effect)) {
+        outbox_.onLanded(*landed, context_.now());
+        copies_.onLanded(*landed);
+    }
+    if (const auto* claim = std::get_if<ledger::ClaimDecided>(&effect)) {
+        listener_.onClaimDecided(claim->key, claim->owner);
+    }
+    if (const auto* draw = std::get_if<ledger::DrawDecided>(&effect)) {
+        if (draw->grant.holder == context_.self()) {
+            const ledger::BudgetView budgetNow = fold_.budget(draw->budget).value_or(ledger::BudgetView {});
+            context_.log(Line("grant")
+                             .with("budget", toText(draw->budget))
+                             .with("grant", toText(draw->grant))
+                             .with("admitted", draw->admitted.value())
+                             .with("short_by", draw->shortBy.value())
+                             .with("bought", budgetNow.bought.value())
+                             .with("billed", budgetNow.billed.value())
+                             .with("held", budgetNow.held.value())
+                             .with("witness", toHex(draw->witness.value())));
+        }
+    }
+    if (const auto* changed = std::get_if<ledger::GrantChanged>(&effect);
+        changed && changed->state == ledger::GrantState::Sealed) {
+        context_.log(Line("seal")
+                         .with("grant", toText(changed->grant))
+                         .with("state", internal::toText(changed->state))
+                         .with("witness", toHex(changed->witness.value())));
+    }
+    ledger::MoneyActions actions;
+    holder_.onEffect(effect, context_.now(), actions);
+    witness_.onEffect(effect, actions);
+    carryOut(actions);
+}
+
+} // namespace swiftlift::node
