Let one piece of code name a grant's state

The router's seal lines and the operators' command each spelled out the same three words. ledger::toText(GrantState) serves both; no word that is logged or shown changes.

--- a/apps/ctl/Views.cpp
+++ b/apps/ctl/Views.cpp
@@ -51,26 +51,13 @@
         }
     }
 
-    [[nodiscard]] std::string stateText(ledger::GrantState state)
-    {
-        switch (state) {
-        case ledger::GrantState::Open:
-            return "open";
-        case ledger::GrantState::Sealed:
-            return "sealed";
-        case ledger::GrantState::Closed:
-            return "closed";
-        }
-        return "open";
-    }
-
     [[nodiscard]] Json grantJson(const ledger::GrantView& grant, const VmNames& names)
     {
         const bool hasWitness = grant.witness != Incarnation {};
         const auto holder = transport::toHex(grant.id.holder.value());
         const auto vm = names.find(holder);
         return { { "holder", holder }, { "vm", vm != names.end() ? Json(vm->second) : Json() },
-            { "grant", grant.id.number }, { "state", stateText(grant.state) }, { "held", grant.held().value() },
+            { "grant", grant.id.number }, { "state", ledger::toText(grant.state) }, { "held", grant.held().value() },
             { "billed", grant.billed.value() },
             { "witness", hasWitness ? Json(transport::toHex(grant.witness.value())) : Json() } };
     }
--- a/include/swiftlift/ledger/Fold.h
+++ b/include/swiftlift/ledger/Fold.h
@@ -25,6 +25,9 @@
     Closed,
 };
 
+/** @return `open`, `sealed` or `closed`. */
+[[nodiscard]] const char* toText(GrantState state) noexcept;
+
 /** A grant as the log's order makes it. */
 struct GrantView {
     GrantId id;
--- a/src/ledger/Fold.cpp
+++ b/src/ledger/Fold.cpp
@@ -153,4 +153,17 @@
     return false;
 }
 
+const char* toText(GrantState state) noexcept
+{
+    switch (state) {
+    case GrantState::Open:
+        return "open";
+    case GrantState::Sealed:
+        return "sealed";
+    case GrantState::Closed:
+        return "closed";
+    }
+    return "";
+}
+
 } // namespace swiftlift::ledger
--- a/src/node/ShardLedgerReading.cpp
+++ b/src/node/ShardLedgerReading.cpp
@@ -6,23 +6,6 @@
 
 namespace swiftlift::node {
 
-namespace internal {
-
-    [[nodiscard]] const char* toText(ledger::GrantState state)
-    {
-        switch (state) {
-        case ledger::GrantState::Open:
-            return "open";
-        case ledger::GrantState::Sealed:
-            return "sealed";
-        case ledger::GrantState::Closed:
-            return "closed";
-        }
-        return "";
-    }
-
-} // namespace internal
-
 void ShardLedger::onCheckpoint(const std::string* record)
 {
     wantsCheckpoint_ = false;
@@ -211,7 +194,7 @@
         changed && changed->state == ledger::GrantState::Sealed) {
         context_.log(Line("seal")
                          .with("grant", toText(changed->grant))
-                         .with("state", internal::toText(changed->state))
+                         .with("state", ledger::toText(changed->state))
                          .with("witness", toHex(changed->witness.value())));
     }
     ledger::MoneyActions actions;
