--- a/include/swiftlift/membership/Membership.h
+++ b/include/swiftlift/membership/Membership.h
@@ -62,7 +62,7 @@
     /** @return Peers to ask for a loan, nearest first. */
     [[nodiscard]] std::vector<Incarnation> lenders() const;
 
-    /** @return The nearest live peer that reaches the platform's log, as far as it is known here. */
+    /** @return The nearest live peer that said a moment ago that it reaches the platform's log. */
     [[nodiscard]] std::optional<Incarnation> logReachablePeer() const;
 
     /** @return Where the incarnation was last heard from; nothing when it is unknown or over. */
