Give signals of shortage and rounds of lenders types of their own

Cause: HolderDesk had eight fields for them, four of them flags that three source files set and cleared by rules that stood nowhere whole.

--- a/src/ledger/HolderBook.h
+++ b/src/ledger/HolderBook.h
@@ -130,7 +130,6 @@
     [[nodiscard]] bool loanAsked(const HolderDesk& desk) const;
     /** @return Whether an ask is so fresh that its answer is waited for before another lender is asked. */
     [[nodiscard]] bool askedJustNow(const HolderDesk& desk) const;
-    [[nodiscard]] Incarnation nextLender(HolderDesk& desk) const;
 
     // Work that a tick or any change of one budget brings up.
     [[nodiscard]] BudgetSituation situationOf(const BudgetRef& budget, const HolderDesk& desk) const;
--- a/src/ledger/HolderDesk.cpp
+++ b/src/ledger/HolderDesk.cpp
@@ -25,21 +25,6 @@
     return static_cast<std::uint32_t>(active) + 1;
 }
 
-void HolderDesk::signalled(Instant now)
-{
-    formerSignalInVain = signalledAt && !signalAnswered;
-    signalAnswered = false;
-    signalledAt = now;
-}
-
-void HolderDesk::relieved() noexcept
-{
-    signalAnswered = true;
-    formerSignalInVain = false;
-    loanRoundOver = false;
-    formerRoundInVain = false;
-}
-
 void HolderDesk::print(std::ostream& out) const
 {
     const auto at = [](Instant instant) { return instant.time_since_epoch().count(); };
@@ -48,11 +33,9 @@
     wants.print(out);
     out << "drawing " << (drawing ? drawing->number : 0) << ' ' << drawingWanted << '@' << at(drawingSince) << " drawn "
         << drawn << " returned " << (returnedAt ? at(*returnedAt) : -1) << " cautious " << at(cautiousUntil)
-        << " others " << othersShort << '@' << at(othersShortUntil) << " signal " << at(nextSignal) << "/"
-        << (signalledAt ? at(*signalledAt) : -1) << (signalAnswered ? " answered" : "")
-        << (formerSignalInVain ? " in vain" : "") << (loanRoundOver ? " round over" : "")
-        << (formerRoundInVain ? " lent in vain" : "") << " loans " << nextLender << ' ' << loansInVain << '@'
-        << at(nextLoanRound) << " stocked " << stocked;
+        << " others " << othersShort << '@' << at(othersShortUntil) << " stocked " << stocked;
+    signals.print(out);
+    rounds.print(out);
     for (const auto& [sharer, seen] : sharers)
         out << " sharer " << sharer << '@' << at(seen);
     out << '\n';
--- a/src/ledger/HolderDesk.h
+++ b/src/ledger/HolderDesk.h
@@ -7,6 +7,8 @@
 #include <vector>
 
 #include "ledger/HolderDemand.h"
+#include "ledger/LoanRounds.h"
+#include "ledger/ShortageSignals.h"
 #include "swiftlift/base/Ids.h"
 #include "swiftlift/base/Units.h"
 #include "swiftlift/ledger/HoldingPolicy.h"
@@ -40,24 +42,8 @@
     Instant cautiousUntil {};
     Tokens othersShort;
     Instant othersShortUntil {};
-    /** A draw that the budget can't cover is made only to tell the others; not before this. */
-    Instant nextSignal {};
-    std::optional<Instant> signalledAt;
-    /** Money came since the last signal, and none came after the one before it. */
-    bool signalAnswered = false;
-    bool formerSignalInVain = false;
-    /** All lenders were asked, and no money came since; the same of the round before this one. */
-    bool loanRoundOver = false;
-    bool formerRoundInVain = false;
-
-    /** The others are told that money is short here. */
-    void signalled(Instant now);
-    /** Money came, be it by a draw or a loan. */
-    void relieved() noexcept;
-    /** Position in the round of lenders, asks since the last loan of use, and when the next round may begin. */
-    std::uint32_t nextLender = 0;
-    std::uint32_t loansInVain = 0;
-    Instant nextLoanRound {};
+    ShortageSignals signals;
+    LoanRounds rounds;
 
     /** @return Whether there is nothing to look after. */
     [[nodiscard]] bool quiet() const { return !stocked && grants.empty() && loans.empty() && wants.empty(); }
--- a/src/ledger/HolderEffects.cpp
+++ b/src/ledger/HolderEffects.cpp
@@ -51,7 +51,8 @@
     } else {
         grant->second.admitted(effect.admitted, effect.witness);
         desk.drawn += effect.admitted;
-        desk.relieved();
+        desk.signals.relieved();
+        desk.rounds.relieved();
         actions.emplace_back(MoneyArrived { effect.budget });
     }
     work(effect.budget, desk, actions);
--- a/src/ledger/HolderRequests.cpp
+++ b/src/ledger/HolderRequests.cpp
@@ -145,8 +145,7 @@
     // little time is held to its deadline for nothing.
     // Where the last signal brought nothing, the money is where nobody can give it back, and only the first few callers
     // need find out by waiting: 1,096 refusals of two days came 400 ms late for it, with nothing left unheld.
-    const bool othersWereTold
-        = desk.signalledAt && !desk.formerSignalInVain && now_ - *desk.signalledAt < policy_->returnPatience();
+    const bool othersWereTold = desk.signals.awaited(now_, policy_->returnPatience());
     return drawCovers || othersWereTold;
 }
 
--- a/src/ledger/HolderWork.cpp
+++ b/src/ledger/HolderWork.cpp
@@ -13,8 +13,6 @@
     constexpr Tokens none {};
     /** After giving back for others' sake, no more is drawn than waits. */
     constexpr Duration cautionAfterReturn = 3s;
-    /** Between two draws that only tell the others that money is short here. */
-    constexpr Duration signalPause = 1s;
     /** After so long with requests of any account, their demand is known, and no stock is kept beyond it. */
     constexpr Duration demandSeen = 5s;
     /** A witness that is silent for this long is not counted on. */
@@ -112,10 +110,9 @@
         return;
     if (situation.available < decision->least && !gather(desk, situation, actions)) {
         // Nothing can come of it by itself. Made now and then, it tells the others that money is short here.
-        if (now_ < desk.nextSignal)
+        if (!desk.signals.due(now_))
             return;
-        desk.nextSignal = now_ + signalPause;
-        desk.signalled(now_);
+        desk.signals.sent(now_);
     }
     const GrantId id { self_, ++lastGrant_ };
     desk.drawing = id;
--- a/src/ledger/LoanBorrowing.cpp
+++ b/src/ledger/LoanBorrowing.cpp
@@ -18,8 +18,6 @@
     constexpr Duration answerPatience = 200ms;
     /** A loan that was not used for this long goes back. */
     constexpr Duration idleLoan = 3s;
-    /** Before lenders that all had nothing are asked again. */
-    constexpr Duration roundPause = 1s;
     /** A draw that has been in flight for this long is not waited for alone. */
     constexpr Duration slowDraw = 300ms;
 
@@ -35,31 +33,16 @@
     if (retired_ || logWillDo || situation.largestFree >= situation.need || askedJustNow(desk))
         return;
     const Tokens size = policy_->loanSize(situation);
-    if (size == none || surroundings_.lenders.empty() || now_ < desk.nextLoanRound)
+    if (size == none || surroundings_.lenders.empty() || !desk.rounds.due(now_))
         return;
     const std::uint64_t number = ++lastLoan_;
     desk.loans.push_back(number);
-    LoanBorrowed& loan = loans_.try_emplace(number, number, nextLender(desk), budget, size, now_).first->second;
+    const Incarnation lender = surroundings_.lenders.at(desk.rounds.ask(surroundings_.lenders.size(), now_));
+    LoanBorrowed& loan = loans_.try_emplace(number, number, lender, budget, size, now_).first->second;
     if (loan.repeatDue(now_))
         actions.emplace_back(SendLoanAsk { loan.lender(), number, budget, size });
 }
 
-Incarnation HolderBook::nextLender(HolderDesk& desk) const
-{
-    // What goes wrong when the nearest is always asked first: a VM that gets most of an account's requests empties its
-    // neighbours by halves and is refused, while those farther away hold what nobody asks them for.
-    const auto count = static_cast<std::uint32_t>(surroundings_.lenders.size());
-    const Incarnation lender = surroundings_.lenders.at(desk.nextLender++ % count);
-    if (desk.loansInVain == 0)
-        desk.formerRoundInVain = desk.loanRoundOver;
-    if (++desk.loansInVain >= count) {
-        desk.loansInVain = 0;
-        desk.loanRoundOver = true;
-        desk.nextLoanRound = now_ + roundPause;
-    }
-    return lender;
-}
-
 void HolderBook::moveLoans(HolderDesk& desk, const BudgetSituation& situation, MoneyActions& actions)
 {
     for (const std::uint64_t number : desk.loans)
@@ -110,7 +93,7 @@
 bool HolderBook::loanAsked(const HolderDesk& desk) const
 {
     // Lenders are asked again every second. Where the last round brought nothing, callers don't wait for this one.
-    if (desk.formerRoundInVain)
+    if (desk.rounds.formerInVain())
         return false;
     return std::ranges::any_of(desk.loans, [&](std::uint64_t number) {
         const LoanBorrowed& loan = loans_.at(number);
@@ -148,8 +131,8 @@
     if (amount < desk.wants.smallest()) {
         endLoan(borrowed, actions);
     } else {
-        desk.loansInVain = 0;
-        desk.relieved();
+        desk.rounds.lent();
+        desk.signals.relieved();
         actions.emplace_back(MoneyArrived { borrowed.budget() });
     }
     borrow(borrowed.budget(), desk, situationOf(borrowed.budget(), desk), actions);
