Wait for money no longer than the route's objective

Change: patience is the objective, between 150 ms and the 600 ms of before. Test fails on the code before.

--- a/src/node/Passages.cpp
+++ b/src/node/Passages.cpp
@@ -140,7 +140,7 @@
         return;
     }
     const auto& shortage = std::get<ledger::Shortage>(result);
-    if (shortage.pending && context_.now() - passage.since < moneyPatience) {
+    if (shortage.pending && context_.now() - passage.since < patienceForMoney(passage)) {
         moneyLines_[budgetOf(passage)].insert(passage.id);
         return;
     }
@@ -153,6 +153,15 @@
             "may cost " + std::to_string(passage.cost.value()), retryAfter, knownOf(passage) });
 }
 
+// The load it answers: an outage in which loans go to and fro, and hardly any fits. What goes wrong with one patience
+// for all: callers who want an answer within 200 ms are told no after 600. One notices by refusals that all come at
+// that time. Once the objective has passed, the answer would be late whatever comes, and its caller is better told to
+// come back.
+Duration Passages::patienceForMoney(const Passage& passage) const
+{
+    return std::clamp<Duration>(passage.route->objective, leastMoneyPatience, moneyPatience);
+}
+
 KnownBudget Passages::knownOf(const Passage& passage) const
 {
     const ShardLedger& shard = ledgers_.of(passage.accountId());
--- a/src/node/Passages.h
+++ b/src/node/Passages.h
@@ -51,8 +51,10 @@
     [[nodiscard]] const BackendId& lastBackend() const noexcept { return lastBackend_; }
 
 private:
-    /** How long a request waits for money that is under way; a draw takes two passes of the log. */
+    /** How long a request waits at most for money that is under way; a draw takes two passes of the log. */
     static constexpr Duration moneyPatience = std::chrono::milliseconds(600);
+    /** Of a route with a shorter objective, at least: a draw's or a loan's way on a quiet day. */
+    static constexpr Duration leastMoneyPatience = std::chrono::milliseconds(150);
     /** What a request is short of here after its wait is not here a moment later: it has to be given back elsewhere,
      * read from the log and drawn. A caller that came back at once would be refused again. */
     static constexpr Duration moneyRetryAfter = std::chrono::seconds(2);
@@ -84,6 +86,7 @@
     /** Refuses what the configuration doesn't know, if it is known to be the newest. */
     void refuseAsUnknown(Passage& passage, const PassageRefusal& why);
     void seekMoney(Passage& passage);
+    [[nodiscard]] Duration patienceForMoney(const Passage& passage) const;
     [[nodiscard]] KnownBudget knownOf(const Passage& passage) const;
     [[nodiscard]] BudgetRef budgetOf(const Passage& passage) const;
     [[nodiscard]] RequestKey keyOf(const Passage& passage) const;
--- a/tests/node/GatewayTest.cpp
+++ b/tests/node/GatewayTest.cpp
@@ -320,6 +320,28 @@
         EXPECT_TRUE(world.orderOf(call));
     }
 
+    // Symptom: callers who want an answer within 200 ms are told after 600 ms that there is no money here.
+    // Events: an outage of the log; the router asks one peer after the other for a loan, and none answers.
+    // Cause: a request waited equally long for money, whatever its route's objective.
+    TEST_F(GatewayTest, MoneyIsNotWaitedForBeyondTheObjective)
+    {
+        world.logReachable = false;
+        for (std::uint64_t peer = 1; peer <= 12; ++peer) {
+            Heartbeat heard;
+            heard.domain = FailureDomain("a");
+            heard.region = Region("r");
+            world.tell(PeerReceived {
+                Incarnation { 100 + peer }, PeerAddress { "127.0.0.1:" + std::to_string(7500 + peer) }, heard });
+        }
+        world.run(seconds(2));
+        const CallId call = world.arrive("/stream/x", 900'000, 100);
+        world.run(milliseconds(140));
+        EXPECT_FALSE(world.replyOf(call)) << "a loan may still come in time";
+        world.run(milliseconds(140));
+        expectRefused(call, 503, "budget_elsewhere");
+        EXPECT_TRUE(world.replyOf(call)->retryAfter);
+    }
+
     // Symptom: a request was refused for money, and its id leads to no account and to no figure.
     // Events: the budget is too small for the request.
     // Cause: the line of a refusal before any backend server was chosen held nothing but the reason.
