--- a/include/swiftlift/node/Action.h
+++ b/include/swiftlift/node/Action.h
@@ -133,9 +133,9 @@
     std::string reason;
 };
 
-using Action = std::variant<Dispatch, CancelAttempt, Reply, Append, Follow, ReadSoon, SendPeer, WatchBackends, SendOrder, LogLine,
-    CountMetric, GaugeMetric, OperatorReply, StopReady, Restart, PassOn, PassFailureOn, AnnounceReadiness,
-    SetCallerLimits>;
+using Action = std::variant<Dispatch, CancelAttempt, Reply, Append, Follow, ReadSoon, SendPeer, WatchBackends,
+    SendOrder, LogLine, CountMetric, GaugeMetric, OperatorReply, StopReady, Restart, PassOn, PassFailureOn,
+    AnnounceReadiness, SetCallerLimits>;
 using Actions = std::vector<Action>;
 
 } // namespace swiftlift::node
--- a/src/membership/Queries.cpp
+++ b/src/membership/Queries.cpp
@@ -92,8 +92,8 @@
 
 // What goes wrong with any word of a live peer: beyond the domain a word is as old as a whole rotation, 13 s among 81
 // routers. In an outage of all of them somebody's old word says that the log is in reach, so that routers wait for
-// draws, lend little and give back what nobody can draw any more. One notices by refusals with `log_in_reach` true while
-// every router's own `log` line says that it is not.
+// draws, lend little and give back what nobody can draw any more. One notices by refusals with `log_in_reach` true
+// while every router's own `log` line says that it is not.
 std::optional<Incarnation> Membership::logReachablePeer() const
 {
     for (const Incarnation incarnation : nearestFirst()) {
--- a/tests/membership/MembershipTest.cpp
+++ b/tests/membership/MembershipTest.cpp
@@ -200,10 +200,10 @@
         EXPECT_EQ(membership_.logReachablePeer(), Incarnation { 2 });
     }
 
-    // Symptom: in an outage of the log that all routers of a large fleet had, each went on as if it were in reach:
-    // 5,077 thousand tokens were held, and no router lent any to the one that refused 92 requests. Events: a peer of
-    // another domain says that it reaches the log; the log is lost to all; that peer's next turn to speak comes seconds
-    // later. Cause: the last word of a live peer counted, however old.
+    // Symptom: all routers of a large fleet lost the log, and each went on as if it were in reach: nobody lent.
+    // Events: a peer beyond the domain says that it reaches the log; the log is lost; that peer's next turn to speak
+    // comes seconds later.
+    // Cause: the last word of a live peer counted, however old.
     TEST_F(MembershipTest, AnOldWordThatTheLogIsInReachIsNotBelieved)
     {
         hear(Incarnation { 5 }, 5, away);
