--- a/src/ledger/PolicyDemandGrants.cpp
+++ b/src/ledger/PolicyDemandGrants.cpp
@@ -164,9 +164,10 @@
 
 Tokens DemandGrantsPolicy::lendable(const BudgetSituation& situation) const
 {
-    // What goes wrong when a lender keeps room for the largest request that it ever saw: of 81 routers that hold a few
-    // requests' worth each, nobody lends more than half of that; the borrower's loans fit hardly any of its requests,
-    // and it asks on and on. One notices by thousands of `loan` lines a second, of a few hundred tokens each.
+    // What goes wrong when a lender keeps room for its largest request of late: of 81 routers that hold a few requests'
+    // worth each, nobody lends more than half of that; the borrower's loans fit hardly any of its requests, and it asks
+    // on and on. One notices by thousands of `loan` lines a second, of less each than most requests need, and by
+    // refusals beside them while 87% of the budget is unspent.
     const Tokens unneeded = situation.free - lowDemand(situation);
     if (situation.logReachable)
         return std::max(unneeded, none);
--- a/src/node/FleetBook.h
+++ b/src/node/FleetBook.h
@@ -74,8 +74,10 @@
 private:
     /** An accepted configuration has to be in force within 2 s; a waiting read comes back within one. */
     static constexpr Duration confirmationLifetime = std::chrono::milliseconds(1500);
-    /** Backend servers tell the log that they live every second or so, and each record answers a waiting read. */
+    /** Backend servers tell the log that they live every second or so, and each record answers a waiting read. A third
+     * of the 2 s in which a leaving one may still get new work. */
     static constexpr Duration serverReadPause = std::chrono::milliseconds(600);
+    /** VMs register once, and who lives is known from heartbeats: the list only says where to look for new ones. */
     static constexpr Duration vmReadPause = std::chrono::seconds(3);
     static constexpr Duration registerPeriod = std::chrono::seconds(10);
     static constexpr Duration readAskPeriod = std::chrono::milliseconds(300);
