--- a/src/node/ShardLedger.cpp
+++ b/src/node/ShardLedger.cpp
@@ -202,7 +202,7 @@
     if (!batch) {
         return;
     }
-    readBackDue_ = readBackDue_ || std::exchange(awaited_, false);
+    readBackDue_ = readBackDue_ || urgent_;
     urgent_ = false;
     nextBatch_ = now + batchPeriod();
     appendRecord(ledger::encode(*batch));
@@ -253,9 +253,6 @@
     const bool bill = std::holds_alternative<ledger::Bill>(entry);
     const bool witnessed = peers_.membership().witness().has_value();
     urgent_ = urgent_ || !bill || !witnessed;
-    // Until these are read back, money stays unspendable here. Nobody here waits for returns, closings and bills.
-    awaited_ = awaited_ || std::holds_alternative<ledger::Draw>(entry)
-        || std::holds_alternative<ledger::ChangeWitness>(entry);
     outbox_.add(std::move(entry));
 }
 
--- a/src/node/ShardLedger.h
+++ b/src/node/ShardLedger.h
@@ -171,9 +171,7 @@
     std::uint64_t copySent_ = 0;
     /** Something waits in the outbox that a caller or another router waits for. */
     bool urgent_ = false;
-    /** Something waits in the outbox whose reading back is waited for here. */
-    bool awaited_ = false;
-    /** The same was appended: it is read back as soon as the log has it. */
+    /** What was appended last is waited for: it is read back as soon as the log has it. */
     bool readBackDue_ = false;
     Instant nextBatch_ {};
     Instant nextCopy_ {};
