--- a/src/node/ShardLedger.h
+++ b/src/node/ShardLedger.h
@@ -171,7 +171,8 @@
     std::uint64_t copySent_ = 0;
     /** Something waits in the outbox that a caller or another router waits for. */
     bool urgent_ = false;
-    /** What was appended last is waited for: it is read back as soon as the log has it. */
+    /** More than bills was appended last. It is read back as soon as the log has it: the next batch, with a draw in it
+     * perhaps, waits until then. */
     bool readBackDue_ = false;
     Instant nextBatch_ {};
     Instant nextCopy_ {};
