Keep a copy of each bill beyond the failure domain

Cause: the last request of the load is answered at lodz-a-1; its bill waits for the next append, its one copy is at lodz-a-2, the grant's witness. Both are killed milliseconds later: the two copies stood in one failure domain.

The keeper watches those whose copies it has and appends what a silent one left. It holds because the fold takes each author's items once and in sequence, so a second keeper changes no decision of the ledger; the witness closes a sealed grant only after its own copies have landed, which are the same ones. A keeper that suspected wrongly takes copies again, as it closes nothing; it appends only for whom it doesn't hear.

--- a/include/swiftlift/membership/Membership.h
+++ b/include/swiftlift/membership/Membership.h
@@ -43,7 +43,7 @@
 
     /**
      * @brief Names the peers to exchange heartbeats with in every period, wherever they are: those whose grants this
-     * router witnesses. Its own witness is watched without being named.
+     * router witnesses, or whose copies it keeps. Its own witness and keeper are watched without being named.
      */
     void setWatched(const std::vector<Incarnation>& watched, Instant now);
 
@@ -53,6 +53,12 @@
     /** @return Whom a grant drawn now should name as witness. Stays the same as long as that peer is fit. */
     [[nodiscard]] std::optional<Incarnation> witness() const noexcept { return witness_; }
 
+    /**
+     * @return Whom to give copies that must outlive this router's whole failure domain: a peer beyond it. Stays the
+     * same as long as that peer is fit.
+     */
+    [[nodiscard]] std::optional<Incarnation> distantKeeper() const noexcept { return distantKeeper_; }
+
     /** @return True when peers have had the time to be heard: before, a missing witness may just be unknown. */
     [[nodiscard]] bool settled() const noexcept { return settled_; }
 
@@ -118,6 +124,7 @@
     void forgetOld(Instant now);
     void settle(Instant now);
     void chooseWitness(Instant now);
+    void chooseDistantKeeper(Instant now);
     void answer(const PeerAddress& address, Instant now);
     void planAnswers(Instant now, MembershipActions& actions);
     void planHeartbeats(Instant now, MembershipActions& actions);
@@ -131,6 +138,9 @@
     [[nodiscard]] bool inDomain(const PeerAddress& address) const;
     [[nodiscard]] bool fitForDuty(const Peer& peer) const;
     [[nodiscard]] bool mayWitness(Incarnation incarnation) const;
+    [[nodiscard]] bool mayKeepFromAfar(Incarnation incarnation) const;
+    /** @return Since when the peer is heard in every period; nothing when its turn comes by rotation. */
+    [[nodiscard]] std::optional<Instant> closeSince(Incarnation incarnation) const;
     [[nodiscard]] int distance(const Peer& peer) const;
     [[nodiscard]] std::uint64_t rank(Incarnation incarnation) const;
     [[nodiscard]] std::vector<Incarnation> nearestFirst() const;
@@ -153,6 +163,8 @@
     std::vector<MembershipEvent> events_;
     std::optional<Incarnation> witness_;
     Instant witnessSince_ {};
+    std::optional<Incarnation> distantKeeper_;
+    Instant distantKeeperSince_ {};
     std::optional<Instant> firstTick_;
     Instant lastTick_ {};
     /** No silence counts from before this moment. */
--- a/include/swiftlift/membership/MembershipSettings.h
+++ b/include/swiftlift/membership/MembershipSettings.h
@@ -42,6 +42,8 @@
      * in a large fleet, and half of what an outage takes to be noticed by a router itself. */
     Duration logWordLifetime = std::chrono::seconds(1);
     WitnessPolicy witnessPolicy = WitnessPolicy::OtherDomainWhenAlone;
+    /** Whether a peer beyond the failure domain is chosen to keep copies; its heartbeats cost bytes between domains. */
+    bool distantKeeper = false;
 };
 
 } // namespace swiftlift::membership
--- a/include/swiftlift/node/PeerMessage.h
+++ b/include/swiftlift/node/PeerMessage.h
@@ -80,13 +80,15 @@
     std::string record;
 };
 
-/** Holder to its witness: items that have not been read back yet, to be appended in its name should it die. */
+/** Author to a keeper: items that have not been read back yet, to be appended in its name should it die. */
 struct CopyItems {
     StreamName stream;
     /** An encoded ledger::Batch. */
     std::string batch;
+    /** The keeper is beyond the author's failure domain and witnesses none of its grants. */
+    bool distant = false;
 };
-/** Witness to holder: all items up to this sequence are kept here. */
+/** Keeper to author: all items up to this sequence are kept here. */
 struct ItemsCopied {
     StreamName stream;
     std::uint64_t sequence = 0;
--- a/src/membership/Heartbeats.cpp
+++ b/src/membership/Heartbeats.cpp
@@ -58,13 +58,14 @@
     actions.heartbeats.push_back(address);
 }
 
-// Witness and holder watch each other, so these few are heard in every period whatever the size of the fleet: how soon
-// a dead holder's grant is sealed depends on them alone.
+// Witness and holder watch each other, and so do the keeper of copies and their author: these few are heard in every
+// period whatever the size of the fleet. How soon a dead holder's grant is sealed and its last bills are appended
+// depends on them alone.
 std::set<PeerAddress> Membership::everyPeriod() const
 {
     std::set<PeerAddress> addresses;
     for (const auto& [incarnation, peer] : peers_) {
-        if (watched_.contains(incarnation) || witness_ == incarnation) {
+        if (closeSince(incarnation)) {
             addresses.insert(peer.address);
         }
     }
@@ -109,7 +110,7 @@
 // every period, all of them would be suspected and recover, over and over.
 Duration Membership::limitFor(Incarnation incarnation, const Peer& peer) const
 {
-    if (watched_.contains(incarnation) || witness_ == incarnation) {
+    if (closeSince(incarnation)) {
         return settings_.silenceLimit;
     }
     const bool near = distance(peer) == 0;
@@ -122,13 +123,25 @@
 Duration Membership::silenceOf(Incarnation incarnation, const Peer& peer, Instant now) const
 {
     Instant since = std::max(peer.lastHeard, timersFrom_);
+    if (const auto close = closeSince(incarnation)) {
+        since = std::max(since, *close);
+    }
+    return std::max(now - since, Duration {});
+}
+
+std::optional<Instant> Membership::closeSince(Incarnation incarnation) const
+{
+    std::optional<Instant> since;
     if (const auto found = watched_.find(incarnation); found != watched_.end()) {
-        since = std::max(since, found->second);
+        since = found->second;
     }
     if (witness_ == incarnation) {
-        since = std::max(since, witnessSince_);
+        since = std::max(since.value_or(witnessSince_), witnessSince_);
     }
-    return std::max(now - since, Duration {});
+    if (distantKeeper_ == incarnation) {
+        since = std::max(since.value_or(distantKeeperSince_), distantKeeperSince_);
+    }
+    return since;
 }
 
 } // namespace swiftlift::membership
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -1,5 +1,6 @@
 #include "swiftlift/membership/Membership.h"
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 
@@ -166,6 +167,7 @@
     forgetOld(now);
     settle(now);
     chooseWitness(now);
+    chooseDistantKeeper(now);
     MembershipActions actions;
     planHeartbeats(now, actions);
     planAnswers(now, actions);
@@ -249,4 +251,16 @@
     }
 }
 
+void Membership::chooseDistantKeeper(Instant now)
+{
+    const bool stays = distantKeeper_ && mayKeepFromAfar(*distantKeeper_);
+    if (!settings_.distantKeeper || stays) {
+        return;
+    }
+    const std::vector<Incarnation> peers = nearestFirst();
+    const auto best = std::ranges::find_if(peers, [this](Incarnation peer) { return mayKeepFromAfar(peer); });
+    distantKeeper_ = best == peers.end() ? std::nullopt : std::optional(*best);
+    distantKeeperSince_ = now;
+}
+
 } // namespace swiftlift::membership
--- a/src/membership/Queries.cpp
+++ b/src/membership/Queries.cpp
@@ -57,6 +57,12 @@
     return distance(found->second) == 0 || settings_.witnessPolicy == WitnessPolicy::OtherDomainWhenAlone;
 }
 
+bool Membership::mayKeepFromAfar(Incarnation incarnation) const
+{
+    const auto found = peers_.find(incarnation);
+    return found != peers_.end() && fitForDuty(found->second) && distance(found->second) > 0;
+}
+
 std::vector<Incarnation> Membership::nearestFirst() const
 {
     struct Ranked {
--- /dev/null
+++ b/src/node/CopyRoute.cpp
@@ -0,0 +1,54 @@
+#include "node/CopyRoute.h"
+
+#include <algorithm>
+
+namespace swiftlift::node {
+
+void CopyRoute::leadTo(std::optional<Incarnation> keeper)
+{
+    if (keeper == keeper_) {
+        return;
+    }
+    *this = CopyRoute {};
+    keeper_ = keeper;
+}
+
+ledger::Batch CopyRoute::due(const ledger::Outbox& outbox, Duration period, Instant now)
+{
+    if (!keeper_) {
+        return {};
+    }
+    silent_ = silent_ || overdue(now);
+    const bool isNew = outbox.lastSequence() > sent_ && now >= nextNew_;
+    const bool retryDue = copied_ < outbox.lastSequence() && now >= nextRetry_;
+    if (!isNew && !retryDue) {
+        return {};
+    }
+    ledger::Batch batch = outbox.copyAfter(retryDue ? copied_ : std::max(copied_, sent_));
+    sent_ = outbox.lastSequence();
+    if (batch.items.empty()) {
+        // All of them have landed meanwhile: no acknowledgement has to come for them.
+        owedSince_.reset();
+        return batch;
+    }
+    owedSince_ = owedSince_.value_or(now);
+    nextRetry_ = now + retryPeriod;
+    nextNew_ = now + period;
+    return batch;
+}
+
+void CopyRoute::onCopied(Incarnation from, std::uint64_t sequence, std::uint64_t last, Instant now)
+{
+    if (from != keeper_ || sequence > last || sequence <= copied_) {
+        return;
+    }
+    copied_ = sequence;
+    silent_ = false;
+    owedSince_ = copied_ < sent_ ? std::optional(now) : std::nullopt;
+}
+
+bool CopyRoute::inTouch(Instant now) const noexcept { return keeper_ && !silent_ && !overdue(now); }
+
+bool CopyRoute::overdue(Instant now) const noexcept { return owedSince_ && now - *owedSince_ >= patience; }
+
+} // namespace swiftlift::node
--- a/src/node/CoreState.cpp
+++ b/src/node/CoreState.cpp
@@ -199,7 +199,7 @@
     }
     nextWatched_ = context_.now() + watchedPeriod;
     changes_.removeUnknown(backends_);
-    peers_.membership().setWatched(ledgers_.witnessed(), context_.now());
+    peers_.membership().setWatched(ledgers_.watched(), context_.now());
 }
 
 void CoreState::on(const StopRequested&)
--- a/src/node/Gateway.cpp
+++ b/src/node/Gateway.cpp
@@ -209,7 +209,7 @@
     }
     nextWatched_ = context_.now() + watchedPeriod;
     changes_.removeUnknown(backends_);
-    peers_.membership().setWatched(ledgers_.witnessed(), context_.now());
+    peers_.membership().setWatched(ledgers_.watched(), context_.now());
     context_.gauge("swiftlift_log_reachable", health_.reachable(context_.now()) ? 1 : 0);
 }
 
--- a/src/node/ItemCopies.cpp
+++ b/src/node/ItemCopies.cpp
@@ -49,6 +49,15 @@
     return batch;
 }
 
+std::vector<Incarnation> ItemCopies::authors() const
+{
+    std::vector<Incarnation> result;
+    for (const auto& [author, items] : copies_) {
+        result.push_back(author);
+    }
+    return result;
+}
+
 void ItemCopies::onLanded(const ledger::Landed& landed)
 {
     const auto found = copies_.find(landed.origin);
--- a/src/node/ItemCopies.h
+++ b/src/node/ItemCopies.h
@@ -15,9 +15,9 @@
  * @brief Copies of peers' ledger items that have not been read back yet.
  *
  * What goes wrong without them: a router answers a request and dies before its bill is in the log; nobody is billed.
- * One notices by answers without a bill. Its witness keeps a copy, and appends it in the dead router's name. The fold
- * takes each author's items once and in sequence, so it makes no difference whether the author was only paused and
- * appends them too.
+ * One notices by answers without a bill. Its witness keeps a copy, and appends it in the dead router's name; so does a
+ * peer beyond their failure domain, with which both may be lost. The fold takes each author's items once and in
+ * sequence, so it makes no difference whether the author was only paused and appends them too.
  */
 class ItemCopies {
 public:
@@ -38,6 +38,9 @@
     /** @return The author's items that have not landed, ready to be appended; empty when there are none. */
     [[nodiscard]] ledger::Batch batchOf(Incarnation author) const;
 
+    /** @return Whose items are kept. */
+    [[nodiscard]] std::vector<Incarnation> authors() const;
+
     /** The author's items up to this one have landed. */
     void onLanded(const ledger::Landed& landed);
 
--- a/src/node/Ledgers.cpp
+++ b/src/node/Ledgers.cpp
@@ -147,11 +147,11 @@
     return sum;
 }
 
-std::vector<Incarnation> Ledgers::witnessed() const
+std::vector<Incarnation> Ledgers::watched() const
 {
     std::set<Incarnation> holders;
     for (const auto& shard : shards_) {
-        const auto of = shard->witnessed();
+        const auto of = shard->watched();
         holders.insert(of.begin(), of.end());
     }
     return { holders.begin(), holders.end() };
--- a/src/node/Ledgers.h
+++ b/src/node/Ledgers.h
@@ -34,8 +34,8 @@
     [[nodiscard]] bool caughtUp() const;
     [[nodiscard]] bool drained() const;
     [[nodiscard]] std::size_t unread() const;
-    /** @return Incarnations whose open grants name this router as witness. */
-    [[nodiscard]] std::vector<Incarnation> witnessed() const;
+    /** @return Incarnations whose open grants name this router as witness, or whose copies it keeps. */
+    [[nodiscard]] std::vector<Incarnation> watched() const;
 
     /** Keyed stream of the checkpoints that are kept apart; its keys are the names of the ledger's streams. */
     [[nodiscard]] static const StreamName& checkpointStream();
--- a/src/node/Peers.cpp
+++ b/src/node/Peers.cpp
@@ -16,6 +16,7 @@
         result.seeds = settings.seeds;
         result.seed = settings.seed;
         result.witnessPolicy = membership::WitnessPolicy::OwnDomainOnly;
+        result.distantKeeper = settings.answersWaitForBills();
         return result;
     }
 
--- a/src/node/ShardLedger.h
+++ b/src/node/ShardLedger.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "node/Context.h"
+#include "node/CopyRoute.h"
 #include "node/ItemCopies.h"
 #include "node/LogHealth.h"
 #include "node/Peers.h"
@@ -40,7 +41,8 @@
 
 /** What may be told of a bill. */
 enum class BillState : std::uint8_t {
-    /** It is read back, or the grant's witness keeps a copy and will append it. */
+    /** It is read back, or copies of it are kept that will be appended: at the grant's witness, and beyond the failure
+     * domain as long as a keeper there answers. */
     Secured,
     /** The ledger refused it: the grant was closed under a holder that slept. */
     Refused,
@@ -104,8 +106,8 @@
     [[nodiscard]] bool logInReach() const;
     /** @return True when nothing of this incarnation is left open in the ledger. */
     [[nodiscard]] bool drained() const { return outbox_.empty() && holder_.drained(); }
-    /** @return Incarnations whose open grants name this router as witness. */
-    [[nodiscard]] std::vector<Incarnation> witnessed() const;
+    /** @return Incarnations whose open grants name this router as witness, or whose copies it keeps. */
+    [[nodiscard]] std::vector<Incarnation> watched() const;
 
 private:
     static constexpr std::size_t peerAnswerBytes = 64 * 1024;
@@ -113,7 +115,6 @@
     /** Appends a second that the routers together make without need; the log takes several hundred. */
     static constexpr std::int64_t unhurriedAppends = 100;
     static constexpr Duration longestBatchPeriod = std::chrono::seconds(4);
-    static constexpr Duration copyRetryPeriod = std::chrono::milliseconds(150);
     /** How long a sealed grant stays open for what its holder, if it was only paused, has still to bill. */
     static constexpr Duration closeGrace = std::chrono::seconds(10);
     static constexpr Duration relayPeriod = std::chrono::milliseconds(500);
@@ -136,8 +137,11 @@
     void readNewGrantsSoon(const RaiseCeilings& raise);
     void sendBatch();
     void sendCopies();
+    void sendCopiesBy(CopyRoute& route, bool distant);
+    void noteDistantKeeper();
     void onCopyItems(Incarnation from, const CopyItems& message);
     void onItemsCopied(Incarnation from, const ItemsCopied& message);
+    [[nodiscard]] bool appendsFor(Incarnation author) const;
     void appendForTheDead();
     void closeForTheDead();
     void appendRecord(std::string record);
@@ -165,18 +169,17 @@
     ItemCopies copies_;
     /** Peers that were suspected: what is copied here of theirs is appended in their name. */
     std::set<Incarnation> suspected_;
-    /** Who keeps our copies, up to which sequence, and when we last sent some. */
-    Incarnation copyHolder_;
-    std::uint64_t copied_ = 0;
-    std::uint64_t copySent_ = 0;
+    /** To the witness, which may close our grants once it suspects us: it must know of a bill before a caller does. */
+    CopyRoute nearCopies_;
+    /** To a peer beyond the failure domain, which outlives holder and witness when they die together. */
+    CopyRoute distantCopies_;
+    bool distantKeeperAnswers_ = false;
     /** Something waits in the outbox that a caller or another router waits for. */
     bool urgent_ = false;
     /** More than bills was appended last. It is read back as soon as the log has it: the next batch, with a draw in it
      * perhaps, waits until then. */
     bool readBackDue_ = false;
     Instant nextBatch_ {};
-    Instant nextCopy_ {};
-    Instant nextNewCopy_ {};
     /** Items of our own that the ledger refused. */
     std::set<std::uint64_t> refused_;
     /** Sealed grants that this witness will close, and when. */
--- a/src/node/ShardLedgerPeers.cpp
+++ b/src/node/ShardLedgerPeers.cpp
@@ -68,35 +68,42 @@
     witness_.suspect(peer, actions);
     carryOut(actions);
     suspected_.insert(peer);
-    if (peer == copyHolder_) {
-        copyHolder_ = Incarnation {};
+    if (peer == nearCopies_.keeper()) {
+        nearCopies_.leadTo(std::nullopt);
     }
 }
 
 void ShardLedger::sendCopies()
 {
-    const auto witness = peers_.membership().witness();
-    if (!witness) {
-        return;
-    }
-    if (*witness != copyHolder_) {
-        copyHolder_ = *witness;
-        copied_ = 0;
-        copySent_ = 0;
+    if (const auto witness = peers_.membership().witness()) {
+        nearCopies_.leadTo(witness);
     }
-    const bool isNew = outbox_.lastSequence() > copySent_ && context_.now() >= nextNewCopy_;
-    const bool retryDue = copied_ < outbox_.lastSequence() && context_.now() >= nextCopy_;
-    if (!isNew && !retryDue) {
-        return;
+    distantCopies_.leadTo(peers_.membership().distantKeeper());
+    sendCopiesBy(nearCopies_, false);
+    sendCopiesBy(distantCopies_, true);
+    noteDistantKeeper();
+}
+
+void ShardLedger::sendCopiesBy(CopyRoute& route, bool distant)
+{
+    const ledger::Batch batch = route.due(outbox_, context_.settings().ledger.copyPeriod, context_.now());
+    if (!batch.items.empty()) {
+        sendToShard(*route.keeper(), CopyItems { stream_, ledger::encode(batch), distant });
     }
-    const ledger::Batch batch = outbox_.copyAfter(retryDue ? copied_ : std::max(copied_, copySent_));
-    copySent_ = outbox_.lastSequence();
-    if (batch.items.empty()) {
+}
+
+// While it is false, callers are told of bills that would be lost with this failure domain.
+void ShardLedger::noteDistantKeeper()
+{
+    const bool answers = distantCopies_.inTouch(context_.now());
+    if (answers == std::exchange(distantKeeperAnswers_, answers)) {
         return;
     }
-    nextCopy_ = context_.now() + copyRetryPeriod;
-    nextNewCopy_ = context_.now() + context_.settings().ledger.copyPeriod;
-    sendToShard(copyHolder_, CopyItems { stream_, ledger::encode(batch) });
+    const auto keeper = distantCopies_.keeper();
+    context_.log(Line("copies")
+                     .with("stream", stream_.value())
+                     .with("keeper", keeper ? toHex(keeper->value()) : "")
+                     .with("answers", answers));
 }
 
 void ShardLedger::onCopyItems(Incarnation from, const CopyItems& message)
@@ -106,9 +113,10 @@
     if (!batch || batch->items.empty() || batch->items.front().origin != from) {
         return;
     }
-    // An acknowledgement lets the holder tell its caller of a bill. After the suspicion this witness may close the
-    // holder's grants, and the bill would be refused: so none is given any more.
-    if (suspected_.contains(from)) {
+    // An acknowledgement lets the holder tell its caller of a bill. After the suspicion a witness may close the
+    // holder's grants, and the bill would be refused: so it gives none any more. A distant keeper closes nothing, and a
+    // suspicion across a partition that has healed must not keep it from its duty.
+    if (!message.distant && suspected_.contains(from)) {
         return;
     }
     if (const auto sequence = copies_.keep(batch->items)) {
@@ -118,15 +126,26 @@
 
 void ShardLedger::onItemsCopied(Incarnation from, const ItemsCopied& message)
 {
-    if (from == copyHolder_ && message.sequence <= outbox_.lastSequence()) {
-        copied_ = std::max(copied_, message.sequence);
+    nearCopies_.onCopied(from, message.sequence, outbox_.lastSequence(), context_.now());
+    distantCopies_.onCopied(from, message.sequence, outbox_.lastSequence(), context_.now());
+}
+
+// An author that was suspected wrongly and is heard again appends its items itself. But one whose grants are sealed
+// here is over, and they are closed only once its copies have landed.
+bool ShardLedger::appendsFor(Incarnation author) const
+{
+    if (!suspected_.contains(author)) {
+        return false;
     }
+    const auto sealed = witness_.sealed();
+    const bool over = std::ranges::any_of(sealed, [author](const GrantId& grant) { return grant.holder == author; });
+    return over || !peers_.membership().isAlive(author);
 }
 
 void ShardLedger::appendForTheDead()
 {
-    for (const Incarnation author : suspected_) {
-        const ledger::Batch batch = copies_.batchOf(author);
+    for (const Incarnation author : copies_.authors()) {
+        const ledger::Batch batch = appendsFor(author) ? copies_.batchOf(author) : ledger::Batch {};
         if (batch.items.empty()) {
             continue;
         }
@@ -172,8 +191,16 @@
     }
     const auto grant = fold_.grant(grantId);
     const Incarnation witness = grant ? grant->witness : Incarnation {};
-    const bool copied = sequence <= copied_;
-    if (copied && (alone || (grant && witness == copyHolder_))) {
+    const bool byWitness = nearCopies_.holds(sequence) && (alone || (grant && witness == nearCopies_.keeper()));
+    const bool alonePossibly = alone && !nearCopies_.keeper();
+    const bool beyondDomain = distantCopies_.holds(sequence);
+    // What goes wrong without the second copy: a failure domain loses its power milliseconds after an answer, holder
+    // and witness with it, and nobody is left to bill it. One notices by an answer without a bill. In a partition the
+    // witness's copy has to do: callers would wait for it to heal.
+    if (byWitness && (beyondDomain || !distantCopies_.inTouch(context_.now()))) {
+        return BillState::Secured;
+    }
+    if (alonePossibly && beyondDomain) {
         return BillState::Secured;
     }
     return alone ? BillState::Alone : BillState::Pending;
@@ -197,9 +224,10 @@
     }
 }
 
-std::vector<Incarnation> ShardLedger::witnessed() const
+std::vector<Incarnation> ShardLedger::watched() const
 {
-    std::set<Incarnation> holders;
+    const std::vector<Incarnation> authors = copies_.authors();
+    std::set<Incarnation> holders(authors.begin(), authors.end());
     for (const auto& grant : fold_.openGrants()) {
         if (grant.witness == context_.self() && grant.id.holder != context_.self()) {
             holders.insert(grant.id.holder);
--- a/src/wire/PeerReader.cpp
+++ b/src/wire/PeerReader.cpp
@@ -91,7 +91,8 @@
     case Envelope::kRelayAppend:
         return node::RelayAppend { StreamName(in.relay_append().stream()), in.relay_append().record() };
     case Envelope::kCopyItems:
-        return node::CopyItems { StreamName(in.copy_items().stream()), in.copy_items().batch() };
+        return node::CopyItems { StreamName(in.copy_items().stream()), in.copy_items().batch(),
+            in.copy_items().distant() };
     case Envelope::kItemsCopied:
         return node::ItemsCopied { StreamName(in.items_copied().stream()), in.items_copied().sequence() };
     case Envelope::BODY_NOT_SET:
--- a/src/wire/PeerWriter.cpp
+++ b/src/wire/PeerWriter.cpp
@@ -135,6 +135,7 @@
     auto& body = *out.mutable_copy_items();
     body.set_stream(message.stream.value());
     body.set_batch(message.batch);
+    body.set_distant(message.distant);
 }
 
 void write(const node::ItemsCopied& message, proto::peer::Envelope& out)
--- a/tests/wire/PeerCodecTest.cpp
+++ b/tests/wire/PeerCodecTest.cpp
@@ -24,7 +24,7 @@
             node::LoanDone { 4, Tokens(8) }, node::LoanDoneAcked { 5 }, node::ReadAsk { StreamName("s"), Offset(9) },
             node::Records { StreamName("s"), Offset(9), { std::string("\0a", 2), "b" } },
             node::StreamState { StreamName("s"), Offset(10), std::string("\0state", 6) },
-            node::RelayAppend { StreamName("s"), "record" }, node::CopyItems { StreamName("s"), "batch" },
+            node::RelayAppend { StreamName("s"), "record" }, node::CopyItems { StreamName("s"), "batch", true },
             node::ItemsCopied { StreamName("s"), 42 } };
     }
 
