Bill a cut stream for what its caller was given

What callers saw: a stream that was given up midway, at its deadline or because its server was lost, cost its account the longest answer there could have been.

Cause: the core hears of a stream's first event and of its end; of what was passed on between it knew nothing when it gave the stream up, and billed all that was reserved.

Mend: the reservation is kept until the transport says what was passed on: it reports each caller's end once the stream is cut, as it does for callers that leave. Without a word for 2 s the stream is billed at its most, so no event is ever unbilled. A planned stop waits for these bills.

--- a/include/swiftlift/node/Passage.h
+++ b/include/swiftlift/node/Passage.h
@@ -77,7 +77,7 @@
     std::string detail;
 };
 
-/** The caller's connection is gone. */
+/** The caller's connection is gone: it has left, or its stream was cut. Nothing is passed on to it any more. */
 struct PassageAbandoned {
     CallId call;
     /** Events that it has been given. */
--- a/src/node/Passages.cpp
+++ b/src/node/Passages.cpp
@@ -229,6 +229,7 @@
 void Passages::tick()
 {
     expire();
+    billUncounted();
     if (context_.now() >= nextMoneyRetry_) {
         nextMoneyRetry_ = context_.now() + moneyRetryPeriod;
         retryForMoney();
--- a/src/node/Passages.h
+++ b/src/node/Passages.h
@@ -46,7 +46,8 @@
     /** To be called after each event: tries again what waited for something that came with it. */
     void finishEvent();
 
-    [[nodiscard]] std::size_t inProgress() const noexcept { return passages_.size(); }
+    /** @return Requests without a final answer, and cut streams without a bill. */
+    [[nodiscard]] std::size_t inProgress() const noexcept { return passages_.size() + cut_.size(); }
     /** @return The backend server of the attempt that ended last. */
     [[nodiscard]] const BackendId& lastBackend() const noexcept { return lastBackend_; }
 
@@ -70,6 +71,9 @@
     static constexpr Duration leastSilence = std::chrono::milliseconds(300);
     /** A stream that may be resumed elsewhere is given up by its backend server's silence for so long. */
     static constexpr Duration resumableSilence = std::chrono::milliseconds(2500);
+    /** The transport says within milliseconds how much of a cut stream its caller got; without a word the stream is
+     * billed at its most. */
+    static constexpr Duration countPatience = std::chrono::seconds(2);
     static constexpr Duration notReadyRetry = std::chrono::milliseconds(500);
     static constexpr Duration defaultRetryAfter = std::chrono::milliseconds(500);
 
@@ -79,6 +83,13 @@
         routing::RetryShare retries;
     };
 
+    /** A stream that was given up midway and is not billed yet. */
+    struct CutStream {
+        std::unique_ptr<Passage> passage;
+        AttemptId attempt;
+        Instant billedAtMost {};
+    };
+
     // Arrival and money.
     [[nodiscard]] bool findRoute(Passage& passage);
     [[nodiscard]] bool findAccount(Passage& passage);
@@ -118,6 +129,11 @@
     Tokens settle(Passage& passage, Tokens actual);
     [[nodiscard]] Tokens used(const Passage& passage) const;
     void end(Passage& passage);
+    /** Leaves the bill of a given up stream to what the transport says of it. */
+    void awaitCount(Passage& passage, AttemptId attempt);
+    void billCut(CallId id, std::uint64_t events);
+    void billCutOf(AttemptId attempt, std::uint64_t events);
+    void billUncounted();
     void expire();
     /** @param line What is known of the request; the reason is added to it. */
     void logRefusal(const PassageRefusal& why, Line line);
@@ -136,6 +152,7 @@
     routing::DomainReach reach_;
     std::map<CallId, std::unique_ptr<Passage>> passages_;
     std::map<AttemptId, CallId> byAttempt_;
+    std::map<CallId, CutStream> cut_;
     std::map<ServiceName, ServiceState> services_;
     /** Who waits for money of each budget, in the order in which they came. */
     std::map<BudgetRef, std::set<CallId>> moneyLines_;
--- a/src/node/PassagesEnd.cpp
+++ b/src/node/PassagesEnd.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -50,12 +51,12 @@
 
 void Passages::giveUp(Passage& passage, const PassageRefusal& why)
 {
-    const bool running = passage.phase == PassagePhase::Running && passage.attempt != AttemptId {};
+    const AttemptId attempt = passage.attempt;
+    const bool running = passage.phase == PassagePhase::Running && attempt != AttemptId {};
     passage.runs += running ? 1 : 0;
     cancelAttempt(passage);
-    // How many events the caller has been given by now, only the transport knows: the whole reservation covers them.
     const bool cutStream = running && passage.events > 0;
-    const Tokens billed = settle(passage, cutStream ? passage.cost : used(passage));
+    const Tokens billed = cutStream ? Tokens {} : settle(passage, used(passage));
     const Outcome outcome = passage.runs > 0 ? Outcome::Unknown : Outcome::NotRun;
     PassageRefusal told = why;
     // These statuses say that a request has not run. Of one that may have run, that would be a lie.
@@ -72,7 +73,60 @@
             .with("bill", billed.value())
             .with("after_ms", toMilliseconds(context_.now() - passage.arrived)));
     context_.emit(Reply { passage.id, outcome, told.status, told.reason, told.detail, told.retryAfter, Tokens {} });
-    end(passage);
+    if (cutStream) {
+        awaitCount(passage, attempt);
+    } else {
+        end(passage);
+    }
+}
+
+// What goes wrong when a cut stream is billed at its most at once: its caller pays for events that it never got. One
+// notices by bills of `prompt + most` beside streams that ended after a few events. How many were passed on by the time
+// the transport cuts the stream, only the transport knows; until it says so the whole reservation is kept for them.
+void Passages::awaitCount(Passage& passage, AttemptId attempt)
+{
+    stateOf(passage).admission.queue().remove(passage.id);
+    const auto taken = passages_.extract(passage.id);
+    const CallId id = taken.key();
+    cut_.emplace(id, CutStream { std::move(taken.mapped()), attempt, context_.now() + countPatience });
+}
+
+void Passages::billCut(CallId id, std::uint64_t events)
+{
+    const auto found = cut_.find(id);
+    if (found == cut_.end()) {
+        return;
+    }
+    Passage& passage = *found->second.passage;
+    passage.events = std::max(passage.events, events);
+    const Tokens billed = settle(passage, used(passage));
+    context_.log(Line("stream_cut")
+                     .with("request", passage.facts.id)
+                     .with("account", passage.accountId().value())
+                     .with("events", static_cast<std::int64_t>(passage.events))
+                     .with("billed", billed.value()));
+    cut_.erase(found);
+}
+
+void Passages::billCutOf(AttemptId attempt, std::uint64_t events)
+{
+    const auto found = std::ranges::find(cut_, attempt, [](const auto& entry) { return entry.second.attempt; });
+    if (found != cut_.end()) {
+        billCut(found->first, events);
+    }
+}
+
+void Passages::billUncounted()
+{
+    std::vector<CallId> over;
+    for (const auto& [id, stream] : cut_) {
+        if (context_.now() >= stream.billedAtMost) {
+            over.push_back(id);
+        }
+    }
+    for (const CallId id : over) {
+        billCut(id, std::numeric_limits<std::uint64_t>::max());
+    }
 }
 
 void Passages::logRefusal(const PassageRefusal& why, Line line)
@@ -96,6 +150,7 @@
 {
     Passage* passage = find(abandoned.call);
     if (passage == nullptr) {
+        billCut(abandoned.call, abandoned.events);
         return;
     }
     passage->events = std::max(passage->events, abandoned.events);
@@ -141,8 +196,11 @@
         return {};
     }
     const std::uint64_t perEvent = passage.service->engine ? passage.service->engine->tokensPerEvent : 1;
-    const Tokens answer { static_cast<std::int64_t>(passage.events * perEvent) };
-    return passage.facts.promptTokens + std::min(answer, passage.facts.maxAnswerTokens);
+    const auto most = static_cast<std::uint64_t>(passage.facts.maxAnswerTokens.value());
+    const std::uint64_t answer = passage.events > most / std::max<std::uint64_t>(perEvent, 1)
+        ? most
+        : std::min(most, passage.events * perEvent);
+    return passage.facts.promptTokens + Tokens { static_cast<std::int64_t>(answer) };
 }
 
 Tokens Passages::settle(Passage& passage, Tokens actual)
--- a/src/transport/PassageTable.cpp
+++ b/src/transport/PassageTable.cpp
@@ -287,6 +287,10 @@
 {
     if (const auto call = take(reply.call)) {
         call->finish(reply);
+        if (call->events() > 0) {
+            // A stream was cut: its bill waits for what its caller has been given.
+            context_.events.push({ Incarnation {}, node::PassageAbandoned { call->id(), call->events() } });
+        }
     }
 }
 
--- a/tests/node/GatewayTest.cpp
+++ b/tests/node/GatewayTest.cpp
@@ -219,6 +219,46 @@
         EXPECT_EQ(world.billed(), Tokens {});
     }
 
+    // Symptom: a caller whose stream broke off after one event pays for the longest answer there could have been.
+    // Events: the stream is given up midway, at its deadline; the transport cuts it after 3 events.
+    // Cause: how much the caller had got by then was not known where the bill was made, so all that was reserved
+    // counted.
+    TEST_F(GatewayTest, StreamThatIsCutIsBilledForWhatWasPassedOn)
+    {
+        const CallId call = world.arrive("/stream/x", 100, 700, milliseconds(500));
+        world.progress(ordered(call), 1);
+        world.run(seconds(1));
+        ASSERT_TRUE(world.replyOf(call));
+        EXPECT_EQ(world.billed(), Tokens {}) << "nothing is billed before the count is known";
+        world.tell(PassageAbandoned { call, 3 });
+        world.run(seconds(1));
+        EXPECT_EQ(world.billed(), Tokens { 100 + 3 * 7 });
+        world.run(seconds(3));
+        EXPECT_EQ(world.billed(), Tokens { 100 + 3 * 7 }) << "billed once";
+        ASSERT_EQ(world.lines("stream_cut").size(), 1U);
+    }
+
+    // The stream's last event passed the core's decision to give it up on the way.
+    TEST_F(GatewayTest, StreamThatEndsAsItIsGivenUpIsBilledForWhatWasPassedOn)
+    {
+        const CallId call = world.arrive("/stream/x", 100, 700, milliseconds(500));
+        const PassOn order = ordered(call);
+        world.progress(order, 1);
+        world.run(seconds(1));
+        world.end(order, PassageEnd::Completed, 200, 5);
+        world.tell(PassageAbandoned { call, 5 });
+        world.run(seconds(3));
+        EXPECT_EQ(world.billed(), Tokens { 100 + 5 * 7 });
+    }
+
+    TEST_F(GatewayTest, CutStreamOfWhichNothingIsHeardIsBilledAtItsMost)
+    {
+        const CallId call = world.arrive("/stream/x", 100, 700, milliseconds(500));
+        world.progress(ordered(call), 1);
+        world.run(seconds(4));
+        EXPECT_EQ(world.billed(), Tokens { 100 + 700 });
+    }
+
     TEST_F(GatewayTest, PromptOfAResumedStreamCountsOnce)
     {
         const CallId call = world.arrive("/resumable/x", 100, 70);
