Give the platform fleet's routers an address of their own

Traced with the end of the router's log, which is now shown: "callers.readiness: 127.0.31.1:42373: Address already in use". Cause: all copies chose free ports of one address, and a port is free again between the choice and the router's start. Each process now has an address of its own and names no port twice.

--- a/tests/platform/PlatformFleet.cpp
+++ b/tests/platform/PlatformFleet.cpp
@@ -1,6 +1,9 @@
 #include "platform/PlatformFleet.h"
 
+#include <deque>
 #include <fstream>
+#include <iostream>
+#include <set>
 #include <thread>
 
 #include <boost/asio/ip/address.hpp>
@@ -22,17 +25,53 @@
     const std::vector<std::string> domains { "regina-a", "regina-b" };
 
     /**
-     * Where routers listen. Connections of other tests leave from 127.0.0.1 and could take a port of that address
-     * between the choice and the router's start.
+     * @return Where routers listen: an address of this process' own. Connections of other tests leave from 127.0.0.1,
+     * and fleets of other processes listen elsewhere; either could take a port of a shared address between the choice
+     * and the router's start, which ends with "Address already in use".
      */
-    const std::string routerHost = "127.0.31.1";
+    std::string routerHost()
+    {
+        constexpr unsigned firstNetwork = 32;
+        constexpr unsigned networks = 128;
+        constexpr unsigned addresses = 256;
+        const auto process = static_cast<unsigned>(::getpid());
+        return "127." + std::to_string(firstNetwork + process / addresses % networks) + "."
+            + std::to_string(process % addresses) + ".1";
+    }
 
-    /** @return An address of the routers' host whose port is free at the moment. */
+    /**
+     * @return An address of the routers' host whose port is free at the moment. No port is named twice: it is free
+     * again as soon as it was found, and two listeners of one router that got the same one would keep it from starting.
+     */
     std::string freeAddress()
     {
+        static std::set<std::uint16_t> named;
+        const std::string host = routerHost();
         standins::asio::io_context context;
-        const Tcp::acceptor acceptor(context, Tcp::endpoint(standins::asio::ip::make_address(routerHost), 0));
-        return routerHost + ":" + std::to_string(acceptor.local_endpoint().port());
+        std::uint16_t port = 0;
+        do {
+            const Tcp::acceptor acceptor(context, Tcp::endpoint(standins::asio::ip::make_address(host), 0));
+            port = acceptor.local_endpoint().port();
+        } while (!named.insert(port).second);
+        return host + ":" + std::to_string(port);
+    }
+
+    /** Shows the last lines of a router that doesn't get ready: its folder is gone when the test has ended. */
+    void showEnd(const std::filesystem::path& log)
+    {
+        constexpr std::size_t shownLines = 15;
+        std::deque<std::string> last;
+        std::ifstream file(log);
+        for (std::string line; std::getline(file, line);) {
+            last.push_back(std::move(line));
+            if (last.size() > shownLines) {
+                last.pop_front();
+            }
+        }
+        std::cerr << log << ":\n";
+        for (const std::string& line : last) {
+            std::cerr << line << '\n';
+        }
     }
 
     Tcp::endpoint endpointOf(const std::string& address) { return standins::parseEndpoint(address); }
@@ -119,7 +158,11 @@
         router.process->start();
     }
     for (std::size_t index = 0; index < routers_.size(); ++index) {
-        ready = ready && waitForReadiness(index, 200);
+        const bool here = waitForReadiness(index, 200);
+        if (!here) {
+            showEnd(folder_ / ("router-" + std::to_string(index) + ".log"));
+        }
+        ready = ready && here;
     }
     return ready;
 }
@@ -178,16 +221,19 @@
     return false;
 }
 
-std::uint64_t PlatformFleet::runsOf(const std::string& id)
+std::uint64_t PlatformFleet::runsOf(const std::string& id) { return auditedOf(id, "runs"); }
+std::uint64_t PlatformFleet::eventsOf(const std::string& id) { return auditedOf(id, "events"); }
+
+std::uint64_t PlatformFleet::auditedOf(const std::string& id, const std::string& count)
 {
-    std::uint64_t runs = 0;
+    std::uint64_t sum = 0;
     for (const auto& engine : engines_) {
         const auto audit = engine->get();
         if (audit["runs"].contains(id)) {
-            runs += audit["runs"][id]["runs"].get<std::uint64_t>();
+            sum += audit["runs"][id][count].get<std::uint64_t>();
         }
     }
-    return runs;
+    return sum;
 }
 
 } // namespace swiftlift::platform::test
