--- a/src/node/Passages.h
+++ b/src/node/Passages.h
@@ -46,7 +46,7 @@
     /** To be called after each event: tries again what waited for something that came with it. */
     void finishEvent();
 
-    /** @return Requests without a final answer, and cut streams without a bill. */
+    /** @return Requests without a final answer, and cut answers without a bill. */
     [[nodiscard]] std::size_t inProgress() const noexcept { return passages_.size() + cut_.size(); }
     /** @return The backend server of the attempt that ended last. */
     [[nodiscard]] const BackendId& lastBackend() const noexcept { return lastBackend_; }
@@ -71,8 +71,8 @@
     static constexpr Duration leastSilence = std::chrono::milliseconds(300);
     /** A stream that may be resumed elsewhere is given up by its backend server's silence for so long. */
     static constexpr Duration resumableSilence = std::chrono::milliseconds(2500);
-    /** The transport says within milliseconds how much of a cut stream its caller got; without a word the stream is
-     * billed at its most. */
+    /** The transport says within milliseconds how much of a cut answer its caller got; without a word it is billed at
+     * its most. */
     static constexpr Duration countPatience = std::chrono::seconds(2);
     static constexpr Duration notReadyRetry = std::chrono::milliseconds(500);
     static constexpr Duration defaultRetryAfter = std::chrono::milliseconds(500);
@@ -83,8 +83,8 @@
         routing::RetryShare retries;
     };
 
-    /** A stream that was given up midway and is not billed yet. */
-    struct CutStream {
+    /** What was given up and is not billed yet. */
+    struct CutAnswer {
         std::unique_ptr<Passage> passage;
         AttemptId attempt;
         Instant billedAtMost {};
@@ -127,12 +127,18 @@
     void closeAttempt(Passage& passage, routing::EndKind kind);
     /** @return What was billed: never more than was reserved, and nothing where nothing was. */
     Tokens settle(Passage& passage, Tokens actual);
+    /** @return What its caller has been given, as far as is known. */
     [[nodiscard]] Tokens used(const Passage& passage) const;
+    /** @return As used(), of an answer that was given whole. */
+    [[nodiscard]] Tokens usedWhole(const Passage& passage) const;
+    [[nodiscard]] Tokens most(const Passage& passage) const { return passage.cost; }
     void end(Passage& passage);
-    /** Leaves the bill of a given up stream to what the transport says of it. */
-    void awaitCount(Passage& passage, AttemptId attempt);
-    void billCut(CallId id, std::uint64_t events);
-    void billCutOf(AttemptId attempt, std::uint64_t events);
+    /** Ends what was given up. Its bill, if it was offered to a backend server, waits for the transport's word.
+     * @param attempt The one that was under way, if any. */
+    void endOnceCounted(Passage& passage, AttemptId attempt);
+    /** @param bill What to bill of it. @param events That its caller was given, as far as is known by now. */
+    void billCut(CallId id, Tokens (Passages::*bill)(const Passage&) const, std::uint64_t events);
+    void billCutBy(const PassageEnded& ended);
     void billUncounted();
     void expire();
     /** @param line What is known of the request; the reason is added to it. */
@@ -152,7 +158,7 @@
     routing::DomainReach reach_;
     std::map<CallId, std::unique_ptr<Passage>> passages_;
     std::map<AttemptId, CallId> byAttempt_;
-    std::map<CallId, CutStream> cut_;
+    std::map<CallId, CutAnswer> cut_;
     std::map<ServiceName, ServiceState> services_;
     /** Who waits for money of each budget, in the order in which they came. */
     std::map<BudgetRef, std::set<CallId>> moneyLines_;
--- a/src/node/PassagesEnd.cpp
+++ b/src/node/PassagesEnd.cpp
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <limits>
 #include <utility>
 #include <vector>
 
@@ -18,9 +17,7 @@
 void Passages::complete(Passage& passage, const PassageEnded& ended)
 {
     passage.runs += 1;
-    // How many tokens a whole body is, nobody here can tell; it is billed at its most.
-    const bool whole = passage.route->answer == fleet::AnswerKind::Whole;
-    const Tokens billed = settle(passage, whole ? passage.cost : used(passage));
+    const Tokens billed = settle(passage, usedWhole(passage));
     context_.log(Line("answered")
                      .with("request", passage.facts.id)
                      .with("account", passage.accountId().value())
@@ -36,17 +33,15 @@
 
 void Passages::passFailureOn(Passage& passage, const std::string& why)
 {
-    const Tokens billed = settle(passage, used(passage));
     context_.log(Line("failure_passed_on")
                      .with("request", passage.facts.id)
                      .with("account", passage.accountId().value())
-                     .with("billed", billed.value())
                      .with("backend", passage.backend.value())
                      .with("not_repeated", why)
                      .with("took_ms", toMilliseconds(context_.now() - passage.arrived)));
     context_.count("swiftlift_failures_passed_on_total");
     context_.emit(PassFailureOn { passage.id });
-    end(passage);
+    endOnceCounted(passage, passage.attempt);
 }
 
 void Passages::giveUp(Passage& passage, const PassageRefusal& why)
@@ -55,8 +50,6 @@
     const bool running = passage.phase == PassagePhase::Running && attempt != AttemptId {};
     passage.runs += running ? 1 : 0;
     cancelAttempt(passage);
-    const bool cutStream = running && passage.events > 0;
-    const Tokens billed = cutStream ? Tokens {} : settle(passage, used(passage));
     const Outcome outcome = passage.runs > 0 ? Outcome::Unknown : Outcome::NotRun;
     PassageRefusal told = why;
     // These statuses say that a request has not run. Of one that may have run, that would be a lie.
@@ -69,29 +62,30 @@
             .with("account", passage.accountId().value())
             .with("config", static_cast<std::int64_t>(passage.table->config().version))
             .with("outcome", toText(outcome))
-            .with("events", static_cast<std::int64_t>(passage.events))
-            .with("bill", billed.value())
             .with("after_ms", toMilliseconds(context_.now() - passage.arrived)));
     context_.emit(Reply { passage.id, outcome, told.status, told.reason, told.detail, told.retryAfter, Tokens {} });
-    if (cutStream) {
-        awaitCount(passage, attempt);
-    } else {
-        end(passage);
-    }
+    endOnceCounted(passage, attempt);
 }
 
-// What goes wrong when a cut stream is billed at its most at once: its caller pays for events that it never got. One
-// notices by bills of `prompt + most` beside streams that ended after a few events. How many were passed on by the time
-// the transport cuts the stream, only the transport knows; until it says so the whole reservation is kept for them.
-void Passages::awaitCount(Passage& passage, AttemptId attempt)
+// What goes wrong when a request that was offered to a backend server is billed as it is given up: events that the
+// transport passes on at that moment are not known here yet, and nobody pays for them; billed at its most instead, its
+// caller pays for what it never got. One notices by bills of a whole reservation beside streams that ended early. What
+// was passed on until the transport cuts the answer, only the transport knows; the reservation is kept until it says
+// so.
+void Passages::endOnceCounted(Passage& passage, AttemptId attempt)
 {
+    if (passage.offers == 0 || !passage.reservation) {
+        settle(passage, {});
+        end(passage);
+        return;
+    }
     stateOf(passage).admission.queue().remove(passage.id);
-    const auto taken = passages_.extract(passage.id);
+    auto taken = passages_.extract(passage.id);
     const CallId id = taken.key();
-    cut_.emplace(id, CutStream { std::move(taken.mapped()), attempt, context_.now() + countPatience });
+    cut_.emplace(id, CutAnswer { std::move(taken.mapped()), attempt, context_.now() + countPatience });
 }
 
-void Passages::billCut(CallId id, std::uint64_t events)
+void Passages::billCut(CallId id, Tokens (Passages::*bill)(const Passage&) const, std::uint64_t events)
 {
     const auto found = cut_.find(id);
     if (found == cut_.end()) {
@@ -99,21 +93,25 @@
     }
     Passage& passage = *found->second.passage;
     passage.events = std::max(passage.events, events);
-    const Tokens billed = settle(passage, used(passage));
-    context_.log(Line("stream_cut")
-                     .with("request", passage.facts.id)
-                     .with("account", passage.accountId().value())
-                     .with("events", static_cast<std::int64_t>(passage.events))
-                     .with("billed", billed.value()));
+    const Tokens billed = settle(passage, (this->*bill)(passage));
+    if (billed > Tokens {}) {
+        context_.log(Line("cut_billed")
+                         .with("request", passage.facts.id)
+                         .with("account", passage.accountId().value())
+                         .with("events", static_cast<std::int64_t>(passage.events))
+                         .with("billed", billed.value()));
+    }
     cut_.erase(found);
 }
 
-void Passages::billCutOf(AttemptId attempt, std::uint64_t events)
+void Passages::billCutBy(const PassageEnded& ended)
 {
-    const auto found = std::ranges::find(cut_, attempt, [](const auto& entry) { return entry.second.attempt; });
-    if (found != cut_.end()) {
-        billCut(found->first, events);
+    const auto found = std::ranges::find(cut_, ended.attempt, [](const auto& entry) { return entry.second.attempt; });
+    if (found == cut_.end()) {
+        return;
     }
+    const bool completed = ended.end == PassageEnd::Completed;
+    billCut(found->first, completed ? &Passages::usedWhole : &Passages::used, ended.events);
 }
 
 void Passages::billUncounted()
@@ -125,7 +123,7 @@
         }
     }
     for (const CallId id : over) {
-        billCut(id, std::numeric_limits<std::uint64_t>::max());
+        billCut(id, &Passages::most, 0);
     }
 }
 
@@ -150,7 +148,7 @@
 {
     Passage* passage = find(abandoned.call);
     if (passage == nullptr) {
-        billCut(abandoned.call, abandoned.events);
+        billCut(abandoned.call, &Passages::used, abandoned.events);
         return;
     }
     passage->events = std::max(passage->events, abandoned.events);
@@ -196,11 +194,14 @@
         return {};
     }
     const std::uint64_t perEvent = passage.service->engine ? passage.service->engine->tokensPerEvent : 1;
-    const auto most = static_cast<std::uint64_t>(passage.facts.maxAnswerTokens.value());
-    const std::uint64_t answer = passage.events > most / std::max<std::uint64_t>(perEvent, 1)
-        ? most
-        : std::min(most, passage.events * perEvent);
-    return passage.facts.promptTokens + Tokens { static_cast<std::int64_t>(answer) };
+    const Tokens answer { static_cast<std::int64_t>(passage.events * perEvent) };
+    return passage.facts.promptTokens + std::min(answer, passage.facts.maxAnswerTokens);
+}
+
+// How many tokens a whole body is, nobody here can tell; it is billed at its most.
+Tokens Passages::usedWhole(const Passage& passage) const
+{
+    return passage.route->answer == fleet::AnswerKind::Whole ? passage.cost : used(passage);
 }
 
 Tokens Passages::settle(Passage& passage, Tokens actual)
--- a/src/transport/PassageCall.h
+++ b/src/transport/PassageCall.h
@@ -48,6 +48,8 @@
 
     [[nodiscard]] CallId id() const noexcept { return id_; }
     [[nodiscard]] const std::string& requestId() const noexcept { return requestId_; }
+    /** @return Whether a backend server has been sent it. */
+    [[nodiscard]] bool offered() const noexcept { return reader_ != nullptr; }
     [[nodiscard]] std::uint64_t events() const noexcept { return events_; }
     [[nodiscard]] std::optional<std::uint64_t> lastEvent() const noexcept { return lastEvent_; }
 
--- a/src/transport/PassageTable.cpp
+++ b/src/transport/PassageTable.cpp
@@ -278,6 +278,15 @@
 {
     if (const auto call = take(order.call)) {
         call->passFailure();
+        reportCut(*call);
+    }
+}
+
+// The bill of what a backend server has had waits for what its caller has been given.
+void PassageTable::reportCut(const PassageCall& call)
+{
+    if (call.offered()) {
+        context_.events.push({ Incarnation {}, node::PassageAbandoned { call.id(), call.events() } });
     }
 }
 
@@ -287,10 +296,7 @@
 {
     if (const auto call = take(reply.call)) {
         call->finish(reply);
-        if (call->events() > 0) {
-            // A stream was cut: its bill waits for what its caller has been given.
-            context_.events.push({ Incarnation {}, node::PassageAbandoned { call->id(), call->events() } });
-        }
+        reportCut(*call);
     }
 }
 
--- a/src/transport/PassageTable.h
+++ b/src/transport/PassageTable.h
@@ -67,6 +67,7 @@
     void answerReadiness(CallerConnection& connection);
     /** Says whether more callers should be sent here, and logs when that changes. */
     [[nodiscard]] bool wantsCallers();
+    void reportCut(const PassageCall& call);
     void reportFirstEvent(Running& running);
     [[nodiscard]] std::shared_ptr<PassageCall> take(CallId call);
 
--- a/tests/node/GatewayTest.cpp
+++ b/tests/node/GatewayTest.cpp
@@ -225,6 +225,7 @@
     // counted.
     TEST_F(GatewayTest, StreamThatIsCutIsBilledForWhatWasPassedOn)
     {
+        world.reportsCuts = false;
         const CallId call = world.arrive("/stream/x", 100, 700, milliseconds(500));
         world.progress(ordered(call), 1);
         world.run(seconds(1));
@@ -235,12 +236,13 @@
         EXPECT_EQ(world.billed(), Tokens { 100 + 3 * 7 });
         world.run(seconds(3));
         EXPECT_EQ(world.billed(), Tokens { 100 + 3 * 7 }) << "billed once";
-        ASSERT_EQ(world.lines("stream_cut").size(), 1U);
+        ASSERT_EQ(world.lines("cut_billed").size(), 1U);
     }
 
     // The stream's last event passed the core's decision to give it up on the way.
     TEST_F(GatewayTest, StreamThatEndsAsItIsGivenUpIsBilledForWhatWasPassedOn)
     {
+        world.reportsCuts = false;
         const CallId call = world.arrive("/stream/x", 100, 700, milliseconds(500));
         const PassOn order = ordered(call);
         world.progress(order, 1);
@@ -253,6 +255,7 @@
 
     TEST_F(GatewayTest, CutStreamOfWhichNothingIsHeardIsBilledAtItsMost)
     {
+        world.reportsCuts = false;
         const CallId call = world.arrive("/stream/x", 100, 700, milliseconds(500));
         world.progress(ordered(call), 1);
         world.run(seconds(4));
--- a/tests/node/GatewayWorld.cpp
+++ b/tests/node/GatewayWorld.cpp
@@ -1,5 +1,7 @@
 #include "node/GatewayWorld.h"
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
 #include "swiftlift/ledger/EntryCodec.h"
@@ -193,11 +195,13 @@
 void GatewayWorld::end(const PassOn& order, PassageEnd how, int status, std::uint64_t events)
 {
     orders_.erase(order.call);
+    given_[order.call] = std::max(given_[order.call], events);
     tell(PassageEnded { order.attempt, how, status, events, "played" });
 }
 
 void GatewayWorld::progress(const PassOn& order, std::uint64_t events)
 {
+    given_[order.call] = std::max(given_[order.call], events);
     tell(PassageProgress { order.attempt, events });
 }
 
@@ -244,11 +248,14 @@
     for (const Action& action : actions) {
         if (const auto* order = std::get_if<PassOn>(&action)) {
             orders_[order->call] = *order;
+            given_.try_emplace(order->call, 0);
         } else if (const auto* reply = std::get_if<Reply>(&action)) {
             EXPECT_FALSE(replies_.contains(reply->call)) << "a caller gets one final answer";
             replies_[reply->call] = *reply;
+            reportCut(reply->call);
         } else if (const auto* failure = std::get_if<PassFailureOn>(&action)) {
             failures_.insert(failure->call);
+            reportCut(failure->call);
         } else if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
             cancelled_.insert(cancel->attempt);
         } else if (const auto* readiness = std::get_if<AnnounceReadiness>(&action)) {
@@ -266,6 +273,13 @@
     }
 }
 
+void GatewayWorld::reportCut(CallId call)
+{
+    if (const auto given = given_.find(call); reportsCuts && given != given_.end()) {
+        pending_.push_back(PassageAbandoned { call, given->second });
+    }
+}
+
 void GatewayWorld::on(const Append& append)
 {
     if (append.stream != ledgerName) {
--- a/tests/node/GatewayWorld.h
+++ b/tests/node/GatewayWorld.h
@@ -78,6 +78,8 @@
 
     /** False: reads and appends fail. */
     bool logReachable = true;
+    /** True: the transport says how much of an answer its caller was given when the core has ended it. */
+    bool reportsCuts = true;
 
 private:
     void putConfig(fleet::FleetConfig config);
@@ -98,7 +100,10 @@
     Instant configReadAt_ {};
     std::uint64_t lastWritten_ = 0;
     std::uint64_t lastCall_ = 0;
+    void reportCut(CallId call);
+
     std::map<CallId, PassOn> orders_;
+    std::map<CallId, std::uint64_t> given_;
     std::map<CallId, Reply> replies_;
     std::set<CallId> failures_;
     std::set<AttemptId> cancelled_;
--- a/tests/platform/FleetTest.cpp
+++ b/tests/platform/FleetTest.cpp
@@ -4,6 +4,7 @@
 #include <thread>
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 #include <unistd.h>
 
 #include "platform/PlatformFleet.h"
@@ -42,6 +43,23 @@
             return false;
         }
 
+        /** @return The first line of this kind in the router's log, once there is one; null when none came. */
+        [[nodiscard]] nlohmann::json lineOf(std::size_t router, const std::string& kind) const
+        {
+            const auto until = std::chrono::steady_clock::now() + longBound;
+            while (std::chrono::steady_clock::now() < until) {
+                std::ifstream log(folder_ / ("router-" + std::to_string(router) + ".log"));
+                for (std::string text; std::getline(log, text);) {
+                    const auto line = nlohmann::json::parse(text, nullptr, false);
+                    if (line.is_object() && line.value("kind", "") == kind) {
+                        return line;
+                    }
+                }
+                std::this_thread::sleep_for(std::chrono::milliseconds(20));
+            }
+            return nullptr;
+        }
+
         std::filesystem::path folder_;
         std::unique_ptr<PlatformFleet> fleet_;
         int sent_ = 0;
@@ -146,6 +164,25 @@
         EXPECT_EQ(fleet_->router(0).waitForExit(longBound), 0);
     }
 
+    // Symptom: an account pays for more of a stream than its caller got.
+    // Events: the stream is given up midway, at the caller's deadline.
+    // Cause: the bill was made before it was known how many events had been passed on.
+    TEST_F(PlatformFleetTest, CutStreamIsBilledForTheEventsThatItsCallerGot)
+    {
+        fleet_->engine(0).control({ { "between_events_ms", 400 } });
+        fleet_->engine(1).control({ { "between_events_ms", 400 } });
+        const CallerAnswer answer
+            = fleet_->send(0, { .path = "/stream/x", .id = "cut", .tokens = "12,35", .deadlineMs = 1000 });
+        EXPECT_FALSE(answer.whole);
+        const nlohmann::json cut = lineOf(0, "cut_billed");
+        ASSERT_TRUE(cut.is_object());
+        const auto events = cut["events"].get<std::uint64_t>();
+        EXPECT_GT(events, 0U);
+        EXPECT_LE(events, fleet_->eventsOf("cut")) << "no more than the engine made";
+        EXPECT_EQ(cut["billed"], 12 + events * 7);
+        EXPECT_LT(cut["billed"], 12 + 35) << "less than the longest answer";
+    }
+
     // Symptom: an engine that announced its leaving is still given requests.
     // Events: its entry says so, or ends.
     // Cause: routers went by their last request to it.
--- a/tests/platform/PlatformFleet.h
+++ b/tests/platform/PlatformFleet.h
@@ -67,7 +67,10 @@
     {
         return routers_.at(router).settings;
     }
+    /** @return How often engines started the request. */
     [[nodiscard]] std::uint64_t runsOf(const std::string& id);
+    /** @return Events that engines made for the request. */
+    [[nodiscard]] std::uint64_t eventsOf(const std::string& id);
 
 private:
     struct Router {
@@ -77,6 +80,8 @@
         std::unique_ptr<scenario::Process> process;
     };
 
+    /** @return Sum over the engines of what their audits count of the request. */
+    [[nodiscard]] std::uint64_t auditedOf(const std::string& id, const std::string& count);
     void addRouter(std::size_t index, const std::string& domain);
 
     std::string program_;
