Name the ways to the bill of a cut answer; send the witness no copies while there is none

Member function pointers as parameters stopped the reader; three small functions say when each is billed. Copies went on to a witness that the membership no longer names, as they did not before.

--- a/src/node/Passages.h
+++ b/src/node/Passages.h
@@ -87,8 +87,10 @@
     struct CutAnswer {
         std::unique_ptr<Passage> passage;
         AttemptId attempt;
+        /** When it is billed at its most. */
         Instant billedAtMost {};
     };
+    using CutAnswers = std::map<CallId, CutAnswer>;
 
     // Arrival and money.
     [[nodiscard]] bool findRoute(Passage& passage);
@@ -131,15 +133,17 @@
     [[nodiscard]] Tokens used(const Passage& passage) const;
     /** @return As used(), of an answer that was given whole. */
     [[nodiscard]] Tokens usedWhole(const Passage& passage) const;
-    [[nodiscard]] Tokens most(const Passage& passage) const { return passage.cost; }
     void end(Passage& passage);
     /** Ends what was given up. Its bill, if it was offered to a backend server, waits for the transport's word.
      * @param attempt The one that was under way, if any. */
     void endOnceCounted(Passage& passage, AttemptId attempt);
-    /** @param bill What to bill of it. @param events That its caller was given, as far as is known by now. */
-    void billCut(CallId id, Tokens (Passages::*bill)(const Passage&) const, std::uint64_t events);
-    void billCutBy(const PassageEnded& ended);
+    /** The transport has cut an answer: bills it, if it waits for that. */
+    void billAbandoned(const PassageAbandoned& abandoned);
+    /** An attempt ended as its request was given up: bills that, if it waits for that. */
+    void billEnded(const PassageEnded& ended);
+    /** Bills at their most the answers of which the transport has said nothing for too long. */
     void billUncounted();
+    void billCut(CutAnswers::iterator cut, Tokens actual);
     void expire();
     /** @param line What is known of the request; the reason is added to it. */
     void logRefusal(const PassageRefusal& why, Line line);
@@ -158,7 +162,7 @@
     routing::DomainReach reach_;
     std::map<CallId, std::unique_ptr<Passage>> passages_;
     std::map<AttemptId, CallId> byAttempt_;
-    std::map<CallId, CutAnswer> cut_;
+    CutAnswers cut_;
     std::map<ServiceName, ServiceState> services_;
     /** Who waits for money of each budget, in the order in which they came. */
     std::map<BudgetRef, std::set<CallId>> moneyLines_;
--- a/src/node/PassagesDispatch.cpp
+++ b/src/node/PassagesDispatch.cpp
@@ -237,7 +237,7 @@
     Passage* passage = ofAttempt(ended.attempt);
     if (passage == nullptr) {
         // A late word on an attempt that was given up: its caller has its final answer already.
-        billCutBy(ended);
+        billEnded(ended);
         return;
     }
     const ServiceName service = passage->service->name;
--- a/src/node/PassagesEnd.cpp
+++ b/src/node/PassagesEnd.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -85,46 +86,47 @@
     cut_.emplace(id, CutAnswer { std::move(taken.mapped()), attempt, context_.now() + countPatience });
 }
 
-void Passages::billCut(CallId id, Tokens (Passages::*bill)(const Passage&) const, std::uint64_t events)
+void Passages::billAbandoned(const PassageAbandoned& abandoned)
 {
-    const auto found = cut_.find(id);
-    if (found == cut_.end()) {
-        return;
+    if (const auto cut = cut_.find(abandoned.call); cut != cut_.end()) {
+        Passage& passage = *cut->second.passage;
+        passage.events = std::max(passage.events, abandoned.events);
+        billCut(cut, used(passage));
     }
-    Passage& passage = *found->second.passage;
-    passage.events = std::max(passage.events, events);
-    const Tokens billed = settle(passage, (this->*bill)(passage));
-    if (billed > Tokens {}) {
-        context_.log(Line("cut_billed")
-                         .with("request", passage.facts.id)
-                         .with("account", passage.accountId().value())
-                         .with("events", static_cast<std::int64_t>(passage.events))
-                         .with("billed", billed.value()));
-    }
-    cut_.erase(found);
 }
 
-void Passages::billCutBy(const PassageEnded& ended)
+void Passages::billEnded(const PassageEnded& ended)
 {
-    const auto found = std::ranges::find(cut_, ended.attempt, [](const auto& entry) { return entry.second.attempt; });
-    if (found == cut_.end()) {
-        return;
+    const auto cut = std::ranges::find(cut_, ended.attempt, [](const auto& entry) { return entry.second.attempt; });
+    if (cut != cut_.end()) {
+        Passage& passage = *cut->second.passage;
+        passage.events = std::max(passage.events, ended.events);
+        billCut(cut, ended.end == PassageEnd::Completed ? usedWhole(passage) : used(passage));
     }
-    const bool completed = ended.end == PassageEnd::Completed;
-    billCut(found->first, completed ? &Passages::usedWhole : &Passages::used, ended.events);
 }
 
 void Passages::billUncounted()
 {
-    std::vector<CallId> over;
-    for (const auto& [id, stream] : cut_) {
-        if (context_.now() >= stream.billedAtMost) {
-            over.push_back(id);
+    for (auto cut = cut_.begin(); cut != cut_.end();) {
+        const auto next = std::next(cut);
+        if (context_.now() >= cut->second.billedAtMost) {
+            billCut(cut, cut->second.passage->cost);
         }
+        cut = next;
     }
-    for (const CallId id : over) {
-        billCut(id, &Passages::most, 0);
+}
+
+void Passages::billCut(CutAnswers::iterator cut, Tokens actual)
+{
+    Passage& passage = *cut->second.passage;
+    if (const Tokens billed = settle(passage, actual); billed > Tokens {}) {
+        context_.log(Line("cut_billed")
+                         .with("request", passage.facts.id)
+                         .with("account", passage.accountId().value())
+                         .with("events", static_cast<std::int64_t>(passage.events))
+                         .with("billed", billed.value()));
     }
+    cut_.erase(cut);
 }
 
 void Passages::logRefusal(const PassageRefusal& why, Line line)
@@ -148,7 +150,7 @@
 {
     Passage* passage = find(abandoned.call);
     if (passage == nullptr) {
-        billCut(abandoned.call, &Passages::used, abandoned.events);
+        billAbandoned(abandoned);
         return;
     }
     passage->events = std::max(passage->events, abandoned.events);
--- a/src/node/ShardLedgerPeers.cpp
+++ b/src/node/ShardLedgerPeers.cpp
@@ -77,9 +77,9 @@
 {
     if (const auto witness = peers_.membership().witness()) {
         nearCopies_.leadTo(witness);
+        sendCopiesBy(nearCopies_, false);
     }
     distantCopies_.leadTo(peers_.membership().distantKeeper());
-    sendCopiesBy(nearCopies_, false);
     sendCopiesBy(distantCopies_, true);
     noteDistantKeeper();
 }
@@ -192,7 +192,7 @@
     const auto grant = fold_.grant(grantId);
     const Incarnation witness = grant ? grant->witness : Incarnation {};
     const bool byWitness = nearCopies_.holds(sequence) && (alone || (grant && witness == nearCopies_.keeper()));
-    const bool alonePossibly = alone && !nearCopies_.keeper();
+    const bool withoutWitness = alone && !peers_.membership().witness();
     const bool beyondDomain = distantCopies_.holds(sequence);
     // What goes wrong without the second copy: a failure domain loses its power milliseconds after an answer, holder
     // and witness with it, and nobody is left to bill it. One notices by an answer without a bill. In a partition the
@@ -200,7 +200,7 @@
     if (byWitness && (beyondDomain || !distantCopies_.inTouch(context_.now()))) {
         return BillState::Secured;
     }
-    if (alonePossibly && beyondDomain) {
+    if (withoutWitness && beyondDomain) {
         return BillState::Secured;
     }
     return alone ? BillState::Alone : BillState::Pending;
