Take a passage out in one place; say less twice

Read again as a newcomer: the end of a request and its wait for a count each took it out of the line for a backend server and of the table (Passages::remove serves both); closeSince() named each moment twice; appendsFor() built the list of sealed grants before the cheaper question whether the author lives; the comment on bills spoke of fields that `refuse` has no more; a CMake comment had come between a function and its own.

--- a/cmake/Modules.cmake
+++ b/cmake/Modules.cmake
@@ -28,11 +28,11 @@
     set_target_properties(${NAME} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/bin)
 endfunction()
 
-# swiftlift_test(MODULE [libraries]): GoogleTest program test_MODULE from tests/MODULE/*.cpp.
 # Property tests draw the same cases every time, so that the same code gets the same verdict; RC_PARAMS of a run by hand
 # names another seed.
 set(SWIFTLIFT_PROPERTY_SEED 20261)
 
+# swiftlift_test(MODULE [libraries]): GoogleTest program test_MODULE from tests/MODULE/*.cpp.
 function(swiftlift_test MODULE)
     file(GLOB SOURCES CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/tests/${MODULE}/*.cpp)
     if(NOT SOURCES)
--- a/src/membership/Heartbeats.cpp
+++ b/src/membership/Heartbeats.cpp
@@ -131,15 +131,16 @@
 
 std::optional<Instant> Membership::closeSince(Incarnation incarnation) const
 {
+    // Nothing is less than any moment.
     std::optional<Instant> since;
     if (const auto found = watched_.find(incarnation); found != watched_.end()) {
         since = found->second;
     }
     if (witness_ == incarnation) {
-        since = std::max(since.value_or(witnessSince_), witnessSince_);
+        since = std::max(since, std::optional(witnessSince_));
     }
     if (distantKeeper_ == incarnation) {
-        since = std::max(since.value_or(distantKeeperSince_), distantKeeperSince_);
+        since = std::max(since, std::optional(distantKeeperSince_));
     }
     return since;
 }
--- a/src/node/Ledgers.cpp
+++ b/src/node/Ledgers.cpp
@@ -149,12 +149,12 @@
 
 std::vector<Incarnation> Ledgers::watched() const
 {
-    std::set<Incarnation> holders;
+    std::set<Incarnation> watched;
     for (const auto& shard : shards_) {
         const auto of = shard->watched();
-        holders.insert(of.begin(), of.end());
+        watched.insert(of.begin(), of.end());
     }
-    return { holders.begin(), holders.end() };
+    return { watched.begin(), watched.end() };
 }
 
 } // namespace swiftlift::node
--- a/src/node/Passages.h
+++ b/src/node/Passages.h
@@ -134,6 +134,8 @@
     /** @return As used(), of an answer that was given whole. */
     [[nodiscard]] Tokens usedWhole(const Passage& passage) const;
     void end(Passage& passage);
+    /** Takes the passage out of those in progress, and out of the line for a backend server. */
+    [[nodiscard]] std::unique_ptr<Passage> remove(Passage& passage);
     /** Ends what was given up. Its bill, if it was offered to a backend server, waits for the transport's word.
      * @param attempt The one that was under way, if any. */
     void endOnceCounted(Passage& passage, AttemptId attempt);
--- a/src/node/PassagesEnd.cpp
+++ b/src/node/PassagesEnd.cpp
@@ -80,10 +80,8 @@
         end(passage);
         return;
     }
-    stateOf(passage).admission.queue().remove(passage.id);
-    auto taken = passages_.extract(passage.id);
-    const CallId id = taken.key();
-    cut_.emplace(id, CutAnswer { std::move(taken.mapped()), attempt, context_.now() + countPatience });
+    const CallId id = passage.id;
+    cut_.emplace(id, CutAnswer { remove(passage), attempt, context_.now() + countPatience });
 }
 
 void Passages::billAbandoned(const PassageAbandoned& abandoned)
@@ -187,8 +185,8 @@
 
 // What the account was given: of the answer what was passed on, and the prompt once, with the first event of it.
 // What goes wrong when the prompt counts as soon as a backend server has the request: callers who leave before the
-// first event, and requests that fail or break off there, pay for nothing. One notices by `caller_gone` and `refuse`
-// lines with 0 events and a bill, and by accounts that are refused with 402 though they were given less than they
+// first event, and requests that fail or break off there, pay for nothing. One notices by `caller_gone` lines
+// with 0 events and a bill, and by accounts that are refused with 402 though they were given less than they
 // bought.
 Tokens Passages::used(const Passage& passage) const
 {
@@ -228,10 +226,15 @@
         leaveMoneyLine(passage);
         ledgers_.of(passage.accountId()).withdraw(budgetOf(passage), keyOf(passage));
     }
+    (void)remove(passage);
+}
+
+std::unique_ptr<Passage> Passages::remove(Passage& passage)
+{
     if (passage.service != nullptr) {
         stateOf(passage).admission.queue().remove(passage.id);
     }
-    passages_.erase(passage.id);
+    return std::move(passages_.extract(passage.id).mapped());
 }
 
 void Passages::expire()
--- a/src/node/ShardLedgerPeers.cpp
+++ b/src/node/ShardLedgerPeers.cpp
@@ -137,9 +137,11 @@
     if (!suspected_.contains(author)) {
         return false;
     }
-    const auto sealed = witness_.sealed();
-    const bool over = std::ranges::any_of(sealed, [author](const GrantId& grant) { return grant.holder == author; });
-    return over || !peers_.membership().isAlive(author);
+    if (!peers_.membership().isAlive(author)) {
+        return true;
+    }
+    const std::vector<GrantId> sealed = witness_.sealed();
+    return std::ranges::any_of(sealed, [author](const GrantId& grant) { return grant.holder == author; });
 }
 
 void ShardLedger::appendForTheDead()
@@ -227,13 +229,13 @@
 std::vector<Incarnation> ShardLedger::watched() const
 {
     const std::vector<Incarnation> authors = copies_.authors();
-    std::set<Incarnation> holders(authors.begin(), authors.end());
+    std::set<Incarnation> watched(authors.begin(), authors.end());
     for (const auto& grant : fold_.openGrants()) {
         if (grant.witness == context_.self() && grant.id.holder != context_.self()) {
-            holders.insert(grant.id.holder);
+            watched.insert(grant.id.holder);
         }
     }
-    return { holders.begin(), holders.end() };
+    return { watched.begin(), watched.end() };
 }
 
 void ShardLedger::sendToShard(Incarnation to, PeerMessage message) { peers_.send(to, std::move(message), shard_); }
