--- a/tests/platform/FleetTest.cpp
+++ b/tests/platform/FleetTest.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <unistd.h>
 
+#include "LogLines.h"
 #include "platform/PlatformFleet.h"
 
 namespace swiftlift::platform::test {
@@ -44,16 +45,12 @@
         }
 
         /** @return The first line of this kind in the router's log, once there is one; null when none came. */
-        [[nodiscard]] nlohmann::json lineOf(std::size_t router, const std::string& kind) const
+        [[nodiscard]] nlohmann::json lineOf(std::size_t router, const std::string& kind)
         {
             const auto until = std::chrono::steady_clock::now() + longBound;
             while (std::chrono::steady_clock::now() < until) {
-                std::ifstream log(folder_ / ("router-" + std::to_string(router) + ".log"));
-                for (std::string text; std::getline(log, text);) {
-                    const auto line = nlohmann::json::parse(text, nullptr, false);
-                    if (line.is_object() && line.value("kind", "") == kind) {
-                        return line;
-                    }
+                if (const auto lines = scenario::linesOfKind(fleet_->router(router).printed(), kind); !lines.empty()) {
+                    return lines.front();
                 }
                 std::this_thread::sleep_for(std::chrono::milliseconds(20));
             }
--- a/tests/platform/PlatformFleet.cpp
+++ b/tests/platform/PlatformFleet.cpp
@@ -1,6 +1,5 @@
 #include "platform/PlatformFleet.h"
 
-#include <deque>
 #include <fstream>
 #include <iostream>
 #include <set>
@@ -56,20 +55,12 @@
         return host + ":" + std::to_string(port);
     }
 
-    /** Shows the last lines of a router that doesn't get ready: its folder is gone when the test has ended. */
-    void showEnd(const std::filesystem::path& log)
+    /** Shows the end of the log of a router that doesn't get ready: its folder is gone when the test has ended. */
+    void showEnd(const scenario::Process& router)
     {
         constexpr std::size_t shownLines = 15;
-        std::deque<std::string> last;
-        std::ifstream file(log);
-        for (std::string line; std::getline(file, line);) {
-            last.push_back(std::move(line));
-            if (last.size() > shownLines) {
-                last.pop_front();
-            }
-        }
-        std::cerr << log << ":\n";
-        for (const std::string& line : last) {
+        std::cerr << router.name() << ":\n";
+        for (const std::string& line : scenario::lastLines(router.output(), shownLines)) {
             std::cerr << line << '\n';
         }
     }
@@ -160,7 +151,7 @@
     for (std::size_t index = 0; index < routers_.size(); ++index) {
         const bool here = waitForReadiness(index, 200);
         if (!here) {
-            showEnd(folder_ / ("router-" + std::to_string(index) + ".log"));
+            showEnd(*routers_[index].process);
         }
         ready = ready && here;
     }
--- a/tests/scenario/VerbsOperators.cpp
+++ b/tests/scenario/VerbsOperators.cpp
@@ -1,7 +1,7 @@
 #include <fstream>
-#include <sstream>
 
 #include "Errors.h"
+#include "LogLines.h"
 #include "World.h"
 #include "swiftlift/settings/ServiceDocument.h"
 
@@ -164,15 +164,7 @@
     /** Lines of a router's log that are of one kind. */
     Json logged(World& world, const Arguments& arguments)
     {
-        const std::string kind = arguments.text(1, "kind");
-        Json found = Json::array();
-        std::istringstream lines(world.fleet().printedBy(arguments.text(0, "vm")));
-        for (std::string line; std::getline(lines, line);) {
-            Json object = Json::parse(line, nullptr, false);
-            if (object.is_object() && object.value("kind", "") == kind)
-                found.push_back(std::move(object));
-        }
-        return found;
+        return linesOfKind(world.fleet().printedBy(arguments.text(0, "vm")), arguments.text(1, "kind"));
     }
 
 } // namespace internal
