Name what a request asks for, and a lost connection, in the lines of its attempts

The lines of the incident could not tell whether the requests under which servers ended were the same but for their ids, nor whether an attempt broke with its server's connection or otherwise. No decision depends on either yet.

--- a/include/swiftlift/base/Fwd.h
+++ b/include/swiftlift/base/Fwd.h
@@ -5,6 +5,7 @@
 template <typename Tag, typename Value> class StrongType;
 
 struct BudgetRef;
+struct ContentDigest;
 struct GrantId;
 struct RequestKey;
 class Tokens;
--- a/include/swiftlift/base/Ids.h
+++ b/include/swiftlift/base/Ids.h
@@ -63,6 +63,14 @@
     [[nodiscard]] auto operator<=>(const RequestKey&) const = default;
 };
 
+/** First 128 bits of the SHA-256 of what a request asks for; its id and its caller are not part of it. */
+struct ContentDigest {
+    std::uint64_t high = 0;
+    std::uint64_t low = 0;
+
+    [[nodiscard]] auto operator<=>(const ContentDigest&) const = default;
+};
+
 } // namespace swiftlift
 
 template <> struct std::hash<swiftlift::BudgetRef> {
--- a/include/swiftlift/node/Passage.h
+++ b/include/swiftlift/node/Passage.h
@@ -34,6 +34,8 @@
     Tokens maxAnswerTokens;
     /** Of the prompt, in order; the last part is the request's own. */
     std::vector<PrefixPart> prefix;
+    /** What it asks for: the same when a caller asks again. Nothing: not known. */
+    std::optional<ContentDigest> content;
 };
 
 /** A caller's request has come whole. */
@@ -75,6 +77,8 @@
     std::uint64_t events = 0;
     /** For logs. */
     std::string detail;
+    /** Of Broken: the backend server ended the connection, as one does that crashes. */
+    bool connectionLost = false;
 };
 
 /** The caller's connection is gone: it has left, or its stream was cut. Nothing is passed on to it any more. */
--- a/include/swiftlift/transport/Hashing.h
+++ b/include/swiftlift/transport/Hashing.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -25,6 +26,13 @@
 /** @return SHA-256 of a client account's key, in hex; empty when the library fails. */
 [[nodiscard]] std::string keyHash(std::string_view bearerKey);
 
+/**
+ * Nobody can make another request that has the same digest, so nobody can pass for another's request.
+ * @return Digest of a request's method, host, path with query, and body; nothing when the library fails.
+ */
+[[nodiscard]] std::optional<ContentDigest> contentDigest(
+    std::string_view method, std::string_view host, std::string_view target, std::string_view body);
+
 /** @return xxh64 of the prompt's first bytes. */
 [[nodiscard]] std::uint64_t prefixHash(std::string_view prompt) noexcept;
 
--- a/src/node/Context.cpp
+++ b/src/node/Context.cpp
@@ -16,6 +16,11 @@
     return text;
 }
 
+std::string toHex(const std::optional<ContentDigest>& content)
+{
+    return content ? toHex(content->high) + toHex(content->low) : std::string {};
+}
+
 std::string toText(const GrantId& grant) { return toHex(grant.holder.value()) + '/' + std::to_string(grant.number); }
 
 std::string toText(const BudgetRef& budget) { return budget.account.value() + '/' + budget.budget.value(); }
--- a/src/node/Context.h
+++ b/src/node/Context.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -95,6 +96,8 @@
 
 /** @return 16 hex digits. */
 [[nodiscard]] std::string toHex(std::uint64_t value);
+/** @return 32 hex digits; empty when there is none. */
+[[nodiscard]] std::string toHex(const std::optional<ContentDigest>& content);
 /** @return `HOLDER/NUMBER`. */
 [[nodiscard]] std::string toText(const GrantId& grant);
 /** @return `ACCOUNT/BUDGET`. */
--- a/src/transport/Attempt.cpp
+++ b/src/transport/Attempt.cpp
@@ -195,6 +195,7 @@
             return;
         }
     }
+    connectionLost_ = error == boost::asio::error::eof || error == boost::asio::error::connection_reset;
     end(AttemptResult::Broken, "connection lost: " + error.message());
 }
 
--- a/src/transport/Attempt.h
+++ b/src/transport/Attempt.h
@@ -81,6 +81,8 @@
     [[nodiscard]] const DoneLine& counts() const noexcept { return reader_->counts(); }
     /** @return Status of the answer; 0 while none has come. */
     [[nodiscard]] int status() const noexcept { return status_; }
+    /** @return Whether the backend server closed or reset the connection before the end of its answer. */
+    [[nodiscard]] bool connectionLost() const noexcept { return connectionLost_; }
 
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
@@ -127,6 +129,7 @@
     bool writing_ = false;
     bool paused_ = false;
     bool ended_ = false;
+    bool connectionLost_ = false;
     bool closed_ = false;
 };
 
--- a/src/transport/Hashing.cpp
+++ b/src/transport/Hashing.cpp
@@ -1,6 +1,8 @@
 #include "swiftlift/transport/Hashing.h"
 
 #include <array>
+#include <cstring>
+#include <memory>
 
 #include <openssl/evp.h>
 #include <xxhash.h>
@@ -46,6 +48,31 @@
     return text;
 }
 
+std::optional<ContentDigest> contentDigest(
+    std::string_view method, std::string_view host, std::string_view target, std::string_view body)
+{
+    const std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> context(EVP_MD_CTX_new(), &EVP_MD_CTX_free);
+    bool valid = context && EVP_DigestInit_ex(context.get(), EVP_sha256(), nullptr) == 1;
+    const auto add = [&](std::string_view part) {
+        // Lengths keep the parts apart: what is moved from the end of one to the start of the next is another request.
+        const std::uint64_t length = part.size();
+        valid = valid && EVP_DigestUpdate(context.get(), &length, sizeof length) == 1
+            && EVP_DigestUpdate(context.get(), part.data(), part.size()) == 1;
+    };
+    add(method);
+    add(host);
+    add(target);
+    add(body);
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
+    if (!valid || EVP_DigestFinal_ex(context.get(), digest.data(), nullptr) != 1) {
+        return std::nullopt;
+    }
+    ContentDigest content;
+    std::memcpy(&content.high, digest.data(), sizeof content.high);
+    std::memcpy(&content.low, digest.data() + sizeof content.high, sizeof content.low);
+    return content;
+}
+
 std::uint64_t prefixHash(std::string_view prompt) noexcept
 {
     const std::string_view prefix = prompt.substr(0, prefixBytes);
--- a/src/transport/PassageTable.cpp
+++ b/src/transport/PassageTable.cpp
@@ -6,6 +6,7 @@
 
 #include "swiftlift/transport/CallerText.h"
 #include "swiftlift/transport/DecisionLoop.h"
+#include "swiftlift/transport/Hashing.h"
 #include "transport/PassageText.h"
 
 namespace swiftlift::transport::internal {
@@ -100,6 +101,7 @@
     auto& known = std::get<node::PassageFacts>(facts);
     const CallId id(++lastNumber_);
     const std::string requestId = known.id;
+    known.content = contentDigest(head.method, known.host, head.target, request.body());
     if (!takenIn(connection, requestId)) {
         return;
     }
@@ -218,7 +220,8 @@
     }
     context_.events.push({ context_.incarnation,
         node::PassageEnded {
-            attempt.id(), toEnd(result), attempt.status(), running->call->events(), std::move(detail) } });
+            attempt.id(), toEnd(result), attempt.status(), running->call->events(), std::move(detail),
+            attempt.connectionLost() } });
 }
 
 void PassageTable::carryOut(StreamCommand&& command)
--- a/tests/transport/ParsingTest.cpp
+++ b/tests/transport/ParsingTest.cpp
@@ -115,6 +115,17 @@
     }
 }
 
+TEST(ContentDigest, IsOfWhatIsAskedForAndKeepsItsPartsApart)
+{
+    const auto digest = contentDigest("POST", "desk", "/a/b", "body");
+    ASSERT_TRUE(digest);
+    EXPECT_EQ(digest, contentDigest("POST", "desk", "/a/b", "body"));
+    EXPECT_NE(digest, contentDigest("GET", "desk", "/a/b", "body"));
+    EXPECT_NE(digest, contentDigest("POST", "desk", "/a/b", "bodies"));
+    EXPECT_NE(digest, contentDigest("POST", "desk", "/a/bb", "ody"));
+    EXPECT_NE(digest, contentDigest("POST", "desk/", "a/b", "body"));
+}
+
 TEST(PlatformReports, AreReadAndGarbageIsNot)
 {
     const auto vms = internal::parseVmList(
