Tests that fail: a request that crashes backend servers goes on being sent to them

Real routers on three VMs, engine stand-ins that crash at a named request (they close all connections at once, refuse new ones for half a second and come back under a new id), other requests beside. Processes that tests start no longer inherit the stand-ins' listeners: a crashed engine's port stayed open in them.

--- a/tests/platform/PlatformFleet.cpp
+++ b/tests/platform/PlatformFleet.cpp
@@ -19,8 +19,6 @@
 
     constexpr std::chrono::seconds longBound { 60 };
     constexpr std::chrono::milliseconds pollInterval { 20 };
-    constexpr std::size_t modelEngines = 2;
-    constexpr std::size_t plainEngines = 2;
     const std::vector<std::string> domains { "regina-a", "regina-b" };
 
     /**
@@ -67,7 +65,7 @@
 
     Tcp::endpoint endpointOf(const std::string& address) { return standins::parseEndpoint(address); }
 
-    std::string serviceOf(std::size_t engine) { return engine < modelEngines ? "model" : "plain"; }
+    const std::string& domainOf(std::size_t index) { return domains[index % domains.size()]; }
 
     json routeOf(const std::string& name, const std::string& type)
     {
@@ -94,26 +92,43 @@
 
 } // namespace
 
-PlatformFleet::PlatformFleet(std::string router, std::filesystem::path folder, std::int64_t budget)
+PlatformFleet::PlatformFleet(std::string router, std::filesystem::path folder, std::int64_t budget, FleetSize size)
     : program_(std::move(router))
     , folder_(std::move(folder))
     , budget_(budget)
+    , size_(size)
     , store_(std::make_unique<RunningService>(std::make_unique<standin::StoreService>()))
 {
     std::filesystem::create_directories(folder_);
-    for (std::size_t index = 0; index < modelEngines + plainEngines; ++index) {
-        standin::EngineSettings settings;
-        settings.id = "i-" + std::to_string(index);
-        engines_.push_back(std::make_unique<RunningService>(std::make_unique<standin::EngineService>(settings)));
+    for (std::size_t index = 0; index < size_.modelEngines + size_.plainEngines; ++index) {
+        addEngine(index);
     }
-    for (std::size_t index = 0; index < domains.size(); ++index) {
+    for (std::size_t index = 0; index < size_.routers; ++index) {
         seeds_.push_back(freeAddress());
     }
-    for (std::size_t index = 0; index < domains.size(); ++index) {
-        addRouter(index, domains[index]);
+    for (std::size_t index = 0; index < size_.routers; ++index) {
+        addRouter(index, domainOf(index));
     }
 }
 
+void PlatformFleet::addEngine(std::size_t index)
+{
+    standin::EngineSettings settings;
+    settings.id = "i-" + std::to_string(index);
+    auto restarted = [this, index](const std::string& ended, const std::string& begun) {
+        ++crashes_;
+        dropEntry(ended);
+        putEntry(index, begun, "ready");
+    };
+    engines_.push_back(std::make_unique<RunningService>(
+        std::make_unique<standin::EngineService>(std::move(settings), std::move(restarted))));
+}
+
+std::string PlatformFleet::serviceOf(std::size_t engine) const
+{
+    return engine < size_.modelEngines ? "model" : "plain";
+}
+
 void PlatformFleet::addRouter(std::size_t index, const std::string& domain)
 {
     Router router;
@@ -144,6 +159,19 @@
         registerEngine(index, "ready");
     }
     publish(budget_);
+    return startRouters();
+}
+
+bool PlatformFleet::restartRouters()
+{
+    for (const Router& router : routers_) {
+        router.process->kill();
+    }
+    return startRouters();
+}
+
+bool PlatformFleet::startRouters()
+{
     bool ready = true;
     for (const Router& router : routers_) {
         router.process->start();
@@ -167,17 +195,23 @@
 }
 
 void PlatformFleet::registerEngine(std::size_t engine, const std::string& state)
+{
+    putEntry(engine, "i-" + std::to_string(engine), state);
+}
+
+void PlatformFleet::unregisterEngine(std::size_t engine) { dropEntry("i-" + std::to_string(engine)); }
+
+void PlatformFleet::putEntry(std::size_t engine, const std::string& id, const std::string& state)
 {
     const json entry { { "backend", serviceOf(engine) }, { "address", engines_.at(engine)->address() },
-        { "zone", domains[engine % domains.size()] }, { "version", "v1" }, { "slots", 32 }, { "state", state },
-        { "warmup_left_ms", 0 }, { "sequence", 1 } };
-    store_->control({ { "put",
-        { { "topic", "keyed.servers" }, { "key", "i-" + std::to_string(engine) }, { "value", entry.dump() } } } });
+        { "zone", domainOf(engine) }, { "version", "v1" }, { "slots", 32 }, { "state", state }, { "warmup_left_ms", 0 },
+        { "sequence", 1 } };
+    store_->control({ { "put", { { "topic", "keyed.servers" }, { "key", id }, { "value", entry.dump() } } } });
 }
 
-void PlatformFleet::unregisterEngine(std::size_t engine)
+void PlatformFleet::dropEntry(const std::string& id)
 {
-    store_->control({ { "put", { { "topic", "keyed.servers" }, { "key", "i-" + std::to_string(engine) } } } });
+    store_->control({ { "put", { { "topic", "keyed.servers" }, { "key", id } } } });
 }
 
 CallerAnswer PlatformFleet::send(std::size_t router, const CallerRequest& request) const
@@ -189,7 +223,7 @@
         headers["Token-Usage"] = request.tokens;
         headers["Prefix-Hash"] = "5c1e07a2:8,e4402b7d:4";
     }
-    const auto reply = client.call({ .body = "{}", .target = request.path, .headers = std::move(headers) });
+    const auto reply = client.call({ .body = request.body, .target = request.path, .headers = std::move(headers) });
     return reply ? CallerAnswer { reply->status, reply->body, true } : CallerAnswer {};
 }
 
--- a/tests/platform/PlatformFleet.h
+++ b/tests/platform/PlatformFleet.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
 #include <filesystem>
 #include <memory>
 #include <string>
@@ -29,22 +32,32 @@
     /** `IN,OUT`; empty: the request counts no tokens. */
     std::string tokens {};
     std::uint64_t deadlineMs = 5000;
+    std::string body = "{}";
+};
+
+/** How many there are of each; they take turns in the failure domains. */
+struct FleetSize {
+    std::size_t routers = 2;
+    std::size_t modelEngines = 2;
+    std::size_t plainEngines = 2;
 };
 
 /**
  * @brief Real routers in the platform's dialect on loopback, with stand-ins for its store and its engines.
  *
- * Two failure domains with one VM each; a model service with an engine in each domain and a plain service with one in
- * each; one account `club` with the key `key-one`.
+ * Unless told otherwise, two failure domains with one VM each; a model service with an engine in each domain and a
+ * plain service with one in each; one account `club` with the key `key-one`.
  */
 class PlatformFleet {
 public:
     /** @param router Path of the router program. @param folder Takes settings and logs. @param budget Of the account.
      */
-    PlatformFleet(std::string router, std::filesystem::path folder, std::int64_t budget);
+    PlatformFleet(std::string router, std::filesystem::path folder, std::int64_t budget, FleetSize size = {});
 
     /** Starts the routers, publishes the configuration and waits until all say that they are ready. */
     [[nodiscard]] bool start();
+    /** Kills all routers, starts them again and waits as start() does. */
+    [[nodiscard]] bool restartRouters();
 
     [[nodiscard]] CallerAnswer send(std::size_t router, const CallerRequest& request) const;
     /** @return Status of the answer to the question whether the router is ready; 0: no answer. */
@@ -59,8 +72,12 @@
     void unregisterEngine(std::size_t engine);
 
     [[nodiscard]] standins::RunningService& store() noexcept { return *store_; }
-    /** 0 and 1: the model service; 2 and 3: the plain service. */
+    /** Those of the model service come first. */
     [[nodiscard]] standins::RunningService& engine(std::size_t index) { return *engines_.at(index); }
+    [[nodiscard]] std::size_t engines() const noexcept { return engines_.size(); }
+    /** @return How many lives of engines have ended in a crash, all engines together. */
+    [[nodiscard]] std::uint64_t crashes() const noexcept { return crashes_.load(); }
+    [[nodiscard]] std::size_t routers() const noexcept { return routers_.size(); }
     [[nodiscard]] scenario::Process& router(std::size_t index) { return *routers_.at(index).process; }
     [[nodiscard]] std::string addressOf(std::size_t router) const { return routers_.at(router).callers; }
     [[nodiscard]] const std::filesystem::path& settingsOf(std::size_t router) const
@@ -83,10 +100,17 @@
     /** @return Sum over the engines of what their audits count of the request. */
     [[nodiscard]] std::uint64_t auditedOf(const std::string& id, const std::string& count);
     void addRouter(std::size_t index, const std::string& domain);
+    void addEngine(std::size_t index);
+    [[nodiscard]] bool startRouters();
+    void putEntry(std::size_t engine, const std::string& id, const std::string& state);
+    void dropEntry(const std::string& id);
+    [[nodiscard]] std::string serviceOf(std::size_t engine) const;
 
     std::string program_;
     std::filesystem::path folder_;
     std::int64_t budget_;
+    FleetSize size_;
+    std::atomic<std::uint64_t> crashes_ = 0;
     std::uint64_t version_ = 0;
     std::unique_ptr<standins::RunningService> store_;
     std::vector<std::unique_ptr<standins::RunningService>> engines_;
--- a/tests/platform/standin/EngineService.cpp
+++ b/tests/platform/standin/EngineService.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+    /** How long a request runs that crashes its engine. */
+    constexpr Milliseconds crashAfter { 5 };
+
     /** @return Whether one was left, which is taken. */
     bool take(std::uint64_t& left)
     {
@@ -28,9 +31,14 @@
 
 } // namespace
 
-EngineService::EngineService(EngineSettings settings)
+EngineService::EngineService(
+    EngineSettings settings, std::function<void(const std::string& ended, const std::string& begun)> restarted)
     : settings_(std::move(settings))
+    , restarted_(std::move(restarted))
+    , firstId_(settings_.id)
 {
+    controls().addValue("crash_on", crashOn_);
+    controls().addValue("down_ms", downMs_);
     controls().addValue("fail_next", failNext_);
     controls().addValue("break_next", breakNext_);
     controls().addValue("half_event", halfEvent_);
@@ -61,6 +69,27 @@
     }
 }
 
+void EngineService::onRestart()
+{
+    const std::string ended = std::exchange(settings_.id, firstId_ + "-" + std::to_string(++lives_));
+    if (restarted_) {
+        restarted_(ended, settings_.id);
+    }
+}
+
+bool EngineService::crashesOn(const Exchange& exchange) const
+{
+    return !crashOn_.empty() && exchange.path().find(crashOn_) != std::string::npos;
+}
+
+Awaitable<void> EngineService::crashWhileRunning(Exchange& exchange)
+{
+    co_await exchange.sleep(crashAfter);
+    crash().request(Milliseconds(downMs_));
+    // Nothing of an answer may leave before the server has closed the connection.
+    co_await exchange.sleep(Milliseconds(downMs_));
+}
+
 void EngineService::sign(Exchange& exchange) const
 {
     const std::string id = exchange.header("Request-Id");
@@ -80,6 +109,10 @@
     run.resumedAfter = exchange.header("Last-Event-Id");
     run.keySeen = run.keySeen || !exchange.header("Credential").empty();
     sign(exchange);
+    if (crashesOn(exchange)) {
+        co_await crashWhileRunning(exchange);
+        co_return;
+    }
     if (exchange.header("Token-Usage").empty()) {
         co_await whole(exchange, run);
     } else {
--- a/tests/platform/standin/EngineService.h
+++ b/tests/platform/standin/EngineService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 
@@ -23,11 +24,17 @@
  * `POST /control` takes `fail_next` (answers 500 to so many), `break_next` (closes after the first event, or without an
  * answer), `full` (answers 503 and starts nothing), `foreign_next` (sends an answer to another request before its own),
  * `half_event` (with `break_next`: closes within an event) and `id`.
+ *
+ * `crash_on` names a part of a path: the engine crashes as it runs such a request, takes all others that it has with
+ * it, and is back after `down_ms` under a new id.
  */
 class EngineService final : public standins::Service {
 public:
-    explicit EngineService(EngineSettings settings);
+    /** @param restarted Told the ids of the life that ended and of the new one, on the engine's thread. */
+    explicit EngineService(EngineSettings settings,
+        std::function<void(const std::string& ended, const std::string& begun)> restarted = {});
 
+    void onRestart() override;
     [[nodiscard]] standins::Awaitable<void> serve(standins::Exchange& exchange) override;
     [[nodiscard]] standins::Json audit(const standins::Exchange& exchange) const override;
 
@@ -46,9 +53,16 @@
     [[nodiscard]] standins::Awaitable<void> refuse(standins::Exchange& exchange);
     [[nodiscard]] standins::Awaitable<void> whole(standins::Exchange& exchange, Run& run);
     [[nodiscard]] standins::Awaitable<void> stream(standins::Exchange& exchange, Run& run);
+    [[nodiscard]] bool crashesOn(const standins::Exchange& exchange) const;
+    [[nodiscard]] standins::Awaitable<void> crashWhileRunning(standins::Exchange& exchange);
     void sign(standins::Exchange& exchange) const;
 
     EngineSettings settings_;
+    std::function<void(const std::string&, const std::string&)> restarted_;
+    std::string firstId_;
+    std::uint64_t lives_ = 1;
+    std::string crashOn_;
+    double downMs_ = 500;
     std::map<std::string, Run> runs_;
     std::uint64_t refused_ = 0;
     std::uint64_t failNext_ = 0;
--- a/tests/scenario/Process.cpp
+++ b/tests/scenario/Process.cpp
@@ -9,6 +9,7 @@
 #include <thread>
 
 #include <fcntl.h>
+#include <linux/close_range.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -34,6 +35,8 @@
         sigset_t none;
         ::sigemptyset(&none);
         ::sigprocmask(SIG_SETMASK, &none, nullptr);
+        // A child that kept a listener of the runner's would keep its port open when the runner has closed it.
+        ::close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
         ::dup2(output, STDOUT_FILENO);
         ::dup2(output, STDERR_FILENO);
         ::execv(arguments[0], arguments);
--- a/tests/standins/common/HttpServer.cpp
+++ b/tests/standins/common/HttpServer.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/read.hpp>
 #include <stdexcept>
 #include <sys/socket.h>
+#include <utility>
 
 namespace swiftlift::standins {
 
@@ -129,6 +130,33 @@
 {
     service_.start(context_);
     asio::co_spawn(context_, accept(), asio::detached);
+    asio::co_spawn(context_, followCrashes(), asio::detached);
+}
+
+Awaitable<void> HttpServer::followCrashes()
+{
+    const Tcp::endpoint endpoint = acceptor_.local_endpoint();
+    while (true) {
+        co_await waitFor(service_.crash().requested());
+        acceptor_.close();
+        closeAll();
+        co_await sleepFor(toClock(service_.crash().downtime()));
+        acceptor_ = Tcp::acceptor(context_, endpoint);
+        service_.onRestart();
+        asio::co_spawn(context_, accept(), asio::detached);
+    }
+}
+
+void HttpServer::closeAll()
+{
+    for (const auto& known : std::exchange(connections_, {})) {
+        if (const auto connection = known.lock(); connection && !connection->closed) {
+            connection->closed = true;
+            boost::system::error_code ignored;
+            connection->socket.close(ignored);
+            connection->closing.notify();
+        }
+    }
 }
 
 Awaitable<void> HttpServer::accept()
@@ -143,6 +171,8 @@
         }
         socket.set_option(Tcp::no_delay(true), error);
         auto connection = std::make_shared<Connection>(std::move(socket));
+        std::erase_if(connections_, [](const auto& known) { return known.expired(); });
+        connections_.push_back(connection);
         asio::co_spawn(context_, internal::serveConnection(std::move(connection), service_), asio::detached);
     }
 }
--- a/tests/standins/common/HttpServer.h
+++ b/tests/standins/common/HttpServer.h
@@ -3,7 +3,9 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <memory>
 #include <string>
+#include <vector>
 
+#include "common/Exchange.h"
 #include "common/Service.h"
 #include "common/Types.h"
 
@@ -26,10 +28,14 @@
 
 private:
     [[nodiscard]] Awaitable<void> accept();
+    /** Ends the service and has it listen again, each time that it asks for a crash. */
+    [[nodiscard]] Awaitable<void> followCrashes();
+    void closeAll();
 
     asio::io_context& context_;
     Tcp::acceptor acceptor_;
     Service& service_;
+    std::vector<std::weak_ptr<Connection>> connections_;
 };
 
 } // namespace swiftlift::standins
--- a/tests/standins/common/Service.h
+++ b/tests/standins/common/Service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/Controls.h"
+#include "common/Crash.h"
 #include "common/Exchange.h"
 #include "common/Types.h"
 
@@ -20,12 +21,17 @@
     /** Starts what runs without being called; called once, before the first exchange. */
     virtual void start(asio::io_context&) { }
 
+    /** It listens again after a crash: a new life of it has begun. */
+    virtual void onRestart() { }
+
+    [[nodiscard]] Crash& crash() noexcept { return crash_; }
     [[nodiscard]] Controls& controls() noexcept { return controls_; }
     [[nodiscard]] ByteCounts& byteCounts() noexcept { return byteCounts_; }
     [[nodiscard]] const ByteCounts& byteCounts() const noexcept { return byteCounts_; }
 
 private:
     Controls controls_;
+    Crash crash_;
     ByteCounts byteCounts_;
 };
 
