Confine a request under which three backend servers ended, at every VM

Cause: nothing was remembered of a request beyond its one attempt. An attempt knew which servers it had been lost with, breakers knew which servers had failed, and nobody knew under which request so many servers had ended. The class: harm that is counted for each attempt and each VM, where it is done by what comes again under another name and elsewhere.

A router that loses requests with a server's connection reports them, and the server's life, to its peers at once and to a keyed stream of the log, which a starting router reads before it is ready. What three lives ended under is refused with 429, not run, before money is reserved, and checked again before each send. A request is told from its company by coming again: an answer acquits it, and a server that goes on answering or registering was not lost. Reports never change once written, so repeats and late appends are harmless; all tables and the pace of writes are bounded.

Ruled out: breakers for each account (would refuse the account's other requests), the log alone (0.3 s and more until others know, nothing in an outage), peers alone (a fleet that starts anew knows nothing), 4xx other than 429 (callers and pages take it for a wrong request).

--- a/include/swiftlift/node/Passage.h
+++ b/include/swiftlift/node/Passage.h
@@ -77,7 +77,7 @@
     std::uint64_t events = 0;
     /** For logs. */
     std::string detail;
-    /** Of Broken: the backend server ended the connection, as one does that crashes. */
+    /** Of Broken: the connection ended as it does when its backend server ends. */
     bool connectionLost = false;
 };
 
--- a/src/node/FleetBook.cpp
+++ b/src/node/FleetBook.cpp
@@ -142,10 +142,25 @@
     for (const KeyedRecord& record : records.records) {
         takeServer(record, readBefore);
     }
+    noteSeen(records, readBefore);
     static_cast<void>(dropLapsed());
     publishBackends();
 }
 
+// A list of all servers has entries that are as old as may be, and shows nobody alive.
+void FleetBook::noteSeen(const KeyedRecords& records, Instant readBefore)
+{
+    if (records.whole) {
+        return;
+    }
+    for (const KeyedRecord& record : records.records) {
+        const fleet::BackendServer* seen = record.value ? server(BackendId { record.key }) : nullptr;
+        if (seen != nullptr) {
+            listener_.onServerSeen(*seen, readBefore - readLag);
+        }
+    }
+}
+
 void FleetBook::takeServer(const KeyedRecord& record, Instant readBefore)
 {
     const BackendId id { record.key };
--- a/src/node/FleetBook.h
+++ b/src/node/FleetBook.h
@@ -36,6 +36,8 @@
      * @param aliveAt Its former life still ran then: what was sent to it before is lost.
      */
     virtual void onServerRestarted(const BackendId& server, Instant aliveAt) = 0;
+    /** This life of a backend server has said that it runs. @param at When it still ran, or earlier. */
+    virtual void onServerSeen(const fleet::BackendServer& server, Instant at) = 0;
 };
 
 /**
@@ -90,6 +92,9 @@
      */
     static constexpr Duration lapseGrace = std::chrono::milliseconds(1500);
 
+    /** A read's answer may have been made, and its next records written, so long before it came to be handled here. */
+    static constexpr Duration readLag = std::chrono::seconds(1);
+
     /** Lines on unreadable records, in the life of the process: more tell nothing that the counter doesn't. */
     static constexpr std::size_t unreadableLines = 64;
 
@@ -97,6 +102,7 @@
     void takeServers(const KeyedRecords& records);
     /** @param readBefore When the stream was read before: the record was written later. */
     void takeServer(const KeyedRecord& record, Instant readBefore);
+    void noteSeen(const KeyedRecords& records, Instant readBefore);
     /** @return Whether any was dropped. */
     bool dropLapsed();
     [[nodiscard]] bool mostLapsed(const ServiceName& service) const;
--- a/src/node/Gateway.cpp
+++ b/src/node/Gateway.cpp
@@ -26,7 +26,8 @@
     , backends_(internal::tableSettings(context_.settings()))
     , fleet_(context_, peers_, health_, backends_, *this)
     , ledgers_(context_, peers_, health_, *this)
-    , passages_(context_, fleet_, backends_, ledgers_, [this] { return routers(); })
+    , quarantine_(context_, peers_)
+    , passages_(context_, fleet_, backends_, ledgers_, quarantine_, [this] { return routers(); })
     , ending_(context_)
 {
 }
@@ -39,6 +40,7 @@
                      .with("domain", context_.settings().domain.value())
                      .with("seed", toHex(context_.settings().seed)));
     fleet_.start();
+    quarantine_.start();
     ledgers_.start();
     announce();
 }
@@ -60,6 +62,11 @@
     passages_.onServerRestarted(server, aliveAt);
 }
 
+void Gateway::onServerSeen(const fleet::BackendServer& server, Instant at)
+{
+    quarantine_.onServerSeen({ server.id, server.startedAt }, at);
+}
+
 std::string Gateway::unready() const
 {
     if (!retiredReason_.empty()) {
@@ -71,6 +78,10 @@
     if (!fleet_.serversKnown()) {
         return "backend servers not read yet";
     }
+    // A fleet that starts anew would give a request that crashes backend servers to three more of them.
+    if (!quarantine_.known()) {
+        return "crash reports not read yet";
+    }
     if (!ledgers_.caughtUp()) {
         return "still reading the ledger";
     }
@@ -112,6 +123,8 @@
     health_.onAnswer(context_.now());
     if (event.stream == Ledgers::checkpointStream()) {
         ledgers_.onCheckpoints(event);
+    } else if (event.stream == QuarantineBook::stream()) {
+        quarantine_.onRecords(event);
     } else {
         fleet_.onRecords(event);
     }
@@ -133,12 +146,21 @@
 {
     health_.onFailure();
     changes_.noteLog(false, event.stream.value() + ": " + event.detail);
+    noteReportAnswer(event.stream);
     ledgers_.on(event);
 }
 
+void Gateway::noteReportAnswer(const StreamName& stream)
+{
+    if (stream == QuarantineBook::stream()) {
+        quarantine_.onLogAnswer();
+    }
+}
+
 void Gateway::on(const AppendAnswered& event)
 {
     health_.onAnswer(context_.now());
+    noteReportAnswer(event.stream);
     ledgers_.on(event);
 }
 
@@ -162,6 +184,8 @@
         fleet_.onReadAsk(event.sender, ask->from);
     } else if (records != nullptr && records->stream == FleetBook::configStream()) {
         fleet_.onPeerRecords(*records);
+    } else if (records != nullptr && records->stream == QuarantineBook::stream()) {
+        quarantine_.onPeerRecords(*records);
     } else if (const auto* relay = std::get_if<RelayAppend>(&event.message)) {
         context_.emit(Append { relay->stream, relay->record, {} });
     } else {
@@ -178,6 +202,7 @@
     }
     mostRouters_ = std::max(mostRouters_, static_cast<std::uint32_t>(peers_.membership().counts().alive) + 1);
     fleet_.tick(stopRequested_.has_value());
+    quarantine_.tick();
     passages_.tick();
     ledgers_.tick(closing());
     backends_.tick(context_.now());
--- a/src/node/Gateway.h
+++ b/src/node/Gateway.h
@@ -10,6 +10,7 @@
 #include "node/LogHealth.h"
 #include "node/Passages.h"
 #include "node/Peers.h"
+#include "node/QuarantineBook.h"
 #include "node/StateChanges.h"
 #include "swiftlift/node/Core.h"
 #include "swiftlift/routing/BackendTable.h"
@@ -46,6 +47,7 @@
     void onRetired(const std::string& reason) override;
     void onConfig(const fleet::FleetConfig& config) override;
     void onServerRestarted(const BackendId& server, Instant aliveAt) override;
+    void onServerSeen(const fleet::BackendServer& server, Instant at) override;
 
     [[nodiscard]] Context& context() noexcept { return context_; }
 
@@ -53,6 +55,7 @@
     static constexpr Duration watchedPeriod = std::chrono::seconds(1);
 
     void routePeerMessage(const PeerReceived& event);
+    void noteReportAnswer(const StreamName& stream);
     void announce();
     void refreshWatched();
     /** @return Why new requests can't be taken; empty: they can. */
@@ -69,6 +72,7 @@
     routing::BackendTable backends_;
     FleetBook fleet_;
     Ledgers ledgers_;
+    QuarantineBook quarantine_;
     Passages passages_;
     Ending ending_;
     std::string retiredReason_;
--- a/src/node/Passage.h
+++ b/src/node/Passage.h
@@ -9,6 +9,7 @@
 #include "swiftlift/ledger/Fold.h"
 #include "swiftlift/ledger/Holder.h"
 #include "swiftlift/node/Passage.h"
+#include "swiftlift/quarantine/Report.h"
 #include "swiftlift/request/Outcome.h"
 
 namespace swiftlift::node {
@@ -40,6 +41,8 @@
     /** Set while Running. */
     AttemptId attempt;
     BackendId backend;
+    /** Which life of it, as it registered. */
+    std::uint64_t backendStartedAt = 0;
     /** Where that one stands. */
     FailureDomain domain;
     /** Backend servers it was sent to. */
@@ -53,6 +56,12 @@
     bool failureKept = false;
 
     [[nodiscard]] AccountId accountId() const { return account == nullptr ? AccountId {} : account->id; }
+    /** @return The request as it is recognised when it comes again; nothing: it can't be. */
+    [[nodiscard]] std::optional<quarantine::Fingerprint> fingerprint() const
+    {
+        return facts.content ? std::optional(quarantine::Fingerprint { accountId(), *facts.content }) : std::nullopt;
+    }
+    [[nodiscard]] quarantine::ServerLife backendLife() const { return { backend, backendStartedAt }; }
     /** @return Whether another backend server may run it, though one may have run it already. */
     [[nodiscard]] bool mayRunAgain() const
     {
--- a/src/node/Passages.cpp
+++ b/src/node/Passages.cpp
@@ -28,11 +28,12 @@
 }
 
 Passages::Passages(Context& context, const FleetBook& fleet, routing::BackendTable& backends, Ledgers& ledgers,
-    std::function<std::uint32_t()> routers)
+    QuarantineBook& quarantine, std::function<std::uint32_t()> routers)
     : context_(context)
     , fleet_(fleet)
     , backends_(backends)
     , ledgers_(ledgers)
+    , quarantine_(quarantine)
     , routers_(std::move(routers))
     , selector_(routing::makeSelector(
           context.settings().routingPolicy, internal::passageSelectorSettings(context.settings())))
@@ -58,7 +59,7 @@
     arrived->arrived = std::min(at, context_.now());
     Passage& passage = *passages_.emplace(id, std::move(arrived)).first->second;
     enter(passage, PassagePhase::WaitingForMoney);
-    if (!findRoute(passage) || !findAccount(passage) || !findService(passage)) {
+    if (!findRoute(passage) || !findAccount(passage) || !findService(passage) || refuseConfined(passage)) {
         return;
     }
     stateOf(passage).retries.onRequest(context_.now());
@@ -122,6 +123,20 @@
     return true;
 }
 
+// The status says that it has not run, and to whom it is due; the time, that asking again soon is in vain.
+bool Passages::refuseConfined(Passage& passage)
+{
+    const auto request = passage.fingerprint();
+    const auto confined = request ? quarantine_.confinement(*request) : std::nullopt;
+    if (!confined) {
+        return false;
+    }
+    giveUp(passage,
+        { 429, "quarantined", std::to_string(confined->serversEnded) + " backend servers ended under it",
+            confined->until - context_.now() });
+    return true;
+}
+
 BudgetRef Passages::budgetOf(const Passage& passage) const { return { passage.accountId(), prepaidBudget() }; }
 
 RequestKey Passages::keyOf(const Passage& passage) const { return { context_.self().value(), passage.id.value() }; }
--- a/src/node/Passages.h
+++ b/src/node/Passages.h
@@ -12,6 +12,7 @@
 #include "node/FleetBook.h"
 #include "node/Ledgers.h"
 #include "node/Passage.h"
+#include "node/QuarantineBook.h"
 #include "swiftlift/routing/Admission.h"
 #include "swiftlift/routing/BackendTable.h"
 #include "swiftlift/routing/DomainReach.h"
@@ -24,14 +25,14 @@
  * @brief Takes each request that is passed on as it came from arrival to its one final answer.
  *
  * Arrival and money stand in Passages.cpp, the way to a backend server in PassagesDispatch.cpp, the end and its bill in
- * PassagesEnd.cpp. A caller's id names one attempt of it and is never used again, so nothing is remembered of a request
- * beyond its end.
+ * PassagesEnd.cpp. A caller's id names one attempt of it and is never used again. Of a request's content nothing is
+ * remembered beyond its end but what the quarantine keeps.
  */
 class Passages {
 public:
     /** @param routers Routers of the fleet, for this router's share of what all may do together. */
     Passages(Context& context, const FleetBook& fleet, routing::BackendTable& backends, Ledgers& ledgers,
-        std::function<std::uint32_t()> routers);
+        QuarantineBook& quarantine, std::function<std::uint32_t()> routers);
 
     /** @param at When it came; not later than now. */
     void arrive(CallId id, const PassageFacts& facts, Instant at);
@@ -96,6 +97,8 @@
     [[nodiscard]] bool findRoute(Passage& passage);
     [[nodiscard]] bool findAccount(Passage& passage);
     [[nodiscard]] bool findService(Passage& passage);
+    /** @return True when the request was refused, as too many backend servers have ended under it. */
+    [[nodiscard]] bool refuseConfined(Passage& passage);
     /** Refuses what the configuration doesn't know, if it is known to be the newest. */
     void refuseAsUnknown(Passage& passage, const PassageRefusal& why);
     void seekMoney(Passage& passage);
@@ -121,6 +124,8 @@
     [[nodiscard]] std::optional<Duration> silenceLimit(const Passage& passage) const;
 
     // The end.
+    /** What the end of an attempt says of its request and of its backend server. */
+    void noteLoss(const Passage& passage, const PassageEnded& ended);
     void noteReach(const Passage& passage, PassageEnd end);
     void complete(Passage& passage, const PassageEnded& ended);
     void giveUp(Passage& passage, const PassageRefusal& why);
@@ -159,6 +164,7 @@
     const FleetBook& fleet_;
     routing::BackendTable& backends_;
     Ledgers& ledgers_;
+    QuarantineBook& quarantine_;
     std::function<std::uint32_t()> routers_;
     std::unique_ptr<routing::Selector> selector_;
     routing::DomainReach reach_;
--- a/src/node/PassagesDispatch.cpp
+++ b/src/node/PassagesDispatch.cpp
@@ -174,6 +174,10 @@
 
 void Passages::dispatch(Passage& passage, const routing::Choice& choice)
 {
+    // It may have waited here while backend servers ended under it elsewhere.
+    if (refuseConfined(passage)) {
+        return;
+    }
     const fleet::BackendServer* server = fleet_.server(choice.backend);
     if (server == nullptr) {
         giveUp(passage, { 503, "no_backend", "the backend server is not registered any more", defaultRetryAfter });
@@ -182,6 +186,7 @@
     enter(passage, PassagePhase::Running);
     passage.attempt = AttemptId { ++lastAttempt_ };
     passage.backend = choice.backend;
+    passage.backendStartedAt = server->startedAt;
     passage.domain = server->domain;
     ++passage.offers;
     byAttempt_[passage.attempt] = passage.id;
@@ -229,6 +234,7 @@
         passage->firstEventAt = context_.now();
         backends_.onFirstToken(passage->backend, passage->attempt, context_.now());
         reach_.onReached(passage->domain);
+        quarantine_.onServerAnswered(passage->backendLife(), passage->since);
         stateOf(*passage).admission.onFirstToken(context_.now() - passage->since);
     }
 }
@@ -248,6 +254,7 @@
         backends_.onFirstToken(passage->backend, passage->attempt, context_.now());
     }
     noteReach(*passage, ended.end);
+    noteLoss(*passage, ended);
     closeAttempt(*passage, internal::toEndKind(ended.end));
     if (ended.end == PassageEnd::Completed) {
         complete(*passage, ended);
@@ -265,7 +272,8 @@
     for (const auto& [attempt, call] : byAttempt_) {
         const Passage* passage = find(call);
         if (passage != nullptr && passage->backend == server && passage->since < aliveAt) {
-            lost.push_back({ attempt, PassageEnd::Broken, 0, passage->events, "the backend server started again" });
+            lost.push_back(
+                { attempt, PassageEnd::Broken, 0, passage->events, "the backend server started again", true });
         }
     }
     for (const PassageEnded& ended : lost) {
@@ -292,6 +300,20 @@
     }
 }
 
+void Passages::noteLoss(const Passage& passage, const PassageEnded& ended)
+{
+    const bool answered = ended.end == PassageEnd::Completed;
+    if (answered || ended.end == PassageEnd::Failed || ended.end == PassageEnd::Refused) {
+        quarantine_.onServerAnswered(passage.backendLife(), passage.since);
+    }
+    const auto request = passage.fingerprint();
+    if (request && answered) {
+        quarantine_.onAnswered(*request);
+    } else if (request && ended.connectionLost) {
+        quarantine_.onLost(*request, passage.backendLife(), passage.facts.id);
+    }
+}
+
 void Passages::tryElsewhere(Passage& passage, const PassageEnded& ended)
 {
     const bool mayHaveRun = ended.end == PassageEnd::Failed || ended.end == PassageEnd::Broken;
@@ -323,6 +345,9 @@
     if (passage.runs > 0 && !passage.mayRunAgain()) {
         return "it may run only once";
     }
+    if (const auto request = passage.fingerprint(); request && quarantine_.confinement(*request)) {
+        return "too many backend servers ended under it";
+    }
     if (passage.runs >= passage.route->mostServers) {
         return "as many backend servers as the route allows may have run it";
     }
--- /dev/null
+++ b/src/quarantine/ReportOutbox.cpp
@@ -0,0 +1,125 @@
+#include "swiftlift/quarantine/ReportOutbox.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace swiftlift::quarantine {
+
+ReportOutbox::ReportOutbox(Incarnation self)
+    : self_(self)
+{
+}
+
+ReportId ReportOutbox::nextId() { return { self_, ++lastNumber_ }; }
+
+Report ReportOutbox::onLost(const Fingerprint& request, const ServerLife& life, Instant now)
+{
+    auto gathering = gathering_.find(life);
+    if (gathering != gathering_.end() && gathering->second.report.requests.size() >= mostRequestsPerReport) {
+        close(gathering->second.report, now);
+        gathering_.erase(gathering);
+        gathering = gathering_.end();
+    }
+    if (gathering == gathering_.end()) {
+        gathering = gathering_.emplace(life, Gathering { { nextId(), {}, life }, now }).first;
+        own_.push_back({ gathering->second.report.id, life, now });
+        if (own_.size() > mostOwn) {
+            own_.pop_front();
+        }
+    }
+    gathering->second.report.requests.push_back(request);
+    return gathering->second.report;
+}
+
+Report ReportOutbox::onAnswered(const Fingerprint& request, Instant now)
+{
+    Report report { nextId(), { request }, std::nullopt };
+    close(report, now);
+    return report;
+}
+
+std::vector<ReportId> ReportOutbox::onAlive(const ServerLife& life, Instant at, Duration longest)
+{
+    std::vector<ReportId> wrong;
+    for (auto own = own_.begin(); own != own_.end();) {
+        if (own->life != life || own->lostAt >= at || at - own->lostAt > longest) {
+            ++own;
+            continue;
+        }
+        wrong.push_back(own->id);
+        const auto gathering = gathering_.find(life);
+        if (gathering != gathering_.end() && gathering->second.report.id == own->id) {
+            gathering_.erase(gathering);
+        } else {
+            drop(own->id, at);
+        }
+        own = own_.erase(own);
+    }
+    return wrong;
+}
+
+void ReportOutbox::adopt(const Report& report, Instant at)
+{
+    if (pending_.size() < mostPending) {
+        pending_.try_emplace(report.id, Pending { report, at, true });
+    }
+}
+
+void ReportOutbox::drop(const ReportId& id, Instant at)
+{
+    if (id.reporter == self_) {
+        dropped_.insert(id);
+        if (dropped_.size() > mostOwn) {
+            dropped_.erase(dropped_.begin());
+        }
+    }
+    pending_[id] = Pending { std::nullopt, at, false };
+}
+
+void ReportOutbox::onRead(const ReportId& id, bool present, Instant now)
+{
+    const auto pending = pending_.find(id);
+    if (pending != pending_.end() && pending->second.report.has_value() == present) {
+        pending_.erase(pending);
+    }
+    if (present && dropped_.contains(id) && !pending_.contains(id)) {
+        drop(id, now);
+    }
+}
+
+void ReportOutbox::close(const Report& report, Instant now)
+{
+    if (pending_.size() < mostPending) {
+        pending_[report.id] = Pending { report, now, false };
+    }
+}
+
+void ReportOutbox::closeGathered(Instant now)
+{
+    for (auto gathering = gathering_.begin(); gathering != gathering_.end();) {
+        if (now - gathering->second.since < gatherTime) {
+            ++gathering;
+            continue;
+        }
+        close(gathering->second.report, now);
+        gathering = gathering_.erase(gathering);
+    }
+}
+
+std::optional<ReportOrder> ReportOutbox::due(Duration spacing, Instant now)
+{
+    closeGathered(now);
+    if (pending_.empty() || now < nextWrite_) {
+        return std::nullopt;
+    }
+    const auto first = std::ranges::min_element(pending_, {}, [](const auto& entry) { return entry.second.nextWrite; });
+    auto& [id, pending] = *first;
+    if (now < pending.nextWrite) {
+        return std::nullopt;
+    }
+    nextWrite_ = now + spacing;
+    pending.nextWrite = now + retryPeriod;
+    return ReportOrder { id, pending.report, !std::exchange(pending.written, true) };
+}
+
+} // namespace swiftlift::quarantine
--- a/tests/node/GatewayWorld.cpp
+++ b/tests/node/GatewayWorld.cpp
@@ -15,6 +15,7 @@
     const StreamName ledgerName { "ledger-0" };
     const StreamName configName { "fleet-config" };
     const StreamName serverName { "backend-servers" };
+    const StreamName reportName { "crash-reports" };
 
     fleet::Route route(const std::string& name, fleet::AnswerKind answer)
     {
@@ -187,6 +188,7 @@
     arrived.facts.promptTokens = Tokens { promptTokens };
     arrived.facts.maxAnswerTokens = Tokens { answerTokens };
     arrived.facts.prefix = { { 5, Tokens { promptTokens } } };
+    arrived.facts.content = fingerprintOf(path).content;
     arrived.at = now_;
     tell(arrived);
     return arrived.call;
@@ -199,6 +201,27 @@
     tell(PassageEnded { order.attempt, how, status, events, "played" });
 }
 
+void GatewayWorld::lose(const PassOn& order)
+{
+    orders_.erase(order.call);
+    tell(PassageEnded { order.attempt, PassageEnd::Broken, 0, 0, "connection lost", true });
+}
+
+quarantine::Fingerprint GatewayWorld::fingerprintOf(const std::string& path)
+{
+    return { AccountId("club"), { std::hash<std::string> {}(path), 1 } };
+}
+
+void GatewayWorld::reportLost(const std::vector<std::string>& paths, const std::string& server, Incarnation reporter)
+{
+    quarantine::Report report { { reporter, ++lastReport_ }, {}, quarantine::ServerLife { BackendId(server), 0 } };
+    for (const std::string& path : paths) {
+        report.requests.push_back(fingerprintOf(path));
+    }
+    tell(KeyedRecords { reportName,
+        { { Offset { ++keyedOffset_ }, quarantine::keyOf(report.id), quarantine::encode(report) } }, false });
+}
+
 void GatewayWorld::progress(const PassOn& order, std::uint64_t events)
 {
     given_[order.call] = std::max(given_[order.call], events);
@@ -282,6 +305,9 @@
 
 void GatewayWorld::on(const Append& append)
 {
+    if (append.stream == reportName) {
+        writeReport(append);
+    }
     if (append.stream != ledgerName) {
         return;
     }
@@ -293,12 +319,28 @@
     }
 }
 
+void GatewayWorld::writeReport(const Append& append)
+{
+    if (!logReachable) {
+        pending_.push_back(LogUnreachable { append.stream, "append" });
+        return;
+    }
+    const auto value = append.record.empty() ? std::nullopt : std::optional(append.record);
+    if (value) {
+        reports_[append.key] = *value;
+    } else {
+        reports_.erase(append.key);
+    }
+    pending_.push_back(AppendAnswered { append.stream });
+    pending_.push_back(KeyedRecords { append.stream, { { Offset { ++keyedOffset_ }, append.key, value } }, false });
+}
+
 void GatewayWorld::on(const Follow& follow)
 {
     if (follow.stream == ledgerName) {
         following_ = true;
         read_ = follow.from.value();
-    } else if (follow.kind == StreamKind::KeyedOnce) {
+    } else if (follow.kind == StreamKind::KeyedOnce || follow.stream == reportName) {
         pending_.push_back(KeyedRecords { follow.stream, {}, true });
     }
 }
--- a/tests/node/GatewayWorld.h
+++ b/tests/node/GatewayWorld.h
@@ -12,6 +12,7 @@
 #include "swiftlift/fleet/FleetCodec.h"
 #include "swiftlift/ledger/Fold.h"
 #include "swiftlift/node/Core.h"
+#include "swiftlift/quarantine/Report.h"
 
 namespace swiftlift::node::testing {
 
@@ -43,6 +44,8 @@
     CallId arrive(const std::string& path, std::int64_t promptTokens = 0, std::int64_t answerTokens = 0,
         Duration deadline = std::chrono::seconds(5), const std::string& key = "k");
     void end(const PassOn& order, PassageEnd how, int status = 200, std::uint64_t events = 0);
+    /** The connection of the request's backend server ends, as when the server crashes. */
+    void lose(const PassOn& order);
     void progress(const PassOn& order, std::uint64_t events);
     void tell(const Event& event);
 
@@ -73,6 +76,12 @@
     /** Another writer leaves something under the key that no server would write. */
     void putForeign(const std::string& key);
     void dropServer(const std::string& id);
+    /** Another router has reported requests for these paths as lost with a backend server. */
+    void reportLost(const std::vector<std::string>& paths, const std::string& server, Incarnation reporter);
+    /** @return Reports in the log. */
+    [[nodiscard]] std::size_t reports() const noexcept { return reports_.size(); }
+    /** @return What a request for this path is recognised by. */
+    [[nodiscard]] static quarantine::Fingerprint fingerprintOf(const std::string& path);
     /** Another router writes to the ledger. */
     void writeLedger(Incarnation author, ledger::Entry entry);
 
@@ -86,6 +95,7 @@
     void carryOut(Actions& actions);
     void on(const Append& append);
     void on(const Follow& follow);
+    void writeReport(const Append& append);
     void readLog();
 
     std::shared_ptr<NamedCodec> codec_ = std::make_shared<NamedCodec>();
@@ -102,6 +112,8 @@
     std::uint64_t lastCall_ = 0;
     void reportCut(CallId call);
 
+    std::map<std::string, std::string> reports_;
+    std::uint64_t lastReport_ = 0;
     std::map<CallId, PassOn> orders_;
     std::map<CallId, std::uint64_t> given_;
     std::map<CallId, Reply> replies_;
--- /dev/null
+++ b/tests/quarantine/ReportOutboxTest.cpp
@@ -0,0 +1,113 @@
+#include <gtest/gtest.h>
+
+#include "swiftlift/quarantine/ReportOutbox.h"
+
+namespace swiftlift::quarantine {
+namespace {
+
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+
+    class ReportOutboxTest : public testing::Test {
+    protected:
+        static constexpr Incarnation self { 0xABC };
+
+        [[nodiscard]] static Fingerprint request(std::uint64_t number) { return { AccountId("club"), { number, 1 } }; }
+
+        [[nodiscard]] std::optional<ReportOrder> dueAfter(Duration time)
+        {
+            now += time;
+            return outbox.due(milliseconds(5), now);
+        }
+
+        ReportOutbox outbox { self };
+        ServerLife life { BackendId("i-1"), 0 };
+        Instant now { seconds(100) };
+    };
+
+    TEST_F(ReportOutboxTest, RequestsLostTogetherShareAReport)
+    {
+        (void)outbox.onLost(request(1), life, now);
+        EXPECT_FALSE(dueAfter(milliseconds(20)));
+        EXPECT_EQ(outbox.onLost(request(2), life, now).requests.size(), 2U);
+        const auto order = dueAfter(milliseconds(100));
+        ASSERT_TRUE(order && order->report);
+        EXPECT_EQ(order->report->requests, (std::vector { request(1), request(2) }));
+        EXPECT_EQ(order->report->lostWith, life);
+    }
+
+    // Guards against: a report whose append was lost is never known to the other routers.
+    TEST_F(ReportOutboxTest, WritesAgainUntilItWasReadBack)
+    {
+        const ReportId id = outbox.onLost(request(1), life, now).id;
+        EXPECT_TRUE(dueAfter(milliseconds(100)));
+        EXPECT_FALSE(dueAfter(milliseconds(100)));
+        EXPECT_TRUE(dueAfter(seconds(1)));
+        outbox.onRead(id, true, now);
+        EXPECT_FALSE(dueAfter(seconds(5)));
+        EXPECT_EQ(outbox.unread(), 0U);
+    }
+
+    // Guards against: reset connections are told as ends of servers that go on answering.
+    TEST_F(ReportOutboxTest, ServerThatRanAfterwardsWasNotLost)
+    {
+        const ReportId id = outbox.onLost(request(1), life, now).id;
+        EXPECT_TRUE(outbox.onAlive(life, now).empty()) << "it may have ended right after";
+        EXPECT_EQ(outbox.onAlive(life, now + milliseconds(1)), std::vector { id });
+        EXPECT_FALSE(dueAfter(seconds(5))) << "it was never written";
+    }
+
+    // Guards against: the answers of a server that started again within seconds take its former life's end back.
+    TEST_F(ReportOutboxTest, AnswerLongAfterTheLossProvesNothing)
+    {
+        const ReportId id = outbox.onLost(request(1), life, now).id;
+        EXPECT_TRUE(outbox.onAlive(life, now + seconds(1), milliseconds(500)).empty());
+        EXPECT_EQ(outbox.onAlive(life, now + milliseconds(200), milliseconds(500)), std::vector { id });
+    }
+
+    // Guards against: an append that comes late brings a report back that was taken back.
+    TEST_F(ReportOutboxTest, ReportThatLandsAfterItWasTakenBackIsDroppedAgain)
+    {
+        const ReportId id = outbox.onLost(request(1), life, now).id;
+        ASSERT_TRUE(dueAfter(milliseconds(100)));
+        EXPECT_EQ(outbox.onAlive(life, now), std::vector { id });
+        auto order = dueAfter(milliseconds(10));
+        ASSERT_TRUE(order);
+        EXPECT_FALSE(order->report);
+        outbox.onRead(id, false, now);
+        EXPECT_FALSE(dueAfter(seconds(5)));
+        outbox.onRead(id, true, now);
+        order = dueAfter(milliseconds(10));
+        ASSERT_TRUE(order);
+        EXPECT_EQ(order->id, id);
+        EXPECT_FALSE(order->report);
+    }
+
+    TEST_F(ReportOutboxTest, WritesAnothersReportIfItIsNotReadSoon)
+    {
+        const Report other { { Incarnation(7), 1 }, { request(1) }, life };
+        outbox.adopt(other, now + seconds(1));
+        EXPECT_FALSE(dueAfter(milliseconds(500)));
+        const auto order = dueAfter(milliseconds(600));
+        ASSERT_TRUE(order && order->report);
+        EXPECT_EQ(order->id, other.id);
+        EXPECT_FALSE(order->first) << "its reporter has told the peers";
+    }
+
+    TEST(ReportRecord, IsReadAsItWasWritten)
+    {
+        const Report report { { Incarnation(0xFEDC), 18 },
+            { { AccountId("club"), { 1, 2 } }, { AccountId(""), { 3, 4 } } }, ServerLife { BackendId("i-1"), 17 } };
+        const auto read = decode(encode(report));
+        ASSERT_TRUE(read);
+        EXPECT_EQ(read->id, report.id);
+        EXPECT_EQ(read->requests, report.requests);
+        EXPECT_EQ(read->lostWith, report.lostWith);
+        EXPECT_EQ(idOf(keyOf(report.id)), report.id);
+        EXPECT_FALSE(idOf("vm"));
+        EXPECT_FALSE(decode("\xff\xff"));
+        EXPECT_FALSE(decode(""));
+    }
+
+} // namespace
+} // namespace swiftlift::quarantine
