--- a/apps/load/Options.cpp
+++ b/apps/load/Options.cpp
@@ -27,6 +27,8 @@
       "  --prompt-tokens A[-B]   tokens of a prompt, evenly between A and B (default 100)\n"
       "  --shared-prefixes X     share of prompts with a common prefix, 0 to 1 (default 0)\n"
       "  --prefixes N            number of common prefixes (default 8)\n"
+      "  --poison-every N        one in N arrivals has the same prompt, for engines that crash on `poison` (default 0: "
+      "none)\n"
       "  --max-tokens N          tokens of an answer (default 64)\n"
       "  --stream on|off         stream answers (default on)\n"
       "  --non-idempotent X      share of requests that may run only once, 0 to 1 (default 0)\n"
@@ -155,6 +157,8 @@
             reader.number<double>(name, text, options.sharedPrefixShare, 0, 1);
         } else if (name == "prefixes") {
             reader.number<std::uint32_t>(name, text, options.prefixes, 1, mostTokens);
+        } else if (name == "poison-every") {
+            reader.number<std::uint32_t>(name, text, options.poisonEvery, 0, mostTokens);
         } else if (name == "max-tokens") {
             reader.number<std::uint32_t>(name, text, options.maxTokens, 1, mostTokens);
         } else if (name == "stream") {
@@ -192,8 +196,8 @@
 Options parseOptions(int argc, char** argv, Findings& findings)
 {
     static const char* const names[] = { "router", "direct", "service", "account", "key", "accounts", "rate",
-        "duration", "warm-up", "prompt-tokens", "shared-prefixes", "prefixes", "max-tokens", "stream", "non-idempotent",
-        "deadline-ms", "seed", "process", "json" };
+        "duration", "warm-up", "prompt-tokens", "shared-prefixes", "prefixes", "poison-every", "max-tokens", "stream",
+        "non-idempotent", "deadline-ms", "seed", "process", "json" };
     constexpr int helpLetter = 'h';
     std::vector<option> known;
     for (const char* name : names) {
--- a/apps/load/Options.h
+++ b/apps/load/Options.h
@@ -40,6 +40,9 @@
     /** Share of the prompts that begin with one of `prefixes` common prefixes. */
     double sharedPrefixShare = 0;
     std::uint32_t prefixes = 8;
+    /** Each so many arrivals, one asks for the same as the last such one, its prompt beginning with `poison`; 0: none.
+     */
+    std::uint32_t poisonEvery = 0;
     std::uint32_t maxTokens = 64;
     bool stream = true;
     double nonIdempotentShare = 0;
--- a/apps/load/Schedule.cpp
+++ b/apps/load/Schedule.cpp
@@ -10,6 +10,7 @@
     constexpr std::size_t bytesPerToken = 4;
     /** Engines recognise a prefix by its first bytes; a common one is longer than that. */
     constexpr std::size_t prefixBytes = 320;
+    constexpr std::size_t poisonBytes = 400;
     constexpr double microsecondsPerSecond = 1e6;
 
     [[nodiscard]] std::chrono::microseconds fromSeconds(double seconds)
@@ -51,6 +52,7 @@
             if (!options_.accounts.empty()) {
                 arrival.account = below(options_.accounts.size());
             }
+            arrival.poison = options_.poisonEvery > 0 && pair_ % options_.poisonEvery == 0;
             arrival.counted = arrival.due >= options_.warmUp;
             return arrival;
         }
@@ -103,6 +105,9 @@
 
 std::string promptOf(const Arrival& arrival, std::uint64_t seed)
 {
+    if (arrival.poison) {
+        return repeatTo("poison in the thread; ", poisonBytes);
+    }
     const std::string arm = arrival.direct ? "direct" : "routed";
     const std::size_t size = arrival.promptTokens * bytesPerToken;
     const std::string own
--- a/apps/load/Schedule.h
+++ b/apps/load/Schedule.h
@@ -26,6 +26,8 @@
     /** Common prefix, from 1; 0: none. */
     std::uint32_t prefix = 0;
     bool idempotent = true;
+    /** Asks for the same as all other poisonous ones. */
+    bool poison = false;
     /** Before the end of the warm-up: not counted. */
     bool counted = true;
 };
--- a/src/transport/PassageTable.cpp
+++ b/src/transport/PassageTable.cpp
@@ -219,8 +219,7 @@
         running->call->keepFailure();
     }
     context_.events.push({ context_.incarnation,
-        node::PassageEnded {
-            attempt.id(), toEnd(result), attempt.status(), running->call->events(), std::move(detail),
+        node::PassageEnded { attempt.id(), toEnd(result), attempt.status(), running->call->events(), std::move(detail),
             attempt.connectionLost() } });
 }
 
--- a/tests/load/ScheduleTest.cpp
+++ b/tests/load/ScheduleTest.cpp
@@ -1,6 +1,8 @@
 #include "load/Schedule.h"
 
 #include <map>
+#include <set>
+#include <string>
 
 #include <gtest/gtest.h>
 
@@ -48,6 +50,23 @@
         }
     }
 
+    TEST(Schedule, PoisonousArrivalsAskForTheSame)
+    {
+        Options options = sample();
+        options.poisonEvery = 10;
+        std::set<std::string> prompts;
+        std::size_t poisonous = 0;
+        for (const Arrival& arrival : makeSchedule(options)) {
+            poisonous += arrival.poison ? 1 : 0;
+            if (arrival.poison) {
+                prompts.insert(promptOf(arrival, options.seed));
+            }
+        }
+        EXPECT_GT(poisonous, 100U);
+        ASSERT_EQ(prompts.size(), 1U);
+        EXPECT_TRUE(prompts.begin()->starts_with("poison"));
+    }
+
     TEST(Schedule, GivesEachArrivalATwinOfTheSameSize)
     {
         std::map<std::uint64_t, std::vector<Arrival>> pairs;
--- a/tests/standins/engine/Batch.h
+++ b/tests/standins/engine/Batch.h
@@ -39,6 +39,9 @@
     /** Gives a token to each sequence whose prompt has been computed; complete ones leave. */
     void endStep();
 
+    /** Forgets all prompts that were computed. */
+    void clearCache() { cache_.shrinkTo(0); }
+
     [[nodiscard]] std::uint64_t running() const noexcept { return running_.size(); }
     [[nodiscard]] std::uint64_t waiting() const noexcept { return waiting_.size(); }
     [[nodiscard]] bool isIdle() const noexcept { return running_.empty() && waiting_.empty(); }
--- a/tests/standins/engine/EngineService.cpp
+++ b/tests/standins/engine/EngineService.cpp
@@ -13,6 +13,8 @@
 
     constexpr Milliseconds longestCatchUp { 10 };
     constexpr unsigned lowestPriority = 2;
+    /** How long a request runs that crashes its engine. */
+    constexpr Milliseconds crashAfter { 5 };
 
     std::uint64_t numberOr(const std::string& text, std::uint64_t fallback)
     {
@@ -45,6 +47,8 @@
     controls().addValue("cross_lines", crossLines_);
     controls().addValue("answer_delay_ms", answerDelayMs_);
     controls().addValue("late_done", lateDoneMs_);
+    controls().addValue("crash_on", crashOn_);
+    controls().addValue("down_ms", downMs_);
     controls().addValue("step_ms", settings_.stepMs);
     controls().addValue("load_lag_ms", settings_.loadLagMs);
     controls().add("fail_after_tokens", [this](const Json& value, Json&) {
@@ -157,10 +161,28 @@
     output.sequence->record = &record;
     output.breakAt = takeBreak(output.written);
     work_.notify();
-    co_await stream(exchange, output);
+    if (crashesOn(*output.sequence)) {
+        co_await exchange.sleep(internal::crashAfter);
+        crash().request(Milliseconds(downMs_));
+        // Nothing of an answer may leave before the server has closed the connection.
+        co_await exchange.sleep(Milliseconds(downMs_));
+    } else {
+        co_await stream(exchange, output);
+    }
     batch_.remove(output.sequence);
 }
 
+bool EngineService::crashesOn(const Sequence& sequence) const
+{
+    return !crashOn_.empty() && sequence.prompt.find(crashOn_) != std::string::npos;
+}
+
+void EngineService::onRestart()
+{
+    ++crashes_;
+    batch_.clearCache();
+}
+
 Awaitable<void> EngineService::stream(Exchange& exchange, Output& output)
 {
     const auto sequence = output.sequence;
@@ -234,7 +256,7 @@
         keys[key] = internal::toJson(record);
     }
     return { { "keys", std::move(keys) }, { "totals", std::move(sums) }, { "rejected", rejected_ },
-        { "orders", orders_.audit() }, { "load", load() }, { "bytes_in", byteCounts().in },
+        { "crashes", crashes_ }, { "orders", orders_.audit() }, { "load", load() }, { "bytes_in", byteCounts().in },
         { "bytes_out", byteCounts().out } };
 }
 
--- a/tests/standins/engine/EngineService.h
+++ b/tests/standins/engine/EngineService.h
@@ -21,6 +21,7 @@
     [[nodiscard]] Awaitable<void> serve(Exchange& exchange) override;
     [[nodiscard]] Json audit(const Exchange& exchange) const override;
     void start(asio::io_context& context) override;
+    void onRestart() override;
 
 private:
     /** A sequence and the stream that carries its tokens to the caller. */
@@ -41,6 +42,7 @@
     [[nodiscard]] Output makeOutput(const Exchange& exchange);
     [[nodiscard]] std::uint64_t takeBreak(std::uint64_t from);
     [[nodiscard]] Awaitable<void> generate(Exchange& exchange);
+    [[nodiscard]] bool crashesOn(const Sequence& sequence) const;
     [[nodiscard]] Awaitable<void> stream(Exchange& exchange, Output& output);
     [[nodiscard]] Awaitable<void> writeTokens(Exchange& exchange, Output& output);
     [[nodiscard]] Awaitable<void> finish(Exchange& exchange, const Output& output);
@@ -56,6 +58,9 @@
     bool leaving_ = false;
     bool refuse_ = false;
     bool crossLines_ = false;
+    std::string crashOn_;
+    double downMs_ = 500;
+    std::uint64_t crashes_ = 0;
     double answerDelayMs_ = 0;
     double lateDoneMs_ = 0;
     std::uint64_t failAfterTokens_ = 0;
--- a/tests/standins/test/EngineServiceTest.cpp
+++ b/tests/standins/test/EngineServiceTest.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 #include <sstream>
+#include <thread>
 
 #include "RunningService.h"
 #include "engine/Answer.h"
@@ -72,6 +73,24 @@
         EXPECT_EQ(audit["completed"], 1);
     }
 
+    TEST_F(EngineServiceTest, crashTakesEverythingThatRunsAndComesBack)
+    {
+        engine_.control({ { "crash_on", "poison" }, { "down_ms", 200 } });
+        auto other = engine_.client();
+        ASSERT_TRUE(other.send(generateCall("long", "p", 1000000)));
+        EXPECT_FALSE(other.receiveSome().empty());
+        EXPECT_FALSE(engine_.client().call(generateCall("k", "poison in the thread", 5)));
+        while (!other.receiveSome().empty()) { }
+        const auto until = Clock::now() + std::chrono::seconds(60);
+        auto reply = engine_.client().call(generateCall("after", "p", 2));
+        for (; !reply && Clock::now() < until; reply = engine_.client().call(generateCall("after", "p", 2))) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+        ASSERT_TRUE(reply);
+        EXPECT_EQ(lines(reply->body).back().at("cached_prompt_tokens"), 0) << "its cache is empty";
+        EXPECT_EQ(engine_.get()["crashes"], 1);
+    }
+
     // Symptom: engines stay busy for callers who have gone. The caller closes its connection in the middle of a stream.
     TEST_F(EngineServiceTest, cancelWhenConnectionCloses)
     {
