--- a/include/swiftlift/quarantine/Quarantine.h
+++ b/include/swiftlift/quarantine/Quarantine.h
@@ -51,8 +51,8 @@
     void onReport(const Report& report, Instant now);
     /** The report holds no more: it was wrong, or is too old. */
     void onWithdrawn(const ReportId& id);
-    /** @return True when reports on the request are known that its answer refutes. */
-    bool onAnswered(const Fingerprint& request, Instant now);
+    /** The request was answered here: what was reported of it before holds no more. */
+    void onAnswered(const Fingerprint& request, Instant now);
 
     /** @return Why the request must not be sent; nothing: it may. */
     [[nodiscard]] std::optional<Confinement> confinement(const Fingerprint& request) const;
--- a/include/swiftlift/quarantine/ReportOutbox.h
+++ b/include/swiftlift/quarantine/ReportOutbox.h
@@ -65,7 +65,9 @@
     static constexpr Duration retryPeriod = std::chrono::seconds(1);
     static constexpr std::size_t mostRequestsPerReport = 64;
     static constexpr std::size_t mostPending = 1024;
-    static constexpr std::size_t mostOwn = 1024;
+    /** A server that runs on registers again within seconds, and some later after an outage of the log. */
+    static constexpr Duration doubtTime = std::chrono::seconds(30);
+    static constexpr std::size_t mostDropped = 1024;
 
     /** A report that still takes requests in. */
     struct Gathering {
@@ -79,8 +81,8 @@
         bool written = false;
     };
 
-    /** An own report of a loss. */
-    struct Own {
+    /** An own report of a loss that may still turn out to be wrong. */
+    struct Doubtful {
         ReportId id;
         ServerLife life;
         Instant lostAt {};
@@ -88,13 +90,14 @@
 
     void close(const Report& report, Instant now);
     void closeGathered(Instant now);
+    void endDoubts(Instant now);
     [[nodiscard]] ReportId nextId();
 
     Incarnation self_;
     std::uint64_t lastNumber_ = 0;
     std::map<ServerLife, Gathering> gathering_;
     std::map<ReportId, Pending> pending_;
-    std::deque<Own> own_;
+    std::deque<Doubtful> doubtful_;
     /** An append that was given up may still land after its report was dropped. */
     std::set<ReportId> dropped_;
     Instant nextWrite_ {};
--- a/src/node/QuarantineBook.cpp
+++ b/src/node/QuarantineBook.cpp
@@ -96,7 +96,7 @@
 void QuarantineBook::onAnswered(const Fingerprint& request)
 {
     const bool told = quarantine_.serversEnded(request) >= worthAcquitting;
-    (void)quarantine_.onAnswered(request, context_.now());
+    quarantine_.onAnswered(request, context_.now());
     if (told) {
         acquit(request);
     }
--- a/src/quarantine/Quarantine.cpp
+++ b/src/quarantine/Quarantine.cpp
@@ -104,7 +104,7 @@
     reports_.erase(known);
 }
 
-bool Quarantine::onAnswered(const Fingerprint& request, Instant now)
+void Quarantine::onAnswered(const Fingerprint& request, Instant now)
 {
     answered_[request] = now;
     answeredOrder_.emplace_back(now, request);
@@ -115,7 +115,7 @@
         }
         answeredOrder_.pop_front();
     }
-    return suspects_.erase(request) > 0;
+    acquit(request);
 }
 
 bool Quarantine::answeredLately(const Fingerprint& request, Instant now) const
--- a/src/quarantine/ReportOutbox.cpp
+++ b/src/quarantine/ReportOutbox.cpp
@@ -22,10 +22,7 @@
     }
     if (gathering == gathering_.end()) {
         gathering = gathering_.emplace(life, Gathering { { nextId(), {}, life }, now }).first;
-        own_.push_back({ gathering->second.report.id, life, now });
-        if (own_.size() > mostOwn) {
-            own_.pop_front();
-        }
+        doubtful_.push_back({ gathering->second.report.id, life, now });
     }
     gathering->second.report.requests.push_back(request);
     return gathering->second.report;
@@ -41,19 +38,19 @@
 std::vector<ReportId> ReportOutbox::onAlive(const ServerLife& life, Instant at, Duration longest)
 {
     std::vector<ReportId> wrong;
-    for (auto own = own_.begin(); own != own_.end();) {
-        if (own->life != life || own->lostAt >= at || at - own->lostAt > longest) {
-            ++own;
+    for (auto doubt = doubtful_.begin(); doubt != doubtful_.end();) {
+        if (doubt->life != life || doubt->lostAt >= at || at - doubt->lostAt > longest) {
+            ++doubt;
             continue;
         }
-        wrong.push_back(own->id);
+        wrong.push_back(doubt->id);
         const auto gathering = gathering_.find(life);
-        if (gathering != gathering_.end() && gathering->second.report.id == own->id) {
+        if (gathering != gathering_.end() && gathering->second.report.id == doubt->id) {
             gathering_.erase(gathering);
         } else {
-            drop(own->id, at);
+            drop(doubt->id, at);
         }
-        own = own_.erase(own);
+        doubt = doubtful_.erase(doubt);
     }
     return wrong;
 }
@@ -69,7 +66,7 @@
 {
     if (id.reporter == self_) {
         dropped_.insert(id);
-        if (dropped_.size() > mostOwn) {
+        if (dropped_.size() > mostDropped) {
             dropped_.erase(dropped_.begin());
         }
     }
@@ -106,9 +103,17 @@
     }
 }
 
+void ReportOutbox::endDoubts(Instant now)
+{
+    while (!doubtful_.empty() && now - doubtful_.front().lostAt > doubtTime) {
+        doubtful_.pop_front();
+    }
+}
+
 std::optional<ReportOrder> ReportOutbox::due(Duration spacing, Instant now)
 {
     closeGathered(now);
+    endDoubts(now);
     if (pending_.empty() || now < nextWrite_) {
         return std::nullopt;
     }
--- a/tests/quarantine/QuarantineTest.cpp
+++ b/tests/quarantine/QuarantineTest.cpp
@@ -21,7 +21,7 @@
                 { { Incarnation(reporter), ++number }, std::move(requests), ServerLife { BackendId(server), 0 } }, now);
         }
 
-        void answer(const Fingerprint& answered) { (void)quarantine.onAnswered(answered, now); }
+        void answer(const Fingerprint& answered) { quarantine.onAnswered(answered, now); }
 
         Quarantine quarantine;
         std::uint64_t number = 0;
