Stand-ins: one crash for both engines, one way to close a connection

Read again as a whole: both engine stand-ins had the same controls, the same look at a request's text and the same two sleeps around a crash (Crash has them now), and the server's crash closed connections by the four lines of Exchange::drop() (Connection::close() serves both). A comment on the bound of known reports said that the oldest goes; it is the oldest that names no request lost with several servers. No product code but that comment.

--- a/include/swiftlift/quarantine/Quarantine.h
+++ b/include/swiftlift/quarantine/Quarantine.h
@@ -26,7 +26,7 @@
     std::size_t mostSuspects = 4096;
     /** Answered requests that are remembered. */
     std::size_t mostAnswered = 4096;
-    /** Reports that are remembered; past that, the oldest is forgotten. */
+    /** Reports that are remembered; past that, the oldest that names no request lost with several servers goes. */
     std::size_t mostReports = 4096;
 };
 
--- a/tests/platform/standin/EngineService.cpp
+++ b/tests/platform/standin/EngineService.cpp
@@ -14,9 +14,6 @@
 
 namespace {
 
-    /** How long a request runs that crashes its engine. */
-    constexpr Milliseconds crashAfter { 5 };
-
     /** @return Whether one was left, which is taken. */
     bool take(std::uint64_t& left)
     {
@@ -37,8 +34,7 @@
     , restarted_(std::move(restarted))
     , firstId_(settings_.id)
 {
-    controls().addValue("crash_on", crashOn_);
-    controls().addValue("down_ms", downMs_);
+    crash().addControls(controls());
     controls().addValue("fail_next", failNext_);
     controls().addValue("break_next", breakNext_);
     controls().addValue("half_event", halfEvent_);
@@ -77,19 +73,6 @@
     }
 }
 
-bool EngineService::crashesOn(const Exchange& exchange) const
-{
-    return !crashOn_.empty() && exchange.path().find(crashOn_) != std::string::npos;
-}
-
-Awaitable<void> EngineService::crashWhileRunning(Exchange& exchange)
-{
-    co_await exchange.sleep(crashAfter);
-    crash().request(Milliseconds(downMs_));
-    // Nothing of an answer may leave before the server has closed the connection.
-    co_await exchange.sleep(Milliseconds(downMs_));
-}
-
 void EngineService::sign(Exchange& exchange) const
 {
     const std::string id = exchange.header("Request-Id");
@@ -109,8 +92,8 @@
     run.resumedAfter = exchange.header("Last-Event-Id");
     run.keySeen = run.keySeen || !exchange.header("Credential").empty();
     sign(exchange);
-    if (crashesOn(exchange)) {
-        co_await crashWhileRunning(exchange);
+    if (crash().happensOn(exchange.path())) {
+        co_await crash().run(exchange);
         co_return;
     }
     if (exchange.header("Token-Usage").empty()) {
--- a/tests/platform/standin/EngineService.h
+++ b/tests/platform/standin/EngineService.h
@@ -53,16 +53,12 @@
     [[nodiscard]] standins::Awaitable<void> refuse(standins::Exchange& exchange);
     [[nodiscard]] standins::Awaitable<void> whole(standins::Exchange& exchange, Run& run);
     [[nodiscard]] standins::Awaitable<void> stream(standins::Exchange& exchange, Run& run);
-    [[nodiscard]] bool crashesOn(const standins::Exchange& exchange) const;
-    [[nodiscard]] standins::Awaitable<void> crashWhileRunning(standins::Exchange& exchange);
     void sign(standins::Exchange& exchange) const;
 
     EngineSettings settings_;
     std::function<void(const std::string&, const std::string&)> restarted_;
     std::string firstId_;
     std::uint64_t lives_ = 1;
-    std::string crashOn_;
-    double downMs_ = 500;
     std::map<std::string, Run> runs_;
     std::uint64_t refused_ = 0;
     std::uint64_t failNext_ = 0;
--- a/tests/standins/common/Crash.h
+++ b/tests/standins/common/Crash.h
@@ -1,26 +1,33 @@
 #pragma once
 
+#include <string>
+#include <string_view>
+
+#include "common/Controls.h"
+#include "common/Exchange.h"
 #include "common/Signal.h"
-#include "common/Types.h"
 
 namespace swiftlift::standins {
 
-/** Asks the server of a stand-in to end as a crashed process does, and to come back later. */
+/** Has the server of a stand-in end as a crashed process does when it runs a named request, and come back later. */
 class Crash {
 public:
-    /** All connections close at once, and new ones are refused for so long. */
-    void request(Milliseconds downtime)
-    {
-        downtime_ = downtime;
-        requested_.notify();
-    }
+    /** Adds `crash_on` (part of the text of a request) and `down_ms` (for so long new connections are refused). */
+    void addControls(Controls& controls);
+
+    /** @return Whether the server crashes on a request with this text. */
+    [[nodiscard]] bool happensOn(std::string_view text) const;
+
+    /** Runs such a request: soon all connections of the server close, this one included. */
+    [[nodiscard]] Awaitable<void> run(Exchange& exchange);
 
     [[nodiscard]] Signal& requested() noexcept { return requested_; }
-    [[nodiscard]] Milliseconds downtime() const noexcept { return downtime_; }
+    [[nodiscard]] Milliseconds downtime() const noexcept { return Milliseconds(downMs_); }
 
 private:
     Signal requested_;
-    Milliseconds downtime_ {};
+    std::string on_;
+    double downMs_ = 500;
 };
 
 } // namespace swiftlift::standins
--- a/tests/standins/common/Exchange.cpp
+++ b/tests/standins/common/Exchange.cpp
@@ -36,6 +36,14 @@
 {
 }
 
+void Connection::close()
+{
+    closed = true;
+    boost::system::error_code ignored;
+    socket.close(ignored);
+    closing.notify();
+}
+
 Exchange::Exchange(std::shared_ptr<Connection> connection, const HttpRequest& request, ByteCounts& counts)
     : connection_(std::move(connection))
     , request_(request)
@@ -181,10 +189,7 @@
 void Exchange::drop()
 {
     answered_ = true;
-    connection_->closed = true;
-    boost::system::error_code ignored;
-    connection_->socket.close(ignored);
-    connection_->closing.notify();
+    connection_->close();
 }
 
 } // namespace swiftlift::standins
--- a/tests/standins/common/Exchange.h
+++ b/tests/standins/common/Exchange.h
@@ -26,6 +26,9 @@
 struct Connection {
     explicit Connection(Tcp::socket accepted);
 
+    /** Closes it without a further byte, and wakes whoever waits for its end. */
+    void close();
+
     Tcp::socket socket;
     std::string remoteAddress;
     /** The other side has closed, or we have. */
--- a/tests/standins/common/HttpServer.cpp
+++ b/tests/standins/common/HttpServer.cpp
@@ -151,10 +151,7 @@
 {
     for (const auto& known : std::exchange(connections_, {})) {
         if (const auto connection = known.lock(); connection && !connection->closed) {
-            connection->closed = true;
-            boost::system::error_code ignored;
-            connection->socket.close(ignored);
-            connection->closing.notify();
+            connection->close();
         }
     }
 }
--- a/tests/standins/engine/EngineService.cpp
+++ b/tests/standins/engine/EngineService.cpp
@@ -13,8 +13,6 @@
 
     constexpr Milliseconds longestCatchUp { 10 };
     constexpr unsigned lowestPriority = 2;
-    /** How long a request runs that crashes its engine. */
-    constexpr Milliseconds crashAfter { 5 };
 
     std::uint64_t numberOr(const std::string& text, std::uint64_t fallback)
     {
@@ -47,8 +45,7 @@
     controls().addValue("cross_lines", crossLines_);
     controls().addValue("answer_delay_ms", answerDelayMs_);
     controls().addValue("late_done", lateDoneMs_);
-    controls().addValue("crash_on", crashOn_);
-    controls().addValue("down_ms", downMs_);
+    crash().addControls(controls());
     controls().addValue("step_ms", settings_.stepMs);
     controls().addValue("load_lag_ms", settings_.loadLagMs);
     controls().add("fail_after_tokens", [this](const Json& value, Json&) {
@@ -161,22 +158,14 @@
     output.sequence->record = &record;
     output.breakAt = takeBreak(output.written);
     work_.notify();
-    if (crashesOn(*output.sequence)) {
-        co_await exchange.sleep(internal::crashAfter);
-        crash().request(Milliseconds(downMs_));
-        // Nothing of an answer may leave before the server has closed the connection.
-        co_await exchange.sleep(Milliseconds(downMs_));
+    if (crash().happensOn(output.sequence->prompt)) {
+        co_await crash().run(exchange);
     } else {
         co_await stream(exchange, output);
     }
     batch_.remove(output.sequence);
 }
 
-bool EngineService::crashesOn(const Sequence& sequence) const
-{
-    return !crashOn_.empty() && sequence.prompt.find(crashOn_) != std::string::npos;
-}
-
 void EngineService::onRestart()
 {
     ++crashes_;
--- a/tests/standins/engine/EngineService.h
+++ b/tests/standins/engine/EngineService.h
@@ -42,7 +42,6 @@
     [[nodiscard]] Output makeOutput(const Exchange& exchange);
     [[nodiscard]] std::uint64_t takeBreak(std::uint64_t from);
     [[nodiscard]] Awaitable<void> generate(Exchange& exchange);
-    [[nodiscard]] bool crashesOn(const Sequence& sequence) const;
     [[nodiscard]] Awaitable<void> stream(Exchange& exchange, Output& output);
     [[nodiscard]] Awaitable<void> writeTokens(Exchange& exchange, Output& output);
     [[nodiscard]] Awaitable<void> finish(Exchange& exchange, const Output& output);
@@ -58,8 +57,6 @@
     bool leaving_ = false;
     bool refuse_ = false;
     bool crossLines_ = false;
-    std::string crashOn_;
-    double downMs_ = 500;
     std::uint64_t crashes_ = 0;
     double answerDelayMs_ = 0;
     double lateDoneMs_ = 0;
