Say of each bill who has it when its caller is told, and of each kill which bills it met

A play of domain_gone that passes may have missed the moment, and no log could tell. Now: a line 'bill' as a caller is told (sequence, landed or not, who keeps copies, how long it waited); 'appended_for_peer' names the items; the runner compares callers' answers, the log's records and the keepers' lines after each kill and prints which bills were in flight, where each landed, and who appended it. No decision changes, no script.

--- a/src/node/Requests.h
+++ b/src/node/Requests.h
@@ -94,6 +94,8 @@
     void complete(Call& call, const AttemptEnded& ended);
     void answerSecured();
     void answer(Call& call, bool secured);
+    /** Says who has the bill at the moment at which the caller is told. */
+    void logBill(const Call& call, bool secured) const;
     void refuseBill(Call& call);
     void tryElsewhere(Call& call, const AttemptEnded& ended);
     void finishAttempt(Call& call, request::AttemptEnd end, const AttemptEnded* facts);
--- a/src/node/RequestsEnd.cpp
+++ b/src/node/RequestsEnd.cpp
@@ -63,8 +63,30 @@
     giveUp(call, { 502, "bill_refused", "the bill could not be entered in the ledger", defaultRetryAfter });
 }
 
+void Requests::logBill(const Call& call, bool secured) const
+{
+    if (call.billSequence == 0) {
+        return;
+    }
+    const ShardLedger& shard = shards_(call.request.account);
+    const BillKeepers keepers = shard.keepersOf(call.billSequence);
+    const auto hexOf = [](const std::optional<Incarnation>& keeper) { return keeper ? toHex(keeper->value()) : ""; };
+    context_.log(Line("bill")
+                     .with("request", call.request.id.value())
+                     .with("account", call.request.account.value())
+                     .with("stream", shard.stream().value())
+                     .with("sequence", static_cast<std::int64_t>(call.billSequence))
+                     .with("grant", toText(call.billedGrant))
+                     .with("secured", secured)
+                     .with("landed", keepers.landed)
+                     .with("near_keeper", hexOf(keepers.near))
+                     .with("distant_keeper", hexOf(keepers.distant))
+                     .with("waited_ms", toMilliseconds(context_.now() - call.since)));
+}
+
 void Requests::answer(Call& call, bool secured)
 {
+    logBill(call, secured);
     if (!secured) {
         // The bill is in this process alone: should it die before the log is back, the request stays unbilled. The
         // account can't overspend by it, since the grant stays held; the caller is not made to wait for the platform.
--- a/src/node/ShardLedger.h
+++ b/src/node/ShardLedger.h
@@ -52,6 +52,16 @@
     Alone,
 };
 
+/** Who has a bill besides this process. */
+struct BillKeepers {
+    /** It is read back from the log. */
+    bool landed = false;
+    /** The peer of the own failure domain that has a copy; nothing: none. */
+    std::optional<Incarnation> near;
+    /** The peer beyond the failure domain that has a copy; nothing: none. */
+    std::optional<Incarnation> distant;
+};
+
 /**
  * @brief One ledger stream as this router sees it: fold, outbox, holder and witness, kept in step.
  *
@@ -87,6 +97,8 @@
     [[nodiscard]] std::uint64_t settle(const ledger::Reservation& reservation, Tokens actual);
     /** @return Whether a caller may be told of the bill that this item is. */
     [[nodiscard]] BillState billState(std::uint64_t sequence, const GrantId& grantId, bool alone) const;
+    /** @return Who has the item of that sequence, as far as is known here. */
+    [[nodiscard]] BillKeepers keepersOf(std::uint64_t sequence) const;
     [[nodiscard]] bool answersAlone(const ledger::Reservation& reservation) const;
     /** Sees to it that the budget holds so much in all, and that a share of it is held here. */
     void fund(const BudgetRef& budget, Tokens total);
--- a/src/node/ShardLedgerPeers.cpp
+++ b/src/node/ShardLedgerPeers.cpp
@@ -153,8 +153,10 @@
         }
         context_.log(Line("ledger")
                          .with("change", "appended_for_peer")
+                         .with("stream", stream_.value())
                          .with("peer", toHex(author.value()))
-                         .with("items", static_cast<std::int64_t>(batch.items.size())));
+                         .with("first", static_cast<std::int64_t>(batch.items.front().sequence))
+                         .with("last", static_cast<std::int64_t>(batch.items.back().sequence)));
         appendRecord(ledger::encode(batch));
     }
 }
@@ -208,6 +210,15 @@
     return alone ? BillState::Alone : BillState::Pending;
 }
 
+BillKeepers ShardLedger::keepersOf(std::uint64_t sequence) const
+{
+    BillKeepers keepers;
+    keepers.landed = sequence <= fold_.lastSequence(context_.self());
+    keepers.near = nearCopies_.holds(sequence) ? nearCopies_.keeper() : std::nullopt;
+    keepers.distant = distantCopies_.holds(sequence) ? distantCopies_.keeper() : std::nullopt;
+    return keepers;
+}
+
 bool ShardLedger::answersAlone(const ledger::Reservation& reservation) const
 {
     const auto grant = fold_.grant(reservation.grant);
--- a/tests/platform/FleetTest.cpp
+++ b/tests/platform/FleetTest.cpp
@@ -49,7 +49,8 @@
         {
             const auto until = std::chrono::steady_clock::now() + longBound;
             while (std::chrono::steady_clock::now() < until) {
-                if (const auto lines = scenario::linesOfKind(fleet_->router(router).printed(), kind); !lines.empty()) {
+                if (const auto lines = scenario::linesOfKinds(fleet_->router(router).printed(), { kind });
+                    !lines.empty()) {
                     return lines.front();
                 }
                 std::this_thread::sleep_for(std::chrono::milliseconds(20));
--- a/tests/scenario/Fleet.cpp
+++ b/tests/scenario/Fleet.cpp
@@ -216,6 +216,14 @@
 
 std::string Fleet::printedBy(const std::string& name) { return member(name).process->printed(); }
 
+std::string Fleet::wholeLogOf(const std::string& name) const
+{
+    std::ifstream file(folder_ / (name + ".log"));
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
 std::string Fleet::lastLogLines(std::size_t count) const
 {
     std::ostringstream text;
--- a/tests/scenario/Fleet.h
+++ b/tests/scenario/Fleet.h
@@ -39,6 +39,7 @@
     void freeze(const std::string& name);
     void thaw(const std::string& name);
     [[nodiscard]] bool running(const std::string& name);
+    [[nodiscard]] bool isRouter(const std::string& name) { return member(name).isRouter; }
 
     /** @return Names of the processes that `name` means: a process, a domain's routers, or `routers`. */
     [[nodiscard]] std::vector<std::string> resolve(const std::string& name) const;
@@ -67,6 +68,8 @@
     [[nodiscard]] const std::filesystem::path& programs() const noexcept { return programs_; }
     /** @return Everything that a member has printed since its start; a router prints its log. */
     [[nodiscard]] std::string printedBy(const std::string& name);
+    /** @return Everything that all processes of that name have printed. */
+    [[nodiscard]] std::string wholeLogOf(const std::string& name) const;
     /** @return The last lines of each router's log, for a failed run. */
     [[nodiscard]] std::string lastLogLines(std::size_t count) const;
 
--- a/tests/scenario/LedgerTruth.cpp
+++ b/tests/scenario/LedgerTruth.cpp
@@ -64,13 +64,21 @@
     return records;
 }
 
+std::vector<ledger::Batch> readLedgerBatches(const Address& log)
+{
+    std::vector<ledger::Batch> batches;
+    for (const auto& record : readWholeStream(log, ledgerStream)) {
+        std::string reason;
+        batches.push_back(ledger::decodeBatch(record, reason).value_or(ledger::Batch {}));
+    }
+    return batches;
+}
+
 LedgerTruth readLedgerTruth(const Address& log)
 {
     LedgerTruth truth;
     ledger::Fold fold;
-    for (const auto& record : readWholeStream(log, "ledger-0")) {
-        std::string reason;
-        const auto batch = ledger::decodeBatch(record, reason).value_or(ledger::Batch {});
+    for (const auto& batch : readLedgerBatches(log)) {
         std::vector<ledger::Effect> effects;
         if (!fold.apply(Offset(truth.records), batch, effects))
             throw ExpectationFailed(
--- a/tests/scenario/LedgerTruth.h
+++ b/tests/scenario/LedgerTruth.h
@@ -44,6 +44,12 @@
  */
 [[nodiscard]] std::vector<std::string> readWholeStream(const Address& log, const std::string& stream);
 
+/** Name of the stream with all accounts of a scenario. */
+inline constexpr const char* ledgerStream = "ledger-0";
+
+/** @return The records of `ledgerStream`, from offset 0; one that can't be read is empty. */
+[[nodiscard]] std::vector<ledger::Batch> readLedgerBatches(const Address& log);
+
 /** @return The fold over `ledger-0` of the log stand-in. Throws when the fold refuses a record. */
 [[nodiscard]] LedgerTruth readLedgerTruth(const Address& log);
 
--- a/tests/scenario/LogLines.cpp
+++ b/tests/scenario/LogLines.cpp
@@ -5,13 +5,13 @@
 
 namespace swiftlift::scenario {
 
-std::vector<nlohmann::json> linesOfKind(const std::string& log, const std::string& kind)
+std::vector<nlohmann::json> linesOfKinds(const std::string& log, const std::set<std::string>& kinds)
 {
     std::vector<nlohmann::json> found;
     std::istringstream lines(log);
     for (std::string line; std::getline(lines, line);) {
         nlohmann::json object = nlohmann::json::parse(line, nullptr, false);
-        if (object.is_object() && object.value("kind", "") == kind)
+        if (object.is_object() && kinds.contains(object.value("kind", "")))
             found.push_back(std::move(object));
     }
     return found;
--- a/tests/scenario/LogLines.h
+++ b/tests/scenario/LogLines.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -7,7 +8,7 @@
 
 namespace swiftlift::scenario {
 
-/** @return The lines of a log of JSON lines that are of one kind, in order; what is no such line is passed over. */
-[[nodiscard]] std::vector<nlohmann::json> linesOfKind(const std::string& log, const std::string& kind);
+/** @return The lines of a log of JSON lines that are of one of these kinds, in order; others are passed over. */
+[[nodiscard]] std::vector<nlohmann::json> linesOfKinds(const std::string& log, const std::set<std::string>& kinds);
 
 } // namespace swiftlift::scenario
--- a/tests/scenario/VerbsCheck.cpp
+++ b/tests/scenario/VerbsCheck.cpp
@@ -31,7 +31,10 @@
         constexpr double usualBound = 60;
         const double bound = arguments.any(0).is_number() ? arguments.real(0, "bound", usualBound) : usualBound;
         AuditReport report = world.audit(Milliseconds(static_cast<std::int64_t>(bound * 1000)));
-        std::cout << "audit " << report.toJson().dump() << '\n' << report.toTable() << std::flush;
+        std::cout << "audit " << report.toJson().dump() << '\n' << report.toTable();
+        for (const auto& [mark, bills] : world.billsInFlight())
+            std::cout << describe(mark, bills);
+        std::cout << std::flush;
         return report;
     }
 
@@ -83,6 +86,14 @@
         const KeyBills bills = readLedgerTruth(world.fleet().plan().log).bills[key];
         return { { "counted", bills.counted }, { "given_back", bills.givenBack }, { "tokens", bills.tokens.value() } };
     });
+    lua.add("bills_in_flight", [&world](const Arguments&) -> Json {
+        Json all = Json::array();
+        for (const auto& [mark, bills] : world.billsInFlight()) {
+            for (const auto& bill : bills)
+                all.push_back(bill.toJson());
+        }
+        return all;
+    });
     lua.add("now_ms", [](const Arguments&) -> Json {
         return std::chrono::duration_cast<Milliseconds>(Clock::now().time_since_epoch()).count();
     });
--- a/tests/scenario/VerbsFleet.cpp
+++ b/tests/scenario/VerbsFleet.cpp
@@ -25,16 +25,25 @@
             { "engines", names(plan.engines) }, { "plains", names(plan.plains) } };
     }
 
+    /** @return The processes that the arguments name. */
+    std::vector<std::string> resolveAll(World& world, const Arguments& arguments)
+    {
+        if (arguments.count() == 0)
+            throw BrokenScript("needs a name");
+        std::vector<std::string> all;
+        for (std::size_t i = 0; i < arguments.count(); ++i) {
+            const std::vector<std::string> names = world.fleet().resolve(arguments.text(i, "name"));
+            all.insert(all.end(), names.begin(), names.end());
+        }
+        return all;
+    }
+
     /** A verb that does the same to each process that its arguments name. */
     Verb forEach(World& world, void (Fleet::*action)(const std::string&))
     {
         return [&world, action](const Arguments& arguments) -> Json {
-            if (arguments.count() == 0)
-                throw BrokenScript("needs a name");
-            for (std::size_t i = 0; i < arguments.count(); ++i) {
-                for (const auto& name : world.fleet().resolve(arguments.text(i, "name")))
-                    (world.fleet().*action)(name);
-            }
+            for (const auto& name : resolveAll(world, arguments))
+                (world.fleet().*action)(name);
             return nullptr;
         };
     }
@@ -52,7 +61,10 @@
     void addProcessVerbs(LuaRuntime& lua, World& world)
     {
         lua.add("start", forEach(world, &Fleet::start));
-        lua.add("kill", forEach(world, &Fleet::kill));
+        lua.add("kill", [&world](const Arguments& arguments) -> Json {
+            world.kill(resolveAll(world, arguments));
+            return nullptr;
+        });
         lua.add("freeze", forEach(world, &Fleet::freeze));
         lua.add("thaw", forEach(world, &Fleet::thaw));
         lua.add("stop", [&world](const Arguments& arguments) { return stop(world, arguments); });
@@ -60,7 +72,7 @@
             [&world](const Arguments& arguments) -> Json { return world.fleet().running(arguments.text(0, "name")); });
         lua.add("replace", [&world](const Arguments& arguments) -> Json {
             const std::string name = arguments.text(0, "vm");
-            world.fleet().kill(name);
+            world.kill({ name });
             world.fleet().start(name);
             return nullptr;
         });
--- a/tests/scenario/VerbsOperators.cpp
+++ b/tests/scenario/VerbsOperators.cpp
@@ -164,7 +164,7 @@
     /** Lines of a router's log that are of one kind. */
     Json logged(World& world, const Arguments& arguments)
     {
-        return linesOfKind(world.fleet().printedBy(arguments.text(0, "vm")), arguments.text(1, "kind"));
+        return linesOfKinds(world.fleet().printedBy(arguments.text(0, "vm")), { arguments.text(1, "kind") });
     }
 
 } // namespace internal
--- a/tests/scenario/World.cpp
+++ b/tests/scenario/World.cpp
@@ -4,6 +4,7 @@
 #include <thread>
 
 #include "Errors.h"
+#include "LogLines.h"
 
 namespace swiftlift::scenario {
 
@@ -57,6 +58,35 @@
     return { *status, ctls_[handle]->printed() };
 }
 
+void World::kill(const std::vector<std::string>& names)
+{
+    KillMark mark;
+    for (const auto& name : names) {
+        fleet().kill(name);
+        if (fleet().isRouter(name))
+            mark.vms.push_back(name);
+    }
+    if (mark.vms.empty())
+        return;
+    mark.at = Clock::now();
+    mark.records = readWholeStream(fleet().plan().log, ledgerStream).size();
+    kills_.push_back(std::move(mark));
+}
+
+std::vector<std::pair<KillMark, std::vector<BillInFlight>>> World::billsInFlight()
+{
+    if (kills_.empty())
+        return {};
+    RouterLines lines;
+    for (const auto& vm : fleet().plan().vms)
+        lines[vm.name] = linesOfKinds(fleet().wholeLogOf(vm.name), { "start", "bill", "ledger" });
+    const auto records = readLedgerBatches(fleet().plan().log);
+    std::vector<std::pair<KillMark, std::vector<BillInFlight>>> found;
+    for (const auto& mark : kills_)
+        found.emplace_back(mark, findBillsInFlight(mark, callers_.all(), records, lines));
+    return found;
+}
+
 Evidence World::evidence()
 {
     Evidence evidence;
--- a/tests/scenario/World.h
+++ b/tests/scenario/World.h
@@ -11,6 +11,7 @@
 
 #include "Auditor.h"
 #include "BackgroundLoads.h"
+#include "BillsInFlight.h"
 #include "Callers.h"
 #include "Fleet.h"
 #include "LuaRuntime.h"
@@ -47,6 +48,11 @@
 
     /** @return Everything that has been seen and recorded. */
     [[nodiscard]] Evidence evidence();
+    /** Kills processes at once, and marks how far the ledger had come when routers were among them. */
+    void kill(const std::vector<std::string>& names);
+    /** @return For each kill of routers, in order, the answers whose bills were in flight. */
+    [[nodiscard]] std::vector<std::pair<KillMark, std::vector<BillInFlight>>> billsInFlight();
+
     /** Waits until every answered request is billed in the log, at most so long, then audits. */
     [[nodiscard]] AuditReport audit(Milliseconds bound);
 
@@ -70,6 +76,7 @@
     BackgroundLoads loads_;
     std::unique_ptr<Fleet> fleet_;
     std::vector<std::unique_ptr<Process>> ctls_;
+    std::vector<KillMark> kills_;
 };
 
 void addFleetVerbs(LuaRuntime& lua, World& world);
