Keep bills safe while their keeper beyond the domain is silent

An answer was told with both copies of its bill in one failure domain once its keeper beyond it owed an acknowledgement for 100 ms, up to 3 s long until the keeper was suspected, and the loss of the domain in that time took the bill along.

Now a standby, chosen beforehand, in another domain than the keeper's where there is one, gets the copies as soon as the keeper is silent. - no keeper answers, the log does (a cut between domains): answers didn't wait for the log. They do, 500 ms at most. - the author itself was paused: it took its keeper for silent with the acknowledgements unread. Its own pause counts as 50 ms. - the keeper dies before it suspects the author (3 s), or stops as planned: the copies went with it. It appends after 1.2 s without a word of the author (the fold takes each item once, so that needs no suspicion), and all that it keeps before it ends.

What is left: a domain and its keeper lost within 1.7 s of each other; two domains at once; a domain cut off from the others and from the log. These are told by 'bill' lines with no distant keeper, landed false.

--- a/apps/capacity/OutboxAxes.cpp
+++ b/apps/capacity/OutboxAxes.cpp
@@ -67,7 +67,7 @@
             const ledger::Batch batch = sample.batch(firstRouter, std::move(bills));
             const Meter meter;
             node::ItemCopies copies(sample.fold());
-            [[maybe_unused]] const auto kept = copies.keep(batch.items);
+            [[maybe_unused]] const auto kept = copies.keep(batch.items, Instant {});
             assert(kept && *kept == size && "all of them fit");
             return { { "heap", "B", meter.bytes() }, { "CPU", "us", meter.microseconds() } };
         }
--- a/include/swiftlift/membership/Membership.h
+++ b/include/swiftlift/membership/Membership.h
@@ -51,13 +51,22 @@
     [[nodiscard]] MembershipActions tick(Instant now);
 
     /** @return Whom a grant drawn now should name as witness. Stays the same as long as that peer is fit. */
-    [[nodiscard]] std::optional<Incarnation> witness() const noexcept { return witness_; }
+    [[nodiscard]] std::optional<Incarnation> witness() const noexcept { return witness_.peer; }
 
     /**
      * @return Whom to give copies that must outlive this router's whole failure domain: a peer beyond it. Stays the
      * same as long as that peer is fit.
      */
-    [[nodiscard]] std::optional<Incarnation> distantKeeper() const noexcept { return distantKeeper_; }
+    [[nodiscard]] std::optional<Incarnation> distantKeeper() const noexcept { return distantKeeper_.peer; }
+
+    /**
+     * @return Whom to give them while the keeper is silent: another peer beyond the failure domain, in a domain other
+     * than the keeper's where there is one.
+     */
+    [[nodiscard]] std::optional<Incarnation> standbyKeeper() const noexcept { return standbyKeeper_.peer; }
+
+    /** @return True when VMs beyond the failure domain are known, whether or not one is heard now. */
+    [[nodiscard]] bool knowsDistantVms() const;
 
     /** @return True when peers have had the time to be heard: before, a missing witness may just be unknown. */
     [[nodiscard]] bool settled() const noexcept { return settled_; }
@@ -76,6 +85,9 @@
 
     [[nodiscard]] bool isAlive(Incarnation incarnation) const;
 
+    /** @return When the incarnation was last heard; nothing when it is unknown or over. */
+    [[nodiscard]] std::optional<Instant> lastHeard(Incarnation incarnation) const;
+
     /** @return True when the platform lists this VM as leaving. */
     [[nodiscard]] bool selfLeaving() const noexcept { return selfLeaving_; }
 
@@ -111,6 +123,15 @@
         bool leaving = false;
     };
 
+    /** A peer with a duty for this router, heard in every period. */
+    struct Chosen {
+        std::optional<Incarnation> peer;
+        Instant since {};
+
+        /** Takes another peer, or nobody, from now on; the same one keeps its moment. */
+        void choose(std::optional<Incarnation> other, Instant now);
+    };
+
     using Peers = std::map<Incarnation, Peer>;
 
     void join(Incarnation from, const PeerAddress& address, const HeartbeatFacts& facts, Instant now);
@@ -124,7 +145,11 @@
     void forgetOld(Instant now);
     void settle(Instant now);
     void chooseWitness(Instant now);
-    void chooseDistantKeeper(Instant now);
+    void chooseDistantKeepers(Instant now);
+    /** @return The nearest fit peer beyond the failure domain but the keeper, of another domain than its where
+     * possible.
+     */
+    [[nodiscard]] std::optional<Incarnation> bestStandby() const;
     void answer(const PeerAddress& address, Instant now);
     void planAnswers(Instant now, MembershipActions& actions);
     void planHeartbeats(Instant now, MembershipActions& actions);
@@ -161,10 +186,9 @@
     Rotation domainRotation_;
     Rotation distantRotation_;
     std::vector<MembershipEvent> events_;
-    std::optional<Incarnation> witness_;
-    Instant witnessSince_ {};
-    std::optional<Incarnation> distantKeeper_;
-    Instant distantKeeperSince_ {};
+    Chosen witness_;
+    Chosen distantKeeper_;
+    Chosen standbyKeeper_;
     std::optional<Instant> firstTick_;
     Instant lastTick_ {};
     /** No silence counts from before this moment. */
--- a/src/membership/Heartbeats.cpp
+++ b/src/membership/Heartbeats.cpp
@@ -136,11 +136,10 @@
     if (const auto found = watched_.find(incarnation); found != watched_.end()) {
         since = found->second;
     }
-    if (witness_ == incarnation) {
-        since = std::max(since, std::optional(witnessSince_));
-    }
-    if (distantKeeper_ == incarnation) {
-        since = std::max(since, std::optional(distantKeeperSince_));
+    for (const Chosen* chosen : { &witness_, &distantKeeper_, &standbyKeeper_ }) {
+        if (chosen->peer == incarnation) {
+            since = std::max(since, std::optional(chosen->since));
+        }
     }
     return since;
 }
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -167,7 +167,7 @@
     forgetOld(now);
     settle(now);
     chooseWitness(now);
-    chooseDistantKeeper(now);
+    chooseDistantKeepers(now);
     MembershipActions actions;
     planHeartbeats(now, actions);
     planAnswers(now, actions);
@@ -242,25 +242,58 @@
             break;
         }
     }
-    if (best && witness_ && mayWitness(*witness_) && distance(peers_.at(*witness_)) <= distance(peers_.at(*best))) {
+    const auto& present = witness_.peer;
+    if (best && present && mayWitness(*present) && distance(peers_.at(*present)) <= distance(peers_.at(*best))) {
         return;
     }
-    if (witness_ != best) {
-        witness_ = best;
-        witnessSince_ = now;
+    witness_.choose(best, now);
+}
+
+void Membership::Chosen::choose(std::optional<Incarnation> other, Instant now)
+{
+    if (peer != other) {
+        peer = other;
+        since = now;
     }
 }
 
-void Membership::chooseDistantKeeper(Instant now)
+// A keeper that dies is silent for some seconds before it is suspected. With a standby chosen beforehand, copies go on
+// at once; bills of those seconds would otherwise be lost with the failure domain.
+void Membership::chooseDistantKeepers(Instant now)
 {
-    const bool stays = distantKeeper_ && mayKeepFromAfar(*distantKeeper_);
-    if (!settings_.distantKeeper || stays) {
+    if (!settings_.distantKeeper) {
         return;
     }
-    const std::vector<Incarnation> peers = nearestFirst();
-    const auto best = std::ranges::find_if(peers, [this](Incarnation peer) { return mayKeepFromAfar(peer); });
-    distantKeeper_ = best == peers.end() ? std::nullopt : std::optional(*best);
-    distantKeeperSince_ = now;
+    const auto fit = [this](const Chosen& chosen) { return chosen.peer && mayKeepFromAfar(*chosen.peer); };
+    if (!fit(distantKeeper_)) {
+        const std::vector<Incarnation> peers = nearestFirst();
+        const auto best = std::ranges::find_if(peers, [this](Incarnation peer) { return mayKeepFromAfar(peer); });
+        const auto nearest = best == peers.end() ? std::nullopt : std::optional(*best);
+        distantKeeper_.choose(fit(standbyKeeper_) ? standbyKeeper_.peer : nearest, now);
+    }
+    const bool standbyStays = fit(standbyKeeper_) && standbyKeeper_.peer != distantKeeper_.peer;
+    if (!standbyStays) {
+        standbyKeeper_.choose(bestStandby(), now);
+    }
+}
+
+std::optional<Incarnation> Membership::bestStandby() const
+{
+    if (!distantKeeper_.peer) {
+        return std::nullopt;
+    }
+    const FailureDomain& keepersDomain = peers_.at(*distantKeeper_.peer).facts.domain;
+    std::optional<Incarnation> sameDomain;
+    for (const Incarnation peer : nearestFirst()) {
+        if (peer == distantKeeper_.peer || !mayKeepFromAfar(peer)) {
+            continue;
+        }
+        if (peers_.at(peer).facts.domain != keepersDomain) {
+            return peer;
+        }
+        sameDomain = sameDomain.value_or(peer);
+    }
+    return sameDomain;
 }
 
 } // namespace swiftlift::membership
--- a/src/membership/Queries.cpp
+++ b/src/membership/Queries.cpp
@@ -63,6 +63,13 @@
     return found != peers_.end() && fitForDuty(found->second) && distance(found->second) > 0;
 }
 
+bool Membership::knowsDistantVms() const
+{
+    const auto listedBeyond = [this](const auto& entry) { return entry.second.domain != settings_.domain; };
+    const auto heardBeyond = [this](const auto& entry) { return distance(entry.second) > 0; };
+    return std::ranges::any_of(listed_, listedBeyond) || std::ranges::any_of(peers_, heardBeyond);
+}
+
 std::vector<Incarnation> Membership::nearestFirst() const
 {
     struct Ranked {
@@ -125,6 +132,12 @@
     return found != peers_.end() && found->second.state == PeerState::Alive;
 }
 
+std::optional<Instant> Membership::lastHeard(Incarnation incarnation) const
+{
+    const auto found = peers_.find(incarnation);
+    return found == peers_.end() ? std::nullopt : std::optional(found->second.lastHeard);
+}
+
 Membership::Counts Membership::counts() const
 {
     Counts counts;
--- a/src/node/CopyRoute.cpp
+++ b/src/node/CopyRoute.cpp
@@ -15,6 +15,7 @@
 
 ledger::Batch CopyRoute::due(const ledger::Outbox& outbox, Duration period, Instant now)
 {
+    passOverPause(now);
     if (!keeper_) {
         return {};
     }
@@ -49,6 +50,21 @@
 
 bool CopyRoute::inTouch(Instant now) const noexcept { return keeper_ && !silent_ && !overdue(now); }
 
-bool CopyRoute::overdue(Instant now) const noexcept { return owedSince_ && now - *owedSince_ >= patience; }
+bool CopyRoute::overdue(Instant now) const noexcept
+{
+    const Instant counted = lastLook_ ? std::min(now, *lastLook_ + longestStep) : now;
+    return owedSince_ && counted - *owedSince_ >= patience;
+}
+
+// Whoever was paused itself takes a keeper that answered meanwhile for silent, and tells callers of bills that stand in
+// one failure domain alone.
+void CopyRoute::passOverPause(Instant now)
+{
+    const Duration gap = lastLook_ ? now - *lastLook_ : Duration {};
+    if (owedSince_ && gap > longestStep) {
+        *owedSince_ += gap - longestStep;
+    }
+    lastLook_ = now;
+}
 
 } // namespace swiftlift::node
--- a/src/node/CopyRoute.h
+++ b/src/node/CopyRoute.h
@@ -41,6 +41,9 @@
     /** @return True while a keeper answers in time, as far as is known. */
     [[nodiscard]] bool inTouch(Instant now) const noexcept;
 
+    /** @return True when something that was sent has not been acknowledged. */
+    [[nodiscard]] bool owes() const noexcept { return owedSince_.has_value(); }
+
 private:
     /** Copies that were not acknowledged for so long are sent again. */
     static constexpr Duration retryPeriod = std::chrono::milliseconds(150);
@@ -48,7 +51,11 @@
      * failure domain of the same region and back, and less than a caller notices at the end of an answer. */
     static constexpr Duration patience = std::chrono::milliseconds(100);
 
+    /** A longer gap between two calls of due() is this process's own pause: acknowledgements may lie there unread. */
+    static constexpr Duration longestStep = std::chrono::milliseconds(50);
+
     [[nodiscard]] bool overdue(Instant now) const noexcept;
+    void passOverPause(Instant now);
 
     std::optional<Incarnation> keeper_;
     /** The keeper has all items up to this sequence. */
@@ -56,6 +63,8 @@
     std::uint64_t sent_ = 0;
     /** Since when the keeper owes an acknowledgement. */
     std::optional<Instant> owedSince_;
+    /** When due() was asked last. */
+    std::optional<Instant> lastLook_;
     /** An acknowledgement was overdue, and none has come since. */
     bool silent_ = false;
     Instant nextNew_ {};
--- a/src/node/ItemCopies.cpp
+++ b/src/node/ItemCopies.cpp
@@ -4,13 +4,14 @@
 
 namespace swiftlift::node {
 
-std::optional<std::uint64_t> ItemCopies::keep(const std::vector<ledger::Item>& items)
+std::optional<std::uint64_t> ItemCopies::keep(const std::vector<ledger::Item>& items, Instant now)
 {
     if (items.empty()) {
         return std::nullopt;
     }
     const Incarnation author = items.front().origin;
-    Items& kept = copies_[author];
+    Items& kept = copies_[author].items;
+    copies_[author].lastSent = now;
     const std::uint64_t landed = fold_->lastSequence(author);
     for (const auto& item : items) {
         const bool fits = item.origin == author && item.sequence > landed && kept.size() < maxItems;
@@ -40,8 +41,8 @@
     if (found == copies_.end()) {
         return batch;
     }
-    const std::uint64_t last = contiguous(author, found->second);
-    for (const auto& [sequence, item] : found->second) {
+    const std::uint64_t last = contiguous(author, found->second.items);
+    for (const auto& [sequence, item] : found->second.items) {
         if (sequence <= last && batch.items.size() < ledger::Outbox::maxCopyItems) {
             batch.items.push_back(item);
         }
@@ -49,10 +50,16 @@
     return batch;
 }
 
+std::optional<Instant> ItemCopies::lastSent(Incarnation author) const
+{
+    const auto found = copies_.find(author);
+    return found == copies_.end() ? std::nullopt : std::optional(found->second.lastSent);
+}
+
 std::vector<Incarnation> ItemCopies::authors() const
 {
     std::vector<Incarnation> result;
-    for (const auto& [author, items] : copies_) {
+    for (const auto& [author, kept] : copies_) {
         result.push_back(author);
     }
     return result;
@@ -64,7 +71,7 @@
     if (found == copies_.end()) {
         return;
     }
-    Items& items = found->second;
+    Items& items = found->second.items;
     items.erase(items.begin(), items.upper_bound(landed.sequence));
     if (items.empty()) {
         copies_.erase(found);
@@ -74,8 +81,8 @@
 std::size_t ItemCopies::size() const noexcept
 {
     std::size_t sum = 0;
-    for (const auto& [author, items] : copies_) {
-        sum += items.size();
+    for (const auto& [author, kept] : copies_) {
+        sum += kept.items.size();
     }
     return sum;
 }
--- a/src/node/ItemCopies.h
+++ b/src/node/ItemCopies.h
@@ -6,6 +6,8 @@
 #include <optional>
 #include <vector>
 
+#include "swiftlift/base/Ids.h"
+#include "swiftlift/base/Units.h"
 #include "swiftlift/ledger/Entry.h"
 #include "swiftlift/ledger/Fold.h"
 
@@ -31,13 +33,17 @@
 
     /**
      * @param items An author's items in sequence.
+     * @param now When they came.
      * @return The last sequence up to which nothing is missing here or in the ledger; nothing when none was taken.
      */
-    [[nodiscard]] std::optional<std::uint64_t> keep(const std::vector<ledger::Item>& items);
+    [[nodiscard]] std::optional<std::uint64_t> keep(const std::vector<ledger::Item>& items, Instant now);
 
     /** @return The author's items that have not landed, ready to be appended; empty when there are none. */
     [[nodiscard]] ledger::Batch batchOf(Incarnation author) const;
 
+    /** @return When the author last sent items that are kept; nothing when none are. */
+    [[nodiscard]] std::optional<Instant> lastSent(Incarnation author) const;
+
     /** @return Whose items are kept. */
     [[nodiscard]] std::vector<Incarnation> authors() const;
 
@@ -49,10 +55,15 @@
 private:
     using Items = std::map<std::uint64_t, ledger::Item>;
 
+    struct Kept {
+        Items items;
+        Instant lastSent {};
+    };
+
     [[nodiscard]] std::uint64_t contiguous(Incarnation author, const Items& items) const;
 
     const ledger::Fold* fold_;
-    std::map<Incarnation, Items> copies_;
+    std::map<Incarnation, Kept> copies_;
 };
 
 } // namespace swiftlift::node
--- a/src/node/RequestsEnd.cpp
+++ b/src/node/RequestsEnd.cpp
@@ -44,7 +44,7 @@
         Call& call = *find(id);
         const Duration waited = context_.now() - call.since;
         const BillState state
-            = shards_(call.request.account).billState(call.billSequence, call.billedGrant, call.answersAlone);
+            = shards_(call.request.account).billState(call.billSequence, call.billedGrant, call.answersAlone, waited);
         if (state == BillState::Secured) {
             answer(call, true);
         } else if (state == BillState::Alone && waited >= billPatience) {
--- a/src/node/ShardLedger.cpp
+++ b/src/node/ShardLedger.cpp
@@ -98,6 +98,7 @@
 void ShardLedger::tick(bool stopping)
 {
     const Instant now = context_.now();
+    stopping_ = stopping;
     const bool reachable = health_.reachable(now);
     if (const bool before = std::exchange(logWasReachable_, reachable); reachable && !before) {
         outbox_.onReachable(now);
@@ -252,7 +253,7 @@
 {
     const bool bill = std::holds_alternative<ledger::Bill>(entry);
     const bool witnessed = peers_.membership().witness().has_value();
-    urgent_ = urgent_ || !bill || !witnessed;
+    urgent_ = urgent_ || !bill || !witnessed || lacksDistantKeeper();
     outbox_.add(std::move(entry));
 }
 
--- a/src/node/ShardLedger.h
+++ b/src/node/ShardLedger.h
@@ -12,6 +12,7 @@
 
 #include "node/Context.h"
 #include "node/CopyRoute.h"
+#include "node/DistantCopies.h"
 #include "node/ItemCopies.h"
 #include "node/LogHealth.h"
 #include "node/Peers.h"
@@ -42,7 +43,7 @@
 /** What may be told of a bill. */
 enum class BillState : std::uint8_t {
     /** It is read back, or copies of it are kept that will be appended: at the grant's witness, and beyond the failure
-     * domain as long as a keeper there answers. */
+     * domain as long as a keeper there answers or the log is in reach. */
     Secured,
     /** The ledger refused it: the grant was closed under a holder that slept. */
     Refused,
@@ -95,8 +96,12 @@
     void withdraw(const BudgetRef& budget, const RequestKey& key) { holder_.withdraw(budget, key, context_.now()); }
     /** Bills the request. @return What has to be secured() before the caller is told. */
     [[nodiscard]] std::uint64_t settle(const ledger::Reservation& reservation, Tokens actual);
-    /** @return Whether a caller may be told of the bill that this item is. */
-    [[nodiscard]] BillState billState(std::uint64_t sequence, const GrantId& grantId, bool alone) const;
+    /**
+     * @param waited How long the caller has waited for the bill so far.
+     * @return Whether a caller may be told of the bill that this item is.
+     */
+    [[nodiscard]] BillState billState(
+        std::uint64_t sequence, const GrantId& grantId, bool alone, Duration waited) const;
     /** @return Who has the item of that sequence, as far as is known here. */
     [[nodiscard]] BillKeepers keepersOf(std::uint64_t sequence) const;
     [[nodiscard]] bool answersAlone(const ledger::Reservation& reservation) const;
@@ -116,8 +121,8 @@
     [[nodiscard]] bool caughtUp() const noexcept { return caughtUp_; }
     /** @return True when the log is reached, by this router itself or through a peer. */
     [[nodiscard]] bool logInReach() const;
-    /** @return True when nothing of this incarnation is left open in the ledger. */
-    [[nodiscard]] bool drained() const { return outbox_.empty() && holder_.drained(); }
+    /** @return True when nothing of this incarnation is left open in the ledger, and no peer's copy is left here. */
+    [[nodiscard]] bool drained() const { return outbox_.empty() && holder_.drained() && copies_.size() == 0; }
     /** @return Incarnations whose open grants name this router as witness, or whose copies it keeps. */
     [[nodiscard]] std::vector<Incarnation> watched() const;
 
@@ -129,6 +134,11 @@
     static constexpr Duration longestBatchPeriod = std::chrono::seconds(4);
     /** How long a sealed grant stays open for what its holder, if it was only paused, has still to bill. */
     static constexpr Duration closeGrace = std::chrono::seconds(10);
+    /** How long an answer waits for its bill to be read back while no keeper beyond the domain answers; a quiet append
+     * and its reading back take a tenth of it. */
+    static constexpr Duration landingPatience = std::chrono::milliseconds(500);
+    /** Without a word of an author for so long its copies are appended here: two heartbeats and some delay. */
+    static constexpr Duration authorSilence = std::chrono::milliseconds(1200);
     static constexpr Duration relayPeriod = std::chrono::milliseconds(500);
     static constexpr Duration longestCheckpointInterval = std::chrono::minutes(5);
     /** What checkpoints may add to what each reader of the stream reads. */
@@ -149,8 +159,11 @@
     void readNewGrantsSoon(const RaiseCeilings& raise);
     void sendBatch();
     void sendCopies();
-    void sendCopiesBy(CopyRoute& route, bool distant);
+    void sendNearCopies();
+    void sendDistantCopies();
     void noteDistantKeeper();
+    /** @return True while bills get no copy beyond the failure domain though there are VMs to give one to. */
+    [[nodiscard]] bool lacksDistantKeeper() const;
     void onCopyItems(Incarnation from, const CopyItems& message);
     void onItemsCopied(Incarnation from, const ItemsCopied& message);
     [[nodiscard]] bool appendsFor(Incarnation author) const;
@@ -183,8 +196,9 @@
     std::set<Incarnation> suspected_;
     /** To the witness, which may close our grants once it suspects us: it must know of a bill before a caller does. */
     CopyRoute nearCopies_;
-    /** To a peer beyond the failure domain, which outlives holder and witness when they die together. */
-    CopyRoute distantCopies_;
+    /** To peers beyond the failure domain, which outlive holder and witness when they die together. */
+    DistantCopies distantCopies_;
+    std::optional<Incarnation> reportedKeeper_;
     bool distantKeeperAnswers_ = false;
     /** Something waits in the outbox that a caller or another router waits for. */
     bool urgent_ = false;
@@ -204,6 +218,7 @@
     Instant nextReadAsk_ {};
     bool caughtUp_ = false;
     bool logWasReachable_ = false;
+    bool stopping_ = false;
     bool holeReported_ = false;
     bool wantsCheckpoint_ = false;
     /** What the configuration says that budgets hold in all, and when it may next be written. */
--- a/src/node/ShardLedgerPeers.cpp
+++ b/src/node/ShardLedgerPeers.cpp
@@ -75,35 +75,59 @@
 
 void ShardLedger::sendCopies()
 {
-    if (const auto witness = peers_.membership().witness()) {
-        nearCopies_.leadTo(witness);
-        sendCopiesBy(nearCopies_, false);
-    }
-    distantCopies_.leadTo(peers_.membership().distantKeeper());
-    sendCopiesBy(distantCopies_, true);
+    sendNearCopies();
+    sendDistantCopies();
     noteDistantKeeper();
 }
 
-void ShardLedger::sendCopiesBy(CopyRoute& route, bool distant)
+void ShardLedger::sendNearCopies()
 {
-    const ledger::Batch batch = route.due(outbox_, context_.settings().ledger.copyPeriod, context_.now());
+    const auto witness = peers_.membership().witness();
+    if (!witness) {
+        return;
+    }
+    nearCopies_.leadTo(witness);
+    const ledger::Batch batch = nearCopies_.due(outbox_, context_.settings().ledger.copyPeriod, context_.now());
     if (!batch.items.empty()) {
-        sendToShard(*route.keeper(), CopyItems { stream_, ledger::encode(batch), distant });
+        sendToShard(*witness, CopyItems { stream_, ledger::encode(batch), false });
+    }
+}
+
+void ShardLedger::sendDistantCopies()
+{
+    const auto& membership = peers_.membership();
+    distantCopies_.leadTo(membership.distantKeeper(), membership.standbyKeeper());
+    for (const auto& [keeper, batch] :
+        distantCopies_.due(outbox_, context_.settings().ledger.copyPeriod, context_.now())) {
+        sendToShard(keeper, CopyItems { stream_, ledger::encode(batch), true });
     }
 }
 
-// While it is false, callers are told of bills that would be lost with this failure domain.
+// While it is false, a bill is safe only once the log has it, and where the log is out of reach too, callers are told
+// of bills that would be lost with this failure domain.
 void ShardLedger::noteDistantKeeper()
 {
     const bool answers = distantCopies_.inTouch(context_.now());
-    if (answers == std::exchange(distantKeeperAnswers_, answers)) {
+    const auto keeper = distantCopies_.current(context_.now());
+    const bool changed = answers != distantKeeperAnswers_ || keeper != reportedKeeper_;
+    if (!changed) {
         return;
     }
-    const auto keeper = distantCopies_.keeper();
+    // Bills that waited for company with a copy in view.
+    urgent_ = urgent_ || (lacksDistantKeeper() && !outbox_.empty());
+    distantKeeperAnswers_ = answers;
+    reportedKeeper_ = keeper;
     context_.log(Line("copies")
                      .with("stream", stream_.value())
                      .with("keeper", keeper ? toHex(keeper->value()) : "")
-                     .with("answers", answers));
+                     .with("answers", answers)
+                     .with("log_in_reach", health_.reachable(context_.now())));
+}
+
+bool ShardLedger::lacksDistantKeeper() const
+{
+    return context_.settings().answersWaitForBills() && peers_.membership().knowsDistantVms()
+        && !distantCopies_.inTouch(context_.now());
 }
 
 void ShardLedger::onCopyItems(Incarnation from, const CopyItems& message)
@@ -119,7 +143,7 @@
     if (!message.distant && suspected_.contains(from)) {
         return;
     }
-    if (const auto sequence = copies_.keep(batch->items)) {
+    if (const auto sequence = copies_.keep(batch->items, context_.now())) {
         sendToShard(from, ItemsCopied { stream_, *sequence });
     }
 }
@@ -130,14 +154,13 @@
     distantCopies_.onCopied(from, message.sequence, outbox_.lastSequence(), context_.now());
 }
 
-// An author that was suspected wrongly and is heard again appends its items itself. But one whose grants are sealed
-// here is over, and they are closed only once its copies have landed.
+// The fold takes each item once, so an append in another's name does no harm and needs no suspicion: the sooner it is
+// made, the less is lost with a keeper that dies as well. An author whose grants are sealed here is over, and they are
+// closed only once its copies have landed. A router that stops takes its copies with it.
 bool ShardLedger::appendsFor(Incarnation author) const
 {
-    if (!suspected_.contains(author)) {
-        return false;
-    }
-    if (!peers_.membership().isAlive(author)) {
+    const std::optional<Instant> heard = std::max(peers_.membership().lastHeard(author), copies_.lastSent(author));
+    if (stopping_ || !heard || context_.now() - *heard >= authorSilence) {
         return true;
     }
     const std::vector<GrantId> sealed = witness_.sealed();
@@ -185,7 +208,7 @@
     }
 }
 
-BillState ShardLedger::billState(std::uint64_t sequence, const GrantId& grantId, bool alone) const
+BillState ShardLedger::billState(std::uint64_t sequence, const GrantId& grantId, bool alone, Duration waited) const
 {
     if (refused_.contains(sequence)) {
         return BillState::Refused;
@@ -197,14 +220,19 @@
     const Incarnation witness = grant ? grant->witness : Incarnation {};
     const bool byWitness = nearCopies_.holds(sequence) && (alone || (grant && witness == nearCopies_.keeper()));
     const bool withoutWitness = alone && !peers_.membership().witness();
-    const bool beyondDomain = distantCopies_.holds(sequence);
-    // What goes wrong without the second copy: a failure domain loses its power milliseconds after an answer, holder
-    // and witness with it, and nobody is left to bill it. One notices by an answer without a bill. In a partition the
-    // witness's copy has to do: callers would wait for it to heal.
-    if (byWitness && (beyondDomain || !distantCopies_.inTouch(context_.now()))) {
+    const bool beyondDomain = distantCopies_.keeperOf(sequence).has_value();
+    if ((byWitness || withoutWitness) && beyondDomain) {
         return BillState::Secured;
     }
-    if (withoutWitness && beyondDomain) {
+    // What goes wrong without the copy beyond the domain: it loses its power milliseconds after an answer, holder and
+    // witness with it, and nobody is left to bill it. One notices by an answer without a bill. While no keeper there
+    // answers, the log does as well. Only where neither is reached the witness's copy has to do: callers would wait for
+    // a partition to heal.
+    const bool landsSoon = lacksDistantKeeper() && health_.reachable(context_.now()) && waited < landingPatience;
+    if (landsSoon) {
+        return BillState::Pending;
+    }
+    if (byWitness && !distantCopies_.inTouch(context_.now())) {
         return BillState::Secured;
     }
     return alone ? BillState::Alone : BillState::Pending;
@@ -215,7 +243,7 @@
     BillKeepers keepers;
     keepers.landed = sequence <= fold_.lastSequence(context_.self());
     keepers.near = nearCopies_.holds(sequence) ? nearCopies_.keeper() : std::nullopt;
-    keepers.distant = distantCopies_.holds(sequence) ? distantCopies_.keeper() : std::nullopt;
+    keepers.distant = distantCopies_.keeperOf(sequence);
     return keepers;
 }
 
--- a/tests/node/CoreFixture.h
+++ b/tests/node/CoreFixture.h
@@ -1,9 +1,13 @@
 #pragma once
 
+#include <algorithm>
+#include <string>
+#include <variant>
 #include <vector>
 
 #include <gtest/gtest.h>
 
+#include "node/Context.h"
 #include "node/FakeFleet.h"
 
 namespace swiftlift::node::testing {
@@ -52,11 +56,41 @@
         fleet.cutFromLog(1);
     }
 
+    /** @return The VM that the other one names as the keeper of its copies beyond the failure domain. */
+    [[nodiscard]] std::size_t keeperOf(std::size_t author) const
+    {
+        const auto lines = fleet.linesOf(author, "copies");
+        for (std::size_t vm = 0; vm < fleet.size(); ++vm) {
+            const bool named
+                = !lines.empty() && textOf(lines.back(), "keeper") == toHex(fleet.incarnationOf(vm).value());
+            if (named) {
+                return vm;
+            }
+        }
+        ADD_FAILURE() << "no keeper of VM " << author;
+        return fleet.size();
+    }
+
     /** Lets the first of these VMs answer while the log is out, and kills all as soon as the caller has its answer.
      */
     [[nodiscard]] Tokens billedAfterLossOf(const std::vector<std::size_t>& vms)
+    {
+        loseWithBillInFlight(vms);
+        fleet.run(std::chrono::seconds(30));
+        return billedInLedger();
+    }
+
+    /** The same, up to the moment at which the log is back. */
+    void loseWithBillInFlight(const std::vector<std::size_t>& vms)
     {
         fleet.log.outage = true;
+        answerAndKill(vms);
+        fleet.log.outage = false;
+    }
+
+    /** Lets the first of these VMs answer, and kills all as soon as the caller has its answer. */
+    void answerAndKill(const std::vector<std::size_t>& vms)
+    {
         TestRequest last;
         last.id = "last";
         const CallId call = fleet.send(vms.front(), last);
@@ -66,11 +100,24 @@
         for (const std::size_t vm : vms) {
             fleet.crash(vm);
         }
-        fleet.log.outage = false;
+    }
+
+    /** @return What is billed half a minute after the VMs were killed as the first of them had answered. */
+    [[nodiscard]] Tokens billedAfterKillOf(const std::vector<std::size_t>& vms)
+    {
+        answerAndKill(vms);
         fleet.run(std::chrono::seconds(30));
         return billedInLedger();
     }
 
+    [[nodiscard]] static std::string textOf(const LogLine& line, const std::string& name)
+    {
+        const auto field
+            = std::ranges::find_if(line.fields, [&name](const auto& candidate) { return candidate.name == name; });
+        const auto* text = field == line.fields.end() ? nullptr : std::get_if<std::string>(&field->value);
+        return text == nullptr ? "" : *text;
+    }
+
     static constexpr std::int64_t budget = 1000;
     FakeFleet fleet;
 };
--- a/tests/node/FakeFleet.cpp
+++ b/tests/node/FakeFleet.cpp
@@ -41,6 +41,8 @@
 {
 }
 
+Incarnation FakeFleet::incarnationOf(std::size_t vm) const { return vms_[vm].incarnation; }
+
 RequestKey FakeFleet::keyOf(const std::string& account, const std::string& id)
 {
     return { std::hash<std::string> {}(account), std::hash<std::string> {}(id) };
--- a/tests/node/FakeFleet.h
+++ b/tests/node/FakeFleet.h
@@ -110,6 +110,9 @@
     [[nodiscard]] bool restarted(std::size_t vm) const { return vms_[vm].restarts > 0; }
     [[nodiscard]] std::vector<LogLine> linesOf(std::size_t vm, const std::string& kind) const;
 
+    /** @return The incarnation of the VM's process. */
+    [[nodiscard]] Incarnation incarnationOf(std::size_t vm) const;
+
     [[nodiscard]] static RequestKey keyOf(const std::string& account, const std::string& id);
     [[nodiscard]] Instant now() const noexcept { return now_; }
     [[nodiscard]] std::size_t size() const noexcept { return vms_.size(); }
--- a/tests/scenario/BillsInFlight.h
+++ b/tests/scenario/BillsInFlight.h
@@ -17,6 +17,8 @@
 struct KillMark {
     std::vector<std::string> vms;
     Moment at;
+    /** When any of them was killed before; what was asked earlier was asked of other processes. */
+    Moment before {};
     /** Records that the log had taken just after the kill. */
     std::uint64_t records = 0;
 };
--- a/tests/scenario/World.cpp
+++ b/tests/scenario/World.cpp
@@ -1,5 +1,6 @@
 #include "World.h"
 
+#include <algorithm>
 #include <iostream>
 #include <thread>
 
@@ -69,6 +70,10 @@
     if (mark.vms.empty())
         return;
     mark.at = Clock::now();
+    for (const auto& earlier : kills_) {
+        const bool same = std::ranges::find_first_of(earlier.vms, mark.vms) != earlier.vms.end();
+        mark.before = same ? earlier.at : mark.before;
+    }
     mark.records = readWholeStream(fleet().plan().log, ledgerStream).size();
     kills_.push_back(std::move(mark));
 }
--- a/tests/scenario/test/BillsInFlightTest.cpp
+++ b/tests/scenario/test/BillsInFlightTest.cpp
@@ -71,6 +71,13 @@
         EXPECT_TRUE(found().empty());
     }
 
+    TEST_F(BillsInFlightTest, AnswersBeforeAnEarlierKillDoNotCountAgain)
+    {
+        answered("earlier", "lodz-a-1", 10);
+        mark_.before = at(50);
+        EXPECT_TRUE(found().empty());
+    }
+
     TEST_F(BillsInFlightTest, BillOfNobodyIsLost)
     {
         billed("earlier", 1);
