Hold no more of a short budget than the router's part of what it still lasts

Cause: by the weighting `refusals` a router holds up to 300 s of demand. A budget that lasts for 11 s was drawn whole within half a second of the first requests, by whoever was asked first: 8,468 of 40,000 tokens for one request of 116, 15,800 by two VMs with a third of the load. Holder and witness died together, so nobody may close their grants.

Change: the watermarks of a weighting shrink with what a budget still lasts, as those of the settings do: a router holds four fifths of its part in advance, and its low watermark three quarters of that at most. Until bills tell what the fleet spends, the other routers are taken to be as busy as this one.

Weighed: that a keeper beyond the domain closes the grants of holder and witness that died together.

--- a/src/ledger/PolicyDemandGrants.cpp
+++ b/src/ledger/PolicyDemandGrants.cpp
@@ -31,9 +31,15 @@
     /** A signal that money is short takes so long to be read, answered with a return, and read back. */
     constexpr Duration tightReturnPatience = 400ms;
     constexpr std::int64_t wholePercent = 100;
-    /** Of the time that a budget still lasts, a router holds at most this part in advance. Held is what a fleet without
-     * power loses, and what one place keeps from another: of the last 14 s of a budget 13 s were lost so, now 7 s. */
-    constexpr double lastingParts = 2;
+    /** Of the time that a budget still lasts, a router holds at most this share in advance, where the watermarks are
+     * set. Held is what a fleet without power loses, and what one place keeps from another: of the last 14 s of a
+     * budget 13 s were lost so, now 7 s. */
+    constexpr double tightLastingShare = 0.5;
+    /** As above, by weighting: what is held lasts through an outage of the log, and what is not is there for those who
+     * are left when a failure domain is gone. */
+    constexpr double lastingShare = 0.8;
+    /** As above, of a high watermark that has shrunk: the low one stands no higher. */
+    constexpr double lowShare = 0.75;
 
     Watermarks watermarksOf(Weighting weighting)
     {
@@ -76,21 +82,36 @@
     return Tokens { situation.bought.value() / wholePercent * settings_.stockPercent / routers };
 }
 
+// Bills say what a fleet spends seconds after its traffic began. Until then a router without a stock would hold minutes
+// of its first requests' demand, and the first few of them the whole of a budget that lasts for seconds: so it takes
+// the others to be as busy as itself.
+double DemandGrantsPolicy::fleetRateOf(const BudgetSituation& situation) const
+{
+    if (settings_.watermarks)
+        return situation.fleetRate;
+    return std::max(situation.fleetRate, situation.demand * std::max(situation.routers, 1U));
+}
+
 // What goes wrong otherwise: as a budget comes to its end, the same seconds of demand are an ever larger part of what
 // is left of it, until all of it is held somewhere. One notices by refusals with `held` = `bought` while a tenth and
 // more was never billed: lost with routers that died, or at routers whose callers have gone elsewhere.
 double DemandGrantsPolicy::shrunk(const BudgetSituation& situation) const
 {
-    if (!settings_.watermarks || situation.fleetRate <= 0 || situation.demand <= 0)
+    const double fleetRate = fleetRateOf(situation);
+    if (fleetRate <= 0 || situation.demand <= 0)
         return 1;
-    const double unheld = static_cast<double>(situation.available.value()) / situation.fleetRate;
+    const double unheld = static_cast<double>(situation.available.value()) / fleetRate;
     const double heldHere = static_cast<double>(situation.free.value()) / situation.demand;
-    return std::min((unheld + heldHere) / lastingParts / settings_.watermarks->highSeconds, 1.0);
+    const double share = settings_.watermarks ? tightLastingShare : lastingShare;
+    return std::min((unheld + heldHere) * share / watermarks(situation).highSeconds, 1.0);
 }
 
 Tokens DemandGrantsPolicy::lowDemand(const BudgetSituation& situation) const
 {
-    return tokensOf(situation.demand, watermarks(situation).lowSeconds * shrunk(situation));
+    const auto [lowSeconds, highSeconds] = watermarks(situation);
+    if (settings_.watermarks)
+        return tokensOf(situation.demand, lowSeconds * shrunk(situation));
+    return tokensOf(situation.demand, std::min(lowSeconds, highSeconds * shrunk(situation) * lowShare));
 }
 
 Tokens DemandGrantsPolicy::low(const BudgetSituation& situation) const
@@ -100,10 +121,8 @@
 
 Tokens DemandGrantsPolicy::high(const BudgetSituation& situation) const
 {
-    if (settings_.watermarks)
-        return std::max(
-            tokensOf(situation.demand, settings_.watermarks->highSeconds * shrunk(situation)), situation.largest);
-    return tokensOf(situation.demand, watermarks(situation).highSeconds) + situation.largest;
+    const Tokens ofDemand = tokensOf(situation.demand, watermarks(situation).highSeconds * shrunk(situation));
+    return settings_.watermarks ? std::max(ofDemand, situation.largest) : ofDemand + situation.largest;
 }
 
 std::optional<DrawDecision> DemandGrantsPolicy::draw(const BudgetSituation& situation) const
--- a/src/ledger/PolicyDemandGrants.h
+++ b/src/ledger/PolicyDemandGrants.h
@@ -22,6 +22,9 @@
 private:
     /** @return What part of its watermarks a router may hold, from 0 to 1, by how long the budget still lasts. */
     [[nodiscard]] double shrunk(const BudgetSituation& situation) const;
+    /** @return Tokens per second that all routers together spend of the budget, as far as can be told; zero: unknown.
+     */
+    [[nodiscard]] double fleetRateOf(const BudgetSituation& situation) const;
     [[nodiscard]] Watermarks watermarks(const BudgetSituation& situation) const;
     [[nodiscard]] Tokens stock(const BudgetSituation& situation) const;
     /** @return The low watermark of the demand alone; low() also has room for the largest request. */
--- a/tests/ledger/HoldingPolicyTest.cpp
+++ b/tests/ledger/HoldingPolicyTest.cpp
@@ -85,6 +85,30 @@
     EXPECT_EQ(decision->wanted, Tokens { 50'000 }) << "half of what is left, as ever";
 }
 
+// Callers of a living failure domain refused for a minute: the first router that was asked drew a fifth of the budget
+// for minutes of its demand, and that was lost with its domain seconds later.
+TEST(HoldingPolicyTest, FirstRequestsLeaveAFifthOfTheirShareOfABudget)
+{
+    PolicySettings settings;
+    settings.weighting = Weighting::Refusals;
+    const auto grants = makePolicy("grants", settings);
+    BudgetSituation situation;
+    situation.demand = 30;
+    situation.largest = Tokens { 100 };
+    situation.bought = Tokens { 36'000 };
+    situation.available = situation.bought;
+    situation.logReachable = true;
+    situation.routers = 6;
+    const auto decision = grants->draw(situation);
+    ASSERT_TRUE(decision);
+    EXPECT_EQ(decision->wanted, Tokens { 36'000 / 6 * 4 / 5 + 100 });
+    situation.fleetRate = 1800;
+    situation.demand = 300;
+    const auto busyDecision = grants->draw(situation);
+    ASSERT_TRUE(busyDecision);
+    EXPECT_EQ(busyDecision->wanted, Tokens { 36'000 / 6 * 4 / 5 + 100 });
+}
+
 TEST(HoldingPolicyTest, WhatWaitsIsDrawnWhateverIsLeft)
 {
     const auto grants = policy();
