Refuse a request whose key the ledger has given away before it waits for money

What callers saw: a non-idempotent request under an id that was void, or another router's, waited for money and could be refused 'budget_elsewhere', come back later, where 'voided: use a new id' was known at once.

Cause: the claim was looked up only once the request had its money. Evidence: CoreTest.ClaimThatLandsAfterGivingUpIsNeverUsed failed so once routers hold less of a short budget: the second router has to draw, and its draw is among the appends that land late. The test is unchanged and passes again: the claim is looked up as the request comes, and once more after money.

--- a/src/node/Requests.cpp
+++ b/src/node/Requests.cpp
@@ -71,7 +71,10 @@
     Call& placed = *calls_.emplace(id, std::move(call)).first->second;
     stateOf(placed).retries.onFirstAttempt(context_.now());
     enter(placed, Phase::WaitingForMoney);
-    seekMoney(placed);
+    // Whom the ledger has refused already need not wait for money first.
+    if (!endByKnownClaim(placed)) {
+        seekMoney(placed);
+    }
 }
 
 bool Requests::checkRequest(Call& call)
@@ -179,17 +182,25 @@
         giveUp(call, { 503, "claim_unavailable", "the platform's log can't be reached", defaultRetryAfter });
         return;
     }
-    ShardLedger& shard = shards_(call.request.account);
-    if (const auto owner = shard.fold().claimOwner(call.request.key)) {
-        // What goes wrong: this router claimed the key, ran the request and has forgotten it since; a retry that took
-        // the claim for its own would run it twice. So only a claim that this very request sent counts as ours.
-        table_.claimFound(call.request.key, *owner);
-        decideClaim(call, *owner, false);
+    if (endByKnownClaim(call)) {
         return;
     }
     enter(call, Phase::WaitingForClaim);
     table_.claimSent(call.request.key);
-    shard.append(ledger::Claim { call.request.key });
+    shards_(call.request.account).append(ledger::Claim { call.request.key });
+}
+
+bool Requests::endByKnownClaim(Call& call)
+{
+    const auto owner = shards_(call.request.account).fold().claimOwner(call.request.key);
+    if (call.request.idempotent || !owner) {
+        return false;
+    }
+    // What goes wrong: this router claimed the key, ran the request and has forgotten it since; a retry that took the
+    // claim for its own would run it twice. So only a claim that this very request sent counts as ours.
+    table_.claimFound(call.request.key, *owner);
+    decideClaim(call, *owner, false);
+    return true;
 }
 
 void Requests::onClaimDecided(const RequestKey& key, Incarnation owner)
--- a/src/node/Requests.h
+++ b/src/node/Requests.h
@@ -82,6 +82,9 @@
     void refuseDuplicate(const Call& call, request::Arrival arrival);
     void seekMoney(Call& call);
     void seekClaim(Call& call);
+    /** Ends a non-idempotent request whose key the ledger has given to somebody, or voided. @return True when it did.
+     */
+    [[nodiscard]] bool endByKnownClaim(Call& call);
     void decideClaim(Call& call, Incarnation owner, bool ours);
     void retryForMoney(const std::function<bool(const Call&)>& wanted);
     void seekBackend(Call& call);
