Keep copies of a bill at two keepers beyond the domain, in two domains where there are so many

What callers saw: nothing; an operator is short when a failure domain and the keeper of its bills, or that keeper's domain, are lost together or within 1.7 s of each other: a standby that gets copies only once the keeper is silent has none of the bills before.

The second one stands in another domain of the nearest region where there is one, and gives way to such a one that comes. 'copies' and 'bill' lines name both.

Evidence: BillOutlivesTwoOfThreeFailureDomains and DomainLost with a keeper that dies with the domain, at each second millisecond of a request, failed with the standby and pass.

--- a/include/swiftlift/membership/Membership.h
+++ b/include/swiftlift/membership/Membership.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "swiftlift/base/Ids.h"
@@ -60,10 +61,10 @@
     [[nodiscard]] std::optional<Incarnation> distantKeeper() const noexcept { return distantKeeper_.peer; }
 
     /**
-     * @return Whom to give them while the keeper is silent: another peer beyond the failure domain, in a domain other
-     * than the keeper's where there is one.
+     * @return Whom to give them as well: another peer beyond the failure domain, in a domain other than the first
+     * keeper's where there is one.
      */
-    [[nodiscard]] std::optional<Incarnation> standbyKeeper() const noexcept { return standbyKeeper_.peer; }
+    [[nodiscard]] std::optional<Incarnation> secondKeeper() const noexcept { return secondKeeper_.peer; }
 
     /** @return True when VMs beyond the failure domain are known, whether or not one is heard now. */
     [[nodiscard]] bool knowsDistantVms() const;
@@ -149,7 +150,10 @@
     /** @return The nearest fit peer beyond the failure domain but the keeper, of another domain than its where
      * possible.
      */
-    [[nodiscard]] std::optional<Incarnation> bestStandby() const;
+    [[nodiscard]] std::optional<Incarnation> bestSecondKeeper() const;
+    /** @return The less, the better a second keeper the peer is: its distance, and whether it shares the first one's
+     * domain. */
+    [[nodiscard]] std::pair<int, bool> secondKeeperCost(Incarnation peer) const;
     void answer(const PeerAddress& address, Instant now);
     void planAnswers(Instant now, MembershipActions& actions);
     void planHeartbeats(Instant now, MembershipActions& actions);
@@ -188,7 +192,7 @@
     std::vector<MembershipEvent> events_;
     Chosen witness_;
     Chosen distantKeeper_;
-    Chosen standbyKeeper_;
+    Chosen secondKeeper_;
     std::optional<Instant> firstTick_;
     Instant lastTick_ {};
     /** No silence counts from before this moment. */
--- a/src/membership/Heartbeats.cpp
+++ b/src/membership/Heartbeats.cpp
@@ -136,7 +136,7 @@
     if (const auto found = watched_.find(incarnation); found != watched_.end()) {
         since = found->second;
     }
-    for (const Chosen* chosen : { &witness_, &distantKeeper_, &standbyKeeper_ }) {
+    for (const Chosen* chosen : { &witness_, &distantKeeper_, &secondKeeper_ }) {
         if (chosen->peer == incarnation) {
             since = std::max(since, std::optional(chosen->since));
         }
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -257,8 +257,8 @@
     }
 }
 
-// A keeper that dies is silent for some seconds before it is suspected. With a standby chosen beforehand, copies go on
-// at once; bills of those seconds would otherwise be lost with the failure domain.
+// A keeper that dies is silent for some seconds before it is suspected, and it may die with this failure domain. Bills
+// of those seconds would be lost but for a second one.
 void Membership::chooseDistantKeepers(Instant now)
 {
     if (!settings_.distantKeeper) {
@@ -269,31 +269,35 @@
         const std::vector<Incarnation> peers = nearestFirst();
         const auto best = std::ranges::find_if(peers, [this](Incarnation peer) { return mayKeepFromAfar(peer); });
         const auto nearest = best == peers.end() ? std::nullopt : std::optional(*best);
-        distantKeeper_.choose(fit(standbyKeeper_) ? standbyKeeper_.peer : nearest, now);
+        distantKeeper_.choose(fit(secondKeeper_) ? secondKeeper_.peer : nearest, now);
     }
-    const bool standbyStays = fit(standbyKeeper_) && standbyKeeper_.peer != distantKeeper_.peer;
-    if (!standbyStays) {
-        standbyKeeper_.choose(bestStandby(), now);
+    const std::optional<Incarnation> best = bestSecondKeeper();
+    const bool stays = fit(secondKeeper_) && secondKeeper_.peer != distantKeeper_.peer
+        && secondKeeperCost(*secondKeeper_.peer) <= secondKeeperCost(*best);
+    if (!stays) {
+        secondKeeper_.choose(best, now);
     }
 }
 
-std::optional<Incarnation> Membership::bestStandby() const
+std::optional<Incarnation> Membership::bestSecondKeeper() const
 {
-    if (!distantKeeper_.peer) {
-        return std::nullopt;
-    }
-    const FailureDomain& keepersDomain = peers_.at(*distantKeeper_.peer).facts.domain;
-    std::optional<Incarnation> sameDomain;
+    std::optional<Incarnation> best;
     for (const Incarnation peer : nearestFirst()) {
-        if (peer == distantKeeper_.peer || !mayKeepFromAfar(peer)) {
-            continue;
-        }
-        if (peers_.at(peer).facts.domain != keepersDomain) {
-            return peer;
+        const bool fit = peer != distantKeeper_.peer && mayKeepFromAfar(peer);
+        if (fit && (!best || secondKeeperCost(peer) < secondKeeperCost(*best))) {
+            best = peer;
         }
-        sameDomain = sameDomain.value_or(peer);
     }
-    return sameDomain;
+    return best;
+}
+
+// Another region would cost each answer a way there and back, so a peer in the first keeper's domain is preferred to
+// it.
+std::pair<int, bool> Membership::secondKeeperCost(Incarnation peer) const
+{
+    const Peer& candidate = peers_.at(peer);
+    const auto first = distantKeeper_.peer ? peers_.find(*distantKeeper_.peer) : peers_.end();
+    return { distance(candidate), first != peers_.end() && candidate.facts.domain == first->second.facts.domain };
 }
 
 } // namespace swiftlift::membership
--- a/src/node/Context.cpp
+++ b/src/node/Context.cpp
@@ -16,6 +16,15 @@
     return text;
 }
 
+std::string toHex(const std::vector<Incarnation>& incarnations)
+{
+    std::string text;
+    for (const Incarnation incarnation : incarnations) {
+        text += (text.empty() ? "" : " ") + toHex(incarnation.value());
+    }
+    return text;
+}
+
 std::string toHex(const std::optional<ContentDigest>& content)
 {
     return content ? toHex(content->high) + toHex(content->low) : std::string {};
--- a/src/node/Context.h
+++ b/src/node/Context.h
@@ -96,6 +96,8 @@
 
 /** @return 16 hex digits. */
 [[nodiscard]] std::string toHex(std::uint64_t value);
+/** @return The incarnations, a space between two. */
+[[nodiscard]] std::string toHex(const std::vector<Incarnation>& incarnations);
 /** @return 32 hex digits; empty when there is none. */
 [[nodiscard]] std::string toHex(const std::optional<ContentDigest>& content);
 /** @return `HOLDER/NUMBER`. */
--- a/src/node/CopyRoute.h
+++ b/src/node/CopyRoute.h
@@ -41,9 +41,6 @@
     /** @return True while a keeper answers in time, as far as is known. */
     [[nodiscard]] bool inTouch(Instant now) const noexcept;
 
-    /** @return True when something that was sent has not been acknowledged. */
-    [[nodiscard]] bool owes() const noexcept { return owedSince_.has_value(); }
-
 private:
     /** Copies that were not acknowledged for so long are sent again. */
     static constexpr Duration retryPeriod = std::chrono::milliseconds(150);
--- a/src/node/DistantCopies.cpp
+++ b/src/node/DistantCopies.cpp
@@ -4,52 +4,61 @@
 
 namespace swiftlift::node {
 
-void DistantCopies::leadTo(std::optional<Incarnation> keeper, std::optional<Incarnation> standby)
+void DistantCopies::leadTo(std::optional<Incarnation> first, std::optional<Incarnation> second)
 {
-    // A standby that takes over keeps what it has acknowledged.
-    const bool takesOver = keeper && keeper == standby_.keeper() && keeper != keeper_.keeper();
+    // A second keeper that takes over keeps what it has acknowledged.
+    const bool takesOver = first && first == second_.keeper() && first != first_.keeper();
     if (takesOver) {
-        std::swap(keeper_, standby_);
+        std::swap(first_, second_);
     }
-    keeper_.leadTo(keeper);
-    standby_.leadTo(standby);
+    first_.leadTo(first);
+    second_.leadTo(second);
 }
 
 std::vector<CopiesDue> DistantCopies::due(const ledger::Outbox& outbox, Duration period, Instant now)
 {
     std::vector<CopiesDue> all;
-    const auto take = [&](CopyRoute& route) {
-        if (ledger::Batch batch = route.due(outbox, period, now); !batch.items.empty()) {
-            all.push_back({ *route.keeper(), std::move(batch) });
+    for (CopyRoute* route : { &first_, &second_ }) {
+        if (ledger::Batch batch = route->due(outbox, period, now); !batch.items.empty()) {
+            all.push_back({ *route->keeper(), std::move(batch) });
         }
-    };
-    take(keeper_);
-    if (!keeper_.inTouch(now) || standby_.owes()) {
-        take(standby_);
     }
     return all;
 }
 
 void DistantCopies::onCopied(Incarnation from, std::uint64_t sequence, std::uint64_t last, Instant now)
 {
-    keeper_.onCopied(from, sequence, last, now);
-    standby_.onCopied(from, sequence, last, now);
+    first_.onCopied(from, sequence, last, now);
+    second_.onCopied(from, sequence, last, now);
 }
 
-std::optional<Incarnation> DistantCopies::keeperOf(std::uint64_t sequence) const noexcept
+bool DistantCopies::secures(std::uint64_t sequence, Instant now) const noexcept
 {
-    if (keeper_.holds(sequence)) {
-        return keeper_.keeper();
-    }
-    return standby_.holds(sequence) ? standby_.keeper() : std::nullopt;
+    const bool atFirst = first_.holds(sequence);
+    const bool atSecond = second_.holds(sequence);
+    return (atFirst && (atSecond || !second_.inTouch(now))) || (atSecond && !first_.inTouch(now));
 }
 
-bool DistantCopies::inTouch(Instant now) const noexcept { return keeper_.inTouch(now) || standby_.inTouch(now); }
+std::vector<Incarnation> DistantCopies::keepersOf(std::uint64_t sequence) const
+{
+    std::vector<Incarnation> keepers;
+    for (const CopyRoute* route : { &first_, &second_ }) {
+        if (route->holds(sequence)) {
+            keepers.push_back(*route->keeper());
+        }
+    }
+    return keepers;
+}
 
-std::optional<Incarnation> DistantCopies::current(Instant now) const noexcept
+std::vector<Incarnation> DistantCopies::inTouch(Instant now) const
 {
-    const bool standsIn = !keeper_.inTouch(now) && standby_.inTouch(now);
-    return standsIn ? standby_.keeper() : keeper_.keeper();
+    std::vector<Incarnation> keepers;
+    for (const CopyRoute* route : { &first_, &second_ }) {
+        if (route->inTouch(now)) {
+            keepers.push_back(*route->keeper());
+        }
+    }
+    return keepers;
 }
 
 } // namespace swiftlift::node
--- a/src/node/DistantCopies.h
+++ b/src/node/DistantCopies.h
@@ -19,13 +19,15 @@
 };
 
 /**
- * @brief Copies of this router's ledger items beyond its failure domain: at a keeper, and at a standby while the keeper
- * is silent.
+ * @brief Copies of this router's ledger items beyond its failure domain, at two keepers.
+ *
+ * The second stands in another domain than the first where there is one: what both have outlives the loss of this
+ * domain and of either keeper, or its domain, at the same moment.
  */
 class DistantCopies {
 public:
-    /** @param keeper Gets all items. @param standby Gets them while the keeper owes an acknowledgement too long. */
-    void leadTo(std::optional<Incarnation> keeper, std::optional<Incarnation> standby);
+    /** @param first Gets all items. @param second Gets all items, too. */
+    void leadTo(std::optional<Incarnation> first, std::optional<Incarnation> second);
 
     /** @return What is to be sent now, to either; `period` as in CopyRoute::due(). */
     [[nodiscard]] std::vector<CopiesDue> due(const ledger::Outbox& outbox, Duration period, Instant now);
@@ -33,18 +35,18 @@
     /** As CopyRoute::onCopied(). */
     void onCopied(Incarnation from, std::uint64_t sequence, std::uint64_t last, Instant now);
 
-    /** @return Who has the item; nothing: nobody that is known of. */
-    [[nodiscard]] std::optional<Incarnation> keeperOf(std::uint64_t sequence) const noexcept;
+    /** @return True when a keeper has the item, and each one has it that answers in time. */
+    [[nodiscard]] bool secures(std::uint64_t sequence, Instant now) const noexcept;
 
-    /** @return True while a keeper or its standby answers in time, as far as is known. */
-    [[nodiscard]] bool inTouch(Instant now) const noexcept;
+    /** @return Who has the item, as far as is known. */
+    [[nodiscard]] std::vector<Incarnation> keepersOf(std::uint64_t sequence) const;
 
-    /** @return Who gets the items at the moment. */
-    [[nodiscard]] std::optional<Incarnation> current(Instant now) const noexcept;
+    /** @return Keepers that answer in time, as far as is known. */
+    [[nodiscard]] std::vector<Incarnation> inTouch(Instant now) const;
 
 private:
-    CopyRoute keeper_;
-    CopyRoute standby_;
+    CopyRoute first_;
+    CopyRoute second_;
 };
 
 } // namespace swiftlift::node
--- a/src/node/RequestsEnd.cpp
+++ b/src/node/RequestsEnd.cpp
@@ -70,7 +70,6 @@
     }
     const ShardLedger& shard = shards_(call.request.account);
     const BillKeepers keepers = shard.keepersOf(call.billSequence);
-    const auto hexOf = [](const std::optional<Incarnation>& keeper) { return keeper ? toHex(keeper->value()) : ""; };
     context_.log(Line("bill")
                      .with("request", call.request.id.value())
                      .with("account", call.request.account.value())
@@ -79,8 +78,8 @@
                      .with("grant", toText(call.billedGrant))
                      .with("secured", secured)
                      .with("landed", keepers.landed)
-                     .with("near_keeper", hexOf(keepers.near))
-                     .with("distant_keeper", hexOf(keepers.distant))
+                     .with("near_keeper", keepers.near ? toHex(keepers.near->value()) : "")
+                     .with("distant_keepers", toHex(keepers.distant))
                      .with("waited_ms", toMilliseconds(context_.now() - call.since)));
 }
 
--- a/src/node/ShardLedger.h
+++ b/src/node/ShardLedger.h
@@ -42,8 +42,8 @@
 
 /** What may be told of a bill. */
 enum class BillState : std::uint8_t {
-    /** It is read back, or copies of it are kept that will be appended: at the grant's witness, and beyond the failure
-     * domain as long as a keeper there answers or the log is in reach. */
+    /** It is read back, or copies of it are kept that will be appended: at the grant's witness, and at the keepers
+     * beyond the failure domain that answer; where none does, only while the log is out of reach as well. */
     Secured,
     /** The ledger refused it: the grant was closed under a holder that slept. */
     Refused,
@@ -59,8 +59,8 @@
     bool landed = false;
     /** The peer of the own failure domain that has a copy; nothing: none. */
     std::optional<Incarnation> near;
-    /** The peer beyond the failure domain that has a copy; nothing: none. */
-    std::optional<Incarnation> distant;
+    /** The peers beyond the failure domain that have a copy. */
+    std::vector<Incarnation> distant;
 };
 
 /**
@@ -161,7 +161,7 @@
     void sendCopies();
     void sendNearCopies();
     void sendDistantCopies();
-    void noteDistantKeeper();
+    void noteDistantKeepers();
     /** @return True while bills get no copy beyond the failure domain though there are VMs to give one to. */
     [[nodiscard]] bool lacksDistantKeeper() const;
     void onCopyItems(Incarnation from, const CopyItems& message);
@@ -198,8 +198,8 @@
     CopyRoute nearCopies_;
     /** To peers beyond the failure domain, which outlive holder and witness when they die together. */
     DistantCopies distantCopies_;
-    std::optional<Incarnation> reportedKeeper_;
-    bool distantKeeperAnswers_ = false;
+    /** Those that answered when that was last said. */
+    std::vector<Incarnation> reportedKeepers_;
     /** Something waits in the outbox that a caller or another router waits for. */
     bool urgent_ = false;
     /** More than bills was appended last. It is read back as soon as the log has it: the next batch, with a draw in it
--- a/src/node/ShardLedgerPeers.cpp
+++ b/src/node/ShardLedgerPeers.cpp
@@ -77,7 +77,7 @@
 {
     sendNearCopies();
     sendDistantCopies();
-    noteDistantKeeper();
+    noteDistantKeepers();
 }
 
 void ShardLedger::sendNearCopies()
@@ -96,38 +96,35 @@
 void ShardLedger::sendDistantCopies()
 {
     const auto& membership = peers_.membership();
-    distantCopies_.leadTo(membership.distantKeeper(), membership.standbyKeeper());
+    distantCopies_.leadTo(membership.distantKeeper(), membership.secondKeeper());
     for (const auto& [keeper, batch] :
         distantCopies_.due(outbox_, context_.settings().ledger.copyPeriod, context_.now())) {
         sendToShard(keeper, CopyItems { stream_, ledger::encode(batch), true });
     }
 }
 
-// While it is false, a bill is safe only once the log has it, and where the log is out of reach too, callers are told
+// While none answers, a bill is safe only once the log has it, and where the log is out of reach too, callers are told
 // of bills that would be lost with this failure domain.
-void ShardLedger::noteDistantKeeper()
+void ShardLedger::noteDistantKeepers()
 {
-    const bool answers = distantCopies_.inTouch(context_.now());
-    const auto keeper = distantCopies_.current(context_.now());
-    const bool changed = answers != distantKeeperAnswers_ || keeper != reportedKeeper_;
-    if (!changed) {
+    std::vector<Incarnation> answering = distantCopies_.inTouch(context_.now());
+    if (answering == reportedKeepers_) {
         return;
     }
     // Bills that waited for company with a copy in view.
     urgent_ = urgent_ || (lacksDistantKeeper() && !outbox_.empty());
-    distantKeeperAnswers_ = answers;
-    reportedKeeper_ = keeper;
     context_.log(Line("copies")
                      .with("stream", stream_.value())
-                     .with("keeper", keeper ? toHex(keeper->value()) : "")
-                     .with("answers", answers)
+                     .with("keepers", toHex(answering))
+                     .with("answers", !answering.empty())
                      .with("log_in_reach", health_.reachable(context_.now())));
+    reportedKeepers_ = std::move(answering);
 }
 
 bool ShardLedger::lacksDistantKeeper() const
 {
     return context_.settings().answersWaitForBills() && peers_.membership().knowsDistantVms()
-        && !distantCopies_.inTouch(context_.now());
+        && distantCopies_.inTouch(context_.now()).empty();
 }
 
 void ShardLedger::onCopyItems(Incarnation from, const CopyItems& message)
@@ -220,7 +217,7 @@
     const Incarnation witness = grant ? grant->witness : Incarnation {};
     const bool byWitness = nearCopies_.holds(sequence) && (alone || (grant && witness == nearCopies_.keeper()));
     const bool withoutWitness = alone && !peers_.membership().witness();
-    const bool beyondDomain = distantCopies_.keeperOf(sequence).has_value();
+    const bool beyondDomain = distantCopies_.secures(sequence, context_.now());
     if ((byWitness || withoutWitness) && beyondDomain) {
         return BillState::Secured;
     }
@@ -232,7 +229,7 @@
     if (landsSoon) {
         return BillState::Pending;
     }
-    if (byWitness && !distantCopies_.inTouch(context_.now())) {
+    if (byWitness && distantCopies_.inTouch(context_.now()).empty()) {
         return BillState::Secured;
     }
     return alone ? BillState::Alone : BillState::Pending;
@@ -243,7 +240,7 @@
     BillKeepers keepers;
     keepers.landed = sequence <= fold_.lastSequence(context_.self());
     keepers.near = nearCopies_.holds(sequence) ? nearCopies_.keeper() : std::nullopt;
-    keepers.distant = distantCopies_.keeperOf(sequence);
+    keepers.distant = distantCopies_.keepersOf(sequence);
     return keepers;
 }
 
--- a/tests/node/CoreCopiesTest.cpp
+++ b/tests/node/CoreCopiesTest.cpp
@@ -6,7 +6,7 @@
     using std::chrono::milliseconds;
     using std::chrono::seconds;
 
-    enum class KeeperFate : std::uint8_t { Lives, DiesBefore, Pauses };
+    enum class KeeperFate : std::uint8_t { Lives, DiesBefore, DiesWithIt, Pauses };
 
     /** Gives loseDomainAt() a fleet of its own each time. */
     class LostDomain : public CoreTest {
@@ -30,6 +30,9 @@
             fleet.run(killAfter);
             const bool told = fleet.replyOf(call).has_value();
             const bool landed = billedInLedger() == Tokens { 60 };
+            if (fate == KeeperFate::DiesWithIt) {
+                fleet.crash(keeperOf(0));
+            }
             fleet.crash(0);
             fleet.crash(1);
             fleet.log.outage = false;
@@ -125,7 +128,7 @@
     // yet.
     class KeeperLostBefore : public CoreTest, public ::testing::WithParamInterface<int> { };
 
-    TEST_P(KeeperLostBefore, BillIsKeptByTheStandby)
+    TEST_P(KeeperLostBefore, BillIsKeptByTheSecondKeeper)
     {
         expectAnswered(fleet.send(0, {}));
         fleet.run(seconds(2));
@@ -135,7 +138,7 @@
     }
 
     // An answer that nobody is billed for: the keeper of its bills does not run for a moment as its domain dies.
-    TEST_P(KeeperLostBefore, BillIsKeptByTheStandbyOfAPausedKeeper)
+    TEST_P(KeeperLostBefore, BillIsKeptByTheSecondOfAPausedKeeper)
     {
         expectAnswered(fleet.send(0, {}));
         fleet.run(seconds(2));
@@ -172,6 +175,20 @@
         EXPECT_TRUE(fleet.runUntil([&] { return billedInLedger() == Tokens { 60 }; }, seconds(20)));
     }
 
+    // An answer that nobody is billed for: its domain and the one of its bill's keeper are killed together.
+    TEST_F(CoreTest, BillOutlivesTwoOfThreeFailureDomains)
+    {
+        for (const char* domain : { "c", "c" }) {
+            fleet.addVm(domain);
+        }
+        fleet.run(seconds(5));
+        expectAnswered(fleet.send(0, {}));
+        fleet.run(seconds(2));
+        const std::size_t keeper = keeperOf(0);
+        const std::size_t beside = keeper % 2 == 0 ? keeper + 1 : keeper - 1;
+        EXPECT_EQ(billedAfterLossOf({ 0, 1, keeper, beside }), Tokens { 60 });
+    }
+
     // An answer that nobody is billed for: its domain is killed as the keeper of the bill stops as planned.
     TEST_F(CoreTest, KeeperThatStopsLeavesNoBillBehind)
     {
@@ -185,12 +202,13 @@
     }
 
     // An answer that nobody is billed for, at any millisecond of a request at which its domain dies, with a keeper that
-    // lives, dies just before, or does not run.
+    // lives, dies just before or with it, or does not run.
     TEST(DomainLost, AtNoMillisecondIsAnAnswerUnbilled)
     {
         int inFlight = 0;
         for (int killAfter = 0; killAfter < 300; killAfter += 2) {
-            for (const KeeperFate fate : { KeeperFate::Lives, KeeperFate::DiesBefore, KeeperFate::Pauses }) {
+            for (const KeeperFate fate :
+                { KeeperFate::Lives, KeeperFate::DiesBefore, KeeperFate::DiesWithIt, KeeperFate::Pauses }) {
                 inFlight += loseDomainAt(milliseconds(killAfter), fate);
             }
         }
--- a/tests/node/CoreFixture.h
+++ b/tests/node/CoreFixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <sstream>
 #include <string>
 #include <variant>
 #include <vector>
@@ -56,21 +57,25 @@
         fleet.cutFromLog(1);
     }
 
-    /** @return The VM that the other one names as the keeper of its copies beyond the failure domain. */
-    [[nodiscard]] std::size_t keeperOf(std::size_t author) const
+    /** @return The VMs that the author names as keepers of its copies beyond the failure domain, the first one first.
+     */
+    [[nodiscard]] std::vector<std::size_t> keepersOf(std::size_t author) const
     {
         const auto lines = fleet.linesOf(author, "copies");
-        for (std::size_t vm = 0; vm < fleet.size(); ++vm) {
-            const bool named
-                = !lines.empty() && textOf(lines.back(), "keeper") == toHex(fleet.incarnationOf(vm).value());
-            if (named) {
-                return vm;
+        std::istringstream named(lines.empty() ? "" : textOf(lines.back(), "keepers"));
+        std::vector<std::size_t> keepers;
+        for (std::string incarnation; named >> incarnation;) {
+            for (std::size_t vm = 0; vm < fleet.size(); ++vm) {
+                if (incarnation == toHex(fleet.incarnationOf(vm).value())) {
+                    keepers.push_back(vm);
+                }
             }
         }
-        ADD_FAILURE() << "no keeper of VM " << author;
-        return fleet.size();
+        return keepers;
     }
 
+    [[nodiscard]] std::size_t keeperOf(std::size_t author) const { return keepersOf(author).at(0); }
+
     /** Lets the first of these VMs answer while the log is out, and kills all as soon as the caller has its answer.
      */
     [[nodiscard]] Tokens billedAfterLossOf(const std::vector<std::size_t>& vms)
--- a/tests/scenario/scripts/domain_gone_in_flight.lua
+++ b/tests/scenario/scripts/domain_gone_in_flight.lua
@@ -10,7 +10,7 @@
         local last = copies[#copies]
         for _, vm in ipairs(vms()) do
             local starts = logged(vm, "start")
-            if last and last.answers and starts[#starts] and starts[#starts].incarnation == last.keeper then
+            if last and last.answers and starts[#starts] and starts[#starts].incarnation == last.keepers:sub(1, 16) then
                 return vm
             end
         end
@@ -23,6 +23,7 @@
     { name = "lives", before = nothing, after = nothing },
     { name = "paused", before = freeze, after = thaw },
     { name = "killed", before = kill, after = start },
+    { name = "killed with it", before = nothing, after = start, with_it = true },
     {
         name = "cut off",
         before = function() cut("lodz-a", "lodz-b") cut("lodz-a", "wwa-1") end,
@@ -41,7 +42,7 @@
         look_again()
     end
     local last = wait(calls[6])
-    kill("lodz-a")
+    if fate.with_it then kill("lodz-a", keeper) else kill("lodz-a") end
     say("round " .. round .. ", keeper " .. keeper .. " " .. fate.name .. ": " .. last.outcome .. " " .. last.reason)
     answered = answered + (last.outcome == "answered" and 1 or 0)
     fate.after(keeper)
--- a/tests/scenario/test/BillsInFlightTest.cpp
+++ b/tests/scenario/test/BillsInFlightTest.cpp
@@ -21,7 +21,7 @@
             mark_.at = at(100);
             mark_.records = 1;
             lines_["lodz-a-1"] = { { { "kind", "start" }, { "incarnation", transport::toHex(author.value()) } },
-                { { "kind", "bill" }, { "request", "last" }, { "distant_keeper", "b2" } } };
+                { { "kind", "bill" }, { "request", "last" }, { "distant_keepers", "b2" } } };
         }
 
         void answered(const std::string& id, const std::string& vm, int sent)
@@ -100,7 +100,7 @@
         ASSERT_EQ(found().size(), 1U);
         EXPECT_EQ(found().front().record, 1U);
         EXPECT_EQ(found().front().appendedBy, std::vector<std::string> { "wwa-1-1" });
-        EXPECT_EQ(found().front().told.value("distant_keeper", ""), "b2");
+        EXPECT_EQ(found().front().told.value("distant_keepers", ""), "b2");
     }
 
 } // namespace
