Wait for peers' copies to land only before a planned stop

A router whose grants were sealed restarts under a new incarnation and goes on keeping copies of live authors, which always has some that have not landed: it would have waited 10 s for them. A VM that stops appends them, and waits for them, as before. 107 tests of test_node pass.

--- a/src/node/ShardLedger.cpp
+++ b/src/node/ShardLedger.cpp
@@ -126,6 +126,12 @@
     askPeer();
 }
 
+bool ShardLedger::drained() const
+{
+    const bool leavesNoCopy = !stopping_ || copies_.size() == 0;
+    return outbox_.empty() && holder_.drained() && leavesNoCopy;
+}
+
 void ShardLedger::flush()
 {
     sendBatch();
--- a/src/node/ShardLedger.h
+++ b/src/node/ShardLedger.h
@@ -121,8 +121,9 @@
     [[nodiscard]] bool caughtUp() const noexcept { return caughtUp_; }
     /** @return True when the log is reached, by this router itself or through a peer. */
     [[nodiscard]] bool logInReach() const;
-    /** @return True when nothing of this incarnation is left open in the ledger, and no peer's copy is left here. */
-    [[nodiscard]] bool drained() const { return outbox_.empty() && holder_.drained() && copies_.size() == 0; }
+    /** @return True when nothing of this incarnation is left open in the ledger, and no peer's copy goes with a VM that
+     * stops. */
+    [[nodiscard]] bool drained() const;
     /** @return Incarnations whose open grants name this router as witness, or whose copies it keeps. */
     [[nodiscard]] std::vector<Incarnation> watched() const;
 
