--- a/include/swiftlift/base/Numbers.h
+++ b/include/swiftlift/base/Numbers.h
@@ -2,7 +2,9 @@
 
 #include <charconv>
 #include <concepts>
+#include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <system_error>
 
@@ -19,4 +21,7 @@
     return error == std::errc {} && end == text.data() + text.size() ? std::optional(number) : std::nullopt;
 }
 
+/** @return The number as 16 hexadecimal digits, leading zeros included. */
+[[nodiscard]] std::string toHex(std::uint64_t number);
+
 } // namespace swiftlift
--- a/include/swiftlift/transport/Hashing.h
+++ b/include/swiftlift/transport/Hashing.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "swiftlift/base/Ids.h"
+#include "swiftlift/base/Numbers.h"
 #include "swiftlift/base/Units.h"
 
 namespace swiftlift::transport {
@@ -20,8 +21,7 @@
 /** @return The key as 32 hexadecimal digits. */
 [[nodiscard]] std::string toHex(const RequestKey& key);
 
-/** @return A number as 16 hexadecimal digits. */
-[[nodiscard]] std::string toHex(std::uint64_t number);
+using swiftlift::toHex;
 
 /** @return SHA-256 of a client account's key, in hex; empty when the library fails. */
 [[nodiscard]] std::string keyHash(std::string_view bearerKey);
--- a/src/node/Context.cpp
+++ b/src/node/Context.cpp
@@ -4,18 +4,6 @@
 
 namespace swiftlift::node {
 
-std::string toHex(std::uint64_t value)
-{
-    constexpr char digits[] = "0123456789abcdef";
-    constexpr int bitsPerDigit = 4;
-    std::string text(16, '0');
-    for (auto digit = text.rbegin(); digit != text.rend(); ++digit) {
-        *digit = digits[value & 0xFU];
-        value >>= bitsPerDigit;
-    }
-    return text;
-}
-
 std::string toHex(const std::vector<Incarnation>& incarnations)
 {
     std::string text;
--- a/src/node/Context.h
+++ b/src/node/Context.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "node/Explanations.h"
+#include "swiftlift/base/Numbers.h"
 #include "swiftlift/node/Action.h"
 #include "swiftlift/node/Core.h"
 
@@ -94,8 +95,8 @@
     Explanations explanations_;
 };
 
-/** @return 16 hex digits. */
-[[nodiscard]] std::string toHex(std::uint64_t value);
+using swiftlift::toHex;
+
 /** @return The incarnations, a space between two. */
 [[nodiscard]] std::string toHex(const std::vector<Incarnation>& incarnations);
 /** @return 32 hex digits; empty when there is none. */
--- a/src/transport/Hashing.cpp
+++ b/src/transport/Hashing.cpp
@@ -20,18 +20,6 @@
 
 std::string toHex(const RequestKey& key) { return toHex(key.high) + toHex(key.low); }
 
-std::string toHex(std::uint64_t number)
-{
-    constexpr std::string_view digits = "0123456789abcdef";
-    constexpr int bitsPerDigit = 4;
-    std::string text(16, '0');
-    for (auto place = text.rbegin(); place != text.rend(); ++place) {
-        *place = digits[number & 0xFU];
-        number >>= bitsPerDigit;
-    }
-    return text;
-}
-
 std::string keyHash(std::string_view bearerKey)
 {
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
