Say what a suspicion still means for copies

A keeper appends for any silent author now, so the set of suspected peers only keeps a witness from taking more copies.

--- a/src/node/ShardLedger.h
+++ b/src/node/ShardLedger.h
@@ -193,7 +193,7 @@
     ledger::Witness witness_;
     RecordCache cache_;
     ItemCopies copies_;
-    /** Peers that were suspected: what is copied here of theirs is appended in their name. */
+    /** Peers that were suspected: as their witness this router takes no more copies of theirs. */
     std::set<Incarnation> suspected_;
     /** To the witness, which may close our grants once it suspects us: it must know of a bill before a caller does. */
     CopyRoute nearCopies_;
