Read resident and peak memory of a process at once

A whole run of test_load failed in a third of cases: the peak, from /proc/PID/status, was below the resident memory, from /proc/PID/stat, which the kernel counts with a delay of its own. Both now come from one read of status, where the kernel itself keeps the peak at least as high.

--- a/apps/load/Processes.cpp
+++ b/apps/load/Processes.cpp
@@ -10,19 +10,34 @@
 
 namespace {
 
-    /** @return Peak resident memory in bytes, which /proc reports in kB; 0 if it is not reported. */
-    [[nodiscard]] double readPeakBytes(int process)
+    /** Resident memory of a process in bytes. */
+    struct MemoryReading {
+        double resident = 0;
+        double peak = 0;
+    };
+
+    /**
+     * @brief Reads the resident memory and its peak from one read of /proc, so that the peak is never below the present
+     * value. /proc/PID/stat counts pages with a delay of its own and can't be compared with the peak.
+     * @return The memory; 0 for what is not reported.
+     */
+    [[nodiscard]] MemoryReading readMemory(int process)
     {
         constexpr double bytesPerKilobyte = 1024;
+        MemoryReading reading;
         std::ifstream in("/proc/" + std::to_string(process) + "/status");
-        for (std::string name; in >> name;) {
+        for (std::string line; std::getline(in, line);) {
+            std::istringstream fields(line);
+            std::string name;
+            double kilobytes = 0;
+            fields >> name >> kilobytes;
             if (name == "VmHWM:") {
-                double kilobytes = 0;
-                in >> kilobytes;
-                return kilobytes * bytesPerKilobyte;
+                reading.peak = kilobytes * bytesPerKilobyte;
+            } else if (name == "VmRSS:") {
+                reading.resident = kilobytes * bytesPerKilobyte;
             }
         }
-        return 0;
+        return reading;
     }
 
 } // namespace
@@ -41,7 +56,6 @@
     std::istringstream fields(text.substr(text.rfind(')') + 2));
     constexpr int fieldsBeforeTimes = 11;
     constexpr int fieldsBeforeThreads = 4;
-    constexpr int fieldsBeforeResident = 3;
     std::string skipped;
     const auto skip = [&](int count) {
         for (int field = 0; field < count; ++field) {
@@ -50,17 +64,15 @@
     };
     double user = 0;
     double system = 0;
-    double resident = 0;
     skip(fieldsBeforeTimes);
     fields >> user >> system;
     skip(fieldsBeforeThreads);
     fields >> reading.threads;
-    skip(fieldsBeforeResident);
-    fields >> resident;
     reading.found = static_cast<bool>(fields);
     reading.processorSeconds = (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
-    reading.residentBytes = resident * static_cast<double>(sysconf(_SC_PAGESIZE));
-    reading.peakBytes = readPeakBytes(process);
+    const MemoryReading memory = readMemory(process);
+    reading.residentBytes = memory.resident;
+    reading.peakBytes = memory.peak;
     return reading;
 }
 
