Evacuate failure domains, and limit what cold servers get

Operators ask that a failure domain's backend servers get nothing until they take the request back, and a server that has just started bears only a limited rate from the whole fleet.

Evacuations are a state of the operators' stream after a position in it: older records, lists and peers' states are ignored, so that nothing reverts it; peers pass it on while the log is out of reach, and a router is not ready before it knows it. Servers of an evacuated domain are unusable for every choice, also of retries, probes and waiting requests; running requests go on. An unreadable record keeps the state of its domain and is logged.

A server is cold by its entry, from the first sight of a new instance on, and from the end of its domain's evacuation on. What it bears is divided among up to four registered routers by rendezvous hashing, each with a whole number of requests a second; two versions of the list of routers stay below the bound. Weighed: an equal share for each router (0.16 requests a second each for 59: all would send their first at once, or none within the 3 s), and a local rate by the server's load reports (not polled on the platform).

--- a/include/swiftlift/fleet/BackendServer.h
+++ b/include/swiftlift/fleet/BackendServer.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 
 #include "swiftlift/base/Ids.h"
+#include "swiftlift/base/Units.h"
 
 namespace swiftlift::fleet {
 
@@ -28,6 +29,8 @@
     /** Number of requests that the server runs concurrently. */
     std::uint32_t slots = 1;
     ServerState state = ServerState::Ready;
+    /** How much longer the server is cold, when it wrote its entry. */
+    Duration warmupLeft {};
 
     [[nodiscard]] bool operator==(const BackendServer&) const = default;
 };
--- a/include/swiftlift/fleet/FleetCodec.h
+++ b/include/swiftlift/fleet/FleetCodec.h
@@ -39,6 +39,22 @@
      */
     [[nodiscard]] virtual std::optional<BackendServer> server(
         const std::string& id, std::string_view text, Findings& findings) const = 0;
+
+    /**
+     * @brief Recognises requests for an evacuation among the records of the operators' stream by their keys.
+     * @param key Key of the record.
+     * @return The failure domain to evacuate as long as the record exists; empty for any other record.
+     */
+    [[nodiscard]] virtual std::optional<FailureDomain> evacuatedDomain(std::string_view key) const = 0;
+
+    /**
+     * @brief Checks the text of a request for an evacuation.
+     * @param key Key of the record.
+     * @param text The record's text.
+     * @param findings Receives every error.
+     * @return True if the text is a valid request.
+     */
+    [[nodiscard]] virtual bool isEvacuation(std::string_view key, std::string_view text, Findings& findings) const = 0;
 };
 
 } // namespace swiftlift::fleet
--- a/include/swiftlift/fleet/FleetConfig.h
+++ b/include/swiftlift/fleet/FleetConfig.h
@@ -62,11 +62,21 @@
     std::uint32_t tokensPerEvent = 1;
 };
 
+/** @brief How the backend servers of a service bear requests just after their start, while they are cold. */
+struct WarmupFacts {
+    /** How long a server is cold after its start. */
+    Duration duration {};
+    /** Requests per second that a cold server bears from the whole fleet; it crashes at a much higher rate. */
+    double requestsPerSecond = 0;
+};
+
 /** @brief A set of interchangeable backend servers. */
 struct Service {
     ServiceName name;
     /** Empty for a plain service, which has no model engines. */
     std::optional<EngineFacts> engine;
+    /** Empty if its servers bear their full load from their start on. */
+    std::optional<WarmupFacts> warmup = {};
 };
 
 /** @brief A client account: its API keys, urgency and prepaid token budget. */
--- a/include/swiftlift/fleet/Fwd.h
+++ b/include/swiftlift/fleet/Fwd.h
@@ -2,8 +2,10 @@
 
 namespace swiftlift::fleet {
 
+class Evacuations;
 class FleetCodec;
 class RouteTable;
+class WarmupTracker;
 
 struct BackendServer;
 struct FleetConfig;
--- a/include/swiftlift/node/KeyedRecords.h
+++ b/include/swiftlift/node/KeyedRecords.h
@@ -35,6 +35,8 @@
     /** True when `records` has every key of the stream; false when it has only changes. */
     bool whole = false;
     std::vector<UnreadableRecord> unreadable = {};
+    /** Offset after the last record that was read; a list of all keys includes at least every record below it. */
+    Offset next = {};
 };
 
 } // namespace swiftlift::node
--- a/include/swiftlift/routing/BackendFacts.h
+++ b/include/swiftlift/routing/BackendFacts.h
@@ -1,14 +1,23 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "swiftlift/base/Ids.h"
 #include "swiftlift/base/Units.h"
+#include "swiftlift/routing/WarmupShare.h"
 
 namespace swiftlift::routing {
 
+/** @brief What a backend server may get from this router while it is cold. */
+struct WarmupLimit {
+    /** When the server is warm; a past time: it is warm now. */
+    Instant coldUntil {};
+    WarmupShare share;
+};
+
 /** @brief A backend server as listed in a service's document. */
 struct BackendEntry {
     BackendId backend;
@@ -17,6 +26,10 @@
     std::uint32_t slots = 0;
     /** Start time of the instance: later instances have greater values; 0 if not listed. */
     std::uint64_t instance = 0;
+    /** The operators evacuate the server's failure domain: it gets no requests. */
+    bool evacuated = false;
+    /** Empty if servers of the service are never cold. */
+    std::optional<WarmupLimit> warmup = {};
 };
 
 /** @brief A backend server's report on its own load; it shows a moment somewhat before its arrival. */
--- a/include/swiftlift/routing/BackendTable.h
+++ b/include/swiftlift/routing/BackendTable.h
@@ -59,8 +59,9 @@
     Duration assumedHold = std::chrono::milliseconds(500);
 };
 
-/** @brief Availability of a backend server; Broken and Probing are states of its circuit breaker. */
-enum class BackendState : std::uint8_t { Up, SlowStart, Probing, Broken, Leaving };
+/** @brief Availability of a backend server; Broken and Probing are states of its circuit breaker. A Cold server has
+ * just started and bears few requests. */
+enum class BackendState : std::uint8_t { Up, SlowStart, Cold, Probing, Broken, Evacuated, Leaving };
 
 /** @brief Estimated present state of a backend server, for selectors and operators. */
 struct BackendView {
@@ -96,6 +97,10 @@
     std::optional<Instant> usableAt;
     /** Time since the last load report arrived; nothing if there was none. */
     std::optional<Duration> reportAge;
+    /** True if the operators evacuate the backend server's failure domain. */
+    bool evacuated = false;
+    /** True if the backend server is cold and this router has sent its share of what the server bears. */
+    bool coldLimitReached = false;
     /** False if the backend server reported its models and the request's model is not among them. */
     bool servesModel = true;
 };
--- a/include/swiftlift/routing/Fwd.h
+++ b/include/swiftlift/routing/Fwd.h
@@ -5,6 +5,8 @@
 struct Choice;
 struct LoadReport;
 struct SelectRequest;
+struct WarmupLimit;
+struct WarmupShare;
 
 class Admission;
 class BackendTable;
--- a/src/node/FleetDirectory.cpp
+++ b/src/node/FleetDirectory.cpp
@@ -10,21 +10,6 @@
 
     const std::string configKey = "config";
 
-    [[nodiscard]] std::string encodeVm(const CoreSettings& settings)
-    {
-        return nlohmann::json { { "domain", settings.domain.value() }, { "region", settings.region.value() } }.dump();
-    }
-
-    [[nodiscard]] std::optional<ListedVm> decodeVm(const std::string& address, const std::string& text)
-    {
-        const auto json = nlohmann::json::parse(text, nullptr, false);
-        if (!json.is_object() || !json.contains("domain") || !json["domain"].is_string()) {
-            return std::nullopt;
-        }
-        return ListedVm { PeerAddress { address }, FailureDomain { json["domain"].get<std::string>() },
-            Region { json.value("region", "") }, false };
-    }
-
     [[nodiscard]] const char* changeOf(const fleet::BackendServer& server, bool newInstance)
     {
         if (server.state != fleet::ServerState::Ready) {
@@ -47,12 +32,6 @@
     return name;
 }
 
-const StreamName& FleetDirectory::vmStream()
-{
-    static const StreamName name { "vms" };
-    return name;
-}
-
 FleetDirectory::FleetDirectory(
     Context& context, Peers& peers, const LogHealth& health, routing::BackendTable& backends, FleetListener& listener)
     : context_(context)
@@ -60,6 +39,9 @@
     , health_(health)
     , backends_(backends)
     , listener_(listener)
+    , unreadable_(context)
+    , evacuations_(context, peers, unreadable_)
+    , vms_(context, peers)
 {
 }
 
@@ -67,22 +49,32 @@
 {
     context_.emit(Follow { configStream(), {}, StreamKind::Keyed, {} });
     context_.emit(Follow { serverStream(), {}, StreamKind::Keyed, serverReadPause });
-    context_.emit(Follow { vmStream(), {}, StreamKind::Keyed, vmReadPause });
+    vms_.start();
 }
 
 void FleetDirectory::onRecords(const KeyedRecords& records)
 {
     for (const UnreadableRecord& record : records.unreadable) {
-        logUnreadable(records.stream.value().c_str(), record.key, record.reason);
+        unreadable_.add(records.stream.value().c_str(), record.key, record.reason);
     }
     if (records.stream == serverStream()) {
         applyServers(records);
         return;
     }
-    if (records.stream == vmStream()) {
-        applyVms(records);
+    if (records.stream == VmRegistry::stream()) {
+        vms_.onRecords(records);
+        // The shares of cold servers depend on the list of VMs.
+        if (!cold_.empty()) {
+            publishBackends();
+        }
         return;
     }
+    applyOperatorRecords(records);
+}
+
+void FleetDirectory::applyOperatorRecords(const KeyedRecords& records)
+{
+    applyEvacuations(evacuations_.onRecords(records));
     confirmedAt_ = context_.now();
     for (const KeyedRecord& record : records.records) {
         if (record.key == internal::configKey && record.value) {
@@ -100,7 +92,7 @@
     Findings findings;
     auto config = context_.settings().fleetCodec->config(text, findings);
     if (!config) {
-        logFindings("config", internal::configKey, findings);
+        unreadable_.add("config", internal::configKey, findings);
         return;
     }
     // Records of an older configuration arrive when a reader restarts, or from a peer that has read less. Applying one
@@ -117,9 +109,31 @@
                      .with("routes", static_cast<std::int64_t>(config->routes.size()))
                      .with("accounts", static_cast<std::int64_t>(config->accounts.size())));
     routes_ = std::make_shared<const fleet::RouteTable>(std::move(*config));
+    publishBackends();
     listener_.onConfig(routes_->config());
 }
 
+// The servers of a domain may have lost their caches and become cold during its evacuation, which their entries may
+// show only after requests go there again.
+void FleetDirectory::applyEvacuations(const std::vector<fleet::EvacuationChange>& changes)
+{
+    if (changes.empty()) {
+        return;
+    }
+    std::set<FailureDomain> ended;
+    for (const fleet::EvacuationChange& change : changes) {
+        if (!change.evacuated) {
+            ended.insert(change.domain);
+        }
+    }
+    for (const auto& [id, server] : servers_) {
+        if (ended.contains(server.domain)) {
+            warmup_.onTurnedCold(id, warmupDurationOf(server.service), context_.now());
+        }
+    }
+    publishBackends();
+}
+
 void FleetDirectory::applyServers(const KeyedRecords& records)
 {
     if (records.whole) {
@@ -141,6 +155,9 @@
     for (const KeyedRecord& record : records.records) {
         applyServer(record, readBefore);
     }
+    if (records.whole) {
+        warmup_.onAllListed();
+    }
     notifyServersSeen(records, readBefore);
     static_cast<void>(removeMissing());
     publishBackends();
@@ -170,7 +187,7 @@
     Findings findings;
     auto server = context_.settings().fleetCodec->server(record.key, *record.value, findings);
     if (!server) {
-        logFindings("server", record.key, findings);
+        unreadable_.add("server", record.key, findings);
         return;
     }
     const auto known = servers_.find(id);
@@ -179,7 +196,10 @@
         return;
     }
     missing_.erase(id);
+    warmup_.onEntry(*server, warmupDurationOf(server->service), context_.now());
     const Instant aliveAt = std::exchange(aliveAt_[id], readBefore);
+    // The remaining time is different in each entry of a cold server.
+    server->warmupLeft = {};
     if (known != servers_.end() && known->second == *server) {
         return;
     }
@@ -229,6 +249,7 @@
                              .with("change", "unregistered")
                              .with("missing_ms", toMilliseconds(context_.now() - entry->second)));
             servers_.erase(server);
+            warmup_.onRemoved(entry->first);
             aliveAt_.erase(entry->first);
             removed = true;
         }
@@ -239,13 +260,15 @@
 
 void FleetDirectory::publishBackends()
 {
+    noteColdServers();
     std::map<ServiceName, std::vector<routing::BackendEntry>> services;
     for (const ServiceName& service : published_) {
         services[service];
     }
     for (const auto& [id, server] : servers_) {
         if (server.state == fleet::ServerState::Ready) {
-            services[server.service].push_back({ id, server.domain, server.slots, server.startedAt });
+            services[server.service].push_back({ id, server.domain, server.slots, server.startedAt,
+                evacuations_.evacuations().contains(server.domain), warmupLimit(server) });
         }
     }
     published_.clear();
@@ -257,24 +280,54 @@
     }
 }
 
-void FleetDirectory::applyVms(const KeyedRecords& records)
+const fleet::WarmupFacts* FleetDirectory::warmupOf(const ServiceName& service) const
 {
-    if (records.whole) {
-        vms_.clear();
+    const fleet::Service* found = routes_ ? routes_->service(service) : nullptr;
+    return found != nullptr && found->warmup ? &*found->warmup : nullptr;
+}
+
+Duration FleetDirectory::warmupDurationOf(const ServiceName& service) const
+{
+    const fleet::WarmupFacts* warmup = warmupOf(service);
+    return warmup != nullptr ? warmup->duration : Duration {};
+}
+
+std::optional<routing::WarmupLimit> FleetDirectory::warmupLimit(const fleet::BackendServer& server) const
+{
+    const fleet::WarmupFacts* warmup = warmupOf(server.service);
+    if (warmup == nullptr) {
+        return std::nullopt;
     }
-    for (const KeyedRecord& record : records.records) {
-        const auto vm = record.value ? internal::decodeVm(record.key, *record.value) : std::nullopt;
-        if (vm) {
-            vms_[record.key] = *vm;
-        } else {
-            vms_.erase(record.key);
+    const auto coldUntil = warmup_.coldUntil(server.id, context_.now());
+    if (!coldUntil) {
+        return routing::WarmupLimit {};
+    }
+    return routing::WarmupLimit { *coldUntil,
+        routing::warmupShare(warmup->requestsPerSecond, server.id, context_.settings().peerAddress, vms_.addresses()) };
+}
+
+void FleetDirectory::noteColdServers()
+{
+    std::set<BackendId> cold;
+    for (const auto& [id, server] : servers_) {
+        if (warmup_.coldUntil(id, context_.now())) {
+            cold.insert(id);
         }
     }
-    std::vector<ListedVm> listed;
-    for (const auto& [address, vm] : vms_) {
-        listed.push_back(vm);
+    if (cold == cold_) {
+        return;
     }
-    peers_.onVmList(listed);
+    for (const auto& [id, server] : servers_) {
+        if (cold.contains(id) != cold_.contains(id)) {
+            context_.log(LogLineBuilder("backend")
+                             .with("backend", id.value())
+                             .with("change", cold.contains(id) ? "cold" : "warm")
+                             .with("service", server.service.value())
+                             .with("domain", server.domain.value()));
+        }
+    }
+    cold_ = std::move(cold);
+    context_.gauge("swiftlift_cold_servers", static_cast<double>(cold_.size()));
 }
 
 const fleet::BackendServer* FleetDirectory::server(const BackendId& id) const
@@ -287,32 +340,14 @@
 {
     const Instant now = context_.now();
     if (!health_.reachable(now)) {
-        requestConfigFromPeer();
+        requestFromPeer();
     } else if (removeMissing()) {
         publishBackends();
     }
-    registerSelf(stopping);
-}
-
-void FleetDirectory::registerSelf(bool stopping)
-{
-    const Instant now = context_.now();
-    const std::string& address = context_.settings().peerAddress.value();
-    if (stopping) {
-        if (!std::exchange(unregistered_, true)) {
-            context_.emit(Append { vmStream(), {}, address });
-        }
-        return;
-    }
-    const bool listed = vms_.contains(address);
-    if (listed || now < nextRegister_) {
-        return;
-    }
-    nextRegister_ = now + registerPeriod;
-    context_.emit(Append { vmStream(), internal::encodeVm(context_.settings()), address });
+    vms_.tick(stopping);
 }
 
-void FleetDirectory::requestConfigFromPeer()
+void FleetDirectory::requestFromPeer()
 {
     const Instant now = context_.now();
     if (now < nextReadAsk_) {
@@ -322,38 +357,33 @@
     if (const auto peer = peers_.bestReader()) {
         const Offset from { routes_ ? configOffset_.value() + 1 : 0 };
         peers_.send(*peer, ReadAsk { configStream(), from });
+        evacuations_.askPeer(*peer);
     }
 }
 
-void FleetDirectory::onReadAsk(Incarnation from, Offset offset)
+bool FleetDirectory::isExchanged(const StreamName& stream)
 {
-    if (routes_ && configOffset_ >= offset) {
-        peers_.send(from, Records { configStream(), configOffset_, { configText_ } });
-    }
+    return stream == configStream() || stream == EvacuationDirectory::peerStream();
 }
 
-void FleetDirectory::onPeerRecords(const Records& records)
+void FleetDirectory::onReadAsk(Incarnation from, const ReadAsk& ask)
 {
-    if (!records.records.empty()) {
-        applyConfig(records.first, records.records.front(), "peer");
+    if (ask.stream == EvacuationDirectory::peerStream()) {
+        evacuations_.onReadAsk(from, ask.from);
+        return;
+    }
+    if (routes_ && configOffset_ >= ask.from) {
+        peers_.send(from, Records { configStream(), configOffset_, { configText_ } });
     }
 }
 
-void FleetDirectory::logFindings(const char* what, const std::string& key, const Findings& findings)
-{
-    logUnreadable(what, key, toText(findings));
-}
-
-void FleetDirectory::logUnreadable(const char* what, const std::string& key, const std::string& reason)
+void FleetDirectory::onPeerRecords(const Records& records)
 {
-    context_.count("swiftlift_unreadable_records_total", { { "what", what } });
-    // A faulty writer may repeat its record every second, or keep writing new ones.
-    const bool known = unreadable_.contains({ key, reason });
-    if (known || unreadable_.size() >= maxUnreadableLines) {
-        return;
+    if (records.stream == EvacuationDirectory::peerStream()) {
+        applyEvacuations(evacuations_.onPeerRecords(records));
+    } else if (!records.records.empty()) {
+        applyConfig(records.first, records.records.front(), "peer");
     }
-    unreadable_.insert({ key, reason });
-    context_.log(LogLineBuilder("unreadable").with("what", what).with("key", key).with("findings", reason));
 }
 
 } // namespace swiftlift::node
--- a/src/node/FleetDirectory.h
+++ b/src/node/FleetDirectory.h
@@ -10,11 +10,15 @@
 #include <vector>
 
 #include "node/Context.h"
+#include "node/EvacuationDirectory.h"
 #include "node/LogHealth.h"
 #include "node/Peers.h"
+#include "node/UnreadableRecords.h"
+#include "node/VmRegistry.h"
 #include "swiftlift/fleet/BackendServer.h"
 #include "swiftlift/fleet/FleetCodec.h"
 #include "swiftlift/fleet/RouteTable.h"
+#include "swiftlift/fleet/WarmupTracker.h"
 #include "swiftlift/routing/BackendTable.h"
 
 namespace swiftlift::node {
@@ -46,7 +50,7 @@
 };
 
 /**
- * @brief The fleet's configuration, backend servers and VMs, as read from keyed streams of the log.
+ * @brief The fleet's configuration, evacuations, backend servers and VMs, as read from keyed streams of the log.
  *
  * A record that can't be decoded changes nothing: it is logged with its findings, and the previous record of its key
  * stays in force.
@@ -59,11 +63,13 @@
     void start();
     /** Applies records of the configuration, backend server or VM stream. */
     void onRecords(const KeyedRecords& records);
-    /** Applies a configuration that a peer has read. */
+    /** @return True if routers exchange the records of this stream because one of them can't reach the log. */
+    [[nodiscard]] static bool isExchanged(const StreamName& stream);
+    /** Applies a configuration or evacuations that a peer has read. */
     void onPeerRecords(const Records& records);
-    /** Sends the configuration to a peer that can't reach the log, unless the configuration's offset is below `offset`.
-     */
-    void onReadAsk(Incarnation from, Offset offset);
+    /** Sends the configuration or the evacuations to a peer that can't reach the log, unless they are older than its
+     * own. */
+    void onReadAsk(Incarnation from, const ReadAsk& ask);
     void tick(bool stopping);
 
     /** @return The configuration in force; null before any has been read. Requests that hold the pointer keep their
@@ -78,10 +84,12 @@
     [[nodiscard]] const fleet::BackendServer* server(const BackendId& id) const;
     /** @return Number of registered VMs of the fleet, including this one. */
     [[nodiscard]] std::size_t vms() const noexcept { return vms_.size(); }
+    [[nodiscard]] const EvacuationDirectory& evacuations() const noexcept { return evacuations_; }
+    /** @return Number of backend servers that are cold. */
+    [[nodiscard]] std::size_t coldServers() const noexcept { return cold_.size(); }
 
     [[nodiscard]] static const StreamName& configStream();
     [[nodiscard]] static const StreamName& serverStream();
-    [[nodiscard]] static const StreamName& vmStream();
 
 private:
     /** An accepted configuration has to be in force within 2 s, and a long-poll read returns within 1 s. */
@@ -89,11 +97,6 @@
     /** Pause between two reads of the backend servers. Each server renews its entry about every second, and each record
      * completes a long-poll read. The pause is a third of the 2 s in which a leaving server may still get new work. */
     static constexpr Duration serverReadPause = std::chrono::milliseconds(600);
-    /** Pause between two reads of the VM list. VMs register once, and heartbeats show which are alive: the list is
-     * needed only to find new VMs. */
-    static constexpr Duration vmReadPause = std::chrono::seconds(3);
-    /** Time between two attempts to register this VM while it is not listed. */
-    static constexpr Duration registerPeriod = std::chrono::seconds(10);
     /** Time between two requests for the configuration to a peer while the log is unreachable. */
     static constexpr Duration readAskPeriod = std::chrono::milliseconds(300);
     /**
@@ -110,10 +113,10 @@
      * handled here. */
     static constexpr Duration readLag = std::chrono::seconds(1);
 
-    /** Maximum number of log lines on unreadable records per process; the counter metric covers the rest. */
-    static constexpr std::size_t maxUnreadableLines = 64;
-
     void applyConfig(Offset offset, const std::string& text, const char* source);
+    void applyOperatorRecords(const KeyedRecords& records);
+    /** Brings changed evacuations into force. */
+    void applyEvacuations(const std::vector<fleet::EvacuationChange>& changes);
     void applyServers(const KeyedRecords& records);
     /** @param readBefore When the stream was read the previous time; the record was written after that. */
     void applyServer(const KeyedRecord& record, Instant readBefore);
@@ -123,22 +126,29 @@
     bool removeMissing();
     /** @return True when most of the service's ready servers have missing entries. */
     [[nodiscard]] bool isMajorityMissing(const ServiceName& service) const;
-    void applyVms(const KeyedRecords& records);
+    /** @return How the service's servers bear requests while they are cold; null if they never are. */
+    [[nodiscard]] const fleet::WarmupFacts* warmupOf(const ServiceName& service) const;
+    [[nodiscard]] Duration warmupDurationOf(const ServiceName& service) const;
+    /** @return This router's limit for the server, which applies while the server is cold. */
+    [[nodiscard]] std::optional<routing::WarmupLimit> warmupLimit(const fleet::BackendServer& server) const;
+    /** Logs servers that have become cold or warm. */
+    void noteColdServers();
     /** Sets the ready servers of each service in the backend table. */
     void publishBackends();
-    /** Registers this VM, or removes its entry when it stops. */
-    void registerSelf(bool stopping);
-    /** Requests a newer configuration from a peer. */
-    void requestConfigFromPeer();
-    /** @param what Kind of the record: `config`, `server` or a stream's name. */
-    void logFindings(const char* what, const std::string& key, const Findings& findings);
-    void logUnreadable(const char* what, const std::string& key, const std::string& reason);
+    /** Requests a newer configuration and newer evacuations from a peer. */
+    void requestFromPeer();
 
     Context& context_;
     Peers& peers_;
     const LogHealth& health_;
     routing::BackendTable& backends_;
     FleetListener& listener_;
+    UnreadableRecords unreadable_;
+    EvacuationDirectory evacuations_;
+    VmRegistry vms_;
+    fleet::WarmupTracker warmup_;
+    /** Servers that were cold when the backend table was last set. */
+    std::set<BackendId> cold_;
     RouteTablePtr routes_;
     Offset configOffset_;
     /** When the configuration stream was last read to its end. */
@@ -153,13 +163,8 @@
     std::map<BackendId, Instant> missing_;
     /** Services that have backend servers in the backend table. */
     std::set<ServiceName> published_;
-    std::map<std::string, ListedVm> vms_;
     bool serversKnown_ = false;
-    /** Key and reason of unreadable records that have been logged; each pair is logged once. */
-    std::set<std::pair<std::string, std::string>> unreadable_;
-    Instant nextRegister_ {};
     Instant nextReadAsk_ {};
-    bool unregistered_ = false;
 };
 
 } // namespace swiftlift::node
--- a/src/node/Gateway.cpp
+++ b/src/node/Gateway.cpp
@@ -75,6 +75,9 @@
     if (!fleet_.routes()) {
         return "the configuration has not been read yet";
     }
+    if (!fleet_.evacuations().known()) {
+        return "the evacuations have not been read yet";
+    }
     if (!fleet_.serversKnown()) {
         return "the list of backend servers has not been read yet";
     }
@@ -184,9 +187,9 @@
 {
     const auto* readAsk = std::get_if<ReadAsk>(&event.message);
     const auto* records = std::get_if<Records>(&event.message);
-    if (readAsk != nullptr && readAsk->stream == FleetDirectory::configStream()) {
-        fleet_.onReadAsk(event.sender, readAsk->from);
-    } else if (records != nullptr && records->stream == FleetDirectory::configStream()) {
+    if (readAsk != nullptr && FleetDirectory::isExchanged(readAsk->stream)) {
+        fleet_.onReadAsk(event.sender, *readAsk);
+    } else if (records != nullptr && FleetDirectory::isExchanged(records->stream)) {
         fleet_.onPeerRecords(*records);
     } else if (records != nullptr && records->stream == QuarantineCoordinator::stream()) {
         quarantine_.onPeerRecords(*records);
@@ -260,12 +263,17 @@
 {
     const auto counts = peers_.membership().counts();
     const std::string reason = reasonNotReady();
+    nlohmann::json evacuated = nlohmann::json::array();
+    for (const FailureDomain& domain : fleet_.evacuations().evacuations().domains()) {
+        evacuated.push_back(domain.value());
+    }
     return nlohmann::json {
         { "incarnation", toHex(context_.self().value()) }, { "peer", context_.settings().peerAddress.value() },
         { "domain", context_.settings().domain.value() }, { "ready", reason.empty() }, { "reason", reason },
         { "stopping", stopRequested_.has_value() }, { "log_reachable", health_.reachable(context_.now()) },
         { "in_progress", proxyRequests_.inProgress() }, { "peers_alive", counts.alive },
-        { "config_version", fleet_.routes() ? fleet_.routes()->config().version : 0 }
+        { "config_version", fleet_.routes() ? fleet_.routes()->config().version : 0 }, { "evacuated", evacuated },
+        { "cold_servers", fleet_.coldServers() }
     }.dump();
 }
 
--- a/src/node/StateChanges.cpp
+++ b/src/node/StateChanges.cpp
@@ -51,10 +51,14 @@
         return "up";
     case routing::BackendState::SlowStart:
         return "slow_start";
+    case routing::BackendState::Cold:
+        return "cold";
     case routing::BackendState::Probing:
         return "probing";
     case routing::BackendState::Broken:
         return "broken";
+    case routing::BackendState::Evacuated:
+        return "evacuated";
     case routing::BackendState::Leaving:
         break;
     }
--- a/src/routing/Backend.cpp
+++ b/src/routing/Backend.cpp
@@ -29,6 +29,7 @@
     , cache_(settings.prefixesKept, lengths)
     , breaker_(settings, seed)
 {
+    warmup_.setLimit(entry_.warmup);
 }
 
 // A server that restarts under the same id has an empty cache, no connections and no requests. With the state of its
@@ -37,6 +38,8 @@
 void Backend::setEntry(const BackendEntry& entry, Instant now)
 {
     entry_.domain = entry.domain;
+    entry_.evacuated = entry.evacuated;
+    warmup_.setLimit(entry.warmup);
     const bool newInstance = entry.instance > entry_.instance && entry_.instance != 0;
     entry_.instance = std::max(entry_.instance, entry.instance);
     if (!newInstance) {
@@ -45,6 +48,7 @@
     entry_.slots = entry.slots;
     load_ = LoadEstimate(settings_, entry.slots);
     sent_.clear();
+    warmup_.clear();
     unread_ = Tokens {};
     generation_.reset();
     reported_ = false;
@@ -113,6 +117,7 @@
     unread_ += uncached;
     load_.onDispatched(attempt, now);
     breaker_.onDispatched(attempt, now);
+    warmup_.onDispatched(now);
 }
 
 void Backend::onFirstToken(AttemptId attempt, Instant now)
@@ -198,12 +203,18 @@
     if (leaving_) {
         return BackendState::Leaving;
     }
+    if (entry_.evacuated) {
+        return BackendState::Evacuated;
+    }
     if (breaker_.mayProbe(now) || (breaker_.openUntil() && breaker_.probing())) {
         return BackendState::Probing;
     }
     if (breaker_.open(now)) {
         return BackendState::Broken;
     }
+    if (warmup_.isCold(now)) {
+        return BackendState::Cold;
+    }
     return breaker_.slowStart(now) ? BackendState::SlowStart : BackendState::Up;
 }
 
@@ -211,7 +222,7 @@
 
 bool Backend::usable(Instant now) const
 {
-    if (leaving_ || paused(now) || breaker_.open(now)) {
+    if (leaving_ || entry_.evacuated || warmup_.holdsBack(now) || paused(now) || breaker_.open(now)) {
         return false;
     }
     return load_.inFlight() < breaker_.allowed(load_.slots(), now);
@@ -219,15 +230,16 @@
 
 bool Backend::lastResort(Instant now) const
 {
-    return answers_ && !leaving_ && !paused(now) && load_.inFlight() < load_.slots();
+    const bool mayGetRequests = !leaving_ && !entry_.evacuated && !warmup_.holdsBack(now) && !paused(now);
+    return answers_ && mayGetRequests && load_.inFlight() < load_.slots();
 }
 
 std::optional<Instant> Backend::usableAt(Instant now) const
 {
-    if (leaving_) {
+    if (leaving_ || entry_.evacuated) {
         return std::nullopt;
     }
-    Instant at = now;
+    Instant at = warmup_.freeAt(now);
     if (pausedUntil_) {
         at = std::max(at, *pausedUntil_);
     }
@@ -271,6 +283,8 @@
     view.probe = breaker_.mayProbe(now);
     view.usableAt = usableAt(now);
     view.reportAge = load_.reportAge(now);
+    view.evacuated = entry_.evacuated;
+    view.coldLimitReached = warmup_.holdsBack(now);
     view.servesModel = request.model.empty() || !reported_ || models_.contains(request.model);
     return view;
 }
--- a/src/routing/Backend.h
+++ b/src/routing/Backend.h
@@ -10,6 +10,7 @@
 #include "routing/LoadEstimate.h"
 #include "routing/PrefillModel.h"
 #include "routing/PrefixCache.h"
+#include "routing/WarmupLimiter.h"
 #include "swiftlift/base/Ids.h"
 #include "swiftlift/base/Units.h"
 #include "swiftlift/routing/BackendTable.h"
@@ -87,6 +88,7 @@
     LoadEstimate load_;
     PrefixCache cache_;
     Breaker breaker_;
+    internal::WarmupLimiter warmup_;
     std::map<AttemptId, SentAttempt> sent_;
     /** Sum of the uncached prompt tokens of attempts in `sent_` without a first token. */
     Tokens unread_;
--- a/src/routing/RendezvousSelector.cpp
+++ b/src/routing/RendezvousSelector.cpp
@@ -6,6 +6,8 @@
 #include <functional>
 #include <utility>
 
+#include "routing/RendezvousHash.h"
+
 namespace swiftlift::routing {
 
 namespace {
@@ -22,25 +24,6 @@
     /** Minimum gain for which a second home is used: a few engine steps, so that homes don't change without need. */
     constexpr Duration minGain = std::chrono::milliseconds(10);
 
-    /** Finalizer of SplitMix64: every bit of the input moves every bit of the result. */
-    [[nodiscard]] std::uint64_t mix(std::uint64_t value) noexcept
-    {
-        value += 0x9E3779B97F4A7C15U;
-        value = (value ^ (value >> 30U)) * 0xBF58476D1CE4E5B9U;
-        value = (value ^ (value >> 27U)) * 0x94D049BB133111EBU;
-        return value ^ (value >> 31U);
-    }
-
-    /** FNV-1a, which is the same on every router, unlike std::hash. */
-    [[nodiscard]] std::uint64_t hashOf(const std::string& text) noexcept
-    {
-        std::uint64_t hash = 0xCBF29CE484222325U;
-        for (const char letter : text) {
-            hash = (hash ^ static_cast<unsigned char>(letter)) * 0x100000001B3U;
-        }
-        return hash;
-    }
-
     [[nodiscard]] Choice choiceOf(const BackendView& view, std::string reason)
     {
         return { view.backend, view.predictedFirstToken, std::move(reason), {}, false };
@@ -88,7 +71,7 @@
     std::uint64_t firstRank = 0;
     std::uint64_t secondRank = 0;
     for (const BackendView& view : candidates) {
-        const std::uint64_t rank = mix(request.prefixHash ^ mix(hashOf(view.backend.value())));
+        const std::uint64_t rank = internal::rendezvousRank(request.prefixHash, view.backend.value());
         if (ranked.home == nullptr || rank > homeRank) {
             ranked.home = &view;
             homeRank = rank;
--- a/src/routing/Selector.cpp
+++ b/src/routing/Selector.cpp
@@ -62,12 +62,18 @@
     if (view.state == BackendState::Leaving) {
         return "leaving";
     }
+    if (view.evacuated) {
+        return "in an evacuated domain";
+    }
     if (!view.servesModel) {
         return "without the model";
     }
     if (request.excluded.contains(view.backend)) {
         return "tried already";
     }
+    if (view.coldLimitReached) {
+        return "cold";
+    }
     if (view.probe && !request.idempotent) {
         return "waiting for a probe";
     }
--- a/src/transport/LogFollower.cpp
+++ b/src/transport/LogFollower.cpp
@@ -138,6 +138,7 @@
     }
     std::ranges::stable_sort(all.records, {}, &node::KeyedRecord::offset);
     nextOffset_ = end->value();
+    all.next = *end;
     allKeysPending_ = false;
     pushToDecisions(std::move(all));
     return true;
@@ -160,6 +161,7 @@
             changed.unreadable.push_back({ {}, "can't decode record at offset " + std::to_string(offset.value()) });
         }
     }
+    changed.next = Offset(nextOffset_);
     pushToDecisions(std::move(changed));
 }
 
--- a/tests/node/GatewayWorld.cpp
+++ b/tests/node/GatewayWorld.cpp
@@ -57,6 +57,21 @@
     return found->second;
 }
 
+std::optional<FailureDomain> NamedCodec::evacuatedDomain(std::string_view key) const
+{
+    constexpr std::string_view prefix = "evacuate ";
+    return key.starts_with(prefix) ? std::optional(FailureDomain(std::string(key.substr(prefix.size()))))
+                                   : std::nullopt;
+}
+
+bool NamedCodec::isEvacuation(std::string_view key, std::string_view text, Findings& findings) const
+{
+    if (text != "please") {
+        findings.push_back({ std::string(key), 1, 1, "no evacuation" });
+    }
+    return text == "please";
+}
+
 GatewayWorld::GatewayWorld(std::int64_t budget)
 {
     using fleet::AnswerKind;
@@ -106,15 +121,43 @@
 }
 
 void GatewayWorld::putServer(const std::string& id, const std::string& service, const std::string& domain,
-    fleet::ServerState state, std::uint64_t startedAt)
+    fleet::ServerState state, std::uint64_t startedAt, Duration warmupLeft)
 {
-    const std::string name
-        = id + (state == fleet::ServerState::Ready ? "" : " leaving") + " of " + std::to_string(startedAt);
+    const std::string name = id + (state == fleet::ServerState::Ready ? "" : " leaving") + " of "
+        + std::to_string(startedAt) + " cold for " + std::to_string(warmupLeft.count());
     codec_->servers[name] = { BackendId(id), startedAt, BackendAddress("127.0.0.1:1"), ServiceName(service),
-        FailureDomain(domain), 8, state };
+        FailureDomain(domain), 8, state, warmupLeft };
     handle(KeyedRecords { serverName, { { Offset { ++keyedOffset_ }, id, name } }, false });
 }
 
+void GatewayWorld::evacuate(const std::string& domain, const std::string& text)
+{
+    handle(KeyedRecords { configName, { { Offset { ++keyedOffset_ }, "evacuate " + domain, text } }, false });
+}
+
+void GatewayWorld::endEvacuation(const std::string& domain)
+{
+    handle(KeyedRecords { configName, { { Offset { ++keyedOffset_ }, "evacuate " + domain, std::nullopt } }, false });
+}
+
+void GatewayWorld::relistOperatorRecords(const std::map<std::string, std::string>& records, std::uint64_t position)
+{
+    KeyedRecords all { configName, {}, true, {}, Offset { position } };
+    for (const auto& [key, text] : records) {
+        all.records.push_back({ Offset { position - 1 }, key, text });
+    }
+    handle(all);
+}
+
+void GatewayWorld::registerVms(const std::vector<std::string>& addresses)
+{
+    KeyedRecords vms { StreamName { "vms" }, {}, true };
+    for (const std::string& address : addresses) {
+        vms.records.push_back({ Offset { ++keyedOffset_ }, address, R"({"domain":"a","region":"r"})" });
+    }
+    handle(vms);
+}
+
 void GatewayWorld::putUnreadable(const std::string& key)
 {
     handle(KeyedRecords { serverName, { { Offset { ++keyedOffset_ }, key, "\xff" } }, false });
--- a/tests/node/GatewayWorld.h
+++ b/tests/node/GatewayWorld.h
@@ -25,6 +25,10 @@
     [[nodiscard]] std::optional<fleet::FleetConfig> config(std::string_view text, Findings& findings) const override;
     [[nodiscard]] std::optional<fleet::BackendServer> server(
         const std::string& id, std::string_view text, Findings& findings) const override;
+    /** Keys are `evacuate DOMAIN`. */
+    [[nodiscard]] std::optional<FailureDomain> evacuatedDomain(std::string_view key) const override;
+    /** Only the text `please` is valid. */
+    [[nodiscard]] bool isEvacuation(std::string_view key, std::string_view text, Findings& findings) const override;
 };
 
 /**
@@ -77,7 +81,17 @@
         putConfig(std::move(next));
     }
     void putServer(const std::string& id, const std::string& service, const std::string& domain,
-        fleet::ServerState state = fleet::ServerState::Ready, std::uint64_t startedAt = 0);
+        fleet::ServerState state = fleet::ServerState::Ready, std::uint64_t startedAt = 0, Duration warmupLeft = {});
+    /** The operators request a domain's evacuation. @param text See NamedCodec::isEvacuation(). */
+    void evacuate(const std::string& domain, const std::string& text = "please");
+    /** The operators take the evacuation back. */
+    void endEvacuation(const std::string& domain);
+    /** The router's reader restarts and reads all records of the operators' stream. @param position Offset after the
+     * last record that the list includes. */
+    void relistOperatorRecords(const std::map<std::string, std::string>& records, std::uint64_t position);
+    [[nodiscard]] std::uint64_t lastKeyedOffset() const noexcept { return keyedOffset_; }
+    /** The VMs register themselves; this router's address is 127.0.0.1:7400. */
+    void registerVms(const std::vector<std::string>& addresses);
     /** Another writer stores a record under this key that can't be read as a backend server. */
     void putUnreadable(const std::string& key);
     void dropServer(const std::string& id);
--- a/tests/platform/ConfigCodecTest.cpp
+++ b/tests/platform/ConfigCodecTest.cpp
@@ -150,5 +150,44 @@
         EXPECT_FALSE(toText(findings).empty());
     }
 
+    TEST_F(ConfigCodecTest, ReadsHowColdServersBearRequests)
+    {
+        auto document = validConfig();
+        document["backends"][0]["warmup_s"] = 3.0;
+        document["backends"][0]["warmup_per_s"] = 9.5;
+        document["backends"][1]["warmup_s"] = 0.0;
+        document["backends"][1]["warmup_per_s"] = 0.0;
+        const auto config = read(document);
+        ASSERT_TRUE(config);
+        ASSERT_TRUE(config->services.at(0).warmup);
+        EXPECT_EQ(config->services.at(0).warmup->duration, std::chrono::seconds(3));
+        EXPECT_DOUBLE_EQ(config->services.at(0).warmup->requestsPerSecond, 9.5);
+        EXPECT_FALSE(config->services.at(1).warmup);
+        document["backends"][0]["warmup_per_s"] = "many";
+        EXPECT_FALSE(read(document));
+    }
+
+    TEST_F(ConfigCodecTest, ReadsHowLongAServerStaysCold)
+    {
+        const auto server = codec_.server("i-1",
+            R"({"backend":"huvo11a","address":"10.0.0.1:80","zone":"regina-a","slots":24,"state":"ready",
+                "warmup_left_ms":2400,"sequence":4})",
+            findings_);
+        ASSERT_TRUE(server);
+        EXPECT_EQ(server->warmupLeft, std::chrono::milliseconds(2400));
+    }
+
+    TEST_F(ConfigCodecTest, RecognisesEvacuationsByTheirKey)
+    {
+        EXPECT_EQ(codec_.evacuatedDomain("evacuate/regina-a"), FailureDomain("regina-a"));
+        EXPECT_FALSE(codec_.evacuatedDomain("evacuate/"));
+        EXPECT_FALSE(codec_.evacuatedDomain("config"));
+        EXPECT_TRUE(codec_.isEvacuation("evacuate/regina-a", "{}", findings_));
+        EXPECT_TRUE(codec_.isEvacuation("evacuate/regina-a", R"({"reason":"x"})", findings_));
+        EXPECT_TRUE(findings_.empty());
+        EXPECT_FALSE(codec_.isEvacuation("evacuate/regina-a", "{", findings_));
+        EXPECT_EQ(toText(findings_.front()), "evacuate/regina-a: expected an object");
+    }
+
 } // namespace
 } // namespace swiftlift::platform
