Pace reads and appends by the log's rates, and spread retries of reads

The settings now state the log's rates for the whole fleet. Retries of reads are spread over the second half of their backoff.

--- a/apps/router/CoreDecider.cpp
+++ b/apps/router/CoreDecider.cpp
@@ -80,6 +80,7 @@
     if (settings.ledger.batchPeriod > Duration::zero()) {
         core.ledger.batchPeriod = settings.ledger.batchPeriod;
     }
+    core.logRates = { settings.logReadRate, settings.logAppendRate };
     core.retries = { settings.retries.ratio, settings.retries.extra, settings.retries.window };
     if (settings.dialect == settings::SpokenDialect::Platform) {
         applyPlatformSettings(settings, core);
--- a/include/swiftlift/node/Action.h
+++ b/include/swiftlift/node/Action.h
@@ -75,6 +75,11 @@
     /** Time between the end of a read and the next read. Without it, a busy stream would be read continuously. */
     Duration pause {};
 };
+/** Change the pause of a followed stream. */
+struct PaceReads {
+    StreamName stream;
+    Duration pause {};
+};
 /** Start the next read of a followed stream without the remaining pause, because the core waits for its records. */
 struct ExpediteRead {
     StreamName stream;
@@ -141,9 +146,9 @@
     std::string reason;
 };
 
-using Action = std::variant<Dispatch, CancelAttempt, Reply, Append, Follow, ExpediteRead, SendPeer, WatchBackends,
-    SendOrder, LogLine, CountMetric, GaugeMetric, OperatorReply, StopReady, Restart, ProxyDispatch, ProxyFailureReply,
-    AnnounceReadiness, SetCallerLimits>;
+using Action = std::variant<Dispatch, CancelAttempt, Reply, Append, Follow, PaceReads, ExpediteRead, SendPeer,
+    WatchBackends, SendOrder, LogLine, CountMetric, GaugeMetric, OperatorReply, StopReady, Restart, ProxyDispatch,
+    ProxyFailureReply, AnnounceReadiness, SetCallerLimits>;
 using Actions = std::vector<Action>;
 
 } // namespace swiftlift::node
--- a/include/swiftlift/node/Core.h
+++ b/include/swiftlift/node/Core.h
@@ -42,6 +42,12 @@
     std::size_t keysRemembered = ledger::FoldLimits::defaultKeys;
 };
 
+/** Calls per second that the log serves for the whole fleet; 0: not limited. */
+struct LogRates {
+    double reads = 0;
+    double appends = 0;
+};
+
 /** A router's settings, fixed from its start on. */
 struct CoreSettings {
     Incarnation incarnation;
@@ -62,6 +68,7 @@
     /** Only for `grants`: percentage of each budget that the routers together hold before there is demand. */
     std::uint32_t preallocationPercent = 0;
     LedgerPace ledger;
+    LogRates logRates;
     /** `affinity` (default), `rendezvous`, `random`, `round_robin` or `least_load`. */
     std::string routingPolicy = "affinity";
     /** Set: requests are proxied unchanged, by the fleet's configuration. Unset: services' documents apply. */
--- a/include/swiftlift/settings/RouterSettings.h
+++ b/include/swiftlift/settings/RouterSettings.h
@@ -109,6 +109,10 @@
     Endpoint metricsListen;
     /** Endpoints of the platform's log, in the order in which they are tried. */
     std::vector<Endpoint> logEndpoints;
+    /** Reads per second that the log serves for the whole fleet; 0: not limited. */
+    double logReadRate = 0;
+    /** Appends per second that the log serves for the whole fleet; 0: not limited. */
+    double logAppendRate = 0;
     /** Endpoint of the platform's VM list. */
     Endpoint vmListEndpoint;
     PeerSettings peers;
--- a/include/swiftlift/transport/ActionExecutor.h
+++ b/include/swiftlift/transport/ActionExecutor.h
@@ -45,6 +45,7 @@
     void carryOut(node::Reply&& action);
     void carryOut(node::Append&& action);
     void carryOut(node::Follow&& action);
+    void carryOut(const node::PaceReads& action);
     void carryOut(const node::ExpediteRead& action);
     void carryOut(node::SendPeer&& action);
     void carryOut(node::WatchBackends&& action);
--- a/include/swiftlift/transport/LogClient.h
+++ b/include/swiftlift/transport/LogClient.h
@@ -51,11 +51,13 @@
     /**
      * @brief Ends the followers of the earlier incarnation; later events carry the new incarnation.
      *
-     * beginIncarnation(), follow(), readSoon() and append() are for the decision thread and never block.
+     * beginIncarnation(), follow(), pace(), readSoon() and append() are for the decision thread and never block.
      */
     void beginIncarnation(Incarnation incarnation);
     /** Reads a stream from an offset on; replaces an earlier follower of the stream. */
     void follow(const node::Follow& follow);
+    /** Sets the pause between two reads of the stream. Does nothing if the stream is not followed. */
+    void pace(const StreamName& stream, Duration pause);
     /** Ends the pause before the stream's next read. Does nothing if the stream is not followed. */
     void readSoon(const StreamName& stream);
     /**
--- a/src/node/FleetDirectory.cpp
+++ b/src/node/FleetDirectory.cpp
@@ -48,7 +48,7 @@
 void FleetDirectory::start()
 {
     context_.emit(Follow { configStream(), {}, StreamKind::Keyed, {} });
-    context_.emit(Follow { serverStream(), {}, StreamKind::Keyed, serverReadPause });
+    context_.emit(Follow { serverStream(), {}, StreamKind::Keyed, serverReadPause_ });
     vms_.start();
 }
 
@@ -347,6 +347,14 @@
     vms_.tick(stopping);
 }
 
+void FleetDirectory::paceReads(const LogPace& pace, std::uint32_t routers)
+{
+    const Duration pause = pace.serversPause(minServerReadPause, routers);
+    if (std::exchange(serverReadPause_, pause) != pause) {
+        context_.emit(PaceReads { serverStream(), pause });
+    }
+}
+
 void FleetDirectory::requestFromPeer()
 {
     const Instant now = context_.now();
--- a/src/node/FleetDirectory.h
+++ b/src/node/FleetDirectory.h
@@ -12,6 +12,7 @@
 #include "node/Context.h"
 #include "node/EvacuationDirectory.h"
 #include "node/LogHealth.h"
+#include "node/LogPace.h"
 #include "node/Peers.h"
 #include "node/UnreadableRecords.h"
 #include "node/VmRegistry.h"
@@ -71,6 +72,8 @@
      * own. */
     void onReadAsk(Incarnation from, const ReadAsk& ask);
     void tick(bool stopping);
+    /** Adapts the reads of the backend servers to the number of routers. */
+    void paceReads(const LogPace& pace, std::uint32_t routers);
 
     /** @return The configuration in force; null before any has been read. Requests that hold the pointer keep their
      * configuration when a newer one comes into force. */
@@ -94,9 +97,10 @@
 private:
     /** An accepted configuration has to be in force within 2 s, and a long-poll read returns within 1 s. */
     static constexpr Duration confirmationLifetime = std::chrono::milliseconds(1500);
-    /** Pause between two reads of the backend servers. Each server renews its entry about every second, and each record
-     * completes a long-poll read. The pause is a third of the 2 s in which a leaving server may still get new work. */
-    static constexpr Duration serverReadPause = std::chrono::milliseconds(600);
+    /** Shortest pause between two reads of the backend servers. Each server renews its entry about every second, and
+     * each record completes a long-poll read. The pause is a third of the 2 s in which a leaving server may still get
+     * new work. */
+    static constexpr Duration minServerReadPause = std::chrono::milliseconds(600);
     /** Time between two requests for the configuration to a peer while the log is unreachable. */
     static constexpr Duration readAskPeriod = std::chrono::milliseconds(300);
     /**
@@ -165,6 +169,7 @@
     std::set<ServiceName> published_;
     bool serversKnown_ = false;
     Instant nextReadAsk_ {};
+    Duration serverReadPause_ = minServerReadPause;
 };
 
 } // namespace swiftlift::node
--- a/src/node/Gateway.cpp
+++ b/src/node/Gateway.cpp
@@ -21,6 +21,7 @@
 
 Gateway::Gateway(CoreSettings settings)
     : context_(std::move(settings))
+    , pace_(context_.settings().logRates)
     , changes_(context_)
     , peers_(context_)
     , backends_(internal::tableSettings(context_.settings()))
@@ -240,11 +241,18 @@
         return;
     }
     nextWatched_ = context_.now() + watchedPeriod;
+    paceLogCalls();
     changes_.removeUnknown(backends_);
     peers_.membership().setWatched(ledgers_.watched(), context_.now());
     context_.gauge("swiftlift_log_reachable", health_.reachable(context_.now()) ? 1 : 0);
 }
 
+void Gateway::paceLogCalls()
+{
+    fleet_.paceReads(pace_, routerCount());
+    ledgers_.paceLogCalls(pace_, routerCount());
+}
+
 void Gateway::on(const StopRequested&)
 {
     if (stopRequested_) {
--- a/src/node/Gateway.h
+++ b/src/node/Gateway.h
@@ -8,6 +8,7 @@
 #include "node/FleetDirectory.h"
 #include "node/Ledgers.h"
 #include "node/LogHealth.h"
+#include "node/LogPace.h"
 #include "node/Peers.h"
 #include "node/ProxyRequests.h"
 #include "node/QuarantineCoordinator.h"
@@ -61,6 +62,8 @@
     /** Emits AnnounceReadiness if it has changed. */
     void announceReadiness();
     void refreshWatched();
+    /** Adapts the calls to the log to the number of routers. */
+    void paceLogCalls();
     /** @return Why new requests can't be accepted; empty: they can. */
     [[nodiscard]] std::string reasonNotReady() const;
     /** @return True if a stop was requested and the time for accepting new requests is over. */
@@ -72,6 +75,7 @@
 
     Context context_;
     LogHealth health_;
+    LogPace pace_;
     StateChanges changes_;
     Peers peers_;
     routing::BackendTable backends_;
--- a/src/node/Ledgers.cpp
+++ b/src/node/Ledgers.cpp
@@ -112,6 +112,13 @@
     requestCheckpoints();
 }
 
+void Ledgers::paceLogCalls(const LogPace& pace, std::uint32_t routers)
+{
+    for (const auto& shard : shards_) {
+        shard->paceLogCalls(pace, routers);
+    }
+}
+
 ShardLedger* Ledgers::findByStream(const StreamName& stream) const
 {
     const auto found = std::ranges::find_if(shards_, [&](const auto& shard) { return shard->stream() == stream; });
--- a/src/node/Ledgers.h
+++ b/src/node/Ledgers.h
@@ -29,6 +29,8 @@
     void onSuspected(Incarnation peer);
     /** @param leaving This router stops and has no request in progress. */
     void tick(bool leaving);
+    /** Adapts the reads and routine appends to the number of routers. */
+    void paceLogCalls(const LogPace& pace, std::uint32_t routers);
 
     /** @return The shard that has the account's budgets. */
     [[nodiscard]] ShardLedger& of(const AccountId& account) const;
--- a/src/node/ShardLedger.cpp
+++ b/src/node/ShardLedger.cpp
@@ -58,6 +58,7 @@
     , checkpointSchedule_(
           context.settings().ledger.checkpointInterval, internal::checkpointSeed(context.settings(), stream_))
     , random_(context.settings().seed)
+    , readPause_(context.settings().ledger.readPause)
 {
 }
 
@@ -71,10 +72,7 @@
     }
 }
 
-void ShardLedger::follow(Offset from)
-{
-    context_.emit(Follow { stream_, from, StreamKind::Plain, context_.settings().ledger.readPause });
-}
+void ShardLedger::follow(Offset from) { context_.emit(Follow { stream_, from, StreamKind::Plain, readPause_ }); }
 
 std::uint32_t ShardLedger::routers() const
 {
@@ -188,10 +186,19 @@
     }
 }
 
+void ShardLedger::paceLogCalls(const LogPace& pace, std::uint32_t routers)
+{
+    const Duration pause = pace.ledgerPause(context_.settings().ledger.readPause, routers);
+    if (std::exchange(readPause_, pause) != pause) {
+        context_.emit(PaceReads { stream_, pause });
+    }
+    minBatchPeriod_ = pace.appendPeriod({}, routers);
+}
+
 Duration ShardLedger::batchPeriod() const
 {
     if (const auto configured = context_.settings().ledger.batchPeriod) {
-        return *configured;
+        return std::max(*configured, minBatchPeriod_);
     }
     const auto streams = static_cast<std::int64_t>(context_.settings().ledgerShards);
     const Duration period
--- a/src/node/ShardLedger.h
+++ b/src/node/ShardLedger.h
@@ -13,6 +13,7 @@
 #include "node/Context.h"
 #include "node/ItemCopies.h"
 #include "node/LogHealth.h"
+#include "node/LogPace.h"
 #include "node/Peers.h"
 #include "node/RecordCache.h"
 #include "node/RemoteReplicas.h"
@@ -102,6 +103,8 @@
     void onSuspected(Incarnation peer);
     /** @param stopping This router stops and has no request in progress. */
     void tick(bool stopping);
+    /** Adapts the reads and routine appends to the number of routers. */
+    void paceLogCalls(const LogPace& pace, std::uint32_t routers);
 
     /** @return A reservation of `amount` tokens for the request, or why there is none. */
     [[nodiscard]] std::variant<ledger::Reservation, ledger::Shortage> reserve(
@@ -280,6 +283,10 @@
     };
     std::map<BudgetRef, Funding> funding_;
     std::mt19937_64 random_;
+    /** Present pause between two reads of the stream. */
+    Duration readPause_ {};
+    /** Shortest time between two routine appends that the log's rate allows. */
+    Duration minBatchPeriod_ {};
 };
 
 } // namespace swiftlift::node
--- a/src/settings/RouterSettings.cpp
+++ b/src/settings/RouterSettings.cpp
@@ -26,6 +26,7 @@
     constexpr Range<std::uint64_t> wholePercent { 0, 100 };
     constexpr Range<double> bandwidthRange { 0, 1'000'000 };
     constexpr Range<double> ratioRange { 0, 10 };
+    constexpr Range<double> callRateRange { 0, 1'000'000 };
     constexpr Range<double> extraRange { 0, 1'000'000 };
     constexpr Range<Duration> windowRange { seconds(1), hours(1) };
     constexpr Range<Duration> stopRange { seconds(1), hours(1) };
@@ -76,6 +77,8 @@
     {
         auto log = root.section("log", Presence::Required);
         log.addresses("endpoints", Presence::Required, settings.logEndpoints);
+        log.fraction("read_rate", Presence::Optional, callRateRange, settings.logReadRate);
+        log.fraction("append_rate", Presence::Optional, callRateRange, settings.logAppendRate);
         log.reportUnknownKeys();
         // With dialect `platform`, routers discover each other through the log and need no VM list.
         const Presence vmListPresence
--- a/src/transport/ActionExecutor.cpp
+++ b/src/transport/ActionExecutor.cpp
@@ -50,6 +50,8 @@
 
 void ActionExecutor::carryOut(node::Follow&& action) { targets_.log.follow(action); }
 
+void ActionExecutor::carryOut(const node::PaceReads& action) { targets_.log.pace(action.stream, action.pause); }
+
 void ActionExecutor::carryOut(const node::ExpediteRead& action) { targets_.log.readSoon(action.stream); }
 
 void ActionExecutor::carryOut(node::SendPeer&& action) { targets_.peers.inbox().pushOrDrop(std::move(action)); }
--- a/src/transport/LogClient.cpp
+++ b/src/transport/LogClient.cpp
@@ -129,6 +129,13 @@
         state_->decisions, state_->traffic.log, Incarnation(state_->incarnation.load()), follow);
 }
 
+void LogClient::pace(const StreamName& stream, Duration pause)
+{
+    if (const auto found = state_->followers.find(stream); found != state_->followers.end()) {
+        found->second->setPause(pause);
+    }
+}
+
 void LogClient::readSoon(const StreamName& stream)
 {
     if (const auto found = state_->followers.find(stream); found != state_->followers.end()) {
--- a/src/transport/LogFollower.cpp
+++ b/src/transport/LogFollower.cpp
@@ -25,10 +25,12 @@
     , decisions_(decisions)
     , incarnation_(incarnation)
     , follow_(std::move(follow))
+    , pause_(follow_.pause)
     , nextOffset_(follow_.from.value())
     , allKeysPending_(follow_.kind != node::StreamKind::Plain)
     , recordsPerRead_(settings_.recordsPerRead)
     , log_(settings, traffic)
+    , random_(static_cast<std::minstd_rand::result_type>(incarnation.value()))
     , thread_([this] { run(); })
 {
 }
@@ -69,11 +71,11 @@
         if (answered) {
             backoff = settings_.retryFirst;
             if (!std::exchange(moreAvailable_, false)) {
-                pauseUnlessExpedited(std::chrono::duration_cast<std::chrono::milliseconds>(follow_.pause));
+                pauseUnlessExpedited(std::chrono::duration_cast<std::chrono::milliseconds>(pause_.load()));
             }
             continue;
         }
-        pause(backoff);
+        pause(jittered(backoff));
         backoff = std::min(backoff * 2, settings_.retryMost);
     }
     ended_.store(true);
@@ -209,6 +211,12 @@
     static_cast<void>(pauseEnded_.wait_for(lock, limit, [this] { return cancelled_.load(); }));
 }
 
+std::chrono::milliseconds LogFollower::jittered(std::chrono::milliseconds backoff)
+{
+    std::uniform_int_distribution<std::chrono::milliseconds::rep> part(backoff.count() / 2, backoff.count());
+    return std::chrono::milliseconds(part(random_));
+}
+
 void LogFollower::pauseUnlessExpedited(std::chrono::milliseconds limit)
 {
     std::unique_lock lock(pauseMutex_);
--- a/src/transport/LogFollower.h
+++ b/src/transport/LogFollower.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <condition_variable>
 #include <mutex>
+#include <random>
 #include <thread>
 
 #include "swiftlift/transport/LogDialect.h"
@@ -26,6 +27,8 @@
     /** Interrupts the current read or pause, so that the thread ends soon. Does not wait. */
     void cancel();
 
+    /** Sets the pause between two reads, from the next one on. */
+    void setPause(Duration pause) noexcept { pause_.store(pause); }
     /** Ends the pause before the next read; during a read, skips the pause after that read. */
     void expediteNextRead();
 
@@ -44,6 +47,9 @@
     void reportUnreachable(std::string detail);
     void pushToDecisions(node::Event&& event);
     void pause(std::chrono::milliseconds limit);
+    /** @return A random time from half of the backoff to all of it, so that the routers of a fleet don't retry
+     * together. */
+    [[nodiscard]] std::chrono::milliseconds jittered(std::chrono::milliseconds backoff);
     /** Like pause(), but ends early if the next read has been expedited. */
     void pauseUnlessExpedited(std::chrono::milliseconds limit);
 
@@ -52,6 +58,7 @@
     DecisionInbox& decisions_;
     Incarnation incarnation_;
     node::Follow follow_;
+    std::atomic<Duration> pause_;
     std::uint64_t nextOffset_;
     /** Whether all keys of a keyed stream must be read before the records that change them. */
     bool allKeysPending_;
@@ -64,6 +71,7 @@
     std::mutex pauseMutex_;
     std::condition_variable pauseEnded_;
     bool nextReadExpedited_ = false;
+    std::minstd_rand random_;
     std::atomic<bool> ended_ = false;
     std::thread thread_;
 };
