--- a/tests/platform/FleetTest.cpp
+++ b/tests/platform/FleetTest.cpp
@@ -1,6 +1,8 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <set>
+#include <string>
 #include <thread>
 
 #include <gtest/gtest.h>
@@ -188,5 +190,53 @@
         }
     }
 
+    /** The plain engines are `i-2` in regina-a and `i-3` in regina-b. */
+    class EvacuationTest : public PlatformFleetTest {
+    protected:
+        /** @return The engines that answered ten requests. */
+        [[nodiscard]] std::set<std::string> answeringEngines(std::size_t router)
+        {
+            std::set<std::string> engines;
+            for (int number = 0; number < 10; ++number) {
+                engines.insert(fleet_->send(router, { .id = "e" + std::to_string(++requestCount_) }).body);
+            }
+            return engines;
+        }
+
+        static inline const std::set<std::string> onlyB { "served by i-3" };
+    };
+
+    TEST_F(EvacuationTest, EvacuatedDomainGetsNothingUntilItIsTakenBack)
+    {
+        fleet_->evacuate("regina-a");
+        ASSERT_TRUE(waitForLogLine(0, "evacuation").is_object());
+        ASSERT_TRUE(waitForLogLine(1, "evacuation").is_object());
+        EXPECT_EQ(answeringEngines(0), onlyB);
+        EXPECT_EQ(answeringEngines(1), onlyB);
+        fleet_->endEvacuation("regina-a");
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+        EXPECT_TRUE(answeringEngines(0).contains("served by i-2"));
+    }
+
+    // Guards against a router that serves before it knows of an evacuation: it restarts while the store is away, and
+    // its peer can give it the configuration.
+    TEST_F(EvacuationTest, RouterThatRestartsDuringAnOutageKeepsToTheEvacuation)
+    {
+        fleet_->evacuate("regina-a");
+        ASSERT_TRUE(waitForLogLine(0, "evacuation").is_object());
+        ASSERT_TRUE(waitForLogLine(1, "evacuation").is_object());
+        fleet_->store().control({ { "turn_away", 503 } });
+        fleet_->router(0).kill();
+        fleet_->startRouter(0);
+        EXPECT_EQ(answeringEngines(1), onlyB);
+        std::this_thread::sleep_for(std::chrono::seconds(2));
+        for (const std::string& body : answeringEngines(0)) {
+            EXPECT_FALSE(body == "served by i-2");
+        }
+        fleet_->store().control({ { "turn_away", 0 } });
+        ASSERT_TRUE(fleet_->waitForReadiness(0, 200));
+        EXPECT_EQ(answeringEngines(0), onlyB);
+    }
+
 } // namespace
 } // namespace swiftlift::platform::test
--- a/tests/platform/PlatformFleet.cpp
+++ b/tests/platform/PlatformFleet.cpp
@@ -195,6 +195,18 @@
         { { "topic", "keyed.op" }, { "key", "config" }, { "value", configOf(version_, budget).dump() } } } });
 }
 
+void PlatformFleet::evacuate(const std::string& domain)
+{
+    store_->control({ { "put", { { "topic", "keyed.op" }, { "key", "evacuate/" + domain }, { "value", "{}" } } } });
+}
+
+void PlatformFleet::endEvacuation(const std::string& domain)
+{
+    store_->control({ { "put", { { "topic", "keyed.op" }, { "key", "evacuate/" + domain } } } });
+}
+
+void PlatformFleet::startRouter(std::size_t router) { routers_.at(router).process->start(); }
+
 void PlatformFleet::registerEngine(std::size_t engine, const std::string& state)
 {
     putEntry(engine, "i-" + std::to_string(engine), state);
--- a/tests/platform/PlatformFleet.h
+++ b/tests/platform/PlatformFleet.h
@@ -70,6 +70,12 @@
 
     /** Publishes the configuration with a higher version and this total of the account's tokens. */
     void publish(std::int64_t budget);
+    /** Requests the evacuation of a failure domain, as the platform's operators do. */
+    void evacuate(const std::string& domain);
+    /** Takes the evacuation back. */
+    void endEvacuation(const std::string& domain);
+    /** Starts the router's process, which must have ended. */
+    void startRouter(std::size_t router);
     /** Writes an engine's entry to the store, as the engine itself does on the platform. */
     void registerEngine(std::size_t engine, const std::string& state);
     /** Deletes an engine's entry from the store. */
