Continue a list of all keys after a failed page

A page that failed made a router read the whole list from its first page again. At 300 VMs and 2,998 servers that start together the lists are 300 MB; pages time out, and most routers never had a whole list. A list is now continued for up to 10 s; what changed since its first page is read again from the end offset of that page, as before.

--- a/src/transport/LogFollower.cpp
+++ b/src/transport/LogFollower.cpp
@@ -13,6 +13,8 @@
     /** A read without an answer divides the number of records per read by this; a successful read doubles it. */
     constexpr std::uint32_t reductionDivisor = 4;
     constexpr std::uint32_t minRecordsPerRead = 64;
+    /** A list whose first page is older than this is begun anew: the log may have dropped the changes since then. */
+    constexpr std::chrono::seconds maxListAge { 10 };
     /** Time between two attempts to push an event into a full ring. */
     constexpr std::chrono::milliseconds fullRingRetryInterval { 20 };
 
@@ -108,16 +110,21 @@
     return false;
 }
 
+// The pages are not a consistent snapshot. A key that changes between them is read again, because reading continues at
+// the end offset of the first page. For the same reason a list can be continued after a failed page: hundreds of
+// routers that start together and read long lists exceed the log's bandwidth, and would never finish if each began
+// again.
 bool LogFollower::readAllKeys()
 {
-    node::KeyedRecords all { follow_.stream, {}, true };
+    if (list_ && std::chrono::steady_clock::now() - list_->begunAt > maxListAge) {
+        list_.reset();
+    }
+    if (!list_) {
+        list_ = PartialList { std::chrono::steady_clock::now(), { follow_.stream, {}, true }, {}, std::nullopt };
+    }
     bool more = true;
-    std::string after;
-    // The pages are not a consistent snapshot. A key that changes between them is read again, because reading continues
-    // at the end offset of the first page.
-    std::optional<Offset> end;
     while (more) {
-        const auto answer = log_.call(dialect_.newest(follow_.stream, after), settings_.readLimit);
+        const auto answer = log_.call(dialect_.newest(follow_.stream, list_->after), settings_.readLimit);
         if (cancelled_.load()) {
             return false;
         }
@@ -130,22 +137,29 @@
             reportUnreachable(problem->detail);
             return false;
         }
-        auto& newest = std::get<NewestRead>(page);
-        end = end.value_or(newest.end);
-        // Without a later last key, the same page would be requested again without end.
-        more = newest.more && newest.lastKey > after;
-        after = std::move(newest.lastKey);
-        std::ranges::move(newest.records, std::back_inserter(all.records));
-        std::ranges::move(newest.unreadable, std::back_inserter(all.unreadable));
+        more = addPage(std::move(std::get<NewestRead>(page)));
     }
+    node::KeyedRecords all = std::move(list_->records);
     std::ranges::stable_sort(all.records, {}, &node::KeyedRecord::offset);
-    nextOffset_ = end->value();
-    all.next = *end;
+    all.next = *list_->end;
+    nextOffset_ = all.next.value();
+    list_.reset();
     allKeysPending_ = false;
     pushToDecisions(std::move(all));
     return true;
 }
 
+bool LogFollower::addPage(NewestRead&& page)
+{
+    list_->end = list_->end.value_or(page.end);
+    // Without a later last key, the same page would be requested again without end.
+    const bool more = page.more && page.lastKey > list_->after;
+    list_->after = std::move(page.lastKey);
+    std::ranges::move(page.records, std::back_inserter(list_->records.records));
+    std::ranges::move(page.unreadable, std::back_inserter(list_->records.unreadable));
+    return more;
+}
+
 void LogFollower::handleRecords(LogRead&& read)
 {
     if (follow_.kind == node::StreamKind::Plain) {
--- a/src/transport/LogFollower.h
+++ b/src/transport/LogFollower.h
@@ -4,7 +4,9 @@
 #include <chrono>
 #include <condition_variable>
 #include <mutex>
+#include <optional>
 #include <random>
+#include <string>
 #include <thread>
 
 #include "swiftlift/transport/LogDialect.h"
@@ -36,11 +38,23 @@
     [[nodiscard]] bool ended() const noexcept { return ended_.load(); }
 
 private:
+    /** Pages of a list of all keys that were read so far. */
+    struct PartialList {
+        std::chrono::steady_clock::time_point begunAt;
+        node::KeyedRecords records;
+        /** The last key that was read. */
+        std::string after;
+        /** End offset of the first page. */
+        std::optional<Offset> end;
+    };
+
     void run();
     /** @return Whether the read succeeded. */
     [[nodiscard]] bool readRecords();
     /** @return Whether all keys were read. */
     [[nodiscard]] bool readAllKeys();
+    /** Adds a page to the list of all keys. @return Whether there are more pages. */
+    [[nodiscard]] bool addPage(NewestRead&& page);
     void handleRecords(LogRead&& read);
     void handleExpiry(const LogGone& expired);
     void reduceRecordsPerRead();
@@ -62,6 +76,8 @@
     std::uint64_t nextOffset_;
     /** Whether all keys of a keyed stream must be read before the records that change them. */
     bool allKeysPending_;
+    /** The list that a failed read left incomplete. */
+    std::optional<PartialList> list_;
     /** Maximum number of records that the next read requests; reduced after reads without an answer. */
     std::uint32_t recordsPerRead_;
     /** Whether the log has records after those of the last read, so that the next read starts without a pause. */
--- a/tests/transport/LogClientTest.cpp
+++ b/tests/transport/LogClientTest.cpp
@@ -31,6 +31,24 @@
         }
     };
 
+    /** Protocol of a log with one keyed stream of two keys, `a` on the first page and `b` on the second. */
+    class PagedDialect final : public NativeLogDialect {
+    public:
+        [[nodiscard]] HttpRequest newest(const StreamName& name, const std::string& after) const override
+        {
+            HttpRequest request = NativeLogDialect::newest(name, after);
+            request.target += "&after=" + after;
+            return request;
+        }
+
+        [[nodiscard]] std::variant<NewestRead, LogProblem> newestAnswer(const HttpResponse& answer) const override
+        {
+            const bool first = answer.body == "first";
+            const std::string key = first ? "a" : "b";
+            return NewestRead { { { Offset(1), key, "value" } }, Offset(first ? 7 : 9), first, key };
+        }
+    };
+
     class LogClientTest : public testing::Test {
     protected:
         void start(std::chrono::milliseconds appendLimit = longWait,
@@ -169,6 +187,28 @@
     EXPECT_NE(connection.readRequest().target().find("max=500&"), std::string::npos);
 }
 
+// Guards against hundreds of routers that start together, overload the log with long lists, and read each list from its
+// first page again whenever a page fails, so that none of them ever has a whole list.
+TEST_F(LogClientTest, ListIsContinuedAfterAFailedPage)
+{
+    start(longWait, std::make_shared<PagedDialect>());
+    client->follow({ stream, Offset(0), node::StreamKind::Keyed });
+    {
+        auto connection = platform.accept();
+        EXPECT_TRUE(connection.readRequest().target().ends_with("&after="));
+        connection.write(jsonAnswer(200, "first"));
+        EXPECT_TRUE(connection.readRequest().target().ends_with("&after=a"));
+    }
+    auto connection = platform.accept();
+    EXPECT_TRUE(connection.readRequest().target().ends_with("&after=a"));
+    connection.write(jsonAnswer(200, "second"));
+    static_cast<void>(nextEvent<node::LogUnreachable>(inbox));
+    const auto all = nextEvent<node::KeyedRecords>(inbox);
+    EXPECT_TRUE(all.whole);
+    EXPECT_EQ(all.records.size(), 2U);
+    EXPECT_EQ(all.next, Offset(7)) << "what changed since the first page is read again";
+}
+
 // Guards against a draw that is recorded twice because a layer below the ledger retries an append whose answer was
 // lost. The log accepts the record and closes the connection without an answer; the client reports this and doesn't
 // retry.
