--- a/include/swiftlift/fleet/WarmupTracker.h
+++ b/include/swiftlift/fleet/WarmupTracker.h
@@ -5,7 +5,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <utility>
 
 #include "swiftlift/base/Ids.h"
 #include "swiftlift/base/Units.h"
--- a/src/node/FleetDirectory.cpp
+++ b/src/node/FleetDirectory.cpp
@@ -2,22 +2,12 @@
 
 #include <utility>
 
-#include <nlohmann/json.hpp>
-
 namespace swiftlift::node {
 
 namespace internal {
 
     const std::string configKey = "config";
 
-    [[nodiscard]] const char* changeOf(const fleet::BackendServer& server, bool newInstance)
-    {
-        if (server.state != fleet::ServerState::Ready) {
-            return "leaving";
-        }
-        return newInstance ? "started_again" : "registered";
-    }
-
 } // namespace internal
 
 const StreamName& FleetDirectory::configStream()
@@ -113,8 +103,7 @@
     listener_.onConfig(routes_->config());
 }
 
-// The servers of a domain may have lost their caches and become cold during its evacuation, which their entries may
-// show only after requests go there again.
+// The servers of a domain may have become cold during its evacuation, and their entries may say so too late.
 void FleetDirectory::applyEvacuations(const std::vector<fleet::EvacuationChange>& changes)
 {
     if (changes.empty()) {
@@ -134,208 +123,6 @@
     publishBackends();
 }
 
-void FleetDirectory::applyServers(const KeyedRecords& records)
-{
-    if (records.whole) {
-        std::set<BackendId> present;
-        for (const KeyedRecord& record : records.records) {
-            present.insert(BackendId { record.key });
-        }
-        for (const UnreadableRecord& record : records.unreadable) {
-            present.insert(BackendId { record.key });
-        }
-        for (const auto& [id, server] : servers_) {
-            if (!present.contains(id)) {
-                missing_.try_emplace(id, context_.now());
-            }
-        }
-        serversKnown_ = true;
-    }
-    const Instant readBefore = std::exchange(serversReadAt_, context_.now());
-    for (const KeyedRecord& record : records.records) {
-        applyServer(record, readBefore);
-    }
-    if (records.whole) {
-        warmup_.onAllListed();
-    }
-    notifyServersSeen(records, readBefore);
-    static_cast<void>(removeMissing());
-    publishBackends();
-}
-
-// The entries of a complete list may be arbitrarily old, so they do not show that a server runs.
-void FleetDirectory::notifyServersSeen(const KeyedRecords& records, Instant readBefore)
-{
-    if (records.whole) {
-        return;
-    }
-    for (const KeyedRecord& record : records.records) {
-        const fleet::BackendServer* seen = record.value ? server(BackendId { record.key }) : nullptr;
-        if (seen != nullptr) {
-            listener_.onServerSeen(*seen, readBefore - readLag);
-        }
-    }
-}
-
-void FleetDirectory::applyServer(const KeyedRecord& record, Instant readBefore)
-{
-    const BackendId id { record.key };
-    if (!record.value) {
-        missing_.try_emplace(id, context_.now());
-        return;
-    }
-    Findings findings;
-    auto server = context_.settings().fleetCodec->server(record.key, *record.value, findings);
-    if (!server) {
-        unreadable_.add("server", record.key, findings);
-        return;
-    }
-    const auto known = servers_.find(id);
-    // A record of a previous instance may arrive late. Applying it would restore an outdated address or state.
-    if (known != servers_.end() && server->startedAt < known->second.startedAt) {
-        return;
-    }
-    missing_.erase(id);
-    warmup_.onEntry(*server, warmupDurationOf(server->service), context_.now());
-    const Instant aliveAt = std::exchange(aliveAt_[id], readBefore);
-    // The remaining time is different in each entry of a cold server.
-    server->warmupLeft = {};
-    if (known != servers_.end() && known->second == *server) {
-        return;
-    }
-    const bool newInstance
-        = known != servers_.end() && known->second.startedAt != 0 && server->startedAt > known->second.startedAt;
-    context_.log(LogLineBuilder("backend")
-                     .with("backend", id.value())
-                     .with("change", internal::changeOf(*server, newInstance))
-                     .with("started_at", static_cast<std::int64_t>(server->startedAt))
-                     .with("address", server->address.value())
-                     .with("service", server->service.value())
-                     .with("domain", server->domain.value())
-                     .with("offset", static_cast<std::int64_t>(record.offset.value())));
-    servers_[id] = std::move(*server);
-    if (newInstance) {
-        listener_.onServerRestarted(id, aliveAt);
-    }
-}
-
-bool FleetDirectory::isMajorityMissing(const ServiceName& service) const
-{
-    std::size_t registered = 0;
-    std::size_t missing = 0;
-    for (const auto& [id, server] : servers_) {
-        if (server.service == service && server.state == fleet::ServerState::Ready) {
-            ++(missing_.contains(id) ? missing : registered);
-        }
-    }
-    return missing > registered;
-}
-
-bool FleetDirectory::removeMissing()
-{
-    bool removed = false;
-    for (auto entry = missing_.begin(); entry != missing_.end();) {
-        const auto server = servers_.find(entry->first);
-        const bool known = server != servers_.end();
-        const bool keep
-            = known && isMajorityMissing(server->second.service) && context_.now() - entry->second < missingGracePeriod;
-        if (keep) {
-            ++entry;
-            continue;
-        }
-        if (known) {
-            context_.log(LogLineBuilder("backend")
-                             .with("backend", entry->first.value())
-                             .with("change", "unregistered")
-                             .with("missing_ms", toMilliseconds(context_.now() - entry->second)));
-            servers_.erase(server);
-            warmup_.onRemoved(entry->first);
-            aliveAt_.erase(entry->first);
-            removed = true;
-        }
-        entry = missing_.erase(entry);
-    }
-    return removed;
-}
-
-void FleetDirectory::publishBackends()
-{
-    noteColdServers();
-    std::map<ServiceName, std::vector<routing::BackendEntry>> services;
-    for (const ServiceName& service : published_) {
-        services[service];
-    }
-    for (const auto& [id, server] : servers_) {
-        if (server.state == fleet::ServerState::Ready) {
-            services[server.service].push_back({ id, server.domain, server.slots, server.startedAt,
-                evacuations_.evacuations().contains(server.domain), warmupLimit(server) });
-        }
-    }
-    published_.clear();
-    for (const auto& [service, entries] : services) {
-        backends_.setBackends(service, entries, context_.now());
-        if (!entries.empty()) {
-            published_.insert(service);
-        }
-    }
-}
-
-const fleet::WarmupFacts* FleetDirectory::warmupOf(const ServiceName& service) const
-{
-    const fleet::Service* found = routes_ ? routes_->service(service) : nullptr;
-    return found != nullptr && found->warmup ? &*found->warmup : nullptr;
-}
-
-Duration FleetDirectory::warmupDurationOf(const ServiceName& service) const
-{
-    const fleet::WarmupFacts* warmup = warmupOf(service);
-    return warmup != nullptr ? warmup->duration : Duration {};
-}
-
-std::optional<routing::WarmupLimit> FleetDirectory::warmupLimit(const fleet::BackendServer& server) const
-{
-    const fleet::WarmupFacts* warmup = warmupOf(server.service);
-    if (warmup == nullptr) {
-        return std::nullopt;
-    }
-    const auto coldUntil = warmup_.coldUntil(server.id, context_.now());
-    if (!coldUntil) {
-        return routing::WarmupLimit {};
-    }
-    return routing::WarmupLimit { *coldUntil,
-        routing::warmupShare(warmup->requestsPerSecond, server.id, context_.settings().peerAddress, vms_.addresses()) };
-}
-
-void FleetDirectory::noteColdServers()
-{
-    std::set<BackendId> cold;
-    for (const auto& [id, server] : servers_) {
-        if (warmup_.coldUntil(id, context_.now())) {
-            cold.insert(id);
-        }
-    }
-    if (cold == cold_) {
-        return;
-    }
-    for (const auto& [id, server] : servers_) {
-        if (cold.contains(id) != cold_.contains(id)) {
-            context_.log(LogLineBuilder("backend")
-                             .with("backend", id.value())
-                             .with("change", cold.contains(id) ? "cold" : "warm")
-                             .with("service", server.service.value())
-                             .with("domain", server.domain.value()));
-        }
-    }
-    cold_ = std::move(cold);
-    context_.gauge("swiftlift_cold_servers", static_cast<double>(cold_.size()));
-}
-
-const fleet::BackendServer* FleetDirectory::server(const BackendId& id) const
-{
-    const auto found = servers_.find(id);
-    return found == servers_.end() ? nullptr : &found->second;
-}
-
 void FleetDirectory::tick(bool stopping)
 {
     const Instant now = context_.now();
--- a/src/node/FleetDirectory.h
+++ b/src/node/FleetDirectory.h
@@ -54,7 +54,8 @@
  * @brief The fleet's configuration, evacuations, backend servers and VMs, as read from keyed streams of the log.
  *
  * A record that can't be decoded changes nothing: it is logged with its findings, and the previous record of its key
- * stays in force.
+ * stays in force. FleetDirectory.cpp: operators' records and exchange with peers. FleetDirectoryServers.cpp: backend
+ * servers.
  */
 class FleetDirectory {
 public:
--- a/tests/platform/FleetTest.cpp
+++ b/tests/platform/FleetTest.cpp
@@ -238,5 +238,19 @@
         EXPECT_EQ(answeringEngines(0), onlyB);
     }
 
+    // Guards against callers that wait for a service whose servers are all evacuated, and against a refusal whose lines
+    // don't tell why.
+    TEST_F(EvacuationTest, ServiceInEvacuatedDomainsRefusesAtOnceAndSaysWhy)
+    {
+        fleet_->evacuate("regina-a");
+        fleet_->evacuate("regina-b");
+        ASSERT_TRUE(sendUntil(0, {}, 503));
+        const nlohmann::json refusal = waitForLogLine(0, "refuse");
+        ASSERT_TRUE(refusal.is_object());
+        EXPECT_EQ(refusal["reason"], "no_backend") << refusal.dump() << waitForLogLine(0, "evacuation").dump();
+        EXPECT_EQ(refusal["detail"], "2 in an evacuated domain");
+        EXPECT_EQ(refusal["outcome"], "not_run");
+    }
+
 } // namespace
 } // namespace swiftlift::platform::test
