Share the rendezvous rank, and derive what a server's state already says

Membership and routing each had the finalizer and the rank of rendezvous hashing; both call base/RendezvousHash.h now, with the same figures. Whether a server may get requests at all stood in two functions of Backend, once negated. A view's evacuated flag repeated its state. The list of all evacuations decoded each key twice. Five places of the test fleet wrote records to the store by hand.

--- a/include/swiftlift/routing/BackendTable.h
+++ b/include/swiftlift/routing/BackendTable.h
@@ -60,7 +60,7 @@
 };
 
 /** @brief Availability of a backend server; Broken and Probing are states of its circuit breaker. A Cold server has
- * just started and bears few requests. */
+ * just started and bears few requests; the failure domain of an Evacuated one gets none. */
 enum class BackendState : std::uint8_t { Up, SlowStart, Cold, Probing, Broken, Evacuated, Leaving };
 
 /** @brief Estimated present state of a backend server, for selectors and operators. */
@@ -97,8 +97,6 @@
     std::optional<Instant> usableAt;
     /** Time since the last load report arrived; nothing if there was none. */
     std::optional<Duration> reportAge;
-    /** True if the operators evacuate the backend server's failure domain. */
-    bool evacuated = false;
     /** True if the backend server is cold and this router has sent its share of what the server bears. */
     bool coldLimitReached = false;
     /** False if the backend server reported its models and the request's model is not among them. */
--- a/src/membership/Queries.cpp
+++ b/src/membership/Queries.cpp
@@ -1,27 +1,15 @@
 #include <algorithm>
 
+#include "swiftlift/base/RendezvousHash.h"
 #include "swiftlift/membership/Membership.h"
 
 namespace swiftlift::membership {
 
-namespace {
-
-    // Finalizer of SplitMix64: every input bit affects every output bit.
-    [[nodiscard]] std::uint64_t mix(std::uint64_t value) noexcept
-    {
-        value += 0x9E3779B97F4A7C15U;
-        value = (value ^ (value >> 30U)) * 0xBF58476D1CE4E5B9U;
-        value = (value ^ (value >> 27U)) * 0x94D049BB133111EBU;
-        return value ^ (value >> 31U);
-    }
-
-} // namespace
-
 // Rendezvous hashing: each pair of routers has its own rank. Witnesses and lenders thus spread over the peers, and the
 // loss of a peer affects only the routers that had chosen that peer.
 std::uint64_t Membership::rank(Incarnation incarnation) const
 {
-    return mix(settings_.self.value() ^ mix(incarnation.value()));
+    return rendezvousRank(settings_.self.value(), incarnation.value());
 }
 
 int Membership::distance(const Peer& peer) const
--- a/src/node/EvacuationDirectory.cpp
+++ b/src/node/EvacuationDirectory.cpp
@@ -30,36 +30,30 @@
     return changes;
 }
 
-std::optional<FailureDomain> EvacuationDirectory::readableDomain(const KeyedRecord& record)
+bool EvacuationDirectory::isReadable(const KeyedRecord& record)
 {
-    const fleet::FleetCodec& codec = *context_.settings().fleetCodec;
-    auto domain = codec.evacuatedDomain(record.key);
     Findings findings;
-    if (domain && record.value && !codec.isEvacuation(record.key, *record.value, findings)) {
-        unreadable_.add("evacuation", record.key, findings);
-        return std::nullopt;
+    if (!record.value || context_.settings().fleetCodec->isEvacuation(record.key, *record.value, findings)) {
+        return true;
     }
-    return domain;
+    unreadable_.add("evacuation", record.key, findings);
+    return false;
 }
 
 std::vector<EvacuationChange> EvacuationDirectory::applyAll(const KeyedRecords& records)
 {
     const fleet::FleetCodec& codec = *context_.settings().fleetCodec;
     std::set<FailureDomain> evacuated;
-    const auto keepPrevious = [&](const std::string& key) {
-        if (const auto domain = codec.evacuatedDomain(key); domain && evacuations_.contains(*domain)) {
-            evacuated.insert(*domain);
-        }
-    };
     for (const KeyedRecord& record : records.records) {
-        if (const auto domain = readableDomain(record); domain && record.value) {
+        const auto domain = codec.evacuatedDomain(record.key);
+        if (domain && (isReadable(record) || evacuations_.contains(*domain))) {
             evacuated.insert(*domain);
-        } else {
-            keepPrevious(record.key);
         }
     }
     for (const UnreadableRecord& record : records.unreadable) {
-        keepPrevious(record.key);
+        if (const auto domain = codec.evacuatedDomain(record.key); domain && evacuations_.contains(*domain)) {
+            evacuated.insert(*domain);
+        }
     }
     return evacuations_.replace(records.next, evacuated);
 }
@@ -68,10 +62,12 @@
 {
     std::vector<EvacuationChange> changes;
     for (const KeyedRecord& record : records.records) {
-        if (const auto domain = readableDomain(record)) {
-            if (const auto change = evacuations_.apply(record.offset, *domain, record.value.has_value())) {
-                changes.push_back(*change);
-            }
+        const auto domain = context_.settings().fleetCodec->evacuatedDomain(record.key);
+        if (!domain || !isReadable(record)) {
+            continue;
+        }
+        if (const auto change = evacuations_.apply(record.offset, *domain, record.value.has_value())) {
+            changes.push_back(*change);
         }
     }
     return changes;
--- a/src/node/EvacuationDirectory.h
+++ b/src/node/EvacuationDirectory.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <chrono>
-#include <optional>
 #include <set>
 #include <vector>
 
@@ -43,9 +41,8 @@
 private:
     [[nodiscard]] std::vector<fleet::EvacuationChange> applyAll(const KeyedRecords& records);
     [[nodiscard]] std::vector<fleet::EvacuationChange> applyChanges(const KeyedRecords& records);
-    /** @return The domain whose evacuation the record requests or takes back; empty for any other or unreadable record.
-     */
-    [[nodiscard]] std::optional<FailureDomain> readableDomain(const KeyedRecord& record);
+    /** @return False if the record of an evacuation has an invalid text, which is logged. */
+    [[nodiscard]] bool isReadable(const KeyedRecord& record);
     void logChanges(const std::vector<fleet::EvacuationChange>& changes, const char* source);
 
     Context& context_;
--- a/src/routing/Backend.cpp
+++ b/src/routing/Backend.cpp
@@ -220,18 +220,19 @@
 
 bool Backend::paused(Instant now) const { return pausedUntil_ && now < *pausedUntil_; }
 
+bool Backend::mayGetRequests(Instant now) const
+{
+    return !leaving_ && !entry_.evacuated && !warmup_.holdsBack(now) && !paused(now);
+}
+
 bool Backend::usable(Instant now) const
 {
-    if (leaving_ || entry_.evacuated || warmup_.holdsBack(now) || paused(now) || breaker_.open(now)) {
-        return false;
-    }
-    return load_.inFlight() < breaker_.allowed(load_.slots(), now);
+    return mayGetRequests(now) && !breaker_.open(now) && load_.inFlight() < breaker_.allowed(load_.slots(), now);
 }
 
 bool Backend::lastResort(Instant now) const
 {
-    const bool mayGetRequests = !leaving_ && !entry_.evacuated && !warmup_.holdsBack(now) && !paused(now);
-    return answers_ && mayGetRequests && load_.inFlight() < load_.slots();
+    return answers_ && mayGetRequests(now) && load_.inFlight() < load_.slots();
 }
 
 std::optional<Instant> Backend::usableAt(Instant now) const
@@ -283,7 +284,6 @@
     view.probe = breaker_.mayProbe(now);
     view.usableAt = usableAt(now);
     view.reportAge = load_.reportAge(now);
-    view.evacuated = entry_.evacuated;
     view.coldLimitReached = warmup_.holdsBack(now);
     view.servesModel = request.model.empty() || !reported_ || models_.contains(request.model);
     return view;
--- a/src/routing/Backend.h
+++ b/src/routing/Backend.h
@@ -74,6 +74,8 @@
     void processEnd(AttemptId attempt, const FinishFacts& facts, Instant now);
     [[nodiscard]] BackendState state(Instant now) const;
     [[nodiscard]] bool paused(Instant now) const;
+    /** @return False if no request may be sent now, whatever the breaker and the load. */
+    [[nodiscard]] bool mayGetRequests(Instant now) const;
     [[nodiscard]] bool usable(Instant now) const;
     [[nodiscard]] bool lastResort(Instant now) const;
     [[nodiscard]] std::optional<Instant> usableAt(Instant now) const;
--- a/src/routing/RendezvousSelector.cpp
+++ b/src/routing/RendezvousSelector.cpp
@@ -6,7 +6,7 @@
 #include <functional>
 #include <utility>
 
-#include "routing/RendezvousHash.h"
+#include "swiftlift/base/RendezvousHash.h"
 
 namespace swiftlift::routing {
 
@@ -71,7 +71,7 @@
     std::uint64_t firstRank = 0;
     std::uint64_t secondRank = 0;
     for (const BackendView& view : candidates) {
-        const std::uint64_t rank = internal::rendezvousRank(request.prefixHash, view.backend.value());
+        const std::uint64_t rank = rendezvousRank(request.prefixHash, stableHash(view.backend.value()));
         if (ranked.home == nullptr || rank > homeRank) {
             ranked.home = &view;
             homeRank = rank;
--- a/src/routing/Selector.cpp
+++ b/src/routing/Selector.cpp
@@ -62,7 +62,7 @@
     if (view.state == BackendState::Leaving) {
         return "leaving";
     }
-    if (view.evacuated) {
+    if (view.state == BackendState::Evacuated) {
         return "in an evacuated domain";
     }
     if (!view.servesModel) {
--- a/src/routing/WarmupShare.cpp
+++ b/src/routing/WarmupShare.cpp
@@ -4,7 +4,7 @@
 #include <cassert>
 #include <cmath>
 
-#include "routing/RendezvousHash.h"
+#include "swiftlift/base/RendezvousHash.h"
 
 namespace swiftlift::routing {
 
@@ -25,13 +25,13 @@
     [[nodiscard]] bool isOwner(
         const BackendId& server, const PeerAddress& self, const std::vector<PeerAddress>& routers, std::uint32_t owners)
     {
-        const std::uint64_t key = internal::hashOf(server.value());
-        const std::uint64_t ownRank = internal::rendezvousRank(key, self.value());
+        const std::uint64_t key = stableHash(server.value());
+        const std::uint64_t ownRank = rendezvousRank(key, stableHash(self.value()));
         std::uint32_t above = 0;
         bool registered = false;
         for (const PeerAddress& router : routers) {
             registered = registered || router == self;
-            above += internal::rendezvousRank(key, router.value()) > ownRank ? 1 : 0;
+            above += rendezvousRank(key, stableHash(router.value())) > ownRank ? 1 : 0;
         }
         return registered && above < owners;
     }
--- a/tests/platform/PlatformFleet.cpp
+++ b/tests/platform/PlatformFleet.cpp
@@ -191,19 +191,12 @@
 {
     budget_ = budget;
     version_ += 3;
-    store_->control({ { "put",
-        { { "topic", "keyed.op" }, { "key", "config" }, { "value", configOf(version_, budget).dump() } } } });
+    putRecord("keyed.op", "config", configOf(version_, budget).dump());
 }
 
-void PlatformFleet::evacuate(const std::string& domain)
-{
-    store_->control({ { "put", { { "topic", "keyed.op" }, { "key", "evacuate/" + domain }, { "value", "{}" } } } });
-}
+void PlatformFleet::evacuate(const std::string& domain) { putRecord("keyed.op", "evacuate/" + domain, "{}"); }
 
-void PlatformFleet::endEvacuation(const std::string& domain)
-{
-    store_->control({ { "put", { { "topic", "keyed.op" }, { "key", "evacuate/" + domain } } } });
-}
+void PlatformFleet::endEvacuation(const std::string& domain) { deleteRecord("keyed.op", "evacuate/" + domain); }
 
 void PlatformFleet::startRouter(std::size_t router) { routers_.at(router).process->start(); }
 
@@ -219,12 +212,19 @@
     const json entry { { "backend", serviceOf(engine) }, { "address", engines_.at(engine)->address() },
         { "zone", domainOf(engine) }, { "version", "v1" }, { "slots", 32 }, { "state", state }, { "warmup_left_ms", 0 },
         { "sequence", 1 } };
-    store_->control({ { "put", { { "topic", "keyed.servers" }, { "key", id }, { "value", entry.dump() } } } });
+    putRecord("keyed.servers", id, entry.dump());
+}
+
+void PlatformFleet::deleteEntry(const std::string& id) { deleteRecord("keyed.servers", id); }
+
+void PlatformFleet::putRecord(const std::string& topic, const std::string& key, const std::string& value)
+{
+    store_->control({ { "put", { { "topic", topic }, { "key", key }, { "value", value } } } });
 }
 
-void PlatformFleet::deleteEntry(const std::string& id)
+void PlatformFleet::deleteRecord(const std::string& topic, const std::string& key)
 {
-    store_->control({ { "put", { { "topic", "keyed.servers" }, { "key", id } } } });
+    store_->control({ { "put", { { "topic", topic }, { "key", key } } } });
 }
 
 CallerAnswer PlatformFleet::send(std::size_t router, const CallerRequest& request) const
--- a/tests/platform/PlatformFleet.h
+++ b/tests/platform/PlatformFleet.h
@@ -114,6 +114,8 @@
     [[nodiscard]] bool startRouters();
     void putEntry(std::size_t engine, const std::string& id, const std::string& state);
     void deleteEntry(const std::string& id);
+    void putRecord(const std::string& topic, const std::string& key, const std::string& value);
+    void deleteRecord(const std::string& topic, const std::string& key);
     [[nodiscard]] std::string serviceOf(std::size_t engine) const;
 
     std::string program_;
