Log what backend servers state about themselves in answers' heads

Change: the dialects read a limit, leaving and the rest asked for with a refusal into a typed announcement; it reaches the core with the head of an answer, and at its end. An 'announcement' line for each change, and for each rest. Nothing is decided by it yet. Both stand-in engines and the plain service can state all three, and their audits show when requests arrived.

--- a/include/swiftlift/base/Numbers.h
+++ b/include/swiftlift/base/Numbers.h
@@ -23,6 +23,13 @@
     return error == std::errc {} && end == text.data() + text.size() ? std::optional(number) : std::nullopt;
 }
 
+/**
+ * @brief Parses a text that consists of one finite decimal number and nothing else.
+ * @param text Text to parse.
+ * @return The number; empty if the text is empty, has other characters, or its value is not finite.
+ */
+[[nodiscard]] std::optional<double> parseDecimal(std::string_view text);
+
 /**
  * @param number Number to format.
  * @return The number as 16 lower-case hexadecimal digits, including leading zeros.
--- a/include/swiftlift/node/Event.h
+++ b/include/swiftlift/node/Event.h
@@ -13,6 +13,7 @@
 #include "swiftlift/node/PeerMessage.h"
 #include "swiftlift/node/ProxyRequest.h"
 #include "swiftlift/request/Outcome.h"
+#include "swiftlift/routing/Announcement.h"
 
 namespace swiftlift::node {
 
@@ -67,6 +68,13 @@
     Tokens cachedPromptTokens;
     /** Explanation for logs. */
     std::string detail;
+    /** What the answer's head states about the backend server; nullopt: no head was received. */
+    std::optional<routing::Announcement> announcement = std::nullopt;
+};
+/** A backend server has stated something about itself in the head of an answer. */
+struct BackendAnnounced {
+    BackendId backend;
+    routing::Announcement announcement;
 };
 /** Records read from a stream, in order; `first` is the offset of the first record. */
 struct LogRecords {
@@ -155,6 +163,6 @@
 using Event = std::variant<RequestArrived, CallerDisconnected, AttemptProgress, AttemptEnded, LogRecords, LogExpired,
     LogUnreachable, AppendAnswered, PeerReceived, VmListRead, BackendLoad, CacheEventsRead, OrderAnswered, Tick,
     StopRequested, OperatorAsked, KeyedRecords, ProxyRequestArrived, ProxyAttemptProgress, ProxyAttemptEnded,
-    ProxyRequestAbandoned>;
+    ProxyRequestAbandoned, BackendAnnounced>;
 
 } // namespace swiftlift::node
--- a/include/swiftlift/node/ProxyRequest.h
+++ b/include/swiftlift/node/ProxyRequest.h
@@ -8,6 +8,7 @@
 #include "swiftlift/base/Ids.h"
 #include "swiftlift/base/Units.h"
 #include "swiftlift/fleet/FleetConfig.h"
+#include "swiftlift/routing/Announcement.h"
 
 namespace swiftlift::node {
 
@@ -82,6 +83,8 @@
     std::string detail;
     /** Only with Broken: the connection ended in the way it does when the backend server's process ends. */
     bool connectionLost = false;
+    /** What the answer's head states about the backend server; nullopt: no head was received. */
+    std::optional<routing::Announcement> announcement = std::nullopt;
 };
 
 /** The caller disconnected, or the stream to it was cut. Nothing more is forwarded to the caller. */
--- /dev/null
+++ b/include/swiftlift/transport/AnnouncementFields.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <string_view>
+
+#include "swiftlift/routing/Announcement.h"
+#include "swiftlift/transport/HeaderFields.h"
+
+namespace swiftlift::transport {
+
+/** Names of the header fields in which backend servers state their limit and that they are leaving. */
+struct AnnouncementFields {
+    /** Value: requests per second, a decimal number. */
+    std::string_view limit;
+    /** Value: `1` if the server is leaving. */
+    std::string_view leaving;
+};
+
+/**
+ * @brief Reads what a backend server states about itself in an answer's head.
+ *
+ * A value that can't be read counts as absent. `Retry-After` counts only in refusals, with status 429 or 503.
+ */
+[[nodiscard]] routing::Announcement readAnnouncement(const AnswerHead& answer, const AnnouncementFields& names);
+
+} // namespace swiftlift::transport
--- a/include/swiftlift/transport/ProxyDialect.h
+++ b/include/swiftlift/transport/ProxyDialect.h
@@ -7,6 +7,7 @@
 
 #include "swiftlift/node/Action.h"
 #include "swiftlift/node/ProxyRequest.h"
+#include "swiftlift/routing/Announcement.h"
 #include "swiftlift/transport/HeaderFields.h"
 
 namespace swiftlift::transport {
@@ -21,6 +22,8 @@
     bool notStarted = false;
     /** A different server now has the address of the intended one; it did not start the request. */
     bool otherServer = false;
+    /** What the server states about itself. */
+    routing::Announcement announcement;
 };
 
 /**
--- a/src/node/CoreState.cpp
+++ b/src/node/CoreState.cpp
@@ -163,6 +163,8 @@
     placement_.onLoad(event);
 }
 
+void CoreState::on(const BackendAnnounced& event) { changes_.noteAnnouncement(event.backend, event.announcement); }
+
 void CoreState::on(const CacheEventsRead& event)
 {
     std::vector<routing::CacheNotice> notices;
--- a/src/node/CoreState.h
+++ b/src/node/CoreState.h
@@ -40,6 +40,7 @@
     void on(const PeerReceived& event);
     void on(const VmListRead& event);
     void on(const BackendLoad& event);
+    void on(const BackendAnnounced& event);
     void on(const CacheEventsRead& event);
     void on(const OrderAnswered& event);
     void on(const Tick& event);
--- a/src/node/Gateway.cpp
+++ b/src/node/Gateway.cpp
@@ -126,6 +126,8 @@
 }
 void Gateway::on(const ProxyRequestAbandoned& event) { proxyRequests_.onAbandoned(event); }
 
+void Gateway::on(const BackendAnnounced& event) { changes_.noteAnnouncement(event.backend, event.announcement); }
+
 void Gateway::on(const KeyedRecords& event)
 {
     health_.onAnswer(context_.now());
--- a/src/node/Gateway.h
+++ b/src/node/Gateway.h
@@ -31,6 +31,7 @@
     void on(const ProxyAttemptProgress& event);
     void on(const ProxyAttemptEnded& event);
     void on(const ProxyRequestAbandoned& event);
+    void on(const BackendAnnounced& event);
     void on(const KeyedRecords& event);
     void on(const LogRecords& event);
     void on(const LogExpired& event);
--- a/src/node/StateChanges.cpp
+++ b/src/node/StateChanges.cpp
@@ -4,6 +4,13 @@
 
 namespace swiftlift::node {
 
+namespace internal {
+
+    /** Stands for no limit in log lines. */
+    constexpr double noLimit = -1;
+
+} // namespace internal
+
 StateChanges::StateChanges(Context& context)
     : context_(context)
 {
@@ -39,8 +46,25 @@
                      .with("in_flight", static_cast<std::int64_t>(view->inFlight)));
 }
 
+void StateChanges::noteAnnouncement(const BackendId& backend, const routing::Announcement& announcement)
+{
+    routing::Announcement lasting = announcement;
+    lasting.rest.reset();
+    const auto [entry, isNew] = announcements_.try_emplace(backend, lasting);
+    const routing::Announcement before = std::exchange(entry->second, lasting);
+    if (!isNew && before == lasting && !announcement.rest) {
+        return;
+    }
+    context_.log(LogLineBuilder("announcement")
+                     .with("backend", backend.value())
+                     .with("limit_per_s", announcement.limit.value_or(internal::noLimit))
+                     .with("leaving", announcement.leaving)
+                     .with("rest_ms", announcement.rest ? toMilliseconds(*announcement.rest) : 0));
+}
+
 void StateChanges::removeUnknown(const routing::BackendTable& table)
 {
+    std::erase_if(announcements_, [&](const auto& entry) { return !table.view(entry.first, {}, context_.now()); });
     std::erase_if(backends_, [&](const auto& entry) { return !table.view(entry.first, {}, context_.now()); });
 }
 
--- a/src/node/StateChanges.h
+++ b/src/node/StateChanges.h
@@ -5,6 +5,7 @@
 
 #include "node/Context.h"
 #include "swiftlift/base/Ids.h"
+#include "swiftlift/routing/Announcement.h"
 #include "swiftlift/routing/BackendTable.h"
 
 namespace swiftlift::node {
@@ -26,6 +27,8 @@
     void noteLog(bool reachable, const std::string& detail);
     /** Logs the backend server's state if it has changed. */
     void noteBackend(const BackendId& backend, const routing::BackendTable& table);
+    /** Logs what the backend server states about itself if it differs from before, and each rest that it asks for. */
+    void noteAnnouncement(const BackendId& backend, const routing::Announcement& announcement);
     /** Removes backend servers that are not in the table any more. */
     void removeUnknown(const routing::BackendTable& table);
 
@@ -33,6 +36,8 @@
     Context& context_;
     bool logReachable_ = false;
     std::map<BackendId, routing::BackendState> backends_;
+    /** What backend servers stated last, without rests. */
+    std::map<BackendId, routing::Announcement> announcements_;
 };
 
 /** @return The state's name on operators' pages and in log lines. */
--- a/src/transport/AnswerReader.cpp
+++ b/src/transport/AnswerReader.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "swiftlift/transport/AnnouncementFields.h"
+
 namespace swiftlift::transport::internal {
 
 ReadState AnswerReader::broken(std::string reason)
@@ -15,10 +17,12 @@
 
 HeadVerdict NativeAnswerReader::head(const AnswerHead& head)
 {
+    constexpr AnnouncementFields announcementFields { "X-Limit", "X-Leaving" };
     constexpr int ok = 200;
     constexpr int tooMany = 429;
     constexpr int unavailable = 503;
     status_ = head.status;
+    announcement_ = readAnnouncement(head, announcementFields);
     if (status_ == tooMany || status_ == unavailable) {
         return HeadVerdict::Refusal;
     }
--- a/src/transport/AnswerReader.h
+++ b/src/transport/AnswerReader.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "swiftlift/routing/Announcement.h"
 #include "swiftlift/transport/HeaderFields.h"
 #include "swiftlift/transport/LineMatcher.h"
 
@@ -65,6 +66,8 @@
 
     /** @return The token counts that the engine reported with a complete answer. */
     [[nodiscard]] const DoneLine& counts() const noexcept { return counts_; }
+    /** @return What the backend server states about itself in the answer's head. */
+    [[nodiscard]] const routing::Announcement& announcement() const noexcept { return announcement_; }
     /** @return Why the answer is invalid or belongs to another request. */
     [[nodiscard]] const std::string& lastReason() const noexcept { return lastReason_; }
 
@@ -72,6 +75,7 @@
     [[nodiscard]] ReadState broken(std::string reason);
 
     DoneLine counts_;
+    routing::Announcement announcement_;
 
 private:
     std::string lastReason_;
--- a/src/transport/Attempt.cpp
+++ b/src/transport/Attempt.cpp
@@ -238,9 +238,19 @@
     status_ = head.status;
     if (*verdict_ == HeadVerdict::Broken) {
         end(AttemptResult::Broken, reader_->lastReason());
+        return;
+    }
+    if (const routing::Announcement& announcement = reader_->announcement(); !announcement.empty()) {
+        handler_.announcementReceived(*this, announcement);
     }
 }
 
+std::optional<routing::Announcement> Attempt::announcement() const
+{
+    const bool understood = verdict_ == HeadVerdict::Body || verdict_ == HeadVerdict::Refusal;
+    return understood ? std::optional(reader_->announcement()) : std::nullopt;
+}
+
 void Attempt::handleBody()
 {
     const std::string body = std::exchange(parser_->get().body(), {});
--- a/src/transport/Attempt.h
+++ b/src/transport/Attempt.h
@@ -30,6 +30,8 @@
 
     /** The answer's reader has produced the next part of the answer. */
     virtual void answerPartReceived(Attempt& attempt, std::string part) = 0;
+    /** The head of the answer has arrived and states something about the backend server. */
+    virtual void announcementReceived(Attempt& attempt, const routing::Announcement& announcement) = 0;
     /** The attempt has ended. Called exactly once, unless the attempt is cancelled before. */
     virtual void attemptEnded(Attempt& attempt, AttemptResult result, std::string detail) = 0;
 };
@@ -80,6 +82,9 @@
     [[nodiscard]] CallId call() const noexcept { return order_.call; }
     /** @return The token counts that the engine reported with a complete answer. */
     [[nodiscard]] const DoneLine& counts() const noexcept { return reader_->counts(); }
+    [[nodiscard]] const BackendId& backend() const noexcept { return order_.backend; }
+    /** @return What the answer's head states about the backend server; nullopt: no head was received. */
+    [[nodiscard]] std::optional<routing::Announcement> announcement() const;
     /** @return HTTP status of the answer; 0 before its head is received. */
     [[nodiscard]] int status() const noexcept { return status_; }
     /** @return Whether the backend server closed or reset the connection before the end of its answer. */
--- a/src/transport/CallTable.cpp
+++ b/src/transport/CallTable.cpp
@@ -192,6 +192,11 @@
     }
 }
 
+void CallTable::announcementReceived(Attempt& attempt, const routing::Announcement& announcement)
+{
+    context_.events.push({ Incarnation {}, node::BackendAnnounced { attempt.backend(), announcement } });
+}
+
 void CallTable::attemptEnded(Attempt& attempt, AttemptResult result, std::string detail)
 {
     const auto running = running_.take(attempt.id());
@@ -204,7 +209,7 @@
     }
     context_.events.push({ context_.incarnation,
         node::AttemptEnded { attempt.id(), toAttemptEnd(result), counts.promptTokens, Tokens(running->call->tokens()),
-            counts.cachedPromptTokens, std::move(detail) } });
+            counts.cachedPromptTokens, std::move(detail), attempt.announcement() } });
 }
 
 void CallTable::execute(StreamCommand&& command)
--- a/src/transport/ProxyAnswerReaders.cpp
+++ b/src/transport/ProxyAnswerReaders.cpp
@@ -35,6 +35,8 @@
     }
     head_ = head;
     otherServer_ = marks.otherServer;
+    // Another server at the same address states nothing about the intended one.
+    announcement_ = marks.otherServer ? routing::Announcement {} : marks.announcement;
     if (marks.notStarted || marks.otherServer) {
         return HeadVerdict::Refusal;
     }
--- a/src/transport/ProxyCallTable.cpp
+++ b/src/transport/ProxyCallTable.cpp
@@ -207,6 +207,11 @@
     }
 }
 
+void ProxyCallTable::announcementReceived(Attempt& attempt, const routing::Announcement& announcement)
+{
+    context_.events.push({ Incarnation {}, node::BackendAnnounced { attempt.backend(), announcement } });
+}
+
 void ProxyCallTable::attemptEnded(Attempt& attempt, AttemptResult result, std::string detail)
 {
     const auto running = running_.take(attempt.id());
@@ -221,7 +226,7 @@
     }
     context_.events.push({ context_.incarnation,
         node::ProxyAttemptEnded { attempt.id(), toAttemptEnd(result), attempt.status(), running->call->events(),
-            std::move(detail), attempt.connectionLost() } });
+            std::move(detail), attempt.connectionLost(), attempt.announcement() } });
 }
 
 void ProxyCallTable::execute(StreamCommand&& command)
--- a/tests/base/NumbersTest.cpp
+++ b/tests/base/NumbersTest.cpp
@@ -18,5 +18,15 @@
         EXPECT_EQ(parseWhole<std::uint64_t>(toHex(0x123456789ABCDEFU), base), 0x123456789ABCDEFU);
     }
 
+    TEST(NumbersTest, ParseDecimalRefusesWhatIsNoFiniteNumber)
+    {
+        EXPECT_EQ(parseDecimal("2.5"), 2.5);
+        EXPECT_EQ(parseDecimal("3"), 3.0);
+        EXPECT_EQ(parseDecimal("-1"), -1.0);
+        for (const char* text : { "", "2.5x", " 2", "nan", "inf", "1e400", "," }) {
+            EXPECT_EQ(parseDecimal(text), std::nullopt) << text;
+        }
+    }
+
 } // namespace
 } // namespace swiftlift
--- a/tests/platform/HttpDialectTest.cpp
+++ b/tests/platform/HttpDialectTest.cpp
@@ -117,6 +117,13 @@
         EXPECT_TRUE(HttpDialect().marks({ 421, {} }).otherServer);
     }
 
+    TEST(HttpDialectTest, ReadsWhatAServerStatesAboutItself)
+    {
+        const HeaderFields fields { { "Server-Limit", "1.9" }, { "Server-Leaving", "1" }, { "Retry-After", "3" } };
+        const routing::Announcement announcement = HttpDialect().marks({ 503, fields }).announcement;
+        EXPECT_EQ(announcement, (routing::Announcement { 1.9, true, std::chrono::seconds(3) }));
+    }
+
     TEST(HttpDialectTest, WritesRetryAfterInFractionalSeconds)
     {
         node::Reply refusal;
--- a/tests/platform/standin/EngineService.cpp
+++ b/tests/platform/standin/EngineService.cpp
@@ -35,6 +35,7 @@
     , firstId_(settings_.id)
 {
     crash().addControls(controls());
+    announcer_.addControls(controls());
     controls().addValue("fail_next", failNext_);
     controls().addValue("break_next", breakNext_);
     controls().addValue("half_event", halfEvent_);
@@ -82,10 +83,17 @@
 
 Awaitable<void> EngineService::serve(Exchange& exchange)
 {
+    announcer_.onRequest(exchange);
     if (refuses(exchange)) {
         co_await refuse(exchange);
         co_return;
     }
+    if (announcer_.turnsAway(exchange)) {
+        ++refused_;
+        exchange.setHeader("Not-Executed", "1");
+        co_await exchange.answerError(503, "resting");
+        co_return;
+    }
     Run& run = runs_[exchange.header("Request-Id")];
     ++run.runs;
     run.account = exchange.header("Tenant");
@@ -149,7 +157,7 @@
         runs[id] = { { "runs", run.runs }, { "account", run.account }, { "resumed_after", run.resumedAfter },
             { "key_seen", run.keySeen }, { "events", run.events }, { "cut", run.cut } };
     }
-    return { { "runs", std::move(runs) }, { "refused", refused_ } };
+    return { { "runs", std::move(runs) }, { "refused", refused_ }, { "arrivals_ms", announcer_.arrivals() } };
 }
 
 } // namespace swiftlift::platform::standin
--- a/tests/platform/standin/EngineService.h
+++ b/tests/platform/standin/EngineService.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 
+#include "common/Announcer.h"
 #include "common/Service.h"
 
 namespace swiftlift::platform::standin {
@@ -30,6 +31,8 @@
  * not started), `half_event` (with `break_next`: the connection is closed within an event), `id`, `events` and
  * `between_events_ms`.
  *
+ * It states its limit, its leaving and its rest by the controls of standins::Announcer.
+ *
  * `crash_on` is a part of a path: the engine crashes when it runs a request with such a path, which ends all its other
  * requests too. It restarts after `down_ms` with a new id.
  */
@@ -73,6 +76,7 @@
     std::uint64_t breakNext_ = 0;
     bool halfEvent_ = false;
     bool full_ = false;
+    standins::Announcer announcer_ { { "Server-Limit", "Server-Leaving" } };
 };
 
 } // namespace swiftlift::platform::standin
--- a/tests/standins/engine/EngineService.cpp
+++ b/tests/standins/engine/EngineService.cpp
@@ -40,6 +40,7 @@
 void EngineService::addControls()
 {
     gate_.addControls(controls());
+    announcer_.addControls(controls());
     controls().addValue("leaving", leaving_);
     controls().addValue("refuse", refuse_);
     controls().addValue("cross_lines", crossLines_);
@@ -141,6 +142,12 @@
 
 Awaitable<void> EngineService::generate(Exchange& exchange)
 {
+    announcer_.onRequest(exchange);
+    if (announcer_.turnsAway(exchange)) {
+        ++rejected_;
+        co_await exchange.answerError(503, "resting");
+        co_return;
+    }
     if (leaving_) {
         ++rejected_;
         co_await exchange.answerError(503, "leaving");
@@ -245,8 +252,8 @@
         keys[key] = internal::toJson(record);
     }
     return { { "keys", std::move(keys) }, { "totals", std::move(sums) }, { "rejected", rejected_ },
-        { "crashes", crashes_ }, { "orders", orders_.audit() }, { "load", load() }, { "bytes_in", byteCounts().in },
-        { "bytes_out", byteCounts().out } };
+        { "arrivals_ms", announcer_.arrivals() }, { "crashes", crashes_ }, { "orders", orders_.audit() },
+        { "load", load() }, { "bytes_in", byteCounts().in }, { "bytes_out", byteCounts().out } };
 }
 
 } // namespace swiftlift::standins
--- a/tests/standins/engine/EngineService.h
+++ b/tests/standins/engine/EngineService.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <string>
 
+#include "common/Announcer.h"
 #include "common/Gate.h"
 #include "common/LoadReport.h"
 #include "common/Service.h"
@@ -54,6 +55,7 @@
     Signal work_;
     std::map<std::string, KeyRecord> keys_;
     std::uint64_t rejected_ = 0;
+    Announcer announcer_ { { "X-Limit", "X-Leaving" } };
     bool leaving_ = false;
     bool refuse_ = false;
     bool crossLines_ = false;
--- a/tests/standins/plain/PlainService.cpp
+++ b/tests/standins/plain/PlainService.cpp
@@ -24,6 +24,7 @@
 void PlainService::addControls()
 {
     gate_.addControls(controls());
+    announcer_.addControls(controls());
     controls().addValue("leaving", leaving_);
     controls().addValue("refuse", refuse_);
     controls().addValue("call_ms", settings_.callMs);
@@ -68,6 +69,12 @@
 
 Awaitable<void> PlainService::call(Exchange& exchange)
 {
+    announcer_.onRequest(exchange);
+    if (announcer_.turnsAway(exchange)) {
+        ++rejected_;
+        co_await exchange.answerError(503, "resting");
+        co_return;
+    }
     if (leaving_) {
         ++rejected_;
         co_await exchange.answerError(503, "leaving");
@@ -112,8 +119,9 @@
         keys[key] = { { "started", calls.started }, { "ran", calls.ran }, { "answered", calls.answered },
             { "attempts", calls.attempts } };
     }
-    return { { "keys", std::move(keys) }, { "order", order_ }, { "rejected", rejected_ }, { "load", load() },
-        { "bytes_in", byteCounts().in }, { "bytes_out", byteCounts().out } };
+    return { { "keys", std::move(keys) }, { "order", order_ }, { "rejected", rejected_ },
+        { "arrivals_ms", announcer_.arrivals() }, { "load", load() }, { "bytes_in", byteCounts().in },
+        { "bytes_out", byteCounts().out } };
 }
 
 } // namespace swiftlift::standins
--- a/tests/standins/plain/PlainService.h
+++ b/tests/standins/plain/PlainService.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "common/Announcer.h"
 #include "common/Gate.h"
 #include "common/LoadReport.h"
 #include "common/Service.h"
@@ -49,6 +50,7 @@
     std::vector<std::string> order_;
     std::uint64_t running_ = 0;
     std::uint64_t rejected_ = 0;
+    Announcer announcer_ { { "X-Limit", "X-Leaving" } };
     bool leaving_ = false;
     bool refuse_ = false;
     std::uint64_t breaksLeft_ = 0;
