--- a/tests/node/GatewayAnnouncementTest.cpp
+++ b/tests/node/GatewayAnnouncementTest.cpp
@@ -26,5 +26,21 @@
         EXPECT_EQ(world.lines("announcement").size(), 3U);
     }
 
+    // Guards against a server that names the rate it can bear and still gets each request whose first choice it is.
+    TEST_F(GatewayAnnouncementTest, LimitedServerGetsNoMoreThanItsLimit)
+    {
+        world.registerVms({ "127.0.0.1:7400" });
+        announce("p-1", { 2.0, false, {} });
+        int count = 0;
+        for (int number = 0; number < 60; ++number) {
+            const ProxyDispatch dispatch = dispatched(world.arrive("/plain/x"));
+            count += dispatch.backend == BackendId { "p-1" } ? 1 : 0;
+            world.end(dispatch, ProxyAttemptEnd::Completed);
+            world.run(std::chrono::milliseconds(60));
+        }
+        EXPECT_LE(count, 2 * 4) << "2 a second, for 3.6 s";
+        EXPECT_GE(count, 2);
+    }
+
 } // namespace
 } // namespace swiftlift::node::testing
--- /dev/null
+++ b/tests/platform/AnnouncementTest.cpp
@@ -0,0 +1,111 @@
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <filesystem>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include "platform/PlatformFleet.h"
+
+namespace swiftlift::platform::test {
+namespace {
+
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+
+    /** Index of the first engine of the plain service. */
+    constexpr std::size_t plainEngine = 1;
+    /** Time after which routers must heed what a server has stated. */
+    constexpr milliseconds contactTime { 3000 };
+    /** Span in which the requests to a server with a limit are counted. */
+    constexpr milliseconds limitSpan { 4000 };
+    /** Time between two requests of a caller. */
+    constexpr milliseconds pause { 20 };
+
+    /** Real routers, and backend servers that state their limit, their leaving and their rest. */
+    class AnnouncementTest : public testing::Test {
+    protected:
+        void SetUp() override
+        {
+            folder_ = std::filesystem::temp_directory_path() / ("swiftlift-announcement-" + std::to_string(::getpid()));
+            fleet_ = std::make_unique<PlatformFleet>(SWIFTLIFT_ROUTER, folder_, 10'000'000, FleetSize { 3, 1, 3 });
+            ASSERT_TRUE(fleet_->start());
+        }
+
+        void TearDown() override
+        {
+            fleet_.reset();
+            std::filesystem::remove_all(folder_);
+        }
+
+        /** Sends requests to all routers for this long. @return Number of requests that were not served. */
+        int load(milliseconds time)
+        {
+            std::atomic<int> failures = 0;
+            std::vector<std::thread> callers;
+            const auto end = std::chrono::steady_clock::now() + time;
+            for (std::size_t router = 0; router < fleet_->routers(); ++router) {
+                callers.emplace_back([&, router] {
+                    for (int number = 0; std::chrono::steady_clock::now() < end; ++number) {
+                        const std::string id = std::to_string(router) + "-" + std::to_string(++requests_);
+                        failures += fleet_->send(router, { .path = "/plain/x", .id = id }).status == 200U ? 0 : 1;
+                        std::this_thread::sleep_for(pause);
+                    }
+                });
+            }
+            for (std::thread& caller : callers) {
+                caller.join();
+            }
+            return failures;
+        }
+
+        [[nodiscard]] static std::int64_t now()
+        {
+            const auto time = std::chrono::steady_clock::now().time_since_epoch();
+            return std::chrono::duration_cast<milliseconds>(time).count();
+        }
+
+        /** @return Times in milliseconds at which requests reached the engine since `from`. */
+        [[nodiscard]] std::vector<std::int64_t> arrivalsSince(std::size_t engine, std::int64_t from)
+        {
+            auto arrivals = fleet_->engine(engine).get()["arrivals_ms"].get<std::vector<std::int64_t>>();
+            std::erase_if(arrivals, [from](std::int64_t at) { return at < from; });
+            return arrivals;
+        }
+
+        /** @return Most of these arrivals within `limitSpan`. */
+        [[nodiscard]] static std::size_t mostInSpan(const std::vector<std::int64_t>& arrivals)
+        {
+            std::size_t most = 0;
+            for (auto last = arrivals.begin(); last != arrivals.end(); ++last) {
+                const auto first = std::ranges::upper_bound(arrivals, *last - limitSpan.count());
+                most = std::max(most, static_cast<std::size_t>(last - first + 1));
+            }
+            return most;
+        }
+
+        std::filesystem::path folder_;
+        std::unique_ptr<PlatformFleet> fleet_;
+        std::atomic<int> requests_ = 0;
+    };
+
+    // Guards against a server that names the rate it can bear and gets more than that from the routers it has told.
+    TEST_F(AnnouncementTest, ServerGetsNoMoreThanTheLimitThatItNames)
+    {
+        constexpr double limit = 2;
+        const auto allowed = static_cast<std::size_t>(1.5 * limit * 4 + 5);
+        (void)load(seconds(1));
+        fleet_->engine(plainEngine).control({ { "announce_limit", limit } });
+        const std::int64_t from = now() + contactTime.count();
+        EXPECT_EQ(load(contactTime + limitSpan + limitSpan), 0);
+        const auto arrivals = arrivalsSince(plainEngine, from);
+        EXPECT_LE(mostInSpan(arrivals), allowed);
+        EXPECT_FALSE(arrivals.empty()) << "the server serves as much as it can bear";
+    }
+
+} // namespace
+} // namespace swiftlift::platform::test
