--- a/include/swiftlift/node/PeerMessage.h
+++ b/include/swiftlift/node/PeerMessage.h
@@ -8,6 +8,7 @@
 #include "swiftlift/base/Ids.h"
 #include "swiftlift/base/Units.h"
 #include "swiftlift/ledger/Holder.h"
+#include "swiftlift/routing/Announcement.h"
 
 namespace swiftlift::node {
 
@@ -28,6 +29,8 @@
     /** The sender itself reaches the platform's log. */
     bool logReachable = false;
     std::vector<StreamPosition> positions;
+    /** What the sender knows of backend servers' announcements. */
+    std::vector<routing::SharedAnnouncement> announcements {};
 };
 /** Holder to witness: requests permission to spend these grants up to these ceilings. */
 struct RaiseCeilings {
--- a/include/swiftlift/routing/Announcement.h
+++ b/include/swiftlift/routing/Announcement.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 
+#include "swiftlift/base/Ids.h"
 #include "swiftlift/base/Units.h"
 
 namespace swiftlift::routing {
@@ -19,4 +21,17 @@
     [[nodiscard]] bool operator==(const Announcement&) const = default;
 };
 
+/** @brief What one router tells another about a backend server's announcements. */
+struct SharedAnnouncement {
+    BackendId backend;
+    /** Start time of the instance that stated this, as in BackendEntry; 0 if instances are not told apart. */
+    std::uint64_t instance = 0;
+    /** Requests per second that it accepts from all routers together; nullopt: it has withdrawn its limit. */
+    std::optional<double> limit;
+    /** Time since the server was last known to state this. */
+    Duration age {};
+
+    [[nodiscard]] bool operator==(const SharedAnnouncement&) const = default;
+};
+
 } // namespace swiftlift::routing
--- a/include/swiftlift/routing/BackendFacts.h
+++ b/include/swiftlift/routing/BackendFacts.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -7,15 +8,27 @@
 
 #include "swiftlift/base/Ids.h"
 #include "swiftlift/base/Units.h"
-#include "swiftlift/routing/WarmupShare.h"
+#include "swiftlift/routing/Announcement.h"
 
 namespace swiftlift::routing {
 
-/** @brief What a backend server may get from this router while it is cold. */
-struct WarmupLimit {
-    /** When the server is warm; a past time: it is warm now. */
-    Instant coldUntil {};
-    WarmupShare share;
+/** @brief Why a backend server accepts only so many requests a second from the whole fleet. */
+enum class LimitCause : std::uint8_t {
+    /** It has just started. */
+    Cold,
+    /** It names a limit in its answers. */
+    Announced,
+};
+
+/** @brief All values of LimitCause. */
+inline constexpr std::array limitCauses { LimitCause::Cold, LimitCause::Announced };
+
+/** @brief A backend server's time as a cold one. */
+struct ColdPeriod {
+    /** When the server is warm. */
+    Instant until {};
+    /** Requests per second that the server bears from the whole fleet; more than 0. */
+    double requestsPerSecond = 0;
 };
 
 /** @brief A backend server as listed in a service's document. */
@@ -28,8 +41,8 @@
     std::uint64_t instance = 0;
     /** The operators evacuate the server's failure domain: it gets no requests. */
     bool evacuated = false;
-    /** Empty if servers of the service are never cold. */
-    std::optional<WarmupLimit> warmup = {};
+    /** Empty if the server is warm. */
+    std::optional<ColdPeriod> cold = {};
 };
 
 /** @brief A backend server's report on its own load; it shows a moment somewhat before its arrival. */
@@ -90,6 +103,8 @@
     Tokens promptTokens;
     /** Prompt tokens that the engine had cached; only for a completed attempt. */
     Tokens cachedPromptTokens;
+    /** What the answer's head states about the backend server; nullopt: no head was received. */
+    std::optional<Announcement> announcement = std::nullopt;
 };
 
 } // namespace swiftlift::routing
--- a/include/swiftlift/routing/BackendTable.h
+++ b/include/swiftlift/routing/BackendTable.h
@@ -12,10 +12,16 @@
 
 #include "swiftlift/base/Ids.h"
 #include "swiftlift/base/Units.h"
+#include "swiftlift/routing/Announcement.h"
 #include "swiftlift/routing/BackendFacts.h"
+#include "swiftlift/routing/FleetShare.h"
 
 namespace swiftlift::routing {
 
+namespace internal {
+    class AnnouncementBook;
+} // namespace internal
+
 class Backend;
 class PrefillModel;
 class PrefixLengths;
@@ -57,11 +63,25 @@
     Duration assumedStep = std::chrono::milliseconds(3);
     /** Assumed time for which a request occupies a slot until requests have completed. */
     Duration assumedHold = std::chrono::milliseconds(500);
+    /** Time after which a limit that a backend server named counts as unconfirmed. */
+    Duration limitConfirmation = std::chrono::seconds(1);
+};
+
+/** @brief A change of what is known of a backend server's announcements. */
+struct AnnouncementChange {
+    BackendId backend;
+    /** Requests per second that it accepts from all routers together; nullopt: it names no limit, or no more. */
+    std::optional<double> limit;
+    /** Time since it stated this. */
+    Duration age {};
+    /** Another router told this one. */
+    bool fromPeer = false;
 };
 
 /** @brief Availability of a backend server; Broken and Probing are states of its circuit breaker. A Cold server has
- * just started and bears few requests; the failure domain of an Evacuated one gets none. */
-enum class BackendState : std::uint8_t { Up, SlowStart, Cold, Probing, Broken, Evacuated, Leaving };
+ * just started and bears few requests; a Limited one names how many it accepts; the failure domain of an Evacuated one
+ * gets none. */
+enum class BackendState : std::uint8_t { Up, SlowStart, Cold, Limited, Probing, Broken, Evacuated, Leaving };
 
 /** @brief Estimated present state of a backend server, for selectors and operators. */
 struct BackendView {
@@ -97,8 +117,12 @@
     std::optional<Instant> usableAt;
     /** Time since the last load report arrived; nothing if there was none. */
     std::optional<Duration> reportAge;
-    /** True if the backend server is cold and this router has sent its share of what the server bears. */
-    bool coldLimitReached = false;
+    /** Why this router has sent its share of what the backend server accepts; nullopt: it has not. */
+    std::optional<LimitCause> heldBackBy;
+    /** Requests per second that the backend server accepts from all routers, if it names a limit. */
+    std::optional<double> announcedLimit;
+    /** True if no answer has lately shown whether the backend server still names its limit. */
+    bool limitUnconfirmed = false;
     /** False if the backend server reported its models and the request's model is not among them. */
     bool servesModel = true;
 };
@@ -129,6 +153,22 @@
      * several services. */
     void setBackends(const ServiceName& service, const std::vector<BackendEntry>& backends, Instant now);
 
+    /**
+     * @brief Sets the routers among which limits of backend servers are divided.
+     * @param self This router.
+     * @param routers All registered routers.
+     */
+    void setRouters(const PeerAddress& self, std::vector<PeerAddress> routers);
+
+    /** @brief Processes what a backend server states about itself in the head of an answer. */
+    void onAnnounced(const BackendId& backend, const Announcement& announcement, Instant now);
+    /** @brief Processes what another router knows of backend servers' announcements. */
+    void onShared(const std::vector<SharedAnnouncement>& shared, Instant now);
+    /** @return What to tell another router now. */
+    [[nodiscard]] std::vector<SharedAnnouncement> toShare(Instant now) const;
+    /** @return Changes of what is known of announcements since the last call, in order. */
+    [[nodiscard]] std::vector<AnnouncementChange> takeAnnouncementChanges();
+
     /** @brief Processes a load report. */
     void onLoad(const BackendId& backend, const LoadReport& report, Instant now);
     /** @brief Counts a failed poll of the backend server's load as a failure. */
@@ -163,12 +203,21 @@
     [[nodiscard]] Backend* find(const BackendId& backend) const;
     void removeUnlisted();
     void distributePrefixCapacity();
+    /** @brief Records a change for takeAnnouncementChanges(), and applies it to the backend server. */
+    void announcementChanged(const BackendId& backend, bool fromPeer, Instant now);
+    /** @brief Applies the server's announcements, and divides what it accepts among the routers. */
+    void updateLimits(Backend& backend) const;
+    [[nodiscard]] FleetShare shareOf(const Backend& backend, const FleetRate& rate) const;
 
     TableSettings settings_;
     std::unique_ptr<PrefillModel> prefill_;
     std::unique_ptr<PrefixLengths> lengths_;
     std::map<BackendId, std::unique_ptr<Backend>> backends_;
     std::map<ServiceName, std::set<BackendId>> services_;
+    std::unique_ptr<internal::AnnouncementBook> announcements_;
+    std::vector<AnnouncementChange> announcementChanges_;
+    PeerAddress self_;
+    std::vector<PeerAddress> routers_;
     /** The table holds backend servers that no service lists and that still run attempts of this router. */
     bool hasUnlistedBackends_ = false;
 };
--- /dev/null
+++ b/include/swiftlift/routing/FleetShare.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+#include "swiftlift/base/Ids.h"
+#include "swiftlift/base/Units.h"
+
+namespace swiftlift::routing {
+
+/** @brief Requests that a backend server accepts from the whole fleet. */
+struct FleetRate {
+    /** Requests per second; more than 0. */
+    double perSecond = 0;
+    /** Time in which the requests are counted; it is prolonged where less than one request comes in it. */
+    Duration window = std::chrono::seconds(1);
+};
+
+/** @brief One router's part of the requests that a backend server accepts from the whole fleet. */
+struct FleetShare {
+    /** Requests that this router may send within any `window`; 0: none. */
+    std::uint32_t requests = 0;
+    Duration window = std::chrono::seconds(1);
+
+    [[nodiscard]] bool operator==(const FleetShare&) const = default;
+};
+
+/**
+ * @brief Divides what a backend server accepts among some routers, without a message for each request.
+ *
+ * Load pattern: a server that has just started, or one in need, draws requests from all routers at once; with one
+ * request from each of some dozens it crashes. An equal share for each router would be a fraction of a request, so
+ * rendezvous hashing (Thaler and Ravishankar 1998) of the server and the registered routers names as many owners as
+ * there are whole pairs of requests in the window. The list of registered routers changes seldom, and not when routers
+ * lose sight of each other; while two versions of it are in use, at most two sets of owners send.
+ *
+ * @param rate Requests that the server accepts.
+ * @param server The backend server.
+ * @param self This router.
+ * @param routers All registered routers. A router that is not among them owns nothing, as the others don't know of it.
+ * @return This router's share.
+ */
+[[nodiscard]] FleetShare fleetShare(
+    const FleetRate& rate, const BackendId& server, const PeerAddress& self, const std::vector<PeerAddress>& routers);
+
+} // namespace swiftlift::routing
--- a/include/swiftlift/routing/Fwd.h
+++ b/include/swiftlift/routing/Fwd.h
@@ -2,11 +2,13 @@
 
 namespace swiftlift::routing {
 
+struct Announcement;
 struct Choice;
+struct FleetRate;
+struct FleetShare;
 struct LoadReport;
 struct SelectRequest;
-struct WarmupLimit;
-struct WarmupShare;
+struct SharedAnnouncement;
 
 class Admission;
 class BackendTable;
--- a/include/swiftlift/routing/Selector.h
+++ b/include/swiftlift/routing/Selector.h
@@ -137,6 +137,8 @@
         std::vector<BackendView> otherDomains;
         /** Usable for the probe of their circuit breaker only. */
         std::vector<BackendView> probes;
+        /** Usable, but it is not known whether the limit that they named still holds. */
+        std::vector<BackendView> unconfirmedLimits;
         /** Usable, but with the maximum number of waiting requests. */
         std::vector<BackendView> full;
         /** Not usable because of their breaker or slow start, though they answer and have a free slot. */
@@ -153,8 +155,13 @@
     [[nodiscard]] Classified classify(const SelectRequest& request, std::vector<BackendView> views) const;
     /** @return Why the backend server can't be used for the request; empty if it can. */
     [[nodiscard]] std::string unusableReason(const SelectRequest& request, const BackendView& view) const;
+    /** @brief Adds a usable backend server to the group of its failure domain. */
+    void addUsable(const SelectRequest& request, BackendView view, Classified& classified) const;
     [[nodiscard]] bool isFull(const SelectRequest& request, const BackendView& view) const;
     [[nodiscard]] std::optional<Choice> pickProbe(const SelectRequest& request, const Classified& classified);
+    /** @return A request in some that shows whether a server still names its limit; nullopt: another choice is better.
+     */
+    [[nodiscard]] std::optional<Choice> pickUnconfirmedLimit(const Classified& classified);
     [[nodiscard]] Choice pickByDomain(const SelectRequest& request, const Classified& classified);
     /** @brief Sets the reason and the retry time for a request without a choice. */
     void explainNoChoice(const Classified& classified, Instant now);
--- a/src/node/CoreState.cpp
+++ b/src/node/CoreState.cpp
@@ -118,6 +118,7 @@
     }
     if (const auto* receivedHeartbeat = std::get_if<Heartbeat>(&event.message)) {
         peers_.onHeartbeat(event.sender, event.address, *receivedHeartbeat);
+        backends_.onShared(receivedHeartbeat->announcements, context_.now());
         return;
     }
     routePeerMessage(event);
@@ -141,6 +142,11 @@
 void CoreState::on(const VmListRead& event)
 {
     peers_.onVmList(event.vms);
+    std::vector<PeerAddress> routers;
+    for (const ListedVm& vm : event.vms) {
+        routers.push_back(vm.address);
+    }
+    backends_.setRouters(context_.settings().peerAddress, std::move(routers));
     if (peers_.membership().selfLeaving() && !stopping_) {
         context_.log(LogLineBuilder("membership").with("change", "self_leaving").with("detail", "listed as leaving"));
         on(StopRequested {});
@@ -163,7 +169,11 @@
     placement_.onLoad(event);
 }
 
-void CoreState::on(const BackendAnnounced& event) { changes_.noteAnnouncement(event.backend, event.announcement); }
+void CoreState::on(const BackendAnnounced& event)
+{
+    backends_.onAnnounced(event.backend, event.announcement, context_.now());
+    changes_.noteAnnouncement(event.backend, event.announcement);
+}
 
 void CoreState::on(const CacheEventsRead& event)
 {
@@ -183,7 +193,7 @@
 {
     changes_.noteLog(health_.reachable(context_.now()), {});
     refreshWatched();
-    for (const Incarnation suspected : peers_.tick(heartbeat())) {
+    for (const Incarnation suspected : peers_.tick([this] { return heartbeat(); })) {
         ledgers_.onSuspected(suspected);
     }
     services_.tick();
@@ -251,7 +261,11 @@
     lastEvent_ = now;
 }
 
-void CoreState::finishEvent() { requests_.finishEvent(); }
+void CoreState::finishEvent()
+{
+    requests_.finishEvent();
+    changes_.noteLimits(backends_.takeAnnouncementChanges());
+}
 
 Heartbeat CoreState::heartbeat() const
 {
@@ -260,6 +274,7 @@
     own.region = context_.settings().region;
     own.stopping = stopping_ || retired();
     own.logReachable = health_.reachable(context_.now());
+    own.announcements = backends_.toShare(context_.now());
     for (const auto& shard : ledgers_.all()) {
         own.positions.push_back({ shard->stream(), shard->fold().nextOffset() });
     }
--- a/src/node/FleetDirectory.cpp
+++ b/src/node/FleetDirectory.cpp
@@ -53,10 +53,7 @@
     }
     if (records.stream == VmRegistry::stream()) {
         vms_.onRecords(records);
-        // The shares of cold servers depend on the list of VMs.
-        if (!cold_.empty()) {
-            publishBackends();
-        }
+        backends_.setRouters(context_.settings().peerAddress, vms_.addresses());
         return;
     }
     applyOperatorRecords(records);
--- a/src/node/FleetDirectory.h
+++ b/src/node/FleetDirectory.h
@@ -134,8 +134,8 @@
     /** @return How the service's servers bear requests while they are cold; null if they never are. */
     [[nodiscard]] const fleet::WarmupFacts* warmupOf(const ServiceName& service) const;
     [[nodiscard]] Duration warmupDurationOf(const ServiceName& service) const;
-    /** @return This router's limit for the server, which applies while the server is cold. */
-    [[nodiscard]] std::optional<routing::WarmupLimit> warmupLimit(const fleet::BackendServer& server) const;
+    /** @return The server's time as a cold one; nullopt: it is warm. */
+    [[nodiscard]] std::optional<routing::ColdPeriod> coldPeriod(const fleet::BackendServer& server) const;
     /** Logs servers that have become cold or warm. */
     void noteColdServers();
     /** Sets the ready servers of each service in the backend table. */
--- a/src/node/FleetDirectoryServers.cpp
+++ b/src/node/FleetDirectoryServers.cpp
@@ -152,7 +152,7 @@
     for (const auto& [id, server] : servers_) {
         if (server.state == fleet::ServerState::Ready) {
             services[server.service].push_back({ id, server.domain, server.slots, server.startedAt,
-                evacuations_.evacuations().contains(server.domain), warmupLimit(server) });
+                evacuations_.evacuations().contains(server.domain), coldPeriod(server) });
         }
     }
     published_.clear();
@@ -176,18 +176,14 @@
     return warmup != nullptr ? warmup->duration : Duration {};
 }
 
-std::optional<routing::WarmupLimit> FleetDirectory::warmupLimit(const fleet::BackendServer& server) const
+std::optional<routing::ColdPeriod> FleetDirectory::coldPeriod(const fleet::BackendServer& server) const
 {
     const fleet::WarmupFacts* warmup = warmupOf(server.service);
-    if (warmup == nullptr) {
-        return std::nullopt;
-    }
     const auto coldUntil = warmup_.coldUntil(server.id, context_.now());
-    if (!coldUntil) {
-        return routing::WarmupLimit {};
+    if (warmup == nullptr || !coldUntil) {
+        return std::nullopt;
     }
-    return routing::WarmupLimit { *coldUntil,
-        routing::warmupShare(warmup->requestsPerSecond, server.id, context_.settings().peerAddress, vms_.addresses()) };
+    return routing::ColdPeriod { *coldUntil, warmup->requestsPerSecond };
 }
 
 void FleetDirectory::noteColdServers()
--- a/src/node/Gateway.cpp
+++ b/src/node/Gateway.cpp
@@ -46,7 +46,11 @@
     announceReadiness();
 }
 
-void Gateway::finishEvent() { proxyRequests_.finishEvent(); }
+void Gateway::finishEvent()
+{
+    proxyRequests_.finishEvent();
+    changes_.noteLimits(backends_.takeAnnouncementChanges());
+}
 
 void Gateway::onConfig(const fleet::FleetConfig& config)
 {
@@ -126,7 +130,11 @@
 }
 void Gateway::on(const ProxyRequestAbandoned& event) { proxyRequests_.onAbandoned(event); }
 
-void Gateway::on(const BackendAnnounced& event) { changes_.noteAnnouncement(event.backend, event.announcement); }
+void Gateway::on(const BackendAnnounced& event)
+{
+    backends_.onAnnounced(event.backend, event.announcement, context_.now());
+    changes_.noteAnnouncement(event.backend, event.announcement);
+}
 
 void Gateway::on(const KeyedRecords& event)
 {
@@ -181,6 +189,7 @@
     }
     if (const auto* received = std::get_if<Heartbeat>(&event.message)) {
         peers_.onHeartbeat(event.sender, event.address, *received);
+        backends_.onShared(received->announcements, context_.now());
         return;
     }
     routePeerMessage(event);
@@ -207,7 +216,7 @@
 {
     changes_.noteLog(health_.reachable(context_.now()), {});
     refreshWatched();
-    for (const Incarnation suspected : peers_.tick(heartbeat())) {
+    for (const Incarnation suspected : peers_.tick([this] { return heartbeat(); })) {
         ledgers_.onSuspected(suspected);
     }
     maxRoutersSeen_ = std::max(maxRoutersSeen_, static_cast<std::uint32_t>(peers_.membership().counts().alive) + 1);
@@ -305,6 +314,7 @@
     own.region = context_.settings().region;
     own.stopping = stopRequested_ || !retiredReason_.empty();
     own.logReachable = health_.reachable(context_.now());
+    own.announcements = backends_.toShare(context_.now());
     return own;
 }
 
--- a/src/node/Peers.cpp
+++ b/src/node/Peers.cpp
@@ -88,11 +88,14 @@
     membership_.onVmList(listed, context_.now());
 }
 
-std::vector<Incarnation> Peers::tick(const Heartbeat& own)
+std::vector<Incarnation> Peers::tick(const std::function<Heartbeat()>& own)
 {
     const membership::MembershipActions due = membership_.tick(context_.now());
-    for (const auto& address : due.heartbeats) {
-        context_.emit(SendPeer { address, Incarnation {}, own });
+    if (!due.heartbeats.empty()) {
+        const Heartbeat heartbeat = own();
+        for (const auto& address : due.heartbeats) {
+            context_.emit(SendPeer { address, Incarnation {}, heartbeat });
+        }
     }
     std::vector<Incarnation> suspected;
     for (const auto& event : due.events) {
--- a/src/node/Peers.h
+++ b/src/node/Peers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -19,10 +20,10 @@
 
     /**
      * @brief Sends due heartbeats and logs membership changes.
-     * @param own The heartbeat to send.
+     * @param own Makes the heartbeat to send.
      * @return Peers suspected since the last tick.
      */
-    [[nodiscard]] std::vector<Incarnation> tick(const Heartbeat& own);
+    [[nodiscard]] std::vector<Incarnation> tick(const std::function<Heartbeat()>& own);
 
     /**
      * @brief Sends a message to an incarnation. Like any message, it may be lost: it is dropped when the incarnation's
--- a/src/node/ProxyRequestsDispatch.cpp
+++ b/src/node/ProxyRequestsDispatch.cpp
@@ -261,7 +261,7 @@
     }
     updateReachability(*request, ended.end);
     reportToQuarantine(*request, ended);
-    closeAttempt(*request, internal::toEndKind(ended.end));
+    closeAttempt(*request, internal::toEndKind(ended.end), ended.announcement);
     if (ended.end == ProxyAttemptEnd::Completed) {
         complete(*request, ended);
     } else {
--- a/src/node/ProxyRequestsEnd.cpp
+++ b/src/node/ProxyRequestsEnd.cpp
@@ -178,9 +178,11 @@
     closeAttempt(request, routing::EndKind::Cancelled);
 }
 
-void ProxyRequests::closeAttempt(ProxyRequest& request, routing::EndKind kind)
+void ProxyRequests::closeAttempt(
+    ProxyRequest& request, routing::EndKind kind, const std::optional<routing::Announcement>& announcement)
 {
-    backends_.onFinished(request.backend, request.attempt, { kind, Tokens {}, Tokens {} }, context_.now());
+    backends_.onFinished(
+        request.backend, request.attempt, { kind, Tokens {}, Tokens {}, announcement }, context_.now());
     callByAttempt_.erase(request.attempt);
     request.excluded.insert(request.backend);
     request.attempt = AttemptId {};
--- a/src/node/RequestsDispatch.cpp
+++ b/src/node/RequestsDispatch.cpp
@@ -199,6 +199,7 @@
     if (facts != nullptr) {
         finish.promptTokens = facts->promptTokens;
         finish.cachedPromptTokens = facts->cachedPromptTokens;
+        finish.announcement = facts->announcement;
     }
     backends_.onFinished(call.backend, call.attempt, finish, context_.now());
     callByAttempt_.erase(call.attempt);
--- a/src/node/StateChanges.cpp
+++ b/src/node/StateChanges.cpp
@@ -46,6 +46,17 @@
                      .with("in_flight", static_cast<std::int64_t>(view->inFlight)));
 }
 
+void StateChanges::noteLimits(const std::vector<routing::AnnouncementChange>& changes)
+{
+    for (const routing::AnnouncementChange& change : changes) {
+        context_.log(LogLineBuilder("limit")
+                         .with("backend", change.backend.value())
+                         .with("limit_per_s", change.limit.value_or(internal::noLimit))
+                         .with("age_ms", toMilliseconds(change.age))
+                         .with("source", change.fromPeer ? "peer" : "answer"));
+    }
+}
+
 void StateChanges::noteAnnouncement(const BackendId& backend, const routing::Announcement& announcement)
 {
     routing::Announcement lasting = announcement;
@@ -77,6 +88,8 @@
         return "slow_start";
     case routing::BackendState::Cold:
         return "cold";
+    case routing::BackendState::Limited:
+        return "limited";
     case routing::BackendState::Probing:
         return "probing";
     case routing::BackendState::Broken:
--- a/src/node/StateChanges.h
+++ b/src/node/StateChanges.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 #include "node/Context.h"
 #include "swiftlift/base/Ids.h"
@@ -27,6 +28,8 @@
     void noteLog(bool reachable, const std::string& detail);
     /** Logs the backend server's state if it has changed. */
     void noteBackend(const BackendId& backend, const routing::BackendTable& table);
+    /** Logs what has changed in what is known of backend servers' limits. */
+    void noteLimits(const std::vector<routing::AnnouncementChange>& changes);
     /** Logs what the backend server states about itself if it differs from before, and each rest that it asks for. */
     void noteAnnouncement(const BackendId& backend, const routing::Announcement& announcement);
     /** Removes backend servers that are not in the table any more. */
--- /dev/null
+++ b/src/routing/AnnouncementBook.cpp
@@ -0,0 +1,133 @@
+#include "routing/AnnouncementBook.h"
+
+#include <algorithm>
+
+namespace swiftlift::routing::internal {
+
+namespace {
+
+    /** The same statement comes with a slightly later time from each router that passes it on. */
+    constexpr Duration minShareGain = std::chrono::milliseconds(200);
+
+    /** @brief Moves the first `steps` elements to the end, as often as the list is passed. */
+    void rotate(std::vector<SharedAnnouncement>& list, std::size_t steps)
+    {
+        if (!list.empty()) {
+            std::ranges::rotate(list, list.begin() + static_cast<std::ptrdiff_t>(steps % list.size()));
+        }
+    }
+
+} // namespace
+
+KnownAnnouncement* AnnouncementBook::record(const BackendId& backend, std::uint64_t instance, Instant now)
+{
+    const auto found = servers_.find(backend);
+    if (found != servers_.end() && found->second.instance > instance) {
+        return nullptr;
+    }
+    if (found == servers_.end() && servers_.size() >= maxServers) {
+        removeOld(now);
+    }
+    KnownAnnouncement& known = found == servers_.end() ? servers_[backend] : found->second;
+    if (known.instance < instance) {
+        known = {};
+        known.instance = instance;
+    }
+    return &known;
+}
+
+void AnnouncementBook::removeOld(Instant now)
+{
+    std::erase_if(servers_, [&](const auto& entry) { return !isWorthSharing(entry.second, now); });
+    if (servers_.size() >= maxServers) {
+        servers_.erase(
+            std::ranges::min_element(servers_, {}, [](const auto& entry) { return entry.second.limitStatedAt; }));
+    }
+}
+
+bool AnnouncementBook::setLimit(KnownAnnouncement& known, std::optional<double> limit, Instant statedAt, Instant now)
+{
+    known.limitStatedAt = statedAt;
+    if (known.limit == limit) {
+        return false;
+    }
+    known.limit = limit;
+    known.changedAt = now;
+    return true;
+}
+
+bool AnnouncementBook::onAnnounced(
+    const BackendId& backend, std::uint64_t instance, const Announcement& announcement, Instant now)
+{
+    if (!announcement.limit) {
+        return false;
+    }
+    KnownAnnouncement* known = record(backend, instance, now);
+    return known != nullptr && setLimit(*known, announcement.limit, now, now);
+}
+
+bool AnnouncementBook::onAnswered(
+    const BackendId& backend, std::uint64_t instance, const Announcement& announcement, Instant sentAt, Instant now)
+{
+    const auto found = servers_.find(backend);
+    const bool isKnown = found != servers_.end() && found->second.instance == instance && found->second.limit;
+    if (!isKnown || announcement.limit || sentAt <= found->second.limitStatedAt) {
+        return false;
+    }
+    return setLimit(found->second, std::nullopt, sentAt, now);
+}
+
+bool AnnouncementBook::onShared(const SharedAnnouncement& shared, Instant now)
+{
+    KnownAnnouncement* known = record(shared.backend, shared.instance, now);
+    const Instant statedAt = now - shared.age;
+    if (known == nullptr || statedAt <= known->limitStatedAt) {
+        return false;
+    }
+    if (known->limit == shared.limit && statedAt - known->limitStatedAt < minShareGain) {
+        return false;
+    }
+    return setLimit(*known, shared.limit, statedAt, now);
+}
+
+void AnnouncementBook::onRestarted(const BackendId& backend, Instant now)
+{
+    if (const auto found = servers_.find(backend); found != servers_.end()) {
+        const std::uint64_t instance = found->second.instance;
+        found->second = {};
+        found->second.instance = instance;
+        found->second.limitStatedAt = now;
+        found->second.changedAt = now;
+    }
+}
+
+const KnownAnnouncement* AnnouncementBook::find(const BackendId& backend, std::uint64_t instance) const
+{
+    const auto found = servers_.find(backend);
+    return found == servers_.end() || found->second.instance != instance ? nullptr : &found->second;
+}
+
+bool AnnouncementBook::isWorthSharing(const KnownAnnouncement& known, Instant now)
+{
+    return known.limit || now - known.changedAt < changeLifetime;
+}
+
+std::vector<SharedAnnouncement> AnnouncementBook::toShare(Instant now) const
+{
+    std::vector<SharedAnnouncement> changed;
+    std::vector<SharedAnnouncement> others;
+    for (const auto& [backend, known] : servers_) {
+        if (isWorthSharing(known, now)) {
+            auto& list = now - known.changedAt < changeLifetime ? changed : others;
+            list.push_back({ backend, known.instance, known.limit, now - known.limitStatedAt });
+        }
+    }
+    const auto turn = static_cast<std::size_t>(now.time_since_epoch() / sharePeriod);
+    rotate(changed, turn * maxShared);
+    rotate(others, turn * maxShared);
+    changed.insert(changed.end(), others.begin(), others.end());
+    changed.resize(std::min(changed.size(), maxShared));
+    return changed;
+}
+
+} // namespace swiftlift::routing::internal
--- /dev/null
+++ b/src/routing/AnnouncementBook.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "swiftlift/base/Ids.h"
+#include "swiftlift/base/Units.h"
+#include "swiftlift/routing/Announcement.h"
+
+namespace swiftlift::routing::internal {
+
+/** @brief What is known of one backend server's announcements. */
+struct KnownAnnouncement {
+    /** Start time of the instance that stated this; 0 if instances are not told apart. */
+    std::uint64_t instance = 0;
+    /** Requests per second that it accepts from all routers together; nullopt: no limit, or no more. */
+    std::optional<double> limit;
+    /** When the server was last known to state this limit, or none. */
+    Instant limitStatedAt {};
+    /** When the limit last changed for this router. */
+    Instant changedAt {};
+};
+
+/**
+ * @brief What backend servers have stated about themselves, from their answers and from other routers.
+ *
+ * It outlives the servers' entries in the table: entries of running servers lapse and return.
+ */
+class AnnouncementBook {
+public:
+    /**
+     * @brief Processes the head of an answer.
+     * @return True if what is known of the server has changed.
+     */
+    bool onAnnounced(const BackendId& backend, std::uint64_t instance, const Announcement& announcement, Instant now);
+    /**
+     * @brief Processes the end of an answer: a server that no longer names its limit has withdrawn it.
+     * @param sentAt When the request was sent. An answer to a request that was sent before the limit was stated may
+     * have been made before it, too.
+     * @return True if what is known of the server has changed.
+     */
+    bool onAnswered(const BackendId& backend, std::uint64_t instance, const Announcement& announcement, Instant sentAt,
+        Instant now);
+    /**
+     * @brief Processes what another router knows; what was stated last counts.
+     * @return True if what is known of the server has changed.
+     */
+    bool onShared(const SharedAnnouncement& shared, Instant now);
+    /** @brief Forgets a server that has restarted without a new id or start time. */
+    void onRestarted(const BackendId& backend, Instant now);
+
+    /** @return What this instance of the server has stated; null: nothing. */
+    [[nodiscard]] const KnownAnnouncement* find(const BackendId& backend, std::uint64_t instance) const;
+    /** @return What to tell another router now: recent changes first, then some of the rest in turn. */
+    [[nodiscard]] std::vector<SharedAnnouncement> toShare(Instant now) const;
+
+private:
+    /** Number of servers that are remembered. */
+    static constexpr std::size_t maxServers = 16'384;
+    /** Number of servers in one message to another router. */
+    static constexpr std::size_t maxShared = 32;
+    /** How long a change is told first, and a withdrawn limit at all. */
+    static constexpr Duration changeLifetime = std::chrono::seconds(5);
+    /** Time after which the next servers are told in turn. */
+    static constexpr Duration sharePeriod = std::chrono::milliseconds(500);
+
+    /** @return The record of the instance; null: a later instance is known. */
+    [[nodiscard]] KnownAnnouncement* record(const BackendId& backend, std::uint64_t instance, Instant now);
+    /** @return True if the limit has changed. */
+    static bool setLimit(KnownAnnouncement& known, std::optional<double> limit, Instant statedAt, Instant now);
+    [[nodiscard]] static bool isWorthSharing(const KnownAnnouncement& known, Instant now);
+    void removeOld(Instant now);
+
+    std::map<BackendId, KnownAnnouncement> servers_;
+};
+
+} // namespace swiftlift::routing::internal
--- a/src/routing/Backend.cpp
+++ b/src/routing/Backend.cpp
@@ -29,7 +29,6 @@
     , cache_(settings.prefixesKept, lengths)
     , breaker_(settings, seed)
 {
-    warmup_.setLimit(entry_.warmup);
 }
 
 // A server that restarts under the same id has an empty cache, no connections and no requests. With the state of its
@@ -39,7 +38,7 @@
 {
     entry_.domain = entry.domain;
     entry_.evacuated = entry.evacuated;
-    warmup_.setLimit(entry.warmup);
+    entry_.cold = entry.cold;
     const bool newInstance = entry.instance > entry_.instance && entry_.instance != 0;
     entry_.instance = std::max(entry_.instance, entry.instance);
     if (!newInstance) {
@@ -48,7 +47,7 @@
     entry_.slots = entry.slots;
     load_ = LoadEstimate(settings_, entry.slots);
     sent_.clear();
-    warmup_.clear();
+    arrivals_.clear();
     unread_ = Tokens {};
     generation_.reset();
     reported_ = false;
@@ -57,12 +56,13 @@
     resetForRestart(now);
 }
 
-void Backend::onLoad(const LoadReport& report, Instant now)
+bool Backend::onLoad(const LoadReport& report, Instant now)
 {
     if (generation_ && report.generation < *generation_) {
-        return;
+        return false;
     }
-    if (generation_ && report.generation > *generation_) {
+    const bool restarted = generation_ && report.generation > *generation_;
+    if (restarted) {
         resetForRestart(now);
     }
     generation_ = report.generation;
@@ -72,7 +72,13 @@
     reported_ = true;
     models_ = { report.models.begin(), report.models.end() };
     load_.onReport(report, now);
-    updateLeaving(report, now);
+    return updateLeaving(report, now) || restarted;
+}
+
+void Backend::setAnnounced(const internal::KnownAnnouncement* announced)
+{
+    announcedLimit_ = announced != nullptr ? announced->limit : std::nullopt;
+    limitStatedAt_ = announced != nullptr ? announced->limitStatedAt : Instant {};
 }
 
 void Backend::resetForRestart(Instant now)
@@ -87,18 +93,20 @@
 
 // A load report may have been made before the backend server announced that it is leaving, and must not make it usable
 // again. Only a restart does, or load reports that don't confirm the announcement for `leavingHold`.
-void Backend::updateLeaving(const LoadReport& report, Instant now)
+bool Backend::updateLeaving(const LoadReport& report, Instant now)
 {
     if (report.leaving) {
         leaving_ = LeavingState { now, report.generation };
-        return;
+        return false;
     }
     if (leaving_ && !leaving_->generation) {
         leaving_->generation = report.generation;
     }
-    if (leaving_ && now - leaving_->lastAnnounced > settings_.leavingHold) {
+    const bool withdrawn = leaving_ && now - leaving_->lastAnnounced > settings_.leavingHold;
+    if (withdrawn) {
         resetForRestart(now);
     }
+    return withdrawn;
 }
 
 void Backend::onLeaving(Instant now) { leaving_ = LeavingState { now, generation_ }; }
@@ -117,7 +125,7 @@
     unread_ += uncached;
     load_.onDispatched(attempt, now);
     breaker_.onDispatched(attempt, now);
-    warmup_.onDispatched(now);
+    arrivals_.onDispatched(now);
 }
 
 void Backend::onFirstToken(AttemptId attempt, Instant now)
@@ -148,11 +156,11 @@
     }
 }
 
-void Backend::onFinished(AttemptId attempt, const FinishFacts& facts, Instant now)
+std::optional<Instant> Backend::onFinished(AttemptId attempt, const FinishFacts& facts, Instant now)
 {
     const auto found = sent_.find(attempt);
     if (found == sent_.end()) {
-        return;
+        return std::nullopt;
     }
     const SentAttempt sent = found->second;
     subtractUnread(sent);
@@ -162,6 +170,7 @@
         cache_.onAnswer(sent.facts.prefixHash, facts.promptTokens, facts.cachedPromptTokens);
     }
     processEnd(attempt, facts, now);
+    return sent.at;
 }
 
 void Backend::processEnd(AttemptId attempt, const FinishFacts& facts, Instant now)
@@ -212,9 +221,12 @@
     if (breaker_.open(now)) {
         return BackendState::Broken;
     }
-    if (warmup_.isCold(now)) {
+    if (arrivals_.isLimited(LimitCause::Cold, now)) {
         return BackendState::Cold;
     }
+    if (arrivals_.isLimited(LimitCause::Announced, now)) {
+        return BackendState::Limited;
+    }
     return breaker_.slowStart(now) ? BackendState::SlowStart : BackendState::Up;
 }
 
@@ -222,7 +234,7 @@
 
 bool Backend::mayGetRequests(Instant now) const
 {
-    return !leaving_ && !entry_.evacuated && !warmup_.holdsBack(now) && !paused(now);
+    return !leaving_ && !entry_.evacuated && !arrivals_.heldBackBy(now) && !paused(now);
 }
 
 bool Backend::usable(Instant now) const
@@ -240,7 +252,7 @@
     if (leaving_ || entry_.evacuated) {
         return std::nullopt;
     }
-    Instant at = warmup_.freeAt(now);
+    Instant at = arrivals_.freeAt(now);
     if (pausedUntil_) {
         at = std::max(at, *pausedUntil_);
     }
@@ -284,7 +296,9 @@
     view.probe = breaker_.mayProbe(now);
     view.usableAt = usableAt(now);
     view.reportAge = load_.reportAge(now);
-    view.coldLimitReached = warmup_.holdsBack(now);
+    view.heldBackBy = arrivals_.heldBackBy(now);
+    view.announcedLimit = announcedLimit_;
+    view.limitUnconfirmed = announcedLimit_ && now - limitStatedAt_ > settings_.limitConfirmation;
     view.servesModel = request.model.empty() || !reported_ || models_.contains(request.model);
     return view;
 }
--- a/src/routing/Backend.h
+++ b/src/routing/Backend.h
@@ -6,11 +6,12 @@
 #include <set>
 #include <string>
 
+#include "routing/AnnouncementBook.h"
+#include "routing/ArrivalLimiter.h"
 #include "routing/Breaker.h"
 #include "routing/LoadEstimate.h"
 #include "routing/PrefillModel.h"
 #include "routing/PrefixCache.h"
-#include "routing/WarmupLimiter.h"
 #include "swiftlift/base/Ids.h"
 #include "swiftlift/base/Units.h"
 #include "swiftlift/routing/BackendTable.h"
@@ -24,12 +25,14 @@
         std::uint64_t seed);
 
     // The notifications are those of BackendTable.
-    void onLoad(const LoadReport& report, Instant now);
+    /** @return True if the report shows that the backend server has restarted. */
+    bool onLoad(const LoadReport& report, Instant now);
     void onLoadMissed(Instant now);
     void onCacheEvents(const std::vector<CacheNotice>& events) { cache_.onEvents(events); }
     void onDispatched(AttemptId attempt, const DispatchFacts& facts, Instant now);
     void onFirstToken(AttemptId attempt, Instant now);
-    void onFinished(AttemptId attempt, const FinishFacts& facts, Instant now);
+    /** @return When the attempt was sent; nullopt: the attempt is unknown. */
+    std::optional<Instant> onFinished(AttemptId attempt, const FinishFacts& facts, Instant now);
     void onLeaving(Instant now);
 
     [[nodiscard]] BackendView view(const ViewRequest& request, Instant now) const;
@@ -42,6 +45,14 @@
     /** @brief Updates the entry of the service's document. A new instance resets the estimates of the last one.
      */
     void setEntry(const BackendEntry& entry, Instant now);
+    [[nodiscard]] const BackendEntry& entry() const noexcept { return entry_; }
+    /** @param limit What this router may send for this cause; nullopt: no limit. */
+    void setLimit(LimitCause cause, const std::optional<internal::ArrivalLimit>& limit)
+    {
+        arrivals_.setLimit(cause, limit);
+    }
+    /** @param announced What the backend server has stated; null: nothing. */
+    void setAnnounced(const internal::KnownAnnouncement* announced);
 
 private:
     /** @brief An attempt of this router in progress. */
@@ -70,7 +81,8 @@
     /** @brief Subtracts the attempt's prompt from `unread_` unless its first token has arrived: the prompt has been
      * prefilled, or never will be. */
     void subtractUnread(const SentAttempt& sent);
-    void updateLeaving(const LoadReport& report, Instant now);
+    /** @return True if the backend server counts as restarted because it no longer announces its leaving. */
+    bool updateLeaving(const LoadReport& report, Instant now);
     void processEnd(AttemptId attempt, const FinishFacts& facts, Instant now);
     [[nodiscard]] BackendState state(Instant now) const;
     [[nodiscard]] bool paused(Instant now) const;
@@ -90,7 +102,10 @@
     LoadEstimate load_;
     PrefixCache cache_;
     Breaker breaker_;
-    internal::WarmupLimiter warmup_;
+    internal::ArrivalLimiter arrivals_;
+    /** The limit that the backend server names, in requests per second, and when it was last known to name it. */
+    std::optional<double> announcedLimit_;
+    Instant limitStatedAt_ {};
     std::map<AttemptId, SentAttempt> sent_;
     /** Sum of the uncached prompt tokens of attempts in `sent_` without a first token. */
     Tokens unread_;
--- a/src/routing/BackendTable.cpp
+++ b/src/routing/BackendTable.cpp
@@ -4,14 +4,25 @@
 #include <functional>
 #include <utility>
 
+#include "routing/AnnouncementBook.h"
 #include "routing/Backend.h"
 
 namespace swiftlift::routing {
 
+namespace {
+
+    /** Time in which the requests to a server that names a limit are counted. */
+    constexpr Duration announcedWindow = std::chrono::seconds(4);
+    /** Rate for a server that names a lower limit: without requests, the end of its limit would not be noticed. */
+    constexpr double minAnnouncedRate = 0.1;
+
+} // namespace
+
 BackendTable::BackendTable(TableSettings settings)
     : settings_(settings)
     , prefill_(std::make_unique<PrefillModel>(settings.assumedPrefillPerToken))
     , lengths_(std::make_unique<PrefixLengths>(settings.prefixesKept))
+    , announcements_(std::make_unique<internal::AnnouncementBook>())
 {
 }
 
@@ -26,10 +37,13 @@
         ids.insert(entry.backend);
         if (Backend* found = find(entry.backend)) {
             found->setEntry(entry, now);
+            updateLimits(*found);
             continue;
         }
         const std::uint64_t seed = settings_.seed ^ std::hash<BackendId> {}(entry.backend);
-        backends_[entry.backend] = std::make_unique<Backend>(entry, settings_, *prefill_, *lengths_, seed);
+        auto& added = backends_[entry.backend];
+        added = std::make_unique<Backend>(entry, settings_, *prefill_, *lengths_, seed);
+        updateLimits(*added);
     }
     if (ids.empty()) {
         services_.erase(service);
@@ -77,10 +91,91 @@
     return found == backends_.end() ? nullptr : found->second.get();
 }
 
+void BackendTable::setRouters(const PeerAddress& self, std::vector<PeerAddress> routers)
+{
+    if (self == self_ && routers == routers_) {
+        return;
+    }
+    self_ = self;
+    routers_ = std::move(routers);
+    for (const auto& [id, backend] : backends_) {
+        updateLimits(*backend);
+    }
+}
+
+FleetShare BackendTable::shareOf(const Backend& backend, const FleetRate& rate) const
+{
+    return fleetShare(rate, backend.entry().backend, self_, routers_);
+}
+
+void BackendTable::updateLimits(Backend& backend) const
+{
+    const BackendEntry& entry = backend.entry();
+    const internal::KnownAnnouncement* announced = announcements_->find(entry.backend, entry.instance);
+    backend.setAnnounced(announced);
+    std::optional<internal::ArrivalLimit> cold;
+    if (entry.cold) {
+        cold = { shareOf(backend, { entry.cold->requestsPerSecond }), entry.cold->until };
+    }
+    backend.setLimit(LimitCause::Cold, cold);
+    std::optional<internal::ArrivalLimit> limit;
+    if (announced != nullptr && announced->limit) {
+        limit = { shareOf(backend, { std::max(*announced->limit, minAnnouncedRate), announcedWindow }) };
+    }
+    backend.setLimit(LimitCause::Announced, limit);
+}
+
+void BackendTable::announcementChanged(const BackendId& backend, bool fromPeer, Instant now)
+{
+    Backend* found = find(backend);
+    if (found == nullptr) {
+        return;
+    }
+    updateLimits(*found);
+    if (const auto* known = announcements_->find(backend, found->entry().instance)) {
+        announcementChanges_.push_back({ backend, known->limit, now - known->limitStatedAt, fromPeer });
+    }
+}
+
+void BackendTable::onAnnounced(const BackendId& backend, const Announcement& announcement, Instant now)
+{
+    Backend* found = find(backend);
+    if (found == nullptr) {
+        return;
+    }
+    const bool changed = announcements_->onAnnounced(backend, found->entry().instance, announcement, now);
+    found->setAnnounced(announcements_->find(backend, found->entry().instance));
+    if (changed) {
+        announcementChanged(backend, false, now);
+    }
+}
+
+void BackendTable::onShared(const std::vector<SharedAnnouncement>& shared, Instant now)
+{
+    for (const SharedAnnouncement& each : shared) {
+        const bool changed = announcements_->onShared(each, now);
+        if (Backend* found = find(each.backend)) {
+            found->setAnnounced(announcements_->find(each.backend, found->entry().instance));
+        }
+        if (changed) {
+            announcementChanged(each.backend, true, now);
+        }
+    }
+}
+
+std::vector<SharedAnnouncement> BackendTable::toShare(Instant now) const { return announcements_->toShare(now); }
+
+std::vector<AnnouncementChange> BackendTable::takeAnnouncementChanges()
+{
+    return std::exchange(announcementChanges_, {});
+}
+
 void BackendTable::onLoad(const BackendId& backend, const LoadReport& report, Instant now)
 {
-    if (Backend* found = find(backend)) {
-        found->onLoad(report, now);
+    Backend* found = find(backend);
+    if (found != nullptr && found->onLoad(report, now)) {
+        announcements_->onRestarted(backend, now);
+        updateLimits(*found);
     }
 }
 
@@ -114,8 +209,14 @@
 
 void BackendTable::onFinished(const BackendId& backend, AttemptId attempt, const FinishFacts& facts, Instant now)
 {
-    if (Backend* found = find(backend)) {
-        found->onFinished(attempt, facts, now);
+    Backend* found = find(backend);
+    if (found == nullptr) {
+        return;
+    }
+    const auto sentAt = found->onFinished(attempt, facts, now);
+    if (sentAt && facts.announcement
+        && announcements_->onAnswered(backend, found->entry().instance, *facts.announcement, *sentAt, now)) {
+        announcementChanged(backend, false, now);
     }
 }
 
--- a/src/routing/Selector.cpp
+++ b/src/routing/Selector.cpp
@@ -43,6 +43,9 @@
     if (std::optional<Choice> choice = pickProbe(request, classified)) {
         return choice;
     }
+    if (std::optional<Choice> choice = pickUnconfirmedLimit(classified)) {
+        return choice;
+    }
     if (classified.ownDomain.empty() && classified.otherDomains.empty() && classified.full.empty()
         && !classified.lastResorts.empty()) {
         return pickLastResort(classified.lastResorts);
@@ -71,8 +74,8 @@
     if (request.excluded.contains(view.backend)) {
         return "tried already";
     }
-    if (view.coldLimitReached) {
-        return "cold";
+    if (view.heldBackBy) {
+        return *view.heldBackBy == LimitCause::Cold ? "cold" : "at the limit that they name";
     }
     if (view.probe && !request.idempotent) {
         return "waiting for a probe";
@@ -108,18 +111,28 @@
             classified.probes.push_back(std::move(view));
         } else if (isFull(request, view)) {
             classified.full.push_back(std::move(view));
-        } else if (request.unreachableDomains.contains(view.domain)) {
-            classified.inUnreachableDomains.push_back(std::move(view));
-        } else if (view.domain == settings_.domain) {
-            classified.ownDomain.push_back(std::move(view));
+        } else if (view.limitUnconfirmed) {
+            classified.unconfirmedLimits.push_back(view);
+            addUsable(request, std::move(view), classified);
         } else {
-            view.predictedFirstToken += settings_.crossDomain;
-            classified.otherDomains.push_back(std::move(view));
+            addUsable(request, std::move(view), classified);
         }
     }
     return classified;
 }
 
+void Selector::addUsable(const SelectRequest& request, BackendView view, Classified& classified) const
+{
+    if (request.unreachableDomains.contains(view.domain)) {
+        classified.inUnreachableDomains.push_back(std::move(view));
+    } else if (view.domain == settings_.domain) {
+        classified.ownDomain.push_back(std::move(view));
+    } else {
+        view.predictedFirstToken += settings_.crossDomain;
+        classified.otherDomains.push_back(std::move(view));
+    }
+}
+
 // Without probes, a breaker would stay open as long as other backend servers are usable. If every request could be a
 // probe, an unreachable failure domain would delay every request. So only a few requests become probes, and interactive
 // ones only if no other backend server is usable.
@@ -137,6 +150,18 @@
     return Choice { view.backend, view.predictedFirstToken, "probe of an open breaker", {}, true };
 }
 
+// A limit ends when an answer no longer names it. A server whose limit sends its requests elsewhere would get none that
+// could show the end.
+std::optional<Choice> Selector::pickUnconfirmedLimit(const Classified& classified)
+{
+    const auto& servers = classified.unconfirmedLimits;
+    if (servers.empty() || random_() % 100 >= settings_.probePercent) {
+        return std::nullopt;
+    }
+    const BackendView& view = servers[random_() % servers.size()];
+    return Choice { view.backend, view.predictedFirstToken, "shows whether its limit still holds", {}, false };
+}
+
 // If all servers of a service answer one request in nine with a failure, the breakers of all of them open at a router
 // with little traffic, which then refuses requests of which eight in nine would have succeeded; the refusals are
 // `no_backend` with only "broken" and "paused" in the detail. A breaker exists to direct requests to better servers;
--- a/src/transport/AnswerReader.h
+++ b/src/transport/AnswerReader.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -66,8 +67,8 @@
 
     /** @return The token counts that the engine reported with a complete answer. */
     [[nodiscard]] const DoneLine& counts() const noexcept { return counts_; }
-    /** @return What the backend server states about itself in the answer's head. */
-    [[nodiscard]] const routing::Announcement& announcement() const noexcept { return announcement_; }
+    /** @return What the backend server states about itself in the answer's head; nullopt: the head is not from it. */
+    [[nodiscard]] const std::optional<routing::Announcement>& announcement() const noexcept { return announcement_; }
     /** @return Why the answer is invalid or belongs to another request. */
     [[nodiscard]] const std::string& lastReason() const noexcept { return lastReason_; }
 
@@ -75,7 +76,7 @@
     [[nodiscard]] ReadState broken(std::string reason);
 
     DoneLine counts_;
-    routing::Announcement announcement_;
+    std::optional<routing::Announcement> announcement_;
 
 private:
     std::string lastReason_;
--- a/src/transport/Attempt.cpp
+++ b/src/transport/Attempt.cpp
@@ -240,15 +240,15 @@
         end(AttemptResult::Broken, reader_->lastReason());
         return;
     }
-    if (const routing::Announcement& announcement = reader_->announcement(); !announcement.empty()) {
-        handler_.announcementReceived(*this, announcement);
+    if (const auto& announcement = reader_->announcement(); announcement && !announcement->empty()) {
+        handler_.announcementReceived(*this, *announcement);
     }
 }
 
 std::optional<routing::Announcement> Attempt::announcement() const
 {
     const bool understood = verdict_ == HeadVerdict::Body || verdict_ == HeadVerdict::Refusal;
-    return understood ? std::optional(reader_->announcement()) : std::nullopt;
+    return understood ? reader_->announcement() : std::nullopt;
 }
 
 void Attempt::handleBody()
--- a/src/transport/ProxyAnswerReaders.cpp
+++ b/src/transport/ProxyAnswerReaders.cpp
@@ -35,8 +35,10 @@
     }
     head_ = head;
     otherServer_ = marks.otherServer;
-    // Another server at the same address states nothing about the intended one.
-    announcement_ = marks.otherServer ? routing::Announcement {} : marks.announcement;
+    // Another server at the same address, or whoever made an unsigned answer, states nothing about the intended server.
+    if (!marks.otherServer && (marks.genuine || marks.notStarted)) {
+        announcement_ = marks.announcement;
+    }
     if (marks.notStarted || marks.otherServer) {
         return HeadVerdict::Refusal;
     }
--- a/src/wire/PeerReader.cpp
+++ b/src/wire/PeerReader.cpp
@@ -1,11 +1,18 @@
 #include "wire/PeerReader.h"
 
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+
 namespace swiftlift::wire::internal {
 
 namespace {
 
     using proto::peer::Envelope;
 
+    /** An announcement's greatest age in microseconds: a day. */
+    constexpr std::uint64_t maxAge = 86'400'000'000U;
+
     GrantId read(const proto::ledger::Grant& in) { return { Incarnation(in.holder()), in.number() }; }
 
     BudgetRef read(const proto::ledger::Budget& in) { return { AccountId(in.account()), BudgetId(in.budget()) }; }
@@ -19,6 +26,19 @@
         return ceilings;
     }
 
+    routing::SharedAnnouncement read(const proto::peer::Announcement& in)
+    {
+        routing::SharedAnnouncement announcement;
+        announcement.backend = BackendId(in.backend());
+        announcement.instance = in.instance();
+        announcement.age = Duration(static_cast<Duration::rep>(std::min(in.age(), maxAge)));
+        // Requests can't be divided by a limit that is no number.
+        if (in.has_limit() && std::isfinite(in.limit()) && in.limit() >= 0) {
+            announcement.limit = in.limit();
+        }
+        return announcement;
+    }
+
     node::Heartbeat read(const proto::peer::Heartbeat& in)
     {
         node::Heartbeat heartbeat;
@@ -29,6 +49,9 @@
         for (const auto& position : in.positions()) {
             heartbeat.positions.push_back({ StreamName(position.stream()), Offset(position.next_offset()) });
         }
+        for (const auto& announcement : in.announcements()) {
+            heartbeat.announcements.push_back(read(announcement));
+        }
         return heartbeat;
     }
 
--- a/src/wire/PeerWriter.cpp
+++ b/src/wire/PeerWriter.cpp
@@ -16,6 +16,16 @@
         out.set_budget(budget.budget.value());
     }
 
+    void write(const routing::SharedAnnouncement& announcement, proto::peer::Announcement& out)
+    {
+        out.set_backend(announcement.backend.value());
+        out.set_instance(announcement.instance);
+        out.set_age(static_cast<std::uint64_t>(announcement.age.count()));
+        if (announcement.limit) {
+            out.set_limit(*announcement.limit);
+        }
+    }
+
     template <typename Message> void writeCeilings(const std::vector<ledger::Ceiling>& ceilings, Message& out)
     {
         for (const auto& ceiling : ceilings) {
@@ -40,6 +50,9 @@
         added.set_stream(position.stream.value());
         added.set_next_offset(position.next.value());
     }
+    for (const auto& announcement : message.announcements) {
+        write(announcement, *body.add_announcements());
+    }
 }
 
 void write(const node::RaiseCeilings& message, proto::peer::Envelope& out)
--- a/tests/node/GatewayAnnouncementTest.cpp
+++ b/tests/node/GatewayAnnouncementTest.cpp
@@ -3,6 +3,7 @@
 namespace swiftlift::node::testing {
 namespace {
 
+    using std::chrono::milliseconds;
     using std::chrono::seconds;
 
     class GatewayAnnouncementTest : public GatewayTest {
@@ -36,11 +37,48 @@
             const ProxyDispatch dispatch = dispatched(world.arrive("/plain/x"));
             count += dispatch.backend == BackendId { "p-1" } ? 1 : 0;
             world.end(dispatch, ProxyAttemptEnd::Completed);
-            world.run(std::chrono::milliseconds(60));
+            world.run(milliseconds(60));
         }
         EXPECT_LE(count, 2 * 4) << "2 a second, for 3.6 s";
         EXPECT_GE(count, 2);
     }
 
+    // Guards against a router that was told by no server itself and sends as if there were no limit.
+    TEST_F(GatewayAnnouncementTest, LimitIsLearntFromAPeerAndToldToPeers)
+    {
+        world.registerVms({ "127.0.0.1:7400", "127.0.0.1:7500" });
+        Heartbeat heartbeat;
+        heartbeat.domain = FailureDomain { "a" };
+        heartbeat.announcements = { { BackendId("p-1"), 0, 1.0, milliseconds(300) } };
+        world.handle(PeerReceived { Incarnation { 78 }, PeerAddress { "127.0.0.1:7500" }, heartbeat });
+        ASSERT_EQ(world.lines("limit").size(), 1U);
+        world.run(seconds(1));
+        ASSERT_TRUE(world.lastHeartbeat());
+        ASSERT_EQ(world.lastHeartbeat()->announcements.size(), 1U);
+        EXPECT_EQ(world.lastHeartbeat()->announcements.front().limit, 1.0);
+        EXPECT_GT(world.lastHeartbeat()->announcements.front().age, milliseconds(300));
+    }
+
+    // Guards against a limit that ends because of an answer that is older than the limit, or never ends.
+    TEST_F(GatewayAnnouncementTest, LimitEndsWithAnAnswerToALaterRequestThatDoesNotNameIt)
+    {
+        world.registerVms({ "127.0.0.1:7400" });
+        ProxyDispatch before = dispatched(world.arrive("/plain/x"));
+        world.run(milliseconds(100));
+        const std::string server = before.backend.value();
+        announce(server, { 1.0, false, {} });
+        world.end(before, ProxyAttemptEnd::Completed, 200, 0, routing::Announcement {});
+        EXPECT_EQ(world.lines("limit").size(), 1U) << "the answer may have been made before the limit";
+        world.run(milliseconds(100));
+        ProxyDispatch after = before;
+        for (int number = 0; number < 40 && world.lines("limit").size() < 2; ++number) {
+            after = dispatched(world.arrive("/plain/x"));
+            world.run(milliseconds(100));
+            world.end(after, ProxyAttemptEnd::Completed, 200, 0, routing::Announcement {});
+        }
+        EXPECT_EQ(world.lines("limit").size(), 2U);
+        EXPECT_EQ(after.backend.value(), server);
+    }
+
 } // namespace
 } // namespace swiftlift::node::testing
--- a/tests/node/GatewayWorld.cpp
+++ b/tests/node/GatewayWorld.cpp
@@ -237,11 +237,13 @@
     return arrived.call;
 }
 
-void GatewayWorld::end(const ProxyDispatch& dispatch, ProxyAttemptEnd attemptEnd, int status, std::uint64_t events)
+void GatewayWorld::end(const ProxyDispatch& dispatch, ProxyAttemptEnd attemptEnd, int status, std::uint64_t events,
+    const std::optional<routing::Announcement>& announcement)
 {
     dispatches_.erase(dispatch.call);
     forwardedEvents_[dispatch.call] = std::max(forwardedEvents_[dispatch.call], events);
-    handle(ProxyAttemptEnded { dispatch.attempt, attemptEnd, status, events, "ended by the test" });
+    handle(
+        ProxyAttemptEnded { dispatch.attempt, attemptEnd, status, events, "ended by the test", false, announcement });
 }
 
 void GatewayWorld::loseConnection(const ProxyDispatch& dispatch)
@@ -334,6 +336,10 @@
             expeditedReads_ += expedited->stream == ledgerName ? 1 : 0;
         } else if (const auto* line = std::get_if<LogLine>(&action)) {
             lines_.push_back(*line);
+        } else if (const auto* message = std::get_if<SendPeer>(&action)) {
+            if (const auto* heartbeat = std::get_if<Heartbeat>(&message->message)) {
+                lastHeartbeat_ = *heartbeat;
+            }
         }
         stopReady_ = stopReady_ || std::holds_alternative<StopReady>(action);
     }
--- a/tests/node/GatewayWorld.h
+++ b/tests/node/GatewayWorld.h
@@ -49,8 +49,10 @@
     /** A request arrives. @param answerTokens Maximum tokens of the answer. */
     CallId arrive(const std::string& path, std::int64_t promptTokens = 0, std::int64_t answerTokens = 0,
         Duration deadline = std::chrono::seconds(5), const std::string& key = "k");
-    /** Ends the attempt. @param events Events forwarded to the caller in total. */
-    void end(const ProxyDispatch& dispatch, ProxyAttemptEnd attemptEnd, int status = 200, std::uint64_t events = 0);
+    /** Ends the attempt. @param events Events forwarded to the caller in total. @param announcement What the answer's
+     * head states about the backend server. */
+    void end(const ProxyDispatch& dispatch, ProxyAttemptEnd attemptEnd, int status = 200, std::uint64_t events = 0,
+        const std::optional<routing::Announcement>& announcement = std::nullopt);
     /** Ends the attempt by a lost connection, as when the backend server crashes. */
     void loseConnection(const ProxyDispatch& dispatch);
     /** Reports the number of events forwarded to the caller. */
@@ -71,6 +73,8 @@
     [[nodiscard]] ledger::BudgetView budget() const;
     [[nodiscard]] Tokens billed() const { return budget().billed; }
     [[nodiscard]] std::vector<LogLine> lines(const std::string& kind) const;
+    /** @return The heartbeat that was sent last; nullopt: none was sent. */
+    [[nodiscard]] const std::optional<Heartbeat>& lastHeartbeat() const noexcept { return lastHeartbeat_; }
 
     /** Publishes the current configuration with a change, under the next version. */
     template <typename Change> void publish(const Change& change)
@@ -139,6 +143,7 @@
     std::set<CallId> failures_;
     std::set<AttemptId> cancelled_;
     std::vector<LogLine> lines_;
+    std::optional<Heartbeat> lastHeartbeat_;
     bool ready_ = false;
     bool stopReady_ = false;
     int expeditedReads_ = 0;
--- a/tests/routing/WarmupShareTest.cpp
+++ b/tests/routing/FleetShareTest.cpp
@@ -1,4 +1,4 @@
-#include "swiftlift/routing/WarmupShare.h"
+#include "swiftlift/routing/FleetShare.h"
 
 #include <algorithm>
 #include <deque>
@@ -39,12 +39,12 @@
     {
         std::uint32_t sum = 0;
         for (std::size_t index = 0; index < routers.size(); ++index) {
-            sum += warmupShare(perSecond, server, routers[index], lists[index % lists.size()]).requests;
+            sum += fleetShare({ perSecond }, server, routers[index], lists[index % lists.size()]).requests;
         }
         return sum;
     }
 
-    TEST(WarmupShare, RoutersWithTheSameListUseMostOfWhatAServerBears)
+    TEST(FleetShare, RoutersWithTheSameListUseMostOfWhatAServerBears)
     {
         for (const std::size_t count : { 1, 2, 5, 59, 300 }) {
             const auto routers = addresses(0, count);
@@ -58,7 +58,7 @@
 
     // Guards against a cold server that crashes while VMs are added, removed or replaced: routers have lists with and
     // without them, and each may take others for owners.
-    TEST(WarmupShare, RoutersWithTwoListsStayBelowTheBound)
+    TEST(FleetShare, RoutersWithTwoListsStayBelowTheBound)
     {
         const auto routers = addresses(0, 69);
         const std::vector<std::vector<std::vector<PeerAddress>>> pairs { { routers, addresses(0, 59) },
@@ -71,17 +71,17 @@
         }
     }
 
-    TEST(WarmupShare, UnregisteredRouterOwnsNothing)
+    TEST(FleetShare, UnregisteredRouterOwnsNothing)
     {
         const auto routers = addresses(0, 3);
-        EXPECT_EQ(warmupShare(perSecond, serverId(1), PeerAddress { "10.0.0.9:1" }, routers).requests, 0U);
-        EXPECT_EQ(warmupShare(perSecond, serverId(1), routers[0], {}).requests, 0U);
+        EXPECT_EQ(fleetShare({ perSecond }, serverId(1), PeerAddress { "10.0.0.9:1" }, routers).requests, 0U);
+        EXPECT_EQ(fleetShare({ perSecond }, serverId(1), routers[0], {}).requests, 0U);
     }
 
-    TEST(WarmupShare, LessThanOneRequestASecondHasALongerWindow)
+    TEST(FleetShare, LessThanOneRequestASecondHasALongerWindow)
     {
         const auto routers = addresses(0, 1);
-        const WarmupShare share = warmupShare(0.5, serverId(1), routers[0], routers);
+        const FleetShare share = fleetShare({ 0.5 }, serverId(1), routers[0], routers);
         EXPECT_EQ(share.requests, 1U);
         EXPECT_EQ(share.window, seconds(2));
     }
@@ -98,7 +98,8 @@
                 settings.domain = FailureDomain { "d" + std::to_string(index % domains) };
                 settings.seed = index + 1;
                 selectors_.push_back(makeSelector("rendezvous", settings));
-                tables_.back().setBackends(ServiceName { "model" }, entries(index, limited), start);
+                tables_.back().setRouters(routers_[index], routers_);
+                tables_.back().setBackends(ServiceName { "model" }, entries(limited), start);
             }
         }
 
@@ -148,14 +149,13 @@
             return std::stoul(server.value().substr(1)) % domains == 0;
         }
 
-        [[nodiscard]] std::vector<BackendEntry> entries(std::size_t router, bool limited) const
+        [[nodiscard]] static std::vector<BackendEntry> entries(bool limited)
         {
             std::vector<BackendEntry> list;
             for (std::size_t index = 0; index < servers; ++index) {
                 BackendEntry entry { serverId(index), FailureDomain { "d" + std::to_string(index % domains) }, 24 };
                 if (limited && isCold(entry.backend)) {
-                    entry.warmup = WarmupLimit { start + seconds(60),
-                        warmupShare(perSecond, entry.backend, routers_[router], routers_) };
+                    entry.cold = ColdPeriod { start + seconds(60), perSecond };
                 }
                 list.push_back(entry);
             }
@@ -169,7 +169,7 @@
 
     // Guards against a domain whose servers crash as they return cold: 35 of 140 servers are cold, and the prefixes
     // whose homes they are come at 1.7 times the usual rate of 594 requests a second.
-    TEST(WarmupShare, ColdDomainUnderABurstStaysBelowTheBound)
+    TEST(FleetShare, ColdDomainUnderABurstStaysBelowTheBound)
     {
         ColdDomainLoad limited(59, true);
         EXPECT_LE(limited.run(1010, seconds(3)), bound);
--- a/tests/wire/PeerCodecTest.cpp
+++ b/tests/wire/PeerCodecTest.cpp
@@ -10,6 +10,9 @@
     const BudgetRef budget { AccountId("acme"), BudgetId("desk") };
     const std::vector<ledger::Ceiling> ceilings { { grant, Tokens(500) }, { { Incarnation(12), 4 }, Tokens(0) } };
 
+    const std::vector<routing::SharedAnnouncement> announcements { { BackendId("s1"), 5, 2.5, std::chrono::seconds(1) },
+        { BackendId("s2"), 0, std::nullopt, std::chrono::milliseconds(3) } };
+
     /** @return One message of each kind, in the order of the alternatives of `node::PeerMessage`. */
     std::vector<node::PeerMessage> makeMessages()
     {
@@ -18,6 +21,7 @@
         heartbeat.region = Region("sask-south");
         heartbeat.stopping = true;
         heartbeat.positions = { { StreamName("config"), Offset(7) } };
+        heartbeat.announcements = announcements;
         return { heartbeat, node::RaiseCeilings { ceilings }, node::CeilingsAcked { ceilings },
             node::CeilingsRefused { { grant } }, node::LoanAsk { 1, budget, Tokens(5) },
             node::LoanGiven { 2, budget, grant, Tokens(6) }, node::LoanDenied { 3, budget, Tokens(7) },
@@ -65,6 +69,7 @@
     EXPECT_TRUE(heartbeat.stopping);
     EXPECT_FALSE(heartbeat.logReachable);
     EXPECT_EQ(heartbeat.positions.front().next, Offset(7));
+    EXPECT_EQ(heartbeat.announcements, announcements);
 }
 
 TEST(PeerCodec, RefusesBytesThatAreNoValidEnvelope)
