--- a/tests/node/GatewayAnnouncementTest.cpp
+++ b/tests/node/GatewayAnnouncementTest.cpp
@@ -13,6 +13,29 @@
         {
             world.handle(BackendAnnounced { BackendId(server), announcement });
         }
+
+        /** The server turns the request away and asks for rest. */
+        void turnAway(const ProxyDispatch& dispatch, Duration rest)
+        {
+            const routing::Announcement announcement { {}, false, rest };
+            announce(dispatch.backend.value(), announcement);
+            world.end(dispatch, ProxyAttemptEnd::Refused, 503, 0, announcement);
+        }
+
+        /** Sends requests for this long, one every 50 ms, all of which are answered.
+         * @return How many were dispatched to the server. */
+        [[nodiscard]] int dispatchesTo(const std::string& server, Duration time)
+        {
+            int count = 0;
+            for (Duration passed {}; passed < time; passed += milliseconds(50)) {
+                if (const auto dispatch = world.dispatchOf(world.arrive("/plain/x"))) {
+                    count += dispatch->backend.value() == server ? 1 : 0;
+                    world.end(*dispatch, ProxyAttemptEnd::Completed);
+                }
+                world.run(milliseconds(40));
+            }
+            return count;
+        }
     };
 
     // Guards against requests that go on to a server that asked for none, without a line that says what was known.
@@ -80,5 +103,42 @@
         EXPECT_EQ(after.backend.value(), server);
     }
 
+    // Guards against a server that turned a request away, asked for rest, and gets the next ones within its rest.
+    TEST_F(GatewayAnnouncementTest, RestingServerGetsNothingUntilItsRestIsOver)
+    {
+        const ProxyDispatch dispatch = dispatched(world.arrive("/plain/x"));
+        const std::string server = dispatch.backend.value();
+        turnAway(dispatch, seconds(3));
+        EXPECT_EQ(dispatchesTo(server, milliseconds(2'900)), 0);
+        world.run(milliseconds(200));
+        EXPECT_GT(dispatchesTo(server, seconds(1)), 0);
+    }
+
+    // Guards against a rest that is forgotten with the server's entry, as entries lapse in an outage and return.
+    TEST_F(GatewayAnnouncementTest, RestOutlivesTheServersEntry)
+    {
+        const ProxyDispatch dispatch = dispatched(world.arrive("/plain/x"));
+        const std::string server = dispatch.backend.value();
+        turnAway(dispatch, seconds(3));
+        world.dropServer(server);
+        world.run(milliseconds(100));
+        world.putServer(server, "app", "a");
+        EXPECT_EQ(dispatchesTo(server, milliseconds(2'500)), 0);
+    }
+
+    // Guards against requests that a resting server gets because it is the last resort, or as a breaker's probe.
+    TEST_F(GatewayAnnouncementTest, ServiceWhoseServersAllRestRefusesAtOnceWithTheEndOfTheFirstRest)
+    {
+        for (int number = 0; number < 3; ++number) {
+            turnAway(dispatched(world.arrive("/order/x")), seconds(3));
+        }
+        const CallId call = world.arrive("/plain/x");
+        expectRefused(call, 503, "no_backend");
+        EXPECT_EQ(world.replyOf(call)->outcome, Outcome::NotRun);
+        ASSERT_TRUE(world.replyOf(call)->retryAfter);
+        EXPECT_GT(*world.replyOf(call)->retryAfter, seconds(2));
+        EXPECT_LE(*world.replyOf(call)->retryAfter, seconds(3));
+    }
+
 } // namespace
 } // namespace swiftlift::node::testing
--- a/tests/platform/AnnouncementTest.cpp
+++ b/tests/platform/AnnouncementTest.cpp
@@ -19,6 +19,8 @@
 
     /** Index of the first engine of the plain service. */
     constexpr std::size_t plainEngine = 1;
+    /** Index of the only engine of the plain service in the failure domain of the first router. */
+    constexpr std::size_t ownPlainEngine = 2;
     /** Time after which routers must heed what a server has stated. */
     constexpr milliseconds contactTime { 3000 };
     /** Span in which the requests to a server with a limit are counted. */
@@ -42,13 +44,15 @@
             std::filesystem::remove_all(folder_);
         }
 
-        /** Sends requests to all routers for this long. @return Number of requests that were not served. */
-        int load(milliseconds time)
+        /** Sends requests to the first `routers` routers for this long. @return Number of requests that were not
+         * served.
+         */
+        int load(milliseconds time, std::size_t routers)
         {
             std::atomic<int> failures = 0;
             std::vector<std::thread> callers;
             const auto end = std::chrono::steady_clock::now() + time;
-            for (std::size_t router = 0; router < fleet_->routers(); ++router) {
+            for (std::size_t router = 0; router < routers; ++router) {
                 callers.emplace_back([&, router] {
                     for (int number = 0; std::chrono::steady_clock::now() < end; ++number) {
                         const std::string id = std::to_string(router) + "-" + std::to_string(++requests_);
@@ -98,14 +102,31 @@
     {
         constexpr double limit = 2;
         const auto allowed = static_cast<std::size_t>(1.5 * limit * 4 + 5);
-        (void)load(seconds(1));
+        (void)load(seconds(1), fleet_->routers());
         fleet_->engine(plainEngine).control({ { "announce_limit", limit } });
         const std::int64_t from = now() + contactTime.count();
-        EXPECT_EQ(load(contactTime + limitSpan + limitSpan), 0);
+        EXPECT_EQ(load(contactTime + limitSpan + limitSpan, fleet_->routers()), 0);
         const auto arrivals = arrivalsSince(plainEngine, from);
         EXPECT_LE(mostInSpan(arrivals), allowed);
         EXPECT_FALSE(arrivals.empty()) << "the server serves as much as it can bear";
     }
 
+    // Guards against a server that turns a request away, names the time for which it wants nothing, and gets more.
+    TEST_F(AnnouncementTest, ServerThatAsksForRestGetsNothingFromThatRouter)
+    {
+        constexpr std::size_t allowedInRest = 2;
+        constexpr milliseconds rest { 3000 };
+        constexpr milliseconds slack { 500 };
+        fleet_->engine(ownPlainEngine).control({ { "rest_s", 3 }, { "rest_count", 1 } });
+        EXPECT_EQ(load(rest + rest, 1), 0);
+        const auto all = arrivalsSince(ownPlainEngine, 0);
+        ASSERT_FALSE(all.empty());
+        const auto later = arrivalsSince(ownPlainEngine, all.front() + slack.count());
+        const auto inRest
+            = std::ranges::count_if(later, [&](std::int64_t at) { return at < all.front() + rest.count(); });
+        EXPECT_LE(static_cast<std::size_t>(inRest), allowedInRest);
+        EXPECT_GT(later.size(), static_cast<std::size_t>(inRest)) << "it serves again after its rest";
+    }
+
 } // namespace
 } // namespace swiftlift::platform::test
