Give a backend server that turns requests away the rest that it asks for

Cause: the time in a refusal was not read; a refusal paused the server for 100 ms, whatever it asked for.

Change: a server's rest is kept beside its limit, by instance and outside the table, so that an entry which lapses and returns doesn't end it; a shorter rest that is asked for later doesn't shorten it. It holds for first choices, retries, resumed streams, waiting requests, probes and the last resort alike. A service whose servers all rest refuses at once, with the end of the first rest.

--- a/include/swiftlift/routing/BackendTable.h
+++ b/include/swiftlift/routing/BackendTable.h
@@ -119,6 +119,8 @@
     std::optional<Duration> reportAge;
     /** Why this router has sent its share of what the backend server accepts; nullopt: it has not. */
     std::optional<LimitCause> heldBackBy;
+    /** True if the backend server has asked this router for rest. */
+    bool resting = false;
     /** Requests per second that the backend server accepts from all routers, if it names a limit. */
     std::optional<double> announcedLimit;
     /** True if no answer has lately shown whether the backend server still names its limit. */
--- a/src/routing/AnnouncementBook.cpp
+++ b/src/routing/AnnouncementBook.cpp
@@ -38,7 +38,7 @@
 
 void AnnouncementBook::removeOld(Instant now)
 {
-    std::erase_if(servers_, [&](const auto& entry) { return !isWorthSharing(entry.second, now); });
+    std::erase_if(servers_, [&](const auto& entry) { return !isInForce(entry.second, now); });
     if (servers_.size() >= maxServers) {
         servers_.erase(
             std::ranges::min_element(servers_, {}, [](const auto& entry) { return entry.second.limitStatedAt; }));
@@ -59,11 +59,13 @@
 bool AnnouncementBook::onAnnounced(
     const BackendId& backend, std::uint64_t instance, const Announcement& announcement, Instant now)
 {
-    if (!announcement.limit) {
+    KnownAnnouncement* known = announcement.empty() ? nullptr : record(backend, instance, now);
+    if (known == nullptr) {
         return false;
     }
-    KnownAnnouncement* known = record(backend, instance, now);
-    return known != nullptr && setLimit(*known, announcement.limit, now, now);
+    // A request that was sent before the rest began may be turned away with a shorter one.
+    known->restUntil = std::max(known->restUntil, now + announcement.rest.value_or(Duration {}));
+    return announcement.limit && setLimit(*known, announcement.limit, now, now);
 }
 
 bool AnnouncementBook::onAnswered(
@@ -112,6 +114,11 @@
     return known.limit || now - known.changedAt < changeLifetime;
 }
 
+bool AnnouncementBook::isInForce(const KnownAnnouncement& known, Instant now)
+{
+    return isWorthSharing(known, now) || now < known.restUntil;
+}
+
 std::vector<SharedAnnouncement> AnnouncementBook::toShare(Instant now) const
 {
     std::vector<SharedAnnouncement> changed;
--- a/src/routing/AnnouncementBook.h
+++ b/src/routing/AnnouncementBook.h
@@ -23,6 +23,8 @@
     Instant limitStatedAt {};
     /** When the limit last changed for this router. */
     Instant changedAt {};
+    /** Until when it wants no requests of this router. */
+    Instant restUntil {};
 };
 
 /**
@@ -34,7 +36,7 @@
 public:
     /**
      * @brief Processes the head of an answer.
-     * @return True if what is known of the server has changed.
+     * @return True if what is known of the server's limit has changed.
      */
     bool onAnnounced(const BackendId& backend, std::uint64_t instance, const Announcement& announcement, Instant now);
     /**
@@ -73,6 +75,8 @@
     /** @return True if the limit has changed. */
     static bool setLimit(KnownAnnouncement& known, std::optional<double> limit, Instant statedAt, Instant now);
     [[nodiscard]] static bool isWorthSharing(const KnownAnnouncement& known, Instant now);
+    /** @return True if the server has stated something that still counts. */
+    [[nodiscard]] static bool isInForce(const KnownAnnouncement& known, Instant now);
     void removeOld(Instant now);
 
     std::map<BackendId, KnownAnnouncement> servers_;
--- a/src/routing/Backend.cpp
+++ b/src/routing/Backend.cpp
@@ -79,6 +79,7 @@
 {
     announcedLimit_ = announced != nullptr ? announced->limit : std::nullopt;
     limitStatedAt_ = announced != nullptr ? announced->limitStatedAt : Instant {};
+    restUntil_ = announced != nullptr ? announced->restUntil : Instant {};
 }
 
 void Backend::resetForRestart(Instant now)
@@ -234,7 +235,7 @@
 
 bool Backend::mayGetRequests(Instant now) const
 {
-    return !leaving_ && !entry_.evacuated && !arrivals_.heldBackBy(now) && !paused(now);
+    return !leaving_ && !entry_.evacuated && !arrivals_.heldBackBy(now) && !resting(now) && !paused(now);
 }
 
 bool Backend::usable(Instant now) const
@@ -252,7 +253,7 @@
     if (leaving_ || entry_.evacuated) {
         return std::nullopt;
     }
-    Instant at = arrivals_.freeAt(now);
+    Instant at = std::max(arrivals_.freeAt(now), restUntil_);
     if (pausedUntil_) {
         at = std::max(at, *pausedUntil_);
     }
@@ -297,6 +298,7 @@
     view.usableAt = usableAt(now);
     view.reportAge = load_.reportAge(now);
     view.heldBackBy = arrivals_.heldBackBy(now);
+    view.resting = resting(now);
     view.announcedLimit = announcedLimit_;
     view.limitUnconfirmed = announcedLimit_ && now - limitStatedAt_ > settings_.limitConfirmation;
     view.servesModel = request.model.empty() || !reported_ || models_.contains(request.model);
--- a/src/routing/Backend.h
+++ b/src/routing/Backend.h
@@ -86,6 +86,7 @@
     void processEnd(AttemptId attempt, const FinishFacts& facts, Instant now);
     [[nodiscard]] BackendState state(Instant now) const;
     [[nodiscard]] bool paused(Instant now) const;
+    [[nodiscard]] bool resting(Instant now) const noexcept { return now < restUntil_; }
     /** @return False if no request may be sent now, whatever the breaker and the load. */
     [[nodiscard]] bool mayGetRequests(Instant now) const;
     [[nodiscard]] bool usable(Instant now) const;
@@ -106,6 +107,8 @@
     /** The limit that the backend server names, in requests per second, and when it was last known to name it. */
     std::optional<double> announcedLimit_;
     Instant limitStatedAt_ {};
+    /** Until when the backend server wants no requests of this router. */
+    Instant restUntil_ {};
     std::map<AttemptId, SentAttempt> sent_;
     /** Sum of the uncached prompt tokens of attempts in `sent_` without a first token. */
     Tokens unread_;
--- a/src/routing/Selector.cpp
+++ b/src/routing/Selector.cpp
@@ -77,6 +77,9 @@
     if (view.heldBackBy) {
         return *view.heldBackBy == LimitCause::Cold ? "cold" : "at the limit that they name";
     }
+    if (view.resting) {
+        return "resting";
+    }
     if (view.probe && !request.idempotent) {
         return "waiting for a probe";
     }
