Show that a server that says that it leaves goes on getting requests

What routers tell each other gets a field for it, and the age of a limit becomes absent where nothing is known of the limit: the record of a server that asked for rest alone would have said that it had withdrawn its limit long ago, which a VM with a longer uptime could take for a recent statement.

--- a/include/swiftlift/routing/Announcement.h
+++ b/include/swiftlift/routing/Announcement.h
@@ -26,10 +26,12 @@
     BackendId backend;
     /** Start time of the instance that stated this, as in BackendEntry; 0 if instances are not told apart. */
     std::uint64_t instance = 0;
-    /** Requests per second that it accepts from all routers together; nullopt: it has withdrawn its limit. */
+    /** Requests per second that it accepts from all routers together; nullopt: it names no limit. */
     std::optional<double> limit;
-    /** Time since the server was last known to state this. */
-    Duration age {};
+    /** Time since the server was last known to name this limit, or none; nullopt: nothing is known of its limit. */
+    std::optional<Duration> limitAge;
+    /** It stops serving soon. */
+    bool leaving = false;
 
     [[nodiscard]] bool operator==(const SharedAnnouncement&) const = default;
 };
--- a/src/routing/AnnouncementBook.cpp
+++ b/src/routing/AnnouncementBook.cpp
@@ -41,7 +41,7 @@
     std::erase_if(servers_, [&](const auto& entry) { return !isInForce(entry.second, now); });
     if (servers_.size() >= maxServers) {
         servers_.erase(
-            std::ranges::min_element(servers_, {}, [](const auto& entry) { return entry.second.limitStatedAt; }));
+            std::ranges::min_element(servers_, {}, [](const auto& entry) { return entry.second.changedAt; }));
     }
 }
 
@@ -82,11 +82,12 @@
 bool AnnouncementBook::onShared(const SharedAnnouncement& shared, Instant now)
 {
     KnownAnnouncement* known = record(shared.backend, shared.instance, now);
-    const Instant statedAt = now - shared.age;
-    if (known == nullptr || statedAt <= known->limitStatedAt) {
+    if (known == nullptr || !shared.limitAge) {
         return false;
     }
-    if (known->limit == shared.limit && statedAt - known->limitStatedAt < minShareGain) {
+    const Instant statedAt = now - *shared.limitAge;
+    const Duration minGain = known->limit == shared.limit ? minShareGain : Duration {};
+    if (known->limitStatedAt && statedAt <= *known->limitStatedAt + minGain) {
         return false;
     }
     return setLimit(*known, shared.limit, statedAt, now);
@@ -126,7 +127,8 @@
     for (const auto& [backend, known] : servers_) {
         if (isWorthSharing(known, now)) {
             auto& list = now - known.changedAt < changeLifetime ? changed : others;
-            list.push_back({ backend, known.instance, known.limit, now - known.limitStatedAt });
+            const auto age = known.limitStatedAt ? std::optional<Duration>(now - *known.limitStatedAt) : std::nullopt;
+            list.push_back({ backend, known.instance, known.limit, age });
         }
     }
     const auto turn = static_cast<std::size_t>(now.time_since_epoch() / sharePeriod);
--- a/src/routing/AnnouncementBook.h
+++ b/src/routing/AnnouncementBook.h
@@ -19,9 +19,9 @@
     std::uint64_t instance = 0;
     /** Requests per second that it accepts from all routers together; nullopt: no limit, or no more. */
     std::optional<double> limit;
-    /** When the server was last known to state this limit, or none. */
-    Instant limitStatedAt {};
-    /** When the limit last changed for this router. */
+    /** When the server was last known to name this limit, or none; nullopt: nothing is known of its limit. */
+    std::optional<Instant> limitStatedAt;
+    /** When the limit or `leaving` last changed for this router. */
     Instant changedAt {};
     /** Until when it wants no requests of this router. */
     Instant restUntil {};
--- a/src/routing/Backend.cpp
+++ b/src/routing/Backend.cpp
@@ -78,7 +78,7 @@
 void Backend::setAnnounced(const internal::KnownAnnouncement* announced)
 {
     announcedLimit_ = announced != nullptr ? announced->limit : std::nullopt;
-    limitStatedAt_ = announced != nullptr ? announced->limitStatedAt : Instant {};
+    limitStatedAt_ = announced != nullptr ? announced->limitStatedAt.value_or(Instant {}) : Instant {};
     restUntil_ = announced != nullptr ? announced->restUntil : Instant {};
 }
 
--- a/src/routing/BackendTable.cpp
+++ b/src/routing/BackendTable.cpp
@@ -133,7 +133,7 @@
     }
     updateLimits(*found);
     if (const auto* known = announcements_->find(backend, found->entry().instance)) {
-        announcementChanges_.push_back({ backend, known->limit, now - known->limitStatedAt, fromPeer });
+        announcementChanges_.push_back({ backend, known->limit, now - known->limitStatedAt.value_or(now), fromPeer });
     }
 }
 
--- a/src/wire/PeerReader.cpp
+++ b/src/wire/PeerReader.cpp
@@ -31,7 +31,10 @@
         routing::SharedAnnouncement announcement;
         announcement.backend = BackendId(in.backend());
         announcement.instance = in.instance();
-        announcement.age = Duration(static_cast<Duration::rep>(std::min(in.age(), maxAge)));
+        announcement.leaving = in.leaving();
+        if (in.has_limit_age()) {
+            announcement.limitAge = Duration(static_cast<Duration::rep>(std::min(in.limit_age(), maxAge)));
+        }
         // Requests can't be divided by a limit that is no number.
         if (in.has_limit() && std::isfinite(in.limit()) && in.limit() >= 0) {
             announcement.limit = in.limit();
--- a/src/wire/PeerWriter.cpp
+++ b/src/wire/PeerWriter.cpp
@@ -20,10 +20,13 @@
     {
         out.set_backend(announcement.backend.value());
         out.set_instance(announcement.instance);
-        out.set_age(static_cast<std::uint64_t>(announcement.age.count()));
+        out.set_leaving(announcement.leaving);
         if (announcement.limit) {
             out.set_limit(*announcement.limit);
         }
+        if (announcement.limitAge) {
+            out.set_limit_age(static_cast<std::uint64_t>(announcement.limitAge->count()));
+        }
     }
 
     template <typename Message> void writeCeilings(const std::vector<ledger::Ceiling>& ceilings, Message& out)
--- a/tests/node/GatewayAnnouncementTest.cpp
+++ b/tests/node/GatewayAnnouncementTest.cpp
@@ -72,14 +72,14 @@
         world.registerVms({ "127.0.0.1:7400", "127.0.0.1:7500" });
         Heartbeat heartbeat;
         heartbeat.domain = FailureDomain { "a" };
-        heartbeat.announcements = { { BackendId("p-1"), 0, 1.0, milliseconds(300) } };
+        heartbeat.announcements = { { BackendId("p-1"), 0, 1.0, milliseconds(300), false } };
         world.handle(PeerReceived { Incarnation { 78 }, PeerAddress { "127.0.0.1:7500" }, heartbeat });
         ASSERT_EQ(world.lines("limit").size(), 1U);
         world.run(seconds(1));
         ASSERT_TRUE(world.lastHeartbeat());
         ASSERT_EQ(world.lastHeartbeat()->announcements.size(), 1U);
         EXPECT_EQ(world.lastHeartbeat()->announcements.front().limit, 1.0);
-        EXPECT_GT(world.lastHeartbeat()->announcements.front().age, milliseconds(300));
+        EXPECT_GT(world.lastHeartbeat()->announcements.front().limitAge, milliseconds(300));
     }
 
     // Guards against a limit that ends because of an answer that is older than the limit, or never ends.
@@ -140,5 +140,67 @@
         EXPECT_LE(*world.replyOf(call)->retryAfter, seconds(3));
     }
 
+    // Guards against a server that says in its answers that it leaves and gets new requests until its entry says so
+    // too.
+    TEST_F(GatewayAnnouncementTest, LeavingServerGetsNoNewRequests)
+    {
+        announce("p-1", { {}, true, {} });
+        EXPECT_EQ(dispatchesTo("p-1", seconds(2)), 0);
+        EXPECT_EQ(world.lines("announcement").size(), 1U);
+    }
+
+    // Guards against a retry that goes to a server that said meanwhile that it leaves.
+    TEST_F(GatewayAnnouncementTest, RetryAvoidsLeavingServers)
+    {
+        const CallId call = world.arrive("/plain/x");
+        const ProxyDispatch first = dispatched(call);
+        std::string last;
+        for (const char* id : { "p-1", "p-2", "p-3" }) {
+            if (first.backend.value() != id && last.empty()) {
+                last = id;
+            } else if (first.backend.value() != id) {
+                announce(id, { {}, true, {} });
+            }
+        }
+        world.end(first, ProxyAttemptEnd::Unreachable, 0);
+        EXPECT_EQ(dispatched(call).backend.value(), last);
+    }
+
+    TEST_F(GatewayAnnouncementTest, RequestThatRunsAtALeavingServerGoesOnToItsEnd)
+    {
+        const CallId call = world.arrive("/stream/x", 100, 70);
+        const ProxyDispatch dispatch = dispatched(call);
+        world.progress(dispatch, 1);
+        announce(dispatch.backend.value(), { {}, true, {} });
+        world.run(seconds(1));
+        EXPECT_FALSE(world.cancelled(dispatch));
+    }
+
+    // Guards against a leaving server that gets requests again because its entry lapsed, or was listed once more.
+    TEST_F(GatewayAnnouncementTest, LeavingOutlivesTheServersEntryAndEndsWithTheNextInstance)
+    {
+        world.putServer("p-1", "app", "a", fleet::ServerState::Ready, 5);
+        announce("p-1", { {}, true, {} });
+        world.dropServer("p-1");
+        world.run(milliseconds(100));
+        world.putServer("p-1", "app", "a", fleet::ServerState::Ready, 5);
+        EXPECT_EQ(dispatchesTo("p-1", seconds(1)), 0);
+        world.putServer("p-1", "app", "a", fleet::ServerState::Ready, 6);
+        EXPECT_GT(dispatchesTo("p-1", seconds(1)), 0);
+    }
+
+    // Guards against a router that no leaving server told, or that has restarted since, and sends requests to it.
+    TEST_F(GatewayAnnouncementTest, LeavingIsLearntFromAPeerAndToldToPeers)
+    {
+        Heartbeat heartbeat;
+        heartbeat.domain = FailureDomain { "a" };
+        heartbeat.announcements = { { BackendId("p-1"), 0, std::nullopt, std::nullopt, true } };
+        world.handle(PeerReceived { Incarnation { 78 }, PeerAddress { "127.0.0.1:7500" }, heartbeat });
+        EXPECT_EQ(dispatchesTo("p-1", seconds(1)), 0);
+        ASSERT_TRUE(world.lastHeartbeat());
+        ASSERT_EQ(world.lastHeartbeat()->announcements.size(), 1U);
+        EXPECT_TRUE(world.lastHeartbeat()->announcements.front().leaving);
+    }
+
 } // namespace
 } // namespace swiftlift::node::testing
--- a/tests/platform/AnnouncementTest.cpp
+++ b/tests/platform/AnnouncementTest.cpp
@@ -128,5 +128,18 @@
         EXPECT_GT(later.size(), static_cast<std::size_t>(inRest)) << "it serves again after its rest";
     }
 
+    // Guards against new requests, of any router, to a server that says in its answers only that it leaves.
+    TEST_F(AnnouncementTest, LeavingServerGetsNothingFromAnyRouter)
+    {
+        constexpr milliseconds drainTime { 2000 };
+        (void)load(seconds(1), 1);
+        fleet_->engine(ownPlainEngine).control({ { "announce_leaving", true } });
+        (void)load(milliseconds(500), 1);
+        std::this_thread::sleep_for(drainTime);
+        const std::int64_t from = now();
+        EXPECT_EQ(load(seconds(2), fleet_->routers()), 0);
+        EXPECT_TRUE(arrivalsSince(ownPlainEngine, from).empty());
+    }
+
 } // namespace
 } // namespace swiftlift::platform::test
--- a/tests/wire/PeerCodecTest.cpp
+++ b/tests/wire/PeerCodecTest.cpp
@@ -10,8 +10,9 @@
     const BudgetRef budget { AccountId("acme"), BudgetId("desk") };
     const std::vector<ledger::Ceiling> ceilings { { grant, Tokens(500) }, { { Incarnation(12), 4 }, Tokens(0) } };
 
-    const std::vector<routing::SharedAnnouncement> announcements { { BackendId("s1"), 5, 2.5, std::chrono::seconds(1) },
-        { BackendId("s2"), 0, std::nullopt, std::chrono::milliseconds(3) } };
+    const std::vector<routing::SharedAnnouncement> announcements { { BackendId("s1"), 5, 2.5, std::chrono::seconds(1),
+                                                                       false },
+        { BackendId("s2"), 0, std::nullopt, std::nullopt, true } };
 
     /** @return One message of each kind, in the order of the alternatives of `node::PeerMessage`. */
     std::vector<node::PeerMessage> makeMessages()
