Send nothing new to a backend server that says in its answers that it leaves

A server's leaving came from its entry, which some never change, and from answers of another server at its address.

Change: leaving is kept with limits and rests, by instance, so that an entry that lapses and returns, or is listed once more, doesn't end it; only the next instance does. Heartbeats tell other routers for a minute, so that VMs that were never told, or have restarted, keep it as well. Running requests go on. 'announcement' lines now come from changes of what is known, by answer or peer, and 'rest' lines from refusals.

--- a/include/swiftlift/routing/BackendTable.h
+++ b/include/swiftlift/routing/BackendTable.h
@@ -72,8 +72,10 @@
     BackendId backend;
     /** Requests per second that it accepts from all routers together; nullopt: it names no limit, or no more. */
     std::optional<double> limit;
-    /** Time since it stated this. */
-    Duration age {};
+    /** Time since it was last known to name this limit, or none; nullopt: nothing is known of its limit. */
+    std::optional<Duration> limitAge;
+    /** It stops serving soon. */
+    bool leaving = false;
     /** Another router told this one. */
     bool fromPeer = false;
 };
@@ -207,7 +209,9 @@
     void distributePrefixCapacity();
     /** @brief Records a change for takeAnnouncementChanges(), and applies it to the backend server. */
     void announcementChanged(const BackendId& backend, bool fromPeer, Instant now);
-    /** @brief Applies the server's announcements, and divides what it accepts among the routers. */
+    /** @brief Applies what the backend server has stated about itself. */
+    void applyAnnouncement(Backend& backend, Instant now) const;
+    /** @brief Divides what the backend server accepts among the routers. */
     void updateLimits(Backend& backend) const;
     [[nodiscard]] FleetShare shareOf(const Backend& backend, const FleetRate& rate) const;
 
--- a/src/node/CoreState.cpp
+++ b/src/node/CoreState.cpp
@@ -172,7 +172,9 @@
 void CoreState::on(const BackendAnnounced& event)
 {
     backends_.onAnnounced(event.backend, event.announcement, context_.now());
-    changes_.noteAnnouncement(event.backend, event.announcement);
+    if (event.announcement.rest) {
+        changes_.noteRest(event.backend, *event.announcement.rest);
+    }
 }
 
 void CoreState::on(const CacheEventsRead& event)
@@ -264,7 +266,7 @@
 void CoreState::finishEvent()
 {
     requests_.finishEvent();
-    changes_.noteLimits(backends_.takeAnnouncementChanges());
+    changes_.noteAnnouncements(backends_.takeAnnouncementChanges());
 }
 
 Heartbeat CoreState::heartbeat() const
--- a/src/node/Gateway.cpp
+++ b/src/node/Gateway.cpp
@@ -49,7 +49,7 @@
 void Gateway::finishEvent()
 {
     proxyRequests_.finishEvent();
-    changes_.noteLimits(backends_.takeAnnouncementChanges());
+    changes_.noteAnnouncements(backends_.takeAnnouncementChanges());
 }
 
 void Gateway::onConfig(const fleet::FleetConfig& config)
@@ -133,7 +133,9 @@
 void Gateway::on(const BackendAnnounced& event)
 {
     backends_.onAnnounced(event.backend, event.announcement, context_.now());
-    changes_.noteAnnouncement(event.backend, event.announcement);
+    if (event.announcement.rest) {
+        changes_.noteRest(event.backend, *event.announcement.rest);
+    }
 }
 
 void Gateway::on(const KeyedRecords& event)
--- a/src/node/StateChanges.cpp
+++ b/src/node/StateChanges.cpp
@@ -8,6 +8,8 @@
 
     /** Stands for no limit in log lines. */
     constexpr double noLimit = -1;
+    /** Stands for an unknown age in log lines. */
+    constexpr std::int64_t noAge = -1;
 
 } // namespace internal
 
@@ -46,36 +48,25 @@
                      .with("in_flight", static_cast<std::int64_t>(view->inFlight)));
 }
 
-void StateChanges::noteLimits(const std::vector<routing::AnnouncementChange>& changes)
+void StateChanges::noteAnnouncements(const std::vector<routing::AnnouncementChange>& changes)
 {
     for (const routing::AnnouncementChange& change : changes) {
-        context_.log(LogLineBuilder("limit")
+        context_.log(LogLineBuilder("announcement")
                          .with("backend", change.backend.value())
                          .with("limit_per_s", change.limit.value_or(internal::noLimit))
-                         .with("age_ms", toMilliseconds(change.age))
+                         .with("limit_age_ms", change.limitAge ? toMilliseconds(*change.limitAge) : internal::noAge)
+                         .with("leaving", change.leaving)
                          .with("source", change.fromPeer ? "peer" : "answer"));
     }
 }
 
-void StateChanges::noteAnnouncement(const BackendId& backend, const routing::Announcement& announcement)
+void StateChanges::noteRest(const BackendId& backend, Duration rest)
 {
-    routing::Announcement lasting = announcement;
-    lasting.rest.reset();
-    const auto [entry, isNew] = announcements_.try_emplace(backend, lasting);
-    const routing::Announcement before = std::exchange(entry->second, lasting);
-    if (!isNew && before == lasting && !announcement.rest) {
-        return;
-    }
-    context_.log(LogLineBuilder("announcement")
-                     .with("backend", backend.value())
-                     .with("limit_per_s", announcement.limit.value_or(internal::noLimit))
-                     .with("leaving", announcement.leaving)
-                     .with("rest_ms", announcement.rest ? toMilliseconds(*announcement.rest) : 0));
+    context_.log(LogLineBuilder("rest").with("backend", backend.value()).with("rest_ms", toMilliseconds(rest)));
 }
 
 void StateChanges::removeUnknown(const routing::BackendTable& table)
 {
-    std::erase_if(announcements_, [&](const auto& entry) { return !table.view(entry.first, {}, context_.now()); });
     std::erase_if(backends_, [&](const auto& entry) { return !table.view(entry.first, {}, context_.now()); });
 }
 
--- a/src/node/StateChanges.h
+++ b/src/node/StateChanges.h
@@ -6,7 +6,6 @@
 
 #include "node/Context.h"
 #include "swiftlift/base/Ids.h"
-#include "swiftlift/routing/Announcement.h"
 #include "swiftlift/routing/BackendTable.h"
 
 namespace swiftlift::node {
@@ -28,10 +27,10 @@
     void noteLog(bool reachable, const std::string& detail);
     /** Logs the backend server's state if it has changed. */
     void noteBackend(const BackendId& backend, const routing::BackendTable& table);
-    /** Logs what has changed in what is known of backend servers' limits. */
-    void noteLimits(const std::vector<routing::AnnouncementChange>& changes);
-    /** Logs what the backend server states about itself if it differs from before, and each rest that it asks for. */
-    void noteAnnouncement(const BackendId& backend, const routing::Announcement& announcement);
+    /** Logs what has changed in what is known of backend servers' announcements. */
+    void noteAnnouncements(const std::vector<routing::AnnouncementChange>& changes);
+    /** Logs the time for which a backend server wants no requests. */
+    void noteRest(const BackendId& backend, Duration rest);
     /** Removes backend servers that are not in the table any more. */
     void removeUnknown(const routing::BackendTable& table);
 
@@ -39,8 +38,6 @@
     Context& context_;
     bool logReachable_ = false;
     std::map<BackendId, routing::BackendState> backends_;
-    /** What backend servers stated last, without rests. */
-    std::map<BackendId, routing::Announcement> announcements_;
 };
 
 /** @return The state's name on operators' pages and in log lines. */
--- a/src/routing/AnnouncementBook.cpp
+++ b/src/routing/AnnouncementBook.cpp
@@ -1,6 +1,7 @@
 #include "routing/AnnouncementBook.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace swiftlift::routing::internal {
 
@@ -56,6 +57,15 @@
     return true;
 }
 
+bool AnnouncementBook::setLeaving(KnownAnnouncement& known, Instant now)
+{
+    if (std::exchange(known.leaving, true)) {
+        return false;
+    }
+    known.changedAt = now;
+    return true;
+}
+
 bool AnnouncementBook::onAnnounced(
     const BackendId& backend, std::uint64_t instance, const Announcement& announcement, Instant now)
 {
@@ -65,7 +75,9 @@
     }
     // A request that was sent before the rest began may be turned away with a shorter one.
     known->restUntil = std::max(known->restUntil, now + announcement.rest.value_or(Duration {}));
-    return announcement.limit && setLimit(*known, announcement.limit, now, now);
+    const bool leavingChanged = announcement.leaving && setLeaving(*known, now);
+    const bool limitChanged = announcement.limit && setLimit(*known, announcement.limit, now, now);
+    return leavingChanged || limitChanged;
 }
 
 bool AnnouncementBook::onAnswered(
@@ -82,15 +94,25 @@
 bool AnnouncementBook::onShared(const SharedAnnouncement& shared, Instant now)
 {
     KnownAnnouncement* known = record(shared.backend, shared.instance, now);
-    if (known == nullptr || !shared.limitAge) {
+    if (known == nullptr) {
+        return false;
+    }
+    const bool leavingChanged = shared.leaving && setLeaving(*known, now);
+    const bool limitChanged = applySharedLimit(*known, shared, now);
+    return leavingChanged || limitChanged;
+}
+
+bool AnnouncementBook::applySharedLimit(KnownAnnouncement& known, const SharedAnnouncement& shared, Instant now)
+{
+    if (!shared.limitAge) {
         return false;
     }
     const Instant statedAt = now - *shared.limitAge;
-    const Duration minGain = known->limit == shared.limit ? minShareGain : Duration {};
-    if (known->limitStatedAt && statedAt <= *known->limitStatedAt + minGain) {
+    const Duration minGain = known.limit == shared.limit ? minShareGain : Duration {};
+    if (known.limitStatedAt && statedAt <= *known.limitStatedAt + minGain) {
         return false;
     }
-    return setLimit(*known, shared.limit, statedAt, now);
+    return setLimit(known, shared.limit, statedAt, now);
 }
 
 void AnnouncementBook::onRestarted(const BackendId& backend, Instant now)
@@ -112,12 +134,13 @@
 
 bool AnnouncementBook::isWorthSharing(const KnownAnnouncement& known, Instant now)
 {
-    return known.limit || now - known.changedAt < changeLifetime;
+    const bool wasLeavingLately = known.leaving && now - known.changedAt < leavingLifetime;
+    return known.limit || wasLeavingLately || now - known.changedAt < changeLifetime;
 }
 
 bool AnnouncementBook::isInForce(const KnownAnnouncement& known, Instant now)
 {
-    return isWorthSharing(known, now) || now < known.restUntil;
+    return isWorthSharing(known, now) || known.leaving || now < known.restUntil;
 }
 
 std::vector<SharedAnnouncement> AnnouncementBook::toShare(Instant now) const
@@ -128,7 +151,7 @@
         if (isWorthSharing(known, now)) {
             auto& list = now - known.changedAt < changeLifetime ? changed : others;
             const auto age = known.limitStatedAt ? std::optional<Duration>(now - *known.limitStatedAt) : std::nullopt;
-            list.push_back({ backend, known.instance, known.limit, age });
+            list.push_back({ backend, known.instance, known.limit, age, known.leaving });
         }
     }
     const auto turn = static_cast<std::size_t>(now.time_since_epoch() / sharePeriod);
--- a/src/routing/AnnouncementBook.h
+++ b/src/routing/AnnouncementBook.h
@@ -23,6 +23,8 @@
     std::optional<Instant> limitStatedAt;
     /** When the limit or `leaving` last changed for this router. */
     Instant changedAt {};
+    /** It stops serving soon. An instance that has stated this never takes it back. */
+    bool leaving = false;
     /** Until when it wants no requests of this router. */
     Instant restUntil {};
 };
@@ -36,7 +38,7 @@
 public:
     /**
      * @brief Processes the head of an answer.
-     * @return True if what is known of the server's limit has changed.
+     * @return True if what is known of the server's limit or leaving has changed.
      */
     bool onAnnounced(const BackendId& backend, std::uint64_t instance, const Announcement& announcement, Instant now);
     /**
@@ -67,13 +69,19 @@
     static constexpr std::size_t maxShared = 32;
     /** How long a change is told first, and a withdrawn limit at all. */
     static constexpr Duration changeLifetime = std::chrono::seconds(5);
+    /** How long routers are told that a server is leaving: much longer than it serves. */
+    static constexpr Duration leavingLifetime = std::chrono::minutes(1);
     /** Time after which the next servers are told in turn. */
     static constexpr Duration sharePeriod = std::chrono::milliseconds(500);
 
     /** @return The record of the instance; null: a later instance is known. */
     [[nodiscard]] KnownAnnouncement* record(const BackendId& backend, std::uint64_t instance, Instant now);
+    /** @return True if this is new. */
+    static bool setLeaving(KnownAnnouncement& known, Instant now);
     /** @return True if the limit has changed. */
     static bool setLimit(KnownAnnouncement& known, std::optional<double> limit, Instant statedAt, Instant now);
+    /** @return True if the limit has changed. */
+    static bool applySharedLimit(KnownAnnouncement& known, const SharedAnnouncement& shared, Instant now);
     [[nodiscard]] static bool isWorthSharing(const KnownAnnouncement& known, Instant now);
     /** @return True if the server has stated something that still counts. */
     [[nodiscard]] static bool isInForce(const KnownAnnouncement& known, Instant now);
--- a/src/routing/Backend.cpp
+++ b/src/routing/Backend.cpp
@@ -75,11 +75,14 @@
     return updateLeaving(report, now) || restarted;
 }
 
-void Backend::setAnnounced(const internal::KnownAnnouncement* announced)
+void Backend::setAnnounced(const internal::KnownAnnouncement* announced, Instant now)
 {
     announcedLimit_ = announced != nullptr ? announced->limit : std::nullopt;
     limitStatedAt_ = announced != nullptr ? announced->limitStatedAt.value_or(Instant {}) : Instant {};
     restUntil_ = announced != nullptr ? announced->restUntil : Instant {};
+    if (announced != nullptr && announced->leaving && !leaving_) {
+        onLeaving(now);
+    }
 }
 
 void Backend::resetForRestart(Instant now)
--- a/src/routing/Backend.h
+++ b/src/routing/Backend.h
@@ -52,7 +52,7 @@
         arrivals_.setLimit(cause, limit);
     }
     /** @param announced What the backend server has stated; null: nothing. */
-    void setAnnounced(const internal::KnownAnnouncement* announced);
+    void setAnnounced(const internal::KnownAnnouncement* announced, Instant now);
 
 private:
     /** @brief An attempt of this router in progress. */
--- a/src/routing/BackendTable.cpp
+++ b/src/routing/BackendTable.cpp
@@ -37,13 +37,13 @@
         ids.insert(entry.backend);
         if (Backend* found = find(entry.backend)) {
             found->setEntry(entry, now);
-            updateLimits(*found);
+            applyAnnouncement(*found, now);
             continue;
         }
         const std::uint64_t seed = settings_.seed ^ std::hash<BackendId> {}(entry.backend);
         auto& added = backends_[entry.backend];
         added = std::make_unique<Backend>(entry, settings_, *prefill_, *lengths_, seed);
-        updateLimits(*added);
+        applyAnnouncement(*added, now);
     }
     if (ids.empty()) {
         services_.erase(service);
@@ -108,11 +108,17 @@
     return fleetShare(rate, backend.entry().backend, self_, routers_);
 }
 
+void BackendTable::applyAnnouncement(Backend& backend, Instant now) const
+{
+    const BackendEntry& entry = backend.entry();
+    backend.setAnnounced(announcements_->find(entry.backend, entry.instance), now);
+    updateLimits(backend);
+}
+
 void BackendTable::updateLimits(Backend& backend) const
 {
     const BackendEntry& entry = backend.entry();
     const internal::KnownAnnouncement* announced = announcements_->find(entry.backend, entry.instance);
-    backend.setAnnounced(announced);
     std::optional<internal::ArrivalLimit> cold;
     if (entry.cold) {
         cold = { shareOf(backend, { entry.cold->requestsPerSecond }), entry.cold->until };
@@ -131,9 +137,13 @@
     if (found == nullptr) {
         return;
     }
-    updateLimits(*found);
+    applyAnnouncement(*found, now);
     if (const auto* known = announcements_->find(backend, found->entry().instance)) {
-        announcementChanges_.push_back({ backend, known->limit, now - known->limitStatedAt.value_or(now), fromPeer });
+        AnnouncementChange change { backend, known->limit, std::nullopt, known->leaving, fromPeer };
+        if (known->limitStatedAt) {
+            change.limitAge = now - *known->limitStatedAt;
+        }
+        announcementChanges_.push_back(std::move(change));
     }
 }
 
@@ -144,7 +154,7 @@
         return;
     }
     const bool changed = announcements_->onAnnounced(backend, found->entry().instance, announcement, now);
-    found->setAnnounced(announcements_->find(backend, found->entry().instance));
+    found->setAnnounced(announcements_->find(backend, found->entry().instance), now);
     if (changed) {
         announcementChanged(backend, false, now);
     }
@@ -155,7 +165,7 @@
     for (const SharedAnnouncement& each : shared) {
         const bool changed = announcements_->onShared(each, now);
         if (Backend* found = find(each.backend)) {
-            found->setAnnounced(announcements_->find(each.backend, found->entry().instance));
+            found->setAnnounced(announcements_->find(each.backend, found->entry().instance), now);
         }
         if (changed) {
             announcementChanged(each.backend, true, now);
@@ -175,7 +185,7 @@
     Backend* found = find(backend);
     if (found != nullptr && found->onLoad(report, now)) {
         announcements_->onRestarted(backend, now);
-        updateLimits(*found);
+        applyAnnouncement(*found, now);
     }
 }
 
