--- a/tests/node/FakeFleet.h
+++ b/tests/node/FakeFleet.h
@@ -124,6 +124,7 @@
     /** @return The VM's log lines of this kind, oldest first. */
     [[nodiscard]] std::vector<LogLine> linesOf(std::size_t vm, const std::string& kind) const;
 
+    [[nodiscard]] const PeerAddress& addressOf(std::size_t vm) const { return vms_[vm].address; }
     /** @return The incarnation of the VM's process. */
     [[nodiscard]] Incarnation incarnationOf(std::size_t vm) const;
 
--- a/tests/transport/StreamServerTest.cpp
+++ b/tests/transport/StreamServerTest.cpp
@@ -254,6 +254,25 @@
     }
 }
 
+// Guards against a limit, a leaving or a rest that a backend server states and that is not passed to the core.
+TEST_F(StreamFixture, AnnouncementsInTheHeadOfAnAnswerAreReported)
+{
+    start();
+    auto client = caller();
+    client.write(request());
+    const auto arrived = nextEvent<RequestArrived>(decisions);
+    dispatch(arrived, 1);
+    auto engine = backend.accept();
+    static_cast<void>(engine.readRequest());
+    engine.write("HTTP/1.1 503 Service Unavailable\r\nX-Limit: 2.5\r\nX-Leaving: 1\r\nRetry-After: 3\r\n"
+                 "Content-Length: 2\r\n\r\n{}");
+    const auto announced = nextEvent<node::BackendAnnounced>(decisions);
+    const routing::Announcement expected { 2.5, true, std::chrono::seconds(3) };
+    EXPECT_EQ(announced.backend, BackendId(backend.address()));
+    EXPECT_EQ(announced.announcement, expected);
+    EXPECT_EQ(nextEvent<AttemptEnded>(decisions).announcement, expected);
+}
+
 TEST_F(StreamFixture, RefusedConnectionEndsAttemptAsNotStarted)
 {
     start();
