--- a/include/swiftlift/routing/Announcement.h
+++ b/include/swiftlift/routing/Announcement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 
@@ -36,4 +37,13 @@
     [[nodiscard]] bool operator==(const SharedAnnouncement&) const = default;
 };
 
+/** @brief Number of backend servers whose announcements a router heeds. */
+struct AnnouncementCounts {
+    /** Servers that name a limit. */
+    std::size_t limited = 0;
+    std::size_t leaving = 0;
+    /** Servers that have asked this router for rest. */
+    std::size_t resting = 0;
+};
+
 } // namespace swiftlift::routing
--- a/include/swiftlift/routing/BackendTable.h
+++ b/include/swiftlift/routing/BackendTable.h
@@ -170,6 +170,7 @@
     void onShared(const std::vector<SharedAnnouncement>& shared, Instant now);
     /** @return What to tell another router now. */
     [[nodiscard]] std::vector<SharedAnnouncement> toShare(Instant now) const;
+    [[nodiscard]] AnnouncementCounts announcementCounts(Instant now) const;
     /** @return Changes of what is known of announcements since the last call, in order. */
     [[nodiscard]] std::vector<AnnouncementChange> takeAnnouncementChanges();
 
--- a/src/node/CoreState.cpp
+++ b/src/node/CoreState.cpp
@@ -214,6 +214,7 @@
     }
     nextWatched_ = context_.now() + watchedPeriod;
     changes_.removeUnknown(backends_);
+    changes_.countAnnouncements(backends_.announcementCounts(context_.now()));
     peers_.membership().setWatched(ledgers_.watched(), context_.now());
 }
 
--- a/src/node/Gateway.cpp
+++ b/src/node/Gateway.cpp
@@ -256,6 +256,7 @@
     nextWatched_ = context_.now() + watchedPeriod;
     paceLogCalls();
     changes_.removeUnknown(backends_);
+    changes_.countAnnouncements(backends_.announcementCounts(context_.now()));
     peers_.membership().setWatched(ledgers_.watched(), context_.now());
     context_.gauge("swiftlift_log_reachable", health_.reachable(context_.now()) ? 1 : 0);
 }
@@ -284,6 +285,7 @@
 {
     const auto counts = peers_.membership().counts();
     const std::string reason = reasonNotReady();
+    const routing::AnnouncementCounts announced = backends_.announcementCounts(context_.now());
     nlohmann::json evacuated = nlohmann::json::array();
     for (const FailureDomain& domain : fleet_.evacuations().evacuations().domains()) {
         evacuated.push_back(domain.value());
@@ -294,7 +296,8 @@
         { "stopping", stopRequested_.has_value() }, { "log_reachable", health_.reachable(context_.now()) },
         { "in_progress", proxyRequests_.inProgress() }, { "peers_alive", counts.alive },
         { "config_version", fleet_.routes() ? fleet_.routes()->config().version : 0 }, { "evacuated", evacuated },
-        { "cold_servers", fleet_.coldServers() }
+        { "cold_servers", fleet_.coldServers() }, { "limited_servers", announced.limited },
+        { "resting_servers", announced.resting }
     }.dump();
 }
 
--- a/src/node/OperatorView.cpp
+++ b/src/node/OperatorView.cpp
@@ -77,7 +77,9 @@
             list.push_back({ { "backend", id.value() }, { "domain", view->domain.value() },
                 { "state", toText(view->state) }, { "running", view->running }, { "waiting", view->waiting },
                 { "in_flight", view->inFlight }, { "usable", view->usable },
-                { "predicted_first_token_ms", toMilliseconds(view->predictedFirstToken) }, { "slots", view->slots } });
+                { "predicted_first_token_ms", toMilliseconds(view->predictedFirstToken) }, { "slots", view->slots },
+                { "limit_per_s", view->announcedLimit ? json(*view->announcedLimit) : json(nullptr) },
+                { "resting", view->resting } });
         }
         return { { "backends", list } };
     }
--- a/src/node/StateChanges.cpp
+++ b/src/node/StateChanges.cpp
@@ -65,6 +65,14 @@
     context_.log(LogLineBuilder("rest").with("backend", backend.value()).with("rest_ms", toMilliseconds(rest)));
 }
 
+void StateChanges::countAnnouncements(const routing::AnnouncementCounts& counts)
+{
+    constexpr const char* metric = "swiftlift_backends_announcing";
+    context_.gauge(metric, static_cast<double>(counts.limited), { { "what", "limit" } });
+    context_.gauge(metric, static_cast<double>(counts.leaving), { { "what", "leaving" } });
+    context_.gauge(metric, static_cast<double>(counts.resting), { { "what", "rest" } });
+}
+
 void StateChanges::removeUnknown(const routing::BackendTable& table)
 {
     std::erase_if(backends_, [&](const auto& entry) { return !table.view(entry.first, {}, context_.now()); });
--- a/src/node/StateChanges.h
+++ b/src/node/StateChanges.h
@@ -31,6 +31,8 @@
     void noteAnnouncements(const std::vector<routing::AnnouncementChange>& changes);
     /** Logs the time for which a backend server wants no requests. */
     void noteRest(const BackendId& backend, Duration rest);
+    /** Updates the numbers of backend servers whose announcements are heeded. */
+    void countAnnouncements(const routing::AnnouncementCounts& counts);
     /** Removes backend servers that are not in the table any more. */
     void removeUnknown(const routing::BackendTable& table);
 
--- a/src/routing/AnnouncementBook.cpp
+++ b/src/routing/AnnouncementBook.cpp
@@ -132,6 +132,17 @@
     return found == servers_.end() || found->second.instance != instance ? nullptr : &found->second;
 }
 
+AnnouncementCounts AnnouncementBook::counts(Instant now) const
+{
+    AnnouncementCounts counts;
+    for (const auto& [backend, known] : servers_) {
+        counts.limited += known.limit ? 1 : 0;
+        counts.leaving += known.leaving ? 1 : 0;
+        counts.resting += now < known.restUntil ? 1 : 0;
+    }
+    return counts;
+}
+
 bool AnnouncementBook::isWorthSharing(const KnownAnnouncement& known, Instant now)
 {
     const bool wasLeavingLately = known.leaving && now - known.changedAt < leavingLifetime;
--- a/src/routing/AnnouncementBook.h
+++ b/src/routing/AnnouncementBook.h
@@ -59,6 +59,7 @@
 
     /** @return What this instance of the server has stated; null: nothing. */
     [[nodiscard]] const KnownAnnouncement* find(const BackendId& backend, std::uint64_t instance) const;
+    [[nodiscard]] AnnouncementCounts counts(Instant now) const;
     /** @return What to tell another router now: recent changes first, then some of the rest in turn. */
     [[nodiscard]] std::vector<SharedAnnouncement> toShare(Instant now) const;
 
--- a/src/routing/BackendTable.cpp
+++ b/src/routing/BackendTable.cpp
@@ -175,6 +175,8 @@
 
 std::vector<SharedAnnouncement> BackendTable::toShare(Instant now) const { return announcements_->toShare(now); }
 
+AnnouncementCounts BackendTable::announcementCounts(Instant now) const { return announcements_->counts(now); }
+
 std::vector<AnnouncementChange> BackendTable::takeAnnouncementChanges()
 {
     return std::exchange(announcementChanges_, {});
