--- a/include/swiftlift/routing/Announcement.h
+++ b/include/swiftlift/routing/Announcement.h
@@ -31,8 +31,8 @@
     std::optional<double> limit;
     /** Time since the server was last known to name this limit, or none; nullopt: nothing is known of its limit. */
     std::optional<Duration> limitAge;
-    /** It stops serving soon. */
-    bool leaving = false;
+    /** Time since the server last stated that it is leaving; nullopt: it is not known to. */
+    std::optional<Duration> leavingAge;
 
     [[nodiscard]] bool operator==(const SharedAnnouncement&) const = default;
 };
--- a/src/routing/AnnouncementBook.cpp
+++ b/src/routing/AnnouncementBook.cpp
@@ -1,7 +1,6 @@
 #include "routing/AnnouncementBook.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace swiftlift::routing::internal {
 
@@ -10,11 +9,16 @@
     /** The same statement comes with a slightly later time from each router that passes it on. */
     constexpr Duration minShareGain = std::chrono::milliseconds(200);
 
+    [[nodiscard]] std::optional<Duration> ageOf(const std::optional<Instant>& time, Instant now)
+    {
+        return time ? std::optional<Duration>(now - *time) : std::nullopt;
+    }
+
     /** @brief Moves the first `steps` elements to the end, as often as the list is passed. */
     void rotate(std::vector<SharedAnnouncement>& list, std::size_t steps)
     {
         if (!list.empty()) {
-            std::ranges::rotate(list, list.begin() + static_cast<std::ptrdiff_t>(steps % list.size()));
+            std::rotate(list.begin(), list.begin() + static_cast<std::ptrdiff_t>(steps % list.size()), list.end());
         }
     }
 
@@ -57,13 +61,12 @@
     return true;
 }
 
-bool AnnouncementBook::setLeaving(KnownAnnouncement& known, Instant now)
+bool AnnouncementBook::setLeaving(KnownAnnouncement& known, Instant statedAt, Instant now)
 {
-    if (std::exchange(known.leaving, true)) {
-        return false;
-    }
-    known.changedAt = now;
-    return true;
+    const bool wasKnown = known.leavingStatedAt.has_value();
+    known.leavingStatedAt = std::max(known.leavingStatedAt.value_or(statedAt), statedAt);
+    known.changedAt = wasKnown ? known.changedAt : now;
+    return !wasKnown;
 }
 
 bool AnnouncementBook::onAnnounced(
@@ -75,7 +78,7 @@
     }
     // A request that was sent before the rest began may be turned away with a shorter one.
     known->restUntil = std::max(known->restUntil, now + announcement.rest.value_or(Duration {}));
-    const bool leavingChanged = announcement.leaving && setLeaving(*known, now);
+    const bool leavingChanged = announcement.leaving && setLeaving(*known, now, now);
     const bool limitChanged = announcement.limit && setLimit(*known, announcement.limit, now, now);
     return leavingChanged || limitChanged;
 }
@@ -97,11 +100,20 @@
     if (known == nullptr) {
         return false;
     }
-    const bool leavingChanged = shared.leaving && setLeaving(*known, now);
+    const bool leavingChanged = applySharedLeaving(*known, shared, now);
     const bool limitChanged = applySharedLimit(*known, shared, now);
     return leavingChanged || limitChanged;
 }
 
+// A router that has not seen the server's restart yet passes on what the former instance stated.
+bool AnnouncementBook::applySharedLeaving(KnownAnnouncement& known, const SharedAnnouncement& shared, Instant now)
+{
+    if (!shared.leavingAge || now - *shared.leavingAge <= known.restartedAt) {
+        return false;
+    }
+    return setLeaving(known, now - *shared.leavingAge, now);
+}
+
 bool AnnouncementBook::applySharedLimit(KnownAnnouncement& known, const SharedAnnouncement& shared, Instant now)
 {
     if (!shared.limitAge) {
@@ -122,6 +134,7 @@
         found->second = {};
         found->second.instance = instance;
         found->second.limitStatedAt = now;
+        found->second.restartedAt = now;
         found->second.changedAt = now;
     }
 }
@@ -137,7 +150,7 @@
     AnnouncementCounts counts;
     for (const auto& [backend, known] : servers_) {
         counts.limited += known.limit ? 1 : 0;
-        counts.leaving += known.leaving ? 1 : 0;
+        counts.leaving += known.leavingStatedAt ? 1 : 0;
         counts.resting += now < known.restUntil ? 1 : 0;
     }
     return counts;
@@ -145,13 +158,13 @@
 
 bool AnnouncementBook::isWorthSharing(const KnownAnnouncement& known, Instant now)
 {
-    const bool wasLeavingLately = known.leaving && now - known.changedAt < leavingLifetime;
+    const bool wasLeavingLately = known.leavingStatedAt && now - known.changedAt < leavingLifetime;
     return known.limit || wasLeavingLately || now - known.changedAt < changeLifetime;
 }
 
 bool AnnouncementBook::isInForce(const KnownAnnouncement& known, Instant now)
 {
-    return isWorthSharing(known, now) || known.leaving || now < known.restUntil;
+    return isWorthSharing(known, now) || known.leavingStatedAt || now < known.restUntil;
 }
 
 std::vector<SharedAnnouncement> AnnouncementBook::toShare(Instant now) const
@@ -161,8 +174,8 @@
     for (const auto& [backend, known] : servers_) {
         if (isWorthSharing(known, now)) {
             auto& list = now - known.changedAt < changeLifetime ? changed : others;
-            const auto age = known.limitStatedAt ? std::optional<Duration>(now - *known.limitStatedAt) : std::nullopt;
-            list.push_back({ backend, known.instance, known.limit, age, known.leaving });
+            list.push_back({ backend, known.instance, known.limit, ageOf(known.limitStatedAt, now),
+                ageOf(known.leavingStatedAt, now) });
         }
     }
     const auto turn = static_cast<std::size_t>(now.time_since_epoch() / sharePeriod);
--- a/src/routing/AnnouncementBook.h
+++ b/src/routing/AnnouncementBook.h
@@ -21,10 +21,12 @@
     std::optional<double> limit;
     /** When the server was last known to name this limit, or none; nullopt: nothing is known of its limit. */
     std::optional<Instant> limitStatedAt;
-    /** When the limit or `leaving` last changed for this router. */
+    /** When the limit or the leaving last changed for this router. */
     Instant changedAt {};
-    /** It stops serving soon. An instance that has stated this never takes it back. */
-    bool leaving = false;
+    /** When it last stated that it is leaving; nullopt: it is not known to. An instance never takes it back. */
+    std::optional<Instant> leavingStatedAt;
+    /** When it was seen to have restarted without a new start time. */
+    Instant restartedAt {};
     /** Until when it wants no requests of this router. */
     Instant restUntil {};
 };
@@ -78,11 +80,13 @@
     /** @return The record of the instance; null: a later instance is known. */
     [[nodiscard]] KnownAnnouncement* record(const BackendId& backend, std::uint64_t instance, Instant now);
     /** @return True if this is new. */
-    static bool setLeaving(KnownAnnouncement& known, Instant now);
+    static bool setLeaving(KnownAnnouncement& known, Instant statedAt, Instant now);
     /** @return True if the limit has changed. */
     static bool setLimit(KnownAnnouncement& known, std::optional<double> limit, Instant statedAt, Instant now);
     /** @return True if the limit has changed. */
     static bool applySharedLimit(KnownAnnouncement& known, const SharedAnnouncement& shared, Instant now);
+    /** @return True if the leaving is new. */
+    static bool applySharedLeaving(KnownAnnouncement& known, const SharedAnnouncement& shared, Instant now);
     [[nodiscard]] static bool isWorthSharing(const KnownAnnouncement& known, Instant now);
     /** @return True if the server has stated something that still counts. */
     [[nodiscard]] static bool isInForce(const KnownAnnouncement& known, Instant now);
--- a/src/routing/Backend.cpp
+++ b/src/routing/Backend.cpp
@@ -80,7 +80,7 @@
     announcedLimit_ = announced != nullptr ? announced->limit : std::nullopt;
     limitStatedAt_ = announced != nullptr ? announced->limitStatedAt.value_or(Instant {}) : Instant {};
     restUntil_ = announced != nullptr ? announced->restUntil : Instant {};
-    if (announced != nullptr && announced->leaving && !leaving_) {
+    if (announced != nullptr && announced->leavingStatedAt && !leaving_) {
         onLeaving(now);
     }
 }
--- a/src/routing/BackendTable.cpp
+++ b/src/routing/BackendTable.cpp
@@ -139,7 +139,7 @@
     }
     applyAnnouncement(*found, now);
     if (const auto* known = announcements_->find(backend, found->entry().instance)) {
-        AnnouncementChange change { backend, known->limit, std::nullopt, known->leaving, fromPeer };
+        AnnouncementChange change { backend, known->limit, std::nullopt, known->leavingStatedAt.has_value(), fromPeer };
         if (known->limitStatedAt) {
             change.limitAge = now - *known->limitStatedAt;
         }
--- a/src/routing/Selector.cpp
+++ b/src/routing/Selector.cpp
@@ -103,11 +103,14 @@
     for (BackendView& view : views) {
         if (const std::string reason = unusableReason(request, view); !reason.empty()) {
             ++classified.unusable[reason];
-            const bool mayBecomeUsable = view.usableAt && view.servesModel && !request.excluded.contains(view.backend);
-            if (mayBecomeUsable && (!classified.usableAt || *view.usableAt < *classified.usableAt)) {
+            const bool tried = request.excluded.contains(view.backend);
+            const bool mayBecomeUsable = view.usableAt && view.servesModel;
+            // A server that turned this request away takes the caller's next attempt after its rest.
+            const bool mayServeNextAttempt = mayBecomeUsable && (!tried || view.resting);
+            if (mayServeNextAttempt && (!classified.usableAt || *view.usableAt < *classified.usableAt)) {
                 classified.usableAt = view.usableAt;
             }
-            if (view.lastResort && mayBecomeUsable) {
+            if (view.lastResort && mayBecomeUsable && !tried) {
                 classified.lastResorts.push_back(std::move(view));
             }
         } else if (view.probe) {
--- a/src/wire/PeerReader.cpp
+++ b/src/wire/PeerReader.cpp
@@ -26,14 +26,21 @@
         return ceilings;
     }
 
+    Duration toAge(std::uint64_t microseconds)
+    {
+        return Duration(static_cast<Duration::rep>(std::min(microseconds, maxAge)));
+    }
+
     routing::SharedAnnouncement read(const proto::peer::Announcement& in)
     {
         routing::SharedAnnouncement announcement;
         announcement.backend = BackendId(in.backend());
         announcement.instance = in.instance();
-        announcement.leaving = in.leaving();
         if (in.has_limit_age()) {
-            announcement.limitAge = Duration(static_cast<Duration::rep>(std::min(in.limit_age(), maxAge)));
+            announcement.limitAge = toAge(in.limit_age());
+        }
+        if (in.has_leaving_age()) {
+            announcement.leavingAge = toAge(in.leaving_age());
         }
         // Requests can't be divided by a limit that is no number.
         if (in.has_limit() && std::isfinite(in.limit()) && in.limit() >= 0) {
--- a/src/wire/PeerWriter.cpp
+++ b/src/wire/PeerWriter.cpp
@@ -20,13 +20,15 @@
     {
         out.set_backend(announcement.backend.value());
         out.set_instance(announcement.instance);
-        out.set_leaving(announcement.leaving);
         if (announcement.limit) {
             out.set_limit(*announcement.limit);
         }
         if (announcement.limitAge) {
             out.set_limit_age(static_cast<std::uint64_t>(announcement.limitAge->count()));
         }
+        if (announcement.leavingAge) {
+            out.set_leaving_age(static_cast<std::uint64_t>(announcement.leavingAge->count()));
+        }
     }
 
     template <typename Message> void writeCeilings(const std::vector<ledger::Ceiling>& ceilings, Message& out)
--- a/tests/node/CoreAnnouncementTest.cpp
+++ b/tests/node/CoreAnnouncementTest.cpp
@@ -79,6 +79,24 @@
         EXPECT_EQ(dispatches(1, seconds(1)), 0);
     }
 
+    // Guards against a restarted engine that gets no requests because VMs tell each other what its former process said.
+    TEST_F(CoreAnnouncementTest, RestartedEngineIsNotTakenForLeavingBecauseOfPeers)
+    {
+        BackendLoad load;
+        load.backend = BackendId(engine);
+        load.reachable = true;
+        load.models = { "stitch" };
+        load.generation = 1;
+        fleet.deliverEvent(0, load);
+        announce(1, { {}, true, {} });
+        fleet.run(milliseconds(1'500));
+        EXPECT_EQ(dispatches(0, seconds(1)), 0);
+        load.generation = 2;
+        fleet.deliverEvent(0, load);
+        fleet.run(milliseconds(1'500));
+        EXPECT_GT(dispatches(0, seconds(4)), 0);
+    }
+
     // Guards against a limit that each VM keeps for itself: two of them would send twice as much.
     TEST_F(CoreAnnouncementTest, LimitedEngineGetsNoMoreThanItsLimitFromBothVms)
     {
--- a/tests/node/GatewayAnnouncementTest.cpp
+++ b/tests/node/GatewayAnnouncementTest.cpp
@@ -73,7 +73,7 @@
         world.registerVms({ "127.0.0.1:7400", "127.0.0.1:7500" });
         Heartbeat heartbeat;
         heartbeat.domain = FailureDomain { "a" };
-        heartbeat.announcements = { { BackendId("p-1"), 0, 1.0, milliseconds(300), false } };
+        heartbeat.announcements = { { BackendId("p-1"), 0, 1.0, milliseconds(300), std::nullopt } };
         world.handle(PeerReceived { Incarnation { 78 }, PeerAddress { "127.0.0.1:7500" }, heartbeat });
         ASSERT_EQ(world.lines("announcement").size(), 1U);
         world.run(seconds(1));
@@ -141,6 +141,18 @@
         EXPECT_LE(*world.replyOf(call)->retryAfter, seconds(3));
     }
 
+    // Guards against a caller that is told to return in a second by servers that all asked for three.
+    TEST_F(GatewayAnnouncementTest, RequestThatAllServersTurnAwayIsToldTheEndOfTheFirstRest)
+    {
+        const CallId call = world.arrive("/plain/x");
+        for (int number = 0; number < 3; ++number) {
+            turnAway(dispatched(call), seconds(3));
+        }
+        expectRefused(call, 503, "no_backend");
+        ASSERT_TRUE(world.replyOf(call)->retryAfter);
+        EXPECT_EQ(*world.replyOf(call)->retryAfter, seconds(3));
+    }
+
     // Guards against a server that says in its answers that it leaves and gets new requests until its entry says so
     // too.
     TEST_F(GatewayAnnouncementTest, LeavingServerGetsNoNewRequests)
@@ -195,12 +207,12 @@
     {
         Heartbeat heartbeat;
         heartbeat.domain = FailureDomain { "a" };
-        heartbeat.announcements = { { BackendId("p-1"), 0, std::nullopt, std::nullopt, true } };
+        heartbeat.announcements = { { BackendId("p-1"), 0, std::nullopt, std::nullopt, milliseconds(3) } };
         world.handle(PeerReceived { Incarnation { 78 }, PeerAddress { "127.0.0.1:7500" }, heartbeat });
         EXPECT_EQ(dispatchesTo("p-1", seconds(1)), 0);
         ASSERT_TRUE(world.lastHeartbeat());
         ASSERT_EQ(world.lastHeartbeat()->announcements.size(), 1U);
-        EXPECT_TRUE(world.lastHeartbeat()->announcements.front().leaving);
+        EXPECT_TRUE(world.lastHeartbeat()->announcements.front().leavingAge);
     }
 
 } // namespace
--- a/tests/wire/PeerCodecTest.cpp
+++ b/tests/wire/PeerCodecTest.cpp
@@ -11,8 +11,8 @@
     const std::vector<ledger::Ceiling> ceilings { { grant, Tokens(500) }, { { Incarnation(12), 4 }, Tokens(0) } };
 
     const std::vector<routing::SharedAnnouncement> announcements { { BackendId("s1"), 5, 2.5, std::chrono::seconds(1),
-                                                                       false },
-        { BackendId("s2"), 0, std::nullopt, std::nullopt, true } };
+                                                                       std::nullopt },
+        { BackendId("s2"), 0, std::nullopt, std::nullopt, std::chrono::milliseconds(3) } };
 
     /** @return One message of each kind, in the order of the alternatives of `node::PeerMessage`. */
     std::vector<node::PeerMessage> makeMessages()
