Confirm limits only where servers can be reached, and heed unsigned refusals

One request in ten of an owner goes to a server whose limit is unconfirmed; in a domain that seems cut off it would have waited for a connection (AnnouncedLimit.LimitsInUnreachableDomainsAreNotConfirmed failed before, by the old order of the checks). A refusal without signature counts as a statement, but withdraws nothing.

--- a/src/routing/Selector.cpp
+++ b/src/routing/Selector.cpp
@@ -117,9 +117,6 @@
             classified.probes.push_back(std::move(view));
         } else if (isFull(request, view)) {
             classified.full.push_back(std::move(view));
-        } else if (view.limitUnconfirmed) {
-            classified.unconfirmedLimits.push_back(view);
-            addUsable(request, std::move(view), classified);
         } else {
             addUsable(request, std::move(view), classified);
         }
@@ -131,7 +128,12 @@
 {
     if (request.unreachableDomains.contains(view.domain)) {
         classified.inUnreachableDomains.push_back(std::move(view));
-    } else if (view.domain == settings_.domain) {
+        return;
+    }
+    if (view.limitUnconfirmed) {
+        classified.unconfirmedLimits.push_back(view);
+    }
+    if (view.domain == settings_.domain) {
         classified.ownDomain.push_back(std::move(view));
     } else {
         view.predictedFirstToken += settings_.crossDomain;
--- a/src/transport/ProxyAnswerReaders.cpp
+++ b/src/transport/ProxyAnswerReaders.cpp
@@ -35,8 +35,9 @@
     }
     head_ = head;
     otherServer_ = marks.otherServer;
-    // Another server at the same address, or whoever made an unsigned answer, states nothing about the intended server.
-    if (!marks.otherServer && (marks.genuine || marks.notStarted)) {
+    // Another server at the same address states nothing about the intended one, and an unsigned answer withdraws
+    // nothing.
+    if (!marks.otherServer && (marks.genuine || marks.notStarted || !marks.announcement.empty())) {
         announcement_ = marks.announcement;
     }
     if (marks.notStarted || marks.otherServer) {
--- a/tests/routing/AnnouncedLimitTest.cpp
+++ b/tests/routing/AnnouncedLimitTest.cpp
@@ -299,5 +299,33 @@
         }
     }
 
+    // Guards against requests that wait for a connection to a cut off domain just to learn whether a limit still holds.
+    TEST(AnnouncedLimit, LimitsInUnreachableDomainsAreNotConfirmed)
+    {
+        const PeerAddress self { "10.0.0.1:7400" };
+        const Instant start { seconds(100) };
+        const BackendId limited { "s1" };
+        BackendTable table;
+        table.setRouters(self, { self });
+        table.setBackends(service,
+            { { limited, FailureDomain { "d1" }, 32 }, { BackendId { "s2" }, FailureDomain { "d2" }, 32 } }, start);
+        table.onAnnounced(limited, { 100.0, false, {} }, start);
+        SelectorSettings settings;
+        settings.domain = FailureDomain { "d2" };
+        const auto selector = makeSelector("rendezvous", settings);
+        SelectRequest request;
+        request.service = service;
+        const auto choices = [&] {
+            int count = 0;
+            for (int number = 0; number < 200; ++number) {
+                count += selector->choose(request, table, start + seconds(10))->backend == limited ? 1 : 0;
+            }
+            return count;
+        };
+        EXPECT_GT(choices(), 0);
+        request.unreachableDomains.insert(FailureDomain { "d1" });
+        EXPECT_EQ(choices(), 0);
+    }
+
 } // namespace
 } // namespace swiftlift::routing
