Let a router reach backend servers through forwarders, and links of the stand-in hang or keep old connections

Cause: no test could cut one router from backend servers and leave its callers, peers and log, as all routers use the same addresses. Change: the setting backends.via, as peers.via; the link stand-in can also leave attempts to connect unanswered (hang) or refuse only new connections (keep_old). A trial showed that asio's own connect blocks on a queue that is full; the native call is used.

--- a/apps/router/RouterProcess.cpp
+++ b/apps/router/RouterProcess.cpp
@@ -136,6 +136,15 @@
         return peers;
     }
 
+    transport::BackendForwarders toForwarders(const settings::RouterSettings& settings)
+    {
+        transport::BackendForwarders forwarders;
+        for (const auto& [backend, endpoint] : settings.backends.via) {
+            forwarders.emplace(backend, toEndpoint(endpoint));
+        }
+        return forwarders;
+    }
+
     transport::PlatformSettings toPlatformSettings(const settings::RouterSettings& settings)
     {
         transport::PlatformSettings platform;
@@ -189,6 +198,7 @@
 void RouterProcess::start()
 {
     addReadings();
+    streams_.setForwarders(toForwarders(settings_));
     jsonLog_.write(logging::Level::Info, "process_start",
         { { "seed", std::to_string(seed_) }, { "callers", settings_.callersListen.value() },
             { "domain", settings_.vm.domain.value() } });
--- a/include/swiftlift/settings/RouterSettings.h
+++ b/include/swiftlift/settings/RouterSettings.h
@@ -49,6 +49,12 @@
     std::map<PeerAddress, Endpoint> via;
 };
 
+/** How a router reaches backend servers. */
+struct BackendSettings {
+    /** Maps addresses of backend servers to the endpoints to connect to instead, such as those of a forwarder. */
+    std::map<BackendAddress, Endpoint> via;
+};
+
 /** How routers hold tokens and write the ledger. */
 struct LedgerSettings {
     /** Number of ledger shards, that is, of streams `ledger-0` and up. */
@@ -116,6 +122,7 @@
     /** Endpoint of the platform's VM list. */
     Endpoint vmListEndpoint;
     PeerSettings peers;
+    BackendSettings backends;
     LedgerSettings ledger;
     RoutingPolicy routing = RoutingPolicy::Affinity;
     RetrySettings retries;
--- a/include/swiftlift/transport/StreamServer.h
+++ b/include/swiftlift/transport/StreamServer.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <variant>
@@ -89,6 +90,9 @@
     std::chrono::milliseconds gatherTime { 0 };
 };
 
+/** Endpoints to connect to in place of backend servers' addresses. */
+using BackendForwarders = std::map<BackendAddress, Endpoint>;
+
 /** Receives the token latencies that callers see. Called in the streams thread; must not block. */
 class StreamObserver {
 public:
@@ -160,6 +164,9 @@
     /** @return The port on which callers are accepted. */
     [[nodiscard]] std::uint16_t port() const;
 
+    /** Sets the forwarders through which backend servers are reached. To be called before start(). */
+    void setForwarders(BackendForwarders forwarders);
+
     /** Starts the thread. */
     void start();
 
--- a/src/settings/RouterSettings.cpp
+++ b/src/settings/RouterSettings.cpp
@@ -98,6 +98,15 @@
         checker.reportUnknownKeys();
     }
 
+    void readBackends(Checker& root, BackendSettings& backends)
+    {
+        auto checker = root.section("backends", Presence::Optional);
+        for (const auto& [backend, endpoint] : checker.addressMap("via")) {
+            backends.via.emplace(BackendAddress(backend), Endpoint(endpoint));
+        }
+        checker.reportUnknownKeys();
+    }
+
     void readLedger(Checker& root, LedgerSettings& ledger)
     {
         auto checker = root.section("ledger", Presence::Optional);
@@ -182,6 +191,7 @@
         readListeners(root, settings);
         readPlatform(root, settings);
         readPeers(root, settings.peers);
+        readBackends(root, settings.backends);
         readLedger(root, settings.ledger);
         readRouting(root, settings.routing);
         readRetries(root, settings.retries);
--- a/src/transport/Attempt.cpp
+++ b/src/transport/Attempt.cpp
@@ -10,8 +10,6 @@
 
 #include <boost/asio/write.hpp>
 
-#include "swiftlift/transport/Endpoint.h"
-
 namespace swiftlift::transport::internal {
 
 namespace http = boost::beast::http;
@@ -111,7 +109,7 @@
     const auto self = shared_from_this();
     connection_ = std::make_shared<BackendConnection>(context_.loop);
     ++context_.counts.backendConnects;
-    const auto endpoint = parseEndpoint(order_.address.value());
+    const auto endpoint = context_.endpointOf(order_.address);
     if (!endpoint) {
         boost::asio::post(context_.loop,
             [self] { self->end(AttemptResult::Unreachable, "the backend server has no valid address"); });
--- a/src/transport/StreamContext.h
+++ b/src/transport/StreamContext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <optional>
 
 #include <boost/asio/io_context.hpp>
 
@@ -27,6 +28,14 @@
     routing::LinkTraffic traffic;
     /** Lag of the last sweep: data in the sockets waits at least this long before it is read. */
     std::chrono::steady_clock::duration lag {};
+    BackendForwarders forwarders {};
+
+    /** @return Where the backend server's address is reached; nullopt: the address is malformed. */
+    [[nodiscard]] std::optional<Endpoint> endpointOf(const BackendAddress& address) const
+    {
+        const auto forwarder = forwarders.find(address);
+        return forwarder == forwarders.end() ? parseEndpoint(address.value()) : forwarder->second;
+    }
 };
 
 } // namespace swiftlift::transport::internal
--- a/src/transport/StreamServer.cpp
+++ b/src/transport/StreamServer.cpp
@@ -235,6 +235,11 @@
     return state_->callers.acceptor.local_endpoint(ignored).port();
 }
 
+void StreamServer::setForwarders(BackendForwarders forwarders)
+{
+    state_->context.forwarders = std::move(forwarders);
+}
+
 void StreamServer::start()
 {
     state_->accept(state_->callers);
--- a/tests/standins/link/Link.cpp
+++ b/tests/standins/link/Link.cpp
@@ -5,12 +5,15 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <sstream>
+#include <sys/socket.h>
 
 namespace swiftlift::standins {
 
 namespace internal {
 
     constexpr Milliseconds linkAcceptPause { 100 };
+    /** Connections that fill a queue of length 0: one is held there, the others stay unanswered. */
+    constexpr std::size_t fillerCount = 4;
 
     std::string toString(const Tcp::endpoint& endpoint)
     {
@@ -34,8 +37,15 @@
 Awaitable<void> Link::accept()
 {
     while (acceptor_.is_open()) {
+        if (!fillers_.empty()) {
+            co_await sleepFor(internal::linkAcceptPause);
+            continue;
+        }
         boost::system::error_code error;
         auto socket = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        if (error == asio::error::operation_aborted) {
+            continue;
+        }
         if (error) {
             // Out of descriptors: accepting again at once would spin until some are free.
             co_await sleepFor(internal::linkAcceptPause);
@@ -49,7 +59,7 @@
 {
     ++accepted_;
     const auto relay = std::make_shared<Relay>(state_, std::move(socket));
-    if (isCut() && mode_ == CutMode::Reset) {
+    if (isCut() && (mode_ == CutMode::Reset || mode_ == CutMode::KeepOld)) {
         relay->reset();
         return;
     }
@@ -60,12 +70,41 @@
         context_, [relay, addresses = addresses_] { return relay->run(addresses.to, addresses.from); }, asio::detached);
 }
 
+void Link::stopAccepting()
+{
+    boost::system::error_code ignored;
+    acceptor_.cancel(ignored);
+    acceptor_.listen(0, ignored);
+    for (std::size_t count = 0; count < internal::fillerCount; ++count) {
+        Tcp::socket& filler = fillers_.emplace_back(context_);
+        filler.open(Tcp::v4(), ignored);
+        filler.non_blocking(true, ignored);
+        // Asio's own connect would wait for the answer.
+        const Tcp::endpoint self = acceptor_.local_endpoint();
+        static_cast<void>(::connect(filler.native_handle(), self.data(), static_cast<socklen_t>(self.size())));
+    }
+}
+
+void Link::acceptAgain()
+{
+    fillers_.clear();
+    boost::system::error_code ignored;
+    acceptor_.listen(Tcp::acceptor::max_listen_connections, ignored);
+}
+
 void Link::cut()
 {
+    cut_ = true;
+    if (mode_ == CutMode::KeepOld) {
+        return;
+    }
+    if (mode_ == CutMode::Hang) {
+        stopAccepting();
+    }
     state_->forward.cut = true;
     state_->backward.cut = true;
     state_->changed.notify();
-    if (mode_ == CutMode::Drop) {
+    if (mode_ != CutMode::Reset) {
         return;
     }
     for (const auto& known : relays_) {
@@ -77,18 +116,24 @@
 
 void Link::cutForward()
 {
+    cut_ = true;
     state_->forward.cut = true;
     state_->changed.notify();
 }
 
 void Link::cutBackward()
 {
+    cut_ = true;
     state_->backward.cut = true;
     state_->changed.notify();
 }
 
 void Link::heal()
 {
+    cut_ = false;
+    if (!fillers_.empty()) {
+        acceptAgain();
+    }
     state_->forward.cut = false;
     state_->backward.cut = false;
     state_->changed.notify();
--- a/tests/standins/link/Link.h
+++ b/tests/standins/link/Link.h
@@ -16,6 +16,10 @@
     Drop,
     /** Connections are reset. */
     Reset,
+    /** Bytes stop, and flow again after healing; attempts to connect are not answered. */
+    Hang,
+    /** Connections go on; new ones are reset. */
+    KeepOld,
 };
 
 struct LinkAddresses {
@@ -46,7 +50,10 @@
 private:
     [[nodiscard]] Awaitable<void> accept();
     void startRelay(Tcp::socket socket);
-    [[nodiscard]] bool isCut() const { return state_->forward.cut || state_->backward.cut; }
+    [[nodiscard]] bool isCut() const { return cut_; }
+    /** Fills the queue of connections that wait to be accepted, so that the system drops further ones. */
+    void stopAccepting();
+    void acceptAgain();
 
     asio::io_context& context_;
     LinkAddresses addresses_;
@@ -55,6 +62,9 @@
     std::shared_ptr<LinkState> state_ = std::make_shared<LinkState>();
     std::vector<std::weak_ptr<Relay>> relays_;
     std::uint64_t accepted_ = 0;
+    bool cut_ = false;
+    /** Connections to this link that fill its queue. */
+    std::vector<Tcp::socket> fillers_;
 };
 
 } // namespace swiftlift::standins
--- a/tests/standins/link/LinkService.cpp
+++ b/tests/standins/link/LinkService.cpp
@@ -27,7 +27,28 @@
         if (value == "reset") {
             return CutMode::Reset;
         }
-        throw std::invalid_argument("\"drop\" or \"reset\"");
+        if (value == "hang") {
+            return CutMode::Hang;
+        }
+        if (value == "keep_old") {
+            return CutMode::KeepOld;
+        }
+        throw std::invalid_argument("\"drop\", \"reset\", \"hang\" or \"keep_old\"");
+    }
+
+    const char* toString(CutMode mode)
+    {
+        switch (mode) {
+        case CutMode::Drop:
+            return "drop";
+        case CutMode::Reset:
+            return "reset";
+        case CutMode::Hang:
+            return "hang";
+        case CutMode::KeepOld:
+            return "keep_old";
+        }
+        return "drop";
     }
 
 } // namespace internal
@@ -94,7 +115,7 @@
     for (const auto& [name, one] : links_) {
         links[name] = one->audit();
     }
-    return { { "links", std::move(links) }, { "mode", mode_ == CutMode::Drop ? "drop" : "reset" } };
+    return { { "links", std::move(links) }, { "mode", internal::toString(mode_) } };
 }
 
 } // namespace swiftlift::standins
