Log when a router takes its links to all backend servers for lost

LinkMonitor keeps that belief from connections alone, and a links line tells each change; a gauge shows it. What is decided is unchanged: domains are avoided as before.

--- a/include/swiftlift/routing/Fwd.h
+++ b/include/swiftlift/routing/Fwd.h
@@ -14,6 +14,7 @@
 class BackendTable;
 class DomainReachability;
 class FairQueue;
+class LinkMonitor;
 class RetryBudget;
 class Selector;
 
--- a/src/node/ProxyRequests.h
+++ b/src/node/ProxyRequests.h
@@ -15,7 +15,7 @@
 #include "node/QuarantineCoordinator.h"
 #include "swiftlift/routing/Admission.h"
 #include "swiftlift/routing/BackendTable.h"
-#include "swiftlift/routing/DomainReachability.h"
+#include "swiftlift/routing/LinkMonitor.h"
 #include "swiftlift/routing/RetryShare.h"
 #include "swiftlift/routing/Selector.h"
 
@@ -151,8 +151,8 @@
     // End and billing.
     /** Reports to the quarantine what the end of an attempt shows about the request and its backend server. */
     void reportToQuarantine(const ProxyRequest& request, const ProxyAttemptEnded& ended);
-    /** Updates the reachability of the backend server's failure domain by the end of an attempt. */
-    void updateReachability(const ProxyRequest& request, ProxyAttemptEnd end);
+    /** Updates what is known of this router's links to backend servers by the end of an attempt. */
+    void updateLinks(const ProxyRequest& request, ProxyAttemptEnd end);
     void complete(ProxyRequest& request, const ProxyAttemptEnded& ended);
     /** Ends the request with this refusal and cancels its attempt. */
     void refuse(ProxyRequest& request, const ProxyRefusal& refusal);
@@ -205,7 +205,7 @@
     QuarantineCoordinator& quarantine_;
     std::function<std::uint32_t()> routerCount_;
     std::unique_ptr<routing::Selector> selector_;
-    routing::DomainReachability reachability_;
+    routing::LinkMonitor links_;
     std::map<CallId, std::unique_ptr<ProxyRequest>> proxyRequests_;
     std::map<AttemptId, CallId> callByAttempt_;
     CutAnswers cutAnswers_;
--- a/src/node/ProxyRequestsDispatch.cpp
+++ b/src/node/ProxyRequestsDispatch.cpp
@@ -80,7 +80,7 @@
     selection.priority = internal::priorityOf(request.urgency);
     selection.idempotent = request.mayRunAgain();
     selection.excluded = request.excluded;
-    selection.unreachableDomains = reachability_.unreachableDomains(context_.now());
+    selection.unreachableDomains = links_.unreachableDomains(context_.now());
     if (request.route->sharesPrefixes && !request.info.prefix.empty()) {
         selection.prefixHash = internal::sharedPrefixHash(request.info.prefix);
         selection.sharedTokens = internal::sharedTokens(request.info.prefix);
@@ -239,7 +239,7 @@
     if (first) {
         request->firstEventAt = context_.now();
         backends_.onFirstToken(request->backend, request->attempt, context_.now());
-        reachability_.onBackendReached(request->domain);
+        links_.onAnswered(request->domain);
         quarantine_.onServerAnswered(request->backendInstance(), request->phaseStart);
         serviceState(*request).admission.onFirstToken(context_.now() - request->phaseStart);
     }
@@ -259,7 +259,7 @@
     if (ended.end == ProxyAttemptEnd::Completed && request->route->answer == fleet::AnswerKind::Whole) {
         backends_.onFirstToken(request->backend, request->attempt, context_.now());
     }
-    updateReachability(*request, ended.end);
+    updateLinks(*request, ended.end);
     reportToQuarantine(*request, ended);
     closeAttempt(*request, internal::toEndKind(ended.end), ended.announcement);
     if (ended.end == ProxyAttemptEnd::Completed) {
@@ -289,23 +289,31 @@
     }
 }
 
-void ProxyRequests::updateReachability(const ProxyRequest& request, ProxyAttemptEnd end)
+void ProxyRequests::updateLinks(const ProxyRequest& request, ProxyAttemptEnd end)
 {
     const Instant now = context_.now();
-    const bool wasUnreachable = reachability_.seemsUnreachable(request.domain, now);
+    const bool wasUnreachable = links_.seemsUnreachable(request.domain, now);
+    const bool wereLost = links_.linksLost(now);
     if (end == ProxyAttemptEnd::Unreachable) {
-        reachability_.onBackendUnreachable(request.domain, request.backend, now);
+        links_.onUnreachable(request.domain, request.backend, now);
     } else if (end != ProxyAttemptEnd::Broken) {
-        reachability_.onBackendReached(request.domain);
+        links_.onConnected(request.domain);
     }
-    if (const bool isUnreachable = reachability_.seemsUnreachable(request.domain, now);
-        isUnreachable != wasUnreachable) {
+    if (const bool isUnreachable = links_.seemsUnreachable(request.domain, now); isUnreachable != wasUnreachable) {
         context_.log(LogLineBuilder("domain")
                          .with("domain", request.domain.value())
                          .with("change", isUnreachable ? "doubtful" : "reached")
                          .with("request", request.info.id)
                          .with("backend", request.backend.value()));
     }
+    if (const bool areLost = links_.linksLost(now); areLost != wereLost) {
+        context_.log(LogLineBuilder("links")
+                         .with("change", areLost ? "lost" : "restored")
+                         .with("failed_servers", static_cast<std::int64_t>(links_.failedServers()))
+                         .with("request", request.info.id)
+                         .with("backend", request.backend.value()));
+        context_.gauge("swiftlift_links_lost", areLost ? 1 : 0);
+    }
 }
 
 void ProxyRequests::reportToQuarantine(const ProxyRequest& request, const ProxyAttemptEnded& ended)
--- /dev/null
+++ b/src/routing/LinkMonitor.cpp
@@ -0,0 +1,77 @@
+#include "swiftlift/routing/LinkMonitor.h"
+
+#include <algorithm>
+
+namespace swiftlift::routing {
+
+void LinkMonitor::onConnected(const FailureDomain& domain)
+{
+    failed_.clear();
+    suspected_ = false;
+    probes_[domain].tested = true;
+    domains_.onBackendReached(domain);
+}
+
+void LinkMonitor::onAnswered(const FailureDomain& domain) { domains_.onBackendReached(domain); }
+
+void LinkMonitor::onUnreachable(const FailureDomain& domain, const BackendId& backend, Instant now)
+{
+    failed_.insert(backend);
+    lastFailure_ = now;
+    suspected_ = true;
+    probes_[domain].tested = true;
+    domains_.onBackendUnreachable(domain, backend, now);
+}
+
+void LinkMonitor::onProbeEnded(const FailureDomain& domain, const BackendId& backend, bool connected, Instant now)
+{
+    probing_.erase(backend);
+    if (connected) {
+        onConnected(domain);
+    } else {
+        onUnreachable(domain, backend, now);
+    }
+}
+
+bool LinkMonitor::linksLost(Instant now) const
+{
+    return failed_.size() >= minFailedServers && now - lastFailure_ < lostTime;
+}
+
+bool LinkMonitor::seemsUnreachable(const FailureDomain& domain, Instant now) const
+{
+    return domains_.seemsUnreachable(domain, now);
+}
+
+std::set<FailureDomain> LinkMonitor::unreachableDomains(Instant now) const { return domains_.unreachableDomains(now); }
+
+bool LinkMonitor::isProbeNeeded(const FailureDomain& domain, Instant now) const
+{
+    const auto found = probes_.find(domain);
+    const bool tested = found != probes_.end() && found->second.tested;
+    return !tested || suspected_ || seemsUnreachable(domain, now);
+}
+
+bool LinkMonitor::needsProbes(Instant now) const
+{
+    return suspected_ || linksLost(now) || !domains_.unreachableDomains(now).empty();
+}
+
+std::vector<BackendId> LinkMonitor::probes(const ServersByDomain& servers, Instant now)
+{
+    std::vector<BackendId> chosen;
+    for (const auto& [domain, backends] : servers) {
+        DomainProbes& probes = probes_[domain];
+        if (backends.empty() || now < probes.next || !isProbeNeeded(domain, now)) {
+            continue;
+        }
+        const BackendId& backend = backends[probes.turn++ % backends.size()];
+        probes.next = now + probePeriod;
+        if (probing_.insert(backend).second) {
+            chosen.push_back(backend);
+        }
+    }
+    return chosen;
+}
+
+} // namespace swiftlift::routing
