Show that a VM without links to backend servers refuses what its peers could serve

Three modes of partition (connections hang, are reset, or old ones live on), one router of four, half of them, and a restart within.

--- a/tests/platform/PlatformFleet.cpp
+++ b/tests/platform/PlatformFleet.cpp
@@ -9,6 +9,8 @@
 #include <nlohmann/json.hpp>
 #include <unistd.h>
 
+#include "link/LinkService.h"
+
 namespace swiftlift::platform::test {
 
 using nlohmann::json;
@@ -98,6 +100,7 @@
     , budget_(budget)
     , size_(size)
     , store_(std::make_unique<RunningService>(std::make_unique<standin::StoreService>()))
+    , links_(std::make_unique<RunningService>(std::make_unique<standins::LinkService>()))
 {
     std::filesystem::create_directories(folder_);
     for (std::size_t index = 0; index < size_.modelEngines + size_.plainEngines; ++index) {
@@ -146,7 +149,8 @@
     }
     file << "ledger:\n  low_watermark: 8s\n  high_watermark: 10s\n  stock: 50%\n  retention: 300s\n"
             "  batch_period: 100ms\nrouting:\n  policy: rendezvous\nretries:\n  ratio: 0.2\n  extra: 50\n"
-            "  window: 10s\nstop:\n  limit: 8s\n";
+            "  window: 10s\nstop:\n  limit: 8s\n"
+         << (size_.links ? addLinks(index) : "");
     file.close();
     const auto output = folder_ / ("router-" + std::to_string(index) + ".log");
     router.process = std::make_unique<scenario::Process>("router-" + std::to_string(index),
@@ -154,6 +158,50 @@
     routers_.push_back(std::move(router));
 }
 
+std::string PlatformFleet::addLinks(std::size_t router)
+{
+    const json names = linksOf(router);
+    json links = json::array();
+    for (std::size_t engine = 0; engine < engines_.size(); ++engine) {
+        links.push_back(
+            { { "name", names[engine] }, { "listen", "127.0.0.1:0" }, { "to", engines_[engine]->address() } });
+    }
+    const json added = links_->control({ { "add", links } });
+    std::string setting = "backends:\n  via:\n";
+    for (std::size_t engine = 0; engine < engines_.size(); ++engine) {
+        const auto address = added["links"][names[engine].get<std::string>()].get<std::string>();
+        setting += "    \"" + engines_[engine]->address() + "\": \"" + address + "\"\n";
+    }
+    return setting;
+}
+
+standins::Json PlatformFleet::linksOf(std::size_t router) const
+{
+    json names = json::array();
+    for (std::size_t engine = 0; engine < engines_.size(); ++engine) {
+        names.push_back(std::to_string(router) + ">" + std::to_string(engine));
+    }
+    return names;
+}
+
+void PlatformFleet::cutFromEngines(std::size_t router, const std::string& mode)
+{
+    links_->control({ { "mode", mode } });
+    links_->control({ { "cut", linksOf(router) } });
+}
+
+void PlatformFleet::healLinksToEngines(std::size_t router) { links_->control({ { "heal", linksOf(router) } }); }
+
+std::uint64_t PlatformFleet::connectionsToEngines(std::size_t router) const
+{
+    const json audit = links_->get();
+    std::uint64_t sum = 0;
+    for (const auto& name : linksOf(router)) {
+        sum += audit["links"][name.get<std::string>()]["accepted"].get<std::uint64_t>();
+    }
+    return sum;
+}
+
 bool PlatformFleet::start()
 {
     for (std::size_t index = 0; index < engines_.size(); ++index) {
--- a/tests/platform/PlatformFleet.h
+++ b/tests/platform/PlatformFleet.h
@@ -40,6 +40,8 @@
     std::size_t routers = 2;
     std::size_t modelEngines = 2;
     std::size_t plainEngines = 2;
+    /** Each router reaches each engine through a link of its own, which can be cut. */
+    bool links = false;
 };
 
 /**
@@ -81,6 +83,15 @@
     /** Deletes an engine's entry from the store. */
     void unregisterEngine(std::size_t engine);
 
+    /**
+     * @brief Cuts the router's links to all engines; only with FleetSize::links.
+     * @param mode What becomes of the connections, as in standins::LinkService.
+     */
+    void cutFromEngines(std::size_t router, const std::string& mode);
+    void healLinksToEngines(std::size_t router);
+    /** @return Number of connections that the router has made to engines through its links. */
+    [[nodiscard]] std::uint64_t connectionsToEngines(std::size_t router) const;
+
     [[nodiscard]] standins::RunningService& store() noexcept { return *store_; }
     /** @param index The engines of the model service come first, then those of the plain service. */
     [[nodiscard]] standins::RunningService& engine(std::size_t index) { return *engines_.at(index); }
@@ -112,6 +123,10 @@
     void addRouter(std::size_t index, const std::string& domain);
     void addEngine(std::size_t index);
     [[nodiscard]] bool startRouters();
+    /** Adds links from the router to all engines. @return The setting that makes the router use them. */
+    [[nodiscard]] std::string addLinks(std::size_t router);
+    /** @return Names of the router's links to engines. */
+    [[nodiscard]] standins::Json linksOf(std::size_t router) const;
     void putEntry(std::size_t engine, const std::string& id, const std::string& state);
     void deleteEntry(const std::string& id);
     void putRecord(const std::string& topic, const std::string& key, const std::string& value);
@@ -126,6 +141,7 @@
     std::uint64_t version_ = 0;
     std::unique_ptr<standins::RunningService> store_;
     std::vector<std::unique_ptr<standins::RunningService>> engines_;
+    std::unique_ptr<standins::RunningService> links_;
     std::vector<Router> routers_;
     std::vector<std::string> seeds_;
 };
