--- a/src/settings/RouterSettings.cpp
+++ b/src/settings/RouterSettings.cpp
@@ -24,6 +24,7 @@
     constexpr Range<Duration> retentionRange { seconds(1), hours(1000) };
     constexpr Range<Duration> batchRange { seconds(0), seconds(10) };
     constexpr Range<std::uint64_t> wholePercent { 0, 100 };
+    constexpr Range<std::uint64_t> portOffsetRange { 0, 1'000 };
     constexpr Range<double> bandwidthRange { 0, 1'000'000 };
     constexpr Range<double> ratioRange { 0, 10 };
     constexpr Range<double> callRateRange { 0, 1'000'000 };
@@ -42,6 +43,17 @@
         checker.reportUnknownKeys();
     }
 
+    /** @return The address with the offset added to its port. */
+    [[nodiscard]] Endpoint withPortOffset(const Endpoint& address, std::uint64_t offset)
+    {
+        const auto colon = address.value().rfind(':');
+        if (offset == 0 || colon == std::string::npos) {
+            return address;
+        }
+        const std::uint64_t port = std::stoull(address.value().substr(colon + 1)) + offset;
+        return Endpoint(address.value().substr(0, colon + 1) + std::to_string(port));
+    }
+
     [[nodiscard]] Endpoint readListener(Checker& root, std::string_view key)
     {
         Endpoint listen;
@@ -60,8 +72,11 @@
         callers.address("readiness", readinessPresence, settings.readinessListen);
         callers.reportUnknownKeys();
         auto relay = root.section("relay", Presence::Optional);
+        std::uint64_t portOffset = 0;
         relay.address("listen", Presence::Optional, settings.relayListen);
+        relay.unsignedNumber("port_offset", Presence::Optional, portOffsetRange, portOffset);
         relay.reportUnknownKeys();
+        settings.relayListen = withPortOffset(settings.relayListen, portOffset);
         settings.operatorsListen = readListener(root, "operators");
         settings.metricsListen = readListener(root, "metrics");
         // If two listeners had the same address, the second listener would fail to bind after the first already had
--- a/tests/settings/RouterSettingsTest.cpp
+++ b/tests/settings/RouterSettingsTest.cpp
@@ -51,6 +51,7 @@
 {
     const std::string optionalKeys
         = "peers:\n  seeds: [127.0.1.2:7400]\n  via: {\"127.0.2.1:7400\": \"127.0.8.1:7400\"}\n"
+          "relay: {listen: \"127.0.1.1:7000\", port_offset: 1}\n"
           "backends: {via: {\"127.0.2.9:80\": \"127.0.8.9:80\"}}\n"
           "ledger: {shards: 4, policy: static_split, split_ways: 6}\nrouting: {policy: least_load}\n"
           "stop: {limit: 2m}\nlogging: {file: /tmp/router.log, level: debug}\nseed: 42\n";
@@ -60,6 +61,7 @@
     ASSERT_TRUE(settings.has_value()) << testing::PrintToString(texts(findings));
     EXPECT_THAT(settings->peers.seeds, ElementsAre(PeerAddress("127.0.1.2:7400")));
     EXPECT_EQ(settings->peers.via.at(PeerAddress("127.0.2.1:7400")), Endpoint("127.0.8.1:7400"));
+    EXPECT_EQ(settings->relayListen, Endpoint("127.0.1.1:7001"));
     EXPECT_EQ(settings->backends.via.at(BackendAddress("127.0.2.9:80")), Endpoint("127.0.8.9:80"));
     EXPECT_EQ(settings->ledger.shards, 4U);
     EXPECT_EQ(toText(settings->ledger.policy), "static_split");
