Take links for lost only while no connection is made

Cause: two servers that crash within a probe's period counted as lost links, which would have sent requests through peers and closed all breakers for up to 300 ms; found by reading. Change: a connection within 100 ms shows that links work, and suspected links are probed each 100 ms. Measured: LinksAreNotLostWhileConnectionsAreMade.

--- a/include/swiftlift/routing/LinkMonitor.h
+++ b/include/swiftlift/routing/LinkMonitor.h
@@ -62,9 +62,11 @@
     /** How long the links count as lost after the last failed connection. Probes are sent much more often. */
     static constexpr Duration lostTime = std::chrono::seconds(2);
     /** How long a connection shows that the links work. */
-    static constexpr Duration connectedTime = std::chrono::milliseconds(300);
+    static constexpr Duration connectedTime = std::chrono::milliseconds(100);
     /** Time between two probes of one domain: it bounds how long a restored link goes unnoticed. */
     static constexpr Duration probePeriod = std::chrono::milliseconds(300);
+    /** The same while links are only suspected: a probe that connects comes before the next server fails. */
+    static constexpr Duration suspicionProbePeriod = std::chrono::milliseconds(100);
 
     /** @brief Probes of one domain. */
     struct DomainProbes {
@@ -75,6 +77,7 @@
         bool tested = false;
     };
 
+    [[nodiscard]] bool connectedLately(Instant now) const;
     [[nodiscard]] bool isProbeNeeded(const FailureDomain& domain, Instant now) const;
 
     DomainReachability domains_;
--- a/src/routing/LinkMonitor.cpp
+++ b/src/routing/LinkMonitor.cpp
@@ -36,14 +36,12 @@
 
 bool LinkMonitor::linksLost(Instant now) const
 {
-    return failed_.size() >= minFailedServers && now - lastFailure_ < lostTime;
+    return failed_.size() >= minFailedServers && now - lastFailure_ < lostTime && !connectedLately(now);
 }
 
-bool LinkMonitor::linksDoubtful(Instant now) const
-{
-    const bool connectedLately = lastConnected_ && now - *lastConnected_ < connectedTime;
-    return !failed_.empty() && !connectedLately;
-}
+bool LinkMonitor::linksDoubtful(Instant now) const { return !failed_.empty() && !connectedLately(now); }
+
+bool LinkMonitor::connectedLately(Instant now) const { return lastConnected_ && now - *lastConnected_ < connectedTime; }
 
 bool LinkMonitor::seemsUnreachable(const FailureDomain& domain, Instant now) const
 {
@@ -76,7 +74,7 @@
             continue;
         }
         const BackendId& backend = backends[probes.turn++ % backends.size()];
-        probes.next = now + probePeriod;
+        probes.next = now + (seemsUnreachable(domain, now) ? probePeriod : suspicionProbePeriod);
         if (probing_.insert(backend).second) {
             chosen.push_back(backend);
         }
--- a/tests/node/GatewayLinksTest.cpp
+++ b/tests/node/GatewayLinksTest.cpp
@@ -36,12 +36,16 @@
         /** All connections to servers fail from now on, as the first request shows. */
         void loseLinks()
         {
+            world.run(milliseconds(200));
             const CallId call = world.arrive("/plain/x");
             world.end(dispatched(call), ProxyAttemptEnd::Unreachable, 0);
             if (const auto retry = world.dispatchOf(call); retry && !retry->relay) {
                 world.end(*retry, ProxyAttemptEnd::Unreachable, 0);
             }
-            world.endProbes(false);
+            for (int round = 0; round < 3; ++round) {
+                world.endProbes(false);
+                world.run(milliseconds(100));
+            }
             ASSERT_EQ(world.lines("links").size(), 1U);
         }
     };
--- a/tests/routing/LinkMonitorTest.cpp
+++ b/tests/routing/LinkMonitorTest.cpp
@@ -33,6 +33,16 @@
         EXPECT_FALSE(monitor_.linksLost(now_ + 3s)) << "nothing has been tried since";
     }
 
+    // Guards against requests that take the way through peers because two servers crashed shortly after each other.
+    TEST_F(LinkMonitorTest, LinksAreNotLostWhileConnectionsAreMade)
+    {
+        monitor_.onConnected(ownDomain, now_);
+        monitor_.onUnreachable(ownDomain, engine(1), now_ + 50ms);
+        monitor_.onUnreachable(otherDomain, engine(3), now_ + 50ms);
+        EXPECT_FALSE(monitor_.linksLost(now_ + 50ms));
+        EXPECT_TRUE(monitor_.linksLost(now_ + 150ms));
+    }
+
     TEST_F(LinkMonitorTest, AConnectionInBetweenShowsThatLinksWork)
     {
         monitor_.onUnreachable(ownDomain, engine(1), now_);
@@ -54,6 +64,7 @@
     TEST_F(LinkMonitorTest, LostLinksStayKnownByProbesUntilOneConnects)
     {
         testAll();
+        now_ += 200ms;
         monitor_.onUnreachable(ownDomain, engine(1), now_);
         monitor_.onUnreachable(otherDomain, engine(3), now_);
         for (int round = 0; round < 20; ++round) {
