Give up connections to a vanished log or peer by one rule, whatever keepalive's count

Cause: a TCP_USER_TIMEOUT also decides when keepalive gives up. Connections to backend servers had one of 2.5 s that fits their probes; those to the log had neither, and ZeroMQ's were left to the library's default. Change: SocketOptions for all connections that this process makes; ZeroMQ's limit is set to that of its heartbeats. Callers' connections keep the system's: a caller whose link was down for seconds keeps its answer. The listeners of cxxtools (operators) and Prometheus were not looked into: no request depends on them.

--- a/src/transport/AsyncHttpClient.cpp
+++ b/src/transport/AsyncHttpClient.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/write.hpp>
 
 #include "transport/HttpText.h"
+#include "transport/SocketOptions.h"
 
 namespace swiftlift::transport::internal {
 
@@ -46,6 +47,7 @@
         }
         ErrorCode ignored;
         self->stream_.socket().set_option(tcp::no_delay(true), ignored);
+        detectDeadPeer(self->stream_.socket());
         self->connected_ = true;
         self->write();
     });
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/http.hpp>
 
 #include "transport/HttpText.h"
+#include "transport/SocketOptions.h"
 
 namespace swiftlift::transport {
 
@@ -91,6 +92,7 @@
         [&](auto done) { socket->async_connect(tcp::endpoint(address, endpoint.port), std::move(done)); });
     if (connected) {
         socket->set_option(tcp::no_delay(true), error);
+        internal::detectDeadPeer(*socket);
     }
     return connected;
 }
--- a/src/transport/PeerLinks.cpp
+++ b/src/transport/PeerLinks.cpp
@@ -76,6 +76,8 @@
     socket.set(zmq::sockopt::maxmsgsize, maxMessageBytes);
     socket.set(zmq::sockopt::heartbeat_ivl, toIntMilliseconds(settings.heartbeat));
     socket.set(zmq::sockopt::heartbeat_timeout, toIntMilliseconds(settings.heartbeatLimit));
+    // Set explicitly: a TCP_USER_TIMEOUT of the library's choice would decide in place of the heartbeats.
+    socket.set(zmq::sockopt::tcp_maxrt, toIntMilliseconds(settings.heartbeatLimit));
 }
 
 void PeerLinks::State::run()
