Keep what brittle servers have to turn away below what they bear, over the whole fleet

Cause: servers that say Server-Brittle: N (X-Brittle at the project's own interface) crash when they have to turn more than N requests away in a second; nothing read it. Change: the part that keeps limits keeps this too. Brittleness is a number that a server states as it states a limit: known by instance, told to peers with its age, ended by a later answer without it. Two more causes of ArrivalLimiter: no router sends a brittle server requests so close that the fleet's come faster than one in 2 ms; and once it turned one away, which that router tells its live peers at once, all send it half of what they did for 0.5 s to 1 s, ended at different moments. Retries, resumes, waiting requests, probes and the last resort go by the same check.

Real routers: AnnouncementTest.BrittleServersHaveToTurnFewRequestsAway.

--- a/include/swiftlift/routing/Announcement.h
+++ b/include/swiftlift/routing/Announcement.h
@@ -16,9 +16,11 @@
     /** It stops serving soon: it must get no new requests. */
     bool leaving = false;
     /** Only with a refusal: it must get no requests of this router for this long. */
-    std::optional<Duration> rest;
+    std::optional<Duration> rest {};
+    /** It crashes if it has to turn away more than this many requests in a second; nullopt: it is not brittle. */
+    std::optional<double> brittle {};
 
-    [[nodiscard]] bool empty() const noexcept { return !limit && !leaving && !rest; }
+    [[nodiscard]] bool empty() const noexcept { return !limit && !leaving && !rest && !brittle; }
     [[nodiscard]] bool operator==(const Announcement&) const = default;
 };
 
@@ -32,7 +34,13 @@
     /** Time since the server was last known to name this limit, or none; nullopt: nothing is known of its limit. */
     std::optional<Duration> limitAge;
     /** Time since the server last stated that it is leaving; nullopt: it is not known to. */
-    std::optional<Duration> leavingAge;
+    std::optional<Duration> leavingAge {};
+    /** Requests that it can turn away in a second without crashing; nullopt: it is not brittle. */
+    std::optional<double> brittle {};
+    /** Time since the server was last known to be as brittle as this, or not; nullopt: nothing is known of it. */
+    std::optional<Duration> brittleAge {};
+    /** Time since it last turned a request away while it was brittle; nullopt: it is not known to. */
+    std::optional<Duration> turnedAwayAge {};
 
     [[nodiscard]] bool operator==(const SharedAnnouncement&) const = default;
 };
@@ -44,6 +52,8 @@
     std::size_t leaving = 0;
     /** Servers that have asked this router for rest. */
     std::size_t resting = 0;
+    /** Servers that crash if they have to turn many requests away. */
+    std::size_t brittle = 0;
 };
 
 } // namespace swiftlift::routing
--- a/include/swiftlift/routing/BackendFacts.h
+++ b/include/swiftlift/routing/BackendFacts.h
@@ -18,10 +18,15 @@
     Cold,
     /** It names a limit in its answers. */
     Announced,
+    /** It crashes if it has to turn many requests away: no router may send many at once. */
+    Brittle,
+    /** It is brittle and has turned a request away lately. */
+    BrittleAndFull,
 };
 
 /** @brief All values of LimitCause. */
-inline constexpr std::array limitCauses { LimitCause::Cold, LimitCause::Announced };
+inline constexpr std::array limitCauses { LimitCause::Cold, LimitCause::Announced, LimitCause::Brittle,
+    LimitCause::BrittleAndFull };
 
 /** @brief A backend server's time as a cold one. */
 struct ColdPeriod {
--- a/include/swiftlift/routing/BackendTable.h
+++ b/include/swiftlift/routing/BackendTable.h
@@ -20,6 +20,7 @@
 
 namespace internal {
     class AnnouncementBook;
+    struct KnownAnnouncement;
 } // namespace internal
 
 class Backend;
@@ -74,6 +75,8 @@
     std::optional<double> limit;
     /** Time since it was last known to name this limit, or none; nullopt: nothing is known of its limit. */
     std::optional<Duration> limitAge;
+    /** Requests that it can turn away in a second without crashing; nullopt: it is not brittle, or no more. */
+    std::optional<double> brittle;
     /** It stops serving soon. */
     bool leaving = false;
     /** Another router told this one. */
@@ -171,6 +174,9 @@
     /** @return What to tell another router now. */
     [[nodiscard]] std::vector<SharedAnnouncement> toShare(Instant now) const;
     [[nodiscard]] AnnouncementCounts announcementCounts(Instant now) const;
+    /** @return True if a brittle server has turned a request away since the last call, which peers have to know at
+     * once: each of them could send it one more. */
+    [[nodiscard]] bool takeUrgentNews() noexcept;
     /** @return Changes of what is known of announcements since the last call, in order. */
     [[nodiscard]] std::vector<AnnouncementChange> takeAnnouncementChanges();
 
@@ -216,6 +222,8 @@
     void applyAnnouncement(Backend& backend, Instant now) const;
     /** @brief Divides what the backend server accepts among the routers. */
     void updateLimits(Backend& backend) const;
+    /** @brief Bounds what a brittle server may have to turn away. */
+    void updateBrittleLimits(Backend& backend, const internal::KnownAnnouncement* announced) const;
     [[nodiscard]] FleetShare shareOf(const Backend& backend, const FleetRate& rate) const;
 
     TableSettings settings_;
@@ -225,6 +233,7 @@
     std::map<ServiceName, std::set<BackendId>> services_;
     std::unique_ptr<internal::AnnouncementBook> announcements_;
     std::vector<AnnouncementChange> announcementChanges_;
+    bool urgentNews_ = false;
     PeerAddress self_;
     std::vector<PeerAddress> routers_;
     /** The table holds backend servers that no service lists and that still run attempts of this router. */
--- a/include/swiftlift/transport/AnnouncementFields.h
+++ b/include/swiftlift/transport/AnnouncementFields.h
@@ -7,12 +7,14 @@
 
 namespace swiftlift::transport {
 
-/** Names of the header fields in which backend servers state their limit and that they are leaving. */
+/** Names of the header fields in which backend servers state their limit, their leaving and their brittleness. */
 struct AnnouncementFields {
     /** Value: requests per second, a decimal number. */
     std::string_view limit;
     /** Value: `1` if the server is leaving. */
     std::string_view leaving;
+    /** Value: requests that the server can turn away in a second without crashing, a decimal number. */
+    std::string_view brittle;
 };
 
 /**
--- a/src/node/CoreState.cpp
+++ b/src/node/CoreState.cpp
@@ -277,6 +277,9 @@
 {
     requests_.finishEvent();
     changes_.noteAnnouncements(backends_.takeAnnouncementChanges());
+    if (backends_.takeUrgentNews()) {
+        peers_.sendToAll(heartbeat());
+    }
 }
 
 std::vector<ReachableServer> CoreState::reachableServers() const
--- a/src/node/Gateway.cpp
+++ b/src/node/Gateway.cpp
@@ -52,6 +52,9 @@
 {
     proxyRequests_.finishEvent();
     changes_.noteAnnouncements(backends_.takeAnnouncementChanges());
+    if (backends_.takeUrgentNews()) {
+        peers_.sendToAll(heartbeat());
+    }
 }
 
 void Gateway::onConfig(const fleet::FleetConfig& config)
@@ -333,7 +336,8 @@
         { "in_progress", proxyRequests_.inProgress() }, { "peers_alive", counts.alive },
         { "config_version", fleet_.routes() ? fleet_.routes()->config().version : 0 }, { "evacuated", evacuated },
         { "cold_servers", fleet_.coldServers() }, { "limited_servers", announced.limited },
-        { "resting_servers", announced.resting }
+        { "resting_servers", announced.resting }, { "brittle_servers", announced.brittle },
+        { "links_lost", links_.lost() }
     }.dump();
 }
 
--- a/src/node/Peers.cpp
+++ b/src/node/Peers.cpp
@@ -118,6 +118,13 @@
     return alive.empty() ? std::nullopt : std::optional(alive.front());
 }
 
+void Peers::sendToAll(const Heartbeat& own)
+{
+    for (const Incarnation peer : membership_.alivePeers()) {
+        send(peer, own);
+    }
+}
+
 void Peers::send(Incarnation to, PeerMessage message, std::uint32_t shard)
 {
     if (const auto address = membership_.addressOf(to)) {
--- a/src/node/Peers.h
+++ b/src/node/Peers.h
@@ -32,6 +32,9 @@
      */
     void send(Incarnation to, PeerMessage message, std::uint32_t shard = 0);
 
+    /** Sends a heartbeat to all live peers now, because it has news that they need at once. */
+    void sendToAll(const Heartbeat& own);
+
     /** @return The peer to request a stream's records from: one that reaches the log, otherwise the nearest alive peer;
      * std::nullopt when no peer is alive. */
     [[nodiscard]] std::optional<Incarnation> bestReader() const;
--- a/src/node/StateChanges.cpp
+++ b/src/node/StateChanges.cpp
@@ -55,6 +55,7 @@
                          .with("backend", change.backend.value())
                          .with("limit_per_s", change.limit.value_or(internal::noLimit))
                          .with("limit_age_ms", change.limitAge ? toMilliseconds(*change.limitAge) : internal::noAge)
+                         .with("brittle_per_s", change.brittle.value_or(internal::noLimit))
                          .with("leaving", change.leaving)
                          .with("source", change.fromPeer ? "peer" : "answer"));
     }
@@ -71,6 +72,7 @@
     context_.gauge(metric, static_cast<double>(counts.limited), { { "what", "limit" } });
     context_.gauge(metric, static_cast<double>(counts.leaving), { { "what", "leaving" } });
     context_.gauge(metric, static_cast<double>(counts.resting), { { "what", "rest" } });
+    context_.gauge(metric, static_cast<double>(counts.brittle), { { "what", "brittle" } });
 }
 
 void StateChanges::removeUnknown(const routing::BackendTable& table)
--- a/src/routing/AnnouncementBook.cpp
+++ b/src/routing/AnnouncementBook.cpp
@@ -50,17 +50,23 @@
     }
 }
 
-bool AnnouncementBook::setLimit(KnownAnnouncement& known, std::optional<double> limit, Instant statedAt, Instant now)
+bool AnnouncementBook::setNumber(
+    KnownAnnouncement& known, StatedNumber& number, std::optional<double> value, Instant statedAt, Instant now)
 {
-    known.limitStatedAt = statedAt;
-    if (known.limit == limit) {
+    number.statedAt = statedAt;
+    if (number.value == value) {
         return false;
     }
-    known.limit = limit;
+    number.value = value;
     known.changedAt = now;
     return true;
 }
 
+bool AnnouncementBook::withdraw(KnownAnnouncement& known, StatedNumber& number, Instant sentAt, Instant now)
+{
+    return number.value && sentAt > number.statedAt && setNumber(known, number, std::nullopt, sentAt, now);
+}
+
 bool AnnouncementBook::setLeaving(KnownAnnouncement& known, Instant statedAt, Instant now)
 {
     const bool wasKnown = known.leavingStatedAt.has_value();
@@ -79,19 +85,36 @@
     // A request that was sent before the rest began may be turned away with a shorter one.
     known->restUntil = std::max(known->restUntil, now + announcement.rest.value_or(Duration {}));
     const bool leavingChanged = announcement.leaving && setLeaving(*known, now, now);
-    const bool limitChanged = announcement.limit && setLimit(*known, announcement.limit, now, now);
-    return leavingChanged || limitChanged;
+    const bool limitChanged = announcement.limit && setNumber(*known, known->limit, announcement.limit, now, now);
+    const bool brittleChanged
+        = announcement.brittle && setNumber(*known, known->brittle, announcement.brittle, now, now);
+    return leavingChanged || limitChanged || brittleChanged;
 }
 
 bool AnnouncementBook::onAnswered(
     const BackendId& backend, std::uint64_t instance, const Announcement& announcement, Instant sentAt, Instant now)
 {
     const auto found = servers_.find(backend);
-    const bool isKnown = found != servers_.end() && found->second.instance == instance && found->second.limit;
-    if (!isKnown || announcement.limit || sentAt <= found->second.limitStatedAt) {
+    if (found == servers_.end() || found->second.instance != instance) {
+        return false;
+    }
+    KnownAnnouncement& known = found->second;
+    const bool limitChanged = !announcement.limit && withdraw(known, known.limit, sentAt, now);
+    const bool brittleChanged = !announcement.brittle && withdraw(known, known.brittle, sentAt, now);
+    return limitChanged || brittleChanged;
+}
+
+bool AnnouncementBook::onTurnedAway(const BackendId& backend, std::uint64_t instance, Instant now)
+{
+    const auto found = servers_.find(backend);
+    if (found == servers_.end() || found->second.instance != instance || !found->second.brittle.value) {
         return false;
     }
-    return setLimit(found->second, std::nullopt, sentAt, now);
+    KnownAnnouncement& known = found->second;
+    const bool isNew = !known.turnedAwayAt || now - *known.turnedAwayAt >= turnedAwayPeriod;
+    known.turnedAwayAt = now;
+    known.changedAt = isNew ? now : known.changedAt;
+    return isNew;
 }
 
 bool AnnouncementBook::onShared(const SharedAnnouncement& shared, Instant now)
@@ -101,8 +124,10 @@
         return false;
     }
     const bool leavingChanged = applySharedLeaving(*known, shared, now);
-    const bool limitChanged = applySharedLimit(*known, shared, now);
-    return leavingChanged || limitChanged;
+    const bool limitChanged = applyShared(*known, known->limit, shared.limit, shared.limitAge, now);
+    const bool brittleChanged = applyShared(*known, known->brittle, shared.brittle, shared.brittleAge, now);
+    const bool turnedAwayChanged = applySharedTurnedAway(*known, shared, now);
+    return leavingChanged || limitChanged || brittleChanged || turnedAwayChanged;
 }
 
 // A router that has not seen the server's restart yet passes on what the former instance stated.
@@ -114,17 +139,31 @@
     return setLeaving(known, now - *shared.leavingAge, now);
 }
 
-bool AnnouncementBook::applySharedLimit(KnownAnnouncement& known, const SharedAnnouncement& shared, Instant now)
+bool AnnouncementBook::applyShared(KnownAnnouncement& known, StatedNumber& number, std::optional<double> value,
+    std::optional<Duration> age, Instant now)
 {
-    if (!shared.limitAge) {
+    if (!age) {
         return false;
     }
-    const Instant statedAt = now - *shared.limitAge;
-    const Duration minGain = known.limit == shared.limit ? minShareGain : Duration {};
-    if (known.limitStatedAt && statedAt <= *known.limitStatedAt + minGain) {
+    const Instant statedAt = now - *age;
+    const Duration minGain = number.value == value ? minShareGain : Duration {};
+    if (number.statedAt && statedAt <= *number.statedAt + minGain) {
         return false;
     }
-    return setLimit(known, shared.limit, statedAt, now);
+    return setNumber(known, number, value, statedAt, now);
+}
+
+bool AnnouncementBook::applySharedTurnedAway(KnownAnnouncement& known, const SharedAnnouncement& shared, Instant now)
+{
+    if (!shared.turnedAwayAge) {
+        return false;
+    }
+    const Instant at = now - *shared.turnedAwayAge;
+    if (known.turnedAwayAt && at <= *known.turnedAwayAt + minShareGain) {
+        return false;
+    }
+    known.turnedAwayAt = at;
+    return true;
 }
 
 void AnnouncementBook::onRestarted(const BackendId& backend, Instant now)
@@ -133,7 +172,8 @@
         const std::uint64_t instance = found->second.instance;
         found->second = {};
         found->second.instance = instance;
-        found->second.limitStatedAt = now;
+        found->second.limit.statedAt = now;
+        found->second.brittle.statedAt = now;
         found->second.restartedAt = now;
         found->second.changedAt = now;
     }
@@ -149,7 +189,8 @@
 {
     AnnouncementCounts counts;
     for (const auto& [backend, known] : servers_) {
-        counts.limited += known.limit ? 1 : 0;
+        counts.limited += known.limit.value ? 1 : 0;
+        counts.brittle += known.brittle.value ? 1 : 0;
         counts.leaving += known.leavingStatedAt ? 1 : 0;
         counts.resting += now < known.restUntil ? 1 : 0;
     }
@@ -159,7 +200,7 @@
 bool AnnouncementBook::isWorthSharing(const KnownAnnouncement& known, Instant now)
 {
     const bool wasLeavingLately = known.leavingStatedAt && now - known.changedAt < leavingLifetime;
-    return known.limit || wasLeavingLately || now - known.changedAt < changeLifetime;
+    return known.limit.value || known.brittle.value || wasLeavingLately || now - known.changedAt < changeLifetime;
 }
 
 bool AnnouncementBook::isInForce(const KnownAnnouncement& known, Instant now)
@@ -174,8 +215,9 @@
     for (const auto& [backend, known] : servers_) {
         if (isWorthSharing(known, now)) {
             auto& list = now - known.changedAt < changeLifetime ? changed : others;
-            list.push_back({ backend, known.instance, known.limit, ageOf(known.limitStatedAt, now),
-                ageOf(known.leavingStatedAt, now) });
+            list.push_back({ backend, known.instance, known.limit.value, ageOf(known.limit.statedAt, now),
+                ageOf(known.leavingStatedAt, now), known.brittle.value, ageOf(known.brittle.statedAt, now),
+                ageOf(known.turnedAwayAt, now) });
         }
     }
     const auto turn = static_cast<std::size_t>(now.time_since_epoch() / sharePeriod);
--- a/src/routing/AnnouncementBook.h
+++ b/src/routing/AnnouncementBook.h
@@ -13,15 +13,27 @@
 
 namespace swiftlift::routing::internal {
 
+/** @brief A number that a backend server states about itself for as long as it holds. */
+struct StatedNumber {
+    /** nullopt: it states none, or no more. */
+    std::optional<double> value;
+    /** When the server was last known to state this number, or none; nullopt: nothing is known. */
+    std::optional<Instant> statedAt;
+
+    [[nodiscard]] bool operator==(const StatedNumber&) const = default;
+};
+
 /** @brief What is known of one backend server's announcements. */
 struct KnownAnnouncement {
     /** Start time of the instance that stated this; 0 if instances are not told apart. */
     std::uint64_t instance = 0;
-    /** Requests per second that it accepts from all routers together; nullopt: no limit, or no more. */
-    std::optional<double> limit;
-    /** When the server was last known to name this limit, or none; nullopt: nothing is known of its limit. */
-    std::optional<Instant> limitStatedAt;
-    /** When the limit or the leaving last changed for this router. */
+    /** Requests per second that it accepts from all routers together. */
+    StatedNumber limit;
+    /** Requests that it can turn away in a second without crashing. */
+    StatedNumber brittle;
+    /** When it last turned a request away while it was brittle. */
+    std::optional<Instant> turnedAwayAt;
+    /** When any of this last changed for this router. */
     Instant changedAt {};
     /** When it last stated that it is leaving; nullopt: it is not known to. An instance never takes it back. */
     std::optional<Instant> leavingStatedAt;
@@ -56,6 +68,11 @@
      * @return True if what is known of the server has changed.
      */
     bool onShared(const SharedAnnouncement& shared, Instant now);
+    /**
+     * @brief Processes that the server turned a request away.
+     * @return True if it is brittle, and was not known to have done so lately.
+     */
+    bool onTurnedAway(const BackendId& backend, std::uint64_t instance, Instant now);
     /** @brief Forgets a server that has restarted without a new id or start time. */
     void onRestarted(const BackendId& backend, Instant now);
 
@@ -74,6 +91,8 @@
     static constexpr Duration changeLifetime = std::chrono::seconds(5);
     /** How long routers are told that a server is leaving: much longer than it serves. */
     static constexpr Duration leavingLifetime = std::chrono::minutes(1);
+    /** Time in which routers are told once that a server turns requests away. */
+    static constexpr Duration turnedAwayPeriod = std::chrono::milliseconds(300);
     /** Time after which the next servers are told in turn. */
     static constexpr Duration sharePeriod = std::chrono::milliseconds(500);
 
@@ -81,10 +100,16 @@
     [[nodiscard]] KnownAnnouncement* record(const BackendId& backend, std::uint64_t instance, Instant now);
     /** @return True if this is new. */
     static bool setLeaving(KnownAnnouncement& known, Instant statedAt, Instant now);
-    /** @return True if the limit has changed. */
-    static bool setLimit(KnownAnnouncement& known, std::optional<double> limit, Instant statedAt, Instant now);
-    /** @return True if the limit has changed. */
-    static bool applySharedLimit(KnownAnnouncement& known, const SharedAnnouncement& shared, Instant now);
+    /** @return True if the number has changed. */
+    static bool setNumber(
+        KnownAnnouncement& known, StatedNumber& number, std::optional<double> value, Instant statedAt, Instant now);
+    /** @brief Withdraws a number that an answer to a request sent at this time does not state. @return True if it was
+     * withdrawn. */
+    static bool withdraw(KnownAnnouncement& known, StatedNumber& number, Instant sentAt, Instant now);
+    /** @return True if the number has changed. */
+    static bool applyShared(KnownAnnouncement& known, StatedNumber& number, std::optional<double> value,
+        std::optional<Duration> age, Instant now);
+    static bool applySharedTurnedAway(KnownAnnouncement& known, const SharedAnnouncement& shared, Instant now);
     /** @return True if the leaving is new. */
     static bool applySharedLeaving(KnownAnnouncement& known, const SharedAnnouncement& shared, Instant now);
     [[nodiscard]] static bool isWorthSharing(const KnownAnnouncement& known, Instant now);
--- a/src/routing/ArrivalLimiter.cpp
+++ b/src/routing/ArrivalLimiter.cpp
@@ -37,6 +37,11 @@
     sent_.push_back(now);
 }
 
+std::size_t ArrivalLimiter::sentSince(Instant from) const noexcept
+{
+    return static_cast<std::size_t>(std::ranges::count_if(sent_, [&](Instant at) { return at > from; }));
+}
+
 bool ArrivalLimiter::isLimited(LimitCause cause, Instant now) const noexcept
 {
     return limitOf(cause) && now < limitOf(cause)->until;
--- a/src/routing/ArrivalLimiter.h
+++ b/src/routing/ArrivalLimiter.h
@@ -31,6 +31,8 @@
     void setLimit(LimitCause cause, const std::optional<ArrivalLimit>& limit);
     /** @brief Records that a request was sent to the server. */
     void onDispatched(Instant now);
+    /** @return Number of remembered requests that were sent after this time. */
+    [[nodiscard]] std::size_t sentSince(Instant from) const noexcept;
     /** @brief Forgets the requests, after the server restarted. */
     void clear() noexcept { sent_.clear(); }
 
--- a/src/routing/Backend.cpp
+++ b/src/routing/Backend.cpp
@@ -17,6 +17,11 @@
     constexpr Duration offsetHalfLife = 5s;
     // Bounds the shift by which the offset is divided.
     constexpr std::int64_t maxHalvings = 20;
+    /** Time over which the requests to a brittle server are counted once it is full. */
+    constexpr Duration countedTime = 1s;
+    /** Part of the requests that go on being sent to a brittle server that is full. */
+    constexpr int keptRequests = 1;
+    constexpr int keptOutOf = 2;
 
 } // namespace
 
@@ -77,8 +82,8 @@
 
 void Backend::setAnnounced(const internal::KnownAnnouncement* announced, Instant now)
 {
-    announcedLimit_ = announced != nullptr ? announced->limit : std::nullopt;
-    limitStatedAt_ = announced != nullptr ? announced->limitStatedAt.value_or(Instant {}) : Instant {};
+    announcedLimit_ = announced != nullptr ? announced->limit.value : std::nullopt;
+    limitStatedAt_ = announced != nullptr ? announced->limit.statedAt.value_or(Instant {}) : Instant {};
     restUntil_ = announced != nullptr ? announced->restUntil : Instant {};
     if (announced != nullptr && announced->leavingStatedAt && !leaving_) {
         onLeaving(now);
@@ -160,6 +165,21 @@
     }
 }
 
+// With fewer requests than filled it, the server soon has room again; an equal small share for each router would leave
+// most of its room unused. A router that sends less than one request in the window waits so long that all of these
+// together send no more requests in a second than the server runs at once.
+void Backend::onTurnedAway(Instant at, Duration time, std::int64_t routers)
+{
+    if (turnedAwayAt_ == at) {
+        return;
+    }
+    turnedAwayAt_ = at;
+    const auto recent = static_cast<Duration::rep>(arrivals_.sentSince(at - countedTime));
+    const Duration rareWindow = countedTime * routers / std::max<std::int64_t>(load_.slots(), 1);
+    const Duration gap = recent > 0 ? countedTime * keptOutOf / (recent * keptRequests) : rareWindow;
+    arrivals_.setLimit(LimitCause::BrittleAndFull, internal::ArrivalLimit { { 1, gap }, at + time });
+}
+
 void Backend::forgetFailures()
 {
     breaker_.forget();
--- a/src/routing/Backend.h
+++ b/src/routing/Backend.h
@@ -36,6 +36,13 @@
     void onLeaving(Instant now);
 
     void forgetFailures();
+    /**
+     * @brief Reduces what this router sends to a brittle server that turned a request away, whichever router sent it.
+     * @param at When it did.
+     * @param time How long that is heeded.
+     * @param routers Number of registered routers.
+     */
+    void onTurnedAway(Instant at, Duration time, std::int64_t routers);
 
     [[nodiscard]] BackendView view(const ViewRequest& request, Instant now) const;
     /** @return The models of the last load report. */
@@ -111,6 +118,8 @@
     Instant limitStatedAt_ {};
     /** Until when the backend server wants no requests of this router. */
     Instant restUntil_ {};
+    /** When the brittle server turned a request away, as far as it is heeded. */
+    std::optional<Instant> turnedAwayAt_;
     std::map<AttemptId, SentAttempt> sent_;
     /** Sum of the uncached prompt tokens of attempts in `sent_` without a first token. */
     Tokens unread_;
--- a/src/routing/BackendTable.cpp
+++ b/src/routing/BackendTable.cpp
@@ -6,6 +6,7 @@
 
 #include "routing/AnnouncementBook.h"
 #include "routing/Backend.h"
+#include "swiftlift/base/RendezvousHash.h"
 
 namespace swiftlift::routing {
 
@@ -15,6 +16,18 @@
     constexpr Duration announcedWindow = std::chrono::seconds(4);
     /** Rate for a server that names a lower limit: without requests, the end of its limit would not be noticed. */
     constexpr double minAnnouncedRate = 0.1;
+    /** Time between two requests of the whole fleet to a brittle server, at least: in the milliseconds until all
+     * routers know that it is full, few more arrive. */
+    constexpr Duration minBrittleGap = std::chrono::milliseconds(2);
+    /** The same for a server that can turn away one request in a second; one that can turn away more bears them in a
+     * shorter time. */
+    constexpr Duration mostBrittleGap = std::chrono::milliseconds(10);
+    /** Time between two requests of one router to a brittle server, at least. */
+    constexpr Duration minBrittleWindow = std::chrono::milliseconds(20);
+    /** How long a brittle server counts as full after it turned a request away. Each router adds up to as much again,
+     * so that they don't all return at the same moment. */
+    constexpr Duration fullTime = std::chrono::milliseconds(500);
+    constexpr std::uint64_t returnSteps = 1024;
 
 } // namespace
 
@@ -132,10 +145,31 @@
     }
     backend.setLimit(LimitCause::Cold, cold);
     std::optional<internal::ArrivalLimit> limit;
-    if (announced != nullptr && announced->limit) {
-        limit = { shareOf(backend, { std::max(*announced->limit, minAnnouncedRate), announcedWindow }) };
+    if (announced != nullptr && announced->limit.value) {
+        limit = { shareOf(backend, { std::max(*announced->limit.value, minAnnouncedRate), announcedWindow }) };
     }
     backend.setLimit(LimitCause::Announced, limit);
+    updateBrittleLimits(backend, announced);
+}
+
+void BackendTable::updateBrittleLimits(Backend& backend, const internal::KnownAnnouncement* announced) const
+{
+    if (announced == nullptr || !announced->brittle.value) {
+        backend.setLimit(LimitCause::Brittle, std::nullopt);
+        backend.setLimit(LimitCause::BrittleAndFull, std::nullopt);
+        return;
+    }
+    const auto routers = static_cast<Duration::rep>(std::max<std::size_t>(routers_.size(), 1));
+    const double bearable = std::max(*announced->brittle.value, 1.0);
+    const auto gap = std::chrono::duration_cast<Duration>(mostBrittleGap / bearable);
+    const Duration window = std::max<Duration>(minBrittleWindow, std::max<Duration>(minBrittleGap, gap) * routers);
+    backend.setLimit(LimitCause::Brittle, internal::ArrivalLimit { { 1, window } });
+    if (announced->turnedAwayAt) {
+        const std::uint64_t rank
+            = rendezvousRank(stableHash(backend.entry().backend.value()), stableHash(self_.value())) % returnSteps;
+        const Duration delay = fullTime * static_cast<Duration::rep>(rank) / static_cast<Duration::rep>(returnSteps);
+        backend.onTurnedAway(*announced->turnedAwayAt, fullTime + delay, routers);
+    }
 }
 
 void BackendTable::announcementChanged(const BackendId& backend, bool fromPeer, Instant now)
@@ -146,9 +180,10 @@
     }
     applyAnnouncement(*found, now);
     if (const auto* known = announcements_->find(backend, found->entry().instance)) {
-        AnnouncementChange change { backend, known->limit, std::nullopt, known->leavingStatedAt.has_value(), fromPeer };
-        if (known->limitStatedAt) {
-            change.limitAge = now - *known->limitStatedAt;
+        AnnouncementChange change { backend, known->limit.value, std::nullopt, known->brittle.value,
+            known->leavingStatedAt.has_value(), fromPeer };
+        if (known->limit.statedAt) {
+            change.limitAge = now - *known->limit.statedAt;
         }
         announcementChanges_.push_back(std::move(change));
     }
@@ -237,8 +272,14 @@
         && announcements_->onAnswered(backend, found->entry().instance, *facts.announcement, *sentAt, now)) {
         announcementChanged(backend, false, now);
     }
+    if (facts.kind == EndKind::NotStarted && announcements_->onTurnedAway(backend, found->entry().instance, now)) {
+        urgentNews_ = true;
+        announcementChanged(backend, false, now);
+    }
 }
 
+bool BackendTable::takeUrgentNews() noexcept { return std::exchange(urgentNews_, false); }
+
 void BackendTable::onLeaving(const BackendId& backend, Instant now)
 {
     if (Backend* found = find(backend)) {
--- a/src/routing/Selector.cpp
+++ b/src/routing/Selector.cpp
@@ -19,6 +19,20 @@
     // percentage of the own domain's.
     constexpr int maxOtherDomainPercent = 80;
 
+    [[nodiscard]] const char* toText(LimitCause cause)
+    {
+        switch (cause) {
+        case LimitCause::Cold:
+            return "cold";
+        case LimitCause::Announced:
+            return "at the limit that they name";
+        case LimitCause::Brittle:
+        case LimitCause::BrittleAndFull:
+            return "brittle";
+        }
+        return "limited";
+    }
+
     [[nodiscard]] std::string join(const std::map<std::string, int>& counts)
     {
         std::string text;
@@ -75,7 +89,7 @@
         return "tried already";
     }
     if (view.heldBackBy) {
-        return *view.heldBackBy == LimitCause::Cold ? "cold" : "at the limit that they name";
+        return toText(*view.heldBackBy);
     }
     if (view.resting) {
         return "resting";
--- a/src/transport/AnnouncementFields.cpp
+++ b/src/transport/AnnouncementFields.cpp
@@ -42,6 +42,7 @@
     announcement.limit = nonNegative(answer.fields, names.limit);
     announcement.leaving = valueOf(answer.fields, names.leaving) == "1";
     announcement.rest = restOf(answer);
+    announcement.brittle = nonNegative(answer.fields, names.brittle);
     return announcement;
 }
 
--- a/src/transport/AnswerReader.cpp
+++ b/src/transport/AnswerReader.cpp
@@ -17,7 +17,7 @@
 
 HeadVerdict NativeAnswerReader::head(const AnswerHead& head)
 {
-    constexpr AnnouncementFields announcementFields { "X-Limit", "X-Leaving" };
+    constexpr AnnouncementFields announcementFields { "X-Limit", "X-Leaving", "X-Brittle" };
     constexpr int ok = 200;
     constexpr int tooMany = 429;
     constexpr int unavailable = 503;
--- a/src/wire/PeerReader.cpp
+++ b/src/wire/PeerReader.cpp
@@ -31,6 +31,8 @@
         return Duration(static_cast<Duration::rep>(std::min(microseconds, maxAge)));
     }
 
+    bool isAmount(double number) { return std::isfinite(number) && number >= 0; }
+
     routing::SharedAnnouncement read(const proto::peer::Announcement& in)
     {
         routing::SharedAnnouncement announcement;
@@ -42,10 +44,19 @@
         if (in.has_leaving_age()) {
             announcement.leavingAge = toAge(in.leaving_age());
         }
+        if (in.has_brittle_age()) {
+            announcement.brittleAge = toAge(in.brittle_age());
+        }
+        if (in.has_turned_away_age()) {
+            announcement.turnedAwayAge = toAge(in.turned_away_age());
+        }
         // Requests can't be divided by a limit that is no number.
-        if (in.has_limit() && std::isfinite(in.limit()) && in.limit() >= 0) {
+        if (in.has_limit() && isAmount(in.limit())) {
             announcement.limit = in.limit();
         }
+        if (in.has_brittle() && isAmount(in.brittle())) {
+            announcement.brittle = in.brittle();
+        }
         return announcement;
     }
 
--- a/src/wire/PeerWriter.cpp
+++ b/src/wire/PeerWriter.cpp
@@ -29,6 +29,15 @@
         if (announcement.leavingAge) {
             out.set_leaving_age(static_cast<std::uint64_t>(announcement.leavingAge->count()));
         }
+        if (announcement.brittle) {
+            out.set_brittle(*announcement.brittle);
+        }
+        if (announcement.brittleAge) {
+            out.set_brittle_age(static_cast<std::uint64_t>(announcement.brittleAge->count()));
+        }
+        if (announcement.turnedAwayAge) {
+            out.set_turned_away_age(static_cast<std::uint64_t>(announcement.turnedAwayAge->count()));
+        }
     }
 
     template <typename Message> void writeCeilings(const std::vector<ledger::Ceiling>& ceilings, Message& out)
--- a/tests/platform/AnnouncementTest.cpp
+++ b/tests/platform/AnnouncementTest.cpp
@@ -81,6 +81,16 @@
             return arrivals;
         }
 
+        /** @return Times that engines had to turn more requests away than they bear. */
+        [[nodiscard]] std::size_t falls()
+        {
+            std::size_t sum = 0;
+            for (std::size_t engine = plainEngine; engine < fleet_->engines(); ++engine) {
+                sum += fleet_->engine(engine).get()["falls"].get<std::size_t>();
+            }
+            return sum;
+        }
+
         /** @return Most of these arrivals within `limitSpan`. */
         [[nodiscard]] static std::size_t mostInSpan(const std::vector<std::int64_t>& arrivals)
         {
@@ -111,6 +121,26 @@
         EXPECT_FALSE(arrivals.empty()) << "the server serves as much as it can bear";
     }
 
+    // Guards against servers that say that they are brittle, and fall over because the routers fill them at once.
+    TEST_F(AnnouncementTest, BrittleServersHaveToTurnFewRequestsAway)
+    {
+        constexpr int bearable = 3;
+        constexpr std::size_t callers = 8;
+        for (std::size_t engine = plainEngine; engine < fleet_->engines(); ++engine) {
+            fleet_->engine(engine).control({ { "brittle", bearable }, { "brittle_room", 2 }, { "whole_ms", 60 } });
+        }
+        (void)load(contactTime, fleet_->routers());
+        std::size_t before = falls();
+        std::vector<std::thread> bursts;
+        for (std::size_t caller = 0; caller < callers; ++caller) {
+            bursts.emplace_back([&] { (void)load(seconds(4), fleet_->routers()); });
+        }
+        for (std::thread& burst : bursts) {
+            burst.join();
+        }
+        EXPECT_LE(falls() - before, 2U);
+    }
+
     // Guards against a server that turns a request away, names the time for which it wants nothing, and gets more.
     TEST_F(AnnouncementTest, ServerThatAsksForRestGetsNothingFromThatRouter)
     {
--- a/tests/platform/standin/EngineService.cpp
+++ b/tests/platform/standin/EngineService.cpp
@@ -24,6 +24,9 @@
         return true;
     }
 
+    /** Time between two looks whether the engine is still silent. */
+    constexpr double silencePeriodMs = 5;
+
     std::string eventText(std::uint64_t id) { return "id: " + std::to_string(id) + "\ndata: piece\n\n"; }
 
 } // namespace
@@ -40,6 +43,9 @@
     controls().addValue("break_next", breakNext_);
     controls().addValue("half_event", halfEvent_);
     controls().addValue("full", full_);
+    controls().add("silent_ms", [this](const Json& value, Json&) {
+        silentUntil_ = standins::Clock::now() + standins::toClock(Milliseconds(value.get<double>()));
+    });
     controls().addValue("whole_ms", settings_.wholeMs);
     controls().addValue("id", settings_.id);
     controls().addValue("events", settings_.events);
@@ -95,6 +101,13 @@
         co_await exchange.answerError(503, "resting");
         co_return;
     }
+    if (!announcer_.admits()) {
+        ++refused_;
+        exchange.setHeader("Not-Executed", "1");
+        co_await exchange.answerError(503, "full");
+        co_return;
+    }
+    const standins::Announcer::Room room(announcer_);
     Run& run = runs_[exchange.header("Request-Id")];
     ++run.runs;
     run.account = exchange.header("Tenant");
@@ -112,9 +125,17 @@
     }
 }
 
+Awaitable<void> EngineService::waitForSound(Exchange& exchange) const
+{
+    while (standins::Clock::now() < silentUntil_) {
+        co_await exchange.sleep(Milliseconds(silencePeriodMs));
+    }
+}
+
 Awaitable<void> EngineService::sendWhole(Exchange& exchange, Run& run)
 {
     co_await exchange.sleep(Milliseconds(settings_.wholeMs));
+    co_await waitForSound(exchange);
     run.cut = exchange.isClosed();
     if (takeOne(breakNext_)) {
         exchange.drop();
@@ -143,6 +164,7 @@
             exchange.drop();
             co_return;
         }
+        co_await waitForSound(exchange);
         co_await exchange.writeChunk(eventText(id));
         ++run.events;
         co_await exchange.sleep(Milliseconds(settings_.betweenEventsMs));
@@ -158,7 +180,8 @@
         runs[id] = { { "runs", run.runs }, { "account", run.account }, { "resumed_after", run.resumedAfter },
             { "key_seen", run.keySeen }, { "events", run.events }, { "cut", run.cut } };
     }
-    return { { "runs", std::move(runs) }, { "refused", refused_ }, { "arrivals_ms", announcer_.arrivals() } };
+    return { { "runs", std::move(runs) }, { "refused", refused_ }, { "arrivals_ms", announcer_.arrivals() },
+        { "falls", announcer_.falls() } };
 }
 
 } // namespace swiftlift::platform::standin
--- a/tests/platform/standin/EngineService.h
+++ b/tests/platform/standin/EngineService.h
@@ -28,8 +28,8 @@
  *
  * `POST /control` accepts `fail_next` (number of requests that are answered with 500), `break_next` (number of requests
  * whose connection is closed after the first event, or without an answer), `full` (requests are answered with 503 and
- * not started), `half_event` (with `break_next`: the connection is closed within an event), `id`, `events` and
- * `between_events_ms`.
+ * not started), `half_event` (with `break_next`: the connection is closed within an event), `id`, `events`,
+ * `between_events_ms`, `whole_ms` and `silent_ms` (it sends nothing for this long, and then goes on).
  *
  * It states its limit, its leaving and its rest by the controls of standins::Announcer.
  *
@@ -76,7 +76,11 @@
     std::uint64_t breakNext_ = 0;
     bool halfEvent_ = false;
     bool full_ = false;
-    standins::Announcer announcer_ { { "Server-Limit", "Server-Leaving" } };
+    /** Waits while the engine is silent. */
+    [[nodiscard]] standins::Awaitable<void> waitForSound(standins::Exchange& exchange) const;
+
+    standins::Clock::time_point silentUntil_ {};
+    standins::Announcer announcer_ { { "Server-Limit", "Server-Leaving", "Server-Brittle" } };
 };
 
 } // namespace swiftlift::platform::standin
--- a/tests/standins/common/Announcer.cpp
+++ b/tests/standins/common/Announcer.cpp
@@ -17,6 +17,10 @@
     controls.addValue("announce_leaving", leaving_);
     controls.addValue("rest_s", restSeconds_);
     controls.addValue("rest_count", restsLeft_);
+    controls.add("brittle", [this](const Json& value, Json&) {
+        brittle_ = value.is_null() ? std::nullopt : std::optional(value.get<double>());
+    });
+    controls.addValue("brittle_room", room_);
 }
 
 void Announcer::onRequest(Exchange& exchange)
@@ -26,11 +30,33 @@
     if (!limit_.empty()) {
         exchange.setHeader(names_.limit, limit_);
     }
+    if (brittle_) {
+        exchange.setHeader(names_.brittle, Json(*brittle_).dump());
+    }
     if (leaving_) {
         exchange.setHeader(names_.leaving, "1");
     }
 }
 
+bool Announcer::admits()
+{
+    if (!brittle_ || running_ < room_) {
+        ++running_;
+        return true;
+    }
+    constexpr std::chrono::seconds span { 1 };
+    const auto now = Clock::now();
+    turnedAway_.push_back(now);
+    while (now - turnedAway_.front() > span) {
+        turnedAway_.pop_front();
+    }
+    if (static_cast<double>(turnedAway_.size()) > *brittle_) {
+        ++falls_;
+        turnedAway_.clear();
+    }
+    return false;
+}
+
 bool Announcer::turnsAway(Exchange& exchange)
 {
     if (restSeconds_ <= 0 || restsLeft_ == 0) {
--- a/tests/standins/common/Announcer.h
+++ b/tests/standins/common/Announcer.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <deque>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,17 +15,34 @@
 struct AnnouncementNames {
     std::string limit;
     std::string leaving;
+    std::string brittle;
 };
 
 /** Has a stand-in state its limit, its leaving and its rest in its answers, and records when requests arrive. */
 class Announcer {
 public:
+    /** The room that an admitted request takes until it ends. */
+    class Room {
+    public:
+        explicit Room(Announcer& announcer) noexcept
+            : announcer_(announcer)
+        {
+        }
+        ~Room() { --announcer_.running_; }
+        Room(const Room&) = delete;
+        Room& operator=(const Room&) = delete;
+
+    private:
+        Announcer& announcer_;
+    };
+
     explicit Announcer(AnnouncementNames names);
 
     /**
      * Adds `announce_limit` (requests a second from all routers; null: none), `announce_leaving` (true or false),
      * `rest_s` (requests are turned away with 503 and this `Retry-After`; 0: they are not) and `rest_count` (how many
-     * requests are turned away so, all by default).
+     * requests are turned away so, all by default). `brittle` (null: not) is the number of requests that it can turn
+     * away in a second, and `brittle_room` how many it runs at once while it is brittle.
      */
     void addControls(Controls& controls);
 
@@ -32,6 +51,13 @@
     /** @return Whether the request is to be turned away; the answer then has `Retry-After`. */
     [[nodiscard]] bool turnsAway(Exchange& exchange);
 
+    /**
+     * @brief Starts a request, whose Room must end with it.
+     * @return False if there is no room for it; it is then to be turned away.
+     */
+    [[nodiscard]] bool admits();
+    /** @return Number of times that more requests were turned away in a second than a brittle server bears. */
+    [[nodiscard]] std::uint64_t falls() const noexcept { return falls_; }
     /** @return Milliseconds of the steady clock at which requests arrived, in order. */
     [[nodiscard]] const std::vector<std::int64_t>& arrivals() const noexcept { return arrivals_; }
 
@@ -42,6 +68,11 @@
     double restSeconds_ = 0;
     std::uint64_t restsLeft_ = UINT64_MAX;
     std::vector<std::int64_t> arrivals_;
+    std::optional<double> brittle_;
+    std::uint64_t room_ = 1;
+    std::uint64_t running_ = 0;
+    std::deque<Clock::time_point> turnedAway_;
+    std::uint64_t falls_ = 0;
 };
 
 } // namespace swiftlift::standins
--- a/tests/standins/engine/EngineService.h
+++ b/tests/standins/engine/EngineService.h
@@ -55,7 +55,7 @@
     Signal work_;
     std::map<std::string, KeyRecord> keys_;
     std::uint64_t rejected_ = 0;
-    Announcer announcer_ { { "X-Limit", "X-Leaving" } };
+    Announcer announcer_ { { "X-Limit", "X-Leaving", "X-Brittle" } };
     bool leaving_ = false;
     bool refuse_ = false;
     bool crossLines_ = false;
--- a/tests/standins/plain/PlainService.cpp
+++ b/tests/standins/plain/PlainService.cpp
@@ -85,6 +85,12 @@
         co_await exchange.answerError(429, "full");
         co_return;
     }
+    if (!announcer_.admits()) {
+        ++rejected_;
+        co_await exchange.answerError(503, "full");
+        co_return;
+    }
+    const Announcer::Room room(announcer_);
     auto& calls = keys_[exchange.header("X-Request-Key")];
     co_await run(exchange, calls);
     if (breaksOff()) {
@@ -120,8 +126,8 @@
             { "attempts", calls.attempts } };
     }
     return { { "keys", std::move(keys) }, { "order", order_ }, { "rejected", rejected_ },
-        { "arrivals_ms", announcer_.arrivals() }, { "load", load() }, { "bytes_in", byteCounts().in },
-        { "bytes_out", byteCounts().out } };
+        { "arrivals_ms", announcer_.arrivals() }, { "falls", announcer_.falls() }, { "load", load() },
+        { "bytes_in", byteCounts().in }, { "bytes_out", byteCounts().out } };
 }
 
 } // namespace swiftlift::standins
--- a/tests/standins/plain/PlainService.h
+++ b/tests/standins/plain/PlainService.h
@@ -50,7 +50,7 @@
     std::vector<std::string> order_;
     std::uint64_t running_ = 0;
     std::uint64_t rejected_ = 0;
-    Announcer announcer_ { { "X-Limit", "X-Leaving" } };
+    Announcer announcer_ { { "X-Limit", "X-Leaving", "X-Brittle" } };
     bool leaving_ = false;
     bool refuse_ = false;
     std::uint64_t breaksLeft_ = 0;
--- a/tests/transport/AnnouncementFieldsTest.cpp
+++ b/tests/transport/AnnouncementFieldsTest.cpp
@@ -11,7 +11,7 @@
     using std::chrono::milliseconds;
     using std::chrono::seconds;
 
-    constexpr AnnouncementFields names { "Limit", "Leaving" };
+    constexpr AnnouncementFields names { "Limit", "Leaving", "Brittle" };
 
     routing::Announcement read(int status, const HeaderFields& fields)
     {
@@ -22,6 +22,7 @@
     {
         EXPECT_EQ(read(200, { { "limit", "2.5" } }).limit, 2.5);
         EXPECT_TRUE(read(200, { { "Leaving", "1" } }).leaving);
+        EXPECT_EQ(read(200, { { "Brittle", "5" } }).brittle, 5.0);
         EXPECT_EQ(read(503, { { "Retry-After", "3.5" } }).rest, milliseconds(3'500));
         EXPECT_EQ(read(429, { { "retry-after", "2" } }).rest, seconds(2));
         EXPECT_TRUE(read(200, {}).empty());
@@ -31,7 +32,8 @@
     TEST(AnnouncementFields, InvalidValuesCountAsAbsent)
     {
         for (const char* value : { "", "many", "-2", "nan", "inf" }) {
-            EXPECT_TRUE(read(503, { { "Limit", value }, { "Retry-After", value } }).empty()) << value;
+            EXPECT_TRUE(read(503, { { "Limit", value }, { "Brittle", value }, { "Retry-After", value } }).empty())
+                << value;
         }
         EXPECT_TRUE(read(200, { { "Leaving", "0" } }).empty());
         EXPECT_TRUE(read(200, { { "Retry-After", "3" } }).empty()) << "not a refusal";
--- a/tests/wire/PeerCodecTest.cpp
+++ b/tests/wire/PeerCodecTest.cpp
@@ -12,7 +12,9 @@
 
     const std::vector<routing::SharedAnnouncement> announcements { { BackendId("s1"), 5, 2.5, std::chrono::seconds(1),
                                                                        std::nullopt },
-        { BackendId("s2"), 0, std::nullopt, std::nullopt, std::chrono::milliseconds(3) } };
+        { BackendId("s2"), 0, std::nullopt, std::nullopt, std::chrono::milliseconds(3) },
+        { BackendId("s3"), 0, std::nullopt, std::nullopt, std::nullopt, 4.5, std::chrono::milliseconds(4),
+            std::chrono::milliseconds(5) } };
 
     /** @return One message of each kind, in the order of the alternatives of `node::PeerMessage`. */
     std::vector<node::PeerMessage> makeMessages()
@@ -23,6 +25,8 @@
         heartbeat.stopping = true;
         heartbeat.positions = { { StreamName("config"), Offset(7) } };
         heartbeat.announcements = announcements;
+        heartbeat.relay = RelayAddress("127.0.0.1:9");
+        heartbeat.unreachableDomains = { FailureDomain("d") };
         return { heartbeat, node::RaiseCeilings { ceilings }, node::CeilingsAcked { ceilings },
             node::CeilingsRefused { { grant } }, node::LoanAsk { 1, budget, Tokens(5) },
             node::LoanGiven { 2, budget, grant, Tokens(6) }, node::LoanDenied { 3, budget, Tokens(7) },
@@ -71,6 +75,8 @@
     EXPECT_FALSE(heartbeat.logReachable);
     EXPECT_EQ(heartbeat.positions.front().next, Offset(7));
     EXPECT_EQ(heartbeat.announcements, announcements);
+    EXPECT_EQ(heartbeat.relay, RelayAddress("127.0.0.1:9"));
+    EXPECT_EQ(heartbeat.unreachableDomains, std::vector<FailureDomain> { FailureDomain("d") });
 }
 
 TEST(PeerCodec, RefusesBytesThatAreNoValidEnvelope)
