--- a/tests/node/FakeFleet.cpp
+++ b/tests/node/FakeFleet.cpp
@@ -77,6 +77,7 @@
     settings.incarnation = vmState.incarnation;
     settings.peerAddress = vmState.address;
     settings.domain = vmState.domain;
+    settings.relayAddress = RelayAddress { vmState.address.value() };
     settings.region = Region { "r" };
     settings.seed = vmState.incarnation.value();
     settings.holdingPolicy = holdingPolicy_;
@@ -123,11 +124,14 @@
 
 void FakeFleet::cutFromLog(std::size_t vm) { vms_[vm].cutFromLog = true; }
 
+void FakeFleet::cutFromEngines(std::size_t vm) { vms_[vm].cutFromEngines = true; }
+
 void FakeFleet::heal()
 {
     cuts_.clear();
     for (Vm& vm : vms_) {
         vm.cutFromLog = false;
+        vm.cutFromEngines = false;
     }
 }
 
@@ -233,6 +237,8 @@
         }
         if (const auto* dispatch = std::get_if<Dispatch>(&action)) {
             on(vm, *dispatch);
+        } else if (const auto* probe = std::get_if<ProbeBackend>(&action)) {
+            on(vm, *probe);
         } else if (const auto* append = std::get_if<Append>(&action)) {
             on(vm, *append);
         } else if (const auto* follow = std::get_if<Follow>(&action)) {
@@ -263,6 +269,13 @@
 {
     const std::uint64_t processNumber = vms_[vm].processNumber;
     const AttemptId attempt = dispatch.attempt;
+    if (const ConnectFailure failure = connectFailureOf(vm, dispatch); failure != ConnectFailure::None) {
+        later(messageDelay, [this, vm, processNumber, attempt, failure] {
+            deliver(vm, processNumber,
+                AttemptEnded { attempt, AttemptEnd::NotStarted, {}, {}, {}, "connect", std::nullopt, failure });
+        });
+        return;
+    }
     if (engines.refuseAll || engines.fullEngines.contains(dispatch.backend)) {
         later(messageDelay, [this, vm, processNumber, attempt] {
             deliver(vm, processNumber, AttemptEnded { attempt, AttemptEnd::NotStarted, {}, {}, {}, "refused" });
@@ -280,6 +293,24 @@
     });
 }
 
+ConnectFailure FakeFleet::connectFailureOf(std::size_t vm, const Dispatch& dispatch) const
+{
+    if (!dispatch.relay) {
+        return vms_[vm].cutFromEngines ? ConnectFailure::Server : ConnectFailure::None;
+    }
+    const auto relay
+        = std::ranges::find_if(vms_, [&](const Vm& other) { return other.address == dispatch.relay->peer; });
+    const bool relays = relay != vms_.end() && relay->running && !relay->cutFromEngines;
+    return relays ? ConnectFailure::None : ConnectFailure::Relay;
+}
+
+void FakeFleet::on(std::size_t vm, const ProbeBackend& probe)
+{
+    later(messageDelay, [this, vm, processNumber = vms_[vm].processNumber, backend = probe.backend] {
+        deliver(vm, processNumber, ProbeEnded { backend, !vms_[vm].cutFromEngines, "probe" });
+    });
+}
+
 void FakeFleet::on(std::size_t vm, const Append& append)
 {
     const std::uint64_t processNumber = vms_[vm].processNumber;
--- a/tests/node/FakeFleet.h
+++ b/tests/node/FakeFleet.h
@@ -88,7 +88,9 @@
     void cut(std::size_t left, std::size_t right);
     /** Makes the log unreachable for the VM until heal(). */
     void cutFromLog(std::size_t vm);
-    /** Undoes cut() and cutFromLog() for all VMs. */
+    /** Makes all engines unreachable for the VM until heal(), except through other VMs. */
+    void cutFromEngines(std::size_t vm);
+    /** Undoes cut(), cutFromLog() and cutFromEngines() for all VMs. */
     void heal();
 
     void openAccount(const std::string& account);
@@ -151,6 +153,7 @@
         bool running = false;
         bool paused = false;
         bool cutFromLog = false;
+        bool cutFromEngines = false;
         bool stopReady = false;
         int restarts = 0;
         /** Events that arrived while the process was paused. */
@@ -176,6 +179,9 @@
     void deliver(std::size_t vm, std::uint64_t processNumber, const Event& event);
     void execute(std::size_t vm, Actions& actions);
     void on(std::size_t vm, const Dispatch& dispatch);
+    void on(std::size_t vm, const ProbeBackend& probe);
+    /** @return Why the attempt is not connected; None: it is. */
+    [[nodiscard]] ConnectFailure connectFailureOf(std::size_t vm, const Dispatch& dispatch) const;
     void on(std::size_t vm, const Append& append);
     void on(std::size_t vm, const Follow& follow);
     void on(std::size_t vm, const SendPeer& send);
--- /dev/null
+++ b/tests/transport/RelayTest.cpp
@@ -0,0 +1,93 @@
+#include "swiftlift/transport/StreamServer.h"
+#include "transport/StreamFixture.h"
+
+namespace swiftlift::transport::test {
+namespace {
+
+    /** A router that relays connections; the test acts as the other router, the backend server and the core. */
+    class RelayTest : public StreamFixture {
+    protected:
+        void SetUp() override
+        {
+            server = std::make_unique<StreamServer>(StreamLimits {}, decisions, observer, log);
+            ASSERT_TRUE(server->listen({ "127.0.0.1", 0 }));
+            ASSERT_TRUE(server->listenRelay({ "127.0.0.1", relayPort_ })) << server->lastReason();
+            server->start();
+            sendCommand(BeginIncarnation { incarnation });
+        }
+
+        /** @return A connection on which another router has asked for the backend server. */
+        [[nodiscard]] Connection askForConnection()
+        {
+            Connection router = connectTo(relayPort_);
+            router.write("CONNECT " + backend.address() + " HTTP/1.1\r\nHost: x\r\nSwiftlift-Backend: s1\r\n\r\n");
+            return router;
+        }
+
+        void answer(const std::optional<BackendAddress>& address)
+        {
+            const auto asked = nextEvent<node::RelayRequested>(decisions);
+            EXPECT_EQ(asked.backend, BackendId("s1"));
+            sendCommand(node::AnswerRelay { asked.relay, address, "not now" });
+        }
+
+        std::uint16_t relayPort_ = Listener().port();
+    };
+
+    TEST_F(RelayTest, CarriesBytesBothWaysUntilTheRouterCloses)
+    {
+        Connection router = askForConnection();
+        answer(BackendAddress(backend.address()));
+        Connection engine = backend.accept();
+        EXPECT_TRUE(router.readUntil("\r\n\r\n").starts_with("HTTP/1.1 200"));
+        router.write("request\n");
+        EXPECT_EQ(engine.readUntil("\n"), "request\n");
+        engine.write("answer\n");
+        EXPECT_EQ(router.readUntil("\n"), "answer\n");
+        router.close();
+        EXPECT_TRUE(engine.closes()) << "the server must not work on for a caller that left";
+        EXPECT_EQ(nextEvent<node::RelayEnded>(decisions).bytes, 15U);
+    }
+
+    // Guards against the end of an answer that is lost because its server closes the connection after it.
+    TEST_F(RelayTest, BytesBeforeTheServersEndArrive)
+    {
+        Connection router = askForConnection();
+        answer(BackendAddress(backend.address()));
+        {
+            Connection engine = backend.accept();
+            engine.write("last\n");
+            engine.close();
+        }
+        EXPECT_TRUE(router.readUntil("\n").ends_with("\n"));
+        EXPECT_TRUE(router.readUntil("last\n").ends_with("last\n"));
+        EXPECT_TRUE(router.closes());
+    }
+
+    TEST_F(RelayTest, RefusalNamesItsReason)
+    {
+        Connection router = askForConnection();
+        answer(std::nullopt);
+        EXPECT_TRUE(router.readUntil("\r\n\r\n").starts_with("HTTP/1.1 503 not now"));
+        EXPECT_TRUE(router.closes());
+    }
+
+    // Guards against a router that takes a server that can't be reached for a relay that refuses.
+    TEST_F(RelayTest, UnreachableServerIsReported)
+    {
+        Connection router = askForConnection();
+        answer(BackendAddress(Listener().address()));
+        EXPECT_TRUE(router.readUntil("\r\n\r\n").starts_with("HTTP/1.1 502"));
+    }
+
+    // Guards against a chain of relays, or a proxy to any address: only backend servers that the core knows are
+    // reached.
+    TEST_F(RelayTest, RequestsThatNameNoBackendServerAreClosed)
+    {
+        Connection router = connectTo(relayPort_);
+        router.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+        EXPECT_TRUE(router.closes());
+    }
+
+} // namespace
+} // namespace swiftlift::transport::test
