Count a server that a peer can't reach either, and keep one account of a request's way

Cause, found by reading: while links were lost, a server that the relay reported as unreachable counted neither for its breaker nor as tried, so a crashed server could be asked for up to eight times; and a relay whose core did not answer in time said that the server was unreachable. Change: only a failure of this router's own connection shows nothing of the server; the relay's own timeout is a refusal. What a request has met on its way is one part (LinkHistory), used by both interfaces; the mapping of ends to evidence stood twice.

--- a/src/node/BackendLinks.cpp
+++ b/src/node/BackendLinks.cpp
@@ -68,51 +68,62 @@
     }
 }
 
-LinkPath BackendLinks::pathTo(
-    const FailureDomain& domain, bool connectFailed, const std::set<PeerAddress>& failedRelays) const
+LinkPath BackendLinks::pathTo(const FailureDomain& domain, const LinkHistory& history) const
 {
-    const bool retriesRelayed = connectFailed && monitor_.linksDoubtful(context_.now());
+    const bool retriesRelayed = history.connectFailed && monitor_.linksDoubtful(context_.now());
     if (!seemsUnreachable(domain) && !retriesRelayed) {
         return {};
     }
-    if (auto relay = relays_.choose(domain, failedRelays)) {
+    if (auto relay = relays_.choose(domain, history.failedRelays)) {
         return { true, std::move(relay) };
     }
     // With its own links lost, a connection would only wait for its timeout.
     return { !lost(), std::nullopt };
 }
 
-void BackendLinks::onDispatched(const LinkAttempt& attempt)
+void BackendLinks::onDispatched(LinkHistory& history, const LinkPath& path)
 {
-    if (attempt.relay) {
-        relays_.onDispatched(*attempt.relay);
+    history.relay = path.relay ? std::optional(path.relay->peer) : std::nullopt;
+    if (history.relay) {
+        relays_.onDispatched(*history.relay);
     }
 }
 
-void BackendLinks::onAnswering(const LinkAttempt& attempt)
+void BackendLinks::onAnswering(const LinkHistory& history, const FailureDomain& domain)
 {
-    if (!attempt.relay) {
-        monitor_.onAnswered(attempt.domain);
+    if (!history.relay) {
+        monitor_.onAnswered(domain);
     }
 }
 
-void BackendLinks::onEnded(const LinkAttempt& attempt, LinkEvidence evidence, const std::string& request)
+void BackendLinks::onEnded(LinkHistory& history, const LinkAttempt& attempt, const LinkEvidence& evidence)
 {
-    if (attempt.relay) {
-        relays_.onEnded(*attempt.relay, evidence == LinkEvidence::RelayFailed);
+    if (history.relay) {
+        const bool relayFailed = evidence.failure == ConnectFailure::Relay;
+        relays_.onEnded(*history.relay, relayFailed);
+        if (relayFailed) {
+            history.failedRelays.insert(*history.relay);
+        }
         return;
     }
-    const std::string cause = "request " + request + " at " + attempt.backend.value();
-    if (evidence == LinkEvidence::ServerUnreachable) {
+    const std::string cause = "request " + attempt.request + " at " + attempt.backend.value();
+    if (evidence.failure == ConnectFailure::Server) {
+        history.connectFailed = true;
         updateDomain(
             attempt.domain, [&] { monitor_.onUnreachable(attempt.domain, attempt.backend, context_.now()); }, cause);
         sendProbes();
-    } else if (evidence == LinkEvidence::Answered) {
+    } else if (evidence.answered) {
         updateDomain(
             attempt.domain, [&] { monitor_.onAnswered(attempt.domain); }, cause);
     }
 }
 
+bool BackendLinks::showsNothingOfServer(const LinkHistory& history, ConnectFailure failure) const
+{
+    const bool ownLinksFailed = failure == ConnectFailure::Server && !history.relay && lost();
+    return failure == ConnectFailure::Relay || ownLinksFailed;
+}
+
 std::vector<FailureDomain> BackendLinks::unreachableDomainsForPeers() const
 {
     std::vector<FailureDomain> unreachable;
--- a/src/node/BackendLinks.h
+++ b/src/node/BackendLinks.h
@@ -47,24 +47,29 @@
     std::optional<RelayRoute> relay;
 };
 
-/** An attempt, as far as it shows which links work. */
+/** What one request has met on its way to backend servers. */
+struct LinkHistory {
+    /** The peer that relays the current attempt; nullopt: none. */
+    std::optional<PeerAddress> relay;
+    /** Peers that could not relay the request. */
+    std::set<PeerAddress> failedRelays;
+    /** This router could not connect to a backend server for the request. */
+    bool connectFailed = false;
+};
+
+/** An attempt to run a request at a backend server. */
 struct LinkAttempt {
     BackendId backend;
     FailureDomain domain;
-    /** The peer that relayed the connection; nullopt: none. */
-    std::optional<PeerAddress> relay;
+    /** For logs. */
+    std::string request;
 };
 
 /** What the end of an attempt shows of the links that it used. */
-enum class LinkEvidence : std::uint8_t {
+struct LinkEvidence {
+    ConnectFailure failure = ConnectFailure::None;
     /** The backend server answered. */
-    Answered,
-    /** The connection to the backend server failed. */
-    ServerUnreachable,
-    /** The connection to the relay failed, or it refused. */
-    RelayFailed,
-    /** Nothing: the attempt broke off or was cancelled. */
-    None,
+    bool answered = false;
 };
 
 /**
@@ -84,17 +89,14 @@
     void on(const BackendsSilent& event);
     void tick();
 
-    /**
-     * @brief Chooses how a request gets to a backend server of the domain.
-     * @param connectFailed This router could not connect to a backend server for this request before.
-     * @param failedRelays Peers that have not relayed this request.
-     */
-    [[nodiscard]] LinkPath pathTo(
-        const FailureDomain& domain, bool connectFailed, const std::set<PeerAddress>& failedRelays) const;
-    void onDispatched(const LinkAttempt& attempt);
+    /** @return How a request gets to a backend server of the domain. */
+    [[nodiscard]] LinkPath pathTo(const FailureDomain& domain, const LinkHistory& history) const;
+    void onDispatched(LinkHistory& history, const LinkPath& path);
     /** Processes the first part of an answer. */
-    void onAnswering(const LinkAttempt& attempt);
-    void onEnded(const LinkAttempt& attempt, LinkEvidence evidence, const std::string& request);
+    void onAnswering(const LinkHistory& history, const FailureDomain& domain);
+    void onEnded(LinkHistory& history, const LinkAttempt& attempt, const LinkEvidence& evidence);
+    /** @return True if an attempt failed because of this router's links or its relay: the server may be sound. */
+    [[nodiscard]] bool showsNothingOfServer(const LinkHistory& history, ConnectFailure failure) const;
 
     /** @return True if this router can't connect to any backend server. */
     [[nodiscard]] bool lost() const { return monitor_.linksLost(context_.now()); }
--- a/src/node/Call.h
+++ b/src/node/Call.h
@@ -41,12 +41,7 @@
     BackendId backend;
     /** Failure domain of `backend`. */
     FailureDomain domain;
-    /** The peer that relays the current attempt; nullopt: none. */
-    std::optional<PeerAddress> relay;
-    /** Peers that could not relay this request. */
-    std::set<PeerAddress> failedRelays;
-    /** This router could not connect to a backend server for this request. */
-    bool connectFailed = false;
+    LinkHistory links;
     std::uint32_t attemptsMade = 0;
     /** Attempts that broke off and may have run the request. */
     std::uint32_t attemptsBroken = 0;
@@ -63,7 +58,7 @@
     bool isHolderOnly = false;
     Tokens billed;
 
-    [[nodiscard]] LinkAttempt linkAttempt() const { return { backend, domain, relay }; }
+    [[nodiscard]] LinkAttempt linkAttempt() const { return { backend, domain, request.id.value() }; }
     [[nodiscard]] bool isModel() const noexcept { return service->kind == settings::BackendKind::Model; }
 };
 
--- a/src/node/ProxyRequest.h
+++ b/src/node/ProxyRequest.h
@@ -46,12 +46,7 @@
     std::uint64_t backendStartedAt = 0;
     /** Failure domain of `backend`. */
     FailureDomain domain;
-    /** The peer that relays the current attempt; nullopt: none. */
-    std::optional<PeerAddress> relay;
-    /** Peers that could not relay this request. */
-    std::set<PeerAddress> failedRelays;
-    /** This router could not connect to a backend server for this request. */
-    bool connectFailed = false;
+    LinkHistory links;
     /** Number of attempts. */
     std::uint32_t dispatches = 0;
     /** Number of attempts that may have reached a backend server. */
@@ -71,7 +66,7 @@
     {
         return info.content ? std::optional(quarantine::Fingerprint { accountId(), *info.content }) : std::nullopt;
     }
-    [[nodiscard]] LinkAttempt linkAttempt() const { return { backend, domain, relay }; }
+    [[nodiscard]] LinkAttempt linkAttempt() const { return { backend, domain, info.id }; }
     [[nodiscard]] quarantine::BackendInstance backendInstance() const { return { backend, backendStartedAt }; }
     /** @return Whether a backend server may run the request although another one may already have run it. */
     [[nodiscard]] bool mayRunAgain() const
--- a/src/node/ProxyRequests.h
+++ b/src/node/ProxyRequests.h
@@ -153,11 +153,6 @@
     // End and billing.
     /** Reports to the quarantine what the end of an attempt shows about the request and its backend server. */
     void reportToQuarantine(const ProxyRequest& request, const ProxyAttemptEnded& ended);
-    /** Updates what is known of the links by the end of an attempt, and what the request's next attempt has to avoid.
-     */
-    void updateLinks(ProxyRequest& request, const ProxyAttemptEnded& ended);
-    /** @return True if the attempt failed because of this router's links or its relay: the server may be sound. */
-    [[nodiscard]] bool showsNothingOfServer(const ProxyAttemptEnded& ended) const;
     /** Refuses a request that no link leads to a backend server for. */
     void refuseUnreachable(ProxyRequest& request);
     void complete(ProxyRequest& request, const ProxyAttemptEnded& ended);
--- a/src/node/ProxyRequestsDispatch.cpp
+++ b/src/node/ProxyRequestsDispatch.cpp
@@ -187,7 +187,7 @@
             request, { 503, "no_backend", "the chosen backend server is not registered any more", defaultRetryAfter });
         return;
     }
-    const LinkPath path = links_.pathTo(server->domain, request.connectFailed, request.failedRelays);
+    const LinkPath path = links_.pathTo(server->domain, request.links);
     if (!path.open) {
         refuseUnreachable(request);
         return;
@@ -197,9 +197,8 @@
     request.backend = choice.backend;
     request.backendStartedAt = server->startedAt;
     request.domain = server->domain;
-    request.relay = path.relay ? std::optional(path.relay->peer) : std::nullopt;
     ++request.dispatches;
-    links_.onDispatched(request.linkAttempt());
+    links_.onDispatched(request.links, path);
     callByAttempt_[request.attempt] = request.id;
     const auto& parts = request.info.prefix;
     const Tokens lastPartTokens = parts.empty() ? request.info.promptTokens : parts.back().tokens;
@@ -215,7 +214,7 @@
                      .with("config", static_cast<std::int64_t>(request.table->config().version))
                      .with("service", request.service->name.value())
                      .with("backend", choice.backend.value())
-                     .with("relay", request.relay.value_or(PeerAddress {}).value())
+                     .with("relay", request.links.relay.value_or(PeerAddress {}).value())
                      .with("offer", static_cast<std::int64_t>(request.dispatches))
                      .with("after_event", static_cast<std::int64_t>(request.events))
                      .with("waited_ms", toMilliseconds(context_.now() - request.arrivedAt))
@@ -248,7 +247,7 @@
     if (first) {
         request->firstEventAt = context_.now();
         backends_.onFirstToken(request->backend, request->attempt, context_.now());
-        links_.onAnswering(request->linkAttempt());
+        links_.onAnswering(request->links, request->domain);
         quarantine_.onServerAnswered(request->backendInstance(), request->phaseStart);
         serviceState(*request).admission.onFirstToken(context_.now() - request->phaseStart);
     }
@@ -268,9 +267,10 @@
     if (ended.end == ProxyAttemptEnd::Completed && request->route->answer == fleet::AnswerKind::Whole) {
         backends_.onFirstToken(request->backend, request->attempt, context_.now());
     }
-    updateLinks(*request, ended);
+    const bool answered = ended.end != ProxyAttemptEnd::Broken && ended.end != ProxyAttemptEnd::Unreachable;
+    links_.onEnded(request->links, request->linkAttempt(), { ended.connectFailure, answered });
     reportToQuarantine(*request, ended);
-    if (showsNothingOfServer(ended)) {
+    if (links_.showsNothingOfServer(request->links, ended.connectFailure)) {
         closeAttempt(*request, routing::EndKind::Cancelled);
         request->excluded.erase(request->backend);
     } else {
@@ -303,27 +303,6 @@
     }
 }
 
-void ProxyRequests::updateLinks(ProxyRequest& request, const ProxyAttemptEnded& ended)
-{
-    LinkEvidence evidence = LinkEvidence::Answered;
-    if (ended.connectFailure == ConnectFailure::Relay) {
-        evidence = LinkEvidence::RelayFailed;
-        request.failedRelays.insert(request.relay.value_or(PeerAddress {}));
-    } else if (ended.connectFailure == ConnectFailure::Server) {
-        evidence = LinkEvidence::ServerUnreachable;
-        request.connectFailed = true;
-    } else if (ended.end == ProxyAttemptEnd::Broken || ended.end == ProxyAttemptEnd::Unreachable) {
-        evidence = LinkEvidence::None;
-    }
-    links_.onEnded(request.linkAttempt(), evidence, request.info.id);
-}
-
-bool ProxyRequests::showsNothingOfServer(const ProxyAttemptEnded& ended) const
-{
-    return ended.connectFailure == ConnectFailure::Relay
-        || (ended.connectFailure == ConnectFailure::Server && links_.lost());
-}
-
 void ProxyRequests::refuseUnreachable(ProxyRequest& request)
 {
     const std::string detail = "this VM has lost its links to backend servers, and no peer relays";
--- a/src/node/ProxyRequestsEnd.cpp
+++ b/src/node/ProxyRequestsEnd.cpp
@@ -175,7 +175,7 @@
         return;
     }
     context_.emit(CancelAttempt { request.attempt });
-    links_.onEnded(request.linkAttempt(), LinkEvidence::None, request.info.id);
+    links_.onEnded(request.links, request.linkAttempt(), {});
     closeAttempt(request, routing::EndKind::Cancelled);
 }
 
--- a/src/node/Requests.h
+++ b/src/node/Requests.h
@@ -119,10 +119,6 @@
     void logBill(const Call& call, bool secured) const;
     /** Ends the call without an answer, because the ledger did not accept its bill. */
     void onBillRefused(Call& call);
-    /** Updates what is known of the links by the end of an attempt, and what the call's next attempt has to avoid. */
-    void updateLinks(Call& call, const AttemptEnded& ended);
-    /** @return True if the attempt failed because of this router's links or its relay: the server may be sound. */
-    [[nodiscard]] bool showsNothingOfServer(const AttemptEnded& ended) const;
     void retryOrFail(Call& call, const AttemptEnded& ended);
     void finishAttempt(Call& call, request::AttemptEnd end, const AttemptEnded* facts);
     void cancelAttempt(Call& call);
--- a/src/node/RequestsDispatch.cpp
+++ b/src/node/RequestsDispatch.cpp
@@ -126,7 +126,7 @@
     }
     const auto server = backends_.view(choice.backend, {}, context_.now());
     const FailureDomain domain = server ? server->domain : FailureDomain {};
-    const LinkPath path = links_.pathTo(domain, call.connectFailed, call.failedRelays);
+    const LinkPath path = links_.pathTo(domain, call.links);
     if (!path.open) {
         refuse(call,
             { 503, "no_link", "this VM has lost its links to backend servers, and no peer relays", defaultRetryAfter });
@@ -137,8 +137,7 @@
     call.attempt = AttemptId { ++lastAttempt_ };
     call.backend = choice.backend;
     call.domain = domain;
-    call.relay = path.relay ? std::optional(path.relay->peer) : std::nullopt;
-    links_.onDispatched(call.linkAttempt());
+    links_.onDispatched(call.links, path);
     ++call.attemptsMade;
     callByAttempt_[call.attempt] = call.id;
     backends_.onDispatched(
@@ -148,7 +147,7 @@
         .with("account", call.request.account.value())
         .with("service", call.request.service.value())
         .with("backend", choice.backend.value())
-        .with("relay", call.relay.value_or(PeerAddress {}).value())
+        .with("relay", call.links.relay.value_or(PeerAddress {}).value())
         .with("attempt", static_cast<std::int64_t>(call.attemptsMade))
         .with("resume_from", call.delivered.value())
         .with("waited_ms", toMilliseconds(context_.now() - call.arrived))
@@ -182,7 +181,7 @@
         return;
     }
     call.firstTokenAt = context_.now();
-    links_.onAnswering(call.linkAttempt());
+    links_.onAnswering(call.links, call.domain);
     backends_.onFirstToken(call.backend, call.attempt, context_.now());
     serviceState(call).admission.onFirstToken(context_.now() - call.phaseStart);
 }
@@ -197,7 +196,8 @@
     Call& call = *find(found->second);
     const ServiceName service = call.request.service;
     call.delivered = std::max(call.delivered, ended.answerTokens);
-    updateLinks(call, ended);
+    const bool answered = ended.end != AttemptEnd::Broken && ended.connectFailure == ConnectFailure::None;
+    links_.onEnded(call.links, call.linkAttempt(), { ended.connectFailure, answered });
     finishAttempt(call, ended.end, &ended);
     if (ended.end == AttemptEnd::Completed) {
         complete(call, ended);
@@ -207,29 +207,10 @@
     dispatchWaiting(service);
 }
 
-void Requests::updateLinks(Call& call, const AttemptEnded& ended)
-{
-    LinkEvidence evidence = ended.end == AttemptEnd::Broken ? LinkEvidence::None : LinkEvidence::Answered;
-    if (ended.connectFailure == ConnectFailure::Relay) {
-        evidence = LinkEvidence::RelayFailed;
-        call.failedRelays.insert(call.relay.value_or(PeerAddress {}));
-    } else if (ended.connectFailure == ConnectFailure::Server) {
-        evidence = LinkEvidence::ServerUnreachable;
-        call.connectFailed = true;
-    }
-    links_.onEnded(call.linkAttempt(), evidence, call.request.id.value());
-}
-
-bool Requests::showsNothingOfServer(const AttemptEnded& ended) const
-{
-    return ended.connectFailure == ConnectFailure::Relay
-        || (ended.connectFailure == ConnectFailure::Server && links_.lost());
-}
-
 void Requests::finishAttempt(Call& call, AttemptEnd end, const AttemptEnded* facts)
 {
     table_.attemptEnded(call.request.key, end);
-    const bool inconclusive = facts != nullptr && showsNothingOfServer(*facts);
+    const bool inconclusive = facts != nullptr && links_.showsNothingOfServer(call.links, facts->connectFailure);
     routing::FinishFacts finish { inconclusive ? routing::EndKind::Cancelled : internal::toEndKind(end), Tokens {},
         Tokens {} };
     if (facts != nullptr) {
@@ -282,7 +263,7 @@
         return;
     }
     context_.emit(CancelAttempt { call.attempt });
-    links_.onEnded(call.linkAttempt(), LinkEvidence::None, call.request.id.value());
+    links_.onEnded(call.links, call.linkAttempt(), {});
     backends_.onFinished(
         call.backend, call.attempt, { routing::EndKind::Cancelled, Tokens {}, Tokens {} }, context_.now());
     table_.attemptEnded(call.request.key, AttemptEnd::Broken);
--- a/src/transport/RelayConnection.cpp
+++ b/src/transport/RelayConnection.cpp
@@ -93,9 +93,7 @@
     , id_(id)
     , router_(std::move(router))
     , backend_(context.loop)
-    , deadline_(context.loop, [this] {
-        answerAndClose({ statusUnreachable, "timeout" });
-    })
+    , deadline_(context.loop, [this] { timedOut(); })
 {
 }
 
@@ -132,6 +130,7 @@
         answerAndClose({ statusUnreachable, "no valid address" });
         return;
     }
+    connecting_ = true;
     deadline_.arm(context_.limits.connectTime);
     ++context_.counts.backendConnects;
     backend_.async_connect(tcp::endpoint(boost::asio::ip::make_address(endpoint->ip), endpoint->port),
@@ -170,6 +169,8 @@
         });
 }
 
+void RelayConnection::timedOut() { answerAndClose({ connecting_ ? statusUnreachable : statusRefused, "timeout" }); }
+
 void RelayConnection::refuse(const std::string& reason) { answerAndClose({ statusRefused, reason }); }
 
 void RelayConnection::answerAndClose(RelayAnswer answer)
--- a/src/transport/RelayConnection.h
+++ b/src/transport/RelayConnection.h
@@ -38,6 +38,7 @@
 
     void requestReceived(const ErrorCode& error);
     void connected();
+    void timedOut();
     /** Answers that no connection is made, and closes once that is written. */
     void answerAndClose(RelayAnswer answer);
     /** One side has closed its connection; nothing more comes for `receiver`. */
@@ -55,6 +56,8 @@
     std::shared_ptr<Direction> toRouter_;
     std::uint64_t bytes_ = 0;
     bool requested_ = false;
+    /** The core has accepted the connection, and it is being made. */
+    bool connecting_ = false;
     bool closed_ = false;
 };
 
--- a/tests/node/GatewayLinksTest.cpp
+++ b/tests/node/GatewayLinksTest.cpp
@@ -94,6 +94,21 @@
         EXPECT_TRUE(world.replyOf(call)->retryAfter);
     }
 
+    // Guards against a crashed server that is asked for again and again through peers.
+    TEST_F(GatewayLinksTest, ServerThatThePeerCannotReachIsNotAskedForAgain)
+    {
+        loseLinks();
+        const CallId call = world.arrive("/order/x");
+        std::set<BackendId> tried;
+        while (const auto dispatch = world.dispatchOf(call)) {
+            ASSERT_TRUE(dispatch->relay);
+            EXPECT_TRUE(tried.insert(dispatch->backend).second) << dispatch->backend.value();
+            world.end(*dispatch, ProxyAttemptEnd::Unreachable, 0);
+        }
+        EXPECT_EQ(tried.size(), 3U);
+        EXPECT_EQ(world.replyOf(call)->outcome, Outcome::NotRun);
+    }
+
     // Guards against a request that is lost because one peer turned it away.
     TEST_F(GatewayLinksTest, RequestThatAPeerTurnsAwayGoesThroughAnother)
     {
