Count a connection as working once something arrives on it

Cause: a connection counted as working when it was made, and each cleared what had been concluded from the failures before it. What accepts a connection need not be the server.

Now a request's connection counts once something has arrived on it, a probe's once it has stayed open for 50 ms. A new connection that ends from the other side before anything arrives is a sign of lost links, as one that can't be made is, but an answer of any server clears it: a server without room resets new connections, too, and must not send a VM's requests through its peers. Answers on old connections still don't clear refused ones. A request that was sent on such a connection may have run: nothing changed there.

Weighed: a health check in place of a bare connection. It would tell a way that accepts and stays silent, too, but waits for a slot, so full servers would look like lost links.

--- a/include/swiftlift/node/Event.h
+++ b/include/swiftlift/node/Event.h
@@ -14,6 +14,7 @@
 #include "swiftlift/node/ProxyRequest.h"
 #include "swiftlift/request/Outcome.h"
 #include "swiftlift/routing/Announcement.h"
+#include "swiftlift/routing/ConnectResult.h"
 
 namespace swiftlift::node {
 
@@ -72,14 +73,14 @@
     std::optional<routing::Announcement> announcement = std::nullopt;
     ConnectFailure connectFailure = ConnectFailure::None;
 };
-/** This router itself has connected to a backend server for an attempt. */
+/** Something has arrived on a connection that this router itself made to a backend server for an attempt. */
 struct BackendConnected {
     BackendId backend;
 };
 /** A probe of the link to a backend server has ended. */
 struct ProbeEnded {
     BackendId backend;
-    bool connected = false;
+    routing::ConnectResult result = routing::ConnectResult::Unreachable;
     /** Explanation for logs. */
     std::string detail;
 };
--- a/include/swiftlift/node/RelayRoute.h
+++ b/include/swiftlift/node/RelayRoute.h
@@ -14,14 +14,17 @@
     [[nodiscard]] bool operator==(const RelayRoute&) const = default;
 };
 
-/** Why an attempt could not be connected to its backend server. */
+/** Why the connection of an attempt to its backend server was of no use. */
 enum class ConnectFailure : std::uint8_t {
-    /** It was connected, or was not tried. */
+    /** It was of use, or was not tried. */
     None,
     /** The backend server could not be reached, by this router or by its relay. */
     Server,
     /** The relay could not be reached, or turned the connection away. */
     Relay,
+    /** This router's own connection was made, and ended from the other side before anything arrived on it: the request
+     * may have run. */
+    Closed,
 };
 
 } // namespace swiftlift::node
--- a/include/swiftlift/routing/LinkMonitor.h
+++ b/include/swiftlift/routing/LinkMonitor.h
@@ -9,6 +9,7 @@
 
 #include "swiftlift/base/Ids.h"
 #include "swiftlift/base/Units.h"
+#include "swiftlift/routing/ConnectResult.h"
 #include "swiftlift/routing/DomainReachability.h"
 
 namespace swiftlift::routing {
@@ -20,20 +21,25 @@
  * @brief Detects that this router can't connect to any backend server, or to those of a failure domain, and decides
  * which servers to probe with a connection to see whether that is over.
  *
- * Only new connections show whether a link works: connections that were made before a partition may live on in it.
+ * Only new connections show whether a link works: connections that were made before a partition may live on in it. A
+ * connection counts as made once something has arrived on it, or it has stayed open for a while: on the way to a server
+ * that can't be reached, something else may accept and close it.
  */
 class LinkMonitor {
 public:
-    /** @brief Records that a backend server of the domain was connected to. */
+    /** @brief Records that a new connection to a backend server of the domain works. */
     void onConnected(const FailureDomain& domain, Instant now);
     /** @brief Records that a backend server of the domain answered, possibly on an older connection. */
     void onAnswered(const FailureDomain& domain);
     /** @brief Records that a connection to the backend server failed. */
     void onUnreachable(const FailureDomain& domain, const BackendId& backend, Instant now);
+    /** @brief Records that a new connection to the backend server was closed before anything arrived on it, as a server
+     * without room does too: an answer of any server shows that the links are not the cause. */
+    void onClosed(const FailureDomain& domain, const BackendId& backend, Instant now);
     /** @brief Records that no backend server has sent anything for a while although requests run there. */
     void onSilence() noexcept { suspected_ = true; }
     /** @brief Records the end of a probe. */
-    void onProbeEnded(const FailureDomain& domain, const BackendId& backend, bool connected, Instant now);
+    void onProbeEnded(const FailureDomain& domain, const BackendId& backend, ConnectResult result, Instant now);
 
     /** @return True if this router can't connect to backend servers of any domain. */
     [[nodiscard]] bool linksLost(Instant now) const;
@@ -77,12 +83,13 @@
         bool tested = false;
     };
 
+    void onFailure(const FailureDomain& domain, const BackendId& backend, ConnectResult result, Instant now);
     [[nodiscard]] bool connectedLately(Instant now) const;
     [[nodiscard]] bool isProbeNeeded(const FailureDomain& domain, Instant now) const;
 
     DomainReachability domains_;
-    /** Servers that could not be connected to since a connection was made last. */
-    std::set<BackendId> failed_;
+    /** Servers that could not be connected to since a connection was made last, and what became of the last try. */
+    std::map<BackendId, ConnectResult> failed_;
     Instant lastFailure_ {};
     std::optional<Instant> lastConnected_;
     /** A connection has failed, or all servers are silent, and no connection was made since. */
--- a/src/node/BackendLinks.cpp
+++ b/src/node/BackendLinks.cpp
@@ -27,7 +27,7 @@
     const auto server = servers_.reachableServer(event.backend);
     const FailureDomain domain = server ? server->domain : FailureDomain {};
     updateDomain(
-        domain, [&] { monitor_.onProbeEnded(domain, event.backend, event.connected, context_.now()); },
+        domain, [&] { monitor_.onProbeEnded(domain, event.backend, event.result, context_.now()); },
         "probe of " + event.backend.value() + ": " + event.detail);
 }
 
@@ -107,10 +107,10 @@
         return;
     }
     const std::string cause = "request " + attempt.request + " at " + attempt.backend.value();
-    if (evidence.failure == ConnectFailure::Server) {
+    if (evidence.failure != ConnectFailure::None) {
         history.connectFailed = true;
         updateDomain(
-            attempt.domain, [&] { monitor_.onUnreachable(attempt.domain, attempt.backend, context_.now()); }, cause);
+            attempt.domain, [&] { onConnectFailed(attempt, evidence.failure); }, cause);
         sendProbes();
     } else if (evidence.answered) {
         updateDomain(
@@ -118,9 +118,18 @@
     }
 }
 
+void BackendLinks::onConnectFailed(const LinkAttempt& attempt, ConnectFailure failure)
+{
+    if (failure == ConnectFailure::Closed) {
+        monitor_.onClosed(attempt.domain, attempt.backend, context_.now());
+    } else {
+        monitor_.onUnreachable(attempt.domain, attempt.backend, context_.now());
+    }
+}
+
 bool BackendLinks::showsNothingOfServer(const LinkHistory& history, ConnectFailure failure) const
 {
-    const bool ownLinksFailed = failure == ConnectFailure::Server && !history.relay && lost();
+    const bool ownLinksFailed = failure != ConnectFailure::None && !history.relay && lost();
     return failure == ConnectFailure::Relay || ownLinksFailed;
 }
 
--- a/src/node/BackendLinks.h
+++ b/src/node/BackendLinks.h
@@ -53,7 +53,7 @@
     std::optional<PeerAddress> relay;
     /** Peers that could not relay the request. */
     std::set<PeerAddress> failedRelays;
-    /** This router could not connect to a backend server for the request. */
+    /** A connection of this router's own to a backend server was of no use to the request. */
     bool connectFailed = false;
 };
 
@@ -120,6 +120,7 @@
     static constexpr Duration probeRound = std::chrono::milliseconds(100);
 
     void sendProbes();
+    void onConnectFailed(const LinkAttempt& attempt, ConnectFailure failure);
     void updateDomain(const FailureDomain& domain, const std::function<void()>& change, const std::string& cause);
     /** Logs the links' state if it has changed. */
     void noteLinks(const std::string& cause);
--- a/src/routing/LinkMonitor.cpp
+++ b/src/routing/LinkMonitor.cpp
@@ -13,24 +13,38 @@
     domains_.onBackendReached(domain);
 }
 
-void LinkMonitor::onAnswered(const FailureDomain& domain) { domains_.onBackendReached(domain); }
+void LinkMonitor::onAnswered(const FailureDomain& domain)
+{
+    std::erase_if(failed_, [](const auto& failure) { return failure.second == ConnectResult::Closed; });
+    domains_.onBackendReached(domain);
+}
 
 void LinkMonitor::onUnreachable(const FailureDomain& domain, const BackendId& backend, Instant now)
 {
-    failed_.insert(backend);
+    onFailure(domain, backend, ConnectResult::Unreachable, now);
+}
+
+void LinkMonitor::onClosed(const FailureDomain& domain, const BackendId& backend, Instant now)
+{
+    onFailure(domain, backend, ConnectResult::Closed, now);
+}
+
+void LinkMonitor::onFailure(const FailureDomain& domain, const BackendId& backend, ConnectResult result, Instant now)
+{
+    failed_[backend] = result;
     lastFailure_ = now;
     suspected_ = true;
     probes_[domain].tested = true;
     domains_.onBackendUnreachable(domain, backend, now);
 }
 
-void LinkMonitor::onProbeEnded(const FailureDomain& domain, const BackendId& backend, bool connected, Instant now)
+void LinkMonitor::onProbeEnded(const FailureDomain& domain, const BackendId& backend, ConnectResult result, Instant now)
 {
     probing_.erase(backend);
-    if (connected) {
+    if (result == ConnectResult::Connected) {
         onConnected(domain, now);
     } else {
-        onUnreachable(domain, backend, now);
+        onFailure(domain, backend, result, now);
     }
 }
 
--- a/src/transport/Attempt.cpp
+++ b/src/transport/Attempt.cpp
@@ -124,7 +124,7 @@
             self->requestRelay();
             return;
         }
-        self->handler_.backendConnected(*self);
+        self->unproven_ = true;
         self->write();
     });
 }
@@ -196,12 +196,15 @@
 {
     reading_ = false;
     context_.traffic.received += count;
-    if (!order_.relay) {
+    if (!order_.relay && count > 0) {
         context_.backendsHeardAt = std::chrono::steady_clock::now();
     }
     if (closed_) {
         return;
     }
+    if (count > 0 && std::exchange(unproven_, false)) {
+        handler_.backendConnected(*this);
+    }
     if (error) {
         onClosed(error);
         return;
@@ -233,6 +236,9 @@
         }
     }
     connectionLost_ = error == boost::asio::error::eof || error == boost::asio::error::connection_reset;
+    if (unproven_ && connectionLost_) {
+        connectFailure_ = node::ConnectFailure::Closed;
+    }
     end(AttemptResult::Broken, "connection lost: " + error.message());
 }
 
--- a/src/transport/Attempt.h
+++ b/src/transport/Attempt.h
@@ -31,7 +31,7 @@
 
     /** The answer's reader has produced the next part of the answer. */
     virtual void answerPartReceived(Attempt& attempt, std::string part) = 0;
-    /** This router itself has connected to the attempt's backend server. */
+    /** Something has arrived on the connection that this router itself made for the attempt. */
     virtual void backendConnected(Attempt& attempt) = 0;
     /** The head of the answer has arrived and states something about the backend server. */
     virtual void announcementReceived(Attempt& attempt, const routing::Announcement& announcement) = 0;
@@ -142,6 +142,8 @@
     bool relayReached_ = false;
     /** The relay could not connect to the backend server. */
     bool serverUnreachable_ = false;
+    /** This router itself has made the connection, and nothing has arrived on it. */
+    bool unproven_ = false;
     int status_ = 0;
     std::optional<HeadVerdict> verdict_;
     /** A byte of the request may have reached the backend server. */
--- a/src/transport/LinkProber.h
+++ b/src/transport/LinkProber.h
@@ -13,7 +13,7 @@
     {
     }
 
-    /** Connects, reports the result to the core and closes the connection. */
+    /** Connects, waits whether the connection stays open, reports the result to the core and closes the connection. */
     void probe(const node::ProbeBackend& order);
 
 private:
--- a/src/transport/StreamContext.h
+++ b/src/transport/StreamContext.h
@@ -29,7 +29,7 @@
     /** Lag of the last sweep: data in the sockets waits at least this long before it is read. */
     std::chrono::steady_clock::duration lag {};
     BackendForwarders forwarders {};
-    /** When a backend server to which this router is connected itself has sent something, or closed a connection. */
+    /** When a backend server to which this router is connected itself has sent something. */
     std::chrono::steady_clock::time_point backendsHeardAt {};
 
     /** @return Where the backend server's address is reached; nullopt: the address is malformed. */
--- a/tests/node/FakeFleet.cpp
+++ b/tests/node/FakeFleet.cpp
@@ -307,7 +307,10 @@
 void FakeFleet::on(std::size_t vm, const ProbeBackend& probe)
 {
     later(messageDelay, [this, vm, processNumber = vms_[vm].processNumber, backend = probe.backend] {
-        deliver(vm, processNumber, ProbeEnded { backend, !vms_[vm].cutFromEngines, "probe" });
+        deliver(vm, processNumber,
+            ProbeEnded { backend,
+                vms_[vm].cutFromEngines ? routing::ConnectResult::Unreachable : routing::ConnectResult::Connected,
+                "probe" });
     });
 }
 
--- a/tests/node/GatewayWorld.cpp
+++ b/tests/node/GatewayWorld.cpp
@@ -258,9 +258,10 @@
 
 std::size_t GatewayWorld::endProbes(bool connected)
 {
+    const auto result = connected ? routing::ConnectResult::Connected : routing::ConnectResult::Unreachable;
     const std::vector<BackendId> probes = std::exchange(probes_, {});
     for (const BackendId& backend : probes) {
-        handle(ProbeEnded { backend, connected, "ended by the test" });
+        handle(ProbeEnded { backend, result, "ended by the test" });
     }
     return probes.size();
 }
--- a/tests/platform/BackendPartitionTest.cpp
+++ b/tests/platform/BackendPartitionTest.cpp
@@ -225,7 +225,7 @@
         }
     }
 
-    INSTANTIATE_TEST_SUITE_P(Partitions, BackendPartitionTest, testing::Values("hang", "refuse", "keep_old"),
+    INSTANTIATE_TEST_SUITE_P(Partitions, BackendPartitionTest, testing::Values("hang", "refuse", "reset", "keep_old"),
         [](const testing::TestParamInfo<const char*>& mode) { return std::string(mode.param); });
 
 } // namespace
--- a/tests/routing/LinkMonitorTest.cpp
+++ b/tests/routing/LinkMonitorTest.cpp
@@ -17,7 +17,7 @@
         {
             for (const BackendId& server : monitor_.probes(servers_, now_)) {
                 const bool own = server != engine(3);
-                monitor_.onProbeEnded(own ? ownDomain : otherDomain, server, true, now_);
+                monitor_.onProbeEnded(own ? ownDomain : otherDomain, server, ConnectResult::Connected, now_);
             }
         }
     };
@@ -60,6 +60,28 @@
         EXPECT_TRUE(monitor_.linksLost(now_));
     }
 
+    // Guards against a partition that accepts connections and then resets them, and is not noticed.
+    TEST_F(LinkMonitorTest, LinksAreLostWhenTwoServersInARowCloseNewConnections)
+    {
+        monitor_.onClosed(ownDomain, engine(1), now_);
+        monitor_.onClosed(ownDomain, engine(1), now_);
+        EXPECT_FALSE(monitor_.linksLost(now_)) << "one server may have crashed";
+        EXPECT_TRUE(monitor_.linksDoubtful(now_));
+        monitor_.onProbeEnded(otherDomain, engine(3), ConnectResult::Closed, now_);
+        EXPECT_TRUE(monitor_.linksLost(now_));
+        monitor_.onConnected(ownDomain, now_);
+        EXPECT_FALSE(monitor_.linksLost(now_ + 1s));
+    }
+
+    // Guards against servers without room, which reset new connections, that are taken for lost links.
+    TEST_F(LinkMonitorTest, AnAnswerShowsThatServersCloseConnectionsForReasonsOfTheirOwn)
+    {
+        monitor_.onClosed(ownDomain, engine(1), now_);
+        monitor_.onAnswered(ownDomain);
+        monitor_.onClosed(otherDomain, engine(3), now_);
+        EXPECT_FALSE(monitor_.linksLost(now_));
+    }
+
     // Guards against requests that wait for a connection timeout each time a lost link is tried again.
     TEST_F(LinkMonitorTest, LostLinksStayKnownByProbesUntilOneConnects)
     {
@@ -72,14 +94,15 @@
             const auto probes = monitor_.probes(servers_, now_);
             ASSERT_EQ(probes.size(), 2U) << "one of each domain";
             for (const BackendId& server : probes) {
-                monitor_.onProbeEnded(server == engine(3) ? otherDomain : ownDomain, server, false, now_);
+                monitor_.onProbeEnded(
+                    server == engine(3) ? otherDomain : ownDomain, server, ConnectResult::Unreachable, now_);
             }
             ASSERT_TRUE(monitor_.linksLost(now_));
         }
         now_ += 300ms;
         const auto probes = monitor_.probes(servers_, now_);
         ASSERT_FALSE(probes.empty());
-        monitor_.onProbeEnded(ownDomain, probes.front(), true, now_);
+        monitor_.onProbeEnded(ownDomain, probes.front(), ConnectResult::Connected, now_);
         EXPECT_FALSE(monitor_.linksLost(now_));
     }
 
