Hold a relayed connection that can't be made against the peer first

Callers of a VM without links were refused where a peer had lost its links, too, and didn't know: 0 of 224 (connections refused) and 0 of 230 (reset) requests served with one sound peer and two such ones without callers. The routers' lines: all attempts at the refused requests end with "relay: Connection refused", then "4 tried already", then "4 broken"; the peer has no `links` line, as its own requests went on over connections from before the partition.

Cause: the peer took connections that it could not make, and learnt nothing from that; the router that asked held each against the server, until all sound servers were behind breakers.

Now a connection that fails for a peer is evidence about the relaying VM's links as one for its own request is: it probes, says so in its heartbeats and takes no more. The router that asked counts it against the server only if the peer has reached a server since its last failure; otherwise the server is left out of this request alone, and other peers come first.

New tests of the decisions, of the relay's report of both failures.

--- a/include/swiftlift/node/Event.h
+++ b/include/swiftlift/node/Event.h
@@ -73,7 +73,7 @@
     std::optional<routing::Announcement> announcement = std::nullopt;
     ConnectFailure connectFailure = ConnectFailure::None;
 };
-/** Something has arrived on a connection that this router itself made to a backend server for an attempt. */
+/** Something has arrived on a connection that this router itself made to a backend server. */
 struct BackendConnected {
     BackendId backend;
 };
@@ -98,6 +98,8 @@
     std::uint64_t bytes = 0;
     /** Explanation for logs. */
     std::string detail;
+    /** What was wrong with the connection to the backend server. */
+    ConnectFailure failure = ConnectFailure::None;
 };
 /** A backend server has stated something about itself in the head of an answer. */
 struct BackendAnnounced {
--- a/src/node/BackendLinks.cpp
+++ b/src/node/BackendLinks.cpp
@@ -74,7 +74,7 @@
     if (!seemsUnreachable(domain) && !retriesRelayed) {
         return {};
     }
-    if (auto relay = relays_.choose(domain, history.failedRelays)) {
+    if (auto relay = relays_.choose(domain, history.failedRelays, history.doubtfulRelays)) {
         return { true, std::move(relay) };
     }
     // With its own links lost, a connection would only wait for its timeout.
@@ -91,46 +91,75 @@
 
 void BackendLinks::onAnswering(const LinkHistory& history, const FailureDomain& domain)
 {
-    if (!history.relay) {
+    if (history.relay) {
+        relays_.onReached(*history.relay);
+    } else {
         monitor_.onAnswered(domain);
     }
 }
 
-void BackendLinks::onEnded(LinkHistory& history, const LinkAttempt& attempt, const LinkEvidence& evidence)
+ServerEvidence BackendLinks::onEnded(LinkHistory& history, const LinkAttempt& attempt, const LinkEvidence& evidence)
 {
-    if (history.relay) {
-        const bool relayFailed = evidence.failure == ConnectFailure::Relay;
-        relays_.onEnded(*history.relay, relayFailed);
-        if (relayFailed) {
-            history.failedRelays.insert(*history.relay);
-        }
-        return;
+    return history.relay ? onRelayedEnded(history, attempt, evidence) : onOwnEnded(history, attempt, evidence);
+}
+
+ServerEvidence BackendLinks::onRelayedEnded(
+    LinkHistory& history, const LinkAttempt& attempt, const LinkEvidence& evidence)
+{
+    const PeerAddress& peer = *history.relay;
+    relays_.onEnded(peer);
+    if (evidence.failure == ConnectFailure::Relay) {
+        relays_.onFailed(peer);
+        history.failedRelays.insert(peer);
+        return ServerEvidence::None;
+    }
+    if (evidence.failure != ConnectFailure::None && !relays_.onServerUnreachable(peer, attempt.backend)) {
+        history.doubtfulRelays.insert(peer);
+        return ServerEvidence::Doubtful;
+    }
+    if (evidence.answered) {
+        relays_.onReached(peer);
+    }
+    return ServerEvidence::Conclusive;
+}
+
+ServerEvidence BackendLinks::onOwnEnded(LinkHistory& history, const LinkAttempt& attempt, const LinkEvidence& evidence)
+{
+    if (evidence.failure == ConnectFailure::Relay) {
+        return ServerEvidence::None;
     }
     const std::string cause = "request " + attempt.request + " at " + attempt.backend.value();
     if (evidence.failure != ConnectFailure::None) {
         history.connectFailed = true;
-        updateDomain(
-            attempt.domain, [&] { onConnectFailed(attempt, evidence.failure); }, cause);
-        sendProbes();
-    } else if (evidence.answered) {
+        onConnectFailed(attempt.domain, attempt.backend, evidence.failure, cause);
+        return lost() ? ServerEvidence::None : ServerEvidence::Conclusive;
+    }
+    if (evidence.answered) {
         updateDomain(
             attempt.domain, [&] { monitor_.onAnswered(attempt.domain); }, cause);
     }
+    return ServerEvidence::Conclusive;
 }
 
-void BackendLinks::onConnectFailed(const LinkAttempt& attempt, ConnectFailure failure)
+void BackendLinks::onRelayedConnectFailed(const BackendId& backend, ConnectFailure failure)
 {
-    if (failure == ConnectFailure::Closed) {
-        monitor_.onClosed(attempt.domain, attempt.backend, context_.now());
-    } else {
-        monitor_.onUnreachable(attempt.domain, attempt.backend, context_.now());
+    if (const auto server = servers_.reachableServer(backend)) {
+        onConnectFailed(server->domain, backend, failure, "relayed connection to " + backend.value());
     }
 }
 
-bool BackendLinks::showsNothingOfServer(const LinkHistory& history, ConnectFailure failure) const
+void BackendLinks::onConnectFailed(
+    const FailureDomain& domain, const BackendId& backend, ConnectFailure failure, const std::string& cause)
 {
-    const bool ownLinksFailed = failure != ConnectFailure::None && !history.relay && lost();
-    return failure == ConnectFailure::Relay || ownLinksFailed;
+    const auto record = [&] {
+        if (failure == ConnectFailure::Closed) {
+            monitor_.onClosed(domain, backend, context_.now());
+        } else {
+            monitor_.onUnreachable(domain, backend, context_.now());
+        }
+    };
+    updateDomain(domain, record, cause);
+    sendProbes();
 }
 
 std::vector<FailureDomain> BackendLinks::unreachableDomainsForPeers() const
--- a/src/node/BackendLinks.h
+++ b/src/node/BackendLinks.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -53,6 +54,8 @@
     std::optional<PeerAddress> relay;
     /** Peers that could not relay the request. */
     std::set<PeerAddress> failedRelays;
+    /** Peers that could not reach a server for the request, and may have lost their own links. */
+    std::set<PeerAddress> doubtfulRelays;
     /** A connection of this router's own to a backend server was of no use to the request. */
     bool connectFailed = false;
 };
@@ -72,6 +75,16 @@
     bool answered = false;
 };
 
+/** What the end of an attempt shows of its backend server. */
+enum class ServerEvidence : std::uint8_t {
+    /** The server answered or failed. */
+    Conclusive,
+    /** The server or a peer's links may have failed. */
+    Doubtful,
+    /** Another part of the way failed: the server may be sound. */
+    None,
+};
+
 /**
  * @brief This router's links to backend servers: whether they work, and which peers relay connections while they don't.
  *
@@ -94,9 +107,9 @@
     void onDispatched(LinkHistory& history, const LinkPath& path);
     /** Processes the first part of an answer. */
     void onAnswering(const LinkHistory& history, const FailureDomain& domain);
-    void onEnded(LinkHistory& history, const LinkAttempt& attempt, const LinkEvidence& evidence);
-    /** @return True if an attempt failed because of this router's links or its relay: the server may be sound. */
-    [[nodiscard]] bool showsNothingOfServer(const LinkHistory& history, ConnectFailure failure) const;
+    ServerEvidence onEnded(LinkHistory& history, const LinkAttempt& attempt, const LinkEvidence& evidence);
+    /** Processes a failed connection that this router made for a peer. */
+    void onRelayedConnectFailed(const BackendId& backend, ConnectFailure failure);
 
     /** @return True if this router can't connect to any backend server. */
     [[nodiscard]] bool lost() const { return monitor_.linksLost(context_.now()); }
@@ -120,7 +133,10 @@
     static constexpr Duration probeRound = std::chrono::milliseconds(100);
 
     void sendProbes();
-    void onConnectFailed(const LinkAttempt& attempt, ConnectFailure failure);
+    ServerEvidence onOwnEnded(LinkHistory& history, const LinkAttempt& attempt, const LinkEvidence& evidence);
+    ServerEvidence onRelayedEnded(LinkHistory& history, const LinkAttempt& attempt, const LinkEvidence& evidence);
+    void onConnectFailed(
+        const FailureDomain& domain, const BackendId& backend, ConnectFailure failure, const std::string& cause);
     void updateDomain(const FailureDomain& domain, const std::function<void()>& change, const std::string& cause);
     /** Logs the links' state if it has changed. */
     void noteLinks(const std::string& cause);
--- a/src/node/ProxyRequestsDispatch.cpp
+++ b/src/node/ProxyRequestsDispatch.cpp
@@ -268,13 +268,16 @@
         backends_.onFirstToken(request->backend, request->attempt, context_.now());
     }
     const bool answered = ended.end != ProxyAttemptEnd::Broken && ended.end != ProxyAttemptEnd::Unreachable;
-    links_.onEnded(request->links, request->linkAttempt(), { ended.connectFailure, answered });
+    const ServerEvidence shown
+        = links_.onEnded(request->links, request->linkAttempt(), { ended.connectFailure, answered });
     reportToQuarantine(*request, ended);
-    if (links_.showsNothingOfServer(request->links, ended.connectFailure)) {
+    if (shown == ServerEvidence::Conclusive) {
+        closeAttempt(*request, internal::toEndKind(ended.end), ended.announcement);
+    } else {
         closeAttempt(*request, routing::EndKind::Cancelled);
+    }
+    if (shown == ServerEvidence::None) {
         request->excluded.erase(request->backend);
-    } else {
-        closeAttempt(*request, internal::toEndKind(ended.end), ended.announcement);
     }
     if (ended.end == ProxyAttemptEnd::Completed) {
         complete(*request, ended);
--- a/src/node/RelayPeers.cpp
+++ b/src/node/RelayPeers.cpp
@@ -1,6 +1,7 @@
 #include "node/RelayPeers.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include "swiftlift/base/RendezvousHash.h"
 
@@ -21,6 +22,12 @@
     return found != pausedUntil_.end() && context_.now() < found->second;
 }
 
+bool RelayPeers::isDoubted(const PeerAddress& peer) const
+{
+    const auto found = experience_.find(peer);
+    return found != experience_.end() && context_.now() < found->second.doubtedUntil;
+}
+
 std::uint32_t RelayPeers::inFlight(const PeerAddress& peer) const
 {
     const auto found = inFlight_.find(peer);
@@ -29,10 +36,11 @@
 
 // Among equals the order is different for each router: routers that lose their links together would otherwise all send
 // their first requests to the same peer.
-std::optional<RelayRoute> RelayPeers::choose(const FailureDomain& domain, const std::set<PeerAddress>& excluded) const
+std::optional<RelayRoute> RelayPeers::choose(
+    const FailureDomain& domain, const std::set<PeerAddress>& excluded, const std::set<PeerAddress>& doubtful) const
 {
     std::optional<RelayRoute> best;
-    std::pair<std::uint32_t, std::uint64_t> bestCost;
+    std::tuple<bool, std::uint32_t, std::uint64_t> bestCost;
     for (const Incarnation peer : peers_.membership().lenders()) {
         const auto known = known_.find(peer);
         const auto address = peers_.membership().addressOf(peer);
@@ -41,7 +49,8 @@
             continue;
         }
         const std::uint64_t rank = rendezvousRank(context_.self().value(), stableHash(address->value()));
-        const std::pair<std::uint32_t, std::uint64_t> cost { inFlight(*address), rank };
+        const bool doubted = doubtful.contains(*address) || isDoubted(*address);
+        const std::tuple cost { doubted, inFlight(*address), rank };
         if (!best || cost < bestCost) {
             best = RelayRoute { *address, known->second.relay };
             bestCost = cost;
@@ -50,15 +59,29 @@
     return best;
 }
 
-void RelayPeers::onEnded(const PeerAddress& peer, bool failed)
+void RelayPeers::onReached(const PeerAddress& peer) { experience_[peer] = { true, {}, {} }; }
+
+bool RelayPeers::onServerUnreachable(const PeerAddress& peer, const BackendId& backend)
+{
+    Experience& experience = experience_[peer];
+    experience.unreachable.insert(backend);
+    if (experience.unreachable.size() >= maxUnreachableInARow) {
+        experience = { false, {}, context_.now() + failurePause };
+    }
+    return experience.reachedServer;
+}
+
+void RelayPeers::onFailed(const PeerAddress& peer)
+{
+    std::erase_if(pausedUntil_, [&](const auto& entry) { return entry.second <= context_.now(); });
+    pausedUntil_[peer] = context_.now() + failurePause;
+}
+
+void RelayPeers::onEnded(const PeerAddress& peer)
 {
     if (const auto found = inFlight_.find(peer); found != inFlight_.end() && --found->second == 0) {
         inFlight_.erase(found);
     }
-    if (failed) {
-        std::erase_if(pausedUntil_, [&](const auto& entry) { return entry.second <= context_.now(); });
-        pausedUntil_[peer] = context_.now() + failurePause;
-    }
 }
 
 } // namespace swiftlift::node
--- a/src/node/RelayService.cpp
+++ b/src/node/RelayService.cpp
@@ -5,7 +5,7 @@
 namespace swiftlift::node {
 
 RelayService::RelayService(
-    Context& context, const ServerDirectory& servers, const BackendLinks& links, std::function<bool()> stopping)
+    Context& context, const ServerDirectory& servers, BackendLinks& links, std::function<bool()> stopping)
     : context_(context)
     , servers_(servers)
     , links_(links)
@@ -58,6 +58,9 @@
                      .with("backend", ended.mapped().value())
                      .with("bytes", static_cast<std::int64_t>(event.bytes))
                      .with("detail", event.detail));
+    if (event.failure != ConnectFailure::None) {
+        links_.onRelayedConnectFailed(ended.mapped(), event.failure);
+    }
 }
 
 } // namespace swiftlift::node
--- a/src/node/RelayService.h
+++ b/src/node/RelayService.h
@@ -14,8 +14,7 @@
 class RelayService {
 public:
     /** @param stopping Returns whether this router takes no new work. */
-    RelayService(
-        Context& context, const ServerDirectory& servers, const BackendLinks& links, std::function<bool()> stopping);
+    RelayService(Context& context, const ServerDirectory& servers, BackendLinks& links, std::function<bool()> stopping);
 
     void on(const RelayRequested& event);
     void on(const RelayEnded& event);
@@ -33,7 +32,7 @@
 
     Context& context_;
     const ServerDirectory& servers_;
-    const BackendLinks& links_;
+    BackendLinks& links_;
     std::function<bool()> stopping_;
     std::map<RelayId, BackendId> relays_;
 };
--- a/src/node/Requests.h
+++ b/src/node/Requests.h
@@ -120,7 +120,7 @@
     /** Ends the call without an answer, because the ledger did not accept its bill. */
     void onBillRefused(Call& call);
     void retryOrFail(Call& call, const AttemptEnded& ended);
-    void finishAttempt(Call& call, request::AttemptEnd end, const AttemptEnded* facts);
+    void finishAttempt(Call& call, const AttemptEnded& ended, ServerEvidence shown);
     void cancelAttempt(Call& call);
     /** @return Number of the bill among this router's ledger items; 0: nothing was billed. */
     std::uint64_t settle(Call& call, Tokens actual);
--- a/src/node/RequestsDispatch.cpp
+++ b/src/node/RequestsDispatch.cpp
@@ -197,8 +197,8 @@
     const ServiceName service = call.request.service;
     call.delivered = std::max(call.delivered, ended.answerTokens);
     const bool answered = ended.end != AttemptEnd::Broken && ended.connectFailure == ConnectFailure::None;
-    links_.onEnded(call.links, call.linkAttempt(), { ended.connectFailure, answered });
-    finishAttempt(call, ended.end, &ended);
+    const ServerEvidence shown = links_.onEnded(call.links, call.linkAttempt(), { ended.connectFailure, answered });
+    finishAttempt(call, ended, shown);
     if (ended.end == AttemptEnd::Completed) {
         complete(call, ended);
     } else {
@@ -207,20 +207,15 @@
     dispatchWaiting(service);
 }
 
-void Requests::finishAttempt(Call& call, AttemptEnd end, const AttemptEnded* facts)
+void Requests::finishAttempt(Call& call, const AttemptEnded& ended, ServerEvidence shown)
 {
-    table_.attemptEnded(call.request.key, end);
-    const bool inconclusive = facts != nullptr && links_.showsNothingOfServer(call.links, facts->connectFailure);
-    routing::FinishFacts finish { inconclusive ? routing::EndKind::Cancelled : internal::toEndKind(end), Tokens {},
-        Tokens {} };
-    if (facts != nullptr) {
-        finish.promptTokens = facts->promptTokens;
-        finish.cachedPromptTokens = facts->cachedPromptTokens;
-        finish.announcement = facts->announcement;
-    }
+    table_.attemptEnded(call.request.key, ended.end);
+    const bool conclusive = shown == ServerEvidence::Conclusive;
+    const routing::FinishFacts finish { conclusive ? internal::toEndKind(ended.end) : routing::EndKind::Cancelled,
+        ended.promptTokens, ended.cachedPromptTokens, ended.announcement };
     backends_.onFinished(call.backend, call.attempt, finish, context_.now());
     callByAttempt_.erase(call.attempt);
-    if (!inconclusive) {
+    if (shown != ServerEvidence::None) {
         call.excluded.insert(call.backend);
     }
     call.attempt = AttemptId {};
--- a/src/transport/RelayConnection.cpp
+++ b/src/transport/RelayConnection.cpp
@@ -46,6 +46,9 @@
         if (relay_->closed_) {
             return;
         }
+        if (&from_ == &relay_->backend_) {
+            relay_->backendRead(error);
+        }
         if (error == boost::asio::error::eof) {
             relay_->senderEnded(to_);
         } else if (error) {
@@ -112,13 +115,14 @@
     if (closed_) {
         return;
     }
-    const BackendId backend = error ? BackendId {} : parseRelayRequest(request_);
-    if (backend.value().empty()) {
+    backendId_ = error ? BackendId {} : parseRelayRequest(request_);
+    if (backendId_.value().empty()) {
         close("no request for a connection");
         return;
     }
     requested_ = true;
-    if (!context_.decisions.tryPush({ context_.incarnation, node::RelayRequested { id_, backend } }, reservedEvents)) {
+    if (!context_.decisions.tryPush(
+            { context_.incarnation, node::RelayRequested { id_, backendId_ } }, reservedEvents)) {
         refuse("overloaded");
     }
 }
@@ -139,7 +143,7 @@
                 return;
             }
             if (error) {
-                self->answerAndClose({ statusUnreachable, error.message() });
+                self->unreachable(error.message());
             } else {
                 self->connected();
             }
@@ -169,7 +173,33 @@
         });
 }
 
-void RelayConnection::timedOut() { answerAndClose({ connecting_ ? statusUnreachable : statusRefused, "timeout" }); }
+void RelayConnection::timedOut()
+{
+    if (connecting_) {
+        unreachable("timeout");
+    } else {
+        refuse("timeout");
+    }
+}
+
+void RelayConnection::unreachable(const std::string& reason)
+{
+    failure_ = node::ConnectFailure::Server;
+    answerAndClose({ statusUnreachable, reason });
+}
+
+void RelayConnection::backendRead(const ErrorCode& error)
+{
+    if (backendHeard_) {
+        return;
+    }
+    if (error) {
+        failure_ = node::ConnectFailure::Closed;
+        return;
+    }
+    backendHeard_ = true;
+    context_.decisions.pushOrDrop({ context_.incarnation, node::BackendConnected { backendId_ } });
+}
 
 void RelayConnection::refuse(const std::string& reason) { answerAndClose({ statusRefused, reason }); }
 
@@ -211,7 +241,7 @@
     toBackend_.reset();
     toRouter_.reset();
     if (requested_) {
-        context_.events.push({ context_.incarnation, node::RelayEnded { id_, bytes_, detail } });
+        context_.events.push({ context_.incarnation, node::RelayEnded { id_, bytes_, detail, failure_ } });
     }
     server_.onEnded(id_);
 }
--- a/src/transport/RelayConnection.h
+++ b/src/transport/RelayConnection.h
@@ -41,6 +41,10 @@
     void timedOut();
     /** Answers that no connection is made, and closes once that is written. */
     void answerAndClose(RelayAnswer answer);
+    /** Ends a connection that could not be made. */
+    void unreachable(const std::string& reason);
+    /** The first read from the backend server shows whether the connection is of use. */
+    void backendRead(const ErrorCode& error);
     /** One side has closed its connection; nothing more comes for `receiver`. */
     void senderEnded(Socket& receiver);
 
@@ -55,6 +59,10 @@
     std::shared_ptr<Direction> toBackend_;
     std::shared_ptr<Direction> toRouter_;
     std::uint64_t bytes_ = 0;
+    BackendId backendId_;
+    node::ConnectFailure failure_ = node::ConnectFailure::None;
+    /** Something has arrived from the backend server. */
+    bool backendHeard_ = false;
     bool requested_ = false;
     /** The core has accepted the connection, and it is being made. */
     bool connecting_ = false;
--- a/tests/node/GatewayLinksTest.cpp
+++ b/tests/node/GatewayLinksTest.cpp
@@ -1,3 +1,4 @@
+#include <optional>
 #include <set>
 
 #include "node/GatewayFixture.h"
@@ -109,6 +110,47 @@
         EXPECT_EQ(world.replyOf(call)->outcome, Outcome::NotRun);
     }
 
+    // Guards against sound servers behind breakers because a peer that has lost its links, too, could not reach them.
+    TEST_F(GatewayLinksTest, PeerThatReachesNoServerOpensNoBreakers)
+    {
+        loseLinks();
+        const PeerAddress peerWithoutLinks = GatewayWorld::addressOfRelay(91);
+        const std::size_t changes = world.lines("backend").size();
+        for (int number = 0; number < 30; ++number) {
+            const CallId call = world.arrive("/order/x");
+            auto dispatch = world.dispatchOf(call);
+            while (dispatch && dispatch->relay && dispatch->relay->peer == peerWithoutLinks) {
+                world.end(*dispatch, ProxyAttemptEnd::Unreachable, 0);
+                dispatch = world.dispatchOf(call);
+            }
+            ASSERT_TRUE(dispatch) << "request " << number;
+            world.end(*dispatch, ProxyAttemptEnd::Completed);
+            runWithPeers(milliseconds(100), false);
+        }
+        EXPECT_EQ(world.lines("backend").size(), changes);
+    }
+
+    // Guards against a crashed server that stays in use because only peers can tell that it can't be reached.
+    TEST_F(GatewayLinksTest, ServerThatPeersCannotReachAmongOthersIsLeftOut)
+    {
+        loseLinks();
+        std::optional<BackendId> crashed;
+        int sentToCrashed = 0;
+        for (int number = 0; number < 30; ++number) {
+            const CallId call = world.arrive("/order/x");
+            ProxyDispatch dispatch = dispatched(call);
+            crashed = crashed.value_or(dispatch.backend);
+            if (dispatch.backend == *crashed) {
+                ++sentToCrashed;
+                world.end(dispatch, ProxyAttemptEnd::Unreachable, 0);
+                dispatch = dispatched(call);
+            }
+            world.end(dispatch, ProxyAttemptEnd::Completed);
+            runWithPeers(milliseconds(100), false);
+        }
+        EXPECT_LT(sentToCrashed, 10);
+    }
+
     // Guards against a request that is lost because one peer turned it away.
     TEST_F(GatewayLinksTest, RequestThatAPeerTurnsAwayGoesThroughAnother)
     {
@@ -206,6 +248,22 @@
         EXPECT_EQ(world.lastHeartbeat()->unreachableDomains, std::vector<FailureDomain> { FailureDomain { "a" } });
     }
 
+    // Guards against a VM without callers that has lost its links, and goes on taking connections of others.
+    TEST_F(GatewayLinksTest, FailedRelayedConnectionsShowThatLinksAreLost)
+    {
+        world.run(milliseconds(200));
+        std::uint64_t number = 0;
+        for (const char* server : { "p-1", "p-2" }) {
+            const RelayId relay { ++number };
+            world.handle(RelayRequested { relay, BackendId { server } });
+            world.handle(RelayEnded { relay, 0, "Connection refused", ConnectFailure::Server });
+        }
+        world.endProbes(false);
+        ASSERT_EQ(world.lines("links").size(), 1U);
+        world.handle(RelayRequested { RelayId { 3 }, BackendId { "p-3" } });
+        EXPECT_FALSE(world.relayAnswerOf(RelayId { 3 })->address);
+    }
+
     // Guards against a leaving server that gets new requests through a VM that knows of it.
     TEST_F(GatewayLinksTest, NothingIsRelayedToServersThatGetNoRequests)
     {
--- a/tests/platform/BackendPartitionTest.cpp
+++ b/tests/platform/BackendPartitionTest.cpp
@@ -48,7 +48,8 @@
         void TearDown() override
         {
             fleet_.reset();
-            std::filesystem::remove_all(folder_);
+            if (!HasFailure())
+                std::filesystem::remove_all(folder_);
         }
 
         [[nodiscard]] CallerRequest nextRequest(const std::string& caller)
@@ -78,13 +79,16 @@
             }
         }
 
-        /** Sends requests to all routers for this long. @return The attempts at each router. */
-        std::vector<Attempts> load(milliseconds time)
+        /** Sends requests to all routers from this one on for this long. @return The attempts at each router. */
+        std::vector<Attempts> load(milliseconds time, std::size_t firstRouter = 0)
         {
             std::vector<Attempts> results(fleet_->routers() * callersPerRouter);
             std::vector<std::thread> callers;
             const auto end = std::chrono::steady_clock::now() + time;
             for (std::size_t index = 0; index < results.size(); ++index) {
+                if (index % fleet_->routers() < firstRouter) {
+                    continue;
+                }
                 callers.emplace_back(
                     [&, index] { call(index % fleet_->routers(), "c" + std::to_string(index), end, results[index]); });
             }
@@ -151,6 +155,16 @@
         expectServed(load(loadTime), 2);
     }
 
+    // Guards against a peer without links of its own, and without callers whose requests would show that, whose failed
+    // connections are held against sound servers.
+    TEST_P(BackendPartitionTest, RouterServesItsCallersWhilePeersHaveNotNoticedTheirOwnLoss)
+    {
+        cut(3);
+        constexpr std::size_t firstWithCallers = 2;
+        (void)load(contactTime, firstWithCallers);
+        expectServed(load(loadTime, firstWithCallers), 3);
+    }
+
     // Guards against a VM that starts within the partition, and so has never reached a backend server.
     TEST_P(BackendPartitionTest, RouterThatRestartsWithoutLinksServesItsCallers)
     {
--- a/tests/transport/RelayTest.cpp
+++ b/tests/transport/RelayTest.cpp
@@ -78,6 +78,19 @@
         Connection router = askForConnection();
         answer(BackendAddress(Listener().address()));
         EXPECT_TRUE(router.readUntil("\r\n\r\n").starts_with("HTTP/1.1 502"));
+        EXPECT_EQ(nextEvent<node::RelayEnded>(decisions).failure, node::ConnectFailure::Server);
+    }
+
+    // Guards against a relay whose links accept connections and then reset them, and that doesn't notice it.
+    TEST_F(RelayTest, ConnectionThatIsClosedBeforeAnythingArrivesIsReported)
+    {
+        Connection router = askForConnection();
+        answer(BackendAddress(backend.address()));
+        backend.accept().close();
+        EXPECT_TRUE(router.readUntil("\r\n\r\n").starts_with("HTTP/1.1 200"));
+        EXPECT_TRUE(router.closes());
+        router.close();
+        EXPECT_EQ(nextEvent<node::RelayEnded>(decisions).failure, node::ConnectFailure::Closed);
     }
 
     // Guards against a chain of relays, or a proxy to any address: only backend servers that the core knows are
