--- a/src/transport/Attempt.cpp
+++ b/src/transport/Attempt.cpp
@@ -203,7 +203,7 @@
         return;
     }
     if (count > 0 && std::exchange(unproven_, false)) {
-        handler_.backendConnected(*this);
+        context_.decisions.pushOrDrop({ context_.incarnation, node::BackendConnected { order_.backend } });
     }
     if (error) {
         onClosed(error);
@@ -282,7 +282,7 @@
         return;
     }
     if (const auto& announcement = reader_->announcement(); announcement && !announcement->empty()) {
-        handler_.announcementReceived(*this, *announcement);
+        context_.events.push({ Incarnation {}, node::BackendAnnounced { order_.backend, *announcement } });
     }
 }
 
--- a/src/transport/Attempt.h
+++ b/src/transport/Attempt.h
@@ -31,10 +31,6 @@
 
     /** The answer's reader has produced the next part of the answer. */
     virtual void answerPartReceived(Attempt& attempt, std::string part) = 0;
-    /** Something has arrived on the connection that this router itself made for the attempt. */
-    virtual void backendConnected(Attempt& attempt) = 0;
-    /** The head of the answer has arrived and states something about the backend server. */
-    virtual void announcementReceived(Attempt& attempt, const routing::Announcement& announcement) = 0;
     /** The attempt has ended. Called exactly once, unless the attempt is cancelled before. */
     virtual void attemptEnded(Attempt& attempt, AttemptResult result, std::string detail) = 0;
 };
--- a/src/transport/CallTable.cpp
+++ b/src/transport/CallTable.cpp
@@ -193,16 +193,6 @@
     }
 }
 
-void CallTable::backendConnected(Attempt& attempt)
-{
-    context_.decisions.pushOrDrop({ context_.incarnation, node::BackendConnected { attempt.backend() } });
-}
-
-void CallTable::announcementReceived(Attempt& attempt, const routing::Announcement& announcement)
-{
-    context_.events.push({ Incarnation {}, node::BackendAnnounced { attempt.backend(), announcement } });
-}
-
 void CallTable::attemptEnded(Attempt& attempt, AttemptResult result, std::string detail)
 {
     const auto running = running_.take(attempt.id());
--- a/src/transport/ProxyCallTable.cpp
+++ b/src/transport/ProxyCallTable.cpp
@@ -208,16 +208,6 @@
     }
 }
 
-void ProxyCallTable::backendConnected(Attempt& attempt)
-{
-    context_.decisions.pushOrDrop({ context_.incarnation, node::BackendConnected { attempt.backend() } });
-}
-
-void ProxyCallTable::announcementReceived(Attempt& attempt, const routing::Announcement& announcement)
-{
-    context_.events.push({ Incarnation {}, node::BackendAnnounced { attempt.backend(), announcement } });
-}
-
 void ProxyCallTable::attemptEnded(Attempt& attempt, AttemptResult result, std::string detail)
 {
     const auto running = running_.take(attempt.id());
--- a/src/transport/ProxyCallTable.h
+++ b/src/transport/ProxyCallTable.h
@@ -41,8 +41,6 @@
     void callerDrained(CallerConnection& connection) override;
     void connectionClosed(CallerConnection& connection) override;
     void answerPartReceived(Attempt& attempt, std::string part) override;
-    void backendConnected(Attempt& attempt) override;
-    void announcementReceived(Attempt& attempt, const routing::Announcement& announcement) override;
     void attemptEnded(Attempt& attempt, AttemptResult result, std::string detail) override;
 
 private:
--- a/tests/platform/PlatformFleet.cpp
+++ b/tests/platform/PlatformFleet.cpp
@@ -192,16 +192,6 @@
 
 void PlatformFleet::healLinksToEngines(std::size_t router) { links_->control({ { "heal", linksOf(router) } }); }
 
-std::uint64_t PlatformFleet::connectionsToEngines(std::size_t router) const
-{
-    const json audit = links_->get();
-    std::uint64_t sum = 0;
-    for (const auto& name : linksOf(router)) {
-        sum += audit["links"][name.get<std::string>()]["accepted"].get<std::uint64_t>();
-    }
-    return sum;
-}
-
 bool PlatformFleet::start()
 {
     for (std::size_t index = 0; index < engines_.size(); ++index) {
--- a/tests/platform/PlatformFleet.h
+++ b/tests/platform/PlatformFleet.h
@@ -89,8 +89,6 @@
      */
     void cutFromEngines(std::size_t router, const std::string& mode);
     void healLinksToEngines(std::size_t router);
-    /** @return Number of connections that the router has made to engines through its links. */
-    [[nodiscard]] std::uint64_t connectionsToEngines(std::size_t router) const;
 
     [[nodiscard]] standins::RunningService& store() noexcept { return *store_; }
     /** @param index The engines of the model service come first, then those of the plain service. */
