Show that listeners of libraries set no TCP_USER_TIMEOUT

The operators' listener (cxxtools) and the metrics' (prometheus-cpp with civetweb) had not been looked into. Nothing had to be mended.

--- a/tests/transport/DeadPeerTest.cpp
+++ b/tests/transport/DeadPeerTest.cpp
@@ -8,6 +8,8 @@
 #include <sys/socket.h>
 
 #include "swiftlift/transport/HttpClient.h"
+#include "swiftlift/transport/Metrics.h"
+#include "swiftlift/transport/OperatorServer.h"
 #include "swiftlift/transport/PeerLinks.h"
 #include "transport/StreamFixture.h"
 
@@ -35,24 +37,27 @@
         return value;
     }
 
-    /** @return The port of the other side; 0: the descriptor is no TCP connection. */
-    std::uint16_t remotePortOf(int descriptor)
+    /** Reads one of the two addresses of a connection. */
+    using AddressReader = int (*)(int, sockaddr*, socklen_t*);
+
+    /** @return The port of a side; 0: the descriptor is no TCP connection. */
+    std::uint16_t portOf(int descriptor, AddressReader read)
     {
         sockaddr_in address {};
         socklen_t size = sizeof(address);
         const bool isConnection = option(descriptor, SOL_SOCKET, SO_TYPE) == SOCK_STREAM
-            && ::getpeername(descriptor, reinterpret_cast<sockaddr*>(&address), &size) == 0
-            && address.sin_family == AF_INET;
+            && option(descriptor, SOL_SOCKET, SO_ACCEPTCONN) == 0
+            && read(descriptor, reinterpret_cast<sockaddr*>(&address), &size) == 0 && address.sin_family == AF_INET;
         return isConnection ? ntohs(address.sin_port) : 0;
     }
 
-    /** @return This process' connections to the port. */
-    std::vector<ConnectionFacts> connectionsTo(std::uint16_t port)
+    /** @return This process' connections with that port on one side. */
+    std::vector<ConnectionFacts> connectionsWith(std::uint16_t port, AddressReader side)
     {
         std::vector<ConnectionFacts> found;
         for (const auto& entry : std::filesystem::directory_iterator("/proc/self/fd")) {
             const int descriptor = std::stoi(entry.path().filename().string());
-            if (remotePortOf(descriptor) != port) {
+            if (portOf(descriptor, side) != port) {
                 continue;
             }
             constexpr int millisecondsPerSecond = 1000;
@@ -64,6 +69,9 @@
         return found;
     }
 
+    std::vector<ConnectionFacts> connectionsTo(std::uint16_t port) { return connectionsWith(port, ::getpeername); }
+    std::vector<ConnectionFacts> connectionsFrom(std::uint16_t port) { return connectionsWith(port, ::getsockname); }
+
     void expectGivesUpInTime(const ConnectionFacts& facts)
     {
         EXPECT_TRUE(facts.keepAlive);
@@ -109,5 +117,44 @@
         call.join();
     }
 
+    /** @return The connections that a listener of this process has accepted, once there are any. */
+    std::vector<ConnectionFacts> acceptedAt(std::uint16_t port)
+    {
+        const auto until = std::chrono::steady_clock::now() + longWait;
+        std::vector<ConnectionFacts> accepted;
+        while (accepted.empty() && std::chrono::steady_clock::now() < until) {
+            accepted = connectionsFrom(port);
+        }
+        return accepted;
+    }
+
+    // Guards against a library's own TCP_USER_TIMEOUT that gives up readers of metrics sooner than keepalive's count
+    // says.
+    TEST(DeadPeer, ConnectionsOfMonitoringHaveNoHiddenLimit)
+    {
+        const ControlTraffic traffic;
+        Metrics metrics(traffic);
+        ASSERT_TRUE(metrics.listen({ "127.0.0.1", 0 })) << metrics.lastReason();
+        const Connection reader = connectTo(metrics.port());
+        const auto accepted = acceptedAt(metrics.port());
+        ASSERT_FALSE(accepted.empty());
+        EXPECT_EQ(accepted.front().userTimeoutMs, 0);
+    }
+
+    // The same for operators.
+    TEST(DeadPeer, ConnectionsOfOperatorsHaveNoHiddenLimit)
+    {
+        DecisionInbox inbox(8);
+        OperatorServer server(inbox, std::chrono::milliseconds(200));
+        const std::uint16_t port = Listener().port();
+        ASSERT_TRUE(server.start({ "127.0.0.1", port })) << server.lastReason();
+        Connection reader = connectTo(port);
+        reader.write("GET /status HTTP/1.1\r\nHost: x\r\n\r\n");
+        const auto accepted = acceptedAt(port);
+        ASSERT_FALSE(accepted.empty());
+        EXPECT_EQ(accepted.front().userTimeoutMs, 0);
+        server.stop();
+    }
+
 } // namespace
 } // namespace swiftlift::transport::test
