Name the cause when links count as lost because no connection was made

The line said that no connection had failed for some time, which is the cause of the opposite change. Seen in a scenario whose links reset connections: loss is concluded 100 ms after the last connection that worked.

--- a/src/node/BackendLinks.cpp
+++ b/src/node/BackendLinks.cpp
@@ -46,7 +46,7 @@
         nextNewDomains_ = looksForNewDomains ? now + newDomainPeriod : nextNewDomains_;
         sendProbes();
     }
-    noteLinks("no connection has failed for some time");
+    noteLinks(lost() ? "no connection was made since the last failures" : "no connection has failed for some time");
 }
 
 void BackendLinks::sendProbes()
