Prove lost links at the project's own interface with real processes

Until now only tests of the decisions showed it there.

Polls of load reports and orders went past `backends.via`, so a forwarder could not stand for the way to a server; they use it now, as requests do. The status page has links_lost there, too.

--- a/apps/router/RouterProcess.cpp
+++ b/apps/router/RouterProcess.cpp
@@ -149,6 +149,7 @@
     {
         transport::PlatformSettings platform;
         platform.vmList = toEndpoint(settings.vmListEndpoint);
+        platform.forwarders = toForwarders(settings);
         return platform;
     }
 
--- a/include/swiftlift/transport/PlatformClient.h
+++ b/include/swiftlift/transport/PlatformClient.h
@@ -7,6 +7,7 @@
 
 #include "swiftlift/node/Action.h"
 #include "swiftlift/ring/Inbox.h"
+#include "swiftlift/transport/BackendForwarders.h"
 #include "swiftlift/transport/ControlTraffic.h"
 #include "swiftlift/transport/Endpoint.h"
 #include "swiftlift/transport/TaggedEvent.h"
@@ -27,6 +28,7 @@
     std::chrono::milliseconds limit { 1'000 };
     /** Maximum random deviation of a wait, as a fraction of its interval; it keeps routers from polling in step. */
     double jitter = 0.2;
+    BackendForwarders forwarders {};
 };
 
 /** Commands from the decision thread to the platform thread. */
--- a/include/swiftlift/transport/StreamServer.h
+++ b/include/swiftlift/transport/StreamServer.h
@@ -11,6 +11,7 @@
 #include "swiftlift/base/Ids.h"
 #include "swiftlift/logging/JsonLog.h"
 #include "swiftlift/node/Action.h"
+#include "swiftlift/transport/BackendForwarders.h"
 #include "swiftlift/transport/Endpoint.h"
 #include "swiftlift/transport/ProxyDialect.h"
 #include "swiftlift/transport/TaggedEvent.h"
@@ -91,9 +92,6 @@
     std::chrono::milliseconds gatherTime { 0 };
 };
 
-/** Endpoints to connect to in place of backend servers' addresses. */
-using BackendForwarders = std::map<BackendAddress, Endpoint>;
-
 /** Receives the token latencies that callers see. Called in the streams thread; must not block. */
 class StreamObserver {
 public:
--- a/src/node/CoreState.h
+++ b/src/node/CoreState.h
@@ -71,6 +71,7 @@
     [[nodiscard]] const Context& context() const noexcept { return context_; }
     [[nodiscard]] const Peers& peers() const noexcept { return peers_; }
     [[nodiscard]] const LogHealth& health() const noexcept { return health_; }
+    [[nodiscard]] const BackendLinks& links() const noexcept { return links_; }
     [[nodiscard]] const Services& services() const noexcept { return services_; }
     [[nodiscard]] const routing::BackendTable& backends() const noexcept { return backends_; }
     [[nodiscard]] const Requests& requests() const noexcept { return requests_; }
--- a/src/node/OperatorView.cpp
+++ b/src/node/OperatorView.cpp
@@ -27,8 +27,8 @@
             { "domain", settings.domain.value() }, { "region", settings.region.value() }, { "ready", state.ready() },
             { "stopping", state.stopping() }, { "retired", state.retired() },
             { "log_reachable", state.health().reachable(state.context().now()) },
-            { "in_progress", state.requests().inProgress() }, { "peers_alive", counts.alive },
-            { "peers_in_domain", counts.aliveInDomain }, { "positions", positions } };
+            { "links_lost", state.links().lost() }, { "in_progress", state.requests().inProgress() },
+            { "peers_alive", counts.alive }, { "peers_in_domain", counts.aliveInDomain }, { "positions", positions } };
     }
 
     [[nodiscard]] json budgets(const CoreState& state)
--- a/src/transport/BackendPoller.cpp
+++ b/src/transport/BackendPoller.cpp
@@ -34,7 +34,7 @@
     , hasCache_(hasCache)
     , timer_(context.loop)
 {
-    if (const auto endpoint = parseEndpoint(backend_.value())) {
+    if (const auto endpoint = endpointOf(context_.settings.forwarders, BackendAddress(backend_.value()))) {
         client_ = std::make_shared<AsyncHttpClient>(context.loop, *endpoint, context.traffic.backends);
     }
 }
--- a/src/transport/PlatformClient.cpp
+++ b/src/transport/PlatformClient.cpp
@@ -110,7 +110,7 @@
         }
         context.decisions.pushOrDrop({ Incarnation {}, std::move(answered) });
     };
-    const auto endpoint = parseEndpoint(order.backend.value());
+    const auto endpoint = endpointOf(settings.forwarders, BackendAddress(order.backend.value()));
     if (!endpoint) {
         answer(std::nullopt);
         return;
--- a/src/transport/StreamContext.h
+++ b/src/transport/StreamContext.h
@@ -35,8 +35,7 @@
     /** @return Where the backend server's address is reached; nullopt: the address is malformed. */
     [[nodiscard]] std::optional<Endpoint> endpointOf(const BackendAddress& address) const
     {
-        const auto forwarder = forwarders.find(address);
-        return forwarder == forwarders.end() ? parseEndpoint(address.value()) : forwarder->second;
+        return transport::endpointOf(forwarders, address);
     }
 };
 
--- a/tests/scenario/FleetPlan.cpp
+++ b/tests/scenario/FleetPlan.cpp
@@ -47,6 +47,9 @@
     constexpr std::size_t firstPlain = 200;
     constexpr std::size_t firstLinkNet = 100;
     constexpr const char* platformIp = "127.0.250.";
+    // Names of the sides of links that are no domains of VMs.
+    constexpr const char* platformSide = "platform";
+    constexpr const char* backendSide = "backends";
 
     std::string domainIp(std::size_t domain, std::size_t last)
     {
@@ -84,16 +87,21 @@
 
         void run()
         {
-            for (std::size_t index = 0; index < plan_.vms.size(); ++index)
-                planFrom(plan_.vms[index], "127.0." + std::to_string(firstLinkNet + index) + ".1");
+            for (std::size_t index = 0; index < plan_.vms.size(); ++index) {
+                const std::string ip = "127.0." + std::to_string(firstLinkNet + index) + ".1";
+                const std::uint16_t nextPort = planFrom(plan_.vms[index], ip);
+                if (plan_.backendLinks)
+                    planToBackends(plan_.vms[index], ip, nextPort);
+            }
         }
 
     private:
-        void planFrom(VmPlan& vm, const std::string& ip)
+        /** @return The first port of the address that is not used. */
+        std::uint16_t planFrom(VmPlan& vm, const std::string& ip)
         {
             std::uint16_t port = firstLinkPort;
-            vm.log = add(vm, "log", "platform", at(ip, base_, port++), plan_.log, 0);
-            vm.vmList = add(vm, "vm-list", "platform", at(ip, base_, port++), plan_.vmList, 0);
+            vm.log = add(vm, "log", platformSide, at(ip, base_, port++), plan_.log, 0);
+            vm.vmList = add(vm, "vm-list", platformSide, at(ip, base_, port++), plan_.vmList, 0);
             for (const auto& other : plan_.vms) {
                 if (other.name != vm.name) {
                     const double delay = other.domain == vm.domain ? 0 : delayMs_;
@@ -101,6 +109,15 @@
                 }
                 ++port;
             }
+            return port;
+        }
+
+        void planToBackends(const VmPlan& vm, const std::string& ip, std::uint16_t port)
+        {
+            for (const auto* kind : { &plan_.engines, &plan_.plains }) {
+                for (const BackendPlan& backend : *kind)
+                    add(vm, backend.name, backendSide, at(ip, base_, port++), backend.address, 0);
+            }
         }
 
         Address add(const VmPlan& vm, const std::string& to, const std::string& toDomain, Address listen,
@@ -177,6 +194,24 @@
         return options;
     }
 
+    bool isVmSide(const std::string& side) { return side != platformSide && side != backendSide; }
+
+    bool isBackendSide(const std::string& side) { return side == backendSide; }
+
+    /** @return The VM's links to sides of this kind, as a setting. */
+    std::string viaText(const FleetPlan& plan, const VmPlan& vm, bool (*isKind)(const std::string& side))
+    {
+        std::ostringstream text;
+        const char* separator = "";
+        for (const auto& link : plan.links) {
+            if (link.from == vm.name && isKind(link.toDomain)) {
+                text << separator << '"' << link.target.text() << "\": \"" << link.listen.text() << '"';
+                separator = ", ";
+            }
+        }
+        return "{" + text.str() + "}";
+    }
+
 } // namespace internal
 
 FleetPlan planFleet(Fields& fields, std::uint16_t basePort)
@@ -189,6 +224,7 @@
     plan.stepMs = fields.real("step_ms", shape.stepMs);
     plan.capacity = fields.number("capacity", 0);
     plan.engineOptions = internal::engineOptions(fields);
+    plan.backendLinks = fields.flag("backend_links", false);
     plan.retention = fields.number("retention", 0);
     plan.appendsPerSecond = fields.number("appends_per_second", 0);
     plan.ledgerPolicy = fields.text("ledger_policy", "grants");
@@ -238,15 +274,9 @@
             separator = ", ";
         }
     }
-    text << "]\n  via: {";
-    separator = "";
-    for (const auto& link : plan.links) {
-        if (link.from == vm.name && link.toDomain != "platform") {
-            text << separator << '"' << link.target.text() << "\": \"" << link.listen.text() << '"';
-            separator = ", ";
-        }
-    }
-    text << "}\n";
+    text << "]\n  via: " << internal::viaText(plan, vm, internal::isVmSide) << "\n";
+    if (plan.backendLinks)
+        text << "backends:\n  via: " << internal::viaText(plan, vm, internal::isBackendSide) << "\n";
     text << "ledger:\n  policy: " << plan.ledgerPolicy << "\n";
     if (plan.ledgerPolicy == "static_split")
         text << "  split_ways: " << plan.vms.size() << "\n";
--- a/tests/scenario/FleetPlan.h
+++ b/tests/scenario/FleetPlan.h
@@ -38,7 +38,8 @@
     /** Name of the VM that connects, and its domain. */
     std::string from;
     std::string fromDomain;
-    /** Name of what it connects to (VM, `log` or `vm-list`), and its domain (`platform` for the latter two). */
+    /** Name of what it connects to (VM, `log`, `vm-list` or backend server), and its domain (`platform` for `log` and
+     * `vm-list`, `backends` for backend servers). */
     std::string to;
     std::string toDomain;
     Address listen;
@@ -60,6 +61,8 @@
     Address linkControl;
     double stepMs = 3;
     std::int64_t capacity = 0;
+    /** VMs reach backend servers through links, too. */
+    bool backendLinks = false;
     /** More flags of the engine stand-ins, by name. */
     std::map<std::string, std::string> engineOptions;
     std::int64_t retention = 0;
