Heed at the relay, too, what servers state in relayed answers

A server that asks for rest sees the address of the router that connects to it. When that is a relay, the router that asked heeded the rest, and the relay, whose address the server meant, was not told: its own callers' requests, and those of other routers through it, went on to the server within the rest. Limits, leaving and brittleness reached it by heartbeats only.

Now the relay looks at the head of the one answer that each relayed connection carries, without changing a byte, and takes what the server states there as from an answer of its own.

The new test waits for what the relay reports of the server, which was nothing before (by reading; not run there). The relayed bytes are the same in it, also where the head comes in two parts.

--- a/include/swiftlift/transport/AnnouncementFields.h
+++ b/include/swiftlift/transport/AnnouncementFields.h
@@ -17,6 +17,9 @@
     std::string_view brittle;
 };
 
+/** The names at the project's own interface. */
+inline constexpr AnnouncementFields nativeAnnouncementFields { "X-Limit", "X-Leaving", "X-Brittle" };
+
 /**
  * @brief Reads what a backend server states about itself in an answer's head.
  *
--- a/src/transport/AnswerReader.cpp
+++ b/src/transport/AnswerReader.cpp
@@ -17,12 +17,11 @@
 
 HeadVerdict NativeAnswerReader::head(const AnswerHead& head)
 {
-    constexpr AnnouncementFields announcementFields { "X-Limit", "X-Leaving", "X-Brittle" };
     constexpr int ok = 200;
     constexpr int tooMany = 429;
     constexpr int unavailable = 503;
     status_ = head.status;
-    announcement_ = readAnnouncement(head, announcementFields);
+    announcement_ = readAnnouncement(head, nativeAnnouncementFields);
     if (status_ == tooMany || status_ == unavailable) {
         return HeadVerdict::Refusal;
     }
--- a/src/transport/Attempt.cpp
+++ b/src/transport/Attempt.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
+#include "transport/AnswerHeadTap.h"
 #include "transport/RelayText.h"
 #include "transport/SocketOptions.h"
 
@@ -30,17 +31,6 @@
     constexpr std::size_t maxRelayAnswerBytes = 4 * 1024;
     constexpr int statusBadGateway = 502;
 
-    template <typename Fields> AnswerHead headOf(int status, const Fields& fields)
-    {
-        AnswerHead head { status, {} };
-        for (const auto& field : fields) {
-            const auto name = field.name_string();
-            const auto value = field.value();
-            head.fields.push_back({ { name.data(), name.size() }, { value.data(), value.size() } });
-        }
-        return head;
-    }
-
     /** @return The idle time N that the backend server advertises with `Keep-Alive: timeout=N`. */
     std::optional<std::chrono::seconds> advertisedIdleTime(std::string_view keepAlive)
     {
@@ -270,7 +260,7 @@
         return;
     }
     const auto& message = parser_->get();
-    const AnswerHead head = headOf(static_cast<int>(message.result_int()), message);
+    const AnswerHead head = makeAnswerHead(static_cast<int>(message.result_int()), message);
     verdict_ = reader_->head(head);
     if (*verdict_ == HeadVerdict::Foreign) {
         logForeignAnswer(reader_->lastReason());
--- a/src/transport/RelayConnection.cpp
+++ b/src/transport/RelayConnection.cpp
@@ -47,7 +47,7 @@
             return;
         }
         if (&from_ == &relay_->backend_) {
-            relay_->backendRead(error);
+            relay_->backendRead(error, { buffer_.data(), count });
         }
         if (error == boost::asio::error::eof) {
             relay_->senderEnded(to_);
@@ -188,17 +188,20 @@
     answerAndClose({ statusUnreachable, reason });
 }
 
-void RelayConnection::backendRead(const ErrorCode& error)
+void RelayConnection::backendRead(const ErrorCode& error, std::string_view bytes)
 {
-    if (backendHeard_) {
-        return;
-    }
     if (error) {
-        failure_ = node::ConnectFailure::Closed;
+        failure_ = backendHeard_ ? node::ConnectFailure::None : node::ConnectFailure::Closed;
         return;
     }
-    backendHeard_ = true;
-    context_.decisions.pushOrDrop({ context_.incarnation, node::BackendConnected { backendId_ } });
+    if (!std::exchange(backendHeard_, true)) {
+        context_.decisions.pushOrDrop({ context_.incarnation, node::BackendConnected { backendId_ } });
+    }
+    if (const auto head = answerHead_.onBytes(bytes)) {
+        if (auto announcement = server_.announcementIn(*head); !announcement.empty()) {
+            context_.events.push({ Incarnation {}, node::BackendAnnounced { backendId_, std::move(announcement) } });
+        }
+    }
 }
 
 void RelayConnection::refuse(const std::string& reason) { answerAndClose({ statusRefused, reason }); }
--- a/src/transport/RelayConnection.h
+++ b/src/transport/RelayConnection.h
@@ -4,9 +4,11 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include "transport/AnswerHeadTap.h"
 #include "transport/Deadline.h"
 #include "transport/ReadPacer.h"
 #include "transport/RelayText.h"
@@ -43,8 +45,8 @@
     void answerAndClose(RelayAnswer answer);
     /** Ends a connection that could not be made. */
     void unreachable(const std::string& reason);
-    /** The first read from the backend server shows whether the connection is of use. */
-    void backendRead(const ErrorCode& error);
+    /** Notes what a read from the backend server shows of it. */
+    void backendRead(const ErrorCode& error, std::string_view bytes);
     /** One side has closed its connection; nothing more comes for `receiver`. */
     void senderEnded(Socket& receiver);
 
@@ -60,6 +62,7 @@
     std::shared_ptr<Direction> toRouter_;
     std::uint64_t bytes_ = 0;
     BackendId backendId_;
+    AnswerHeadTap answerHead_;
     node::ConnectFailure failure_ = node::ConnectFailure::None;
     /** Something has arrived from the backend server. */
     bool backendHeard_ = false;
--- a/src/transport/RelayServer.cpp
+++ b/src/transport/RelayServer.cpp
@@ -7,8 +7,9 @@
 
 namespace swiftlift::transport::internal {
 
-RelayServer::RelayServer(StreamContext& context)
+RelayServer::RelayServer(StreamContext& context, ReadAnnouncement readAnnouncement)
     : context_(context)
+    , readAnnouncement_(std::move(readAnnouncement))
 {
 }
 
--- a/src/transport/RelayServer.h
+++ b/src/transport/RelayServer.h
@@ -2,25 +2,32 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <unordered_map>
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include "swiftlift/routing/Announcement.h"
+#include "swiftlift/transport/HeaderFields.h"
 #include "transport/StreamContext.h"
 
 namespace swiftlift::transport::internal {
 
 class RelayConnection;
 
+/** Reads what a backend server states about itself in an answer's head. */
+using ReadAnnouncement = std::function<routing::Announcement(const AnswerHead&)>;
+
 /**
  * @brief Relays other routers' connections to backend servers as byte streams.
  *
- * The core decides on each connection. A relay only connects to backend servers, never to another relay.
+ * The core decides on each connection. A relay only connects to backend servers, never to another relay. It reads what
+ * servers state about themselves: a server that asks for rest sees this router's address, not the other router's.
  */
 class RelayServer {
 public:
-    explicit RelayServer(StreamContext& context);
+    RelayServer(StreamContext& context, ReadAnnouncement readAnnouncement);
     ~RelayServer();
     RelayServer(const RelayServer&) = delete;
     RelayServer& operator=(const RelayServer&) = delete;
@@ -32,6 +39,7 @@
     /** @return Number of connections, those included that the core has not decided on. */
     [[nodiscard]] std::size_t size() const noexcept { return connections_.size(); }
 
+    [[nodiscard]] routing::Announcement announcementIn(const AnswerHead& head) const { return readAnnouncement_(head); }
     /** Removes a connection that has ended. */
     void onEnded(RelayId relay);
 
@@ -40,6 +48,7 @@
     static constexpr std::size_t maxConnections = 256;
 
     StreamContext& context_;
+    ReadAnnouncement readAnnouncement_;
     std::uint64_t lastNumber_ = 0;
     std::unordered_map<RelayId, std::shared_ptr<RelayConnection>> connections_;
 };
--- a/src/transport/StreamServer.cpp
+++ b/src/transport/StreamServer.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "swiftlift/transport/AnnouncementFields.h"
 #include "transport/CallTable.h"
 #include "transport/LinkProber.h"
 #include "transport/ProxyCallTable.h"
@@ -38,6 +39,18 @@
         return std::make_unique<internal::CallTable>(context);
     }
 
+    internal::ReadAnnouncement makeAnnouncementReader(std::shared_ptr<const ProxyDialect> dialect)
+    {
+        if (!dialect) {
+            return [](const AnswerHead& head) { return readAnnouncement(head, nativeAnnouncementFields); };
+        }
+        return [dialect = std::move(dialect)](const AnswerHead& head) {
+            const AnswerMarks marks = dialect->marks(head);
+            // Another server at the same address states nothing about the intended one.
+            return marks.otherServer ? routing::Announcement {} : marks.announcement;
+        };
+    }
+
     /** A listening socket, with the timer for retries of accept(). */
     struct Listener {
         explicit Listener(boost::asio::io_context& loop)
@@ -64,8 +77,8 @@
         , inbox(commandRingCapacity)
         , context { loop, limits, decisions, ring::Outbox<TaggedEvent>(decisions), observer, log,
             internal::ReadPacer(loop, given.readInterval), {}, {}, {}, {} }
-        , table(makeTable(context, std::move(dialect)))
-        , relayServer(context)
+        , table(makeTable(context, dialect))
+        , relayServer(context, makeAnnouncementReader(std::move(dialect)))
         , prober(context)
         , callers(loop)
         , readiness(loop)
--- a/tests/transport/RelayTest.cpp
+++ b/tests/transport/RelayTest.cpp
@@ -64,6 +64,26 @@
         EXPECT_TRUE(router.closes());
     }
 
+    // Guards against a relay that goes on sending to a server that has asked its address for rest, in an answer to a
+    // request of another router.
+    TEST_F(RelayTest, WhatTheServerStatesIsHeededByTheRelayToo)
+    {
+        Connection router = askForConnection();
+        answer(BackendAddress(backend.address()));
+        Connection engine = backend.accept();
+        (void)router.readUntil("\r\n\r\n");
+        const std::string start = "HTTP/1.1 503 Full\r\nRetry-After: ";
+        const std::string rest = "3\r\nX-Limit: 2.5\r\nContent-Length: 4\r\n\r\nfull";
+        engine.write(start);
+        EXPECT_EQ(router.readUntil("After: "), start);
+        engine.write(rest);
+        EXPECT_EQ(router.readUntil("full"), rest);
+        const auto announced = nextEvent<node::BackendAnnounced>(decisions);
+        EXPECT_EQ(announced.backend, BackendId("s1"));
+        EXPECT_EQ(announced.announcement.rest, std::chrono::seconds(3));
+        EXPECT_EQ(announced.announcement.limit, 2.5);
+    }
+
     TEST_F(RelayTest, RefusalNamesItsReason)
     {
         Connection router = askForConnection();
