Leave a peer in use that declines one server

A peer that declined a connection because of its server (leaving, evacuated, at rest, unknown there) was left out for 500 ms like one that can't be reached. With the relay heeding rests, one server at rest would take all peers of a VM without links out of use together, and its callers would be told that there is no way, though other servers take requests.

Now such a refusal has a status of its own (403): the request goes to another server, by the same peer if it suits, and neither counts against the peer nor against the server.

New tests of the decision and of the relay's answer.

--- a/include/swiftlift/node/Action.h
+++ b/include/swiftlift/node/Action.h
@@ -48,6 +48,8 @@
     std::optional<BackendAddress> address;
     /** Why the request is refused. */
     std::string reason {};
+    /** It is refused because of the server: connections to others may be accepted. */
+    bool concernsServer = false;
 };
 /** Abandon the attempt: close its connection and emit no further events of it. */
 struct CancelAttempt {
--- a/include/swiftlift/node/RelayRoute.h
+++ b/include/swiftlift/node/RelayRoute.h
@@ -22,6 +22,8 @@
     Server,
     /** The relay could not be reached, or turned the connection away. */
     Relay,
+    /** The relay connects to no such server now, but may connect to others. */
+    Declined,
     /** This router's own connection was made, and ended from the other side before anything arrived on it: the request
      * may have run. */
     Closed,
--- a/src/node/BackendLinks.cpp
+++ b/src/node/BackendLinks.cpp
@@ -113,6 +113,9 @@
         history.failedRelays.insert(peer);
         return ServerEvidence::None;
     }
+    if (evidence.failure == ConnectFailure::Declined) {
+        return ServerEvidence::Doubtful;
+    }
     if (evidence.failure != ConnectFailure::None && !relays_.onServerUnreachable(peer, attempt.backend)) {
         history.doubtfulRelays.insert(peer);
         return ServerEvidence::Doubtful;
--- a/src/node/BackendLinks.h
+++ b/src/node/BackendLinks.h
@@ -79,7 +79,7 @@
 enum class ServerEvidence : std::uint8_t {
     /** The server answered or failed. */
     Conclusive,
-    /** The server or a peer's links may have failed. */
+    /** The server or a peer's links may have failed, or the peer knows that the server gets no requests. */
     Doubtful,
     /** Another part of the way failed: the server may be sound. */
     None,
--- a/src/node/RelayService.h
+++ b/src/node/RelayService.h
@@ -27,8 +27,10 @@
      * what one peer without links sends on a day of high load. */
     static constexpr std::size_t maxRelays = 64;
 
-    /** @return Why the connection is not relayed; empty: it is. */
-    [[nodiscard]] std::string objection(const std::optional<ReachableServer>& server) const;
+    /** @return Why no connection is relayed; empty: some are. */
+    [[nodiscard]] std::string objectionToAll() const;
+    /** @return Why no connection to the server is relayed; empty: it is. */
+    [[nodiscard]] std::string objectionTo(const std::optional<ReachableServer>& server) const;
 
     Context& context_;
     const ServerDirectory& servers_;
--- a/src/transport/Attempt.cpp
+++ b/src/transport/Attempt.cpp
@@ -29,7 +29,15 @@
     /** Time that a relay has to connect to the backend server and to report it, in multiples of the connect timeout. */
     constexpr int relayConnectTimeouts = 2;
     constexpr std::size_t maxRelayAnswerBytes = 4 * 1024;
-    constexpr int statusBadGateway = 502;
+
+    /** @param relayStatus Status of a relay that did not connect; 0: none was received. */
+    node::ConnectFailure failureOf(int relayStatus)
+    {
+        if (relayStatus == RelayAnswer::unreachable) {
+            return node::ConnectFailure::Server;
+        }
+        return relayStatus == RelayAnswer::declined ? node::ConnectFailure::Declined : node::ConnectFailure::Relay;
+    }
 
     /** @return The idle time N that the backend server advertises with `Keep-Alive: timeout=N`. */
     std::optional<std::chrono::seconds> advertisedIdleTime(std::string_view keepAlive)
@@ -146,14 +154,14 @@
         write();
         return;
     }
-    serverUnreachable_ = answer.status == statusBadGateway;
+    relayStatus_ = answer.status;
     endUnconnected("relay: " + answer.reason);
 }
 
 // Nothing of the request has been sent.
 void Attempt::endUnconnected(std::string detail)
 {
-    connectFailure_ = order_.relay && !serverUnreachable_ ? node::ConnectFailure::Relay : node::ConnectFailure::Server;
+    connectFailure_ = order_.relay ? failureOf(relayStatus_) : node::ConnectFailure::Server;
     end(AttemptResult::Unreachable, std::move(detail));
 }
 
--- a/src/transport/Attempt.h
+++ b/src/transport/Attempt.h
@@ -136,8 +136,8 @@
     node::ConnectFailure connectFailure_ = node::ConnectFailure::None;
     /** The connection to the relay was made. */
     bool relayReached_ = false;
-    /** The relay could not connect to the backend server. */
-    bool serverUnreachable_ = false;
+    /** Status with which the relay refused; 0: it did not. */
+    int relayStatus_ = 0;
     /** This router itself has made the connection, and nothing has arrived on it. */
     bool unproven_ = false;
     int status_ = 0;
--- a/src/transport/RelayConnection.cpp
+++ b/src/transport/RelayConnection.cpp
@@ -16,8 +16,6 @@
 
     constexpr std::size_t maxRequestBytes = 4 * 1024;
     constexpr std::size_t readBytes = 8 * 1024;
-    constexpr int statusUnreachable = 502;
-    constexpr int statusRefused = 503;
     /** Time for the request for a connection, and for the core's decision. */
     constexpr std::chrono::milliseconds requestTime { 1'000 };
 
@@ -123,7 +121,7 @@
     requested_ = true;
     if (!context_.decisions.tryPush(
             { context_.incarnation, node::RelayRequested { id_, backendId_ } }, reservedEvents)) {
-        refuse("overloaded");
+        refuse("overloaded", false);
     }
 }
 
@@ -131,7 +129,7 @@
 {
     const auto endpoint = context_.endpointOf(address);
     if (!endpoint) {
-        answerAndClose({ statusUnreachable, "no valid address" });
+        answerAndClose({ RelayAnswer::unreachable, "no valid address" });
         return;
     }
     connecting_ = true;
@@ -178,14 +176,14 @@
     if (connecting_) {
         unreachable("timeout");
     } else {
-        refuse("timeout");
+        refuse("timeout", false);
     }
 }
 
 void RelayConnection::unreachable(const std::string& reason)
 {
     failure_ = node::ConnectFailure::Server;
-    answerAndClose({ statusUnreachable, reason });
+    answerAndClose({ RelayAnswer::unreachable, reason });
 }
 
 void RelayConnection::backendRead(const ErrorCode& error, std::string_view bytes)
@@ -204,7 +202,10 @@
     }
 }
 
-void RelayConnection::refuse(const std::string& reason) { answerAndClose({ statusRefused, reason }); }
+void RelayConnection::refuse(const std::string& reason, bool concernsServer)
+{
+    answerAndClose({ concernsServer ? RelayAnswer::declined : RelayAnswer::refused, reason });
+}
 
 void RelayConnection::answerAndClose(RelayAnswer answer)
 {
--- a/src/transport/RelayConnection.h
+++ b/src/transport/RelayConnection.h
@@ -27,7 +27,8 @@
     void start();
     /** Connects to the backend server and then relays bytes. */
     void connect(const BackendAddress& address);
-    void refuse(const std::string& reason);
+    /** @param concernsServer Whether connections to other backend servers may be accepted. */
+    void refuse(const std::string& reason, bool concernsServer);
     /** Closes both sides. */
     void close(const std::string& detail);
 
--- a/src/transport/RelayServer.cpp
+++ b/src/transport/RelayServer.cpp
@@ -37,7 +37,7 @@
     if (answer.address) {
         connection->connect(*answer.address);
     } else {
-        connection->refuse(answer.reason);
+        connection->refuse(answer.reason, answer.concernsServer);
     }
 }
 
--- a/src/transport/RelayText.h
+++ b/src/transport/RelayText.h
@@ -14,8 +14,12 @@
 /** A relay's answer. */
 struct RelayAnswer {
     static constexpr int connected = 200;
+    /** Refused because of the backend server. */
+    static constexpr int declined = 403;
+    static constexpr int unreachable = 502;
+    static constexpr int refused = 503;
 
-    /** 200: connected; 502: the backend server can't be reached; other values: refused. 0: unreadable. */
+    /** Other values count as `refused`. 0: unreadable. */
     int status = 0;
     std::string reason;
 };
--- a/tests/node/GatewayLinksTest.cpp
+++ b/tests/node/GatewayLinksTest.cpp
@@ -167,6 +167,20 @@
         EXPECT_EQ(world.replyOf(call)->outcome, Outcome::NotRun);
     }
 
+    // Guards against peers that get no requests at all for a while because one server asked them for rest.
+    TEST_F(GatewayLinksTest, PeersThatDeclineOneServerStayInUse)
+    {
+        loseLinks();
+        const CallId call = world.arrive("/order/x");
+        const ProxyDispatch first = dispatched(call);
+        world.failRelay(first, ConnectFailure::Declined);
+        const ProxyDispatch second = dispatched(call);
+        EXPECT_NE(second.backend, first.backend);
+        EXPECT_EQ(second.relay, first.relay);
+        world.end(second, ProxyAttemptEnd::Completed);
+        EXPECT_EQ(world.lines("answered").size(), 1U);
+    }
+
     // Guards against a non-idempotent request that runs twice because the connection through a peer broke.
     TEST_F(GatewayLinksTest, NonIdempotentRequestWhoseRelayBrokeIsNotSentAgain)
     {
--- a/tests/node/GatewayWorld.cpp
+++ b/tests/node/GatewayWorld.cpp
@@ -249,11 +249,11 @@
         dispatch.attempt, attemptEnd, status, events, "ended by the test", false, announcement, connectFailure });
 }
 
-void GatewayWorld::failRelay(const ProxyDispatch& dispatch)
+void GatewayWorld::failRelay(const ProxyDispatch& dispatch, ConnectFailure failure)
 {
     dispatches_.erase(dispatch.call);
-    handle(ProxyAttemptEnded { dispatch.attempt, ProxyAttemptEnd::Unreachable, 0, 0, "relay: refused", false,
-        std::nullopt, ConnectFailure::Relay });
+    handle(ProxyAttemptEnded {
+        dispatch.attempt, ProxyAttemptEnd::Unreachable, 0, 0, "relay: refused", false, std::nullopt, failure });
 }
 
 std::size_t GatewayWorld::endProbes(bool connected)
--- a/tests/node/GatewayWorld.h
+++ b/tests/node/GatewayWorld.h
@@ -54,7 +54,7 @@
     void end(const ProxyDispatch& dispatch, ProxyAttemptEnd attemptEnd, int status = 200, std::uint64_t events = 0,
         const std::optional<routing::Announcement>& announcement = std::nullopt);
     /** The relay turns the attempt away, or can't be reached. */
-    void failRelay(const ProxyDispatch& dispatch);
+    void failRelay(const ProxyDispatch& dispatch, ConnectFailure failure = ConnectFailure::Relay);
     /** Answers all probes of links that were asked for. @return Number of probes. */
     std::size_t endProbes(bool connected);
     /** A peer of domain `a` that relays connections sends its heartbeat. */
--- a/tests/transport/RelayTest.cpp
+++ b/tests/transport/RelayTest.cpp
@@ -24,11 +24,11 @@
             return router;
         }
 
-        void answer(const std::optional<BackendAddress>& address)
+        void answer(const std::optional<BackendAddress>& address, bool concernsServer = false)
         {
             const auto asked = nextEvent<node::RelayRequested>(decisions);
             EXPECT_EQ(asked.backend, BackendId("s1"));
-            sendCommand(node::AnswerRelay { asked.relay, address, "not now" });
+            sendCommand(node::AnswerRelay { asked.relay, address, "not now", concernsServer });
         }
 
         std::uint16_t relayPort_ = Listener().port();
@@ -92,6 +92,14 @@
         EXPECT_TRUE(router.closes());
     }
 
+    // Guards against a router that leaves a relay alone because of one server that gets no requests.
+    TEST_F(RelayTest, RefusalBecauseOfTheServerIsToldApart)
+    {
+        Connection router = askForConnection();
+        answer(std::nullopt, true);
+        EXPECT_TRUE(router.readUntil("\r\n\r\n").starts_with("HTTP/1.1 403 not now"));
+    }
+
     // Guards against a router that takes a server that can't be reached for a relay that refuses.
     TEST_F(RelayTest, UnreachableServerIsReported)
     {
