Let another peer be asked where a relay has lost the domain

With the refusals for one server told apart, that of a peer which has lost the server's domain had become one of these: the request would have left out a sound server and stayed with the peer.

The two tests of what a router relays now tell both kinds of refusals apart.

--- a/include/swiftlift/node/Action.h
+++ b/include/swiftlift/node/Action.h
@@ -48,7 +48,7 @@
     std::optional<BackendAddress> address;
     /** Why the request is refused. */
     std::string reason {};
-    /** It is refused because of the server: connections to others may be accepted. */
+    /** It is refused because of what is known of the server: connections to others may be accepted. */
     bool concernsServer = false;
 };
 /** Abandon the attempt: close its connection and emit no further events of it. */
--- a/src/node/RelayService.cpp
+++ b/src/node/RelayService.cpp
@@ -13,30 +13,30 @@
 {
 }
 
-std::string RelayService::objectionToAll() const
+std::string RelayService::objectionToServer(const std::optional<ReachableServer>& server)
 {
-    if (stopping_()) {
-        return "stopping";
+    if (!server) {
+        return "unknown backend server";
     }
-    return relays_.size() >= maxRelays ? "too many relayed connections" : "";
+    return server->getsRequests ? "" : "the backend server gets no new requests";
 }
 
-std::string RelayService::objectionTo(const std::optional<ReachableServer>& server) const
+std::string RelayService::objectionToRelaying(const std::optional<ReachableServer>& server) const
 {
-    if (!server) {
-        return "unknown backend server";
+    if (stopping_()) {
+        return "stopping";
     }
-    if (!server->getsRequests) {
-        return "the backend server gets no new requests";
+    if (server && links_.seemsUnreachable(server->domain)) {
+        return "the failure domain can't be reached from here either";
     }
-    return links_.seemsUnreachable(server->domain) ? "the failure domain can't be reached from here either" : "";
+    return relays_.size() >= maxRelays ? "too many relayed connections" : "";
 }
 
 void RelayService::on(const RelayRequested& event)
 {
     const auto server = servers_.reachableServer(event.backend);
-    const std::string general = objectionToAll();
-    const std::string reason = general.empty() ? objectionTo(server) : general;
+    const std::string relaying = objectionToRelaying(server);
+    const std::string reason = relaying.empty() ? objectionToServer(server) : relaying;
     context_.log(LogLineBuilder("relay")
                      .with("backend", event.backend.value())
                      .with("outcome", reason.empty() ? "accepted" : "refused")
@@ -44,7 +44,7 @@
                      .with("in_progress", static_cast<std::int64_t>(relays_.size())));
     context_.count("swiftlift_relays_total", { { "outcome", reason.empty() ? "accepted" : "refused" } });
     if (!reason.empty()) {
-        context_.emit(AnswerRelay { event.relay, std::nullopt, reason, general.empty() });
+        context_.emit(AnswerRelay { event.relay, std::nullopt, reason, relaying.empty() });
         return;
     }
     relays_[event.relay] = event.backend;
--- a/src/node/RelayService.h
+++ b/src/node/RelayService.h
@@ -27,10 +27,10 @@
      * what one peer without links sends on a day of high load. */
     static constexpr std::size_t maxRelays = 64;
 
-    /** @return Why no connection is relayed; empty: some are. */
-    [[nodiscard]] std::string objectionToAll() const;
-    /** @return Why no connection to the server is relayed; empty: it is. */
-    [[nodiscard]] std::string objectionTo(const std::optional<ReachableServer>& server) const;
+    /** @return Why no router should send requests to the server; empty: there is no reason. */
+    [[nodiscard]] static std::string objectionToServer(const std::optional<ReachableServer>& server);
+    /** @return Why another router had better relay the connection; empty: there is no reason. */
+    [[nodiscard]] std::string objectionToRelaying(const std::optional<ReachableServer>& server) const;
 
     Context& context_;
     const ServerDirectory& servers_;
--- a/tests/node/GatewayLinksTest.cpp
+++ b/tests/node/GatewayLinksTest.cpp
@@ -257,6 +257,7 @@
         world.handle(RelayRequested { RelayId { 2 }, BackendId { "p-1" } });
         ASSERT_TRUE(world.relayAnswerOf(RelayId { 2 }));
         EXPECT_FALSE(world.relayAnswerOf(RelayId { 2 })->address);
+        EXPECT_FALSE(world.relayAnswerOf(RelayId { 2 })->concernsServer) << "another peer may reach it";
         world.run(seconds(1));
         ASSERT_TRUE(world.lastHeartbeat());
         EXPECT_EQ(world.lastHeartbeat()->unreachableDomains, std::vector<FailureDomain> { FailureDomain { "a" } });
@@ -291,6 +292,7 @@
             world.handle(RelayRequested { relay, BackendId { server } });
             ASSERT_TRUE(world.relayAnswerOf(relay));
             EXPECT_FALSE(world.relayAnswerOf(relay)->address) << server;
+            EXPECT_TRUE(world.relayAnswerOf(relay)->concernsServer) << server;
         }
     }
 
