--- a/src/transport/RelayConnection.cpp
+++ b/src/transport/RelayConnection.cpp
@@ -196,8 +196,8 @@
         context_.decisions.pushOrDrop({ context_.incarnation, node::BackendConnected { backendId_ } });
     }
     if (const auto head = answerHead_.onBytes(bytes)) {
-        if (auto announcement = server_.announcementIn(*head); !announcement.empty()) {
-            context_.events.push({ Incarnation {}, node::BackendAnnounced { backendId_, std::move(announcement) } });
+        if (const auto announcement = server_.announcementIn(*head); !announcement.empty()) {
+            context_.events.push({ Incarnation {}, node::BackendAnnounced { backendId_, announcement } });
         }
     }
 }
