Read the log connections' options once the client can have set them

The test looked when the system had accepted the connection, which may be before the client has returned from connect and set its options. It now waits for the request, which follows them, as the test of backend servers' connections does.

--- a/tests/transport/DeadPeerTest.cpp
+++ b/tests/transport/DeadPeerTest.cpp
@@ -109,6 +109,8 @@
         std::thread call([&] { (void)waiting.call({}, std::chrono::milliseconds(500)); });
         auto connection = log.accept();
         auto second = log.accept();
+        // The system accepts a connection before the client can set its options, and the request follows these.
+        (void)second.readUntil("\r\n\r\n");
         const auto connections = connectionsTo(endpoint->port);
         EXPECT_FALSE(connections.empty());
         for (const ConnectionFacts& facts : connections) {
