Parse heads at relays by one function

Cause: the reader of passing answers' heads repeated the steps with which the relay's own request and answer are parsed. Change: parseHead serves all three; behaviour is the same. Checked: format, the linter on both files, all 78 transport tests, three cases of lost links with real routers. The other tests were not run again.

--- a/src/transport/AnswerHeadTap.cpp
+++ b/src/transport/AnswerHeadTap.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/beast/http.hpp>
 
+#include "transport/HeadParsing.h"
+
 namespace swiftlift::transport::internal {
 
 namespace http = boost::beast::http;
@@ -13,13 +15,11 @@
     constexpr std::string_view endOfHead = "\r\n\r\n";
     constexpr std::size_t maxHeadBytes = 16 * 1024;
 
-    std::optional<AnswerHead> parseHead(std::string_view text)
+    std::optional<AnswerHead> parseAnswerHead(std::string_view text)
     {
         http::response_parser<http::empty_body> parser;
         parser.skip(true);
-        boost::system::error_code error;
-        parser.put(boost::asio::buffer(text.data(), text.size()), error);
-        if (error || !parser.is_header_done()) {
+        if (!parseHead(parser, text)) {
             return std::nullopt;
         }
         return makeAnswerHead(static_cast<int>(parser.get().result_int()), parser.get());
@@ -49,7 +49,7 @@
     if (end == std::string::npos) {
         return std::nullopt;
     }
-    return parseHead(std::string_view(head_).substr(0, end + endOfHead.size()));
+    return parseAnswerHead(std::string_view(head_).substr(0, end + endOfHead.size()));
 }
 
 } // namespace swiftlift::transport::internal
--- a/src/transport/RelayText.cpp
+++ b/src/transport/RelayText.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/beast/http.hpp>
 
+#include "transport/HeadParsing.h"
+
 namespace swiftlift::transport::internal {
 
 namespace http = boost::beast::http;
@@ -10,13 +12,6 @@
 
     constexpr std::string_view backendField = "Swiftlift-Backend";
 
-    template <typename Parser> bool parse(Parser& parser, std::string_view head)
-    {
-        boost::system::error_code error;
-        parser.put(boost::asio::buffer(head.data(), head.size()), error);
-        return !error && parser.is_header_done();
-    }
-
 } // namespace
 
 std::string relayRequestText(const BackendId& backend, const BackendAddress& address)
@@ -29,7 +24,7 @@
 BackendId parseRelayRequest(std::string_view head)
 {
     http::request_parser<http::empty_body> parser;
-    if (!parse(parser, head) || parser.get().method() != http::verb::connect) {
+    if (!parseHead(parser, head) || parser.get().method() != http::verb::connect) {
         return {};
     }
     const auto backend = parser.get()[std::string(backendField)];
@@ -46,7 +41,7 @@
 {
     http::response_parser<http::empty_body> parser;
     parser.skip(true);
-    if (!parse(parser, head)) {
+    if (!parseHead(parser, head)) {
         return { 0, "unreadable answer" };
     }
     return { static_cast<int>(parser.get().result_int()), std::string(parser.get().reason()) };
