Log each retry that a router takes from its share, or finds used up

The lines couldn't tell how many routers the bound was divided by, what the share had left, and when a retry was taken. A line `retry` now names them; it comes once for each retry that is decided.

--- a/include/swiftlift/routing/RetryShare.h
+++ b/include/swiftlift/routing/RetryShare.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 
@@ -41,6 +42,10 @@
      */
     [[nodiscard]] bool take(std::uint32_t routers, Instant now);
 
+    /** @return Number of requests within the window, as of the last call with a time. */
+    [[nodiscard]] std::size_t requests() const noexcept { return requests_.size(); }
+    /** @return Number of retries within the window, as of the last call with a time. */
+    [[nodiscard]] std::size_t retries() const noexcept { return retries_.size(); }
     /** @return Time until the oldest counted retry leaves the window. */
     [[nodiscard]] Duration retryAfter(Instant now) const;
 
--- a/src/node/ProxyRequests.h
+++ b/src/node/ProxyRequests.h
@@ -143,6 +143,8 @@
     void retryOrFail(ProxyRequest& request, const ProxyAttemptEnded& ended);
     /** @return Why the request must not be sent to another backend server; empty: it may, and one retry is counted. */
     [[nodiscard]] std::string objectionToRetry(ProxyRequest& request);
+    /** @return True if this router's share of the fleet's retries allows another one; it is counted then. */
+    [[nodiscard]] bool takeRetry(ProxyRequest& request);
     /** Dispatches waiting requests of the service while backend servers have room. */
     void dispatchWaiting(const ServiceName& service);
     [[nodiscard]] routing::SelectRequest makeSelectRequest(const ProxyRequest& request) const;
--- a/src/node/ProxyRequestsDispatch.cpp
+++ b/src/node/ProxyRequestsDispatch.cpp
@@ -375,10 +375,26 @@
         return "no time left for another attempt";
     }
     // The bound counts what arrives at backend servers: the next attempt of a request that never arrived is its first.
-    if (request.arrivals > 0 && !serviceState(request).retries.take(routerCount_(), context_.now())) {
+    if (request.arrivals > 0 && !takeRetry(request)) {
         return "this router's share of the fleet's retries is used up";
     }
     return {};
 }
 
+bool ProxyRequests::takeRetry(ProxyRequest& request)
+{
+    routing::RetryShare& retries = serviceState(request).retries;
+    const std::uint32_t routers = routerCount_();
+    const bool taken = retries.take(routers, context_.now());
+    context_.log(LogLineBuilder("retry")
+                     .with("request", request.info.id)
+                     .with("service", request.service->name.value())
+                     .with("taken", taken)
+                     .with("routers", static_cast<std::int64_t>(routers))
+                     .with("listed_vms", static_cast<std::int64_t>(fleet_.vms()))
+                     .with("requests_in_window", static_cast<std::int64_t>(retries.requests()))
+                     .with("retries_in_window", static_cast<std::int64_t>(retries.retries())));
+    return taken;
+}
+
 } // namespace swiftlift::node
