Read software versions, and let routers find out at which a stream began

The entries of backend servers state a version that nothing read, and an attempt that takes a stream up wasn't recognised. Lines `backend` and `route` now name the version.

Module streams: which streams began at which version (VersionBook), which versions a service had and until when (VersionHistory), and which routers keep what is known of a stream (keepersOf). StreamVersions remembers, tells keepers while there are several versions, asks and answers them. Nothing is decided by it yet.

The stand-in engines have a version, which each of their events names.

--- a/include/swiftlift/base/Ids.h
+++ b/include/swiftlift/base/Ids.h
@@ -30,6 +30,10 @@
 using RelayAddress = StrongType<struct RelayAddressTag, std::string>;
 /** Number that a router's transport assigns to a connection that it relays; unique within the process. */
 using RelayId = StrongType<struct RelayIdTag, std::uint64_t>;
+/** Version of the software of a backend server; empty: not stated. */
+using SoftwareVersion = StrongType<struct SoftwareVersionTag, std::string>;
+/** Id of the caller's attempt that brought a stream's first event. */
+using StreamId = StrongType<struct StreamIdTag, std::string>;
 /** Name of a route of the fleet's configuration. */
 using RouteName = StrongType<struct RouteNameTag, std::string>;
 /** Name of a failure domain. */
--- a/include/swiftlift/fleet/BackendServer.h
+++ b/include/swiftlift/fleet/BackendServer.h
@@ -31,6 +31,8 @@
     ServerState state = ServerState::Ready;
     /** How much longer the server is cold, when it wrote its entry. */
     Duration warmupLeft {};
+    /** Version of its software. What two versions write doesn't fit together in one stream. */
+    SoftwareVersion version {};
 
     [[nodiscard]] bool operator==(const BackendServer&) const = default;
 };
--- a/include/swiftlift/node/PeerMessage.h
+++ b/include/swiftlift/node/PeerMessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -131,7 +132,31 @@
     std::uint64_t sequence = 0;
 };
 
+/** The software version at which a stream began. */
+struct StreamVersion {
+    StreamId stream;
+    SoftwareVersion version;
+};
+/** First router to keepers: these streams began. */
+struct StreamsBegan {
+    std::vector<StreamVersion> streams;
+};
+/** Requests the version at which the stream began, because a caller takes the stream up again at the sender. */
+struct StreamVersionAsk {
+    ServiceName service;
+    StreamId stream;
+    /** How long ago the stream may have begun. */
+    Duration maxAge {};
+};
+/** Answers a StreamVersionAsk. */
+struct StreamVersionAnswer {
+    StreamId stream;
+    /** nullopt: the sender does not know. */
+    std::optional<SoftwareVersion> version;
+};
+
 using PeerMessage = std::variant<Heartbeat, RaiseCeilings, CeilingsAcked, CeilingsRefused, LoanAsk, LoanGiven,
-    LoanDenied, LoanDone, LoanDoneAcked, ReadAsk, Records, StreamState, RelayAppend, CopyItems, ItemsCopied>;
+    LoanDenied, LoanDone, LoanDoneAcked, ReadAsk, Records, StreamState, RelayAppend, CopyItems, ItemsCopied,
+    StreamsBegan, StreamVersionAsk, StreamVersionAnswer>;
 
 } // namespace swiftlift::node
--- a/include/swiftlift/node/ProxyRequest.h
+++ b/include/swiftlift/node/ProxyRequest.h
@@ -39,6 +39,10 @@
     std::vector<PrefixPart> prefix;
     /** Digest of the request's content, equal for each repetition of the request; nullopt: not known. */
     std::optional<ContentDigest> content;
+    /** The caller has received events of the stream, and wants those after them. */
+    bool continuesStream = false;
+    /** Id of the caller's attempt that began the stream that this one continues; empty: not stated. */
+    StreamId resumes;
 };
 
 /** A caller's request has been received completely. */
--- a/include/swiftlift/routing/BackendFacts.h
+++ b/include/swiftlift/routing/BackendFacts.h
@@ -46,6 +46,8 @@
     std::uint64_t instance = 0;
     /** The operators evacuate the server's failure domain: it gets no requests. */
     bool evacuated = false;
+    /** Version of the server's software. */
+    SoftwareVersion version = {};
     /** Empty if the server is warm. */
     std::optional<ColdPeriod> cold = {};
 };
--- a/include/swiftlift/routing/BackendTable.h
+++ b/include/swiftlift/routing/BackendTable.h
@@ -92,6 +92,8 @@
 struct BackendView {
     BackendId backend;
     FailureDomain domain;
+    /** Version of the server's software. */
+    SoftwareVersion version;
     BackendState state = BackendState::Up;
     /** Requests that run there: the last load report, corrected by what this router dispatched and finished since. */
     std::uint32_t running = 0;
--- a/include/swiftlift/routing/Selector.h
+++ b/include/swiftlift/routing/Selector.h
@@ -31,6 +31,8 @@
     Priority priority = Priority::Normal;
     /** Only idempotent requests may be a circuit breaker's probe. */
     bool idempotent = true;
+    /** Only backend servers of this software version may get the request; nullopt: any. */
+    std::optional<SoftwareVersion> version = std::nullopt;
     /** Backend servers that were tried already for this request. */
     std::set<BackendId> excluded;
     /** Failure domains that seem unreachable: their backend servers are used only if no other is left. */
--- /dev/null
+++ b/include/swiftlift/streams/Fwd.h
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace swiftlift::streams {
+
+class VersionBook;
+class VersionHistory;
+
+} // namespace swiftlift::streams
--- a/src/node/FleetDirectory.h
+++ b/src/node/FleetDirectory.h
@@ -21,6 +21,7 @@
 #include "swiftlift/fleet/RouteTable.h"
 #include "swiftlift/fleet/WarmupTracker.h"
 #include "swiftlift/routing/BackendTable.h"
+#include "swiftlift/streams/VersionHistory.h"
 
 namespace swiftlift::node {
 
@@ -92,6 +93,12 @@
     /** @return Number of registered VMs of the fleet, including this one. */
     [[nodiscard]] std::size_t vms() const noexcept { return vms_.size(); }
     [[nodiscard]] const EvacuationDirectory& evacuations() const noexcept { return evacuations_; }
+    /** @return The software versions of each service's servers. */
+    [[nodiscard]] const streams::VersionHistory& versions() const noexcept { return versions_; }
+    /** @return The registered VMs, including this one. */
+    [[nodiscard]] const std::vector<streams::KeeperCandidate>& vmList() const noexcept { return vms_.list(); }
+    /** @return True if this router can read the log. */
+    [[nodiscard]] bool logReachable() const { return health_.reachable(context_.now()); }
     /** @return Number of backend servers that are cold. */
     [[nodiscard]] std::size_t coldServers() const noexcept { return cold_.size(); }
 
@@ -141,6 +148,8 @@
     [[nodiscard]] std::optional<routing::ColdPeriod> coldPeriod(const fleet::BackendServer& server) const;
     /** Logs servers that have become cold or warm. */
     void noteColdServers();
+    /** Records the software versions of each service's servers. */
+    void recordVersions();
     /** Sets the ready servers of each service in the backend table. */
     void publishBackends();
     /** Requests a newer configuration and newer evacuations from a peer. */
@@ -155,6 +164,7 @@
     EvacuationDirectory evacuations_;
     VmRegistry vms_;
     fleet::WarmupTracker warmup_;
+    streams::VersionHistory versions_;
     /** Servers that were cold when the backend table was last set. */
     std::set<BackendId> cold_;
     RouteTablePtr routes_;
--- a/src/node/FleetDirectoryServers.cpp
+++ b/src/node/FleetDirectoryServers.cpp
@@ -95,6 +95,7 @@
                      .with("started_at", static_cast<std::int64_t>(server->startedAt))
                      .with("address", server->address.value())
                      .with("service", server->service.value())
+                     .with("version", server->version.value())
                      .with("domain", server->domain.value())
                      .with("offset", static_cast<std::int64_t>(record.offset.value())));
     servers_[id] = std::move(*server);
@@ -142,9 +143,27 @@
     return removed;
 }
 
+// Servers that leave count, too: streams that began there may be taken up again.
+void FleetDirectory::recordVersions()
+{
+    std::map<ServiceName, std::set<SoftwareVersion>> registered;
+    for (const ServiceName& service : published_) {
+        registered[service];
+    }
+    for (const auto& [id, server] : servers_) {
+        registered[server.service].insert(server.version);
+    }
+    for (const auto& [service, versions] : registered) {
+        versions_.setRegistered(service, versions, context_.now());
+    }
+}
+
 void FleetDirectory::publishBackends()
 {
     noteColdServers();
+    if (serversKnown_) {
+        recordVersions();
+    }
     std::map<ServiceName, std::vector<routing::BackendEntry>> services;
     for (const ServiceName& service : published_) {
         services[service];
@@ -152,7 +171,7 @@
     for (const auto& [id, server] : servers_) {
         if (server.state == fleet::ServerState::Ready) {
             services[server.service].push_back({ id, server.domain, server.slots, server.startedAt,
-                evacuations_.evacuations().contains(server.domain), coldPeriod(server) });
+                evacuations_.evacuations().contains(server.domain), server.version, coldPeriod(server) });
         }
     }
     published_.clear();
--- a/src/node/Gateway.cpp
+++ b/src/node/Gateway.cpp
@@ -30,7 +30,10 @@
     , quarantine_(context_, peers_)
     , links_(context_, peers_, *this, backends_)
     , relayService_(context_, *this, links_, [this] { return closing() || !retiredReason_.empty(); })
-    , proxyRequests_(context_, fleet_, backends_, links_, ledgers_, quarantine_, [this] { return fleetSize(); })
+    , streamVersions_(context_, peers_, fleet_,
+          [this](CallId call, const auto& version) { proxyRequests_.onStreamVersion(call, version); })
+    , proxyRequests_(
+          context_, fleet_, backends_, links_, ledgers_, quarantine_, streamVersions_, [this] { return fleetSize(); })
     , ending_(context_)
 {
 }
@@ -244,6 +247,12 @@
         fleet_.onPeerRecords(*records);
     } else if (records != nullptr && records->stream == QuarantineCoordinator::stream()) {
         quarantine_.onPeerRecords(*records);
+    } else if (const auto* began = std::get_if<StreamsBegan>(&event.message)) {
+        streamVersions_.on(*began);
+    } else if (const auto* ask = std::get_if<StreamVersionAsk>(&event.message)) {
+        streamVersions_.on(event, *ask);
+    } else if (const auto* answer = std::get_if<StreamVersionAnswer>(&event.message)) {
+        streamVersions_.on(event, *answer);
     } else if (const auto* relay = std::get_if<RelayAppend>(&event.message)) {
         context_.emit(Append { relay->stream, relay->record, {} });
     } else {
@@ -263,6 +272,7 @@
     fleet_.tick(stopRequested_.has_value());
     quarantine_.tick();
     links_.tick();
+    streamVersions_.tick();
     proxyRequests_.tick();
     ledgers_.tick(closing());
     backends_.tick(context_.now());
--- a/src/node/Gateway.h
+++ b/src/node/Gateway.h
@@ -15,6 +15,7 @@
 #include "node/QuarantineCoordinator.h"
 #include "node/RelayService.h"
 #include "node/StateChanges.h"
+#include "node/StreamVersions.h"
 #include "swiftlift/node/Core.h"
 #include "swiftlift/routing/BackendTable.h"
 
@@ -97,6 +98,7 @@
     QuarantineCoordinator quarantine_;
     BackendLinks links_;
     RelayService relayService_;
+    StreamVersions streamVersions_;
     ProxyRequests proxyRequests_;
     Ending ending_;
     std::string retiredReason_;
--- a/src/node/ProxyRequest.h
+++ b/src/node/ProxyRequest.h
@@ -15,7 +15,7 @@
 
 namespace swiftlift::node {
 
-enum class ProxyPhase : std::uint8_t { WaitingForTokens, WaitingForBackend, Running };
+enum class ProxyPhase : std::uint8_t { WaitingForVersion, WaitingForTokens, WaitingForBackend, Running };
 
 /** One proxied request in progress at this router. */
 struct ProxyRequest {
@@ -44,6 +44,10 @@
     BackendId backend;
     /** Start time that the backend server registered; with `backend` it identifies the instance. */
     std::uint64_t backendStartedAt = 0;
+    /** Software version of `backend`. */
+    SoftwareVersion backendVersion;
+    /** Version at which the stream began, and may go on; nullopt: it has not begun. */
+    std::optional<SoftwareVersion> streamVersion;
     /** Failure domain of `backend`. */
     FailureDomain domain;
     LinkHistory links;
--- a/src/node/ProxyRequests.h
+++ b/src/node/ProxyRequests.h
@@ -14,6 +14,7 @@
 #include "node/Ledgers.h"
 #include "node/ProxyRequest.h"
 #include "node/QuarantineCoordinator.h"
+#include "node/StreamVersions.h"
 #include "swiftlift/routing/Admission.h"
 #include "swiftlift/routing/BackendTable.h"
 #include "swiftlift/routing/FleetShare.h"
@@ -33,7 +34,8 @@
 public:
     /** @param fleetSize Returns the fleet's size, for this router's share of the fleet's retries. */
     ProxyRequests(Context& context, const FleetDirectory& fleet, routing::BackendTable& backends, BackendLinks& links,
-        Ledgers& ledgers, QuarantineCoordinator& quarantine, std::function<routing::FleetSize()> fleetSize);
+        Ledgers& ledgers, QuarantineCoordinator& quarantine, StreamVersions& streamVersions,
+        std::function<routing::FleetSize()> fleetSize);
 
     void start() { startedAt_ = context_.now(); }
 
@@ -52,6 +54,8 @@
      * @param aliveAt Latest time at which the previous instance was known to run; attempts sent before it are lost.
      */
     void onServerRestarted(const BackendId& server, Instant aliveAt);
+    /** The search for the version at which the stream of a request began has ended. @param version nullopt: unknown. */
+    void onStreamVersion(CallId call, const std::optional<SoftwareVersion>& version);
     void onTokensAvailable(const BudgetRef& budget) { replenishedBudgets_.insert(budget); }
     void tick();
     /** To be called after each event: retries the requests for whose budget tokens became available. */
@@ -95,6 +99,8 @@
     static constexpr Duration eventCountTimeout = std::chrono::seconds(2);
     /** `retryAfter` of refusals while this router starts or stops. */
     static constexpr Duration notReadyRetryAfter = std::chrono::milliseconds(500);
+    /** Time that a router may lag behind in the list of backend servers. */
+    static constexpr Duration serverListLag = std::chrono::seconds(2);
     /** `retryAfter` of refusals without a better estimate. */
     static constexpr Duration defaultRetryAfter = std::chrono::milliseconds(500);
 
@@ -122,6 +128,8 @@
     [[nodiscard]] bool refuseQuarantined(ProxyRequest& request);
     /** Refuses with this refusal if the configuration is known to be the newest, else as `config_unconfirmed`. */
     void refuseAsUnknown(ProxyRequest& request, const ProxyRefusal& refusal);
+    /** Searches the version at which the caller's stream began, then reserves tokens or refuses. */
+    void findStreamVersion(ProxyRequest& request);
     /** Reserves the request's maximum cost and goes on to a backend server, waits for pending tokens, or refuses. */
     void reserveTokens(ProxyRequest& request);
     [[nodiscard]] Duration tokenWaitLimit(const ProxyRequest& request) const;
@@ -143,6 +151,8 @@
      */
     [[nodiscard]] bool applyAdmission(ProxyRequest& request, const routing::AdmissionDecision& decision);
     void dispatch(ProxyRequest& request, const routing::Choice& choice);
+    /** Binds the stream to the version of the server that sent its first event. */
+    void noteStreamBegan(ProxyRequest& request);
     void retryOrFail(ProxyRequest& request, const ProxyAttemptEnded& ended);
     /** @return Why the request must not be sent to another backend server; empty: it may, and one retry is reserved. */
     [[nodiscard]] std::string objectionToRetry(ProxyRequest& request);
@@ -215,6 +225,7 @@
     BackendLinks& links_;
     Ledgers& ledgers_;
     QuarantineCoordinator& quarantine_;
+    StreamVersions& streamVersions_;
     std::function<routing::FleetSize()> fleetSize_;
     std::unique_ptr<routing::Selector> selector_;
     std::map<CallId, std::unique_ptr<ProxyRequest>> proxyRequests_;
--- a/src/node/ProxyRequestsDispatch.cpp
+++ b/src/node/ProxyRequestsDispatch.cpp
@@ -196,6 +196,7 @@
     request.attempt = AttemptId { ++lastAttempt_ };
     request.backend = choice.backend;
     request.backendStartedAt = server->startedAt;
+    request.backendVersion = server->version;
     request.domain = server->domain;
     ++request.dispatches;
     countRetry(request);
@@ -215,6 +216,7 @@
                      .with("config", static_cast<std::int64_t>(request.table->config().version))
                      .with("service", request.service->name.value())
                      .with("backend", choice.backend.value())
+                     .with("version", server->version.value())
                      .with("relay", request.links.relay.value_or(PeerAddress {}).value())
                      .with("offer", static_cast<std::int64_t>(request.dispatches))
                      .with("after_event", static_cast<std::int64_t>(request.events))
@@ -247,6 +249,7 @@
     request->events = std::max(request->events, progress.events);
     if (first) {
         request->firstEventAt = context_.now();
+        noteStreamBegan(*request);
         backends_.onFirstToken(request->backend, request->attempt, context_.now());
         links_.onAnswering(request->links, request->domain);
         quarantine_.onServerAnswered(request->backendInstance(), request->phaseStart);
@@ -254,6 +257,17 @@
     }
 }
 
+void ProxyRequests::noteStreamBegan(ProxyRequest& request)
+{
+    if (request.streamVersion) {
+        return;
+    }
+    request.streamVersion = request.backendVersion;
+    if (request.route->resumable) {
+        streamVersions_.onBegan(StreamId(request.info.id), request.backendVersion);
+    }
+}
+
 void ProxyRequests::onAttemptEnded(const ProxyAttemptEnded& ended)
 {
     ProxyRequest* request = findByAttempt(ended.attempt);
--- /dev/null
+++ b/src/node/StreamVersions.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "node/Context.h"
+#include "node/FleetDirectory.h"
+#include "node/Peers.h"
+#include "swiftlift/streams/VersionBook.h"
+
+namespace swiftlift::node {
+
+/** Whether the version at which a stream began is known. */
+struct VersionSearch {
+    /** Peers were asked; the result comes later. */
+    bool pending = false;
+    /** Only without `pending`; nullopt: not known. */
+    std::optional<SoftwareVersion> version;
+};
+
+/**
+ * @brief Finds out at which software version a stream began that a caller takes up again.
+ *
+ * The router at which a stream began remembers it. While a service has, or had lately, servers of several versions, it
+ * also tells the stream's keepers, which any router can name by the stream's id. A router that doesn't know a stream
+ * asks the keepers. Where only one version was registered since before the stream can have begun, that is its version.
+ */
+class StreamVersions {
+public:
+    using Listener = std::function<void(CallId, const std::optional<SoftwareVersion>&)>;
+
+    /** @param listener Gets the results of pending searches. */
+    StreamVersions(Context& context, const Peers& peers, const FleetDirectory& fleet, Listener listener);
+
+    /** A stream's first event was forwarded to the caller. */
+    void onBegan(const StreamId& stream, const SoftwareVersion& version);
+    /**
+     * @brief Searches the version at which a stream began.
+     * @param call The request that takes the stream up again.
+     * @param maxAge How long ago the stream may have begun.
+     */
+    [[nodiscard]] VersionSearch search(
+        CallId call, const ServiceName& service, const StreamId& stream, Duration maxAge);
+    /** @return True if streams of the service may have begun at different versions within this time. */
+    [[nodiscard]] bool hasSeveral(const ServiceName& service, Duration maxAge) const;
+
+    void on(const StreamsBegan& message);
+    void on(const PeerReceived& event, const StreamVersionAsk& message);
+    void on(const PeerReceived& event, const StreamVersionAnswer& message);
+    void tick();
+
+private:
+    /** Number of keepers that are told of a stream. */
+    static constexpr std::size_t keepersTold = 2;
+    /** Number of keepers that are asked: the list of routers may have changed since they were told. */
+    static constexpr std::size_t keepersAsked = 4;
+    /** Time for the keepers to answer. */
+    static constexpr Duration answerTime = std::chrono::milliseconds(150);
+    /** How long a stream is remembered: longer than callers take a stream up again. */
+    static constexpr Duration streamLifetime = std::chrono::seconds(60);
+    static constexpr std::size_t maxOwnStreams = 16'384;
+    static constexpr std::size_t maxKeptStreams = 16'384;
+
+    /** A search whose keepers have not all answered. */
+    struct Pending {
+        ServiceName service;
+        Duration maxAge {};
+        std::vector<CallId> calls;
+        std::set<PeerAddress> awaited;
+        Instant deadline {};
+    };
+
+    [[nodiscard]] std::optional<SoftwareVersion> remembered(const StreamId& stream);
+    /** @return The version of all streams of the service that began within this time, if it is known. */
+    [[nodiscard]] std::optional<SoftwareVersion> onlyVersion(const ServiceName& service, Duration maxAge) const;
+    void finish(const StreamId& stream, const std::optional<SoftwareVersion>& version);
+    void finishOverdue();
+    /** Tells the keepers of streams that have begun. */
+    void tellKeepers();
+    [[nodiscard]] bool isSelf(const PeerAddress& address) const;
+
+    Context& context_;
+    const Peers& peers_;
+    const FleetDirectory& fleet_;
+    Listener listener_;
+    streams::VersionBook own_;
+    streams::VersionBook kept_;
+    /** Own streams that the keepers were not told of. */
+    std::vector<StreamVersion> untold_;
+    /** The keepers are told of each stream. */
+    bool telling_ = false;
+    std::map<StreamId, Pending> pending_;
+};
+
+} // namespace swiftlift::node
--- a/src/node/VmRegistry.cpp
+++ b/src/node/VmRegistry.cpp
@@ -55,9 +55,11 @@
     }
     std::vector<ListedVm> listed;
     addresses_.clear();
+    list_.clear();
     for (const auto& [address, vm] : vms_) {
         listed.push_back(vm);
         addresses_.emplace_back(address);
+        list_.push_back({ vm.address, vm.domain });
     }
     peers_.onVmList(listed);
 }
--- a/src/node/VmRegistry.h
+++ b/src/node/VmRegistry.h
@@ -10,6 +10,7 @@
 #include "node/Peers.h"
 #include "swiftlift/base/Ids.h"
 #include "swiftlift/node/KeyedRecords.h"
+#include "swiftlift/streams/Keepers.h"
 
 namespace swiftlift::node {
 
@@ -27,6 +28,8 @@
     [[nodiscard]] bool registered() const { return vms_.contains(context_.settings().peerAddress.value()); }
     /** @return Number of registered VMs, including this one. */
     [[nodiscard]] std::size_t size() const noexcept { return vms_.size(); }
+    /** @return The registered VMs, including this one. */
+    [[nodiscard]] const std::vector<streams::KeeperCandidate>& list() const noexcept { return list_; }
     /** @return Addresses of the registered VMs, including this one, in order. */
     [[nodiscard]] const std::vector<PeerAddress>& addresses() const noexcept { return addresses_; }
 
@@ -43,6 +46,7 @@
     Peers& peers_;
     std::map<std::string, ListedVm> vms_;
     std::vector<PeerAddress> addresses_;
+    std::vector<streams::KeeperCandidate> list_;
     Instant nextRegister_ {};
     bool unregistered_ = false;
 };
--- a/src/routing/Backend.cpp
+++ b/src/routing/Backend.cpp
@@ -44,6 +44,7 @@
     entry_.domain = entry.domain;
     entry_.evacuated = entry.evacuated;
     entry_.cold = entry.cold;
+    entry_.version = entry.version;
     const bool newInstance = entry.instance > entry_.instance && entry_.instance != 0;
     entry_.instance = std::max(entry_.instance, entry.instance);
     if (!newInstance) {
@@ -311,6 +312,7 @@
     BackendView view;
     view.backend = entry_.backend;
     view.domain = entry_.domain;
+    view.version = entry_.version;
     view.state = state(now);
     view.running = load.running;
     view.waiting = load.waiting;
--- a/src/routing/Selector.cpp
+++ b/src/routing/Selector.cpp
@@ -33,6 +33,11 @@
         return "limited";
     }
 
+    [[nodiscard]] bool isOfAnotherVersion(const SelectRequest& request, const BackendView& view)
+    {
+        return request.version && view.version != *request.version;
+    }
+
     [[nodiscard]] std::string join(const std::map<std::string, int>& counts)
     {
         std::string text;
@@ -85,6 +90,9 @@
     if (!view.servesModel) {
         return "without the model";
     }
+    if (isOfAnotherVersion(request, view)) {
+        return "of another version";
+    }
     if (request.excluded.contains(view.backend)) {
         return "tried already";
     }
@@ -118,7 +126,7 @@
         if (const std::string reason = unusableReason(request, view); !reason.empty()) {
             ++classified.unusable[reason];
             const bool tried = request.excluded.contains(view.backend);
-            const bool mayBecomeUsable = view.usableAt && view.servesModel;
+            const bool mayBecomeUsable = view.usableAt && view.servesModel && !isOfAnotherVersion(request, view);
             // A server that turned this request away takes the caller's next attempt after its rest.
             const bool mayServeNextAttempt = mayBecomeUsable && (!tried || view.resting);
             if (mayServeNextAttempt && (!classified.usableAt || *view.usableAt < *classified.usableAt)) {
--- /dev/null
+++ b/src/streams/Keepers.cpp
@@ -0,0 +1,36 @@
+#include "swiftlift/streams/Keepers.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <set>
+#include <utility>
+
+#include "swiftlift/base/RendezvousHash.h"
+
+namespace swiftlift::streams {
+
+std::vector<PeerAddress> keepersOf(
+    const StreamId& stream, const std::vector<KeeperCandidate>& routers, std::size_t count)
+{
+    const std::uint64_t key = stableHash(stream.value());
+    std::vector<std::pair<std::uint64_t, const KeeperCandidate*>> ranked;
+    ranked.reserve(routers.size());
+    for (const KeeperCandidate& router : routers) {
+        ranked.emplace_back(rendezvousRank(key, stableHash(router.address.value())), &router);
+    }
+    std::ranges::sort(ranked, std::ranges::greater {}, &std::pair<std::uint64_t, const KeeperCandidate*>::first);
+    std::set<FailureDomain> domains;
+    const auto isFirstOfDomain
+        = [&domains](const auto& router) { return domains.insert(router.second->domain).second; };
+    std::ranges::stable_partition(ranked, isFirstOfDomain);
+    std::vector<PeerAddress> keepers;
+    for (const auto& [rank, router] : ranked) {
+        if (keepers.size() == count) {
+            break;
+        }
+        keepers.push_back(router->address);
+    }
+    return keepers;
+}
+
+} // namespace swiftlift::streams
--- /dev/null
+++ b/src/streams/VersionHistory.cpp
@@ -0,0 +1,80 @@
+#include "swiftlift/streams/VersionHistory.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace swiftlift::streams {
+
+namespace {
+
+    /** Versions that went this long ago are forgotten; no stream lasts as long. */
+    constexpr Duration maxMemory = std::chrono::minutes(5);
+
+} // namespace
+
+void VersionHistory::setRegistered(const ServiceName& service, const std::set<SoftwareVersion>& versions, Instant now)
+{
+    const auto [entry, isNew] = services_.try_emplace(service);
+    Service& known = entry->second;
+    if (isNew) {
+        known.knownSince = now;
+    }
+    for (auto& [version, lastSeen] : known.lastSeen) {
+        if (lastSeen == Instant::max() && !versions.contains(version)) {
+            lastSeen = now;
+        }
+    }
+    for (const SoftwareVersion& version : versions) {
+        known.lastSeen[version] = Instant::max();
+    }
+    std::erase_if(known.lastSeen, [now](const auto& seen) { return seen.second < now - maxMemory; });
+}
+
+const VersionHistory::Service* VersionHistory::find(const ServiceName& service) const
+{
+    const auto found = services_.find(service);
+    return found == services_.end() ? nullptr : &found->second;
+}
+
+std::optional<SoftwareVersion> VersionHistory::onlyVersion(const ServiceName& service, Duration age, Instant now) const
+{
+    const Service* known = find(service);
+    if (known == nullptr || known->knownSince > now - age) {
+        return std::nullopt;
+    }
+    std::optional<SoftwareVersion> only;
+    for (const auto& [version, lastSeen] : known->lastSeen) {
+        if (lastSeen < now - age) {
+            continue;
+        }
+        if (only) {
+            return std::nullopt;
+        }
+        only = version;
+    }
+    return only;
+}
+
+bool VersionHistory::hasSeveral(const ServiceName& service, Duration age, Instant now) const
+{
+    const Service* known = find(service);
+    const auto isRecent = [&](const auto& seen) { return seen.second >= now - age; };
+    return known != nullptr && std::ranges::count_if(known->lastSeen, isRecent) > 1;
+}
+
+bool VersionHistory::anyHasSeveral(Duration age, Instant now) const
+{
+    return std::ranges::any_of(services_, [&](const auto& entry) { return hasSeveral(entry.first, age, now); });
+}
+
+bool VersionHistory::isRegistered(const ServiceName& service, const SoftwareVersion& version) const
+{
+    const Service* known = find(service);
+    if (known == nullptr) {
+        return false;
+    }
+    const auto seen = known->lastSeen.find(version);
+    return seen != known->lastSeen.end() && seen->second == Instant::max();
+}
+
+} // namespace swiftlift::streams
--- a/src/wire/PeerReader.cpp
+++ b/src/wire/PeerReader.cpp
@@ -106,6 +106,24 @@
         return { StreamName(in.stream()), Offset(in.first_offset()), { in.records().begin(), in.records().end() } };
     }
 
+    node::StreamsBegan read(const proto::peer::StreamsBegan& in)
+    {
+        node::StreamsBegan began;
+        for (const auto& entry : in.streams()) {
+            began.streams.push_back({ StreamId(entry.stream()), SoftwareVersion(entry.version()) });
+        }
+        return began;
+    }
+
+    node::StreamVersionAnswer read(const proto::peer::StreamVersionAnswer& in)
+    {
+        node::StreamVersionAnswer answer { StreamId(in.stream()), std::nullopt };
+        if (in.has_version()) {
+            answer.version = SoftwareVersion(in.version());
+        }
+        return answer;
+    }
+
 } // namespace
 
 std::optional<node::PeerMessage> readMessage(const Envelope& in)
@@ -143,6 +161,13 @@
             in.copy_items().distant() };
     case Envelope::kItemsCopied:
         return node::ItemsCopied { StreamName(in.items_copied().stream()), in.items_copied().sequence() };
+    case Envelope::kStreamsBegan:
+        return read(in.streams_began());
+    case Envelope::kStreamVersionAsk:
+        return node::StreamVersionAsk { ServiceName(in.stream_version_ask().service()),
+            StreamId(in.stream_version_ask().stream()), toAge(in.stream_version_ask().max_age()) };
+    case Envelope::kStreamVersionAnswer:
+        return read(in.stream_version_answer());
     case Envelope::BODY_NOT_SET:
         return std::nullopt;
     }
--- a/src/wire/PeerWriter.cpp
+++ b/src/wire/PeerWriter.cpp
@@ -176,4 +176,31 @@
     body.set_sequence(message.sequence);
 }
 
+void write(const node::StreamsBegan& message, proto::peer::Envelope& out)
+{
+    auto& body = *out.mutable_streams_began();
+    for (const auto& [stream, version] : message.streams) {
+        auto& entry = *body.add_streams();
+        entry.set_stream(stream.value());
+        entry.set_version(version.value());
+    }
+}
+
+void write(const node::StreamVersionAsk& message, proto::peer::Envelope& out)
+{
+    auto& body = *out.mutable_stream_version_ask();
+    body.set_service(message.service.value());
+    body.set_stream(message.stream.value());
+    body.set_max_age(static_cast<std::uint64_t>(message.maxAge.count()));
+}
+
+void write(const node::StreamVersionAnswer& message, proto::peer::Envelope& out)
+{
+    auto& body = *out.mutable_stream_version_answer();
+    body.set_stream(message.stream.value());
+    if (message.version) {
+        body.set_version(message.version->value());
+    }
+}
+
 } // namespace swiftlift::wire::internal
--- a/src/wire/PeerWriter.h
+++ b/src/wire/PeerWriter.h
@@ -21,5 +21,8 @@
 void write(const node::RelayAppend& message, proto::peer::Envelope& out);
 void write(const node::CopyItems& message, proto::peer::Envelope& out);
 void write(const node::ItemsCopied& message, proto::peer::Envelope& out);
+void write(const node::StreamsBegan& message, proto::peer::Envelope& out);
+void write(const node::StreamVersionAsk& message, proto::peer::Envelope& out);
+void write(const node::StreamVersionAnswer& message, proto::peer::Envelope& out);
 
 } // namespace swiftlift::wire::internal
--- a/tests/node/GatewayWorld.cpp
+++ b/tests/node/GatewayWorld.cpp
@@ -123,12 +123,12 @@
 }
 
 void GatewayWorld::putServer(const std::string& id, const std::string& service, const std::string& domain,
-    fleet::ServerState state, std::uint64_t startedAt, Duration warmupLeft)
+    fleet::ServerState state, std::uint64_t startedAt, Duration warmupLeft, const std::string& version)
 {
     const std::string name = id + (state == fleet::ServerState::Ready ? "" : " leaving") + " of "
-        + std::to_string(startedAt) + " cold for " + std::to_string(warmupLeft.count());
+        + std::to_string(startedAt) + " cold for " + std::to_string(warmupLeft.count()) + " at " + version;
     codec_->servers[name] = { BackendId(id), startedAt, BackendAddress("127.0.0.1:1"), ServiceName(service),
-        FailureDomain(domain), 8, state, warmupLeft };
+        FailureDomain(domain), 8, state, warmupLeft, SoftwareVersion(version) };
     handle(KeyedRecords { serverName, { { Offset { ++keyedOffset_ }, id, name } }, false });
 }
 
@@ -220,16 +220,35 @@
     }
 }
 
-CallId GatewayWorld::arrive(const std::string& path, std::int64_t promptTokens, std::int64_t answerTokens,
-    Duration deadline, const std::string& key)
+std::string GatewayWorld::requestIdOf(CallId call) { return "r" + std::to_string(call.value()); }
+
+ProxyRequestArrived GatewayWorld::makeArrival(const std::string& path, Duration deadline)
 {
     ProxyRequestArrived arrived;
     arrived.call = CallId { ++lastCall_ };
-    arrived.facts.id = "r" + std::to_string(lastCall_);
+    arrived.facts.id = requestIdOf(arrived.call);
     arrived.facts.host = "desk";
     arrived.facts.path = path;
-    arrived.facts.key = key;
+    arrived.facts.key = "k";
     arrived.facts.deadline = deadline;
+    return arrived;
+}
+
+CallId GatewayWorld::takeUp(const std::string& path, const std::string& stream, Duration deadline)
+{
+    ProxyRequestArrived arrived = makeArrival(path, deadline);
+    arrived.facts.continuesStream = true;
+    arrived.facts.resumes = StreamId(stream);
+    arrived.at = now_;
+    handle(arrived);
+    return arrived.call;
+}
+
+CallId GatewayWorld::arrive(const std::string& path, std::int64_t promptTokens, std::int64_t answerTokens,
+    Duration deadline, const std::string& key)
+{
+    ProxyRequestArrived arrived = makeArrival(path, deadline);
+    arrived.facts.key = key;
     arrived.facts.promptTokens = Tokens { promptTokens };
     arrived.facts.maxAnswerTokens = Tokens { answerTokens };
     arrived.facts.prefix = { { 5, Tokens { promptTokens } } };
@@ -388,6 +407,8 @@
         } else if (const auto* message = std::get_if<SendPeer>(&action)) {
             if (const auto* heartbeat = std::get_if<Heartbeat>(&message->message)) {
                 lastHeartbeat_ = *heartbeat;
+            } else {
+                sentToPeers_.push_back(*message);
             }
         }
         stopReady_ = stopReady_ || std::holds_alternative<StopReady>(action);
--- a/tests/node/GatewayWorld.h
+++ b/tests/node/GatewayWorld.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "swiftlift/fleet/FleetCodec.h"
@@ -94,7 +95,23 @@
         putConfig(std::move(next));
     }
     void putServer(const std::string& id, const std::string& service, const std::string& domain,
-        fleet::ServerState state = fleet::ServerState::Ready, std::uint64_t startedAt = 0, Duration warmupLeft = {});
+        fleet::ServerState state = fleet::ServerState::Ready, std::uint64_t startedAt = 0, Duration warmupLeft = {},
+        const std::string& version = "v1");
+    /** A caller whose stream broke takes it up again. @param stream Id of the attempt that began the stream. */
+    CallId takeUp(const std::string& path, const std::string& stream, Duration deadline = std::chrono::seconds(5));
+    /** @return The request id of a call. */
+    [[nodiscard]] static std::string requestIdOf(CallId call);
+    /** @return Messages of this kind that were sent to peers, with the receivers. */
+    template <typename Message> [[nodiscard]] std::vector<std::pair<PeerAddress, Message>> sent() const
+    {
+        std::vector<std::pair<PeerAddress, Message>> found;
+        for (const SendPeer& message : sentToPeers_) {
+            if (const auto* wanted = std::get_if<Message>(&message.message)) {
+                found.emplace_back(message.to, *wanted);
+            }
+        }
+        return found;
+    }
     /** The operators request a domain's evacuation. @param text See NamedCodec::isEvacuation(). */
     void evacuate(const std::string& domain, const std::string& text = "please");
     /** The operators take the evacuation back. */
@@ -123,6 +140,8 @@
     bool reportsEventCounts = true;
 
 private:
+    /** @return A request of the account `club`, without tokens. */
+    [[nodiscard]] ProxyRequestArrived makeArrival(const std::string& path, Duration deadline);
     void putConfig(fleet::FleetConfig config);
     void execute(Actions& actions);
     void on(const Append& append);
@@ -151,6 +170,7 @@
     std::map<CallId, Reply> replies_;
     std::set<CallId> failures_;
     std::set<AttemptId> cancelled_;
+    std::vector<SendPeer> sentToPeers_;
     std::vector<BackendId> probes_;
     std::map<RelayId, AnswerRelay> relayAnswers_;
     std::vector<LogLine> lines_;
--- a/tests/platform/PlatformFleet.cpp
+++ b/tests/platform/PlatformFleet.cpp
@@ -123,6 +123,7 @@
         deleteEntry(ended);
         putEntry(index, started, "ready");
     };
+    versions_.push_back(settings.version);
     engines_.push_back(std::make_unique<RunningService>(
         std::make_unique<standin::EngineService>(std::move(settings), std::move(restarted))));
 }
@@ -243,13 +244,20 @@
     putEntry(engine, "i-" + std::to_string(engine), state);
 }
 
+void PlatformFleet::setVersion(std::size_t engine, const std::string& version)
+{
+    versions_.at(engine) = version;
+    engines_.at(engine)->control({ { "version", version } });
+    registerEngine(engine, "ready");
+}
+
 void PlatformFleet::unregisterEngine(std::size_t engine) { deleteEntry("i-" + std::to_string(engine)); }
 
 void PlatformFleet::putEntry(std::size_t engine, const std::string& id, const std::string& state)
 {
     const json entry { { "backend", serviceOf(engine) }, { "address", engines_.at(engine)->address() },
-        { "zone", domainOf(engine) }, { "version", "v1" }, { "slots", 32 }, { "state", state }, { "warmup_left_ms", 0 },
-        { "sequence", 1 } };
+        { "zone", domainOf(engine) }, { "version", versions_.at(engine) }, { "slots", 32 }, { "state", state },
+        { "warmup_left_ms", 0 }, { "sequence", 1 } };
     putRecord("keyed.servers", id, entry.dump());
 }
 
@@ -272,7 +280,13 @@
         { "Credential", request.key }, { "Deadline-Ms", std::to_string(request.deadlineMs) }, { "Model", "m" } };
     if (!request.tokens.empty()) {
         headers["Token-Usage"] = request.tokens;
-        headers["Prefix-Hash"] = "5c1e07a2:8,e4402b7d:4";
+        headers["Prefix-Hash"] = request.prefix;
+    }
+    if (!request.resumes.empty()) {
+        headers["Resumes"] = request.resumes;
+    }
+    if (!request.lastEvent.empty()) {
+        headers["Last-Event-Id"] = request.lastEvent;
     }
     const auto reply = client.call({ .body = request.body, .target = request.path, .headers = std::move(headers) });
     return reply ? CallerAnswer { reply->status, reply->body, true } : CallerAnswer {};
@@ -297,6 +311,16 @@
     return false;
 }
 
+std::optional<std::size_t> PlatformFleet::engineOf(const std::string& id)
+{
+    for (std::size_t engine = 0; engine < engines_.size(); ++engine) {
+        if (engines_[engine]->get()["runs"].contains(id)) {
+            return engine;
+        }
+    }
+    return std::nullopt;
+}
+
 std::uint64_t PlatformFleet::runsOf(const std::string& id) { return auditCount(id, "runs"); }
 std::uint64_t PlatformFleet::eventsOf(const std::string& id) { return auditCount(id, "events"); }
 
--- a/tests/platform/PlatformFleet.h
+++ b/tests/platform/PlatformFleet.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <filesystem>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,11 @@
     std::string tokens {};
     std::uint64_t deadlineMs = 5000;
     std::string body = "{}";
+    /** Parts of the prompt, with `tokens`. */
+    std::string prefix = "5c1e07a2:8,e4402b7d:4";
+    /** Id of the attempt that began the stream, and of the last event received; empty: the request begins anew. */
+    std::string resumes {};
+    std::string lastEvent {};
 };
 
 /** Number of routers and engines. Each kind is distributed over the failure domains in turn. */
@@ -80,6 +86,8 @@
     void startRouter(std::size_t router);
     /** Writes an engine's entry to the store, as the engine itself does on the platform. */
     void registerEngine(std::size_t engine, const std::string& state);
+    /** Makes the engine one of this software version, and writes its entry. */
+    void setVersion(std::size_t engine, const std::string& version);
     /** Deletes an engine's entry from the store. */
     void unregisterEngine(std::size_t engine);
 
@@ -103,6 +111,9 @@
     {
         return routers_.at(router).settings;
     }
+    /** @return The first engine that started the request with this id; nullopt: none did. */
+    [[nodiscard]] std::optional<std::size_t> engineOf(const std::string& id);
+    [[nodiscard]] const std::string& versionOf(std::size_t engine) const { return versions_.at(engine); }
     /** @return How often the engines started the request with this id. */
     [[nodiscard]] std::uint64_t runsOf(const std::string& id);
     /** @return Number of events that the engines sent for the request with this id. */
@@ -139,6 +150,8 @@
     std::uint64_t version_ = 0;
     std::unique_ptr<standins::RunningService> store_;
     std::vector<std::unique_ptr<standins::RunningService>> engines_;
+    /** Software version of each engine. */
+    std::vector<std::string> versions_;
     std::unique_ptr<standins::RunningService> links_;
     std::vector<Router> routers_;
     std::vector<std::string> seeds_;
--- a/tests/platform/standin/EngineService.cpp
+++ b/tests/platform/standin/EngineService.cpp
@@ -27,7 +27,10 @@
     /** Time between two looks whether the engine is still silent. */
     constexpr double silencePeriodMs = 5;
 
-    std::string eventText(std::uint64_t id) { return "id: " + std::to_string(id) + "\ndata: piece\n\n"; }
+    std::string eventText(std::uint64_t id, const std::string& version)
+    {
+        return "id: " + std::to_string(id) + "\ndata: piece " + version + "\n\n";
+    }
 
 } // namespace
 
@@ -48,6 +51,7 @@
     });
     controls().addValue("whole_ms", settings_.wholeMs);
     controls().addValue("id", settings_.id);
+    controls().addValue("version", settings_.version);
     controls().addValue("events", settings_.events);
     controls().addValue("between_events_ms", settings_.betweenEventsMs);
 }
@@ -159,13 +163,13 @@
     for (std::uint64_t id = after + 1; id <= settings_.events && !exchange.isClosed(); ++id) {
         if (closesEarly && id == after + 2) {
             if (halfEvent_) {
-                co_await exchange.writeChunk(eventText(id).substr(0, 7));
+                co_await exchange.writeChunk(eventText(id, settings_.version).substr(0, 7));
             }
             exchange.drop();
             co_return;
         }
         co_await waitForSound(exchange);
-        co_await exchange.writeChunk(eventText(id));
+        co_await exchange.writeChunk(eventText(id, settings_.version));
         ++run.events;
         co_await exchange.sleep(Milliseconds(settings_.betweenEventsMs));
     }
--- a/tests/platform/standin/EngineService.h
+++ b/tests/platform/standin/EngineService.h
@@ -19,6 +19,8 @@
     std::uint64_t events = 5;
     double betweenEventsMs = 2;
     std::uint64_t tokensPerEvent = 7;
+    /** Software version, which each event names. */
+    std::string version = "v1";
 };
 
 /**
@@ -28,7 +30,7 @@
  *
  * `POST /control` accepts `fail_next` (number of requests that are answered with 500), `break_next` (number of requests
  * whose connection is closed after the first event, or without an answer), `full` (requests are answered with 503 and
- * not started), `half_event` (with `break_next`: the connection is closed within an event), `id`, `events`,
+ * not started), `half_event` (with `break_next`: the connection is closed within an event), `id`, `version`, `events`,
  * `between_events_ms`, `whole_ms` and `silent_ms` (it sends nothing for this long, and then goes on).
  *
  * It states its limit, its leaving and its rest by the controls of standins::Announcer.
--- /dev/null
+++ b/tests/streams/VersionHistoryTest.cpp
@@ -0,0 +1,55 @@
+#include "swiftlift/streams/VersionHistory.h"
+
+#include <chrono>
+
+#include <gtest/gtest.h>
+
+namespace swiftlift::streams {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr Instant start { 100s };
+    const ServiceName service { "model" };
+    const SoftwareVersion v1 { "v1" };
+    const SoftwareVersion v2 { "v2" };
+
+    // Guards against a router that has just started and takes what it sees for all there was.
+    TEST(VersionHistory, OnlyVersionIsKnownAfterTheTimeThatIsAskedFor)
+    {
+        VersionHistory history;
+        EXPECT_FALSE(history.onlyVersion(service, 10s, start));
+        history.setRegistered(service, { v1 }, start);
+        EXPECT_FALSE(history.onlyVersion(service, 10s, start + 9s));
+        EXPECT_EQ(history.onlyVersion(service, 10s, start + 10s), v1);
+    }
+
+    // Guards against streams of a version that was released a moment ago, or is just gone.
+    TEST(VersionHistory, VersionThatIsGoneCountsForTheTimeThatIsAskedFor)
+    {
+        VersionHistory history;
+        history.setRegistered(service, { v1 }, start);
+        history.setRegistered(service, { v1, v2 }, start + 20s);
+        EXPECT_TRUE(history.hasSeveral(service, 10s, start + 20s));
+        EXPECT_FALSE(history.onlyVersion(service, 10s, start + 25s));
+        history.setRegistered(service, { v2 }, start + 30s);
+        EXPECT_FALSE(history.isRegistered(service, v1));
+        EXPECT_TRUE(history.isRegistered(service, v2));
+        EXPECT_TRUE(history.anyHasSeveral(10s, start + 40s));
+        EXPECT_FALSE(history.onlyVersion(service, 10s, start + 40s));
+        EXPECT_EQ(history.onlyVersion(service, 10s, start + 41s), v2);
+        EXPECT_FALSE(history.hasSeveral(service, 10s, start + 41s));
+    }
+
+    TEST(VersionHistory, ServiceWithoutServersKeepsItsHistory)
+    {
+        VersionHistory history;
+        history.setRegistered(service, { v1 }, start);
+        history.setRegistered(service, {}, start + 20s);
+        EXPECT_FALSE(history.isRegistered(service, v1));
+        EXPECT_EQ(history.onlyVersion(service, 10s, start + 25s), v1);
+        EXPECT_FALSE(history.onlyVersion(service, 10s, start + 31s));
+    }
+
+} // namespace
+} // namespace swiftlift::streams
--- a/tests/wire/PeerCodecTest.cpp
+++ b/tests/wire/PeerCodecTest.cpp
@@ -34,7 +34,10 @@
             node::Records { StreamName("s"), Offset(9), { std::string("\0a", 2), "b" } },
             node::StreamState { StreamName("s"), Offset(10), std::string("\0state", 6) },
             node::RelayAppend { StreamName("s"), "record" }, node::CopyItems { StreamName("s"), "batch", true },
-            node::ItemsCopied { StreamName("s"), 42 } };
+            node::ItemsCopied { StreamName("s"), 42 },
+            node::StreamsBegan { { { StreamId("a"), SoftwareVersion("v1") }, { StreamId("b"), SoftwareVersion("") } } },
+            node::StreamVersionAsk { ServiceName("s"), StreamId("a"), std::chrono::seconds(9) },
+            node::StreamVersionAnswer { StreamId("a"), SoftwareVersion("v1") } };
     }
 
 } // namespace
