Let a stream go on only at the version that began it

Cause: nothing knew of versions, and nothing was remembered of a stream beyond one attempt. The class of fault: state that binds later attempts of a caller is kept in one attempt at one VM, as with requests that crash servers.

Now the first event binds a stream to its server's version. Within the answer only servers of that version get it. An attempt that takes a stream up (Last-Event-Id, Resumes) looks it up: remembered here, told by the router where it began, answered by one of the four keepers that each router can name by the stream's id, or the only version that was registered since before the stream can have begun. Unknown after 150 ms, or no server of the version left: 503, not run, with a time, at once.

Weighed: a version chosen by the stream's id, which both attempts reach without talking: the set of versions changes between the two attempts, and a changed choice mixes without anyone noticing.

--- a/src/node/ProxyRequests.cpp
+++ b/src/node/ProxyRequests.cpp
@@ -70,7 +70,11 @@
         return;
     }
     serviceState(request).retries.onRequest();
-    reserveTokens(request);
+    if (info.continuesStream && request.route->answer == fleet::AnswerKind::Events) {
+        findStreamVersion(request);
+    } else {
+        reserveTokens(request);
+    }
 }
 
 void ProxyRequests::findStreamVersion(ProxyRequest& request)
--- a/src/node/ProxyRequestsDispatch.cpp
+++ b/src/node/ProxyRequestsDispatch.cpp
@@ -80,6 +80,7 @@
     selection.priority = internal::priorityOf(request.urgency);
     selection.idempotent = request.mayRunAgain();
     selection.excluded = request.excluded;
+    selection.version = request.streamVersion;
     selection.unreachableDomains = links_.unreachableDomains();
     if (request.route->sharesPrefixes && !request.info.prefix.empty()) {
         selection.prefixHash = internal::sharedPrefixHash(request.info.prefix);
