--- a/src/streams/Keepers.cpp
+++ b/src/streams/Keepers.cpp
@@ -18,11 +18,12 @@
     for (const KeeperCandidate& router : routers) {
         ranked.emplace_back(rendezvousRank(key, stableHash(router.address.value())), &router);
     }
-    std::ranges::sort(ranked, std::ranges::greater {}, &std::pair<std::uint64_t, const KeeperCandidate*>::first);
+    std::sort(
+        ranked.begin(), ranked.end(), [](const auto& left, const auto& right) { return left.first > right.first; });
     std::set<FailureDomain> domains;
     const auto isFirstOfDomain
         = [&domains](const auto& router) { return domains.insert(router.second->domain).second; };
-    std::ranges::stable_partition(ranked, isFirstOfDomain);
+    std::stable_partition(ranked.begin(), ranked.end(), isFirstOfDomain);
     std::vector<PeerAddress> keepers;
     for (const auto& [rank, router] : ranked) {
         if (keepers.size() == count) {
