Split the handling of proxied requests by failed attempts and streams

No behaviour changed but two: a take-up that doesn't name its first attempt is refused without asking peers while there are several versions, and refusals of take-ups name 3 s, in which crashed servers are back.

--- a/src/node/ProxyRequests.h
+++ b/src/node/ProxyRequests.h
@@ -26,9 +26,12 @@
 /**
  * @brief Handles each proxied request from its arrival to its single final answer.
  *
- * ProxyRequests.cpp: arrival and token reservation. ProxyRequestsDispatch.cpp: choice of a backend server and attempts.
+ * ProxyRequests.cpp: arrival and token reservation. ProxyRequestsStreams.cpp: the version at which a stream may go on.
+ * ProxyRequestsDispatch.cpp: choice of a backend server and attempts. ProxyRequestsRetries.cpp: what failed attempts
+ * lead to.
  * ProxyRequestsEnd.cpp: end and billing. A caller's request id names one attempt of the caller and is never reused.
- * After a request's end only the quarantine retains data about its content.
+ * After a request's end only the quarantine retains data about its content, and StreamVersions the version at which its
+ * stream began.
  */
 class ProxyRequests {
 public:
@@ -101,6 +104,8 @@
     static constexpr Duration notReadyRetryAfter = std::chrono::milliseconds(500);
     /** Time that a router may lag behind in the list of backend servers. */
     static constexpr Duration serverListLag = std::chrono::seconds(2);
+    /** `retryAfter` of refusals because no server can go on with a stream: servers that crashed are back by then. */
+    static constexpr Duration streamRetryAfter = std::chrono::seconds(3);
     /** `retryAfter` of refusals without a better estimate. */
     static constexpr Duration defaultRetryAfter = std::chrono::milliseconds(500);
 
--- a/tests/node/GatewayStreamVersionTest.cpp
+++ b/tests/node/GatewayStreamVersionTest.cpp
@@ -138,6 +138,12 @@
         EXPECT_EQ(world.replyOf(call)->outcome, Outcome::NotRun);
     }
 
+    // Guards against a mixed stream of a caller that does not say which attempt began it.
+    TEST_F(GatewayStreamVersionTest, TakeUpWithoutTheFirstAttemptsIdIsRefusedWhileThereAreSeveralVersions)
+    {
+        expectRefused(world.takeUp("/resumable/x", ""), 503, "stream_unknown");
+    }
+
     // Guards against streams that only a dead router knew.
     TEST_F(GatewayStreamVersionTest, KeepersAreToldOfStreamsOnceThereAreSeveralVersions)
     {
