--- a/tests/platform/ConfigCodecTest.cpp
+++ b/tests/platform/ConfigCodecTest.cpp
@@ -110,6 +110,22 @@
         EXPECT_FALSE(findings.empty());
     }
 
+    // Guards against mixed streams: a version that can't be read must not count as one that others have, too.
+    TEST_F(ConfigCodecTest, ReadsTheSoftwareVersionOfABackendServer)
+    {
+        Findings findings;
+        const auto readWithField = [&](const std::string& field) {
+            return codec_.server("i-1",
+                R"({"backend":"h","address":"10.0.0.1:80","zone":"a","slots":4,"state":"ready")" + field + "}",
+                findings);
+        };
+        EXPECT_EQ(readWithField("")->version, SoftwareVersion(""));
+        EXPECT_EQ(readWithField(R"(,"version":"v1.2")")->version, SoftwareVersion("v1.2"));
+        EXPECT_TRUE(findings.empty());
+        EXPECT_FALSE(readWithField(R"(,"version":12)"));
+        EXPECT_EQ(findings.size(), 1U);
+    }
+
     TEST_F(ConfigCodecTest, ReadsTheStartTimeOfABackendServer)
     {
         Findings findings;
--- a/tests/platform/HttpDialectTest.cpp
+++ b/tests/platform/HttpDialectTest.cpp
@@ -33,6 +33,22 @@
         EXPECT_EQ(facts.prefix[1].tokens, Tokens(410));
     }
 
+    // Guards against mixed streams: an attempt that goes on with a stream is taken for a new one.
+    TEST(HttpDialectTest, ReadsWhichStreamARequestContinues)
+    {
+        RequestHead request = validRequest();
+        const auto begun = HttpDialect().facts(request);
+        EXPECT_FALSE(std::get<node::ProxyRequestInfo>(begun).continuesStream);
+        request.fields.push_back({ "Last-Event-Id", "7" });
+        request.fields.push_back({ "resumes", "1dd2424fa5745ad6" });
+        const auto continued = HttpDialect().facts(request);
+        EXPECT_TRUE(std::get<node::ProxyRequestInfo>(continued).continuesStream);
+        EXPECT_EQ(std::get<node::ProxyRequestInfo>(continued).resumes, StreamId("1dd2424fa5745ad6"));
+        request.fields.push_back({ "Resumes", "another" });
+        const auto ambiguous = HttpDialect().facts(request);
+        EXPECT_TRUE(std::holds_alternative<node::Reply>(ambiguous));
+    }
+
     // Guards against requests that run under the id of another request or without a cost. This happens if the router
     // uses the first of two ids or hosts, or ignores invalid counts or a target that is not a path.
     TEST(HttpDialectTest, RefusesAmbiguousOrMalformedRequests)
