Log each request that a brittle server turns away

Cause: the lines could not tell a rate that is too high from routers that don't know, or from retries that meet full servers. Change: a line turned_away with the number that the server bears, this router's requests there, the server's places and the time since it was last known to have turned one away; a counter.

--- a/include/swiftlift/routing/BackendTable.h
+++ b/include/swiftlift/routing/BackendTable.h
@@ -83,6 +83,19 @@
     bool fromPeer = false;
 };
 
+/** @brief A brittle backend server turned a request of this router away. */
+struct TurnedAway {
+    BackendId backend;
+    /** Requests that it can turn away in a second without crashing. */
+    double bearable = 0;
+    /** Requests of this router that go on there. */
+    std::uint32_t inFlight = 0;
+    /** Requests that the server runs at once. */
+    std::uint32_t slots = 0;
+    /** Time since it was last known to have turned a request away before, of any router; nullopt: never. */
+    std::optional<Duration> sinceLast;
+};
+
 /** @brief Availability of a backend server; Broken and Probing are states of its circuit breaker. A Cold server has
  * just started and bears few requests; a Limited one names how many it accepts; the failure domain of an Evacuated one
  * gets none. */
@@ -181,6 +194,8 @@
     [[nodiscard]] bool takeUrgentNews() noexcept;
     /** @return Changes of what is known of announcements since the last call, in order. */
     [[nodiscard]] std::vector<AnnouncementChange> takeAnnouncementChanges();
+    /** @return Requests that brittle servers turned away since the last call, in order. */
+    [[nodiscard]] std::vector<TurnedAway> takeTurnedAway();
 
     /** @brief Processes a load report. */
     void onLoad(const BackendId& backend, const LoadReport& report, Instant now);
@@ -220,6 +235,8 @@
     void distributePrefixCapacity();
     /** @brief Records a change for takeAnnouncementChanges(), and applies it to the backend server. */
     void announcementChanged(const BackendId& backend, bool fromPeer, Instant now);
+    /** @brief Processes that the backend server turned a request of this router away. */
+    void onTurnedAway(const Backend& backend, Instant now);
     /** @brief Applies what the backend server has stated about itself. */
     void applyAnnouncement(Backend& backend, Instant now) const;
     /** @brief Divides what the backend server accepts among the routers. */
@@ -235,6 +252,7 @@
     std::map<ServiceName, std::set<BackendId>> services_;
     std::unique_ptr<internal::AnnouncementBook> announcements_;
     std::vector<AnnouncementChange> announcementChanges_;
+    std::vector<TurnedAway> turnedAway_;
     bool urgentNews_ = false;
     PeerAddress self_;
     std::vector<PeerAddress> routers_;
--- a/src/node/CoreState.cpp
+++ b/src/node/CoreState.cpp
@@ -277,6 +277,7 @@
 {
     requests_.finishEvent();
     changes_.noteAnnouncements(backends_.takeAnnouncementChanges());
+    changes_.noteTurnedAway(backends_.takeTurnedAway());
     if (backends_.takeUrgentNews()) {
         peers_.sendToAll(heartbeat());
     }
--- a/src/node/Gateway.cpp
+++ b/src/node/Gateway.cpp
@@ -56,6 +56,7 @@
 {
     proxyRequests_.finishEvent();
     changes_.noteAnnouncements(backends_.takeAnnouncementChanges());
+    changes_.noteTurnedAway(backends_.takeTurnedAway());
     if (backends_.takeUrgentNews()) {
         peers_.sendToAll(heartbeat());
     }
--- a/src/node/StateChanges.cpp
+++ b/src/node/StateChanges.cpp
@@ -61,6 +61,19 @@
     }
 }
 
+void StateChanges::noteTurnedAway(const std::vector<routing::TurnedAway>& requests)
+{
+    for (const routing::TurnedAway& each : requests) {
+        context_.log(LogLineBuilder("turned_away")
+                         .with("backend", each.backend.value())
+                         .with("brittle_per_s", each.bearable)
+                         .with("in_flight", static_cast<std::int64_t>(each.inFlight))
+                         .with("slots", static_cast<std::int64_t>(each.slots))
+                         .with("since_last_ms", each.sinceLast ? toMilliseconds(*each.sinceLast) : internal::noAge));
+        context_.count("swiftlift_brittle_turned_away_total");
+    }
+}
+
 void StateChanges::noteRest(const BackendId& backend, Duration rest)
 {
     context_.log(LogLineBuilder("rest").with("backend", backend.value()).with("rest_ms", toMilliseconds(rest)));
--- a/src/node/StateChanges.h
+++ b/src/node/StateChanges.h
@@ -29,6 +29,8 @@
     void noteBackend(const BackendId& backend, const routing::BackendTable& table);
     /** Logs what has changed in what is known of backend servers' announcements. */
     void noteAnnouncements(const std::vector<routing::AnnouncementChange>& changes);
+    /** Logs the requests that brittle backend servers turned away. */
+    void noteTurnedAway(const std::vector<routing::TurnedAway>& requests);
     /** Logs the time for which a backend server wants no requests. */
     void noteRest(const BackendId& backend, Duration rest);
     /** Updates the numbers of backend servers whose announcements are heeded. */
--- a/src/routing/Backend.h
+++ b/src/routing/Backend.h
@@ -49,6 +49,10 @@
     [[nodiscard]] const std::set<std::string>& models() const noexcept { return models_; }
     /** @return True if no attempt of this router is in progress there. */
     [[nodiscard]] bool idle() const noexcept { return load_.inFlight() == 0; }
+    /** @return Number of attempts of this router in progress there. */
+    [[nodiscard]] std::uint32_t inFlight() const noexcept { return load_.inFlight(); }
+    /** @return Estimated number of requests that the server runs at once. */
+    [[nodiscard]] std::uint32_t slots() const noexcept { return load_.slots(); }
     /** @param count Maximum number of prefixes to remember. */
     void setPrefixesKept(std::size_t count) { cache_.setCapacity(count); }
     /** @brief Updates the entry of the service's document. A new instance resets the estimates of the last one.
--- a/src/routing/BackendTable.cpp
+++ b/src/routing/BackendTable.cpp
@@ -224,6 +224,8 @@
     return std::exchange(announcementChanges_, {});
 }
 
+std::vector<TurnedAway> BackendTable::takeTurnedAway() { return std::exchange(turnedAway_, {}); }
+
 void BackendTable::onLoad(const BackendId& backend, const LoadReport& report, Instant now)
 {
     Backend* found = find(backend);
@@ -272,9 +274,26 @@
         && announcements_->onAnswered(backend, found->entry().instance, *facts.announcement, *sentAt, now)) {
         announcementChanged(backend, false, now);
     }
-    if (facts.kind == EndKind::NotStarted && announcements_->onTurnedAway(backend, found->entry().instance, now)) {
+    if (facts.kind == EndKind::NotStarted) {
+        onTurnedAway(*found, now);
+    }
+}
+
+void BackendTable::onTurnedAway(const Backend& backend, Instant now)
+{
+    const BackendEntry& entry = backend.entry();
+    const internal::KnownAnnouncement* known = announcements_->find(entry.backend, entry.instance);
+    if (known == nullptr || !known->brittle.value) {
+        return;
+    }
+    TurnedAway turnedAway { entry.backend, *known->brittle.value, backend.inFlight(), backend.slots(), std::nullopt };
+    if (known->turnedAwayAt) {
+        turnedAway.sinceLast = now - *known->turnedAwayAt;
+    }
+    turnedAway_.push_back(std::move(turnedAway));
+    if (announcements_->onTurnedAway(entry.backend, entry.instance, now)) {
         urgentNews_ = true;
-        announcementChanged(backend, false, now);
+        announcementChanged(entry.backend, false, now);
     }
 }
 
