Divide the room of brittle servers among the routers, rather than bound the rate

Callers saw: streams cut and requests lost with brittle servers that fell over under what they had to turn away. Cause: what was bounded was the rate of requests, and half of it after a refusal. Room is not a rate: long requests fill a server for seconds, and half the rate then meets a full server all the time; routers that start or hear nothing kept no bound of the fleet; a request that one server turned away was tried at the next. Class of fault: what belongs to all routers together was divided by time, where it is a number of places. Change: RoomLimiter keeps each router to whole places (roomShare) of a brittle server; beyond them only trials, one at a time, not after a refusal by any router at the service. Servers of a service of which another one is brittle count as brittle until they are heard of. Cancelled requests keep their place. Refusals go first in what peers are told at once. The bounds on rates (Brittle, BrittleAndFull) are gone.

--- a/include/swiftlift/routing/BackendFacts.h
+++ b/include/swiftlift/routing/BackendFacts.h
@@ -18,15 +18,12 @@
     Cold,
     /** It names a limit in its answers. */
     Announced,
-    /** It crashes if it has to turn many requests away: no router may send many at once. */
+    /** It crashes if it has to turn many requests away, or may do so: this router has filled its part of its room. */
     Brittle,
-    /** It is brittle and has turned a request away lately. */
-    BrittleAndFull,
 };
 
-/** @brief All values of LimitCause. */
-inline constexpr std::array limitCauses { LimitCause::Cold, LimitCause::Announced, LimitCause::Brittle,
-    LimitCause::BrittleAndFull };
+/** @brief The causes for which what a server gets in a time is bounded, rather than what is in progress there. */
+inline constexpr std::array limitCauses { LimitCause::Cold, LimitCause::Announced };
 
 /** @brief A backend server's time as a cold one. */
 struct ColdPeriod {
--- a/include/swiftlift/routing/BackendTable.h
+++ b/include/swiftlift/routing/BackendTable.h
@@ -139,6 +139,8 @@
     std::optional<Duration> reportAge;
     /** Why this router has sent its share of what the backend server accepts; nullopt: it has not. */
     std::optional<LimitCause> heldBackBy;
+    /** True if a brittle server may have to turn the request away, as this router has filled its part of the room. */
+    bool roomUncertain = false;
     /** True if the backend server has asked this router for rest. */
     bool resting = false;
     /** Requests per second that the backend server accepts from all routers, if it names a limit. */
@@ -180,7 +182,7 @@
      * @param self This router.
      * @param routers All registered routers.
      */
-    void setRouters(const PeerAddress& self, std::vector<PeerAddress> routers);
+    void setRouters(const PeerAddress& self, std::vector<PeerAddress> routers, Instant now);
 
     /** @brief Processes what a backend server states about itself in the head of an answer. */
     void onAnnounced(const BackendId& backend, const Announcement& announcement, Instant now);
@@ -236,13 +238,20 @@
     /** @brief Records a change for takeAnnouncementChanges(), and applies it to the backend server. */
     void announcementChanged(const BackendId& backend, bool fromPeer, Instant now);
     /** @brief Processes that the backend server turned a request of this router away. */
-    void onTurnedAway(const Backend& backend, Instant now);
+    void onTurnedAway(Backend& backend, Instant now);
     /** @brief Applies what the backend server has stated about itself. */
     void applyAnnouncement(Backend& backend, Instant now) const;
     /** @brief Divides what the backend server accepts among the routers. */
-    void updateLimits(Backend& backend) const;
-    /** @brief Bounds what a brittle server may have to turn away. */
-    void updateBrittleLimits(Backend& backend, const internal::KnownAnnouncement* announced) const;
+    void updateLimits(Backend& backend, Instant now) const;
+    /** @return Requests that the server can turn away in a second without crashing; nullopt: it is not known to be
+     * brittle, and no server of its service is. */
+    [[nodiscard]] std::optional<double> bearableOf(const Backend& backend, Instant now) const;
+    /** @brief Divides the room of a server that is brittle, or may be. */
+    void updateRoom(Backend& backend, Instant now) const;
+    /** @brief Applies the server's brittleness, or its end, to the servers of its services that are not known. */
+    void updateBrittleServices(const BackendId& server, Instant now);
+    /** @brief Ends trials at all servers of the services of a brittle server that turned a request away at `at`. */
+    void pauseService(const BackendId& server, Instant at) const;
     [[nodiscard]] FleetShare shareOf(const Backend& backend, const FleetRate& rate) const;
 
     TableSettings settings_;
@@ -251,6 +260,8 @@
     std::map<BackendId, std::unique_ptr<Backend>> backends_;
     std::map<ServiceName, std::set<BackendId>> services_;
     std::unique_ptr<internal::AnnouncementBook> announcements_;
+    /** Services of which a server has stated that it is brittle, with the number that it can turn away in a second. */
+    std::map<ServiceName, double> brittleServices_;
     std::vector<AnnouncementChange> announcementChanges_;
     std::vector<TurnedAway> turnedAway_;
     bool urgentNews_ = false;
--- a/include/swiftlift/routing/FleetShare.h
+++ b/include/swiftlift/routing/FleetShare.h
@@ -60,4 +60,15 @@
 [[nodiscard]] FleetShare fleetShare(
     const FleetRate& rate, const BackendId& server, const PeerAddress& self, const std::vector<PeerAddress>& routers);
 
+/**
+ * @brief Divides the places of a backend server among all routers, in whole places.
+ * @param places Requests that the server runs at once.
+ * @param server The backend server.
+ * @param self This router.
+ * @param routers All registered routers. A router that is not among them gets nothing, as the others don't know of it.
+ * @return This router's places; the sum over all routers is at most `places`.
+ */
+[[nodiscard]] std::uint32_t roomShare(
+    std::uint32_t places, const BackendId& server, const PeerAddress& self, const std::vector<PeerAddress>& routers);
+
 } // namespace swiftlift::routing
--- a/include/swiftlift/routing/Selector.h
+++ b/include/swiftlift/routing/Selector.h
@@ -141,7 +141,9 @@
         std::vector<BackendView> probes;
         /** Usable, but it is not known whether the limit that they named still holds. */
         std::vector<BackendView> unconfirmedLimits;
-        /** Usable, but with the maximum number of waiting requests. */
+        /** Usable, but brittle, and perhaps full. */
+        std::vector<BackendView> uncertain;
+        /** Usable, but with the maximum number of waiting requests, or brittle and full. */
         std::vector<BackendView> full;
         /** Not usable because of their breaker or slow start, though they answer and have a free slot. */
         std::vector<BackendView> lastResorts;
--- a/src/node/CoreState.cpp
+++ b/src/node/CoreState.cpp
@@ -149,7 +149,7 @@
     for (const ListedVm& vm : event.vms) {
         routers.push_back(vm.address);
     }
-    backends_.setRouters(context_.settings().peerAddress, std::move(routers));
+    backends_.setRouters(context_.settings().peerAddress, std::move(routers), context_.now());
     if (peers_.membership().selfLeaving() && !stopping_) {
         context_.log(LogLineBuilder("membership").with("change", "self_leaving").with("detail", "listed as leaving"));
         on(StopRequested {});
--- a/src/node/FleetDirectory.cpp
+++ b/src/node/FleetDirectory.cpp
@@ -53,7 +53,7 @@
     }
     if (records.stream == VmRegistry::stream()) {
         vms_.onRecords(records);
-        backends_.setRouters(context_.settings().peerAddress, vms_.addresses());
+        backends_.setRouters(context_.settings().peerAddress, vms_.addresses(), context_.now());
         return;
     }
     applyOperatorRecords(records);
--- a/src/routing/AnnouncementBook.cpp
+++ b/src/routing/AnnouncementBook.cpp
@@ -210,11 +210,14 @@
 
 std::vector<SharedAnnouncement> AnnouncementBook::toShare(Instant now) const
 {
+    std::vector<SharedAnnouncement> full;
     std::vector<SharedAnnouncement> changed;
     std::vector<SharedAnnouncement> others;
     for (const auto& [backend, known] : servers_) {
         if (isWorthSharing(known, now)) {
-            auto& list = now - known.changedAt < changeLifetime ? changed : others;
+            const bool isFull = known.turnedAwayAt && now - *known.turnedAwayAt < turnedAwayPeriod;
+            const bool isChanged = now - known.changedAt < changeLifetime;
+            auto& list = isFull ? full : (isChanged ? changed : others);
             list.push_back({ backend, known.instance, known.limit.value, ageOf(known.limit.statedAt, now),
                 ageOf(known.leavingStatedAt, now), known.brittle.value, ageOf(known.brittle.statedAt, now),
                 ageOf(known.turnedAwayAt, now) });
@@ -223,9 +226,10 @@
     const auto turn = static_cast<std::size_t>(now.time_since_epoch() / sharePeriod);
     rotate(changed, turn * maxShared);
     rotate(others, turn * maxShared);
-    changed.insert(changed.end(), others.begin(), others.end());
-    changed.resize(std::min(changed.size(), maxShared));
-    return changed;
+    full.insert(full.end(), changed.begin(), changed.end());
+    full.insert(full.end(), others.begin(), others.end());
+    full.resize(std::min(full.size(), maxShared));
+    return full;
 }
 
 } // namespace swiftlift::routing::internal
--- a/src/routing/Backend.cpp
+++ b/src/routing/Backend.cpp
@@ -17,11 +17,10 @@
     constexpr Duration offsetHalfLife = 5s;
     // Bounds the shift by which the offset is divided.
     constexpr std::int64_t maxHalvings = 20;
-    /** Time over which the requests to a brittle server are counted once it is full. */
-    constexpr Duration countedTime = 1s;
-    /** Part of the requests that go on being sent to a brittle server that is full. */
-    constexpr int keptRequests = 1;
-    constexpr int keptOutOf = 2;
+    /** A server of which nothing was heard for so long may have become brittle. */
+    constexpr Duration wordLifetime = 3s;
+    /** A server that goes on with a cancelled request has ended it after this time, or is rare. */
+    constexpr Duration longestCancelledRun = 1s;
 
 } // namespace
 
@@ -54,6 +53,8 @@
     load_ = LoadEstimate(settings_, entry.slots);
     sent_.clear();
     arrivals_.clear();
+    room_.clear();
+    heardAt_.reset();
     unread_ = Tokens {};
     generation_.reset();
     reported_ = false;
@@ -133,6 +134,7 @@
     const Tokens uncached = facts.promptTokens - cache_.expected(facts.prefixHash, facts.promptTokens);
     sent_[attempt] = SentAttempt { facts, now, uncached, predict(uncached, now), load_.now(now).waiting > 0 };
     unread_ += uncached;
+    room_.onDispatched(load_.inFlight(), now);
     load_.onDispatched(attempt, now);
     breaker_.onDispatched(attempt, now);
     arrivals_.onDispatched(now);
@@ -147,6 +149,7 @@
     SentAttempt& sent = found->second;
     subtractUnread(sent);
     sent.answered = true;
+    heardAt_ = now;
     breaker_.onSuccess(now);
     const Duration took = now - sent.at;
     if (!sent.waited) {
@@ -166,19 +169,14 @@
     }
 }
 
-// With fewer requests than filled it, the server soon has room again; an equal small share for each router would leave
-// most of its room unused. A router that sends less than one request in the window waits so long that all of these
-// together send no more requests in a second than the server runs at once.
-void Backend::onTurnedAway(Instant at, Duration time, std::int64_t routers)
+bool Backend::onTurnedAway(Instant at)
 {
-    if (turnedAwayAt_ == at) {
-        return;
+    if (turnedAwayAt_ && at <= *turnedAwayAt_) {
+        return false;
     }
     turnedAwayAt_ = at;
-    const auto recent = static_cast<Duration::rep>(arrivals_.sentSince(at - countedTime));
-    const Duration rareWindow = countedTime * routers / std::max<std::int64_t>(load_.slots(), 1);
-    const Duration gap = recent > 0 ? countedTime * keptOutOf / (recent * keptRequests) : rareWindow;
-    arrivals_.setLimit(LimitCause::BrittleAndFull, internal::ArrivalLimit { { 1, gap }, at + time });
+    room_.onTurnedAway(load_.inFlight(), at, load_.serviceTime());
+    return true;
 }
 
 void Backend::forgetFailures()
@@ -197,6 +195,9 @@
     subtractUnread(sent);
     sent_.erase(found);
     (void)load_.onFinished(attempt, facts.kind == EndKind::Completed, now);
+    if (facts.announcement) {
+        heardAt_ = now;
+    }
     if (facts.kind == EndKind::Completed && facts.promptTokens > Tokens {}) {
         cache_.onAnswer(sent.facts.prefixHash, facts.promptTokens, facts.cachedPromptTokens);
     }
@@ -225,6 +226,7 @@
         break;
     case EndKind::Cancelled:
         breaker_.onInconclusiveEnd(attempt);
+        room_.onCancelled(now + std::min<Duration>(load_.serviceTime(), longestCancelledRun), now);
         break;
     case EndKind::NotStarted:
         pausedUntil_ = now + settings_.fullPause;
@@ -265,9 +267,14 @@
 
 bool Backend::mayGetRequests(Instant now) const
 {
-    return !leaving_ && !entry_.evacuated && !arrivals_.heldBackBy(now) && !resting(now) && !paused(now);
+    return !leaving_ && !entry_.evacuated && !arrivals_.heldBackBy(now) && !resting(now) && !paused(now)
+        && roomUse(now) != internal::RoomUse::None;
 }
 
+internal::RoomUse Backend::roomUse(Instant now) const noexcept { return room_.use(load_.inFlight(), now); }
+
+bool Backend::isHeard(Instant now) const noexcept { return heardAt_ && now - *heardAt_ <= wordLifetime; }
+
 bool Backend::usable(Instant now) const
 {
     return mayGetRequests(now) && !breaker_.open(now) && load_.inFlight() < breaker_.allowed(load_.slots(), now);
@@ -283,7 +290,7 @@
     if (leaving_ || entry_.evacuated) {
         return std::nullopt;
     }
-    Instant at = std::max(arrivals_.freeAt(now), restUntil_);
+    Instant at = std::max({ arrivals_.freeAt(now), restUntil_, room_.freeAt(load_.inFlight(), now) });
     if (pausedUntil_) {
         at = std::max(at, *pausedUntil_);
     }
@@ -328,7 +335,12 @@
     view.probe = breaker_.mayProbe(now);
     view.usableAt = usableAt(now);
     view.reportAge = load_.reportAge(now);
+    const internal::RoomUse room = roomUse(now);
     view.heldBackBy = arrivals_.heldBackBy(now);
+    if (!view.heldBackBy && room == internal::RoomUse::None) {
+        view.heldBackBy = LimitCause::Brittle;
+    }
+    view.roomUncertain = room == internal::RoomUse::Trial;
     view.resting = resting(now);
     view.announcedLimit = announcedLimit_;
     view.limitUnconfirmed = announcedLimit_ && now - limitStatedAt_ > settings_.limitConfirmation;
--- a/src/routing/Backend.h
+++ b/src/routing/Backend.h
@@ -12,6 +12,7 @@
 #include "routing/LoadEstimate.h"
 #include "routing/PrefillModel.h"
 #include "routing/PrefixCache.h"
+#include "routing/RoomLimiter.h"
 #include "swiftlift/base/Ids.h"
 #include "swiftlift/base/Units.h"
 #include "swiftlift/routing/BackendTable.h"
@@ -37,12 +38,14 @@
 
     void forgetFailures();
     /**
-     * @brief Reduces what this router sends to a brittle server that turned a request away, whichever router sent it.
-     * @param at When it did.
-     * @param time How long that is heeded.
-     * @param routers Number of registered routers.
+     * @brief Processes that the server turned a request away at `at`, whichever router sent it.
+     * @return False if that was known.
      */
-    void onTurnedAway(Instant at, Duration time, std::int64_t routers);
+    bool onTurnedAway(Instant at);
+    /** @brief Processes that an answer of the server has begun. */
+    void onHeard(Instant now) noexcept { heardAt_ = now; }
+    /** @brief Processes that another server of the service turned a request away. */
+    void onServiceTurnedAway(Instant at) { room_.onServiceTurnedAway(at); }
 
     [[nodiscard]] BackendView view(const ViewRequest& request, Instant now) const;
     /** @return The models of the last load report. */
@@ -64,6 +67,10 @@
     {
         arrivals_.setLimit(cause, limit);
     }
+    /** @param part This router's part of the room of a brittle server; nullopt: it is not known to be brittle. */
+    void setRoomPart(const std::optional<internal::RoomPart>& part) { room_.setPart(part); }
+    /** @return True if the server has lately answered, so that it would have stated what it states in its answers. */
+    [[nodiscard]] bool isHeard(Instant now) const noexcept;
     /** @param announced What the backend server has stated; null: nothing. */
     void setAnnounced(const internal::KnownAnnouncement* announced, Instant now);
 
@@ -102,6 +109,8 @@
     [[nodiscard]] bool resting(Instant now) const noexcept { return now < restUntil_; }
     /** @return False if no request may be sent now, whatever the breaker and the load. */
     [[nodiscard]] bool mayGetRequests(Instant now) const;
+    /** @return Whether the server has room for one more request, if it is brittle or may be. */
+    [[nodiscard]] internal::RoomUse roomUse(Instant now) const noexcept;
     [[nodiscard]] bool usable(Instant now) const;
     [[nodiscard]] bool lastResort(Instant now) const;
     [[nodiscard]] std::optional<Instant> usableAt(Instant now) const;
@@ -122,7 +131,10 @@
     Instant limitStatedAt_ {};
     /** Until when the backend server wants no requests of this router. */
     Instant restUntil_ {};
-    /** When the brittle server turned a request away, as far as it is heeded. */
+    internal::RoomLimiter room_;
+    /** When the server last answered. */
+    std::optional<Instant> heardAt_;
+    /** The last refusal by the brittle server that was heeded. */
     std::optional<Instant> turnedAwayAt_;
     std::map<AttemptId, SentAttempt> sent_;
     /** Sum of the uncached prompt tokens of attempts in `sent_` without a first token. */
--- a/src/routing/BackendTable.cpp
+++ b/src/routing/BackendTable.cpp
@@ -16,18 +16,8 @@
     constexpr Duration announcedWindow = std::chrono::seconds(4);
     /** Rate for a server that names a lower limit: without requests, the end of its limit would not be noticed. */
     constexpr double minAnnouncedRate = 0.1;
-    /** Time between two requests of the whole fleet to a brittle server, at least: in the milliseconds until all
-     * routers know that it is full, few more arrive. */
-    constexpr Duration minBrittleGap = std::chrono::milliseconds(2);
-    /** The same for a server that can turn away one request in a second; one that can turn away more bears them in a
-     * shorter time. */
-    constexpr Duration mostBrittleGap = std::chrono::milliseconds(10);
-    /** Time between two requests of one router to a brittle server, at least. */
-    constexpr Duration minBrittleWindow = std::chrono::milliseconds(20);
-    /** How long a brittle server counts as full after it turned a request away. Each router adds up to as much again,
-     * so that they don't all return at the same moment. */
-    constexpr Duration fullTime = std::chrono::milliseconds(500);
-    constexpr std::uint64_t returnSteps = 1024;
+    /** Steps of the ranks by which routers try brittle servers again at different moments. */
+    constexpr std::uint64_t rankSteps = 1024;
 
 } // namespace
 
@@ -111,7 +101,7 @@
     return found == backends_.end() ? nullptr : found->second.get();
 }
 
-void BackendTable::setRouters(const PeerAddress& self, std::vector<PeerAddress> routers)
+void BackendTable::setRouters(const PeerAddress& self, std::vector<PeerAddress> routers, Instant now)
 {
     if (self == self_ && routers == routers_) {
         return;
@@ -119,7 +109,7 @@
     self_ = self;
     routers_ = std::move(routers);
     for (const auto& [id, backend] : backends_) {
-        updateLimits(*backend);
+        updateLimits(*backend, now);
     }
 }
 
@@ -132,10 +122,10 @@
 {
     const BackendEntry& entry = backend.entry();
     backend.setAnnounced(announcements_->find(entry.backend, entry.instance), now);
-    updateLimits(backend);
+    updateLimits(backend, now);
 }
 
-void BackendTable::updateLimits(Backend& backend) const
+void BackendTable::updateLimits(Backend& backend, Instant now) const
 {
     const BackendEntry& entry = backend.entry();
     const internal::KnownAnnouncement* announced = announcements_->find(entry.backend, entry.instance);
@@ -149,26 +139,78 @@
         limit = { shareOf(backend, { std::max(*announced->limit.value, minAnnouncedRate), announcedWindow }) };
     }
     backend.setLimit(LimitCause::Announced, limit);
-    updateBrittleLimits(backend, announced);
+    updateRoom(backend, now);
 }
 
-void BackendTable::updateBrittleLimits(Backend& backend, const internal::KnownAnnouncement* announced) const
+// Servers of a service become brittle together. A router that has just started, or is cut off from its peers, has
+// heard of some of them only, and would fill the others.
+std::optional<double> BackendTable::bearableOf(const Backend& backend, Instant now) const
 {
-    if (announced == nullptr || !announced->brittle.value) {
-        backend.setLimit(LimitCause::Brittle, std::nullopt);
-        backend.setLimit(LimitCause::BrittleAndFull, std::nullopt);
+    const BackendId& server = backend.entry().backend;
+    const internal::KnownAnnouncement* announced = announcements_->find(server, backend.entry().instance);
+    if (announced != nullptr && announced->brittle.statedAt) {
+        return announced->brittle.value;
+    }
+    if (backend.isHeard(now)) {
+        return std::nullopt;
+    }
+    for (const auto& [service, bearable] : brittleServices_) {
+        const auto ids = services_.find(service);
+        if (ids != services_.end() && ids->second.contains(server)) {
+            return bearable;
+        }
+    }
+    return std::nullopt;
+}
+
+void BackendTable::updateRoom(Backend& backend, Instant now) const
+{
+    const auto bearable = bearableOf(backend, now);
+    if (!bearable) {
+        backend.setRoomPart(std::nullopt);
         return;
     }
-    const auto routers = static_cast<Duration::rep>(std::max<std::size_t>(routers_.size(), 1));
-    const double bearable = std::max(*announced->brittle.value, 1.0);
-    const auto gap = std::chrono::duration_cast<Duration>(mostBrittleGap / bearable);
-    const Duration window = std::max<Duration>(minBrittleWindow, std::max<Duration>(minBrittleGap, gap) * routers);
-    backend.setLimit(LimitCause::Brittle, internal::ArrivalLimit { { 1, window } });
-    if (announced->turnedAwayAt) {
-        const std::uint64_t rank
-            = rendezvousRank(stableHash(backend.entry().backend.value()), stableHash(self_.value())) % returnSteps;
-        const Duration delay = fullTime * static_cast<Duration::rep>(rank) / static_cast<Duration::rep>(returnSteps);
-        backend.onTurnedAway(*announced->turnedAwayAt, fullTime + delay, routers);
+    const BackendId& server = backend.entry().backend;
+    const std::uint64_t rank = rendezvousRank(stableHash(server.value()), stableHash(self_.value())) % rankSteps;
+    const std::uint32_t guaranteed = roomShare(backend.slots(), server, self_, routers_);
+    backend.setRoomPart(
+        internal::RoomPart { guaranteed, *bearable, static_cast<double>(rank) / static_cast<double>(rankSteps) });
+    const internal::KnownAnnouncement* announced = announcements_->find(server, backend.entry().instance);
+    if (announced != nullptr && announced->turnedAwayAt && backend.onTurnedAway(*announced->turnedAwayAt)) {
+        pauseService(server, *announced->turnedAwayAt);
+    }
+}
+
+void BackendTable::updateBrittleServices(const BackendId& server, Instant now)
+{
+    const Backend* changed = find(server);
+    const auto* announced = announcements_->find(server, changed->entry().instance);
+    for (const auto& [service, ids] : services_) {
+        if (!ids.contains(server)) {
+            continue;
+        }
+        if (announced == nullptr || !announced->brittle.value) {
+            brittleServices_.erase(service);
+            continue;
+        }
+        const bool isNew = brittleServices_.insert_or_assign(service, *announced->brittle.value).second;
+        for (const BackendId& id : isNew ? ids : std::set<BackendId> {}) {
+            updateRoom(*find(id), now);
+        }
+    }
+}
+
+void BackendTable::pauseService(const BackendId& server, Instant at) const
+{
+    for (const auto& [service, ids] : services_) {
+        if (!ids.contains(server)) {
+            continue;
+        }
+        for (const BackendId& id : ids) {
+            if (Backend* other = find(id)) {
+                other->onServiceTurnedAway(at);
+            }
+        }
     }
 }
 
@@ -179,6 +221,7 @@
         return;
     }
     applyAnnouncement(*found, now);
+    updateBrittleServices(backend, now);
     if (const auto* known = announcements_->find(backend, found->entry().instance)) {
         AnnouncementChange change { backend, known->limit.value, std::nullopt, known->brittle.value,
             known->leavingStatedAt.has_value(), fromPeer };
@@ -195,6 +238,7 @@
     if (found == nullptr) {
         return;
     }
+    found->onHeard(now);
     const bool changed = announcements_->onAnnounced(backend, found->entry().instance, announcement, now);
     found->setAnnounced(announcements_->find(backend, found->entry().instance), now);
     if (changed) {
@@ -279,7 +323,7 @@
     }
 }
 
-void BackendTable::onTurnedAway(const Backend& backend, Instant now)
+void BackendTable::onTurnedAway(Backend& backend, Instant now)
 {
     const BackendEntry& entry = backend.entry();
     const internal::KnownAnnouncement* known = announcements_->find(entry.backend, entry.instance);
@@ -291,6 +335,9 @@
         turnedAway.sinceLast = now - *known->turnedAwayAt;
     }
     turnedAway_.push_back(std::move(turnedAway));
+    if (backend.onTurnedAway(now)) {
+        pauseService(entry.backend, now);
+    }
     if (announcements_->onTurnedAway(entry.backend, entry.instance, now)) {
         urgentNews_ = true;
         announcementChanged(entry.backend, false, now);
--- a/src/routing/FleetShare.cpp
+++ b/src/routing/FleetShare.cpp
@@ -65,4 +65,15 @@
     return { requests / owners + (*position < requests % owners ? 1 : 0), rate.window };
 }
 
+std::uint32_t roomShare(
+    std::uint32_t places, const BackendId& server, const PeerAddress& self, const std::vector<PeerAddress>& routers)
+{
+    const auto position = routersAbove(server, self, routers);
+    if (!position) {
+        return 0;
+    }
+    const auto count = static_cast<std::uint32_t>(std::max(routers.size(), assumedRouters));
+    return places / count + (*position < places % count ? 1 : 0);
+}
+
 } // namespace swiftlift::routing
--- a/src/routing/Selector.cpp
+++ b/src/routing/Selector.cpp
@@ -27,7 +27,6 @@
         case LimitCause::Announced:
             return "at the limit that they name";
         case LimitCause::Brittle:
-        case LimitCause::BrittleAndFull:
             return "brittle";
         }
         return "limited";
@@ -65,6 +64,9 @@
     if (std::optional<Choice> choice = pickUnconfirmedLimit(classified)) {
         return choice;
     }
+    if (classified.ownDomain.empty() && classified.otherDomains.empty()) {
+        classified.otherDomains = std::move(classified.uncertain);
+    }
     if (classified.ownDomain.empty() && classified.otherDomains.empty() && classified.full.empty()
         && !classified.lastResorts.empty()) {
         return pickLastResort(classified.lastResorts);
@@ -96,7 +98,7 @@
     if (request.excluded.contains(view.backend)) {
         return "tried already";
     }
-    if (view.heldBackBy) {
+    if (view.heldBackBy && view.heldBackBy != LimitCause::Brittle) {
         return toText(*view.heldBackBy);
     }
     if (view.resting) {
@@ -105,7 +107,7 @@
     if (view.probe && !request.idempotent) {
         return "waiting for a probe";
     }
-    if (!view.usable) {
+    if (!view.usable && view.heldBackBy != LimitCause::Brittle) {
         return view.state == BackendState::Broken || view.state == BackendState::Probing ? "broken" : "paused";
     }
     return {};
@@ -115,6 +117,10 @@
 // the router. Interactive requests may add to the few, since they are served next there.
 bool Selector::isFull(const SelectRequest& request, const BackendView& view) const
 {
+    // A request that one brittle server has turned away would be turned away by others that are full, too.
+    if (view.heldBackBy == LimitCause::Brittle || (view.roomUncertain && !request.excluded.empty())) {
+        return true;
+    }
     const std::uint32_t additional = request.priority == Priority::Interactive ? settings_.waitingAtBackend : 0;
     return view.waiting >= settings_.waitingAtBackend + additional;
 }
@@ -155,6 +161,10 @@
     if (view.limitUnconfirmed) {
         classified.unconfirmedLimits.push_back(view);
     }
+    if (view.roomUncertain) {
+        classified.uncertain.push_back(std::move(view));
+        return;
+    }
     if (view.domain == settings_.domain) {
         classified.ownDomain.push_back(std::move(view));
     } else {
--- /dev/null
+++ b/tests/routing/RoomLimiterTest.cpp
@@ -0,0 +1,90 @@
+#include "routing/RoomLimiter.h"
+
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "swiftlift/routing/FleetShare.h"
+
+namespace swiftlift::routing::internal {
+namespace {
+
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+
+    constexpr Instant start { seconds(100) };
+    constexpr Duration work = milliseconds(100);
+
+    [[nodiscard]] RoomLimiter limiterWithPart(std::uint32_t guaranteed, double bearable = 5)
+    {
+        RoomLimiter limiter;
+        limiter.setPart(RoomPart { guaranteed, bearable, 0.5 });
+        return limiter;
+    }
+
+    TEST(RoomLimiter, ServerThatIsNotBrittleHasRoom) { EXPECT_EQ(RoomLimiter().use(1000, start), RoomUse::Free); }
+
+    TEST(RoomLimiter, PartIsFreeAndTheRestIsATrial)
+    {
+        const RoomLimiter limiter = limiterWithPart(2);
+        EXPECT_EQ(limiter.use(1, start), RoomUse::Free);
+        EXPECT_EQ(limiter.use(2, start), RoomUse::Trial);
+    }
+
+    // Guards against a second trial that is sent before the server could turn the first one away.
+    TEST(RoomLimiter, TrialsComeOneAfterTheOther)
+    {
+        RoomLimiter limiter = limiterWithPart(2);
+        limiter.onDispatched(2, start);
+        EXPECT_EQ(limiter.use(3, start + milliseconds(5)), RoomUse::None);
+        EXPECT_EQ(limiter.use(3, start + milliseconds(50)), RoomUse::Trial);
+    }
+
+    // Guards against routers that fill a server again while what filled it still runs.
+    TEST(RoomLimiter, FullServerGetsNoMoreThanWhatEndsThere)
+    {
+        RoomLimiter limiter = limiterWithPart(4);
+        limiter.onTurnedAway(2, start, work);
+        EXPECT_EQ(limiter.use(2, start + work), RoomUse::None);
+        EXPECT_EQ(limiter.use(1, start + work), RoomUse::Free);
+        EXPECT_EQ(limiter.use(3, start + 3 * work), RoomUse::Free);
+        EXPECT_EQ(limiter.use(4, start + 3 * work), RoomUse::None);
+        EXPECT_EQ(limiter.use(4, start + seconds(10)), RoomUse::Trial);
+    }
+
+    // Guards against a request that its caller has left and that the server goes on with.
+    TEST(RoomLimiter, CancelledRequestsTakeRoomUntilTheyEnd)
+    {
+        RoomLimiter limiter = limiterWithPart(1, 1);
+        limiter.onCancelled(start + work, start);
+        EXPECT_EQ(limiter.use(0, start), RoomUse::None);
+        EXPECT_EQ(limiter.use(0, start + work), RoomUse::Free);
+    }
+
+    // Guards against a trial that crashes a server which bears only one refusal in a second.
+    TEST(RoomLimiter, ServerThatBearsOneRefusalIsOnlyTriedByRoutersWithoutAPart)
+    {
+        EXPECT_EQ(limiterWithPart(1, 1).use(1, start), RoomUse::None);
+        EXPECT_EQ(limiterWithPart(0, 1).use(0, start), RoomUse::Trial);
+    }
+
+    TEST(RoomShare, PartsOfAllRoutersFillTheServer)
+    {
+        const BackendId server { "s1" };
+        for (const std::size_t count : { 4U, 6U, 59U }) {
+            std::vector<PeerAddress> routers;
+            for (std::size_t index = 0; index < count; ++index) {
+                routers.emplace_back("10.0.0." + std::to_string(index) + ":7400");
+            }
+            std::uint32_t sum = 0;
+            for (const PeerAddress& router : routers) {
+                sum += roomShare(32, server, router, routers);
+            }
+            EXPECT_EQ(sum, 32U);
+            EXPECT_EQ(roomShare(32, server, PeerAddress { "10.0.1.1:7400" }, routers), 0U);
+        }
+    }
+
+} // namespace
+} // namespace swiftlift::routing::internal
