Give up places that a brittle server turns out not to have, and space requests to it

Cause: a router went back to its whole part after each refusal. Change: a router whose request within its part is turned away keeps to what it has for a pause, adds one place after each further one, and waits twice as long when refused again; requests of a router to one server are 20 ms apart or more.

--- a/src/routing/Backend.cpp
+++ b/src/routing/Backend.cpp
@@ -134,7 +134,7 @@
     const Tokens uncached = facts.promptTokens - cache_.expected(facts.prefixHash, facts.promptTokens);
     sent_[attempt] = SentAttempt { facts, now, uncached, predict(uncached, now), load_.now(now).waiting > 0 };
     unread_ += uncached;
-    room_.onDispatched(load_.inFlight(), now);
+    sent_[attempt].trial = room_.onDispatched(load_.inFlight(), now);
     load_.onDispatched(attempt, now);
     breaker_.onDispatched(attempt, now);
     arrivals_.onDispatched(now);
@@ -198,6 +198,9 @@
     if (facts.announcement) {
         heardAt_ = now;
     }
+    if (facts.kind == EndKind::NotStarted && !sent.trial) {
+        room_.onPartRefused(load_.inFlight(), now);
+    }
     if (facts.kind == EndKind::Completed && facts.promptTokens > Tokens {}) {
         cache_.onAnswer(sent.facts.prefixHash, facts.promptTokens, facts.cachedPromptTokens);
     }
--- a/src/routing/Backend.h
+++ b/src/routing/Backend.h
@@ -87,6 +87,8 @@
         bool waited = false;
         /** The first token has arrived. */
         bool answered = false;
+        /** It was sent beyond this router's part of a brittle server's room. */
+        bool trial = false;
     };
 
     /** @brief The backend server announced that it is leaving. */
--- a/src/routing/BackendTable.cpp
+++ b/src/routing/BackendTable.cpp
@@ -16,6 +16,13 @@
     constexpr Duration announcedWindow = std::chrono::seconds(4);
     /** Rate for a server that names a lower limit: without requests, the end of its limit would not be noticed. */
     constexpr double minAnnouncedRate = 0.1;
+    /** Time between two requests of the whole fleet to a brittle server, at least: in the milliseconds until all
+     * routers know that it is full, few more arrive. */
+    constexpr Duration minFleetGap = std::chrono::milliseconds(1);
+    /** The same for a server that can't bear two refusals in a second. */
+    constexpr Duration fleetGapForOneRefusal = std::chrono::milliseconds(2);
+    /** Time between two requests of one router to a brittle server, at least. */
+    constexpr Duration minBrittleGap = std::chrono::milliseconds(20);
     /** Steps of the ranks by which routers try brittle servers again at different moments. */
     constexpr std::uint64_t rankSteps = 1024;
 
@@ -173,8 +180,10 @@
     const BackendId& server = backend.entry().backend;
     const std::uint64_t rank = rendezvousRank(stableHash(server.value()), stableHash(self_.value())) % rankSteps;
     const std::uint32_t guaranteed = roomShare(backend.slots(), server, self_, routers_);
+    const Duration fleetGap = *bearable < 2 ? fleetGapForOneRefusal : minFleetGap;
+    const Duration gap = std::max<Duration>(minBrittleGap, fleetGap * static_cast<Duration::rep>(routers_.size()));
     backend.setRoomPart(
-        internal::RoomPart { guaranteed, *bearable, static_cast<double>(rank) / static_cast<double>(rankSteps) });
+        internal::RoomPart { guaranteed, *bearable, gap, static_cast<double>(rank) / static_cast<double>(rankSteps) });
     const internal::KnownAnnouncement* announced = announcements_->find(server, backend.entry().instance);
     if (announced != nullptr && announced->turnedAwayAt && backend.onTurnedAway(*announced->turnedAwayAt)) {
         pauseService(server, *announced->turnedAwayAt);
--- a/src/routing/RoomLimiter.cpp
+++ b/src/routing/RoomLimiter.cpp
@@ -14,6 +14,8 @@
     constexpr Duration shortestPause = std::chrono::milliseconds(250);
     /** Largest factor of the pause, where each trial after a pause is turned away. */
     constexpr std::uint32_t maxDoublings = 2;
+    /** Longest time for which a router gives up places that the server didn't have. */
+    constexpr Duration longestReduction = std::chrono::seconds(16);
     /** Requests that a server must be able to turn away in a second for trials of routers that have a part of its room.
      */
     constexpr double minBearableWithPart = 2;
@@ -33,6 +35,8 @@
         pausesInRow_ = 0;
         pauseEnd_ = {};
         drainEnd_ = {};
+        reducedUntil_ = {};
+        reduction_ = {};
     }
 }
 
@@ -44,7 +48,18 @@
 
 std::uint32_t RoomLimiter::level(Instant now) const noexcept
 {
-    return now < drainEnd_ ? drainLevel_ : part_->guaranteed;
+    const std::uint32_t part = std::min(part_->guaranteed, reducedPart(now));
+    return now < drainEnd_ ? std::min(drainLevel_, part) : part;
+}
+
+// Room that was too small once is tried again one place at a time: all routers do so at about the same time.
+std::uint32_t RoomLimiter::reducedPart(Instant now) const noexcept
+{
+    if (now < reducedUntil_ || reduction_ <= Duration {}) {
+        return reduction_ <= Duration {} ? UINT32_MAX : reducedPart_;
+    }
+    const auto steps = (now - reducedUntil_) / reduction_ + 1;
+    return reducedPart_ + static_cast<std::uint32_t>(std::min<Duration::rep>(steps, part_->guaranteed));
 }
 
 // A router without a part has no other way in. One with a part doesn't risk a server that can't bear two refusals.
@@ -56,7 +71,13 @@
 
 RoomUse RoomLimiter::use(std::uint32_t inProgress, Instant now) const noexcept
 {
-    if (!part_ || occupied(inProgress, now) < level(now)) {
+    if (!part_) {
+        return RoomUse::Free;
+    }
+    if (now - lastSent_ < part_->gap) {
+        return RoomUse::None;
+    }
+    if (occupied(inProgress, now) < level(now)) {
         return RoomUse::Free;
     }
     return mayTry(now) ? RoomUse::Trial : RoomUse::None;
@@ -64,17 +85,40 @@
 
 Instant RoomLimiter::freeAt(std::uint32_t inProgress, Instant now) const noexcept
 {
-    return use(inProgress, now) == RoomUse::None ? std::max(pauseEnd_, lastTrial_ + trialTime) : now;
+    if (use(inProgress, now) != RoomUse::None) {
+        return now;
+    }
+    const Instant spaced = lastSent_ + part_->gap;
+    return occupied(inProgress, now) < level(now) ? spaced : std::max({ spaced, pauseEnd_, lastTrial_ + trialTime });
+}
+
+bool RoomLimiter::onDispatched(std::uint32_t inProgress, Instant now)
+{
+    if (!part_) {
+        return false;
+    }
+    lastSent_ = now;
+    if (occupied(inProgress, now) < level(now)) {
+        return false;
+    }
+    lastTrial_ = now;
+    return true;
 }
 
-void RoomLimiter::onDispatched(std::uint32_t inProgress, Instant now)
+void RoomLimiter::onPartRefused(std::uint32_t inProgress, Instant at)
 {
     if (!part_) {
         return;
     }
-    if (occupied(inProgress, now) >= level(now)) {
-        lastTrial_ = now;
+    const std::uint32_t left = occupied(inProgress, at);
+    if (at < reducedUntil_) {
+        reducedPart_ = std::min(reducedPart_, left);
+        return;
     }
+    reducedPart_ = left;
+    const bool isFollowing = reduction_ > Duration {} && at < reducedUntil_ + 2 * reduction_;
+    reduction_ = isFollowing ? std::min(2 * reduction_, longestReduction) : pause();
+    reducedUntil_ = at + reduction_;
 }
 
 void RoomLimiter::onCancelled(Instant until, Instant now)
@@ -123,6 +167,8 @@
     pausesInRow_ = 0;
     pauseEnd_ = {};
     drainEnd_ = {};
+    reducedUntil_ = {};
+    reduction_ = {};
 }
 
 } // namespace swiftlift::routing::internal
--- a/src/routing/RoomLimiter.h
+++ b/src/routing/RoomLimiter.h
@@ -15,6 +15,8 @@
     std::uint32_t guaranteed = 0;
     /** Requests that the server can turn away in a second without crashing. */
     double bearable = 1;
+    /** Time between two requests of this router, so that it learns of others' refusals in between. */
+    Duration gap {};
     /** From 0 to 1, different for each router: so that not all try again at the same moment. */
     double rank = 0;
 };
@@ -48,8 +50,17 @@
     /** @return When there may be room again, as far as is known. */
     [[nodiscard]] Instant freeAt(std::uint32_t inProgress, Instant now) const noexcept;
 
-    /** @param inProgress Requests in progress, without this one. */
-    void onDispatched(std::uint32_t inProgress, Instant now);
+    /**
+     * @param inProgress Requests in progress, without this one.
+     * @return True if the request is a trial.
+     */
+    bool onDispatched(std::uint32_t inProgress, Instant now);
+    /**
+     * @brief Records that the server turned away a request of this router that was no trial: its room is smaller than
+     * the parts of all routers, for a while.
+     * @param inProgress Requests of this router that go on there.
+     */
+    void onPartRefused(std::uint32_t inProgress, Instant at);
     /**
      * @brief Records that a request was cancelled: the server may go on with it.
      * @param until When the server has ended it, as far as can be expected.
@@ -74,6 +85,7 @@
     [[nodiscard]] std::uint32_t occupied(std::uint32_t inProgress, Instant now) const noexcept;
     /** @return Requests that this router may have in progress without a trial. */
     [[nodiscard]] std::uint32_t level(Instant now) const noexcept;
+    [[nodiscard]] std::uint32_t reducedPart(Instant now) const noexcept;
     [[nodiscard]] bool mayTry(Instant now) const noexcept;
     [[nodiscard]] Duration pause() const noexcept;
 
@@ -81,10 +93,16 @@
     /** After a request was turned away: what may be in progress until the server has had time to empty. */
     std::uint32_t drainLevel_ = 0;
     Instant drainEnd_ {};
+    /** After a request within the part was turned away: what may be in progress until the end of the time. */
+    std::uint32_t reducedPart_ = 0;
+    Instant reducedUntil_ {};
+    /** How long the last reduction lasted; 0: there was none. */
+    Duration reduction_ {};
     /** Until then, nothing is sent beyond the part. */
     Instant pauseEnd_ {};
     /** Pauses that followed each other without a quiet time between. */
     std::uint32_t pausesInRow_ = 0;
+    Instant lastSent_ {};
     Instant lastTrial_ {};
     /** When the requests that were cancelled are expected to end, in order of their cancelling. */
     std::deque<Instant> cancelled_;
--- a/tests/routing/BrittleFleet.cpp
+++ b/tests/routing/BrittleFleet.cpp
@@ -29,6 +29,7 @@
         startRouter(index);
         push(now_ + heartbeatPeriod * static_cast<int>(index) / static_cast<int>(pattern_.routers), Step::Heartbeat,
             nullptr, index);
+        push(now_ + tickPeriod, Step::Tick, nullptr, index);
     }
 }
 
@@ -195,9 +196,12 @@
         break;
     case Step::Heartbeat:
         tellPeers(due.index, false);
-        dispatchWaiting(due.index);
         push(due.at + heartbeatPeriod, Step::Heartbeat, nullptr, due.index);
         break;
+    case Step::Tick:
+        dispatchWaiting(due.index);
+        push(due.at + tickPeriod, Step::Tick, nullptr, due.index);
+        break;
     case Step::Up:
         servers_[due.index].up = true;
         ++servers_[due.index].life;
--- a/tests/routing/BrittleFleet.h
+++ b/tests/routing/BrittleFleet.h
@@ -75,13 +75,14 @@
     static constexpr Duration oneWay = std::chrono::milliseconds(2);
     static constexpr Duration peerOneWay = std::chrono::milliseconds(1);
     static constexpr Duration heartbeatPeriod = std::chrono::milliseconds(500);
+    static constexpr Duration tickPeriod = std::chrono::milliseconds(20);
     static constexpr Duration downTime = std::chrono::seconds(3);
     /** How long a request waits in a router for a server. */
     static constexpr Duration patience = std::chrono::milliseconds(500);
     /** Maximum number of servers that a request is sent to. */
     static constexpr std::size_t maxArrivals = 4;
 
-    enum class Step : std::uint8_t { Arrives, Ends, TurnedAway, Answered, Lost, News, Heartbeat, Up, Retry };
+    enum class Step : std::uint8_t { Arrives, Ends, TurnedAway, Answered, Lost, News, Heartbeat, Tick, Up, Retry };
 
     struct Request {
         std::size_t router = 0;
--- a/tests/routing/RoomLimiterTest.cpp
+++ b/tests/routing/RoomLimiterTest.cpp
@@ -19,7 +19,7 @@
     [[nodiscard]] RoomLimiter limiterWithPart(std::uint32_t guaranteed, double bearable = 5)
     {
         RoomLimiter limiter;
-        limiter.setPart(RoomPart { guaranteed, bearable, 0.5 });
+        limiter.setPart(RoomPart { guaranteed, bearable, Duration {}, 0.5 });
         return limiter;
     }
 
@@ -53,6 +53,30 @@
         EXPECT_EQ(limiter.use(4, start + seconds(10)), RoomUse::Trial);
     }
 
+    // Guards against a server that turns requests away all the time as its room is smaller than its stated places.
+    TEST(RoomLimiter, RefusalWithinThePartReducesItForLongerEachTime)
+    {
+        RoomLimiter limiter = limiterWithPart(4);
+        limiter.onPartRefused(2, start);
+        EXPECT_EQ(limiter.use(2, start + milliseconds(500)), RoomUse::Trial);
+        EXPECT_EQ(limiter.use(1, start + milliseconds(500)), RoomUse::Free);
+        EXPECT_EQ(limiter.use(2, start + seconds(1)), RoomUse::Free) << "one place more";
+        EXPECT_EQ(limiter.use(3, start + seconds(1)), RoomUse::Trial);
+        limiter.onPartRefused(2, start + seconds(1));
+        EXPECT_EQ(limiter.use(2, start + seconds(2)), RoomUse::Trial);
+    }
+
+    // Guards against requests that a router sends before it can have heard of others' refusals.
+    TEST(RoomLimiter, RequestsToOneServerAreSpaced)
+    {
+        RoomLimiter limiter;
+        limiter.setPart(RoomPart { 4, 5, milliseconds(20), 0.5 });
+        EXPECT_FALSE(limiter.onDispatched(0, start));
+        EXPECT_EQ(limiter.use(1, start + milliseconds(10)), RoomUse::None);
+        EXPECT_EQ(limiter.freeAt(1, start + milliseconds(10)), start + milliseconds(20));
+        EXPECT_EQ(limiter.use(1, start + milliseconds(20)), RoomUse::Free);
+    }
+
     // Guards against a request that its caller has left and that the server goes on with.
     TEST(RoomLimiter, CancelledRequestsTakeRoomUntilTheyEnd)
     {
