Name the parts of prompts in lines on attempts

Cause: lines named a request's content only, so nothing showed what part of their prompts requests share that are lost with their servers. Change: the field prefix, at most eight ids, in route and attempt_failed. Behaviour is unchanged.

--- a/src/node/ProxyRequest.h
+++ b/src/node/ProxyRequest.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "node/BackendLinks.h"
 #include "node/FleetDirectory.h"
@@ -83,6 +84,9 @@
     }
 };
 
+/** @return The ids of a prompt's parts, in order, for log lines; of a long prefix only the first ones. */
+[[nodiscard]] std::string prefixText(const std::vector<PrefixPart>& parts);
+
 /** A budget's figures when a request was refused for lack of tokens, as far as this router knew them. */
 struct KnownBudget {
     ledger::BudgetView figures;
--- a/src/node/ProxyRequestsDispatch.cpp
+++ b/src/node/ProxyRequestsDispatch.cpp
@@ -54,6 +54,17 @@
 
 } // namespace internal
 
+std::string prefixText(const std::vector<PrefixPart>& parts)
+{
+    /** A longer prefix would fill the line. */
+    constexpr std::size_t maxLogged = 8;
+    std::string text;
+    for (std::size_t index = 0; index < std::min(parts.size(), maxLogged); ++index) {
+        text += (index == 0 ? "" : ",") + toHex(parts[index].hash);
+    }
+    return text;
+}
+
 routing::SelectRequest ProxyRequests::makeSelectRequest(const ProxyRequest& request) const
 {
     routing::SelectRequest selection;
@@ -193,6 +204,7 @@
     context_.log(LogLineBuilder("route")
                      .with("request", request.info.id)
                      .with("content", toHex(request.info.content))
+                     .with("prefix", prefixText(request.info.prefix))
                      .with("account", request.accountId().value())
                      .with("route", request.route->name.value())
                      .with("config", static_cast<std::int64_t>(request.table->config().version))
--- a/src/node/ProxyRequestsRetries.cpp
+++ b/src/node/ProxyRequestsRetries.cpp
@@ -40,6 +40,7 @@
     context_.log(LogLineBuilder("attempt_failed")
                      .with("request", request.info.id)
                      .with("content", toHex(request.info.content))
+                     .with("prefix", prefixText(request.info.prefix))
                      .with("backend", request.backend.value())
                      .with("connection_lost", ended.connectionLost)
                      .with("end", internal::toText(ended.end))
