--- a/tests/platform/standin/EngineService.cpp
+++ b/tests/platform/standin/EngineService.cpp
@@ -45,6 +45,7 @@
     controls().addValue("fail_next", failNext_);
     controls().addValue("break_next", breakNext_);
     controls().addValue("half_event", halfEvent_);
+    controls().addValue("crash_after_event", crashAfterEvent_);
     controls().addValue("full", full_);
     controls().add("silent_ms", [this](const Json& value, Json&) {
         silentUntil_ = standins::Clock::now() + standins::toClock(Milliseconds(value.get<double>()));
@@ -118,7 +119,11 @@
     run.resumedAfter = exchange.header("Last-Event-Id");
     run.keySeen = run.keySeen || !exchange.header("Credential").empty();
     addStamp(exchange);
-    if (crash().happensOn(exchange.path())) {
+    if (crash().happensOn(exchange.path()) || crash().happensOn(exchange.header("Prefix-Hash"))) {
+        if (crashAfterEvent_) {
+            co_await exchange.startStream("text/event-stream");
+            co_await exchange.writeChunk(eventText(1, settings_.version));
+        }
         co_await crash().run(exchange);
         co_return;
     }
--- a/tests/platform/standin/EngineService.h
+++ b/tests/platform/standin/EngineService.h
@@ -35,8 +35,9 @@
  *
  * It states its limit, its leaving and its rest by the controls of standins::Announcer.
  *
- * `crash_on` is a part of a path: the engine crashes when it runs a request with such a path, which ends all its other
- * requests too. It restarts after `down_ms` with a new id.
+ * `crash_on` is a part of a path, or of the list of a prompt's parts: the engine crashes when it runs a request with
+ * such a path or prompt, which ends all its other requests too, with `crash_after_event` after its first event. It
+ * restarts after `down_ms` with a new id.
  */
 class EngineService final : public standins::Service {
 public:
@@ -77,6 +78,7 @@
     std::uint64_t failNext_ = 0;
     std::uint64_t breakNext_ = 0;
     bool halfEvent_ = false;
+    bool crashAfterEvent_ = false;
     bool full_ = false;
     /** Waits while the engine is silent. */
     [[nodiscard]] standins::Awaitable<void> waitForSound(standins::Exchange& exchange) const;
