Hold back requests with a part in their prompts under which servers end

Cause: only whole requests were recognised; what they have in common was not looked at. Class of fault: harm is counted for each thing that comes again, and here nothing came again but a part. Change: reports of ends name the shared parts of the prompts that were lost; PartSuspects finds the part that no answer clears and that explains most ends; it is held back at all routers, also those that start. The first part, key or account is never what counts: sound requests clear what they share with guilty ones.

--- a/include/swiftlift/quarantine/Fwd.h
+++ b/include/swiftlift/quarantine/Fwd.h
@@ -8,7 +8,11 @@
 struct Report;
 struct ReportId;
 struct BackendInstance;
+struct HeldBackPart;
+struct PartLimits;
+struct PromptPart;
 
+class PartSuspects;
 class Quarantine;
 class ReportOutbox;
 
--- a/include/swiftlift/quarantine/Report.h
+++ b/include/swiftlift/quarantine/Report.h
@@ -19,6 +19,16 @@
     [[nodiscard]] auto operator<=>(const Fingerprint&) const = default;
 };
 
+/** @brief Identifies a part of a prompt that several requests to one service may share. */
+struct PromptPart {
+    /** Hash of the service's name. */
+    std::uint64_t service = 0;
+    /** The part's id. */
+    std::uint64_t hash = 0;
+
+    [[nodiscard]] auto operator<=>(const PromptPart&) const = default;
+};
+
 /** @brief One run of a backend server, from its start to its end. */
 struct BackendInstance {
     BackendId server;
@@ -48,6 +58,10 @@
     /** The instance with which the requests were lost; nothing if the requests were answered, which makes earlier loss
      * reports about them void. */
     std::optional<BackendInstance> failedInstance;
+    /** Parts that the prompts of these requests share with others. */
+    std::vector<PromptPart> parts {};
+    /** Requests with these parts must be sent to no backend server; without a failed instance. */
+    bool heldBack = false;
 };
 
 /** @return The report's key in the keyed stream of reports. */
--- a/include/swiftlift/quarantine/ReportOutbox.h
+++ b/include/swiftlift/quarantine/ReportOutbox.h
@@ -36,14 +36,21 @@
 
     /**
      * @brief Adds the request to the report about the instance that is being gathered, or begins a new report.
+     * @param parts Parts that the request's prompt shares with others.
      * @return The report with the requests gathered so far.
      */
-    [[nodiscard]] Report onRequestLost(const Fingerprint& request, const BackendInstance& instance, Instant now);
+    [[nodiscard]] Report onRequestLost(
+        const Fingerprint& request, const std::vector<PromptPart>& parts, const BackendInstance& instance, Instant now);
     /**
      * @brief Queues a report that the request was answered.
      * @return That report.
      */
     [[nodiscard]] Report onAnswered(const Fingerprint& request, Instant now);
+    /**
+     * @brief Queues a report that requests with these parts were answered, or that they must be held back.
+     * @return That report.
+     */
+    [[nodiscard]] Report onPartsJudged(const std::vector<PromptPart>& parts, bool heldBack, Instant now);
     /**
      * @brief Drops this router's loss reports about an instance that was seen to run after the loss.
      * @param instance The backend server instance.
@@ -91,6 +98,7 @@
     /** How long a write may stay unread before it is repeated. */
     static constexpr Duration rewritePeriod = std::chrono::seconds(1);
     static constexpr std::size_t maxRequestsPerReport = 64;
+    static constexpr std::size_t maxPartsPerReport = 256;
     static constexpr std::size_t maxPendingWrites = 1024;
     /** How long a loss report may be revoked. A server that still runs renews its registration within seconds, and
      * somewhat later after an outage of the log. */
--- a/src/node/ProxyRequest.h
+++ b/src/node/ProxyRequest.h
@@ -66,6 +66,10 @@
     bool countedAsRetry = false;
     /** Events forwarded to the caller. */
     std::uint64_t events = 0;
+    /** Parts that its prompt may share with other requests. */
+    std::vector<quarantine::PromptPart> sharedParts;
+    /** The running attempt has shown that these parts crash no server. */
+    bool partsAnswered = false;
     /** The transport keeps a failure answer of a backend server, which can be forwarded to the caller. */
     bool failureKept = false;
 
--- a/src/node/ProxyRequests.cpp
+++ b/src/node/ProxyRequests.cpp
@@ -4,6 +4,8 @@
 #include <cassert>
 #include <utility>
 
+#include "swiftlift/base/RendezvousHash.h"
+
 namespace swiftlift::node {
 
 namespace internal {
@@ -130,6 +132,10 @@
         refuse(request, { 503, "no_service", "the route's target service is not configured", defaultRetryAfter });
         return false;
     }
+    const auto& prefix = request.info.prefix;
+    for (std::size_t index = 0; index + 1 < prefix.size(); ++index) {
+        request.sharedParts.push_back({ stableHash(name.value()), prefix[index].hash });
+    }
     if (request.account != nullptr && request.account->budget) {
         request.maxCost = request.info.promptTokens + request.info.maxAnswerTokens;
     }
@@ -142,6 +148,15 @@
 {
     const auto fingerprint = request.fingerprint();
     const auto entry = fingerprint ? quarantine_.quarantineEntry(*fingerprint) : std::nullopt;
+    const auto part = entry ? std::nullopt : quarantine_.heldBackPart(request.sharedParts);
+    if (part) {
+        refuse(request,
+            { 429, "quarantined",
+                std::to_string(part->serversEnded) + " backend servers crashed while running requests with part "
+                    + toHex(part->part.hash) + " of the prompt",
+                part->until - context_.now() });
+        return true;
+    }
     if (!entry) {
         return false;
     }
--- a/src/node/ProxyRequests.h
+++ b/src/node/ProxyRequests.h
@@ -70,6 +70,8 @@
     [[nodiscard]] const BackendId& lastEndedBackend() const noexcept { return lastEndedBackend_; }
 
 private:
+    /** An answer that goes on for so long shows that the request crashes no server. */
+    static constexpr Duration longAnswer = std::chrono::seconds(1);
     /** Maximum wait for pending tokens; a draw takes two passes of the log, append and read back. */
     static constexpr Duration maxTokenWait = std::chrono::milliseconds(600);
     /** Minimum wait, for routes with a shorter objective; a draw or loan takes this long without load. */
@@ -175,6 +177,8 @@
     [[nodiscard]] std::optional<Duration> silenceLimit(const ProxyRequest& request) const;
 
     // End and billing.
+    /** Reports to the quarantine an answer that has lasted longer than a request that crashes its server does. */
+    void noteLongAnswer(ProxyRequest& request);
     /** Reports to the quarantine what the end of an attempt shows about the request and its backend server. */
     void reportToQuarantine(const ProxyRequest& request, const ProxyAttemptEnded& ended);
     /** Refuses a request that no link leads to a backend server for. */
--- a/src/node/ProxyRequestsDispatch.cpp
+++ b/src/node/ProxyRequestsDispatch.cpp
@@ -241,6 +241,7 @@
     }
     const bool first = request->events == 0 && progress.events > 0;
     request->events = std::max(request->events, progress.events);
+    noteLongAnswer(*request);
     if (first) {
         request->firstEventAt = context_.now();
         noteStreamBegan(*request);
@@ -251,6 +252,15 @@
     }
 }
 
+void ProxyRequests::noteLongAnswer(ProxyRequest& request)
+{
+    if (!request.partsAnswered && request.firstEventAt && context_.now() - *request.firstEventAt >= longAnswer
+        && *request.firstEventAt >= request.phaseStart) {
+        request.partsAnswered = true;
+        quarantine_.onPartsAnswered(request.sharedParts, request.phaseStart);
+    }
+}
+
 void ProxyRequests::onAttemptEnded(const ProxyAttemptEnded& ended)
 {
     ProxyRequest* request = findByAttempt(ended.attempt);
@@ -320,11 +330,14 @@
     if (answered || ended.end == ProxyAttemptEnd::Failed || ended.end == ProxyAttemptEnd::Refused) {
         quarantine_.onServerAnswered(request.backendInstance(), request.phaseStart);
     }
+    if (answered && !request.partsAnswered) {
+        quarantine_.onPartsAnswered(request.sharedParts, request.phaseStart);
+    }
     const auto fingerprint = request.fingerprint();
     if (fingerprint && answered) {
         quarantine_.onAnswered(*fingerprint);
     } else if (fingerprint && ended.connectionLost) {
-        quarantine_.onRequestLost(*fingerprint, request.backendInstance(), request.info.id);
+        quarantine_.onRequestLost(*fingerprint, request.sharedParts, request.backendInstance(), request.info.id);
     }
 }
 
--- a/src/node/ProxyRequestsRetries.cpp
+++ b/src/node/ProxyRequestsRetries.cpp
@@ -67,6 +67,9 @@
     if (const auto fingerprint = request.fingerprint(); fingerprint && quarantine_.quarantineEntry(*fingerprint)) {
         return "too many backend servers crashed while running this request";
     }
+    if (quarantine_.heldBackPart(request.sharedParts)) {
+        return "too many backend servers crashed while running requests with a part of this prompt";
+    }
     if (request.possibleRuns >= request.route->maxServers) {
         return "the route's maximum number of backend servers may have run the request";
     }
--- a/src/node/QuarantineCoordinator.cpp
+++ b/src/node/QuarantineCoordinator.cpp
@@ -7,6 +7,8 @@
 
 using quarantine::BackendInstance;
 using quarantine::Fingerprint;
+using quarantine::HeldBackPart;
+using quarantine::PromptPart;
 using quarantine::Report;
 using quarantine::ReportId;
 
@@ -46,9 +48,11 @@
             logReport(*id, "withdrawn", 0, "log");
         }
         quarantine_.onWithdrawn(*id);
+        parts_.onWithdrawn(*id);
         return;
     }
     if (const auto report = quarantine::decode(*record.value)) {
+        parts_.onReport(*report, true, context_.now());
         applyReport(*report, "log");
     } else {
         context_.count("swiftlift_unreadable_records_total", { { "what", "crash_report" } });
@@ -61,6 +65,7 @@
         const auto report = quarantine::decode(record);
         if (report && !quarantine_.knows(report->id)) {
             outbox_.adopt(*report, context_.now() + adoptionDelay + jitterFor(maxAdoptionJitter, report->id));
+            parts_.onReport(*report, false, context_.now());
             applyReport(*report, "peer");
         }
     }
@@ -82,10 +87,12 @@
     }
 }
 
-void QuarantineCoordinator::onRequestLost(
-    const Fingerprint& request, const BackendInstance& instance, const std::string& callerRequestId)
+void QuarantineCoordinator::onRequestLost(const Fingerprint& request, const std::vector<PromptPart>& parts,
+    const BackendInstance& instance, const std::string& callerRequestId)
 {
-    quarantine_.onReport(outbox_.onRequestLost(request, instance, context_.now()), context_.now());
+    const Report report = outbox_.onRequestLost(request, parts, instance, context_.now());
+    quarantine_.onReport(report, context_.now());
+    parts_.onReport(report, false, context_.now());
     context_.log(LogLineBuilder("suspect")
                      .with("request", callerRequestId)
                      .with("content", toHex(request.content))
@@ -103,6 +110,37 @@
     }
 }
 
+void QuarantineCoordinator::onPartsAnswered(const std::vector<PromptPart>& parts, Instant sentAt)
+{
+    const std::vector<PromptPart> cleared = parts_.onAnswered(parts, sentAt, context_.now());
+    if (cleared.empty()) {
+        return;
+    }
+    (void)outbox_.onPartsJudged(cleared, false, context_.now());
+    for (const PromptPart& part : cleared) {
+        logPart(part, "cleared", 0);
+    }
+}
+
+std::optional<HeldBackPart> QuarantineCoordinator::heldBackPart(const std::vector<PromptPart>& parts)
+{
+    const auto held = parts_.heldBack(parts, context_.now());
+    if (held && held->isNew) {
+        (void)outbox_.onPartsJudged({ held->part }, true, context_.now());
+        logPart(held->part, "held_back", held->serversEnded);
+    }
+    return held;
+}
+
+void QuarantineCoordinator::logPart(const PromptPart& part, const char* change, std::size_t serversEnded)
+{
+    context_.log(LogLineBuilder("prompt_part")
+                     .with("part", toHex(part.hash))
+                     .with("service", toHex(part.service))
+                     .with("change", change)
+                     .with("servers_ended", static_cast<std::int64_t>(serversEnded)));
+}
+
 void QuarantineCoordinator::reportAnswered(const Fingerprint& request)
 {
     quarantine_.onReport(outbox_.onAnswered(request, context_.now()), context_.now());
@@ -123,6 +161,7 @@
     for (const ReportId& id : wrong) {
         logReport(id, "wrong", 0, "backend server still runs: " + instance.server.value());
         quarantine_.onWithdrawn(id);
+        parts_.onWithdrawn(id);
     }
 }
 
@@ -135,6 +174,7 @@
     if (context_.now() >= nextExpiry_) {
         nextExpiry_ = context_.now() + expiryPeriod;
         dropExpired();
+        parts_.expire(context_.now());
     }
 }
 
@@ -166,6 +206,7 @@
         outbox_.drop(id, context_.now() + (own ? Duration {} : jitterFor(maxDropJitter, id)));
     }
     context_.gauge("swiftlift_quarantine_suspects", static_cast<double>(quarantine_.suspects()));
+    context_.gauge("swiftlift_quarantine_suspected_parts", static_cast<double>(parts_.suspects()));
 }
 
 Duration QuarantineCoordinator::jitterFor(Duration maxJitter, const ReportId& id) const
--- a/src/node/QuarantineCoordinator.h
+++ b/src/node/QuarantineCoordinator.h
@@ -8,6 +8,7 @@
 
 #include "node/Context.h"
 #include "node/Peers.h"
+#include "swiftlift/quarantine/PartSuspects.h"
 #include "swiftlift/quarantine/Quarantine.h"
 #include "swiftlift/quarantine/ReportOutbox.h"
 
@@ -35,13 +36,16 @@
     /**
      * @brief Handles that a backend server instance ended while it ran the request.
      * @param request Fingerprint of the request.
+     * @param parts Parts that its prompt shares with others.
      * @param instance The instance that ended.
      * @param callerRequestId The caller's id of the request, for log lines.
      */
-    void onRequestLost(const quarantine::Fingerprint& request, const quarantine::BackendInstance& instance,
-        const std::string& callerRequestId);
+    void onRequestLost(const quarantine::Fingerprint& request, const std::vector<quarantine::PromptPart>& parts,
+        const quarantine::BackendInstance& instance, const std::string& callerRequestId);
     /** Handles that a backend server has answered the request without crashing. */
     void onAnswered(const quarantine::Fingerprint& request);
+    /** Handles that a request with these parts, sent at `sentAt`, was answered without a crash. */
+    void onPartsAnswered(const std::vector<quarantine::PromptPart>& parts, Instant sentAt);
     /** Handles that the instance has answered a request that was sent to it at `sentAt`. */
     void onServerAnswered(const quarantine::BackendInstance& instance, Instant sentAt);
     /**
@@ -57,6 +61,10 @@
         return quarantine_.quarantineEntry(request);
     }
 
+    /** @return The part for which a request with these parts must not be sent; std::nullopt when it may be sent. */
+    [[nodiscard]] std::optional<quarantine::HeldBackPart> heldBackPart(
+        const std::vector<quarantine::PromptPart>& parts);
+
     /** @return True once the reports from before this router's start have been read. */
     [[nodiscard]] bool known() const noexcept { return reportsRead_; }
 
@@ -98,11 +106,13 @@
     void dropExpired();
     /** @return A delay below `maxJitter` that is fixed for this router and report and differs between routers. */
     [[nodiscard]] Duration jitterFor(Duration maxJitter, const quarantine::ReportId& id) const;
+    void logPart(const quarantine::PromptPart& part, const char* change, std::size_t serversEnded);
     void logReport(const quarantine::ReportId& id, const char* change, std::size_t requests, const std::string& detail);
 
     Context& context_;
     Peers& peers_;
     quarantine::Quarantine quarantine_;
+    quarantine::PartSuspects parts_;
     quarantine::ReportOutbox outbox_;
     bool reportsRead_ = false;
     int unansweredWrites_ = 0;
--- /dev/null
+++ b/src/quarantine/PartSuspects.cpp
@@ -0,0 +1,194 @@
+#include "swiftlift/quarantine/PartSuspects.h"
+
+#include <algorithm>
+#include <iterator>
+#include <tuple>
+
+namespace swiftlift::quarantine {
+
+namespace {
+
+    /** Ends from which on other routers are told that a suspect was answered. */
+    constexpr std::size_t minEndsToTell = 2;
+
+    template <typename Ends> [[nodiscard]] bool haveCommonEnd(const Ends& left, const Ends& right)
+    {
+        return std::ranges::any_of(left, [&](const auto& end) { return right.contains(end.first); });
+    }
+
+} // namespace
+
+PartSuspects::PartSuspects(PartLimits limits)
+    : limits_(limits)
+{
+}
+
+void PartSuspects::onReport(const Report& report, bool fromLog, Instant now)
+{
+    for (const PromptPart& part : report.parts) {
+        if (report.heldBack || report.failedInstance) {
+            Suspect& suspect = suspectOf(part, fromLog, now);
+            suspect.heldBack = suspect.heldBack || report.heldBack;
+            suspect.lastEnd = now;
+        }
+        if (report.failedInstance) {
+            suspects_[part].ended[*report.failedInstance].insert(report.id);
+        } else if (!report.heldBack && !fromLog) {
+            suspects_.erase(part);
+            rememberAnswer(part, now);
+        }
+    }
+}
+
+PartSuspects::Suspect& PartSuspects::suspectOf(const PromptPart& part, bool fromLog, Instant now)
+{
+    if (!suspects_.contains(part) && suspects_.size() >= limits_.maxSuspects) {
+        evictSuspect();
+    }
+    const auto [entry, isNew] = suspects_.try_emplace(part);
+    if (isNew) {
+        const auto answered = answered_.find(part);
+        Suspect& suspect = entry->second;
+        suspect.firstEnd = now;
+        suspect.wasAnswered
+            = fromLog || (answered != answered_.end() && now - answered->second < limits_.answerLifetime);
+        suspect.answersBefore = answers_;
+    }
+    return entry->second;
+}
+
+// A flood of prompts that are all new then displaces only parts that were lost once.
+void PartSuspects::evictSuspect()
+{
+    const auto order = [](const auto& entry) {
+        return std::tuple(entry.second.heldBack, entry.second.ended.size(), entry.second.lastEnd);
+    };
+    suspects_.erase(std::ranges::min_element(suspects_, {}, order));
+}
+
+void PartSuspects::onWithdrawn(const ReportId& id)
+{
+    for (auto entry = suspects_.begin(); entry != suspects_.end();) {
+        auto& ended = entry->second.ended;
+        for (auto& [instance, reports] : ended) {
+            reports.erase(id);
+        }
+        std::erase_if(ended, [](const auto& end) { return end.second.empty(); });
+        const bool isCleared = ended.empty() && !entry->second.heldBack;
+        entry = isCleared ? suspects_.erase(entry) : std::next(entry);
+    }
+}
+
+void PartSuspects::rememberAnswer(const PromptPart& part, Instant now)
+{
+    if (!answered_.contains(part) && answered_.size() >= limits_.maxAnswered) {
+        std::erase_if(answered_, [&](const auto& entry) { return now - entry.second >= limits_.answerLifetime; });
+        if (answered_.size() >= limits_.maxAnswered) {
+            answered_.erase(std::ranges::min_element(answered_, {}, [](const auto& entry) { return entry.second; }));
+        }
+    }
+    answered_[part] = now;
+}
+
+std::vector<PromptPart> PartSuspects::onAnswered(const std::vector<PromptPart>& parts, Instant sentAt, Instant now)
+{
+    ++answers_;
+    std::vector<PromptPart> cleared;
+    for (const PromptPart& part : parts) {
+        const auto found = suspects_.find(part);
+        // A part may turn bad while requests with it that began before are still being answered.
+        if (found != suspects_.end() && sentAt < found->second.firstEnd) {
+            continue;
+        }
+        rememberAnswer(part, now);
+        if (found != suspects_.end()) {
+            if (found->second.ended.size() >= minEndsToTell) {
+                cleared.push_back(part);
+            }
+            suspects_.erase(found);
+        }
+    }
+    return cleared;
+}
+
+bool PartSuspects::hasHadItsChance(const Suspect& suspect, Instant now) const
+{
+    const Duration since = now - suspect.firstEnd;
+    if (!suspect.wasAnswered) {
+        return since >= limits_.reportTime;
+    }
+    return since >= limits_.answerTime && answers_ - suspect.answersBefore >= limits_.minAnswersWithout;
+}
+
+std::set<BackendInstance> PartSuspects::explainedEnds() const
+{
+    std::set<BackendInstance> explained;
+    for (const auto& [part, suspect] : suspects_) {
+        if (suspect.heldBack) {
+            std::ranges::transform(
+                suspect.ended, std::inserter(explained, explained.end()), [](const auto& end) { return end.first; });
+        }
+    }
+    return explained;
+}
+
+std::size_t PartSuspects::unexplained(const Suspect& suspect, const std::set<BackendInstance>& explained)
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(suspect.ended, [&](const auto& end) { return !explained.contains(end.first); }));
+}
+
+bool PartSuspects::isOutweighed(const Suspect& suspect, const std::set<BackendInstance>& explained, Instant now) const
+{
+    const bool tiesCount = now - suspect.firstEnd < limits_.tellApartTime;
+    const std::size_t own = unexplained(suspect, explained);
+    return std::ranges::any_of(suspects_, [&](const auto& entry) {
+        const Suspect& other = entry.second;
+        if (&other == &suspect || other.heldBack || other.wasAnswered || other.ended.size() < own
+            || !haveCommonEnd(suspect.ended, other.ended)) {
+            return false;
+        }
+        const std::size_t others = unexplained(other, explained);
+        return others > own || (tiesCount && others == own);
+    });
+}
+
+bool PartSuspects::isGuilty(const Suspect& suspect, Instant now) const
+{
+    const std::size_t least = suspect.wasAnswered ? limits_.minServersEndedIfAnswered : limits_.minServersEnded;
+    if (suspect.ended.size() < least || !hasHadItsChance(suspect, now)) {
+        return false;
+    }
+    const std::set<BackendInstance> explained = explainedEnds();
+    return unexplained(suspect, explained) >= least && !isOutweighed(suspect, explained, now);
+}
+
+std::optional<HeldBackPart> PartSuspects::heldBack(const std::vector<PromptPart>& parts, Instant now)
+{
+    for (const PromptPart& part : parts) {
+        const auto found = suspects_.find(part);
+        if (found == suspects_.end()) {
+            continue;
+        }
+        Suspect& suspect = found->second;
+        const bool isNew = !suspect.heldBack && isGuilty(suspect, now);
+        suspect.heldBack = suspect.heldBack || isNew;
+        if (suspect.heldBack) {
+            return HeldBackPart { part, suspect.ended.size(), suspect.lastEnd + limits_.lifetime, isNew };
+        }
+    }
+    return std::nullopt;
+}
+
+std::size_t PartSuspects::serversEnded(const PromptPart& part) const
+{
+    const auto found = suspects_.find(part);
+    return found == suspects_.end() ? 0 : found->second.ended.size();
+}
+
+void PartSuspects::expire(Instant now)
+{
+    std::erase_if(suspects_, [&](const auto& entry) { return now - entry.second.lastEnd >= limits_.lifetime; });
+}
+
+} // namespace swiftlift::quarantine
--- a/src/quarantine/Report.cpp
+++ b/src/quarantine/Report.cpp
@@ -50,6 +50,12 @@
         record.mutable_lost()->set_backend(report.failedInstance->server.value());
         record.mutable_lost()->set_started_at(report.failedInstance->startedAt);
     }
+    for (const PromptPart& each : report.parts) {
+        auto& part = *record.add_parts();
+        part.set_service(each.service);
+        part.set_hash(each.hash);
+    }
+    record.set_held_back(report.heldBack);
     return record.SerializeAsString();
 }
 
@@ -66,6 +72,10 @@
     if (message.has_lost()) {
         report.failedInstance = BackendInstance { BackendId(message.lost().backend()), message.lost().started_at() };
     }
+    for (const auto& part : message.parts()) {
+        report.parts.push_back({ part.service(), part.hash() });
+    }
+    report.heldBack = message.held_back();
     return report;
 }
 
--- a/src/quarantine/ReportOutbox.cpp
+++ b/src/quarantine/ReportOutbox.cpp
@@ -12,7 +12,8 @@
 
 ReportId ReportOutbox::nextId() { return { self_, ++lastNumber_ }; }
 
-Report ReportOutbox::onRequestLost(const Fingerprint& request, const BackendInstance& instance, Instant now)
+Report ReportOutbox::onRequestLost(
+    const Fingerprint& request, const std::vector<PromptPart>& parts, const BackendInstance& instance, Instant now)
 {
     auto gathering = gatheringReports_.find(instance);
     if (gathering != gatheringReports_.end() && gathering->second.report.requests.size() >= maxRequestsPerReport) {
@@ -24,8 +25,21 @@
         gathering = gatheringReports_.emplace(instance, GatheringReport { { nextId(), {}, instance }, now }).first;
         revocable_.push_back({ gathering->second.report.id, instance, now });
     }
-    gathering->second.report.requests.push_back(request);
-    return gathering->second.report;
+    Report& report = gathering->second.report;
+    report.requests.push_back(request);
+    for (const PromptPart& part : parts) {
+        if (report.parts.size() < maxPartsPerReport && std::ranges::find(report.parts, part) == report.parts.end()) {
+            report.parts.push_back(part);
+        }
+    }
+    return report;
+}
+
+Report ReportOutbox::onPartsJudged(const std::vector<PromptPart>& parts, bool heldBack, Instant now)
+{
+    Report report { nextId(), {}, std::nullopt, parts, heldBack };
+    enqueue(report, now);
+    return report;
 }
 
 Report ReportOutbox::onAnswered(const Fingerprint& request, Instant now)
--- a/tests/quarantine/ReportOutboxTest.cpp
+++ b/tests/quarantine/ReportOutboxTest.cpp
@@ -27,9 +27,9 @@
 
     TEST_F(ReportOutboxTest, RequestsLostTogetherShareOneReport)
     {
-        (void)outbox.onRequestLost(request(1), instance, now);
+        (void)outbox.onRequestLost(request(1), {}, instance, now);
         EXPECT_FALSE(dueAfter(milliseconds(20)));
-        EXPECT_EQ(outbox.onRequestLost(request(2), instance, now).requests.size(), 2U);
+        EXPECT_EQ(outbox.onRequestLost(request(2), {}, instance, now).requests.size(), 2U);
         const auto order = dueAfter(milliseconds(100));
         ASSERT_TRUE(order && order->report);
         EXPECT_EQ(order->report->requests, (std::vector { request(1), request(2) }));
@@ -39,7 +39,7 @@
     // Guards against a lost append keeping a report from the other routers for good.
     TEST_F(ReportOutboxTest, RepeatsWriteUntilReportIsReadBack)
     {
-        const ReportId id = outbox.onRequestLost(request(1), instance, now).id;
+        const ReportId id = outbox.onRequestLost(request(1), {}, instance, now).id;
         EXPECT_TRUE(dueAfter(milliseconds(100)));
         EXPECT_FALSE(dueAfter(milliseconds(100)));
         EXPECT_TRUE(dueAfter(seconds(1)));
@@ -51,7 +51,7 @@
     // Guards against reporting the end of a server that keeps answering after some of its connections were reset.
     TEST_F(ReportOutboxTest, RevokesReportWhenInstanceRanAfterwards)
     {
-        const ReportId id = outbox.onRequestLost(request(1), instance, now).id;
+        const ReportId id = outbox.onRequestLost(request(1), {}, instance, now).id;
         EXPECT_TRUE(outbox.onInstanceAlive(instance, now).empty())
             << "the instance may have ended right after the moment of the loss";
         EXPECT_EQ(outbox.onInstanceAlive(instance, now + milliseconds(1)), std::vector { id });
@@ -63,7 +63,7 @@
     // within seconds under the same id.
     TEST_F(ReportOutboxTest, KeepsReportWhenAnswerCameTooLate)
     {
-        const ReportId id = outbox.onRequestLost(request(1), instance, now).id;
+        const ReportId id = outbox.onRequestLost(request(1), {}, instance, now).id;
         EXPECT_TRUE(outbox.onInstanceAlive(instance, now + seconds(1), milliseconds(500)).empty());
         EXPECT_EQ(outbox.onInstanceAlive(instance, now + milliseconds(200), milliseconds(500)), std::vector { id });
     }
@@ -71,7 +71,7 @@
     // Guards against a late append restoring a report that was revoked and dropped.
     TEST_F(ReportOutboxTest, DropsRevokedReportAgainWhenItsAppendArrivesLate)
     {
-        const ReportId id = outbox.onRequestLost(request(1), instance, now).id;
+        const ReportId id = outbox.onRequestLost(request(1), {}, instance, now).id;
         ASSERT_TRUE(dueAfter(milliseconds(100)));
         EXPECT_EQ(outbox.onInstanceAlive(instance, now), std::vector { id });
         auto order = dueAfter(milliseconds(10));
