--- a/tests/platform/CrashingPromptPartTest.cpp
+++ b/tests/platform/CrashingPromptPartTest.cpp
@@ -125,6 +125,25 @@
         EXPECT_LE(fleet_->crashes() - before, maxLater);
     }
 
+    // Guards against streams that end with their connection, so that each crash after an event looks like their end.
+    TEST_F(CrashingPromptPartTest, CrashesThatLookLikeTheEndOfAStreamCount)
+    {
+        for (std::size_t engine = 0; engine < fleet_->engines(); ++engine) {
+            fleet_->engine(engine).control({ { "unframed", true } });
+        }
+        startSoundCaller("50000001");
+        startSoundCaller("50000002");
+        std::this_thread::sleep_for(milliseconds(500));
+        crashEnginesOn(part, true);
+        sendGuilty(contactTime + contactTime);
+        const std::uint64_t before = fleet_->crashes();
+        sound_ = 0;
+        served_ = 0;
+        sendGuilty(contactTime);
+        EXPECT_LE(fleet_->crashes() - before, maxLater);
+        EXPECT_GE(served_ * 10, sound_ * 9);
+    }
+
     // Guards against knowledge of a part that is lost when all routers restart.
     TEST_F(CrashingPromptPartTest, PartStaysHeldBackAfterRestartOfAllRouters)
     {
--- a/tests/platform/FleetTest.cpp
+++ b/tests/platform/FleetTest.cpp
@@ -108,6 +108,31 @@
         EXPECT_NE(after.body.find("id: 5\n"), std::string::npos);
     }
 
+    // Guards against streams and answers without a length that count as broken, as they end with their connection.
+    TEST_F(PlatformFleetTest, AnswersThatEndWithTheirConnectionAreWhole)
+    {
+        for (std::size_t engine = 0; engine < fleet_->engines(); ++engine) {
+            fleet_->engine(engine).control({ { "unframed", true } });
+        }
+        const CallerAnswer stream = fleet_->send(0, { .path = "/stream/x", .id = "s", .tokens = "12,35" });
+        EXPECT_TRUE(stream.whole);
+        EXPECT_NE(stream.body.find("id: 5\n"), std::string::npos);
+        const CallerAnswer whole = fleet_->send(0, { .path = "/plain/x", .id = "w" });
+        EXPECT_EQ(whole.status, 200U);
+        EXPECT_TRUE(whole.whole);
+        EXPECT_EQ(fleet_->runsOf("s"), 1U);
+        EXPECT_EQ(fleet_->runsOf("w"), 1U);
+    }
+
+    // Guards against a stream without chunks that is taken for whole although it ended within an event.
+    TEST_F(PlatformFleetTest, StreamWithoutChunksThatEndsWithinAnEventIsBrokenOff)
+    {
+        for (std::size_t engine = 0; engine < 2; ++engine) {
+            fleet_->engine(engine).control({ { "unframed", true }, { "break_next", 1 }, { "half_event", true } });
+        }
+        EXPECT_FALSE(fleet_->send(0, { .path = "/stream/x", .id = "s", .tokens = "12,35" }).whole);
+    }
+
     // Guards against running a request twice that isn't idempotent. The engine runs the request and closes the
     // connection without an answer; a router must not conclude that the request did not run.
     TEST_F(PlatformFleetTest, RetriesOnlyIdempotentRequests)
--- a/tests/platform/standin/EngineService.cpp
+++ b/tests/platform/standin/EngineService.cpp
@@ -46,6 +46,7 @@
     controls().addValue("break_next", breakNext_);
     controls().addValue("half_event", halfEvent_);
     controls().addValue("crash_after_event", crashAfterEvent_);
+    controls().addValue("unframed", unframed_);
     controls().addValue("full", full_);
     controls().add("silent_ms", [this](const Json& value, Json&) {
         silentUntil_ = standins::Clock::now() + standins::toClock(Milliseconds(value.get<double>()));
@@ -96,6 +97,9 @@
 Awaitable<void> EngineService::serve(Exchange& exchange)
 {
     announcer_.onRequest(exchange);
+    if (unframed_) {
+        exchange.endWithConnection();
+    }
     if (refuses(exchange)) {
         co_await refuse(exchange);
         co_return;
--- a/tests/platform/standin/EngineService.h
+++ b/tests/platform/standin/EngineService.h
@@ -79,6 +79,7 @@
     std::uint64_t breakNext_ = 0;
     bool halfEvent_ = false;
     bool crashAfterEvent_ = false;
+    bool unframed_ = false;
     bool full_ = false;
     /** Waits while the engine is silent. */
     [[nodiscard]] standins::Awaitable<void> waitForSound(standins::Exchange& exchange) const;
--- a/tests/standins/common/Exchange.cpp
+++ b/tests/standins/common/Exchange.cpp
@@ -120,10 +120,12 @@
     }
     response.keep_alive(request_.keep_alive());
     response.body() = std::move(body);
-    response.prepare_payload();
+    if (framed_) {
+        response.prepare_payload();
+    }
     boost::system::error_code error;
     co_await http::async_write(connection_->socket, response, asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
+    if (error || !framed_) {
         drop();
     }
 }
@@ -149,7 +151,7 @@
         response.set(name, value);
     }
     response.keep_alive(request_.keep_alive());
-    response.chunked(true);
+    response.chunked(framed_);
     http::response_serializer<http::empty_body> serializer(response);
     boost::system::error_code error;
     co_await http::async_write_header(
@@ -165,9 +167,14 @@
         co_return;
     }
     counts_.out += data.size();
-    const auto chunk = http::make_chunk(asio::buffer(data));
     boost::system::error_code error;
-    co_await asio::async_write(connection_->socket, chunk, asio::redirect_error(asio::use_awaitable, error));
+    if (framed_) {
+        const auto chunk = http::make_chunk(asio::buffer(data));
+        co_await asio::async_write(connection_->socket, chunk, asio::redirect_error(asio::use_awaitable, error));
+    } else {
+        co_await asio::async_write(
+            connection_->socket, asio::buffer(data), asio::redirect_error(asio::use_awaitable, error));
+    }
     if (error) {
         drop();
     }
@@ -178,6 +185,10 @@
     if (isClosed()) {
         co_return;
     }
+    if (!framed_) {
+        drop();
+        co_return;
+    }
     const auto last = http::make_chunk_last();
     boost::system::error_code error;
     co_await asio::async_write(connection_->socket, last, asio::redirect_error(asio::use_awaitable, error));
--- a/tests/standins/common/Exchange.h
+++ b/tests/standins/common/Exchange.h
@@ -70,6 +70,8 @@
     [[nodiscard]] Awaitable<void> answerJson(unsigned status, Json body);
     /** Answers `{"error":"problem"}`. */
     [[nodiscard]] Awaitable<void> answerError(unsigned status, std::string problem);
+    /** The answer or stream that follows has neither a length nor chunks: it ends with its connection. */
+    void endWithConnection() { framed_ = false; }
     /** Starts a chunked answer with status 200. */
     [[nodiscard]] Awaitable<void> startStream(std::string contentType = "application/x-ndjson");
     [[nodiscard]] Awaitable<void> writeChunk(std::string data);
@@ -85,6 +87,7 @@
     std::string query_;
     std::vector<std::pair<std::string, std::string>> headers_;
     bool answered_ = false;
+    bool framed_ = true;
 };
 
 } // namespace swiftlift::standins
