Count an answer that ends with its connection once its server is known to live

Callers saw: where streams have neither length nor chunks, requests with one part in their prompts went on crashing servers. Cause: a crash between two events looks like the end of such a stream, which cleared the part and the request; and a stream that ended within an event was not counted as lost with its server. Class of fault: an answer is taken as evidence of a server that lives, where nothing but its connection's end shows that it was one. Change: the transport says that the connection was the end; the quarantine waits until the server answers again or renews its entry, and takes the request as lost if the server is reported to have ended, or isn't seen again in 5 s while others are.

--- a/include/swiftlift/node/ProxyRequest.h
+++ b/include/swiftlift/node/ProxyRequest.h
@@ -86,7 +86,8 @@
     std::uint64_t events = 0;
     /** Explanation for logs. */
     std::string detail;
-    /** Only with Broken: the connection ended in the way it does when the backend server's process ends. */
+    /** The connection ended in the way it does when the backend server's process ends. With Completed: that was the
+     * only end of the answer, so the server may have crashed. */
     bool connectionLost = false;
     /** What the answer's head states about the backend server; nullopt: no head was received. */
     std::optional<routing::Announcement> announcement = std::nullopt;
--- a/src/node/ProxyRequestsDispatch.cpp
+++ b/src/node/ProxyRequestsDispatch.cpp
@@ -327,16 +327,15 @@
 void ProxyRequests::reportToQuarantine(const ProxyRequest& request, const ProxyAttemptEnded& ended)
 {
     const bool answered = ended.end == ProxyAttemptEnd::Completed;
-    if (answered || ended.end == ProxyAttemptEnd::Failed || ended.end == ProxyAttemptEnd::Refused) {
+    const bool lives = !ended.connectionLost;
+    if (lives && (answered || ended.end == ProxyAttemptEnd::Failed || ended.end == ProxyAttemptEnd::Refused)) {
         quarantine_.onServerAnswered(request.backendInstance(), request.phaseStart);
     }
-    if (answered && !request.partsAnswered) {
-        quarantine_.onPartsAnswered(request.sharedParts, request.phaseStart);
-    }
-    const auto fingerprint = request.fingerprint();
-    if (fingerprint && answered) {
-        quarantine_.onAnswered(*fingerprint);
-    } else if (fingerprint && ended.connectionLost) {
+    if (answered) {
+        quarantine_.onAnswered({ request.fingerprint(), request.sharedParts, request.backendInstance(),
+                                   request.phaseStart, request.info.id },
+            lives);
+    } else if (const auto fingerprint = request.fingerprint(); fingerprint && ended.connectionLost) {
         quarantine_.onRequestLost(*fingerprint, request.sharedParts, request.backendInstance(), request.info.id);
     }
 }
--- a/src/node/QuarantineCoordinator.cpp
+++ b/src/node/QuarantineCoordinator.cpp
@@ -80,6 +80,7 @@
     if (!report.failedInstance || report.id.reporter == context_.self()) {
         return;
     }
+    onInstanceEnded(*report.failedInstance);
     for (const Fingerprint& request : report.requests) {
         if (quarantine_.answeredRecently(request, context_.now())) {
             reportAnswered(request);
@@ -93,6 +94,7 @@
     const Report report = outbox_.onRequestLost(request, parts, instance, context_.now());
     quarantine_.onReport(report, context_.now());
     parts_.onReport(report, false, context_.now());
+    onInstanceEnded(instance);
     context_.log(LogLineBuilder("suspect")
                      .with("request", callerRequestId)
                      .with("content", toHex(request.content))
@@ -101,12 +103,84 @@
                      .with("servers_ended", static_cast<std::int64_t>(quarantine_.serversEnded(request))));
 }
 
-void QuarantineCoordinator::onAnswered(const Fingerprint& request)
+void QuarantineCoordinator::onAnswered(const QuarantineAnswer& answer, bool lives)
 {
-    const bool isSuspect = quarantine_.serversEnded(request) >= minServersToReportAnswer;
-    quarantine_.onAnswered(request, context_.now());
+    if (lives) {
+        applyAnswer(answer);
+        return;
+    }
+    const auto ended = ended_.find(answer.instance);
+    if (ended != ended_.end() && context_.now() - ended->second < crashTime) {
+        applyLoss(answer);
+        return;
+    }
+    if (uncertain_.size() >= maxUncertain) {
+        uncertain_.pop_front();
+    }
+    uncertain_.push_back({ answer, context_.now() });
+}
+
+void QuarantineCoordinator::applyAnswer(const QuarantineAnswer& answer)
+{
+    onPartsAnswered(answer.parts, answer.sentAt);
+    if (!answer.request) {
+        return;
+    }
+    const bool isSuspect = quarantine_.serversEnded(*answer.request) >= minServersToReportAnswer;
+    quarantine_.onAnswered(*answer.request, context_.now());
     if (isSuspect) {
-        reportAnswered(request);
+        reportAnswered(*answer.request);
+    }
+}
+
+void QuarantineCoordinator::applyLoss(const QuarantineAnswer& answer)
+{
+    if (answer.request) {
+        onRequestLost(*answer.request, answer.parts, answer.instance, answer.callerRequestId);
+    }
+}
+
+std::vector<QuarantineAnswer> QuarantineCoordinator::takeUncertain(const BackendInstance& instance, Instant at)
+{
+    std::vector<QuarantineAnswer> taken;
+    std::erase_if(uncertain_, [&](const UncertainAnswer& each) {
+        const bool isTaken = each.answer.instance == instance && each.at < at;
+        if (isTaken) {
+            taken.push_back(each.answer);
+        }
+        return isTaken;
+    });
+    return taken;
+}
+
+void QuarantineCoordinator::onInstanceAlive(const BackendInstance& instance, Instant at)
+{
+    for (const QuarantineAnswer& answer : takeUncertain(instance, at)) {
+        applyAnswer(answer);
+    }
+}
+
+void QuarantineCoordinator::onInstanceEnded(const BackendInstance& instance)
+{
+    ended_[instance] = context_.now();
+    for (const QuarantineAnswer& answer : takeUncertain(instance, Instant::max())) {
+        applyLoss(answer);
+    }
+}
+
+void QuarantineCoordinator::expireUncertain()
+{
+    std::erase_if(ended_, [&](const auto& entry) { return context_.now() - entry.second >= crashTime; });
+    std::vector<QuarantineAnswer> lost;
+    while (!uncertain_.empty() && context_.now() - uncertain_.front().at >= aliveTime) {
+        const bool othersWereSeen = anyServerSeenAt_ > uncertain_.front().at + aliveTime / 2;
+        if (othersWereSeen) {
+            lost.push_back(std::move(uncertain_.front().answer));
+        }
+        uncertain_.pop_front();
+    }
+    for (const QuarantineAnswer& answer : lost) {
+        applyLoss(answer);
     }
 }
 
@@ -148,11 +222,14 @@
 
 void QuarantineCoordinator::onServerAnswered(const BackendInstance& instance, Instant sentAt)
 {
+    onInstanceAlive(instance, sentAt);
     withdrawReports(outbox_.onInstanceAlive(instance, sentAt, minRestartTime), instance);
 }
 
 void QuarantineCoordinator::onServerSeen(const BackendInstance& instance, Instant at)
 {
+    anyServerSeenAt_ = std::max(anyServerSeenAt_, at);
+    onInstanceAlive(instance, at);
     withdrawReports(outbox_.onInstanceAlive(instance, at), instance);
 }
 
@@ -175,6 +252,7 @@
         nextExpiry_ = context_.now() + expiryPeriod;
         dropExpired();
         parts_.expire(context_.now());
+        expireUncertain();
     }
 }
 
--- a/src/node/QuarantineCoordinator.h
+++ b/src/node/QuarantineCoordinator.h
@@ -2,6 +2,8 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -14,6 +16,18 @@
 
 namespace swiftlift::node {
 
+/** An answer to a request, and the instance of the server that gave it. */
+struct QuarantineAnswer {
+    std::optional<quarantine::Fingerprint> request;
+    /** Parts that its prompt shares with others. */
+    std::vector<quarantine::PromptPart> parts;
+    quarantine::BackendInstance instance;
+    /** When the request was sent. */
+    Instant sentAt {};
+    /** The caller's id of the request, for log lines. */
+    std::string callerRequestId {};
+};
+
 /**
  * @brief Shares reports on requests that crash backend servers among all routers of the fleet.
  *
@@ -42,8 +56,12 @@
      */
     void onRequestLost(const quarantine::Fingerprint& request, const std::vector<quarantine::PromptPart>& parts,
         const quarantine::BackendInstance& instance, const std::string& callerRequestId);
-    /** Handles that a backend server has answered the request without crashing. */
-    void onAnswered(const quarantine::Fingerprint& request);
+    /**
+     * @brief Handles that a backend server has answered a request.
+     * @param lives The server has not crashed at the end of its answer; else the answer counts once it is clear that
+     * it ended by itself.
+     */
+    void onAnswered(const QuarantineAnswer& answer, bool lives);
     /** Handles that a request with these parts, sent at `sentAt`, was answered without a crash. */
     void onPartsAnswered(const std::vector<quarantine::PromptPart>& parts, Instant sentAt);
     /** Handles that the instance has answered a request that was sent to it at `sentAt`. */
@@ -81,6 +99,11 @@
     static constexpr int maxUnansweredWrites = 4;
     /** No server restarts faster than this: one that answers sooner after a loss is still the same instance. */
     static constexpr Duration minRestartTime = std::chrono::milliseconds(500);
+    /** A server that lives renews its entry, or answers again, within this time. */
+    static constexpr Duration aliveTime = std::chrono::seconds(5);
+    /** Time within which all connections to a server end that has crashed. */
+    static constexpr Duration crashTime = std::chrono::seconds(1);
+    static constexpr std::size_t maxUncertain = 1024;
     /** Time between two searches for expired reports. */
     static constexpr Duration expiryPeriod = std::chrono::seconds(1);
     /** Each router removes other routers' expired reports at its own moment within this time, so that usually one
@@ -93,6 +116,22 @@
     /** A request that was lost with at least this many servers is reported to the other routers when it is answered. */
     static constexpr std::size_t minServersToReportAnswer = 2;
 
+    /** An answer that ended with its connection: its server may have crashed. */
+    struct UncertainAnswer {
+        QuarantineAnswer answer;
+        Instant at {};
+    };
+
+    void applyAnswer(const QuarantineAnswer& answer);
+    void applyLoss(const QuarantineAnswer& answer);
+    /** Removes the uncertain answers of the instance that ended before `at`. @return These, in order. */
+    [[nodiscard]] std::vector<QuarantineAnswer> takeUncertain(const quarantine::BackendInstance& instance, Instant at);
+    /** Applies the uncertain answers that the instance gave before `at`, when it still ran. */
+    void onInstanceAlive(const quarantine::BackendInstance& instance, Instant at);
+    /** Applies the uncertain answers of an instance that has ended as losses. */
+    void onInstanceEnded(const quarantine::BackendInstance& instance);
+    /** Applies uncertain answers as losses whose servers were not seen again although others were. */
+    void expireUncertain();
     void applyRecord(const KeyedRecord& record);
     void applyReport(const quarantine::Report& report, const char* source);
     /** Reports that the request was answered, which clears it of suspicion. */
@@ -114,6 +153,11 @@
     quarantine::Quarantine quarantine_;
     quarantine::PartSuspects parts_;
     quarantine::ReportOutbox outbox_;
+    std::deque<UncertainAnswer> uncertain_;
+    /** Instances that ended lately, and when. */
+    std::map<quarantine::BackendInstance, Instant> ended_;
+    /** When any server was last seen to have renewed its entry. */
+    Instant anyServerSeenAt_ {};
     bool reportsRead_ = false;
     int unansweredWrites_ = 0;
     Instant nextExpiry_ {};
--- a/src/transport/Attempt.cpp
+++ b/src/transport/Attempt.cpp
@@ -222,6 +222,7 @@
         closeSocket();
         return;
     }
+    connectionLost_ = error == boost::asio::error::eof || error == boost::asio::error::connection_reset;
     ErrorCode failed;
     if (error == boost::asio::error::eof && parser_->is_header_done()) {
         parser_->put_eof(failed);
@@ -233,7 +234,6 @@
             return;
         }
     }
-    connectionLost_ = error == boost::asio::error::eof || error == boost::asio::error::connection_reset;
     if (unproven_ && connectionLost_) {
         connectFailure_ = node::ConnectFailure::Closed;
     }
--- a/src/transport/Attempt.h
+++ b/src/transport/Attempt.h
@@ -91,7 +91,8 @@
     [[nodiscard]] node::ConnectFailure connectFailure() const noexcept { return connectFailure_; }
     /** @return Whether the request runs at a backend server that this router is connected to itself. */
     [[nodiscard]] bool runsDirectly() const noexcept { return maybeStarted_ && !order_.relay && !paused_ && !ended_; }
-    /** @return Whether the backend server closed or reset the connection before the end of its answer. */
+    /** @return Whether the backend server closed or reset the connection before the end of its answer, or as its end.
+     */
     [[nodiscard]] bool connectionLost() const noexcept { return connectionLost_; }
 
 private:
