Don't take a broken brittle server for a full one

Callers would have waited for room at a server whose breaker is open, rather than be refused at once. BrittleServer.BrokenBrittleServerIsNotFull fails without it.

--- a/src/routing/Backend.cpp
+++ b/src/routing/Backend.cpp
@@ -19,7 +19,7 @@
     constexpr std::int64_t maxHalvings = 20;
     /** A server of which nothing was heard for so long may have become brittle. */
     constexpr Duration wordLifetime = 3s;
-    /** A server that goes on with a cancelled request has ended it after this time, or is rare. */
+    /** A server that goes on with a cancelled request is taken to have ended it after this time. */
     constexpr Duration longestCancelledRun = 1s;
 
 } // namespace
@@ -340,7 +340,7 @@
     view.reportAge = load_.reportAge(now);
     const internal::RoomUse room = roomUse(now);
     view.heldBackBy = arrivals_.heldBackBy(now);
-    if (!view.heldBackBy && room == internal::RoomUse::None) {
+    if (!view.heldBackBy && room == internal::RoomUse::None && !breaker_.open(now)) {
         view.heldBackBy = LimitCause::Brittle;
     }
     view.roomUncertain = room == internal::RoomUse::Trial;
--- a/src/routing/BackendTable.cpp
+++ b/src/routing/BackendTable.cpp
@@ -21,6 +21,7 @@
     constexpr Duration minFleetGap = std::chrono::milliseconds(1);
     /** The same for a server that can't bear two refusals in a second. */
     constexpr Duration fleetGapForOneRefusal = std::chrono::milliseconds(2);
+    constexpr double minBearableForShortGap = 2;
     /** Time between two requests of one router to a brittle server, at least. */
     constexpr Duration minBrittleGap = std::chrono::milliseconds(20);
     /** Steps of the ranks by which routers try brittle servers again at different moments. */
@@ -180,7 +181,7 @@
     const BackendId& server = backend.entry().backend;
     const std::uint64_t rank = rendezvousRank(stableHash(server.value()), stableHash(self_.value())) % rankSteps;
     const std::uint32_t guaranteed = roomShare(backend.slots(), server, self_, routers_);
-    const Duration fleetGap = *bearable < 2 ? fleetGapForOneRefusal : minFleetGap;
+    const Duration fleetGap = *bearable < minBearableForShortGap ? fleetGapForOneRefusal : minFleetGap;
     const Duration gap = std::max<Duration>(minBrittleGap, fleetGap * static_cast<Duration::rep>(routers_.size()));
     backend.setRoomPart(
         internal::RoomPart { guaranteed, *bearable, gap, static_cast<double>(rank) / static_cast<double>(rankSteps) });
--- a/src/routing/RoomLimiter.cpp
+++ b/src/routing/RoomLimiter.cpp
@@ -1,28 +1,24 @@
 #include "routing/RoomLimiter.h"
 
 #include <algorithm>
+#include <cassert>
 #include <chrono>
 
 namespace swiftlift::routing::internal {
 
 namespace {
 
-    /** Pause after a request was turned away, for a server that bears one a second; one that bears more is tried
-     * sooner.
-     */
+    /** Pause after a refusal, for a server that bears one in a second; one that bears more is tried sooner. */
     constexpr Duration longestPause = std::chrono::seconds(3);
     constexpr Duration shortestPause = std::chrono::milliseconds(250);
     /** Largest factor of the pause, where each trial after a pause is turned away. */
     constexpr std::uint32_t maxDoublings = 2;
     /** Longest time for which a router gives up places that the server didn't have. */
     constexpr Duration longestReduction = std::chrono::seconds(16);
-    /** Requests that a server must be able to turn away in a second for trials of routers that have a part of its room.
-     */
+    /** Refusals that a server must bear in a second for trials of routers that have a part of its room. */
     constexpr double minBearableWithPart = 2;
     /** Times in which a request runs until what fills a server has ended. */
     constexpr int drainFactor = 2;
-    /** The pause of the other servers of a service, as a part of that of the one that turned a request away. */
-    constexpr int servicePausePart = 1;
     /** A request that was not turned away after this time has found room. */
     constexpr Duration trialTime = std::chrono::milliseconds(20);
 
@@ -48,6 +44,7 @@
 
 std::uint32_t RoomLimiter::level(Instant now) const noexcept
 {
+    assert(part_ && "only a brittle server's room is limited");
     const std::uint32_t part = std::min(part_->guaranteed, reducedPart(now));
     return now < drainEnd_ ? std::min(drainLevel_, part) : part;
 }
@@ -157,7 +154,7 @@
 void RoomLimiter::onServiceTurnedAway(Instant at)
 {
     if (part_) {
-        pauseEnd_ = std::max(pauseEnd_, at + pause() / servicePausePart);
+        pauseEnd_ = std::max(pauseEnd_, at + pause());
     }
 }
 
--- a/tests/routing/BrittleServerTest.cpp
+++ b/tests/routing/BrittleServerTest.cpp
@@ -269,5 +269,30 @@
         EXPECT_EQ(load.falls(), 0U);
     }
 
+    // Guards against requests that wait for room at a brittle server that is broken.
+    TEST(BrittleServer, BrokenBrittleServerIsNotFull)
+    {
+        const PeerAddress self { "10.0.0.1:7400" };
+        const BackendId server { "s1" };
+        const Instant start { seconds(100) };
+        TableSettings settings;
+        settings.polled = false;
+        BackendTable table(settings);
+        table.setRouters(self, { self }, start);
+        table.setBackends(service, { { server, FailureDomain { "d" }, 8 } }, start);
+        Announcement stated;
+        stated.brittle = 1;
+        table.onAnnounced(server, stated, start);
+        for (std::uint64_t number = 1; number <= settings.breakerFailures; ++number) {
+            table.onDispatched(server, AttemptId { number }, {}, start);
+            table.onFinished(server, AttemptId { number }, { EndKind::Broken, {}, {}, std::nullopt }, start);
+        }
+        const auto selector = makeSelector("rendezvous", {});
+        SelectRequest request;
+        request.service = service;
+        EXPECT_FALSE(selector->choose(request, table, start + milliseconds(1)));
+        EXPECT_EQ(selector->noChoice(), NoChoice::NoBackend);
+    }
+
 } // namespace
 } // namespace swiftlift::routing
