Hold no part back for servers that end at once, or that still run

Cause: ends were counted, not the moments in which they happen; a conclusion outlived what it was drawn from. Change: ends within 120 ms are one moment, of which there must be three; a router that has lately answered requests with a part judges for itself; the router that holds a part back withdraws that when the ends it rests on are withdrawn.

--- a/include/swiftlift/quarantine/PartSuspects.h
+++ b/include/swiftlift/quarantine/PartSuspects.h
@@ -19,6 +19,11 @@
     std::size_t minServersEnded = 4;
     /** The same for a part that was answered before the first of these ends. */
     std::size_t minServersEndedIfAnswered = 5;
+    /** Moments in which servers must have ended: those that end at once have one cause, such as the loss of a domain.
+     */
+    std::size_t minMoments = 3;
+    /** Ends within this time are of one moment; reports of one end arrive within it. */
+    Duration momentTime = std::chrono::milliseconds(120);
     /** Time from the first end on in which other routers' reports arrive. */
     Duration reportTime = std::chrono::milliseconds(300);
     /** Time from the first end on in which parts that were always lost together may still be told apart. */
@@ -41,7 +46,7 @@
     PromptPart part;
     std::size_t serversEnded = 0;
     Instant until {};
-    /** This router has just found it; the others should know. */
+    /** This router has just found it: a report that holds it back is to follow, to this object, too. */
     bool isNew = false;
 };
 
@@ -76,6 +81,8 @@
 
     /** @return The part for which a request with these parts must not be sent; nullopt: it may be sent. */
     [[nodiscard]] std::optional<HeldBackPart> heldBack(const std::vector<PromptPart>& parts, Instant now);
+    /** @return True if requests with the part must not be sent, as far as has been concluded. */
+    [[nodiscard]] bool isHeldBack(const PromptPart& part) const;
     /** @return Number of server instances that ended under requests with the part, since it was last answered. */
     [[nodiscard]] std::size_t serversEnded(const PromptPart& part) const;
     [[nodiscard]] std::size_t suspects() const noexcept { return suspects_.size(); }
@@ -89,14 +96,22 @@
         std::map<BackendInstance, std::set<ReportId>> ended;
         Instant firstEnd {};
         Instant lastEnd {};
+        /** Moments in which servers ended, apart by `momentTime`, and the last of them. */
+        std::size_t moments = 0;
+        Instant lastMoment {};
+        /** Reports of other routers, or of this one, that hold it back. */
+        std::set<ReportId> verdicts;
         /** It was answered within `answerLifetime` before the first end. */
         bool wasAnswered = false;
         /** Answers of any requests that this router had counted at the first end. */
         std::uint64_t answersBefore = 0;
-        bool heldBack = false;
+
+        [[nodiscard]] bool heldBack() const noexcept { return !verdicts.empty(); }
     };
 
     Suspect& suspectOf(const PromptPart& part, bool isOld, Instant now);
+    void addEnd(Suspect& suspect, const Report& report, bool isOld, Instant now) const;
+    [[nodiscard]] bool wasAnsweredLately(const PromptPart& part, Instant now) const;
     void evictSuspect();
     void rememberAnswer(const PromptPart& part, Instant now);
     /** @return The ends that parts which are held back explain. */
--- a/src/node/QuarantineCoordinator.cpp
+++ b/src/node/QuarantineCoordinator.cpp
@@ -50,6 +50,7 @@
         }
         quarantine_.onWithdrawn(*id);
         parts_.onWithdrawn(*id);
+        reviewVerdicts();
         return;
     }
     if (const auto report = quarantine::decode(*record.value)) {
@@ -201,12 +202,29 @@
 {
     const auto held = parts_.heldBack(parts, context_.now());
     if (held && held->isNew) {
-        (void)outbox_.onPartsJudged({ held->part }, true, context_.now());
+        const Report verdict = outbox_.onPartsJudged({ held->part }, true, context_.now());
+        parts_.onReport(verdict, false, context_.now());
+        ownVerdicts_[held->part] = verdict.id;
         logPart(held->part, "held_back", held->serversEnded);
     }
     return held;
 }
 
+void QuarantineCoordinator::reviewVerdicts()
+{
+    for (auto verdict = ownVerdicts_.begin(); verdict != ownVerdicts_.end();) {
+        const auto [part, id] = *verdict;
+        if (parts_.serversEnded(part) >= quarantine::PartLimits {}.minServersEnded) {
+            ++verdict;
+            continue;
+        }
+        outbox_.drop(id, context_.now());
+        parts_.onWithdrawn(id);
+        logPart(part, "released", parts_.serversEnded(part));
+        verdict = ownVerdicts_.erase(verdict);
+    }
+}
+
 void QuarantineCoordinator::logPart(const PromptPart& part, const char* change, std::size_t serversEnded)
 {
     context_.log(LogLineBuilder("prompt_part")
@@ -241,6 +259,9 @@
         quarantine_.onWithdrawn(id);
         parts_.onWithdrawn(id);
     }
+    if (!wrong.empty()) {
+        reviewVerdicts();
+    }
 }
 
 void QuarantineCoordinator::tick()
--- a/src/node/QuarantineCoordinator.h
+++ b/src/node/QuarantineCoordinator.h
@@ -146,6 +146,8 @@
     void dropExpired();
     /** @return A delay below `maxJitter` that is fixed for this router and report and differs between routers. */
     [[nodiscard]] Duration jitterFor(Duration maxJitter, const quarantine::ReportId& id) const;
+    /** Withdraws this router's verdicts that rest on servers which still run. */
+    void reviewVerdicts();
     void logPart(const quarantine::PromptPart& part, const char* change, std::size_t serversEnded);
     void logReport(const quarantine::ReportId& id, const char* change, std::size_t requests, const std::string& detail);
 
@@ -154,6 +156,8 @@
     quarantine::Quarantine quarantine_;
     quarantine::PartSuspects parts_;
     quarantine::ReportOutbox outbox_;
+    /** Reports by which this router holds parts back. */
+    std::map<quarantine::PromptPart, quarantine::ReportId> ownVerdicts_;
     std::deque<UncertainAnswer> uncertain_;
     /** Instances that ended lately, and when. */
     std::map<quarantine::BackendInstance, Instant> ended_;
--- a/src/quarantine/PartSuspects.cpp
+++ b/src/quarantine/PartSuspects.cpp
@@ -26,20 +26,40 @@
 void PartSuspects::onReport(const Report& report, bool isOld, Instant now)
 {
     for (const PromptPart& part : report.parts) {
-        if (report.heldBack || report.failedInstance) {
-            Suspect& suspect = suspectOf(part, isOld, now);
-            suspect.heldBack = suspect.heldBack || report.heldBack;
-            suspect.lastEnd = now;
-        }
         if (report.failedInstance) {
-            suspects_[part].ended[*report.failedInstance].insert(report.id);
-        } else if (!report.heldBack && !isOld) {
+            addEnd(suspectOf(part, isOld, now), report, isOld, now);
+        } else if (report.heldBack) {
+            // What this router has lately seen answered, it judges by its own evidence.
+            if (!wasAnsweredLately(part, now) || suspects_.contains(part)) {
+                Suspect& suspect = suspectOf(part, isOld, now);
+                suspect.verdicts.insert(report.id);
+                suspect.lastEnd = now;
+            }
+        } else if (!isOld) {
             suspects_.erase(part);
             rememberAnswer(part, now);
         }
     }
 }
 
+// When older ends happened is not known.
+void PartSuspects::addEnd(Suspect& suspect, const Report& report, bool isOld, Instant now) const
+{
+    const bool isNew = suspect.ended.try_emplace(*report.failedInstance).second;
+    suspect.ended[*report.failedInstance].insert(report.id);
+    suspect.lastEnd = now;
+    if (isNew && (isOld || suspect.moments == 0 || now - suspect.lastMoment >= limits_.momentTime)) {
+        ++suspect.moments;
+        suspect.lastMoment = now;
+    }
+}
+
+bool PartSuspects::wasAnsweredLately(const PromptPart& part, Instant now) const
+{
+    const auto answered = answered_.find(part);
+    return answered != answered_.end() && now - answered->second < limits_.answerLifetime;
+}
+
 PartSuspects::Suspect& PartSuspects::suspectOf(const PromptPart& part, bool isOld, Instant now)
 {
     if (!suspects_.contains(part) && suspects_.size() >= limits_.maxSuspects) {
@@ -47,10 +67,9 @@
     }
     const auto [entry, isNew] = suspects_.try_emplace(part);
     if (isNew) {
-        const auto answered = answered_.find(part);
         Suspect& suspect = entry->second;
         suspect.firstEnd = now;
-        suspect.wasAnswered = isOld || (answered != answered_.end() && now - answered->second < limits_.answerLifetime);
+        suspect.wasAnswered = isOld || wasAnsweredLately(part, now);
         suspect.answersBefore = answers_;
     }
     return entry->second;
@@ -60,7 +79,7 @@
 void PartSuspects::evictSuspect()
 {
     const auto order = [](const auto& entry) {
-        return std::tuple(entry.second.heldBack, entry.second.ended.size(), entry.second.lastEnd);
+        return std::tuple(entry.second.heldBack(), entry.second.ended.size(), entry.second.lastEnd);
     };
     suspects_.erase(std::ranges::min_element(suspects_, {}, order));
 }
@@ -68,13 +87,13 @@
 void PartSuspects::onWithdrawn(const ReportId& id)
 {
     for (auto entry = suspects_.begin(); entry != suspects_.end();) {
-        auto& ended = entry->second.ended;
-        for (auto& [instance, reports] : ended) {
+        Suspect& suspect = entry->second;
+        suspect.verdicts.erase(id);
+        for (auto& [instance, reports] : suspect.ended) {
             reports.erase(id);
         }
-        std::erase_if(ended, [](const auto& end) { return end.second.empty(); });
-        const bool isCleared = ended.empty() && !entry->second.heldBack;
-        entry = isCleared ? suspects_.erase(entry) : std::next(entry);
+        std::erase_if(suspect.ended, [](const auto& end) { return end.second.empty(); });
+        entry = suspect.ended.empty() && !suspect.heldBack() ? suspects_.erase(entry) : std::next(entry);
     }
 }
 
@@ -123,7 +142,7 @@
 {
     std::set<BackendInstance> explained;
     for (const auto& [part, suspect] : suspects_) {
-        if (suspect.heldBack) {
+        if (suspect.heldBack()) {
             std::ranges::transform(
                 suspect.ended, std::inserter(explained, explained.end()), [](const auto& end) { return end.first; });
         }
@@ -143,7 +162,7 @@
     const std::size_t own = unexplained(suspect, explained);
     return std::ranges::any_of(suspects_, [&](const auto& entry) {
         const Suspect& other = entry.second;
-        if (&other == &suspect || other.heldBack || other.wasAnswered || other.ended.size() < own
+        if (&other == &suspect || other.heldBack() || other.wasAnswered || other.ended.size() < own
             || !haveCommonEnd(suspect.ended, other.ended)) {
             return false;
         }
@@ -155,7 +174,7 @@
 bool PartSuspects::isGuilty(const Suspect& suspect, Instant now) const
 {
     const std::size_t least = suspect.wasAnswered ? limits_.minServersEndedIfAnswered : limits_.minServersEnded;
-    if (suspect.ended.size() < least || !hasHadItsChance(suspect, now)) {
+    if (suspect.ended.size() < least || suspect.moments < limits_.minMoments || !hasHadItsChance(suspect, now)) {
         return false;
     }
     const std::set<BackendInstance> explained = explainedEnds();
@@ -169,16 +188,21 @@
         if (found == suspects_.end()) {
             continue;
         }
-        Suspect& suspect = found->second;
-        const bool isNew = !suspect.heldBack && isGuilty(suspect, now);
-        suspect.heldBack = suspect.heldBack || isNew;
-        if (suspect.heldBack) {
+        const Suspect& suspect = found->second;
+        const bool isNew = !suspect.heldBack() && isGuilty(suspect, now);
+        if (isNew || suspect.heldBack()) {
             return HeldBackPart { part, suspect.ended.size(), suspect.lastEnd + limits_.lifetime, isNew };
         }
     }
     return std::nullopt;
 }
 
+bool PartSuspects::isHeldBack(const PromptPart& part) const
+{
+    const auto found = suspects_.find(part);
+    return found != suspects_.end() && found->second.heldBack();
+}
+
 std::size_t PartSuspects::serversEnded(const PromptPart& part) const
 {
     const auto found = suspects_.find(part);
--- a/tests/quarantine/PartSuspectsTest.cpp
+++ b/tests/quarantine/PartSuspectsTest.cpp
@@ -36,7 +36,16 @@
             }
         }
 
-        [[nodiscard]] bool isHeldBack(const PromptPart& part) { return suspects_.heldBack({ part }, now_).has_value(); }
+        /** Asks whether the part is held back, and reports it if that is new, as its router does. */
+        [[nodiscard]] bool isHeldBack(const PromptPart& part)
+        {
+            const auto held = suspects_.heldBack({ part }, now_);
+            if (held && held->isNew) {
+                suspects_.onReport(
+                    { { Incarnation { 1 }, ++reports_ }, {}, std::nullopt, { part }, true }, false, now_);
+            }
+            return held.has_value();
+        }
 
         PartSuspects suspects_;
         Instant now_ { seconds(1000) };
@@ -155,6 +164,34 @@
         EXPECT_FALSE(isHeldBack(guilty));
     }
 
+    // Guards against the first parts of all requests being held back as a failure domain is lost right after a start.
+    TEST_F(PartSuspectsTest, ServersThatEndAtOnceAreOneMoment)
+    {
+        for (int number = 0; number < 10; ++number) {
+            end({ first, company });
+            now_ += milliseconds(10);
+        }
+        now_ += seconds(10);
+        EXPECT_FALSE(isHeldBack(first) || isHeldBack(company));
+    }
+
+    // Guards against a router without a memory that has all others refuse what they have just seen answered.
+    TEST_F(PartSuspectsTest, VerdictOnAPartThatWasAnsweredHereIsNotTaken)
+    {
+        answer({ first });
+        suspects_.onReport({ { Incarnation { 2 }, 1 }, {}, std::nullopt, { first }, true }, false, now_);
+        EXPECT_FALSE(isHeldBack(first));
+    }
+
+    // Guards against a part that stays held back although the router that found it has withdrawn that.
+    TEST_F(PartSuspectsTest, WithdrawnVerdictEnds)
+    {
+        suspects_.onReport({ { Incarnation { 2 }, 1 }, {}, std::nullopt, { guilty }, true }, false, now_);
+        EXPECT_TRUE(isHeldBack(guilty));
+        suspects_.onWithdrawn({ Incarnation { 2 }, 1 });
+        EXPECT_FALSE(isHeldBack(guilty));
+    }
+
     // Guards against a suspicion that rests on servers that still run.
     TEST_F(PartSuspectsTest, WithdrawnReportsDontCount)
     {
