--- a/include/swiftlift/fleet/FleetConfig.h
+++ b/include/swiftlift/fleet/FleetConfig.h
@@ -60,6 +60,8 @@
     std::uint32_t slots = 1;
     /** Output tokens per event; the last event of an answer may have fewer. */
     std::uint32_t tokensPerEvent = 1;
+    /** Tokens of all requests and cached prefixes that an engine's memory holds; nullopt: not stated. */
+    std::optional<Tokens> memory = {};
 };
 
 /** @brief How the backend servers of a service bear requests just after their start, while they are cold. */
--- a/include/swiftlift/routing/BackendFacts.h
+++ b/include/swiftlift/routing/BackendFacts.h
@@ -47,6 +47,8 @@
     SoftwareVersion version = {};
     /** Empty if the server is warm. */
     std::optional<ColdPeriod> cold = {};
+    /** Tokens of all requests that the engine's memory holds; nullopt: not known, or not an engine. */
+    std::optional<Tokens> memory = {};
 };
 
 /** @brief A backend server's report on its own load; it shows a moment somewhat before its arrival. */
@@ -82,6 +84,8 @@
     Tokens promptTokens;
     /** Time to first token that the selector predicted, to be compared with the measured time. */
     Duration predictedFirstToken {};
+    /** Maximum memory of the request, in tokens: the whole prompt and the largest possible answer. */
+    Tokens memory = {};
 };
 
 /** @brief How an attempt ended. */
@@ -109,6 +113,8 @@
     Tokens cachedPromptTokens;
     /** What the answer's head states about the backend server; nullopt: no head was received. */
     std::optional<Announcement> announcement = std::nullopt;
+    /** Mean time between two events of the answer; nullopt: it had fewer than two. */
+    std::optional<Duration> pace = std::nullopt;
 };
 
 } // namespace swiftlift::routing
--- a/include/swiftlift/routing/BackendTable.h
+++ b/include/swiftlift/routing/BackendTable.h
@@ -15,6 +15,7 @@
 #include "swiftlift/routing/Announcement.h"
 #include "swiftlift/routing/BackendFacts.h"
 #include "swiftlift/routing/FleetShare.h"
+#include "swiftlift/routing/ServerLoad.h"
 
 namespace swiftlift::routing {
 
@@ -24,6 +25,7 @@
 } // namespace internal
 
 class Backend;
+class FleetLoad;
 class PrefillModel;
 class PrefixLengths;
 
@@ -147,6 +149,14 @@
     std::optional<double> announcedLimit;
     /** True if no answer has lately shown whether the backend server still names its limit. */
     bool limitUnconfirmed = false;
+    /** The other routers' requests there; nullopt: the load of the fleet is not known. */
+    std::optional<PeerLoad> peers;
+    /** This router's requests there. */
+    ServerLoad own;
+    /** Mean time between two events of a stream there, as observed by any router; nullopt: not known. */
+    std::optional<Duration> pace;
+    /** Tokens of all requests that the engine's memory holds; nullopt: not known, or not an engine. */
+    std::optional<Tokens> memory;
     /** False if the backend server reported its models and the request's model is not among them. */
     bool servesModel = true;
 };
@@ -184,6 +194,12 @@
      */
     void setRouters(const PeerAddress& self, std::vector<PeerAddress> routers, Instant now);
 
+    /** @param load View of the other routers' requests, which outlives the table; null: none, views have no `peers`. */
+    void setFleetLoad(const FleetLoad* load) noexcept { fleetLoad_ = load; }
+    /** @return This router's requests at each backend server that has any, or whose pace was observed since the last
+     * call, to be reported to other routers. */
+    [[nodiscard]] std::vector<ServerLoadEntry> takeOwnLoads();
+
     /** @brief Processes what a backend server states about itself in the head of an answer. */
     void onAnnounced(const BackendId& backend, const Announcement& announcement, Instant now);
     /** @brief Processes what another router knows of backend servers' announcements. */
@@ -253,6 +269,7 @@
     /** @brief Ends trials at all servers of the services of a brittle server that turned a request away at `at`. */
     void pauseService(const BackendId& server, Instant at) const;
     [[nodiscard]] FleetShare shareOf(const Backend& backend, const FleetRate& rate) const;
+    [[nodiscard]] BackendView viewOf(const Backend& backend, const ViewRequest& request, Instant now) const;
 
     TableSettings settings_;
     std::unique_ptr<PrefillModel> prefill_;
@@ -265,6 +282,7 @@
     std::vector<AnnouncementChange> announcementChanges_;
     std::vector<TurnedAway> turnedAway_;
     bool urgentNews_ = false;
+    const FleetLoad* fleetLoad_ = nullptr;
     PeerAddress self_;
     std::vector<PeerAddress> routers_;
     /** The table holds backend servers that no service lists and that still run attempts of this router. */
--- a/include/swiftlift/routing/Fwd.h
+++ b/include/swiftlift/routing/Fwd.h
@@ -8,12 +8,14 @@
 struct FleetShare;
 struct LoadReport;
 struct SelectRequest;
+struct ServerLoad;
 struct SharedAnnouncement;
 
 class Admission;
 class BackendTable;
 class DomainReachability;
 class FairQueue;
+class FleetLoad;
 class LinkMonitor;
 class RetryBudget;
 class Selector;
--- a/src/node/FleetDirectory.h
+++ b/src/node/FleetDirectory.h
@@ -141,6 +141,8 @@
     bool removeMissing();
     /** @return True when most of the service's ready servers have missing entries. */
     [[nodiscard]] bool isMajorityMissing(const ServiceName& service) const;
+    /** @return Tokens that the memory of the service's engines holds; nullopt: not stated, or no engines. */
+    [[nodiscard]] std::optional<Tokens> memoryOf(const ServiceName& service) const;
     /** @return How the service's servers bear requests while they are cold; null if they never are. */
     [[nodiscard]] const fleet::WarmupFacts* warmupOf(const ServiceName& service) const;
     [[nodiscard]] Duration warmupDurationOf(const ServiceName& service) const;
--- a/src/node/FleetDirectoryServers.cpp
+++ b/src/node/FleetDirectoryServers.cpp
@@ -170,8 +170,9 @@
     }
     for (const auto& [id, server] : servers_) {
         if (server.state == fleet::ServerState::Ready) {
-            services[server.service].push_back({ id, server.domain, server.slots, server.startedAt,
-                evacuations_.evacuations().contains(server.domain), server.version, coldPeriod(server) });
+            services[server.service].push_back(
+                { id, server.domain, server.slots, server.startedAt, evacuations_.evacuations().contains(server.domain),
+                    server.version, coldPeriod(server), memoryOf(server.service) });
         }
     }
     published_.clear();
@@ -183,6 +184,12 @@
     }
 }
 
+std::optional<Tokens> FleetDirectory::memoryOf(const ServiceName& service) const
+{
+    const fleet::Service* found = routes_ ? routes_->service(service) : nullptr;
+    return found != nullptr && found->engine ? found->engine->memory : std::nullopt;
+}
+
 const fleet::WarmupFacts* FleetDirectory::warmupOf(const ServiceName& service) const
 {
     const fleet::Service* found = routes_ ? routes_->service(service) : nullptr;
--- a/src/node/ProxyRequestsDispatch.cpp
+++ b/src/node/ProxyRequestsDispatch.cpp
@@ -199,8 +199,9 @@
     const Tokens lastPartTokens = parts.empty() ? request.info.promptTokens : parts.back().tokens;
     const Tokens tokensToPrefill
         = lastPartTokens + (choice.prefillsSharedPart ? internal::sharedTokens(parts) : Tokens {});
+    const Tokens memory = request.info.promptTokens + request.info.maxAnswerTokens;
     backends_.onDispatched(
-        choice.backend, request.attempt, { 0, tokensToPrefill, choice.predictedFirstToken }, context_.now());
+        choice.backend, request.attempt, { 0, tokensToPrefill, choice.predictedFirstToken, memory }, context_.now());
     context_.log(LogLineBuilder("route")
                      .with("request", request.info.id)
                      .with("content", toHex(request.info.content))
--- a/src/routing/Backend.cpp
+++ b/src/routing/Backend.cpp
@@ -44,6 +44,7 @@
     entry_.evacuated = entry.evacuated;
     entry_.cold = entry.cold;
     entry_.version = entry.version;
+    entry_.memory = entry.memory;
     const bool newInstance = entry.instance > entry_.instance && entry_.instance != 0;
     entry_.instance = std::max(entry_.instance, entry.instance);
     if (!newInstance) {
@@ -56,6 +57,8 @@
     room_.clear();
     heardAt_.reset();
     unread_ = Tokens {};
+    memory_ = Tokens {};
+    pace_.reset();
     generation_.reset();
     reported_ = false;
     lastPollFailed_ = false;
@@ -134,6 +137,7 @@
     const Tokens uncached = facts.promptTokens - cache_.expected(facts.prefixHash, facts.promptTokens);
     sent_[attempt] = SentAttempt { facts, now, uncached, predict(uncached, now), load_.now(now).waiting > 0 };
     unread_ += uncached;
+    memory_ += facts.memory;
     sent_[attempt].trial = room_.onDispatched(load_.inFlight(), now);
     load_.onDispatched(attempt, now);
     breaker_.onDispatched(attempt, now);
@@ -162,6 +166,8 @@
     predictionError_ += (error - predictionError_) / offsetSmoothing;
 }
 
+ServerLoad Backend::ownLoad() const { return { load_.inFlight(), unread_, memory_ }; }
+
 void Backend::subtractUnread(const SentAttempt& sent)
 {
     if (!sent.answered) {
@@ -193,6 +199,10 @@
     }
     const SentAttempt sent = found->second;
     subtractUnread(sent);
+    memory_ -= sent.facts.memory;
+    if (facts.pace) {
+        pace_ = pace_ ? (*pace_ + *facts.pace) / 2 : *facts.pace;
+    }
     sent_.erase(found);
     (void)load_.onFinished(attempt, facts.kind == EndKind::Completed, now);
     if (facts.announcement) {
@@ -347,6 +357,8 @@
     view.resting = resting(now);
     view.announcedLimit = announcedLimit_;
     view.limitUnconfirmed = announcedLimit_ && now - limitStatedAt_ > settings_.limitConfirmation;
+    view.own = ownLoad();
+    view.memory = entry_.memory;
     view.servesModel = request.model.empty() || !reported_ || models_.contains(request.model);
     return view;
 }
--- a/src/routing/Backend.h
+++ b/src/routing/Backend.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "routing/AnnouncementBook.h"
 #include "routing/ArrivalLimiter.h"
@@ -54,6 +55,10 @@
     [[nodiscard]] bool idle() const noexcept { return load_.inFlight() == 0; }
     /** @return Number of attempts of this router in progress there. */
     [[nodiscard]] std::uint32_t inFlight() const noexcept { return load_.inFlight(); }
+    /** @return This router's requests there. */
+    [[nodiscard]] ServerLoad ownLoad() const;
+    /** @return Mean time between events of the streams that ended since the last call; nullopt: none did. */
+    [[nodiscard]] std::optional<Duration> takePace() noexcept { return std::exchange(pace_, std::nullopt); }
     /** @return Estimated number of requests that the server runs at once. */
     [[nodiscard]] std::uint32_t slots() const noexcept { return load_.slots(); }
     /** @param count Maximum number of prefixes to remember. */
@@ -141,6 +146,10 @@
     std::map<AttemptId, SentAttempt> sent_;
     /** Sum of the uncached prompt tokens of attempts in `sent_` without a first token. */
     Tokens unread_;
+    /** Sum of the maximum memory of attempts in `sent_`. */
+    Tokens memory_;
+    /** Mean time between events of the streams that ended since takePace(). */
+    std::optional<Duration> pace_;
     std::set<std::string> models_;
     /** A load report has arrived. */
     bool reported_ = false;
--- a/src/routing/BackendTable.cpp
+++ b/src/routing/BackendTable.cpp
@@ -7,6 +7,7 @@
 #include "routing/AnnouncementBook.h"
 #include "routing/Backend.h"
 #include "swiftlift/base/RendezvousHash.h"
+#include "swiftlift/routing/FleetLoad.h"
 
 namespace swiftlift::routing {
 
@@ -372,7 +373,7 @@
     }
     views.reserve(found->second.size());
     for (const BackendId& id : found->second) {
-        views.push_back(backends_.at(id)->view(request, now));
+        views.push_back(viewOf(*backends_.at(id), request, now));
     }
     return views;
 }
@@ -383,7 +384,30 @@
     if (found == nullptr) {
         return std::nullopt;
     }
-    return found->view(request, now);
+    return viewOf(*found, request, now);
+}
+
+BackendView BackendTable::viewOf(const Backend& backend, const ViewRequest& request, Instant now) const
+{
+    BackendView view = backend.view(request, now);
+    if (fleetLoad_ != nullptr) {
+        const ServerKey key = serverKey(view.backend, backend.entry().instance);
+        view.peers = fleetLoad_->of(key, now);
+        view.pace = fleetLoad_->paceOf(key, now);
+    }
+    return view;
+}
+
+std::vector<ServerLoadEntry> BackendTable::takeOwnLoads()
+{
+    std::vector<ServerLoadEntry> loads;
+    for (const auto& [id, backend] : backends_) {
+        const std::optional<Duration> pace = backend->takePace();
+        if (!backend->idle() || pace) {
+            loads.push_back({ serverKey(id, backend->entry().instance), backend->ownLoad(), pace });
+        }
+    }
+    return loads;
 }
 
 std::vector<BackendId> BackendTable::backends() const
