Don't hold back a part of prompts for ends that were cleared before this process

Cause: a router that had just restarted read nine ends from the log under which a part had been lost, all of one moment of a crash of 15 servers, and took them for nine moments. Change: an old report of an answer clears the part's ends from before the process, in whichever order the log has them; a verdict of another router still counts.

--- a/include/swiftlift/quarantine/PartSuspects.h
+++ b/include/swiftlift/quarantine/PartSuspects.h
@@ -67,7 +67,7 @@
      * @brief Records what a report says of parts: that a server instance ended under requests with them, that these
      * were answered, or that they are held back.
      * @param isOld The report may be from before this process, which can't tell whether its parts were answered
-     * before.
+     * before. Old ends of a part that an old report says was answered don't count.
      */
     void onReport(const Report& report, bool isOld, Instant now);
     /** @brief Removes a report that was wrong. */
@@ -107,6 +107,8 @@
         [[nodiscard]] bool heldBack() const noexcept { return !verdicts.empty(); }
     };
 
+    /** @brief Processes a report from before this process by which a part was answered after servers had ended. */
+    void clearOldEnds(const PromptPart& part);
     Suspect& suspectOf(const PromptPart& part, bool isOld, Instant now);
     void addEnd(Suspect& suspect, const Report& report, bool isOld, Instant now) const;
     [[nodiscard]] bool wasAnsweredLately(const PromptPart& part, Instant now) const;
@@ -124,6 +126,8 @@
 
     PartLimits limits_;
     std::map<PromptPart, Suspect> suspects_;
+    /** Parts that other routers saw answered before this process started: ends from before then don't count. */
+    std::set<PromptPart> answeredBeforeStart_;
     /** When each part was last answered. */
     std::map<PromptPart, Instant> answered_;
     std::uint64_t answers_ = 0;
--- a/src/quarantine/PartSuspects.cpp
+++ b/src/quarantine/PartSuspects.cpp
@@ -27,6 +27,9 @@
 {
     for (const PromptPart& part : report.parts) {
         if (report.failedInstance) {
+            if (isOld && answeredBeforeStart_.contains(part)) {
+                continue;
+            }
             addEnd(suspectOf(part, isOld, now), report, isOld, now);
         } else if (report.heldBack) {
             // What this router has lately seen answered, it judges by its own evidence.
@@ -35,13 +38,27 @@
                 suspect.verdicts.insert(report.id);
                 suspect.lastEnd = now;
             }
-        } else if (!isOld) {
+        } else if (isOld) {
+            clearOldEnds(part);
+        } else {
             suspects_.erase(part);
             rememberAnswer(part, now);
         }
     }
 }
 
+// The log has ends and answers in the order in which they were appended, which isn't the order in which they happened:
+// after an outage the ends may follow the answers. So an answer clears all ends from before this process.
+void PartSuspects::clearOldEnds(const PromptPart& part)
+{
+    if (answeredBeforeStart_.size() < limits_.maxAnswered) {
+        answeredBeforeStart_.insert(part);
+    }
+    if (const auto found = suspects_.find(part); found != suspects_.end() && !found->second.heldBack()) {
+        suspects_.erase(found);
+    }
+}
+
 // When older ends happened is not known.
 void PartSuspects::addEnd(Suspect& suspect, const Report& report, bool isOld, Instant now) const
 {
--- a/tests/quarantine/PartSuspectsTest.cpp
+++ b/tests/quarantine/PartSuspectsTest.cpp
@@ -154,6 +154,29 @@
         EXPECT_TRUE(isHeldBack(guilty));
     }
 
+    // Guards against a router that has just started and holds back a sound part for all, as it knows only the ends that
+    // the log keeps, which no request with the part had caused: others had seen it answered and reported so.
+    TEST_F(PartSuspectsTest, EndsReadFromTheLogDontCountIfThePartWasAnsweredAfterwards)
+    {
+        const Report answered { { Incarnation { 2 }, 1 }, {}, std::nullopt, { rare }, false };
+        for (int number = 0; number < 9; ++number) {
+            end({ first, rare }, true);
+            if (number == 4) {
+                suspects_.onReport(answered, true, now_);
+            }
+        }
+        now_ += seconds(3);
+        answer({ first }, 30);
+        EXPECT_FALSE(isHeldBack(rare));
+        for (int number = 0; number < 6; ++number) {
+            end({ first, rare });
+            now_ += milliseconds(200);
+            answer({ first }, 10);
+        }
+        now_ += seconds(3);
+        EXPECT_TRUE(isHeldBack(rare));
+    }
+
     // Guards against a router that has not seen the ends itself and sends what the others hold back.
     TEST_F(PartSuspectsTest, PartThatAnotherRouterHoldsBackIsHeldBack)
     {
