Carry overload and the configuration's age in heartbeats

Cause: a router can't see that the routers of its failure domain are overloaded, nor that a peer has read a newer configuration. Change: Heartbeat has the fields overloaded, config_version and config_age, with codec. Measured: the tests of the codec cover the new fields.

--- a/include/swiftlift/node/PeerMessage.h
+++ b/include/swiftlift/node/PeerMessage.h
@@ -21,6 +21,14 @@
     /** Offset of the first record that has not been read. */
     Offset next;
 };
+/** The configuration in force at the sender of a heartbeat. */
+struct ConfigState {
+    std::uint64_t version = 0;
+    /** Time since the log was known to hold no newer configuration; nullopt: not known. */
+    std::optional<Duration> age;
+
+    [[nodiscard]] bool operator==(const ConfigState&) const = default;
+};
 /** Sent to peers at regular intervals: the sender's location and state. */
 struct Heartbeat {
     FailureDomain domain;
@@ -36,6 +44,9 @@
     RelayAddress relay {};
     /** Failure domains whose backend servers the sender can't reach itself. */
     std::vector<FailureDomain> unreachableDomains {};
+    /** The sender asks the load balancer for no new callers, because of its CPU use or its lag. */
+    bool overloaded = false;
+    ConfigState config {};
 };
 /** Holder to witness: requests permission to spend these grants up to these ceilings. */
 struct RaiseCeilings {
--- a/src/wire/PeerReader.cpp
+++ b/src/wire/PeerReader.cpp
@@ -10,7 +10,7 @@
 
     using proto::peer::Envelope;
 
-    /** An announcement's greatest age in microseconds: a day. */
+    /** Greatest age that is read, in microseconds: a day. */
     constexpr std::uint64_t maxAge = 86'400'000'000U;
 
     GrantId read(const proto::ledger::Grant& in) { return { Incarnation(in.holder()), in.number() }; }
@@ -77,6 +77,11 @@
         for (const auto& domain : in.unreachable_domains()) {
             heartbeat.unreachableDomains.emplace_back(domain);
         }
+        heartbeat.overloaded = in.overloaded();
+        heartbeat.config.version = in.config_version();
+        if (in.has_config_age()) {
+            heartbeat.config.age = toAge(in.config_age());
+        }
         return heartbeat;
     }
 
--- a/src/wire/PeerWriter.cpp
+++ b/src/wire/PeerWriter.cpp
@@ -71,6 +71,11 @@
     for (const auto& domain : message.unreachableDomains) {
         body.add_unreachable_domains(domain.value());
     }
+    body.set_overloaded(message.overloaded);
+    body.set_config_version(message.config.version);
+    if (message.config.age) {
+        body.set_config_age(static_cast<std::uint64_t>(message.config.age->count()));
+    }
 }
 
 void write(const node::RaiseCeilings& message, proto::peer::Envelope& out)
--- a/tests/wire/PeerCodecTest.cpp
+++ b/tests/wire/PeerCodecTest.cpp
@@ -27,6 +27,8 @@
         heartbeat.announcements = announcements;
         heartbeat.relay = RelayAddress("127.0.0.1:9");
         heartbeat.unreachableDomains = { FailureDomain("d") };
+        heartbeat.overloaded = true;
+        heartbeat.config = { 12, std::chrono::milliseconds(340) };
         return { heartbeat, node::RaiseCeilings { ceilings }, node::CeilingsAcked { ceilings },
             node::CeilingsRefused { { grant } }, node::LoanAsk { 1, budget, Tokens(5) },
             node::LoanGiven { 2, budget, grant, Tokens(6) }, node::LoanDenied { 3, budget, Tokens(7) },
@@ -80,6 +82,8 @@
     EXPECT_EQ(heartbeat.announcements, announcements);
     EXPECT_EQ(heartbeat.relay, RelayAddress("127.0.0.1:9"));
     EXPECT_EQ(heartbeat.unreachableDomains, std::vector<FailureDomain> { FailureDomain("d") });
+    EXPECT_TRUE(heartbeat.overloaded);
+    EXPECT_EQ(heartbeat.config, (node::ConfigState { 12, std::chrono::milliseconds(340) }));
 }
 
 TEST(PeerCodec, RefusesBytesThatAreNoValidEnvelope)
