Shed load by the age of events and by CPU use

Cause: a VM with 0.09 cores routed ten times its share and was seconds behind, while timers were on time and few events waited, so that it stayed ready and refused nothing. Change: the load shedder also takes the wait of events (not ready from 100 ms, refused from 250 ms) and the CPU time used of the VM's share (not ready from 75 % over 1 s; setting vm.cores). With a known share, a router stays ready while a quarter of its failure domain is overloaded already, unless its events wait longer than 250 ms. It names the cause.

--- a/include/swiftlift/routing/LoadShedder.h
+++ b/include/swiftlift/routing/LoadShedder.h
@@ -4,8 +4,10 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <string_view>
 
 #include "swiftlift/base/Units.h"
+#include "swiftlift/routing/CpuUsage.h"
 
 namespace swiftlift::routing {
 
@@ -17,6 +19,8 @@
     std::size_t waiting = 0;
     /** The caller had disconnected before its request was read. */
     bool callerLeft = false;
+    /** How long events wait for the decision thread. */
+    Duration eventDelay {};
 };
 
 /** @brief What to do with a request that was just read. */
@@ -28,6 +32,12 @@
     Drop,
 };
 
+/** @brief Why a router is not ready for more callers. */
+enum class NotReadyCause : std::uint8_t { None, Lag, Cpu, Link, Refusals };
+
+/** @return Name of the cause in log lines. */
+[[nodiscard]] std::string_view toText(NotReadyCause cause) noexcept;
+
 /** @brief Load beyond which a router refuses requests. */
 struct LoadShedderLimits {
     /** Maximum delay of timers; zero for no limit. */
@@ -36,6 +46,12 @@
     std::size_t maxWaiting = 0;
     /** Bandwidth of the VM's link in each direction, in bytes per second; zero if not known. */
     std::uint64_t linkBytesPerSecond = 0;
+    /** Wait of events beyond which the router is not ready; zero for no limit. */
+    Duration readyEventDelay {};
+    /** Wait of events beyond which requests are refused; zero for no limit. */
+    Duration maxEventDelay {};
+    /** The VM's share of CPU time, as a number of cores; zero if not known. */
+    double cpuCores = 0;
 };
 
 /** @brief Payload bytes that have passed over the VM's link since the router started. */
@@ -59,6 +75,12 @@
  * backend servers time out, the log can't be read, and heartbeats come late. The log shows `connect: timeout` for
  * servers of all domains at one VM. So a router that has a bandwidth set for its link reports that it is not ready
  * before the link is full, and refuses requests once it is.
+ *
+ * A VM that is short of CPU time handles old data without any of these signs: few events wait, but for long. So the
+ * router reports that it is not ready once events wait long or its share of CPU time is nearly used up. If all VMs of
+ * a failure domain did so, none would be left for its callers. So with a known share of CPU time, a router stays ready
+ * while a quarter of its domain's VMs are overloaded already, unless its events wait too long even for its present
+ * callers.
  */
 class LoadShedder {
 public:
@@ -75,9 +97,27 @@
      */
     [[nodiscard]] LoadShedVerdict onRequest(const ObservedLoad& load, Instant now);
 
+    /** @brief Records how long events wait for the decision thread; to be called a few times a second. */
+    void onEventDelay(Duration delay, Instant now);
+
+    /** @brief Records the CPU time that the process has used since its start; to be called a few times a second. */
+    void onCpuTime(Duration used, Instant now);
+
+    /** @brief Sets whether as many VMs of the failure domain as may be are overloaded already, this one excepted. */
+    void setOverloadLimitReached(bool reached) noexcept { overloadLimitReached_ = reached; }
+
     /** @return True if new callers may be sent to this router. */
     [[nodiscard]] bool ready(Instant now);
 
+    /** @return Why new callers should not be sent to this router. */
+    [[nodiscard]] NotReadyCause notReadyCause(Instant now) const;
+
+    /** @return Used part of the VM's share of CPU time, 1 for all of it; 0 if not known. */
+    [[nodiscard]] double cpuShare() const noexcept { return cpu_.share(); }
+
+    /** @return When the caller of a refused request may retry: once the events that wait now have been handled. */
+    [[nodiscard]] static Duration retryAfter(const ObservedLoad& load);
+
 private:
     /** Time over which requests are counted: the period of the load balancer's readiness probes. */
     static constexpr Duration window = std::chrono::seconds(1);
@@ -97,6 +137,12 @@
      * flood. */
     static constexpr Duration linkWindow = std::chrono::milliseconds(500);
 
+    /** Used part of the VM's share of CPU time from which on the router is not ready. */
+    static constexpr double busyCpuShare = 0.75;
+    /** Bounds of the time after which a refused request may be retried. */
+    static constexpr Duration minRetryAfter = std::chrono::seconds(1);
+    static constexpr Duration maxRetryAfter = std::chrono::seconds(5);
+
     [[nodiscard]] LoadShedVerdict verdictFor(const ObservedLoad& load) const;
     void removeOldRequests(Instant now);
     [[nodiscard]] bool linkLoadExceeds(std::uint64_t percent) const;
@@ -110,7 +156,15 @@
     LoadShedderLimits limits_;
     std::deque<CountedRequest> countedRequests_;
     std::size_t turnedAwayCount_ = 0;
-    Instant notReadyUntil_ {};
+    /** Ends of the times for which the router is not ready, by cause. */
+    Instant refusalsUntil_ {};
+    Instant linkBusyUntil_ {};
+    Instant cpuBusyUntil_ {};
+    Instant lagUntil_ {};
+    /** The same for a lag beyond which requests are refused. */
+    Instant longLagUntil_ {};
+    bool overloadLimitReached_ = false;
+    CpuUsage cpu_;
     LinkTraffic windowStartTraffic_;
     Instant windowStart_ {};
     /** Payload over the last complete `linkWindow`, in the direction with more of it. */
--- a/include/swiftlift/settings/RouterSettings.h
+++ b/include/swiftlift/settings/RouterSettings.h
@@ -39,6 +39,8 @@
     Region region;
     /** Bandwidth of the VM's network link in each direction, in Mbit/s; 0: unknown, treated as unlimited. */
     double bandwidth = 0;
+    /** The VM's share of CPU time, as a number of cores; 0: not known. */
+    double cores = 0;
 };
 
 /** How a router reaches other routers. */
--- a/src/settings/RouterSettings.cpp
+++ b/src/settings/RouterSettings.cpp
@@ -26,6 +26,7 @@
     constexpr Range<std::uint64_t> wholePercent { 0, 100 };
     constexpr Range<std::uint64_t> portOffsetRange { 0, 1'000 };
     constexpr Range<double> bandwidthRange { 0, 1'000'000 };
+    constexpr Range<double> coresRange { 0, 10'000 };
     constexpr Range<double> ratioRange { 0, 10 };
     constexpr Range<double> callRateRange { 0, 1'000'000 };
     constexpr Range<double> extraRange { 0, 1'000'000 };
@@ -40,6 +41,7 @@
         checker.name("domain", Presence::Required, vm.domain);
         checker.name("region", Presence::Required, vm.region);
         checker.fraction("bandwidth", Presence::Optional, bandwidthRange, vm.bandwidth);
+        checker.fraction("cores", Presence::Optional, coresRange, vm.cores);
         checker.reportUnknownKeys();
     }
 
--- a/tests/routing/LoadShedderTest.cpp
+++ b/tests/routing/LoadShedderTest.cpp
@@ -92,6 +92,82 @@
         EXPECT_TRUE(shedderWithLinkLimit.ready(now));
     }
 
+    /** A VM with 0.09 cores, as in a large fleet; the limits are those of the platform dialect. */
+    class ShortOfCpuTest : public testing::Test {
+    protected:
+        /** @brief Uses this part of the VM's share of CPU time for a time. */
+        void use(double share, Duration time)
+        {
+            for (const Instant end = now + time; now < end;) {
+                now += 100ms;
+                used += std::chrono::duration_cast<Duration>(100ms * cores * share);
+                shedder.onCpuTime(used, now);
+            }
+        }
+
+        static constexpr double cores = 0.09;
+        Instant now { 100s };
+        Duration used {};
+        LoadShedder shedder { { 100ms, 100, 0, 100ms, 250ms, cores } };
+    };
+
+    // Guards against a VM that gets ten times its share of callers until it is seconds behind, and is ready all along.
+    TEST_F(ShortOfCpuTest, IsNotReadyOnceMostOfItsShareIsUsed)
+    {
+        use(0.7, 3s);
+        EXPECT_TRUE(shedder.ready(now));
+        use(0.9, 1s);
+        EXPECT_FALSE(shedder.ready(now));
+        EXPECT_EQ(shedder.notReadyCause(now), NotReadyCause::Cpu);
+        EXPECT_EQ(shedder.onRequest({}, now), LoadShedVerdict::Accept) << "present callers are still served";
+        use(0.5, 4s);
+        EXPECT_TRUE(shedder.ready(now));
+    }
+
+    // Guards against one large request that makes a VM look overloaded.
+    TEST_F(ShortOfCpuTest, ShortUseOfTheWholeShareLeavesItReady)
+    {
+        use(0.3, 3s);
+        use(1, 500ms);
+        use(0.3, 2s);
+        EXPECT_TRUE(shedder.ready(now));
+    }
+
+    // Guards against requests that wait seconds for a decision while timers are on time and few events wait.
+    TEST_F(ShortOfCpuTest, OldEventsMakeItNotReadyAndThenRefuse)
+    {
+        EXPECT_EQ(shedder.onRequest({ 0ms, 3, false, 90ms }, now), LoadShedVerdict::Accept);
+        EXPECT_TRUE(shedder.ready(now));
+        EXPECT_EQ(shedder.onRequest({ 0ms, 3, false, 150ms }, now), LoadShedVerdict::Accept);
+        EXPECT_EQ(shedder.notReadyCause(now), NotReadyCause::Lag);
+        EXPECT_EQ(shedder.onRequest({ 0ms, 3, false, 251ms }, now), LoadShedVerdict::Refuse);
+        EXPECT_EQ(LoadShedder::retryAfter({ 0ms, 3, false, 251ms }), 1s);
+        EXPECT_EQ(LoadShedder::retryAfter({ 0ms, 3, false, 2s }), 4s);
+    }
+
+    // Guards against a failure domain that takes no more callers, because all its VMs became overloaded together.
+    TEST_F(ShortOfCpuTest, StaysReadyWhileAQuarterOfTheDomainIsOverloaded)
+    {
+        shedder.setOverloadLimitReached(true);
+        use(1, 2s);
+        shedder.onEventDelay(200ms, now);
+        EXPECT_TRUE(shedder.ready(now));
+        shedder.onEventDelay(251ms, now);
+        EXPECT_EQ(shedder.notReadyCause(now), NotReadyCause::Lag);
+    }
+
+    // Guards against a VM without a known share that stays ready while it lags, as it applies none of the CPU rules.
+    TEST_F(ShortOfCpuTest, WithoutAKnownShareOnlyLagCounts)
+    {
+        LoadShedder unknownShare { { 100ms, 100, 0, 100ms, 250ms } };
+        unknownShare.setOverloadLimitReached(true);
+        unknownShare.onCpuTime(1s, now);
+        unknownShare.onCpuTime(100s, now + 1s);
+        EXPECT_TRUE(unknownShare.ready(now + 1s));
+        unknownShare.onEventDelay(150ms, now);
+        EXPECT_FALSE(unknownShare.ready(now));
+    }
+
     TEST_F(LoadShedderTest, FewDisconnectedCallersLeaveItReady)
     {
         for (int count = 0; count < 10; ++count) {
