Suspect no peer for heartbeats that wait in this router's own queue

Cause: a router that handled its events seconds late took live peers for silent, and their grants were sealed. Change: silence counts from the end of the router's own lag on, as it does after a pause of the process. Peers state whether they are overloaded, and the overloaded ones of the own failure domain are counted. Measured: with events that wait 300 ms for 5 s nobody is suspected; a peer that died is suspected 3 s after the lag.

--- a/include/swiftlift/membership/Membership.h
+++ b/include/swiftlift/membership/Membership.h
@@ -62,6 +62,14 @@
      */
     void setWatched(const std::vector<Incarnation>& watched, Instant now);
 
+    /**
+     * @brief Records how late this router handles its events. Silence of peers counts only from the end of its own lag:
+     * until then, heartbeats may have arrived that it has not handled.
+     * @param delay Longest wait of an event since the last call.
+     * @param now Present time.
+     */
+    void onOwnDelay(Duration delay, Instant now);
+
     /**
      * @brief Updates suspicions and the choice of witness and remote replicas, and plans heartbeats. Call at least
      * every 50 ms.
@@ -121,6 +129,17 @@
     /** @return True when the platform lists this router's VM as leaving. */
     [[nodiscard]] bool selfLeaving() const noexcept { return selfLeaving_; }
 
+    /** @brief The live routers of this router's failure domain that are overloaded. */
+    struct DomainOverload {
+        /** Live peers of the failure domain. */
+        std::size_t peers = 0;
+        /** Those that are overloaded. */
+        std::size_t overloaded = 0;
+        /** Overloaded peers with a lower incarnation than this router's. */
+        std::size_t overloadedBefore = 0;
+    };
+    [[nodiscard]] DomainOverload domainOverload() const;
+
     /** @brief Numbers of peers by state, and of other VMs in the platform's list; for operators and metrics. */
     struct Counts {
         std::size_t alive = 0;
@@ -229,7 +248,7 @@
     SelectedPeer secondRemoteReplica_;
     std::optional<Instant> firstTick_;
     Instant lastTick_ {};
-    /** Silence before this time is not counted: start of the process, or end of its last pause. */
+    /** Silence before this time is not counted: start of the process, or end of its last pause or lag. */
     Instant silenceCountsFrom_ {};
     Instant nextHeartbeat_ {};
     bool settled_ = false;
--- a/include/swiftlift/membership/MembershipEvent.h
+++ b/include/swiftlift/membership/MembershipEvent.h
@@ -15,6 +15,8 @@
     Region region;
     bool stopping = false;
     bool logReachable = false;
+    /** The sender asks the load balancer for no new callers, because of its CPU use or its lag. */
+    bool overloaded = false;
 };
 
 /** @brief A VM in the platform's list. The list lags behind, so entries are hints only. */
--- a/include/swiftlift/membership/MembershipSettings.h
+++ b/include/swiftlift/membership/MembershipSettings.h
@@ -36,6 +36,9 @@
     Duration pauseThreshold = std::chrono::seconds(1);
     /** Time after which a suspected peer that the platform no longer lists is forgotten. */
     Duration forgetAfter = std::chrono::minutes(2);
+    /** A longer wait of events in this process counts as a lag: the wait beyond which it refuses requests. Below half
+     * the heartbeat period, so that a lag in which a heartbeat could be overlooked is never missed. */
+    Duration lagThreshold = std::chrono::milliseconds(250);
     /** Heartbeats per period to peers of the own failure domain, by rotation; with at most this many peers there, each
      * gets one in every period. */
     std::uint32_t domainPerPeriod = 6;
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -192,6 +192,15 @@
     lastTick_ = now;
 }
 
+// A router that handles its events seconds late would take its peers for silent and have their grants sealed, although
+// their heartbeats wait in its own queue.
+void Membership::onOwnDelay(Duration delay, Instant now)
+{
+    if (delay > settings_.lagThreshold) {
+        silenceCountsFrom_ = now;
+    }
+}
+
 void Membership::suspectSilentPeers(Instant now)
 {
     for (auto& [incarnation, peer] : peers_) {
--- a/src/membership/Queries.cpp
+++ b/src/membership/Queries.cpp
@@ -126,6 +126,20 @@
     return found == peers_.end() ? std::nullopt : std::optional(found->second.lastHeartbeatAt);
 }
 
+Membership::DomainOverload Membership::domainOverload() const
+{
+    DomainOverload result;
+    for (const auto& [incarnation, peer] : peers_) {
+        if (peer.state != PeerState::Alive || distance(peer) > 0) {
+            continue;
+        }
+        ++result.peers;
+        result.overloaded += peer.facts.overloaded ? 1 : 0;
+        result.overloadedBefore += peer.facts.overloaded && incarnation < settings_.self ? 1 : 0;
+    }
+    return result;
+}
+
 Membership::Counts Membership::counts() const
 {
     Counts counts;
--- a/tests/membership/MembershipTest.cpp
+++ b/tests/membership/MembershipTest.cpp
@@ -109,6 +109,41 @@
         EXPECT_FALSE(membership_.isAlive(Incarnation { 3 }));
     }
 
+    // Guards against live peers whose grants are sealed by a router that handles their heartbeats seconds late.
+    TEST_F(MembershipTest, LaggingRouterSuspectsNoPeerForItsOwnLag)
+    {
+        receiveHeartbeat(Incarnation { 2 }, 2);
+        std::vector<MembershipEvent> events;
+        for (int round = 0; round < 100; ++round) {
+            now_ += 50ms;
+            membership_.onOwnDelay(300ms, now_);
+            runTick(events);
+        }
+        EXPECT_EQ(count<Suspected>(events), 0U);
+        EXPECT_EQ(count<Suspected>(advance(2900ms)), 0U) << "silence counts from the end of the lag on";
+        EXPECT_EQ(count<Suspected>(advance(400ms)), 1U) << "a peer that died during the lag is found";
+    }
+
+    TEST_F(MembershipTest, ShortWaitsOfEventsDelayNoSuspicion)
+    {
+        receiveHeartbeat(Incarnation { 2 }, 2);
+        (void)advance(2900ms);
+        membership_.onOwnDelay(200ms, now_);
+        EXPECT_EQ(count<Suspected>(advance(400ms)), 1U);
+    }
+
+    TEST_F(MembershipTest, CountsOverloadedPeersOfTheOwnDomain)
+    {
+        HeartbeatFacts facts { ownDomain, region, false, true, true };
+        membership_.onHeartbeat(Incarnation { 2 }, addressOf(2), facts, now_);
+        facts.domain = otherDomain;
+        membership_.onHeartbeat(Incarnation { 3 }, addressOf(3), facts, now_);
+        receiveHeartbeat(Incarnation { 4 }, 4);
+        EXPECT_EQ(membership_.domainOverload().peers, 2U);
+        EXPECT_EQ(membership_.domainOverload().overloaded, 1U);
+        EXPECT_EQ(membership_.domainOverload().overloadedBefore, 0U);
+    }
+
     TEST_F(MembershipTest, NewIncarnationReplacesThePreviousOneForGood)
     {
         receiveHeartbeat(Incarnation { 2 }, 2);
