Measure how long events wait, and handle configurations and heartbeats first

Cause: the decision thread ran in bursts up to 1 s apart with few events in its ring, so that nothing showed its lag. A configuration or heartbeat was handled behind hundreds of requests, and a read counted as of its handling. Records of keyed streams, heartbeats and exchanged records overtake other events in a second, small ring. Reads state when the log answered at the latest.

--- a/include/swiftlift/node/Event.h
+++ b/include/swiftlift/node/Event.h
@@ -135,6 +135,8 @@
     PeerMessage message;
     /** Only for messages about grants and loans: ledger shard in which their ids are valid. */
     std::uint32_t shard = 0;
+    /** When the message arrived; nullopt: not known, the moment at which this is handled counts. */
+    std::optional<Instant> arrivedAt = {};
 };
 /** One VM of the platform's list. */
 struct ListedVm {
@@ -177,8 +179,15 @@
     bool accepted = false;
     std::uint64_t fencing = 0;
 };
+/** This router has begun or ceased to ask the load balancer for no new callers, because of its CPU use or lag. */
+struct OverloadChanged {
+    bool overloaded = false;
+};
 /** Timer event; occurs at least every 50 ms. */
-struct Tick { };
+struct Tick {
+    /** Longest time for which an event handled since the previous tick had waited, or this tick is late. */
+    Duration delay {};
+};
 /** The operator or the platform requests a stop of this process. Requests in progress must still be completed. */
 struct StopRequested { };
 /** A query by an operator; answered by an OperatorReply with JSON. */
@@ -193,6 +202,7 @@
 using Event = std::variant<RequestArrived, CallerDisconnected, AttemptProgress, AttemptEnded, LogRecords, LogExpired,
     LogUnreachable, AppendAnswered, PeerReceived, VmListRead, BackendLoad, CacheEventsRead, OrderAnswered, Tick,
     StopRequested, OperatorAsked, KeyedRecords, ProxyRequestArrived, ProxyAttemptProgress, ProxyAttemptEnded,
-    ProxyRequestAbandoned, BackendAnnounced, BackendConnected, ProbeEnded, BackendsSilent, RelayRequested, RelayEnded>;
+    ProxyRequestAbandoned, BackendAnnounced, BackendConnected, ProbeEnded, BackendsSilent, RelayRequested, RelayEnded,
+    OverloadChanged>;
 
 } // namespace swiftlift::node
--- a/include/swiftlift/node/KeyedRecords.h
+++ b/include/swiftlift/node/KeyedRecords.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "swiftlift/base/Ids.h"
+#include "swiftlift/base/Units.h"
 
 namespace swiftlift::node {
 
@@ -37,6 +38,8 @@
     std::vector<UnreadableRecord> unreadable = {};
     /** Offset after the last record that was read; a list of all keys includes at least every record below it. */
     Offset next = {};
+    /** When the log answered, at the latest; nullopt: not known, the moment at which this is handled counts. */
+    std::optional<Instant> readAt = {};
 };
 
 } // namespace swiftlift::node
--- a/include/swiftlift/node/ProxyRequest.h
+++ b/include/swiftlift/node/ProxyRequest.h
@@ -133,6 +133,10 @@
     bool ready = false;
     /** The process is about to end: each caller's connection closes after its current answer. */
     bool closing = false;
+    /** As many of the failure domain's other VMs as may be are overloaded already. */
+    bool overloadLimitReached = false;
+
+    [[nodiscard]] bool operator==(const AnnounceReadiness&) const = default;
 };
 
 /** Action: apply these limits to callers' connections from now on. */
--- a/include/swiftlift/ring/Inbox.h
+++ b/include/swiftlift/ring/Inbox.h
@@ -12,14 +12,19 @@
 namespace swiftlift::ring {
 
 /**
- * @brief Bounded queue of values for one reading thread, with a wake-up signal for that thread.
+ * @brief Bounded queue of values for one reading thread, with a wake-up signal for that thread, and optionally with a
+ * second queue for values that overtake all others.
  * @tparam T Type of the queued values.
  */
 template <typename T> class Inbox {
 public:
-    /** @param capacity Maximum number of queued values. */
-    explicit Inbox(std::size_t capacity)
+    /**
+     * @param capacity Maximum number of queued values, urgent ones excepted.
+     * @param urgentCapacity Maximum number of queued urgent values; 0: none is accepted.
+     */
+    explicit Inbox(std::size_t capacity, std::size_t urgentCapacity = 0)
         : ring_(capacity)
+        , urgent_(urgentCapacity)
     {
     }
 
@@ -53,14 +58,34 @@
      */
     void pushOrDrop(T&& value) { static_cast<void>(tryPush(value)); }
 
-    /** @return The oldest value, removed from the queue; empty if the queue is empty. Never blocks. */
-    [[nodiscard]] std::optional<T> tryPop() { return ring_.tryPop(); }
+    /**
+     * @brief Appends a value that overtakes all values of tryPush(), and wakes the reader; never blocks.
+     * @param value Value to append; moved from only on success.
+     * @return Whether the value was appended.
+     */
+    [[nodiscard]] bool tryPushUrgent(T& value)
+    {
+        if (!urgent_.tryPush(value)) {
+            refused_.fetch_add(1);
+            return false;
+        }
+        wakeup_.signal();
+        return true;
+    }
+
+    /** @return The oldest urgent value, else the oldest value, removed from the queue; empty if the queue is empty.
+     * Never blocks. */
+    [[nodiscard]] std::optional<T> tryPop()
+    {
+        auto value = urgent_.tryPop();
+        return value ? std::move(value) : ring_.tryPop();
+    }
 
     /** @return The signal on which the reading thread waits. */
     [[nodiscard]] Wakeup& wakeup() noexcept { return wakeup_; }
     /** @return Number of queued values. */
-    [[nodiscard]] std::size_t size() const noexcept { return ring_.size(); }
-    /** @return Maximum number of queued values. */
+    [[nodiscard]] std::size_t size() const noexcept { return ring_.size() + urgent_.size(); }
+    /** @return Maximum number of queued values, urgent ones excepted. */
     [[nodiscard]] std::size_t capacity() const noexcept { return ring_.capacity(); }
 
     /** @return Number of pushes refused since construction because too few slots were free. */
@@ -68,6 +93,7 @@
 
 private:
     BoundedRing<T> ring_;
+    BoundedRing<T> urgent_;
     Wakeup wakeup_;
     std::atomic<std::uint64_t> refused_ = 0;
 };
--- a/include/swiftlift/transport/DecisionLoop.h
+++ b/include/swiftlift/transport/DecisionLoop.h
@@ -12,9 +12,6 @@
 
 namespace swiftlift::transport {
 
-/** @return The current time of the steady clock, as the `Instant` that the core uses. */
-[[nodiscard]] Instant steadyInstant() noexcept;
-
 /** @return A random incarnation number; never 0, which stands for no incarnation. */
 [[nodiscard]] Incarnation drawIncarnation();
 
@@ -52,7 +49,9 @@
     void run();
     void startIncarnation(Incarnation incarnation);
     void handlePendingEvents();
-    void handle(const node::Event& event);
+    /** Records how long an event has waited, or by how much a tick is late. */
+    void noteDelay(Instant arrivedAt, Instant now);
+    void handle(const node::Event& event, Instant now);
     void tickWhenDue();
     void executeActions();
     [[nodiscard]] bool isForCurrentIncarnation(const TaggedEvent& tagged) const noexcept;
@@ -65,6 +64,8 @@
     std::unique_ptr<Decider> decider_;
     node::Actions actions_;
     Instant lastTick_ {};
+    /** The longest delay since the last tick. */
+    Duration longestDelay_ {};
     std::atomic<std::uint64_t> replacements_ = 0;
     std::atomic<bool> stopping_ = false;
     std::thread thread_;
--- a/include/swiftlift/transport/Fwd.h
+++ b/include/swiftlift/transport/Fwd.h
@@ -3,6 +3,7 @@
 namespace swiftlift::transport {
 
 struct Endpoint;
+class DecisionInbox;
 struct TaggedEvent;
 
 class Decider;
--- a/include/swiftlift/transport/TaggedEvent.h
+++ b/include/swiftlift/transport/TaggedEvent.h
@@ -5,6 +5,8 @@
 #include "swiftlift/base/Ids.h"
 #include "swiftlift/node/Event.h"
 #include "swiftlift/ring/Inbox.h"
+#include "swiftlift/transport/DecisionDelay.h"
+#include "swiftlift/transport/SteadyInstant.h"
 
 namespace swiftlift::transport {
 
@@ -18,10 +20,34 @@
 struct TaggedEvent {
     Incarnation incarnation;
     node::Event event;
+    /** When the event arrived at this process. Set on construction, so that time in an outbox counts as well. */
+    Instant arrivedAt = steadyInstant();
 };
 
-/** Ring of events to the decision thread. */
-using DecisionInbox = ring::Inbox<TaggedEvent>;
+/**
+ * @brief Ring of events to the decision thread, and how long they wait there.
+ *
+ * Configurations and heartbeats overtake all other events: behind hundreds of requests they would be handled too late,
+ * and a request would be decided by a configuration that a waiting event replaces.
+ */
+class DecisionInbox : public ring::Inbox<TaggedEvent> {
+public:
+    /** @param capacity Maximum number of queued events, urgent ones excepted. */
+    explicit DecisionInbox(std::size_t capacity)
+        : Inbox(capacity, urgentCapacity)
+    {
+    }
+
+    /** @return The delay of events; written by the decision thread. */
+    [[nodiscard]] DecisionDelay& delay() noexcept { return delay_; }
+    [[nodiscard]] const DecisionDelay& delay() const noexcept { return delay_; }
+
+private:
+    /** Enough for a heartbeat of each of some hundred routers. */
+    static constexpr std::size_t urgentCapacity = 512;
+
+    DecisionDelay delay_;
+};
 
 /** Slots of the ring that new requests of callers leave free for all other events. */
 inline constexpr std::size_t reservedEvents = 1024;
--- a/src/transport/DecisionLoop.cpp
+++ b/src/transport/DecisionLoop.cpp
@@ -15,12 +15,6 @@
 
 } // namespace
 
-Instant steadyInstant() noexcept
-{
-    const auto now = std::chrono::steady_clock::now().time_since_epoch();
-    return Instant(std::chrono::duration_cast<Duration>(now));
-}
-
 Incarnation drawIncarnation()
 {
     std::random_device device;
@@ -63,6 +57,7 @@
     while (!stopping_.load()) {
         const Duration untilTick = std::max(lastTick_ + tickInterval_ - steadyInstant(), Duration::zero());
         const auto limit = std::chrono::ceil<std::chrono::milliseconds>(untilTick);
+        inbox_.delay().onIdle(lastTick_ + tickInterval_);
         if (inbox_.wakeup().waitFor(limit)) {
             inbox_.wakeup().consume();
         }
@@ -89,25 +84,34 @@
         if (!tagged) {
             return;
         }
+        const Instant now = steadyInstant();
+        noteDelay(tagged->arrivedAt, now);
         if (isForCurrentIncarnation(*tagged)) {
-            handle(tagged->event);
+            handle(tagged->event, now);
         }
     }
     // The ring may hold further events, which were signalled before this round and would not be signalled again.
     inbox_.wakeup().signal();
 }
 
-void DecisionLoop::handle(const node::Event& event)
+void DecisionLoop::noteDelay(Instant arrivedAt, Instant now)
+{
+    inbox_.delay().onEvent(arrivedAt, now);
+    longestDelay_ = std::max(longestDelay_, now - arrivedAt);
+}
+
+void DecisionLoop::handle(const node::Event& event, Instant now)
 {
-    decider_->handle(event, steadyInstant(), actions_);
+    decider_->handle(event, now, actions_);
     executeActions();
 }
 
 void DecisionLoop::tickWhenDue()
 {
     if (const Instant now = steadyInstant(); now - lastTick_ >= tickInterval_) {
+        noteDelay(lastTick_ + tickInterval_, now);
         lastTick_ = now;
-        handle(node::Tick {});
+        handle(node::Tick { std::exchange(longestDelay_, Duration {}) }, now);
     }
 }
 
--- a/src/transport/LogFollower.cpp
+++ b/src/transport/LogFollower.cpp
@@ -86,7 +86,11 @@
 bool LogFollower::readRecords()
 {
     const LogPosition position { follow_.stream, Offset(nextOffset_), settings_.pollWait, recordsPerRead_ };
+    const Instant askedAt = steadyInstant();
     const auto answer = log_.call(dialect_.read(position), settings_.pollWait + settings_.readLimit);
+    // A log that has nothing new answers after `pollWait`. If the answer comes later, it may have been under way for
+    // the rest of the time, and says nothing about that.
+    const Instant readAt = std::min(steadyInstant(), askedAt + settings_.pollWait);
     if (cancelled_.load()) {
         return false;
     }
@@ -99,7 +103,7 @@
     if (auto* records = std::get_if<LogRead>(&read)) {
         moreAvailable_ = !records->records.empty() && Offset(nextOffset_ + records->records.size()) < records->end;
         recordsPerRead_ = std::min(recordsPerRead_ * 2, settings_.recordsPerRead);
-        handleRecords(std::move(*records));
+        handleRecords(std::move(*records), readAt);
         return true;
     }
     if (const auto* expired = std::get_if<LogGone>(&read)) {
@@ -116,11 +120,11 @@
 // again.
 bool LogFollower::readAllKeys()
 {
-    if (list_ && std::chrono::steady_clock::now() - list_->begunAt > maxListAge) {
+    if (list_ && steadyInstant() - list_->begunAt > maxListAge) {
         list_.reset();
     }
     if (!list_) {
-        list_ = PartialList { std::chrono::steady_clock::now(), { follow_.stream, {}, true }, {}, std::nullopt };
+        list_ = PartialList { steadyInstant(), { follow_.stream, {}, true }, {}, std::nullopt };
     }
     bool more = true;
     while (more) {
@@ -142,6 +146,8 @@
     node::KeyedRecords all = std::move(list_->records);
     std::ranges::stable_sort(all.records, {}, &node::KeyedRecord::offset);
     all.next = *list_->end;
+    // Changes since the first page are read after the list.
+    all.readAt = list_->begunAt;
     nextOffset_ = all.next.value();
     list_.reset();
     allKeysPending_ = false;
@@ -160,7 +166,7 @@
     return more;
 }
 
-void LogFollower::handleRecords(LogRead&& read)
+void LogFollower::handleRecords(LogRead&& read, Instant readAt)
 {
     if (follow_.kind == node::StreamKind::Plain) {
         node::LogRecords records { follow_.stream, Offset(nextOffset_), std::move(read.records), read.end };
@@ -178,6 +184,7 @@
         }
     }
     changed.next = Offset(nextOffset_);
+    changed.readAt = readAt;
     pushToDecisions(std::move(changed));
 }
 
@@ -214,7 +221,10 @@
 {
     // Wait until the ring has room: a dropped event would leave a gap in the stream's records.
     TaggedEvent tagged { incarnation_, std::move(event) };
-    while (!decisions_.tryPush(tagged) && !cancelled_.load()) {
+    // All events of one stream take the same way, so that they keep their order.
+    const bool urgent = follow_.kind != node::StreamKind::Plain;
+    const auto push = [&] { return urgent ? decisions_.tryPushUrgent(tagged) : decisions_.tryPush(tagged); };
+    while (!push() && !cancelled_.load()) {
         pause(fullRingRetryInterval);
     }
 }
--- a/src/transport/LogFollower.h
+++ b/src/transport/LogFollower.h
@@ -40,7 +40,7 @@
 private:
     /** Pages of a list of all keys that were read so far. */
     struct PartialList {
-        std::chrono::steady_clock::time_point begunAt;
+        Instant begunAt;
         node::KeyedRecords records;
         /** The last key that was read. */
         std::string after;
@@ -55,7 +55,8 @@
     [[nodiscard]] bool readAllKeys();
     /** Adds a page to the list of all keys. @return Whether there are more pages. */
     [[nodiscard]] bool addPage(NewestRead&& page);
-    void handleRecords(LogRead&& read);
+    /** @param readAt When the log answered, at the latest. */
+    void handleRecords(LogRead&& read, Instant readAt);
     void handleExpiry(const LogGone& expired);
     void reduceRecordsPerRead();
     void reportUnreachable(std::string detail);
--- a/src/transport/PeerLinks.cpp
+++ b/src/transport/PeerLinks.cpp
@@ -23,6 +23,14 @@
     /** Maximum number of messages received before queued messages are sent. */
     constexpr int maxMessagesPerRound = 256;
 
+    /** @return Whether the message is handled before the requests that wait: suspicions and the newest configuration
+     * depend on it. */
+    bool overtakes(const node::PeerMessage& message)
+    {
+        return std::holds_alternative<node::Heartbeat>(message) || std::holds_alternative<node::ReadAsk>(message)
+            || std::holds_alternative<node::Records>(message);
+    }
+
     int toIntMilliseconds(std::chrono::milliseconds time) { return static_cast<int>(time.count()); }
 
 } // namespace
@@ -135,9 +143,12 @@
         return;
     }
     TaggedEvent event { envelope->receiver,
-        node::PeerReceived {
-            envelope->sender, std::move(envelope->senderAddress), std::move(envelope->message), envelope->shard } };
-    if (!decisions.tryPush(std::move(event), reservedEvents)) {
+        node::PeerReceived { envelope->sender, std::move(envelope->senderAddress), std::move(envelope->message),
+            envelope->shard, steadyInstant() } };
+    const bool pushed = overtakes(std::get<node::PeerReceived>(event.event).message)
+        ? decisions.tryPushUrgent(event)
+        : decisions.tryPush(event, reservedEvents);
+    if (!pushed) {
         ++dropped;
     }
 }
--- a/tests/ring/InboxTest.cpp
+++ b/tests/ring/InboxTest.cpp
@@ -29,6 +29,21 @@
     EXPECT_EQ(second, "second");
 }
 
+// Guards against a configuration that is handled behind hundreds of requests.
+TEST(Inbox, UrgentValuesOvertakeAllOthers)
+{
+    Inbox<int> inbox(4, 1);
+    int first = 1;
+    int second = 2;
+    EXPECT_TRUE(inbox.tryPush(0));
+    EXPECT_TRUE(inbox.tryPushUrgent(first));
+    EXPECT_FALSE(inbox.tryPushUrgent(second));
+    EXPECT_EQ(inbox.size(), 2U);
+    EXPECT_EQ(inbox.tryPop(), 1);
+    EXPECT_EQ(inbox.tryPop(), 0);
+    EXPECT_EQ(inbox.tryPop(), std::nullopt);
+}
+
 // Guards against a reader that sleeps while its inbox holds a value. This would happen if a push between the reader's
 // last tryPop() and its clearing of the signal left no signal behind.
 TEST(Inbox, EveryPushWakesTheReader)
--- a/tests/transport/LogClientTest.cpp
+++ b/tests/transport/LogClientTest.cpp
@@ -189,6 +189,33 @@
 
 // Guards against hundreds of routers that start together, overload the log with long lists, and read each list from its
 // first page again whenever a page fails, so that none of them ever has a whole list.
+// Guards against an outdated configuration that counts as confirmed: the log answered that it has nothing newer, and
+// the answer came long after that. Also against a configuration that is handled behind all other events.
+TEST_F(LogClientTest, LateAnswerCountsAsOfTheEndOfItsPollAndOvertakesOtherEvents)
+{
+    LogClientSettings settings;
+    settings.endpoints = { *parseEndpoint(platform.address()) };
+    settings.pollWait = std::chrono::milliseconds(50);
+    settings.readLimit = longWait;
+    client = std::make_unique<LogClient>(settings, std::make_shared<KeyedDialect>(), inbox, traffic);
+    client->follow({ stream, Offset(0), node::StreamKind::Keyed });
+    auto connection = platform.accept();
+    static_cast<void>(connection.readRequest());
+    connection.write(jsonAnswer(200, "{}"));
+    static_cast<void>(nextEvent<node::KeyedRecords>(inbox));
+    static_cast<void>(connection.readRequest());
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    ASSERT_TRUE(inbox.tryPush({ {}, node::StopRequested {} }));
+    connection.write(readReply(0, {}, 0));
+    static_cast<void>(connection.readRequest());
+    const auto first = inbox.tryPop();
+    ASSERT_TRUE(first);
+    const auto* read = std::get_if<node::KeyedRecords>(&first->event);
+    ASSERT_NE(read, nullptr);
+    ASSERT_TRUE(read->readAt);
+    EXPECT_LT(*read->readAt, steadyInstant() - std::chrono::milliseconds(200));
+}
+
 TEST_F(LogClientTest, ListIsContinuedAfterAFailedPage)
 {
     start(longWait, std::make_shared<PagedDialect>());
