Use no configuration that a lagging router may have missed the successor of

Cause: on a router that lags, or that the log service turns away, a configuration came into force 2 to 7 s late. Until then requests ran by dropped routes and revoked keys. A peer was asked only once the log counted as unreachable, 4 s on. Change: heartbeats state version and age of the configuration. An equal version confirms one's own; a higher one is asked for within a tick, also while the log counts as reachable. Without a confirmation for 2.5 s, requests are refused with config_unconfirmed while a peer has a higher version or this router lagged in the last second. In an outage of the log no version is higher, and the configuration stays in force. A read counts from the time of the log's answer on.

--- a/src/node/CoreState.cpp
+++ b/src/node/CoreState.cpp
@@ -197,8 +197,9 @@
 
 void CoreState::on(const OrderAnswered& event) { placement_.onOrderAnswered(event); }
 
-void CoreState::on(const Tick&)
+void CoreState::on(const Tick& event)
 {
+    peers_.membership().onOwnDelay(event.delay, context_.now());
     changes_.noteLog(health_.reachable(context_.now()), {});
     refreshWatched();
     for (const Incarnation suspected : peers_.tick([this] { return heartbeat(); })) {
--- a/src/node/FleetDirectory.cpp
+++ b/src/node/FleetDirectory.cpp
@@ -62,7 +62,7 @@
 void FleetDirectory::applyOperatorRecords(const KeyedRecords& records)
 {
     applyEvacuations(evacuations_.onRecords(records));
-    confirmedAt_ = context_.now();
+    confirm(std::min(records.readAt.value_or(context_.now()), context_.now()));
     for (const KeyedRecord& record : records.records) {
         if (record.key == internal::configKey && record.value) {
             applyConfig(record.offset, *record.value, "log");
@@ -74,6 +74,47 @@
 // would answer requests for new routes and keys with 404 and 401, logged with an old configuration version.
 bool FleetDirectory::confirmed() const { return confirmedAt_ && context_.now() - *confirmedAt_ < confirmationLifetime; }
 
+bool FleetDirectory::mayBeOutdated() const
+{
+    if (!confirmedAt_ || context_.now() - *confirmedAt_ < maxConfirmationAge) {
+        return false;
+    }
+    const bool lagging = lastLagAt_ && context_.now() - *lastLagAt_ < lagHoldTime;
+    return lagging || superseded();
+}
+
+bool FleetDirectory::superseded() const
+{
+    return newer_.version > version() && (!confirmedAt_ || *confirmedAt_ < newer_.readAt);
+}
+
+ConfigState FleetDirectory::configState() const
+{
+    return { version(), confirmedAt_ ? std::optional(context_.now() - *confirmedAt_) : std::nullopt };
+}
+
+void FleetDirectory::onOwnDelay(Duration delay)
+{
+    if (delay > lagThreshold) {
+        lastLagAt_ = context_.now();
+    }
+}
+
+// A read of the log that hangs takes 1.8 s until its timeout, and one that is turned away is repeated after up to half
+// a second. With heartbeats of several peers a second, a newer configuration is noticed earlier.
+void FleetDirectory::onPeerConfig(Incarnation from, const ConfigState& config, Instant at)
+{
+    if (!routes_ || !config.age) {
+        return;
+    }
+    const Instant readAt = at - *config.age;
+    if (config.version == version()) {
+        confirm(readAt - maxTransitTime);
+    } else if (config.version > std::max(version(), newer_.version)) {
+        newer_ = { config.version, from, readAt };
+    }
+}
+
 void FleetDirectory::applyConfig(Offset offset, const std::string& text, const char* source)
 {
     Findings findings;
@@ -125,8 +166,13 @@
     const Instant now = context_.now();
     if (!health_.reachable(now)) {
         requestFromPeer();
-    } else if (removeMissing()) {
-        publishBackends();
+    } else {
+        if (superseded()) {
+            requestFromPeer();
+        }
+        if (removeMissing()) {
+            publishBackends();
+        }
     }
     vms_.tick(stopping);
 }
@@ -145,8 +191,8 @@
     if (now < nextReadAsk_) {
         return;
     }
-    nextReadAsk_ = now + readAskPeriod;
-    if (const auto peer = peers_.bestReader()) {
+    if (const auto peer = superseded() ? std::optional(newer_.from) : peers_.bestReader()) {
+        nextReadAsk_ = now + readAskPeriod;
         const Offset from { routes_ ? configOffset_.value() + 1 : 0 };
         peers_.send(*peer, ReadAsk { configStream(), from });
         evacuations_.askPeer(*peer);
--- a/src/node/FleetDirectory.h
+++ b/src/node/FleetDirectory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -70,6 +71,16 @@
     [[nodiscard]] static bool isExchanged(const StreamName& stream);
     /** Applies a configuration or evacuations that a peer has read. */
     void onPeerRecords(const Records& records);
+    /**
+     * @brief Handles what a peer states about its configuration. If that is newer than the one in force here, the
+     * peer is asked for it, as this router's own read may hang or be turned away; if it is the same, it is confirmed.
+     * @param from The peer.
+     * @param config What the peer states.
+     * @param at When the peer's statement arrived.
+     */
+    void onPeerConfig(Incarnation from, const ConfigState& config, Instant at);
+    /** Records how late this router handles its events. */
+    void onOwnDelay(Duration delay);
     /** Sends the configuration or the evacuations to a peer that can't reach the log, unless they are older than its
      * own. */
     void onReadAsk(Incarnation from, const ReadAsk& ask);
@@ -80,9 +91,14 @@
     /** @return The configuration in force; null before any has been read. Requests that hold the pointer keep their
      * configuration when a newer one comes into force. */
     [[nodiscard]] const RouteTablePtr& routes() const noexcept { return routes_; }
-    /** @return True when the configuration stream was read to its end within the confirmation lifetime, so that the
-     * configuration in force is the newest. */
+    /** @return True when the configuration stream was read to its end within the confirmation lifetime, here or by a
+     * peer with the same configuration, so that the configuration in force is the newest. */
     [[nodiscard]] bool confirmed() const;
+    /** @return True when a newer configuration may have to be in force already, and only this router's lag or failed
+     * reads keep it from knowing. False in an outage of the log, in which no configuration is accepted. */
+    [[nodiscard]] bool mayBeOutdated() const;
+    /** @return The configuration in force, as peers are told. */
+    [[nodiscard]] ConfigState configState() const;
     /** @return True once the list of all backend servers has been read. */
     [[nodiscard]] bool serversKnown() const noexcept { return serversKnown_; }
     /** @return The backend server; null when it is not registered. */
@@ -108,6 +124,15 @@
 private:
     /** An accepted configuration has to be in force within 2 s, and a long-poll read returns within 1 s. */
     static constexpr Duration confirmationLifetime = std::chrono::milliseconds(1500);
+    /** Age of the last confirmation beyond which no request is run while the configuration may be outdated: an accepted
+     * configuration has to be in force within 3 s, and a request is dispatched some time after it is accepted. */
+    static constexpr Duration maxConfirmationAge = std::chrono::milliseconds(2500);
+    /** Longest time for which a peer's heartbeat is assumed to have been under way; its sender may lag as well. */
+    static constexpr Duration maxTransitTime = std::chrono::milliseconds(500);
+    /** Wait of events beyond which this router lags: the wait beyond which it refuses requests. */
+    static constexpr Duration lagThreshold = std::chrono::milliseconds(250);
+    /** How long a lag counts after its end. Heartbeats that arrived during the lag are handled within this time. */
+    static constexpr Duration lagHoldTime = std::chrono::seconds(1);
     /** Shortest pause between two reads of the backend servers. Each server renews its entry about every second, and
      * each record completes a long-poll read. The pause is a third of the 2 s in which a leaving server may still get
      * new work. */
@@ -156,6 +181,10 @@
     void publishBackends();
     /** Requests a newer configuration and newer evacuations from a peer. */
     void requestFromPeer();
+    /** @return True when a peer has read a newer configuration, and this router hasn't read the log since. */
+    [[nodiscard]] bool superseded() const;
+    [[nodiscard]] std::uint64_t version() const { return routes_ ? routes_->config().version : 0; }
+    void confirm(Instant at) { confirmedAt_ = std::max(confirmedAt_.value_or(at), at); }
 
     Context& context_;
     Peers& peers_;
@@ -171,8 +200,17 @@
     std::set<BackendId> cold_;
     RouteTablePtr routes_;
     Offset configOffset_;
-    /** When the configuration stream was last read to its end. */
+    /** When the log was last known to hold no newer configuration. */
     std::optional<Instant> confirmedAt_;
+    /** The newest configuration of which a peer has told, the peer, and when the peer had read it at the latest. */
+    struct NewerConfig {
+        std::uint64_t version = 0;
+        Incarnation from;
+        Instant readAt;
+    };
+    NewerConfig newer_;
+    /** When this router last lagged. */
+    std::optional<Instant> lastLagAt_;
     std::string configText_;
     std::map<BackendId, fleet::BackendServer> servers_;
     /** When the stream of backend servers was last read. */
--- a/src/node/Gateway.cpp
+++ b/src/node/Gateway.cpp
@@ -233,6 +233,7 @@
         peers_.onHeartbeat(event.sender, event.address, *received);
         links_.onHeartbeat(event.sender, *received);
         backends_.onShared(received->announcements, context_.now());
+        fleet_.onPeerConfig(event.sender, received->config, event.arrivedAt.value_or(context_.now()));
         return;
     }
     routePeerMessage(event);
@@ -261,8 +262,10 @@
     }
 }
 
-void Gateway::on(const Tick&)
+void Gateway::on(const Tick& event)
 {
+    peers_.membership().onOwnDelay(event.delay, context_.now());
+    fleet_.onOwnDelay(event.delay);
     changes_.noteLog(health_.reachable(context_.now()), {});
     refreshWatched();
     for (const Incarnation suspected : peers_.tick([this] { return heartbeat(); })) {
@@ -349,7 +352,7 @@
         { "config_version", fleet_.routes() ? fleet_.routes()->config().version : 0 }, { "evacuated", evacuated },
         { "cold_servers", fleet_.coldServers() }, { "limited_servers", announced.limited },
         { "resting_servers", announced.resting }, { "brittle_servers", announced.brittle },
-        { "links_lost", links_.lost() }
+        { "links_lost", links_.lost() }, { "config_may_be_outdated", fleet_.mayBeOutdated() }
     }.dump();
 }
 
@@ -374,6 +377,7 @@
     own.announcements = backends_.toShare(context_.now());
     own.relay = context_.settings().relayAddress;
     own.unreachableDomains = links_.unreachableDomainsForPeers();
+    own.config = fleet_.configState();
     return own;
 }
 
--- a/src/node/ProxyRequests.cpp
+++ b/src/node/ProxyRequests.cpp
@@ -68,7 +68,8 @@
     created->arrivedAt = std::min(at, context_.now());
     ProxyRequest& request = *proxyRequests_.emplace(id, std::move(created)).first->second;
     enterPhase(request, ProxyPhase::WaitingForTokens);
-    if (!findRoute(request) || !findAccount(request) || !findService(request) || refuseQuarantined(request)) {
+    if (refuseIfOutdated(request) || !findRoute(request) || !findAccount(request) || !findService(request)
+        || refuseQuarantined(request)) {
         return;
     }
     serviceState(request).retries.onRequest();
@@ -79,6 +80,16 @@
     }
 }
 
+// The route may have been dropped, or the key revoked, longer ago than a router may go on serving it.
+bool ProxyRequests::refuseIfOutdated(ProxyRequest& request)
+{
+    if (!fleet_.mayBeOutdated()) {
+        return false;
+    }
+    refuse(request, { 503, "config_unconfirmed", "a newer configuration may have to be in force", defaultRetryAfter });
+    return true;
+}
+
 bool ProxyRequests::findRoute(ProxyRequest& request)
 {
     request.route = request.table->find(request.info.host, request.info.path);
--- a/src/node/ProxyRequests.h
+++ b/src/node/ProxyRequests.h
@@ -134,6 +134,8 @@
     /** @return True if the request was refused because it is quarantined. */
     [[nodiscard]] bool refuseQuarantined(ProxyRequest& request);
     /** Refuses with this refusal if the configuration is known to be the newest, else as `config_unconfirmed`. */
+    /** @return True if the configuration may be outdated, and the request was refused for that. */
+    [[nodiscard]] bool refuseIfOutdated(ProxyRequest& request);
     void refuseAsUnknown(ProxyRequest& request, const ProxyRefusal& refusal);
     /** Searches the version at which the caller's stream began, then reserves tokens or refuses. */
     void findStreamVersion(ProxyRequest& request);
--- a/tests/node/GatewayTest.cpp
+++ b/tests/node/GatewayTest.cpp
@@ -112,6 +112,88 @@
         expectRefused(world.arrive("/new/x"), 404, "no_route");
     }
 
+    /** Heartbeat of a peer of the same failure domain with this configuration. */
+    PeerReceived heartbeatWith(std::uint64_t incarnation, ConfigState config, bool overloaded = false)
+    {
+        Heartbeat heard;
+        heard.domain = FailureDomain("a");
+        heard.region = Region("r");
+        heard.logReachable = true;
+        heard.config = config;
+        heard.overloaded = overloaded;
+        return { Incarnation { incarnation }, PeerAddress { "127.0.0.1:" + std::to_string(7500 + incarnation) },
+            heard };
+    }
+
+    // Guards against a request that is run by a dropped route or a revoked key 3 s after the log accepted the change,
+    // on a router that is turned away by the log.
+    TEST_F(GatewayTest, SupersededConfigurationIsAskedForAndThenNoLongerUsed)
+    {
+        world.logReachable = false;
+        world.run(seconds(1));
+        world.handle(heartbeatWith(101, { 4, milliseconds(100) }));
+        world.run(milliseconds(100));
+        const auto asked = world.sent<ReadAsk>();
+        ASSERT_FALSE(asked.empty());
+        EXPECT_EQ(asked.back().first, PeerAddress { "127.0.0.1:7601" }) << "the peer that has the newer one";
+        EXPECT_TRUE(world.dispatchOf(world.arrive("/plain/x"))) << "it may have been accepted just now";
+        world.run(milliseconds(1900));
+        expectRefused(world.arrive("/plain/x"), 503, "config_unconfirmed");
+        expectRefused(world.arrive("/new/x"), 503, "config_unconfirmed");
+    }
+
+    // Guards against a router whose own read of the log hangs, and that asks no peer before the log counts as
+    // unreachable 4 s later.
+    TEST_F(GatewayTest, NewerConfigurationIsAskedForWhileTheLogCountsAsReachable)
+    {
+        world.handle(heartbeatWith(101, { 4, milliseconds(0) }));
+        world.handle(Tick {});
+        EXPECT_FALSE(world.sent<ReadAsk>().empty());
+    }
+
+    // Guards against refusals on all routers in an outage of the log, in which no configuration can be accepted.
+    TEST_F(GatewayTest, OutageOfTheLogWithoutLagLeavesTheConfigurationInForce)
+    {
+        world.logReachable = false;
+        for (int second = 1; second <= 8; ++second) {
+            world.run(seconds(1));
+            world.handle(heartbeatWith(101, { 3, seconds(second) }));
+            EXPECT_TRUE(world.dispatchOf(world.arrive("/plain/x"))) << second;
+        }
+    }
+
+    // Guards against 404 and 401 from a router that is turned away by the log, when its peers read that log.
+    TEST_F(GatewayTest, PeerWithTheSameConfigurationConfirmsIt)
+    {
+        world.logReachable = false;
+        world.run(seconds(3));
+        expectRefused(world.arrive("/new/x"), 503, "config_unconfirmed");
+        world.handle(heartbeatWith(101, { 3, milliseconds(100) }));
+        expectRefused(world.arrive("/new/x"), 404, "no_route");
+    }
+
+    // Guards against a configuration that is used as confirmed although its confirmation is old: the read was answered
+    // long before a lagging router handles it.
+    TEST_F(GatewayTest, LaggingRouterUsesNoConfigurationThatMayBeOutdated)
+    {
+        world.publish([](fleet::FleetConfig&) {});
+        world.logReachable = false;
+        for (int round = 0; round < 100; ++round) {
+            world.run(milliseconds(20));
+            world.handle(Tick { milliseconds(900) });
+        }
+        EXPECT_TRUE(world.dispatchOf(world.arrive("/plain/x"))) << "it was confirmed less than 2.5 s ago";
+        world.run(milliseconds(700));
+        KeyedRecords late { StreamName { "fleet-config" }, {}, false };
+        late.readAt = world.now() - seconds(3);
+        world.handle(late);
+        world.handle(Tick { milliseconds(900) });
+        expectRefused(world.arrive("/plain/x"), 503, "config_unconfirmed");
+        world.logReachable = true;
+        world.run(seconds(1));
+        EXPECT_TRUE(world.dispatchOf(world.arrive("/plain/x")));
+    }
+
     // Guards against a non-idempotent request that runs twice: the connection breaks before any answer, and the request
     // is sent to another server although the first may have run it.
     TEST_F(GatewayTest, NonIdempotentRequestIsNotRetriedAfterItMayHaveRun)
--- a/tests/node/GatewayWorld.cpp
+++ b/tests/node/GatewayWorld.cpp
@@ -392,6 +392,7 @@
             cancelled_.insert(cancel->attempt);
         } else if (const auto* readiness = std::get_if<AnnounceReadiness>(&action)) {
             ready_ = readiness->ready;
+            overloadLimitReached_ = readiness->overloadLimitReached;
         } else if (const auto* probe = std::get_if<ProbeBackend>(&action)) {
             probes_.push_back(probe->backend);
         } else if (const auto* answer = std::get_if<AnswerRelay>(&action)) {
--- a/tests/node/GatewayWorld.h
+++ b/tests/node/GatewayWorld.h
@@ -76,6 +76,8 @@
     [[nodiscard]] bool failureForwarded(CallId call) const { return failures_.contains(call); }
     [[nodiscard]] bool cancelled(const ProxyDispatch& dispatch) const { return cancelled_.contains(dispatch.attempt); }
     [[nodiscard]] bool ready() const noexcept { return ready_; }
+    [[nodiscard]] bool overloadLimitReached() const noexcept { return overloadLimitReached_; }
+    [[nodiscard]] Instant now() const noexcept { return now_; }
     [[nodiscard]] bool stopReady() const noexcept { return stopReady_; }
     /** @return How many reads of the ledger were expedited. */
     [[nodiscard]] int expeditedReads() const noexcept { return expeditedReads_; }
@@ -176,6 +178,7 @@
     std::vector<LogLine> lines_;
     std::optional<Heartbeat> lastHeartbeat_;
     bool ready_ = false;
+    bool overloadLimitReached_ = false;
     bool stopReady_ = false;
     int expeditedReads_ = 0;
 };
