Report lag and CPU use to the load balancer, callers and peers

Cause: a lagging router took callers until they had to wait, and all routers of a failure domain would do alike. The router tells its peers that it is overloaded; while a quarter of the live routers of a failure domain are, the others stay ready unless they lag by more than 250 ms. The intake line names the cause; metrics event_delay_seconds, cpu_share_used and overloaded.

--- a/apps/router/RouterProcess.cpp
+++ b/apps/router/RouterProcess.cpp
@@ -35,6 +35,11 @@
     constexpr std::size_t maxDecisionsWaiting = 100;
     /** Delay of the streams thread beyond which new requests are refused: as long as the queued decisions take. */
     constexpr auto maxLag = 100ms;
+    /** Wait of events for the decision thread beyond which the load balancer should send new callers elsewhere: the
+     * shortest latency objective of a request. */
+    constexpr auto readyEventDelay = 100ms;
+    /** Wait of events beyond which new requests are refused: a request that waits longer misses most objectives. */
+    constexpr auto maxEventDelay = 250ms;
     /** Interval between reads of a stream: a third of the 120 ms within which an event has to reach its caller. */
     constexpr auto streamReadInterval = 40ms;
     /** Connections that wait to be accepted at most. At 1 ms a request on a tenth of a CPU core, they take half a
@@ -103,6 +108,9 @@
             limits.maxLag = maxLag;
             limits.acceptBacklog = acceptBacklog;
             limits.linkBytesPerSecond = static_cast<std::uint64_t>(settings.vm.bandwidth * bytesPerMegabit);
+            limits.readyEventDelay = readyEventDelay;
+            limits.maxEventDelay = maxEventDelay;
+            limits.cpuCores = settings.vm.cores;
             limits.readInterval = streamReadInterval;
             limits.gatherFrom = minPolledAttempts;
             limits.gatherTime = socketPollInterval;
@@ -265,6 +273,11 @@
         [this] { return static_cast<double>(decisions_.size()); });
     metrics_.addReading("ring_decisions_refused", "Events that found the ring of the decision thread full",
         [this] { return static_cast<double>(decisions_.refused()); });
+    metrics_.addReading("event_delay_seconds", "How long events have waited for the decision thread recently", [this] {
+        return std::chrono::duration<double>(decisions_.delay().recent(transport::steadyInstant())).count();
+    });
+    metrics_.addReading("cpu_share_used", "Used part of the VM's share of CPU time, 1 for all of it; 0: not known",
+        [this] { return streams_.counts().cpuShare; });
     metrics_.addReading("caller_connections", "Connections of callers",
         [this] { return static_cast<double>(streams_.counts().connections); });
     metrics_.addReading("attempts_running", "Requests at backend servers",
--- a/include/swiftlift/transport/StreamServer.h
+++ b/include/swiftlift/transport/StreamServer.h
@@ -80,6 +80,12 @@
     std::chrono::milliseconds maxLag { 0 };
     /** Capacity of the VM's network link in each direction; 0: unknown. */
     std::uint64_t linkBytesPerSecond = 0;
+    /** Wait of events for the decision thread above which the router is not ready; zero: no limit. */
+    std::chrono::milliseconds readyEventDelay { 0 };
+    /** Wait of events for the decision thread above which new requests are refused; zero: no limit. */
+    std::chrono::milliseconds maxEventDelay { 0 };
+    /** The VM's share of CPU time, as a number of cores; 0: unknown. */
+    double cpuCores = 0;
     /** Time that the core has to answer a caller's status query. */
     std::chrono::milliseconds operatorTime { 2'000 };
     /** Minimum interval between two progress reports of one attempt. */
@@ -128,6 +134,8 @@
     std::size_t calls = 0;
     /** Connections that are relayed for other routers. */
     std::size_t relays = 0;
+    /** Used part of the VM's share of CPU time over the last second; 0: unknown. */
+    double cpuShare = 0;
     /** Largest number of unsent bytes that a single caller's connection has had. */
     std::size_t mostUnsentBytes = 0;
 };
--- a/src/node/Gateway.cpp
+++ b/src/node/Gateway.cpp
@@ -262,6 +262,24 @@
     }
 }
 
+void Gateway::on(const OverloadChanged& event)
+{
+    overloaded_ = event.overloaded;
+    context_.gauge("swiftlift_overloaded", overloaded_ ? 1 : 0);
+    announceReadiness();
+    // The routers of the failure domain decide by this whether they may ask for fewer callers as well.
+    peers_.sendToDomain(heartbeat());
+}
+
+bool Gateway::overloadLimitReached() const
+{
+    const auto domain = peers_.membership().domainOverload();
+    const std::size_t most = (domain.peers + 1) / overloadedDivisor;
+    // Of routers that became overloaded together, those with the lowest incarnations stay so: if all took this back at
+    // once, they would all become overloaded again.
+    return (overloaded_ ? domain.overloadedBefore : domain.overloaded) >= most;
+}
+
 void Gateway::on(const Tick& event)
 {
     peers_.membership().onOwnDelay(event.delay, context_.now());
@@ -293,10 +311,16 @@
     const std::string reason = reasonNotReady();
     const bool ready = reason.empty() && !stopRequested_;
     const bool close = stopRequested_.has_value();
-    if (announced_ && announced_->ready == ready && announced_->closing == close) {
+    const AnnounceReadiness next { ready, close, overloadLimitReached() };
+    if (announced_ == next) {
+        return;
+    }
+    const bool onlyLimitChanged = announced_ && announced_->ready == ready && announced_->closing == close;
+    announced_ = next;
+    if (onlyLimitChanged) {
+        context_.emit(next);
         return;
     }
-    announced_ = AnnounceReadiness { ready, close };
     context_.log(LogLineBuilder("ready").with("ready", ready).with("reason", stopRequested_ ? "stopping" : reason));
     context_.gauge("swiftlift_ready", ready ? 1 : 0);
     context_.emit(*announced_);
@@ -352,7 +376,8 @@
         { "config_version", fleet_.routes() ? fleet_.routes()->config().version : 0 }, { "evacuated", evacuated },
         { "cold_servers", fleet_.coldServers() }, { "limited_servers", announced.limited },
         { "resting_servers", announced.resting }, { "brittle_servers", announced.brittle },
-        { "links_lost", links_.lost() }, { "config_may_be_outdated", fleet_.mayBeOutdated() }
+        { "links_lost", links_.lost() }, { "overloaded", overloaded_ },
+        { "config_may_be_outdated", fleet_.mayBeOutdated() }
     }.dump();
 }
 
@@ -377,6 +402,7 @@
     own.announcements = backends_.toShare(context_.now());
     own.relay = context_.settings().relayAddress;
     own.unreachableDomains = links_.unreachableDomainsForPeers();
+    own.overloaded = overloaded_;
     own.config = fleet_.configState();
     return own;
 }
--- a/src/node/Gateway.h
+++ b/src/node/Gateway.h
@@ -46,6 +46,7 @@
     void on(const LogUnreachable& event);
     void on(const AppendAnswered& event);
     void on(const PeerReceived& event);
+    void on(const OverloadChanged& event);
     void on(const Tick& event);
     void on(const StopRequested& event);
     void on(const OperatorAsked& event);
@@ -67,6 +68,9 @@
     /** Time between two updates of the list of watched peers. */
     static constexpr Duration watchedPeriod = std::chrono::seconds(1);
 
+    /** At most one in this many VMs of a failure domain asks for no new callers because of its CPU use or lag. */
+    static constexpr std::size_t overloadedDivisor = 4;
+
     void routePeerMessage(const PeerReceived& event);
     /** Informs the quarantine if the log's answer or failure concerns the stream of crash reports. */
     void notifyQuarantineOfLogAnswer(const StreamName& stream);
@@ -75,6 +79,8 @@
     void refreshWatched();
     /** Adapts the calls to the log to the number of routers. */
     void paceLogCalls();
+    /** @return True if as many other VMs of the failure domain as may be are overloaded already. */
+    [[nodiscard]] bool overloadLimitReached() const;
     /** @return Why new requests can't be accepted; empty: they can. */
     [[nodiscard]] std::string reasonNotReady() const;
     /** @return True if a stop was requested and the time for accepting new requests is over. */
@@ -105,6 +111,8 @@
     /** When the stop was requested. */
     std::optional<Instant> stopRequested_;
     std::optional<AnnounceReadiness> announced_;
+    /** This VM asks for no new callers because of its CPU use or lag. */
+    bool overloaded_ = false;
     Instant nextWatched_ {};
     /** Maximum number of routers seen alive at once; a router without heartbeats may still send requests. */
     std::uint32_t maxRoutersSeen_ = 1;
--- a/src/node/Peers.cpp
+++ b/src/node/Peers.cpp
@@ -74,7 +74,7 @@
 void Peers::onHeartbeat(Incarnation from, const PeerAddress& address, const Heartbeat& heartbeat)
 {
     const membership::HeartbeatFacts facts { heartbeat.domain, heartbeat.region, heartbeat.stopping,
-        heartbeat.logReachable };
+        heartbeat.logReachable, heartbeat.overloaded };
     membership_.onHeartbeat(from, address, facts, context_.now());
 }
 
@@ -125,6 +125,16 @@
     }
 }
 
+void Peers::sendToDomain(const Heartbeat& own)
+{
+    // Live peers are listed nearest first.
+    std::vector<Incarnation> peers = membership_.alivePeers();
+    peers.resize(membership_.counts().aliveInDomain);
+    for (const Incarnation peer : peers) {
+        send(peer, own);
+    }
+}
+
 void Peers::send(Incarnation to, PeerMessage message, std::uint32_t shard)
 {
     if (const auto address = membership_.addressOf(to)) {
--- a/src/node/Peers.h
+++ b/src/node/Peers.h
@@ -35,6 +35,9 @@
     /** Sends a heartbeat to all live peers now, because it has news that they need at once. */
     void sendToAll(const Heartbeat& own);
 
+    /** Sends a heartbeat to all live peers of the own failure domain now. */
+    void sendToDomain(const Heartbeat& own);
+
     /** @return The peer to request a stream's records from: one that reaches the log, otherwise the nearest alive peer;
      * std::nullopt when no peer is alive. */
     [[nodiscard]] std::optional<Incarnation> bestReader() const;
--- a/src/transport/ProxyCallTable.cpp
+++ b/src/transport/ProxyCallTable.cpp
@@ -7,6 +7,7 @@
 #include "swiftlift/transport/CallerText.h"
 #include "swiftlift/transport/DecisionLoop.h"
 #include "swiftlift/transport/Hashing.h"
+#include "swiftlift/transport/Metrics.h"
 #include "transport/ProxyText.h"
 
 namespace swiftlift::transport::internal {
@@ -16,6 +17,23 @@
     constexpr int statusReady = 200;
     constexpr int statusNotReady = 503;
 
+    routing::LoadShedderLimits shedderLimits(const StreamLimits& limits)
+    {
+        return { limits.maxLag, limits.maxDecisionsWaiting, limits.linkBytesPerSecond, limits.readyEventDelay,
+            limits.maxEventDelay, limits.cpuCores };
+    }
+
+    /** @return CPU time that this process has used. */
+    Duration processCpuTime()
+    {
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(processCpuSeconds()));
+    }
+
+    std::int64_t toMilliseconds(std::chrono::nanoseconds time)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    }
+
     RequestHead headOf(const CallerMessage& message)
     {
         RequestHead head;
@@ -56,7 +74,7 @@
     , dialect_(std::move(dialect))
     , pool_(context)
     , silence_(context)
-    , loadShedder_({ context.limits.maxLag, context.limits.maxDecisionsWaiting, context.limits.linkBytesPerSecond })
+    , loadShedder_(shedderLimits(context.limits))
 {
 }
 
@@ -108,7 +126,7 @@
     }
     TaggedEvent event { Incarnation {}, node::ProxyRequestArrived { id, std::move(info), steadyInstant() } };
     if (!context_.decisions.tryPush(std::move(event), reservedEvents)) {
-        refuseOverloaded(connection, requestId);
+        refuseOverloaded(connection, requestId, {});
         return;
     }
     calls_.emplace(id,
@@ -119,13 +137,14 @@
 
 bool ProxyCallTable::admit(CallerConnection& connection, const std::string& requestId)
 {
-    const auto lag = std::chrono::duration_cast<Duration>(context_.lag);
-    const routing::ObservedLoad load { lag, context_.decisions.size(), connection.closedByPeer() };
-    switch (loadShedder_.onRequest(load, steadyInstant())) {
+    const Instant now = steadyInstant();
+    const routing::ObservedLoad load { std::chrono::duration_cast<Duration>(context_.lag), context_.decisions.size(),
+        connection.closedByPeer(), context_.decisions.delay().recent(now) };
+    switch (loadShedder_.onRequest(load, now)) {
     case routing::LoadShedVerdict::Accept:
         return true;
     case routing::LoadShedVerdict::Refuse:
-        refuseOverloaded(connection, requestId);
+        refuseOverloaded(connection, requestId, load);
         return false;
     case routing::LoadShedVerdict::Drop:
         dropDisconnected(connection, requestId);
@@ -145,23 +164,39 @@
 
 bool ProxyCallTable::acceptsNewCallers()
 {
-    const bool accepts = loadShedder_.ready(steadyInstant());
+    const Instant now = steadyInstant();
+    loadShedder_.onEventDelay(context_.decisions.delay().recent(now), now);
+    const bool accepts = loadShedder_.ready(now);
+    const routing::NotReadyCause cause = loadShedder_.notReadyCause(now);
+    reportOverload(cause == routing::NotReadyCause::Lag || cause == routing::NotReadyCause::Cpu);
     if (accepts != std::exchange(acceptedNewCallers_, accepts)) {
         context_.log.write(logging::Level::Info, "intake",
-            { { "wants_callers", accepts }, { "overloaded", static_cast<std::int64_t>(context_.counts.overloaded) },
+            { { "wants_callers", accepts }, { "cause", std::string(toText(cause)) },
+                { "event_delay_ms", toMilliseconds(context_.decisions.delay().recent(now)) },
+                { "cpu_share", loadShedder_.cpuShare() },
+                { "overloaded", static_cast<std::int64_t>(context_.counts.overloaded) },
                 { "left_unread", static_cast<std::int64_t>(context_.counts.leftUnread) } });
     }
     return accepts;
 }
 
-void ProxyCallTable::refuseOverloaded(CallerConnection& connection, const std::string& requestId)
+void ProxyCallTable::reportOverload(bool overloaded)
+{
+    if (overloaded != std::exchange(reportedOverload_, overloaded)) {
+        context_.events.push({ Incarnation {}, node::OverloadChanged { overloaded } });
+    }
+}
+
+void ProxyCallTable::refuseOverloaded(
+    CallerConnection& connection, const std::string& requestId, const routing::ObservedLoad& load)
 {
     ++context_.counts.overloaded;
-    const node::Reply reply = overloadedRefusal("the router's decision queue is full or its load is too high");
+    node::Reply reply = overloadedRefusal("the router's decision queue is full or its load is too high");
+    reply.retryAfter = routing::LoadShedder::retryAfter(load);
     context_.log.write(logging::Level::Info, "refuse",
         { { "request", requestId }, { "outcome", std::string("not_run") }, { "status", std::int64_t { reply.status } },
-            { "reason", reply.reason },
-            { "lag_ms", std::int64_t { std::chrono::duration_cast<std::chrono::milliseconds>(context_.lag).count() } },
+            { "reason", reply.reason }, { "lag_ms", toMilliseconds(context_.lag) },
+            { "event_delay_ms", toMilliseconds(load.eventDelay) },
             { "decisions_waiting", static_cast<std::int64_t>(context_.decisions.size()) } });
     writeRefusal(connection, *dialect_, reply, requestId);
 }
@@ -310,6 +345,7 @@
 void ProxyCallTable::execute(node::AnnounceReadiness&& readiness)
 {
     readiness_ = readiness;
+    loadShedder_.setOverloadLimitReached(readiness.overloadLimitReached);
     if (readiness.closing) {
         closeIdleConnections();
     }
@@ -328,6 +364,8 @@
 void ProxyCallTable::execute(BeginIncarnation&& begin)
 {
     context_.incarnation = begin.incarnation;
+    // The new core doesn't know what the previous one was told.
+    reportedOverload_ = false;
     // The previous core reported that nothing is in progress, so the result of a running attempt has no recipient.
     running_.cancelAll();
 }
@@ -344,7 +382,18 @@
     context_.events.flush();
     pool_.sweep();
     silence_.sweep(running_);
-    loadShedder_.onTraffic(context_.traffic, steadyInstant());
+    observeLoad();
+}
+
+void ProxyCallTable::observeLoad()
+{
+    const Instant now = steadyInstant();
+    loadShedder_.onTraffic(context_.traffic, now);
+    if (context_.limits.cpuCores > 0) {
+        loadShedder_.onCpuTime(processCpuTime(), now);
+    }
+    // Without probes and requests, peers still have to be told when an overload begins or ends.
+    static_cast<void>(acceptsNewCallers());
 }
 
 void ProxyCallTable::closeIdleConnections()
@@ -371,6 +420,7 @@
     counts.connections = connections_.size();
     counts.attempts = running_.size();
     counts.calls = calls_.size();
+    counts.cpuShare = loadShedder_.cpuShare();
     return counts;
 }
 
--- a/src/transport/ProxyCallTable.h
+++ b/src/transport/ProxyCallTable.h
@@ -66,7 +66,12 @@
     void dropDisconnected(CallerConnection& connection, const std::string& requestId);
     [[nodiscard]] AttemptOrder makeOrder(const node::ProxyDispatch& dispatch, ProxyCall& call) const;
     void addCaller(boost::asio::ip::tcp::socket socket, bool isReadinessCheck);
-    void refuseOverloaded(CallerConnection& connection, const std::string& requestId);
+    void refuseOverloaded(
+        CallerConnection& connection, const std::string& requestId, const routing::ObservedLoad& load);
+    /** Passes traffic, CPU use and the delay of events to the load shedder. */
+    void observeLoad();
+    /** Tells the core when an overload has begun or ended. */
+    void reportOverload(bool overloaded);
     void answerReadiness(CallerConnection& connection);
     /** @return Whether the load balancer should send more callers to this VM. Logs when that changes. */
     [[nodiscard]] bool acceptsNewCallers();
@@ -83,6 +88,8 @@
     routing::LoadShedder loadShedder_;
     /** The last result of acceptsNewCallers(). */
     bool acceptedNewCallers_ = true;
+    /** What the core was last told with OverloadChanged. */
+    bool reportedOverload_ = false;
     node::AnnounceReadiness readiness_;
     CallerConnections connections_;
     /** The subset of `connections_` that carries the load balancer's readiness checks. */
--- a/tests/node/GatewayTest.cpp
+++ b/tests/node/GatewayTest.cpp
@@ -194,6 +194,25 @@
         EXPECT_TRUE(world.dispatchOf(world.arrive("/plain/x")));
     }
 
+    // Guards against a lone VM of a failure domain that takes no more callers, and against a domain in which more than
+    // a quarter of the VMs do so.
+    TEST_F(GatewayTest, AtMostAQuarterOfTheDomainIsOverloaded)
+    {
+        EXPECT_TRUE(world.overloadLimitReached());
+        for (std::uint64_t peer = 101; peer <= 107; ++peer) {
+            world.handle(heartbeatWith(peer, {}, peer == 101));
+        }
+        world.handle(Tick {});
+        EXPECT_FALSE(world.overloadLimitReached()) << "one of eight VMs";
+        world.handle(heartbeatWith(102, {}, true));
+        world.handle(Tick {});
+        EXPECT_TRUE(world.overloadLimitReached());
+        world.handle(OverloadChanged { true });
+        ASSERT_TRUE(world.lastHeartbeat());
+        EXPECT_TRUE(world.lastHeartbeat()->overloaded);
+        EXPECT_FALSE(world.overloadLimitReached()) << "both others have higher incarnations and give way";
+    }
+
     // Guards against a non-idempotent request that runs twice: the connection breaks before any answer, and the request
     // is sent to another server although the first may have run it.
     TEST_F(GatewayTest, NonIdempotentRequestIsNotRetriedAfterItMayHaveRun)
--- a/tests/settings/RouterSettingsTest.cpp
+++ b/tests/settings/RouterSettingsTest.cpp
@@ -72,6 +72,16 @@
     EXPECT_EQ(settings->seed, 42U);
 }
 
+// Guards against a router that takes its share of CPU time for unknown although the platform states it.
+TEST(RouterSettings, ReadsTheShareOfCpuTime)
+{
+    Findings findings;
+    const std::string text = replaced(test::routerSettings, "vm:\n", "vm:\n  cores: 0.09\n");
+    const auto settings = parseRouterSettings(text, "router.yaml", findings);
+    ASSERT_TRUE(settings.has_value()) << testing::PrintToString(texts(findings));
+    EXPECT_EQ(settings->vm.cores, 0.09);
+}
+
 TEST(RouterSettings, ReportsEveryErrorWithItsPosition)
 {
     const auto text = replaced(test::routerSettings, "8002}", "8001}")
