Exchange the load of backend servers between routers through one collector in each domain

Cause: a router knows only its own requests at a backend server, which in a fleet of dozens of routers hides that the server is full.

--- a/apps/router/CoreDecider.cpp
+++ b/apps/router/CoreDecider.cpp
@@ -66,6 +66,7 @@
     core.peerAddress = settings.vm.peer;
     core.domain = settings.vm.domain;
     core.region = settings.vm.region;
+    core.bandwidth = settings.vm.bandwidth;
     core.relayAddress = RelayAddress(settings.relayListen.value());
     core.seeds = settings.peers.seeds;
     core.ledgerShards = settings.ledger.shards;
@@ -83,6 +84,7 @@
     }
     core.logRates = { settings.logReadRate, settings.logAppendRate };
     core.retries = { settings.retries.ratio, settings.retries.extra, settings.retries.window };
+    core.loads = { settings.loads.period, settings.loads.lifetime, settings.loads.minRouters };
     if (settings.dialect == settings::SpokenDialect::Platform) {
         applyPlatformSettings(settings, core);
     }
--- a/include/swiftlift/membership/Membership.h
+++ b/include/swiftlift/membership/Membership.h
@@ -109,6 +109,19 @@
      */
     [[nodiscard]] std::optional<Incarnation> logReachablePeer() const;
 
+    /** @brief A router of this router's failure domain. */
+    struct Neighbor {
+        Incarnation incarnation;
+        /** Bandwidth of its link, in Mbit/s; 0: not known. */
+        double bandwidth = 0;
+    };
+    /** @return Live peers of the own failure domain; without VMs that are stopping or leaving. */
+    [[nodiscard]] std::vector<Neighbor> neighbors() const;
+
+    /** @return Addresses of the routers of each other failure domain that are alive or listed; without VMs that are
+     * stopping or leaving. */
+    [[nodiscard]] std::map<FailureDomain, std::vector<PeerAddress>> remoteAddresses() const;
+
     /** @return Address of the incarnation; empty when the incarnation is unknown, replaced or retired. */
     [[nodiscard]] std::optional<PeerAddress> addressOf(Incarnation incarnation) const;
 
--- a/include/swiftlift/membership/MembershipEvent.h
+++ b/include/swiftlift/membership/MembershipEvent.h
@@ -15,6 +15,8 @@
     Region region;
     bool stopping = false;
     bool logReachable = false;
+    /** Bandwidth of the sender's link, in Mbit/s; 0: not known. */
+    double bandwidth = 0;
 };
 
 /** @brief A VM in the platform's list. The list lags behind, so entries are hints only. */
--- a/include/swiftlift/node/Core.h
+++ b/include/swiftlift/node/Core.h
@@ -48,12 +48,24 @@
     double appends = 0;
 };
 
+/** How routers tell each other their requests at backend servers. */
+struct LoadExchangeSettings {
+    /** Time between two reports; 0: routers don't exchange loads. */
+    Duration period {};
+    /** Time after which reports and digests no longer count. */
+    Duration lifetime = std::chrono::seconds(1);
+    /** Number of routers from which on a fleet exchanges loads. */
+    std::uint32_t minRouters = 24;
+};
+
 /** A router's settings, fixed from its start on. */
 struct CoreSettings {
     Incarnation incarnation;
     PeerAddress peerAddress;
     FailureDomain domain;
     Region region;
+    /** Bandwidth of this router's link, in Mbit/s; 0: not known. */
+    double bandwidth = 0;
     /** Where this router relays other routers' connections to backend servers; empty: it relays none. */
     RelayAddress relayAddress;
     /** Addresses of routers to contact before the VM list has been read. */
@@ -77,6 +89,7 @@
     std::shared_ptr<const fleet::FleetCodec> fleetCodec;
     /** Limit on the retries of proxied requests. */
     routing::RetryBound retries;
+    LoadExchangeSettings loads;
     /** How long new requests are still accepted after a stop was requested, until the platform's load balancer has
      * noticed. */
     Duration stopAcceptance {};
--- a/include/swiftlift/node/PeerMessage.h
+++ b/include/swiftlift/node/PeerMessage.h
@@ -10,6 +10,7 @@
 #include "swiftlift/base/Units.h"
 #include "swiftlift/ledger/Holder.h"
 #include "swiftlift/routing/Announcement.h"
+#include "swiftlift/routing/ServerLoad.h"
 
 namespace swiftlift::node {
 
@@ -36,6 +37,8 @@
     RelayAddress relay {};
     /** Failure domains whose backend servers the sender can't reach itself. */
     std::vector<FailureDomain> unreachableDomains {};
+    /** Bandwidth of the sender's link, in Mbit/s; 0: not known. */
+    double bandwidth = 0;
 };
 /** Holder to witness: requests permission to spend these grants up to these ceilings. */
 struct RaiseCeilings {
@@ -155,8 +158,45 @@
     std::optional<SoftwareVersion> version;
 };
 
+/** Router to its collector: the sender's requests at backend servers. Replaces the sender's earlier reports. */
+struct LoadReport {
+    /** Grows with each report of the sender. */
+    std::uint64_t sequence = 0;
+    std::vector<routing::ServerLoadEntry> loads;
+};
+
+/** Whose requests a digest sums up. */
+enum class DigestScope : std::uint8_t {
+    /** Those of the routers that report to the collector; for other collectors. */
+    Domain,
+    /** Those of all routers; for the routers that report to the collector. */
+    Fleet,
+};
+
+/** A collector that a digest comes from. */
+struct DigestOrigin {
+    Incarnation collector;
+    PeerAddress address;
+};
+
+/**
+ * @brief From a collector: the sum of several routers' requests at backend servers.
+ *
+ * Replaces the collector's earlier digests of the same scope.
+ */
+struct LoadDigest {
+    DigestScope scope = DigestScope::Domain;
+    /** Grows with each digest of the collector. */
+    std::uint64_t sequence = 0;
+    std::vector<routing::ServerLoadEntry> loads;
+    /** Failure domain of the collector. */
+    FailureDomain domain;
+    /** Set if the sender is not the collector, but forwards the digest. Such a digest is not forwarded again. */
+    std::optional<DigestOrigin> forwardedFor = std::nullopt;
+};
+
 using PeerMessage = std::variant<Heartbeat, RaiseCeilings, CeilingsAcked, CeilingsRefused, LoanAsk, LoanGiven,
     LoanDenied, LoanDone, LoanDoneAcked, ReadAsk, Records, StreamState, RelayAppend, CopyItems, ItemsCopied,
-    StreamsBegan, StreamVersionAsk, StreamVersionAnswer>;
+    StreamsBegan, StreamVersionAsk, StreamVersionAnswer, LoadReport, LoadDigest>;
 
 } // namespace swiftlift::node
--- a/include/swiftlift/settings/RouterSettings.h
+++ b/include/swiftlift/settings/RouterSettings.h
@@ -90,6 +90,16 @@
     Duration window = std::chrono::seconds(10);
 };
 
+/** How routers tell each other their requests at backend servers. */
+struct LoadExchangeSettings {
+    /** Time between two reports of a router; 0: routers don't exchange loads. */
+    Duration period {};
+    /** Time after which a report no longer counts. */
+    Duration lifetime = std::chrono::seconds(1);
+    /** Number of routers from which on a fleet exchanges loads. */
+    std::uint32_t minRouters = 24;
+};
+
 /** Settings of the router's log. */
 struct LoggingSettings {
     /** Path of the log file; `-` stands for standard output. */
@@ -128,6 +138,7 @@
     LedgerSettings ledger;
     RoutingPolicy routing = RoutingPolicy::Affinity;
     RetrySettings retries;
+    LoadExchangeSettings loads;
     /** Longest time that a planned stop waits for requests in progress. */
     Duration stopLimit = std::chrono::seconds(60);
     LoggingSettings logging;
--- a/src/membership/Queries.cpp
+++ b/src/membership/Queries.cpp
@@ -106,6 +106,33 @@
     return std::nullopt;
 }
 
+std::vector<Membership::Neighbor> Membership::neighbors() const
+{
+    std::vector<Neighbor> neighbors;
+    for (const auto& [incarnation, peer] : peers_) {
+        if (distance(peer) == 0 && isEligible(peer)) {
+            neighbors.push_back({ incarnation, peer.facts.bandwidth });
+        }
+    }
+    return neighbors;
+}
+
+std::map<FailureDomain, std::vector<PeerAddress>> Membership::remoteAddresses() const
+{
+    std::map<FailureDomain, std::vector<PeerAddress>> addresses;
+    for (const auto& [incarnation, peer] : peers_) {
+        if (distance(peer) > 0 && isEligible(peer)) {
+            addresses[peer.facts.domain].push_back(peer.address);
+        }
+    }
+    for (const auto& [address, vm] : listed_) {
+        if (vm.domain != settings_.domain && !vm.leaving && !incarnationByAddress_.contains(address)) {
+            addresses[vm.domain].push_back(address);
+        }
+    }
+    return addresses;
+}
+
 std::optional<PeerAddress> Membership::addressOf(Incarnation incarnation) const
 {
     if (const auto found = peers_.find(incarnation); found != peers_.end()) {
--- a/src/node/Gateway.cpp
+++ b/src/node/Gateway.cpp
@@ -25,6 +25,7 @@
     , changes_(context_)
     , peers_(context_)
     , backends_(internal::tableSettings(context_.settings()))
+    , loads_(context_, peers_, backends_)
     , fleet_(context_, peers_, health_, backends_, *this)
     , ledgers_(context_, peers_, health_, *this)
     , quarantine_(context_, peers_)
@@ -254,6 +255,10 @@
         streamVersions_.on(event, *ask);
     } else if (const auto* answer = std::get_if<StreamVersionAnswer>(&event.message)) {
         streamVersions_.on(event, *answer);
+    } else if (const auto* report = std::get_if<LoadReport>(&event.message)) {
+        loads_.on(event, *report);
+    } else if (const auto* digest = std::get_if<LoadDigest>(&event.message)) {
+        loads_.on(event, *digest);
     } else if (const auto* relay = std::get_if<RelayAppend>(&event.message)) {
         context_.emit(Append { relay->stream, relay->record, {} });
     } else {
@@ -270,6 +275,7 @@
         links_.onSuspected(suspected);
     }
     maxRoutersSeen_ = std::max(maxRoutersSeen_, static_cast<std::uint32_t>(peers_.membership().counts().alive) + 1);
+    loads_.tick(stopRequested_ || !retiredReason_.empty());
     fleet_.tick(stopRequested_.has_value());
     quarantine_.tick();
     links_.tick();
@@ -374,6 +380,7 @@
     own.announcements = backends_.toShare(context_.now());
     own.relay = context_.settings().relayAddress;
     own.unreachableDomains = links_.unreachableDomainsForPeers();
+    own.bandwidth = context_.settings().bandwidth;
     return own;
 }
 
--- a/src/node/Gateway.h
+++ b/src/node/Gateway.h
@@ -8,6 +8,7 @@
 #include "node/Ending.h"
 #include "node/FleetDirectory.h"
 #include "node/Ledgers.h"
+#include "node/LoadExchange.h"
 #include "node/LogHealth.h"
 #include "node/LogPace.h"
 #include "node/Peers.h"
@@ -93,6 +94,7 @@
     StateChanges changes_;
     Peers peers_;
     routing::BackendTable backends_;
+    LoadExchange loads_;
     FleetDirectory fleet_;
     Ledgers ledgers_;
     QuarantineCoordinator quarantine_;
--- a/src/node/Peers.cpp
+++ b/src/node/Peers.cpp
@@ -74,7 +74,7 @@
 void Peers::onHeartbeat(Incarnation from, const PeerAddress& address, const Heartbeat& heartbeat)
 {
     const membership::HeartbeatFacts facts { heartbeat.domain, heartbeat.region, heartbeat.stopping,
-        heartbeat.logReachable };
+        heartbeat.logReachable, heartbeat.bandwidth };
     membership_.onHeartbeat(from, address, facts, context_.now());
 }
 
--- a/src/settings/RouterSettings.cpp
+++ b/src/settings/RouterSettings.cpp
@@ -15,6 +15,7 @@
     using internal::Presence;
     using internal::Range;
     using std::chrono::hours;
+    using std::chrono::milliseconds;
     using std::chrono::seconds;
 
     constexpr std::size_t maxSettingsBytes = 256UL * 1024;
@@ -31,6 +32,13 @@
     constexpr Range<double> extraRange { 0, 1'000'000 };
     constexpr Range<Duration> windowRange { seconds(1), hours(1) };
     constexpr Range<Duration> stopRange { seconds(1), hours(1) };
+    constexpr Range<Duration> loadPeriodRange { seconds(0), seconds(10) };
+    /** With shorter periods, reports would take a noticeable part of a small VM's CPU time. */
+    constexpr Duration minLoadPeriod = milliseconds(50);
+    constexpr Range<Duration> loadLifetimeRange { milliseconds(100), hours(1) };
+    /** One report in a row may be lost without the load that it states being forgotten. */
+    constexpr int minPeriodsPerLifetime = 2;
+    constexpr Range<std::uint64_t> minRoutersRange { 1, 10'000 };
     constexpr Range<std::uint64_t> seedRange { 0, std::numeric_limits<std::uint64_t>::max() };
 
     void readVm(Checker& root, VmSettings& vm)
@@ -166,6 +174,21 @@
         checker.reportUnknownKeys();
     }
 
+    void readLoads(Checker& root, LoadExchangeSettings& loads)
+    {
+        auto checker = root.section("loads", Presence::Optional);
+        checker.duration("period", Presence::Optional, loadPeriodRange, loads.period);
+        checker.duration("lifetime", Presence::Optional, loadLifetimeRange, loads.lifetime);
+        checker.unsignedNumber("min_routers", Presence::Optional, minRoutersRange, loads.minRouters);
+        checker.reportUnknownKeys();
+        if (loads.period > Duration::zero() && loads.period < minLoadPeriod) {
+            checker.report("period", "expected 0s (off) or at least 50ms");
+        }
+        if (loads.lifetime < minPeriodsPerLifetime * loads.period) {
+            checker.report("lifetime", "has to be at least twice the period, as reports may get lost");
+        }
+    }
+
     void readDialect(Checker& root, SpokenDialect& dialect)
     {
         root.choice<SpokenDialect>("dialect", Presence::Optional,
@@ -214,6 +237,7 @@
         readLedger(root, settings.ledger);
         readRouting(root, settings.routing);
         readRetries(root, settings.retries);
+        readLoads(root, settings.loads);
         readStop(root, settings.stopLimit);
         readLogging(root, settings.logging);
         readSeed(root, settings.seed);
--- a/src/wire/PeerReader.cpp
+++ b/src/wire/PeerReader.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <cstdint>
 
+#include "wire/LoadUnits.h"
+
 namespace swiftlift::wire::internal {
 
 namespace {
@@ -12,6 +14,8 @@
 
     /** An announcement's greatest age in microseconds: a day. */
     constexpr std::uint64_t maxAge = 86'400'000'000U;
+    /** Maximum number of backend servers that are read from one message, more than any sender states. */
+    constexpr int maxServersRead = 4096;
 
     GrantId read(const proto::ledger::Grant& in) { return { Incarnation(in.holder()), in.number() }; }
 
@@ -77,6 +81,8 @@
         for (const auto& domain : in.unreachable_domains()) {
             heartbeat.unreachableDomains.emplace_back(domain);
         }
+        // Routers can't be ordered by a bandwidth that is no number.
+        heartbeat.bandwidth = isAmount(in.bandwidth()) ? in.bandwidth() : 0;
         return heartbeat;
     }
 
@@ -124,6 +130,44 @@
         return answer;
     }
 
+    Tokens fromUnits(std::uint32_t units) { return Tokens(units * tokensPerLoadUnit); }
+
+    /** @return The loads; of arrays of different lengths, those of the servers that all arrays state. */
+    std::vector<routing::ServerLoadEntry> read(const proto::peer::ServerLoads& in)
+    {
+        const int size = std::min({ in.servers_size(), in.in_progress_size(), in.unread_size(), in.memory_size(),
+            in.pace_size(), maxServersRead });
+        std::vector<routing::ServerLoadEntry> loads;
+        loads.reserve(static_cast<std::size_t>(size));
+        for (int index = 0; index < size; ++index) {
+            const routing::ServerLoad load { in.in_progress(index), fromUnits(in.unread(index)),
+                fromUnits(in.memory(index)) };
+            const std::uint32_t pace = in.pace(index);
+            loads.push_back({ routing::ServerKey(in.servers(index)), load,
+                pace == 0 ? std::nullopt : std::optional(Duration(pace)) });
+        }
+        return loads;
+    }
+
+    /** @return The digest; nullopt: its scope is one that this release does not know. */
+    std::optional<node::PeerMessage> read(const proto::peer::LoadDigest& in)
+    {
+        if (in.scope() != proto::peer::LoadDigest::DOMAIN && in.scope() != proto::peer::LoadDigest::FLEET) {
+            return std::nullopt;
+        }
+        node::LoadDigest digest;
+        const bool isFleet = in.scope() == proto::peer::LoadDigest::FLEET;
+        digest.scope = isFleet ? node::DigestScope::Fleet : node::DigestScope::Domain;
+        digest.sequence = in.sequence();
+        digest.loads = read(in.loads());
+        digest.domain = FailureDomain(in.domain());
+        if (in.forwarded()) {
+            digest.forwardedFor
+                = node::DigestOrigin { Incarnation(in.collector()), PeerAddress(in.collector_address()) };
+        }
+        return digest;
+    }
+
 } // namespace
 
 std::optional<node::PeerMessage> readMessage(const Envelope& in)
@@ -168,6 +212,10 @@
             StreamId(in.stream_version_ask().stream()), toAge(in.stream_version_ask().max_age()) };
     case Envelope::kStreamVersionAnswer:
         return read(in.stream_version_answer());
+    case Envelope::kLoadReport:
+        return node::LoadReport { in.load_report().sequence(), read(in.load_report().loads()) };
+    case Envelope::kLoadDigest:
+        return read(in.load_digest());
     case Envelope::BODY_NOT_SET:
         return std::nullopt;
     }
--- a/src/wire/PeerWriter.cpp
+++ b/src/wire/PeerWriter.cpp
@@ -1,5 +1,11 @@
 #include "wire/PeerWriter.h"
 
+#include <algorithm>
+#include <cstdint>
+#include <limits>
+
+#include "wire/LoadUnits.h"
+
 namespace swiftlift::wire::internal {
 
 namespace {
@@ -50,6 +56,29 @@
         }
     }
 
+    /** @return The number as a field of 32 bits; greater numbers become the greatest one. */
+    [[nodiscard]] std::uint32_t toField(std::int64_t number)
+    {
+        constexpr std::int64_t greatest = std::numeric_limits<std::uint32_t>::max();
+        return static_cast<std::uint32_t>(std::clamp<std::int64_t>(number, 0, greatest));
+    }
+
+    [[nodiscard]] std::uint32_t toUnits(Tokens tokens)
+    {
+        return toField((tokens.value() + tokensPerLoadUnit - 1) / tokensPerLoadUnit);
+    }
+
+    void write(const std::vector<routing::ServerLoadEntry>& loads, proto::peer::ServerLoads& out)
+    {
+        for (const auto& [server, load, pace] : loads) {
+            out.add_servers(server.value());
+            out.add_in_progress(load.inProgress);
+            out.add_unread(toUnits(load.unread));
+            out.add_memory(toUnits(load.memory));
+            out.add_pace(toField(pace.value_or(Duration {}).count()));
+        }
+    }
+
 } // namespace
 
 void write(const node::Heartbeat& message, proto::peer::Envelope& out)
@@ -71,6 +100,7 @@
     for (const auto& domain : message.unreachableDomains) {
         body.add_unreachable_domains(domain.value());
     }
+    body.set_bandwidth(message.bandwidth);
 }
 
 void write(const node::RaiseCeilings& message, proto::peer::Envelope& out)
@@ -203,4 +233,26 @@
     }
 }
 
+void write(const node::LoadReport& message, proto::peer::Envelope& out)
+{
+    auto& body = *out.mutable_load_report();
+    body.set_sequence(message.sequence);
+    write(message.loads, *body.mutable_loads());
+}
+
+void write(const node::LoadDigest& message, proto::peer::Envelope& out)
+{
+    auto& body = *out.mutable_load_digest();
+    const bool isFleet = message.scope == node::DigestScope::Fleet;
+    body.set_scope(isFleet ? proto::peer::LoadDigest::FLEET : proto::peer::LoadDigest::DOMAIN);
+    body.set_sequence(message.sequence);
+    write(message.loads, *body.mutable_loads());
+    body.set_domain(message.domain.value());
+    body.set_forwarded(message.forwardedFor.has_value());
+    if (message.forwardedFor) {
+        body.set_collector(message.forwardedFor->collector.value());
+        body.set_collector_address(message.forwardedFor->address.value());
+    }
+}
+
 } // namespace swiftlift::wire::internal
--- a/src/wire/PeerWriter.h
+++ b/src/wire/PeerWriter.h
@@ -24,5 +24,7 @@
 void write(const node::StreamsBegan& message, proto::peer::Envelope& out);
 void write(const node::StreamVersionAsk& message, proto::peer::Envelope& out);
 void write(const node::StreamVersionAnswer& message, proto::peer::Envelope& out);
+void write(const node::LoadReport& message, proto::peer::Envelope& out);
+void write(const node::LoadDigest& message, proto::peer::Envelope& out);
 
 } // namespace swiftlift::wire::internal
--- a/tests/wire/PeerCodecTest.cpp
+++ b/tests/wire/PeerCodecTest.cpp
@@ -16,6 +16,10 @@
         { BackendId("s3"), 0, std::nullopt, std::nullopt, std::nullopt, 4.5, std::chrono::milliseconds(4),
             std::chrono::milliseconds(5) } };
 
+    const std::vector<routing::ServerLoadEntry> loads { { routing::ServerKey(0xFFFF'FFFFU),
+                                                            { 3, Tokens(128), Tokens(6400) }, Duration(4'250) },
+        { routing::ServerKey(1), { 0, Tokens(0), Tokens(64) }, std::nullopt } };
+
     /** @return One message of each kind, in the order of the alternatives of `node::PeerMessage`. */
     std::vector<node::PeerMessage> makeMessages()
     {
@@ -27,6 +31,7 @@
         heartbeat.announcements = announcements;
         heartbeat.relay = RelayAddress("127.0.0.1:9");
         heartbeat.unreachableDomains = { FailureDomain("d") };
+        heartbeat.bandwidth = 200;
         return { heartbeat, node::RaiseCeilings { ceilings }, node::CeilingsAcked { ceilings },
             node::CeilingsRefused { { grant } }, node::LoanAsk { 1, budget, Tokens(5) },
             node::LoanGiven { 2, budget, grant, Tokens(6) }, node::LoanDenied { 3, budget, Tokens(7) },
@@ -37,7 +42,9 @@
             node::ItemsCopied { StreamName("s"), 42 },
             node::StreamsBegan { { { StreamId("a"), SoftwareVersion("v1") }, { StreamId("b"), SoftwareVersion("") } } },
             node::StreamVersionAsk { ServiceName("s"), StreamId("a"), std::chrono::seconds(9) },
-            node::StreamVersionAnswer { StreamId("a"), SoftwareVersion("v1") } };
+            node::StreamVersionAnswer { StreamId("a"), SoftwareVersion("v1") }, node::LoadReport { 3, loads },
+            node::LoadDigest { node::DigestScope::Fleet, 4, loads, FailureDomain("d"),
+                node::DigestOrigin { Incarnation(5), PeerAddress("127.0.0.1:7") } } };
     }
 
 } // namespace
@@ -80,6 +87,11 @@
     EXPECT_EQ(heartbeat.announcements, announcements);
     EXPECT_EQ(heartbeat.relay, RelayAddress("127.0.0.1:9"));
     EXPECT_EQ(heartbeat.unreachableDomains, std::vector<FailureDomain> { FailureDomain("d") });
+    EXPECT_EQ(heartbeat.bandwidth, 200);
+    const auto digest = std::get<node::LoadDigest>(roundTrip(allMessages[19])->message);
+    EXPECT_EQ(digest.scope, node::DigestScope::Fleet);
+    EXPECT_EQ(digest.loads, loads);
+    EXPECT_EQ(digest.forwardedFor->collector, Incarnation(5));
 }
 
 TEST(PeerCodec, RefusesBytesThatAreNoValidEnvelope)
