--- a/include/swiftlift/transport/ControlTraffic.h
+++ b/include/swiftlift/transport/ControlTraffic.h
@@ -14,6 +14,8 @@
 /** Bytes of the router's control traffic, by counterpart. Callers' requests and their answers are not included. */
 struct ControlTraffic {
     TrafficCounter peers;
+    /** The part of `peers` that tells loads of backend servers. */
+    TrafficCounter loads;
     TrafficCounter log;
     TrafficCounter platform;
     TrafficCounter backends;
--- a/src/node/ProxyRequest.h
+++ b/src/node/ProxyRequest.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "node/BackendLinks.h"
+#include "node/EventPace.h"
 #include "node/FleetDirectory.h"
 #include "swiftlift/ledger/Fold.h"
 #include "swiftlift/ledger/Holder.h"
@@ -66,6 +67,8 @@
     bool countedAsRetry = false;
     /** Events forwarded to the caller. */
     std::uint64_t events = 0;
+    /** Time between the events of the running attempt. */
+    EventPace pace;
     /** Parts that its prompt may share with other requests. */
     std::vector<quarantine::PromptPart> sharedParts;
     /** The running attempt has shown that these parts crash no server. */
--- a/src/node/ProxyRequestsDispatch.cpp
+++ b/src/node/ProxyRequestsDispatch.cpp
@@ -191,6 +191,7 @@
     request.backendStartedAt = server->startedAt;
     request.backendVersion = server->version;
     request.domain = server->domain;
+    request.pace.start(request.events);
     ++request.dispatches;
     countRetry(request);
     links_.onDispatched(request.links, path);
@@ -242,6 +243,7 @@
     }
     const bool first = request->events == 0 && progress.events > 0;
     request->events = std::max(request->events, progress.events);
+    request->pace.onEvents(progress.events, context_.now());
     noteLongAnswer(*request);
     if (first) {
         request->firstEventAt = context_.now();
@@ -273,6 +275,9 @@
     const ServiceName service = request->service->name;
     lastEndedBackend_ = request->backend;
     request->events = std::max(request->events, ended.events);
+    if (ended.end == ProxyAttemptEnd::Completed && request->route->answer == fleet::AnswerKind::Events) {
+        request->pace.onEvents(ended.events, context_.now());
+    }
     if (ended.end == ProxyAttemptEnd::Completed && request->route->answer == fleet::AnswerKind::Whole) {
         backends_.onFirstToken(request->backend, request->attempt, context_.now());
     }
--- a/src/node/ProxyRequestsEnd.cpp
+++ b/src/node/ProxyRequestsEnd.cpp
@@ -182,8 +182,10 @@
 void ProxyRequests::closeAttempt(
     ProxyRequest& request, routing::EndKind kind, const std::optional<routing::Announcement>& announcement)
 {
+    // An attempt that broke off or was cancelled may have waited long for an event that never came.
+    const auto pace = kind == routing::EndKind::Completed ? request.pace.mean() : std::nullopt;
     backends_.onFinished(
-        request.backend, request.attempt, { kind, Tokens {}, Tokens {}, announcement }, context_.now());
+        request.backend, request.attempt, { kind, Tokens {}, Tokens {}, announcement, pace }, context_.now());
     callByAttempt_.erase(request.attempt);
     request.excluded.insert(request.backend);
     request.attempt = AttemptId {};
--- a/src/transport/PeerLinks.cpp
+++ b/src/transport/PeerLinks.cpp
@@ -23,6 +23,12 @@
     /** Maximum number of messages received before queued messages are sent. */
     constexpr int maxMessagesPerRound = 256;
 
+    /** @return True if the message tells loads of backend servers. */
+    bool tellsLoads(const node::PeerMessage& message)
+    {
+        return std::holds_alternative<node::LoadReport>(message) || std::holds_alternative<node::LoadDigest>(message);
+    }
+
     int toIntMilliseconds(std::chrono::milliseconds time) { return static_cast<int>(time.count()); }
 
 } // namespace
@@ -33,6 +39,7 @@
         : settings(std::move(linksSettings))
         , decisions(inbox)
         , traffic(controlTraffic.peers)
+        , loadTraffic(controlTraffic.loads)
         , log(jsonLog)
         , sends(sendRingCapacity)
         , context(1)
@@ -58,6 +65,8 @@
     const PeerLinksSettings settings;
     DecisionInbox& decisions;
     TrafficCounter& traffic;
+    /** The part of `traffic` that tells loads of backend servers. */
+    TrafficCounter& loadTraffic;
     logging::JsonLog& log;
     PeerInbox sends;
     zmq::context_t context;
@@ -134,6 +143,7 @@
         ++dropped;
         return;
     }
+    loadTraffic.received += tellsLoads(envelope->message) ? message.size() : 0;
     TaggedEvent event { envelope->receiver,
         node::PeerReceived {
             envelope->sender, std::move(envelope->senderAddress), std::move(envelope->message), envelope->shard } };
@@ -158,6 +168,7 @@
     link.lastUse = Clock::now();
     if (link.dealer.send(zmq::buffer(bytes), zmq::send_flags::dontwait)) {
         traffic.sent += bytes.size();
+        loadTraffic.sent += tellsLoads(outgoing.message) ? bytes.size() : 0;
     } else {
         ++dropped;
     }
--- a/src/transport/ProcessReadings.cpp
+++ b/src/transport/ProcessReadings.cpp
@@ -91,6 +91,7 @@
         prometheus::MetricFamily family { "swiftlift_control_bytes_total", "Bytes of control traffic",
             prometheus::MetricType::Counter, {} };
         addTraffic(family, "peers", traffic_.peers);
+        addTraffic(family, "loads", traffic_.loads);
         addTraffic(family, "log", traffic_.log);
         addTraffic(family, "platform", traffic_.platform);
         addTraffic(family, "backends", traffic_.backends);
--- a/tests/node/GatewayWorld.cpp
+++ b/tests/node/GatewayWorld.cpp
@@ -73,7 +73,7 @@
     return text == "please";
 }
 
-GatewayWorld::GatewayWorld(std::int64_t budget)
+GatewayWorld::GatewayWorld(std::int64_t budget, const LoadExchangeSettings& loads)
 {
     using fleet::AnswerKind;
     config_.routes = { route("plain", AnswerKind::Whole), route("order", AnswerKind::Whole),
@@ -92,6 +92,7 @@
     settings.watermarks = ledger::Watermarks { 8, 10 };
     settings.preallocationPercent = 50;
     settings.retries = { 0.2, 50, std::chrono::seconds(4) };
+    settings.loads = loads;
     settings.stopAcceptance = std::chrono::seconds(2);
     core_ = std::make_unique<Core>(settings);
     Actions actions;
--- a/tests/node/GatewayWorld.h
+++ b/tests/node/GatewayWorld.h
@@ -40,7 +40,7 @@
  */
 class GatewayWorld {
 public:
-    explicit GatewayWorld(std::int64_t budget = 1'000'000);
+    explicit GatewayWorld(std::int64_t budget = 1'000'000, const LoadExchangeSettings& loads = {});
 
     /** Publishes a configuration and six servers, and lets the core read them and the ledger until it is ready. */
     void becomeReady();
--- a/tests/settings/RouterSettingsTest.cpp
+++ b/tests/settings/RouterSettingsTest.cpp
@@ -87,6 +87,25 @@
     EXPECT_THAT(findingsOf("vm: here"), testing::Contains(StartsWith("1:5: vm: expected a map, found \"here\"")));
 }
 
+// Guards against a router that sends reports all the time, or whose view expires between two digests.
+TEST(RouterSettings, ChecksTheExchangeOfLoads)
+{
+    const std::string text { test::routerSettings };
+    Findings findings;
+    EXPECT_EQ(parseRouterSettings(text, "router.yaml", findings)->loads.period, Duration::zero());
+    const auto settings
+        = parseRouterSettings(text + "loads: {period: 200ms, lifetime: 2s, min_routers: 6}\n", "router.yaml", findings);
+    ASSERT_TRUE(settings.has_value());
+    EXPECT_EQ(settings->loads.period, std::chrono::milliseconds(200));
+    EXPECT_EQ(settings->loads.lifetime, std::chrono::seconds(2));
+    EXPECT_EQ(settings->loads.minRouters, 6U);
+    EXPECT_THAT(findingsOf(text + "loads: {period: 20ms, min_routers: 0, every: 1s}\n"),
+        ElementsAre(testing::HasSubstr("loads.period: expected 0s (off) or at least 50ms"),
+            testing::HasSubstr("loads.min_routers: "), testing::HasSubstr("every")));
+    EXPECT_THAT(findingsOf(text + "loads: {period: 600ms}\n"),
+        ElementsAre(testing::HasSubstr("loads.lifetime: has to be at least twice the period")));
+}
+
 TEST(RouterSettings, ReportsAFileThatCannotBeRead)
 {
     Findings findings;
--- a/tests/wire/PeerCodecTest.cpp
+++ b/tests/wire/PeerCodecTest.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "peer.pb.h"
 #include "swiftlift/wire/PeerCodec.h"
 
 namespace swiftlift::wire {
@@ -94,6 +95,35 @@
     EXPECT_EQ(digest.forwardedFor->collector, Incarnation(5));
 }
 
+// Guards against a router that stops, or reads garbage, when a newer one sends a kind of message that it doesn't know.
+TEST(PeerCodec, IgnoresMessagesOfUnknownKinds)
+{
+    std::string bytes
+        = encodePeerEnvelope({ Incarnation(1), PeerAddress("a"), Incarnation(), node::LoadReport { 3, loads } });
+    // The tag of field 23, load_report, becomes that of field 2000.
+    const auto tag = bytes.find("\xBA\x01");
+    ASSERT_NE(tag, std::string::npos);
+    bytes.replace(tag, 2, "\x82\x7D");
+    EXPECT_FALSE(decodePeerEnvelope(bytes));
+}
+
+// Guards against reads beyond the end of an array that is shorter than the others.
+TEST(PeerCodec, ReadsOnlyServersThatAllArraysState)
+{
+    proto::peer::Envelope envelope;
+    envelope.set_sender(1);
+    auto& stated = *envelope.mutable_load_report()->mutable_loads();
+    stated.add_servers(1);
+    stated.add_servers(2);
+    stated.add_in_progress(3);
+    stated.add_unread(1);
+    stated.add_memory(2);
+    stated.add_pace(0);
+    const auto report = std::get<node::LoadReport>(decodePeerEnvelope(envelope.SerializeAsString())->message);
+    const std::vector<routing::ServerLoadEntry> expected { { routing::ServerKey(1), { 3, Tokens(64), Tokens(128) } } };
+    EXPECT_EQ(report.loads, expected);
+}
+
 TEST(PeerCodec, RefusesBytesThatAreNoValidEnvelope)
 {
     EXPECT_FALSE(decodePeerEnvelope("\xFF\xFF\xFF garbage"));
