--- a/include/swiftlift/membership/MembershipEvent.h
+++ b/include/swiftlift/membership/MembershipEvent.h
@@ -17,6 +17,8 @@
     bool logReachable = false;
     /** The sender asks the load balancer for no new callers, because of its CPU use or its lag. */
     bool overloaded = false;
+    /** Bandwidth of the sender's link, in Mbit/s; 0: not known. */
+    double bandwidth = 0;
 };
 
 /** @brief A VM in the platform's list. The list lags behind, so entries are hints only. */
