Select engines by the expected first event

A router with one or two requests at each engine does not see that an engine is full of other routers' requests: at the p97 engine the first event took 1.35 s at the median, against 51 ms at the lower quartile.

The selector `predicted` compares a few engines by step, queue, unread prompts, prefill of what is not cached there and crossing of domains, plus the delay of the requests that run there, all by the load of the whole fleet. Without a view of that load it selects as `rendezvous`. A server with a view is full when more requests wait there than it has slots. A request whose memory fits nowhere waits, and no longer blocks the requests behind it.

--- a/include/swiftlift/node/Core.h
+++ b/include/swiftlift/node/Core.h
@@ -71,7 +71,7 @@
     std::uint32_t preallocationPercent = 0;
     LedgerPace ledger;
     LogRates logRates;
-    /** `affinity` (default), `rendezvous`, `random`, `round_robin` or `least_load`. */
+    /** `affinity` (default), `rendezvous`, `predicted`, `random`, `round_robin` or `least_load`. */
     std::string routingPolicy = "affinity";
     /** Set: requests are proxied unchanged, by the fleet's configuration. Unset: services' documents apply. */
     std::shared_ptr<const fleet::FleetCodec> fleetCodec;
--- a/include/swiftlift/routing/BackendTable.h
+++ b/include/swiftlift/routing/BackendTable.h
@@ -153,6 +153,16 @@
     std::optional<PeerLoad> peers;
     /** This router's requests there. */
     ServerLoad own;
+    /** Names the server's instance. */
+    ServerKey key;
+    /** Hash of `backend`, the same in every process. */
+    std::uint64_t nameHash = 0;
+    /** Estimated duration of an engine step. */
+    Duration step {};
+    /** Mean time for which a request occupies a slot. */
+    Duration runTime {};
+    /** Prefill time of 1,000 uncached prompt tokens at a server of median speed. */
+    Duration prefillPer1000 {};
     /** Mean time between two events of a stream there, as observed by any router; nullopt: not known. */
     std::optional<Duration> pace;
     /** Tokens of all requests that the engine's memory holds; nullopt: not known, or not an engine. */
--- a/include/swiftlift/routing/FairQueue.h
+++ b/include/swiftlift/routing/FairQueue.h
@@ -43,7 +43,13 @@
  * one account.
  */
 class FairQueue {
+    /** Order of an account's calls: priority, then arrival number. */
+    using LineKey = std::pair<Priority, std::uint64_t>;
+
 public:
+    /** The last call of each account that was passed over in one pass over the queue. */
+    using PassedOver = std::map<AccountId, LineKey>;
+
     /** @param maxWaiting Maximum number of waiting calls. */
     explicit FairQueue(std::size_t maxWaiting);
 
@@ -60,7 +66,23 @@
     [[nodiscard]] std::optional<WaitingCall> pop(Instant now);
 
     /** @return The call to serve next, which stays in the queue; nothing if the queue is empty. */
-    [[nodiscard]] std::optional<WaitingCall> peek() const;
+    [[nodiscard]] std::optional<WaitingCall> peek() const { return peek({}); }
+
+    /**
+     * @brief Returns the call to serve next when some calls can't be served now.
+     * @param passedOver The last call of each account that was passed over, by passOver().
+     * @return The next call behind those, in the accounts' fair order; nothing if there is none.
+     */
+    [[nodiscard]] std::optional<WaitingCall> peek(const PassedOver& passedOver) const;
+
+    /** @brief Adds a call of the queue, which peek() has just returned, to the calls that are passed over. */
+    void passOver(CallId call, PassedOver& passedOver) const;
+
+    /**
+     * @brief Removes a call to serve it, wherever it waits. Its account is charged as by pop().
+     * @return False if the call is not in the queue.
+     */
+    bool take(CallId call, Instant now);
 
     /**
      * @brief Removes a call.
@@ -95,8 +117,6 @@
 private:
     /** Service that an account has received: tokens divided by weight, in 1/1024 of a token. */
     using VirtualTime = std::uint64_t;
-    /** Order of an account's calls: priority, then arrival number. */
-    using LineKey = std::pair<Priority, std::uint64_t>;
 
     /** @brief The waiting calls of one account. */
     struct Line {
@@ -116,7 +136,6 @@
     void erase(CallId call);
     void chargeService(const WaitingCall& call, Instant now);
     void eraseIdleLines();
-    [[nodiscard]] std::optional<AccountId> nextAccount() const;
     [[nodiscard]] AccountId accountMostOverShare(const AccountId& newcomer, std::uint32_t weight) const;
 
     std::size_t maxWaiting_;
--- a/include/swiftlift/routing/Selector.h
+++ b/include/swiftlift/routing/Selector.h
@@ -28,6 +28,8 @@
     /** Tokens of the prompt that other requests may share. */
     Tokens sharedTokens;
     Tokens promptTokens;
+    /** Maximum memory of the request: the whole prompt and the largest possible answer; 0: not known. */
+    Tokens memory = {};
     Priority priority = Priority::Normal;
     /** Only idempotent requests may be a circuit breaker's probe. */
     bool idempotent = true;
@@ -48,6 +50,33 @@
     std::uint32_t waiting = 0;
 };
 
+/** @brief What a request is expected to cost at a backend server, for itself and for others. */
+struct ExpectedCost {
+    /** Duration of an engine step. */
+    Duration step {};
+    /** Wait for a slot. */
+    Duration queue {};
+    /** Prefill of the prompts that have been sent there and have no first event yet. */
+    Duration unread {};
+    /** Prefill of the part of the request's prompt that is not cached. */
+    Duration prefill {};
+    /** Added for a server in another failure domain. */
+    Duration crossing {};
+    /** Delay of the requests that run there, by the prefill of this one. */
+    Duration toOthers {};
+    /** Prompt tokens that are expected to be cached. */
+    Tokens cached = {};
+    /** Time since this router saw the prefix used there; nullopt: not lately. */
+    std::optional<Duration> cachedAge = std::nullopt;
+    /** Prefill of the shared part of the prompt if it were not cached. */
+    Duration sharedPrefill {};
+
+    /** @return Expected time to the first event. */
+    [[nodiscard]] Duration firstEvent() const noexcept { return step + queue + unread + prefill + crossing; }
+    /** @return The figure by which servers are compared. */
+    [[nodiscard]] Duration total() const noexcept { return firstEvent() + toOthers; }
+};
+
 /** @brief The selected backend server. */
 struct Choice {
     BackendId backend;
@@ -60,6 +89,24 @@
     bool probe = false;
     /** The shared part of the prompt is expected not to be cached there and has to be prefilled as well. */
     bool prefillsSharedPart = false;
+    /** By the load of the whole fleet; nullopt: chosen without it. `predictedFirstToken` is by this router's own
+     * knowledge only, as requests are refused by it. */
+    std::optional<ExpectedCost> expected = std::nullopt;
+
+    /** @return The best estimate of the time to first token. */
+    [[nodiscard]] Duration expectedFirstToken() const noexcept
+    {
+        return expected ? expected->firstEvent() : predictedFirstToken;
+    }
+};
+
+/** @brief A backend server began or completed the answer to a request. */
+struct PromptServed {
+    ServerKey server;
+    /** As in SelectRequest; 0: no prefix. */
+    std::uint64_t prefixHash = 0;
+    /** Tokens that the request takes in the server's memory. */
+    Tokens tokens;
 };
 
 /** @brief Why no backend server was selected. */
@@ -69,6 +116,8 @@
     NoBackend,
     /** Every usable backend server has the maximum number of waiting requests: this one should wait in the router. */
     AllFull,
+    /** As AllFull, but for lack of memory: a smaller request may go. */
+    MemoryFull,
 };
 
 /** @brief Parameters of all selectors. */
@@ -103,6 +152,9 @@
      */
     [[nodiscard]] std::optional<Choice> choose(const SelectRequest& request, const BackendTable& table, Instant now);
 
+    /** @brief Records which server has a prompt in its cache now. */
+    virtual void onPromptServed(const PromptServed& /*served*/, Instant /*now*/) { }
+
     /** @return Why the last choose() that selected nothing did so, as text for the caller and the log. */
     [[nodiscard]] const std::string& lastReason() const noexcept { return lastReason_; }
     /** @return Why the last choose() that selected nothing did so. */
@@ -129,6 +181,9 @@
     [[nodiscard]] virtual bool spansDomains(const SelectRequest& /*request*/) const { return false; }
 
     [[nodiscard]] std::mt19937_64& random() noexcept { return random_; }
+    [[nodiscard]] const SelectorSettings& settings() const noexcept { return settings_; }
+    /** @return Time of the choice that is being made. */
+    [[nodiscard]] Instant now() const noexcept { return now_; }
 
 private:
     /** @brief Backend servers of a service, grouped by whether and how they may be used for a request. */
@@ -145,6 +200,8 @@
         std::vector<BackendView> uncertain;
         /** Usable, but with the maximum number of waiting requests, or brittle and full. */
         std::vector<BackendView> full;
+        /** Usable, but without the memory that the request may take. */
+        std::vector<BackendView> outOfMemory;
         /** Not usable because of their breaker or slow start, though they answer and have a free slot. */
         std::vector<BackendView> lastResorts;
         /** Usable, but in a failure domain that seems unreachable. */
@@ -171,6 +228,7 @@
     void explainNoChoice(const Classified& classified, Instant now);
 
     SelectorSettings settings_;
+    Instant now_ {};
     std::mt19937_64 random_;
     std::string lastReason_;
     NoChoice noChoice_ = NoChoice::None;
@@ -179,7 +237,7 @@
 
 /**
  * @brief Makes a selector by its name.
- * @param name `affinity`, `rendezvous`, `random`, `round_robin` or `least_load`.
+ * @param name `affinity`, `rendezvous`, `predicted`, `random`, `round_robin` or `least_load`.
  * @param settings Parameters of the selector.
  * @return The selector; nullptr for any other name.
  */
--- a/include/swiftlift/settings/RouterSettings.h
+++ b/include/swiftlift/settings/RouterSettings.h
@@ -18,7 +18,7 @@
 enum class LedgerPolicy : std::uint8_t { Grants, StaticSplit, AppendPerRequest };
 
 /** Policy by which a router chooses a backend server. */
-enum class RoutingPolicy : std::uint8_t { Affinity, Rendezvous, Random, RoundRobin, LeastLoad };
+enum class RoutingPolicy : std::uint8_t { Affinity, Rendezvous, Predicted, Random, RoundRobin, LeastLoad };
 
 /** Set of protocols that a router uses with callers, backend servers, operators and the log. */
 enum class SpokenDialect : std::uint8_t {
@@ -156,7 +156,8 @@
 /** @return Name of the policy in the settings: `grants`, `static_split` or `append_per_request`. */
 [[nodiscard]] std::string_view toText(LedgerPolicy policy) noexcept;
 
-/** @return Name of the policy in the settings: `affinity`, `rendezvous`, `random`, `round_robin` or `least_load`. */
+/** @return Name of the policy in the settings: `affinity`, `rendezvous`, `predicted`, `random`, `round_robin` or
+ * `least_load`. */
 [[nodiscard]] std::string_view toText(RoutingPolicy policy) noexcept;
 
 /** @return Name of the level in the settings: `debug`, `info`, `warning` or `error`. */
--- a/src/node/ProxyRequest.h
+++ b/src/node/ProxyRequest.h
@@ -13,6 +13,7 @@
 #include "swiftlift/node/ProxyRequest.h"
 #include "swiftlift/quarantine/Report.h"
 #include "swiftlift/request/Outcome.h"
+#include "swiftlift/routing/Selector.h"
 
 namespace swiftlift::node {
 
@@ -30,6 +31,8 @@
     const fleet::Account* account = nullptr;
     std::uint32_t urgency = 0;
     ProxyPhase phase = ProxyPhase::WaitingForTokens;
+    /** What the running attempt was expected to cost; nullopt: not known, or nothing is running. */
+    std::optional<routing::ExpectedCost> expected;
     /** When the first event was forwarded to the caller. */
     std::optional<Instant> firstEventAt;
     Instant arrivedAt {};
@@ -79,6 +82,8 @@
     {
         return info.content ? std::optional(quarantine::Fingerprint { accountId(), *info.content }) : std::nullopt;
     }
+    /** @return Maximum memory that it takes at an engine. */
+    [[nodiscard]] Tokens memory() const { return info.promptTokens + info.maxAnswerTokens; }
     [[nodiscard]] LinkAttempt linkAttempt() const { return { backend, domain, info.id }; }
     [[nodiscard]] quarantine::BackendInstance backendInstance() const { return { backend, backendStartedAt }; }
     /** @return Whether a backend server may run the request although another one may already have run it. */
--- a/src/node/ProxyRequests.h
+++ b/src/node/ProxyRequests.h
@@ -87,6 +87,9 @@
     static constexpr std::uint32_t maxArrivals = 4;
     /** Maximum number of attempts, including those that can't be connected. */
     static constexpr std::uint32_t maxDispatches = 8;
+    /** Maximum number of waiting requests that are found to have no server in one pass over the queue: each takes a
+     * look at all servers of the service. */
+    static constexpr std::size_t maxBlocked = 8;
     /** Maximum number of requests per service that wait at this router for a backend server. */
     static constexpr std::size_t maxWaiting = 256;
     /** With less time left, no attempt is started: an answer takes at least a round trip and some processing. */
@@ -169,8 +172,15 @@
     void countRetry(ProxyRequest& request);
     /** Gives back the retry that the request's attempt was counted as, because the attempt reached no server. */
     void refundRetry(ProxyRequest& request);
-    /** Dispatches waiting requests of the service while backend servers have room. */
+    /** Dispatches waiting requests of the service while backend servers have room for them. Requests that can't go now
+     * don't delay the others. */
     void dispatchWaiting(const ServiceName& service);
+    /** Removes a waiting request from the queue, and dispatches or refuses it. */
+    void serveWaiting(ProxyRequest& request, const std::optional<routing::Choice>& choice);
+    void logRoute(const ProxyRequest& request, const routing::Choice& choice, const SoftwareVersion& version);
+    /** Records at the first event of an attempt what it shows of the prediction and of the server's cache. */
+    void notePromptServed(const ProxyRequest& request);
+    void compareWithPrediction(const ProxyRequest& request);
     [[nodiscard]] routing::SelectRequest makeSelectRequest(const ProxyRequest& request) const;
     [[nodiscard]] routing::WaitingCall makeWaitingCall(const ProxyRequest& request) const;
     /** @return Silence after which the attempt is abandoned; nullopt: only the deadline limits it. */
--- a/src/node/ProxyRequestsDispatch.cpp
+++ b/src/node/ProxyRequestsDispatch.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "node/ProxyRequests.h"
@@ -52,6 +53,24 @@
         return routing::EndKind::Broken;
     }
 
+    /** @return True if no server can take the request now because none can take `blocked`, which needs no more. */
+    [[nodiscard]] bool isBlockedBy(const routing::SelectRequest& request, const routing::SelectRequest& blocked)
+    {
+        const bool sameServers = (!blocked.version || blocked.version == request.version)
+            && std::includes(
+                request.excluded.begin(), request.excluded.end(), blocked.excluded.begin(), blocked.excluded.end());
+        const bool noMoreUrgent = blocked.priority <= request.priority;
+        const bool noMoreProbes = blocked.idempotent || !request.idempotent;
+        return sameServers && noMoreUrgent && noMoreProbes && blocked.memory <= request.memory;
+    }
+
+    [[nodiscard]] bool isBlockedByAny(
+        const routing::SelectRequest& request, const std::vector<routing::SelectRequest>& blocked)
+    {
+        return std::any_of(
+            blocked.begin(), blocked.end(), [&](const auto& other) { return isBlockedBy(request, other); });
+    }
+
 } // namespace internal
 
 std::string prefixText(const std::vector<PrefixPart>& parts)
@@ -74,6 +93,7 @@
     selection.excluded = request.excluded;
     selection.version = request.streamVersion;
     selection.unreachableDomains = links_.unreachableDomains();
+    selection.memory = request.memory();
     if (request.route->sharesPrefixes && !request.info.prefix.empty()) {
         selection.prefixHash = internal::sharedPrefixHash(request.info.prefix);
         selection.sharedTokens = internal::sharedTokens(request.info.prefix);
@@ -104,6 +124,7 @@
 void ProxyRequests::selectBackend(ProxyRequest& request)
 {
     enterPhase(request, ProxyPhase::WaitingForBackend);
+    const ServiceName service = request.service->name;
     const auto choice = selector_->choose(makeSelectRequest(request), backends_, context_.now());
     if (!choice && selector_->noChoice() == routing::NoChoice::NoBackend) {
         if (request.failureKept) {
@@ -118,6 +139,9 @@
     const auto decision = serviceState(request).admission.admit(makeWaitingCall(request), predicted, context_.now());
     if (applyAdmission(request, decision) && choice) {
         dispatch(request, *choice);
+    } else if (choice) {
+        // The requests before it in the queue may be blocked for reasons that don't apply to it.
+        dispatchWaiting(service);
     }
 }
 
@@ -148,23 +172,43 @@
     if (state == services_.end()) {
         return;
     }
-    routing::FairQueue& waiting = state->second.admission.queue();
-    while (const auto next = waiting.peek()) {
+    const routing::FairQueue& waiting = state->second.admission.queue();
+    routing::FairQueue::PassedOver passedOver;
+    std::vector<routing::SelectRequest> blocked;
+    while (const auto next = waiting.peek(passedOver)) {
         ProxyRequest* request = find(next->call);
         if (request == nullptr) {
-            waiting.remove(next->call);
+            state->second.admission.queue().remove(next->call);
+            continue;
+        }
+        routing::SelectRequest selection = makeSelectRequest(*request);
+        if (internal::isBlockedByAny(selection, blocked)) {
+            waiting.passOver(next->call, passedOver);
             continue;
         }
-        const auto choice = selector_->choose(makeSelectRequest(*request), backends_, context_.now());
-        if (!choice && selector_->noChoice() != routing::NoChoice::NoBackend) {
+        const auto choice = selector_->choose(selection, backends_, context_.now());
+        if (choice || selector_->noChoice() == routing::NoChoice::NoBackend) {
+            serveWaiting(*request, choice);
+            continue;
+        }
+        if (blocked.size() + 1 == maxBlocked) {
             return;
         }
-        (void)waiting.pop(context_.now());
-        if (choice) {
-            dispatch(*request, *choice);
-        } else {
-            refuse(*request, { 503, "no_backend", selector_->lastReason(), selector_->retryAfter() });
+        waiting.passOver(next->call, passedOver);
+        if (selector_->noChoice() == routing::NoChoice::AllFull) {
+            selection.memory = Tokens {};
         }
+        blocked.push_back(std::move(selection));
+    }
+}
+
+void ProxyRequests::serveWaiting(ProxyRequest& request, const std::optional<routing::Choice>& choice)
+{
+    (void)serviceState(request).admission.queue().take(request.id, context_.now());
+    if (choice) {
+        dispatch(request, *choice);
+    } else {
+        refuse(request, { 503, "no_backend", selector_->lastReason(), selector_->retryAfter() });
     }
 }
 
@@ -199,26 +243,10 @@
     const Tokens lastPartTokens = parts.empty() ? request.info.promptTokens : parts.back().tokens;
     const Tokens tokensToPrefill
         = lastPartTokens + (choice.prefillsSharedPart ? internal::sharedTokens(parts) : Tokens {});
-    const Tokens memory = request.info.promptTokens + request.info.maxAnswerTokens;
-    backends_.onDispatched(
-        choice.backend, request.attempt, { 0, tokensToPrefill, choice.predictedFirstToken, memory }, context_.now());
-    context_.log(LogLineBuilder("route")
-                     .with("request", request.info.id)
-                     .with("content", toHex(request.info.content))
-                     .with("prefix", prefixText(request.info.prefix))
-                     .with("account", request.accountId().value())
-                     .with("route", request.route->name.value())
-                     .with("config", static_cast<std::int64_t>(request.table->config().version))
-                     .with("service", request.service->name.value())
-                     .with("backend", choice.backend.value())
-                     .with("version", server->version.value())
-                     .with("relay", request.links.relay.value_or(PeerAddress {}).value())
-                     .with("offer", static_cast<std::int64_t>(request.dispatches))
-                     .with("after_event", static_cast<std::int64_t>(request.events))
-                     .with("waited_ms", toMilliseconds(context_.now() - request.arrivedAt))
-                     .with("left_ms", toMilliseconds(request.deadline - context_.now()))
-                     .with("predicted_first_ms", toMilliseconds(choice.predictedFirstToken))
-                     .with("reason", choice.reason));
+    backends_.onDispatched(choice.backend, request.attempt,
+        { 0, tokensToPrefill, choice.expectedFirstToken(), request.memory() }, context_.now());
+    request.expected = choice.expected;
+    logRoute(request, choice, server->version);
     ProxyDispatch action;
     action.call = request.id;
     action.attempt = request.attempt;
@@ -234,6 +262,70 @@
     context_.emit(std::move(action));
 }
 
+void ProxyRequests::logRoute(const ProxyRequest& request, const routing::Choice& choice, const SoftwareVersion& version)
+{
+    LogLineBuilder line("route");
+    line.with("request", request.info.id)
+        .with("content", toHex(request.info.content))
+        .with("prefix", prefixText(request.info.prefix))
+        .with("account", request.accountId().value())
+        .with("route", request.route->name.value())
+        .with("config", static_cast<std::int64_t>(request.table->config().version))
+        .with("service", request.service->name.value())
+        .with("backend", choice.backend.value())
+        .with("version", version.value())
+        .with("relay", request.links.relay.value_or(PeerAddress {}).value())
+        .with("offer", static_cast<std::int64_t>(request.dispatches))
+        .with("after_event", static_cast<std::int64_t>(request.events))
+        .with("waited_ms", toMilliseconds(context_.now() - request.arrivedAt))
+        .with("left_ms", toMilliseconds(request.deadline - context_.now()))
+        .with("predicted_first_ms", toMilliseconds(choice.expectedFirstToken()))
+        .with("reason", choice.reason);
+    if (choice.expected) {
+        const routing::ExpectedCost& cost = *choice.expected;
+        line.with("queue_ms", toMilliseconds(cost.queue))
+            .with("unread_ms", toMilliseconds(cost.unread))
+            .with("prefill_ms", toMilliseconds(cost.prefill))
+            .with("to_others_ms", toMilliseconds(cost.toOthers))
+            .with("cached", cost.cached.value());
+        if (cost.cachedAge) {
+            line.with("cached_age_ms", toMilliseconds(*cost.cachedAge));
+        }
+    }
+    context_.log(line);
+}
+
+void ProxyRequests::notePromptServed(const ProxyRequest& request)
+{
+    const bool sharesPrefix = request.route->sharesPrefixes && !request.info.prefix.empty();
+    const std::uint64_t prefixHash = sharesPrefix ? internal::sharedPrefixHash(request.info.prefix) : 0;
+    selector_->onPromptServed(
+        { routing::serverKey(request.backend, request.backendStartedAt), prefixHash, request.memory() },
+        context_.now());
+}
+
+// The answers state no cached tokens. A first event that came sooner than the prefill of the shared part alone would
+// have taken shows that this part was cached; a later one shows nothing.
+void ProxyRequests::compareWithPrediction(const ProxyRequest& request)
+{
+    if (!request.expected) {
+        return;
+    }
+    const Duration took = context_.now() - request.phaseStart;
+    const Duration expected = request.expected->firstEvent();
+    const auto milliseconds = [](Duration duration) { return static_cast<double>(toMilliseconds(duration)); };
+    context_.count("swiftlift_first_events_predicted_total");
+    context_.count("swiftlift_first_event_predicted_ms_total", {}, milliseconds(expected));
+    context_.count("swiftlift_first_event_measured_ms_total", {}, milliseconds(took));
+    context_.count("swiftlift_first_event_error_ms_total", {}, milliseconds(std::chrono::abs(took - expected)));
+    if (request.expected->sharedPrefill > Duration {}) {
+        const bool predictedHit = request.expected->cached > Tokens {};
+        const bool provenHit = took < request.expected->sharedPrefill;
+        context_.count("swiftlift_prefix_cache_predictions_total",
+            { { "predicted", predictedHit ? "hit" : "miss" }, { "proven", provenHit ? "hit" : "unknown" } });
+    }
+}
+
 void ProxyRequests::onProgress(const ProxyAttemptProgress& progress)
 {
     ProxyRequest* request = findByAttempt(progress.attempt);
@@ -247,6 +339,8 @@
         request->firstEventAt = context_.now();
         noteStreamBegan(*request);
         backends_.onFirstToken(request->backend, request->attempt, context_.now());
+        notePromptServed(*request);
+        compareWithPrediction(*request);
         links_.onAnswering(request->links, request->domain);
         quarantine_.onServerAnswered(request->backendInstance(), request->phaseStart);
         serviceState(*request).admission.onFirstToken(context_.now() - request->phaseStart);
@@ -275,6 +369,10 @@
     request->events = std::max(request->events, ended.events);
     if (ended.end == ProxyAttemptEnd::Completed && request->route->answer == fleet::AnswerKind::Whole) {
         backends_.onFirstToken(request->backend, request->attempt, context_.now());
+        compareWithPrediction(*request);
+    }
+    if (ended.end == ProxyAttemptEnd::Completed) {
+        notePromptServed(*request);
     }
     const bool answered = ended.end != ProxyAttemptEnd::Broken && ended.end != ProxyAttemptEnd::Unreachable;
     const ServerEvidence shown
--- a/src/routing/Backend.cpp
+++ b/src/routing/Backend.cpp
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <utility>
 
+#include "swiftlift/base/RendezvousHash.h"
+
 namespace swiftlift::routing {
 
 namespace {
@@ -27,6 +29,8 @@
 Backend::Backend(BackendEntry entry, const TableSettings& settings, PrefillModel& prefill, PrefixLengths& lengths,
     std::uint64_t seed)
     : entry_(std::move(entry))
+    , key_(serverKey(entry_.backend, entry_.instance))
+    , nameHash_(stableHash(entry_.backend.value()))
     , settings_(settings)
     , prefill_(&prefill)
     , load_(settings, entry_.slots)
@@ -47,6 +51,7 @@
     entry_.memory = entry.memory;
     const bool newInstance = entry.instance > entry_.instance && entry_.instance != 0;
     entry_.instance = std::max(entry_.instance, entry.instance);
+    key_ = serverKey(entry_.backend, entry_.instance);
     if (!newInstance) {
         return;
     }
@@ -358,6 +363,11 @@
     view.announcedLimit = announcedLimit_;
     view.limitUnconfirmed = announcedLimit_ && now - limitStatedAt_ > settings_.limitConfirmation;
     view.own = ownLoad();
+    view.key = key_;
+    view.nameHash = nameHash_;
+    view.step = load_.step();
+    view.runTime = load_.serviceTime();
+    view.prefillPer1000 = prefill_->cost(Tokens { 1'000 });
     view.memory = entry_.memory;
     view.servesModel = request.model.empty() || !reported_ || models_.contains(request.model);
     return view;
--- a/src/routing/Backend.h
+++ b/src/routing/Backend.h
@@ -67,6 +67,8 @@
      */
     void setEntry(const BackendEntry& entry, Instant now);
     [[nodiscard]] const BackendEntry& entry() const noexcept { return entry_; }
+    /** @return Names the instance of `entry()`. */
+    [[nodiscard]] ServerKey key() const noexcept { return key_; }
     /** @param limit What this router may send for this cause; nullopt: no limit. */
     void setLimit(LimitCause cause, const std::optional<internal::ArrivalLimit>& limit)
     {
@@ -127,6 +129,9 @@
     [[nodiscard]] Duration offset(Instant now) const;
 
     BackendEntry entry_;
+    ServerKey key_;
+    /** Hash of the server's id. */
+    std::uint64_t nameHash_;
     TableSettings settings_;
     PrefillModel* prefill_;
     LoadEstimate load_;
--- a/src/routing/BackendTable.cpp
+++ b/src/routing/BackendTable.cpp
@@ -391,9 +391,8 @@
 {
     BackendView view = backend.view(request, now);
     if (fleetLoad_ != nullptr) {
-        const ServerKey key = serverKey(view.backend, backend.entry().instance);
-        view.peers = fleetLoad_->of(key, now);
-        view.pace = fleetLoad_->paceOf(key, now);
+        view.peers = fleetLoad_->of(view.key, now);
+        view.pace = fleetLoad_->paceOf(view.key, now);
     }
     return view;
 }
@@ -404,7 +403,7 @@
     for (const auto& [id, backend] : backends_) {
         const std::optional<Duration> pace = backend->takePace();
         if (!backend->idle() || pace) {
-            loads.push_back({ serverKey(id, backend->entry().instance), backend->ownLoad(), pace });
+            loads.push_back({ backend->key(), backend->ownLoad(), pace });
         }
     }
     return loads;
--- /dev/null
+++ b/src/routing/CostModel.cpp
@@ -0,0 +1,102 @@
+#include "routing/CostModel.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <utility>
+
+namespace swiftlift::routing::internal {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    /** Speeds beyond these are taken for errors of measurement. */
+    constexpr double minSpeed = 0.25;
+    constexpr double maxSpeed = 4;
+    /** Time for which a median is used: paces change slowly, and a median takes a pass over all servers. */
+    constexpr Duration medianLifetime = 1s;
+    constexpr double prefillUnit = 1'000;
+
+    [[nodiscard]] std::optional<Duration> medianPace(const std::vector<BackendView>& servers)
+    {
+        std::vector<Duration> paces;
+        for (const BackendView& view : servers) {
+            if (view.pace) {
+                paces.push_back(*view.pace);
+            }
+        }
+        if (paces.empty()) {
+            return std::nullopt;
+        }
+        const auto middle = paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2);
+        std::nth_element(paces.begin(), middle, paces.end());
+        return *middle;
+    }
+
+    [[nodiscard]] Duration scale(Duration duration, double factor)
+    {
+        return Duration { static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor) };
+    }
+
+    [[nodiscard]] Duration prefillTime(const BackendView& view, Tokens tokens, double speed)
+    {
+        return scale(view.prefillPer1000, static_cast<double>(tokens.value()) / prefillUnit / speed);
+    }
+
+} // namespace
+
+CostModel::CostModel(FailureDomain domain, Duration crossDomain, CostTerms terms)
+    : domain_(std::move(domain))
+    , crossDomain_(crossDomain)
+    , terms_(terms)
+{
+}
+
+void CostModel::observe(const ServiceName& service, const std::vector<BackendView>& servers, Instant now)
+{
+    const auto [pace, isNew] = paces_.try_emplace(service);
+    if (isNew || now - pace->second.at >= medianLifetime) {
+        pace->second = { medianPace(servers), now };
+    }
+}
+
+double CostModel::speedOf(const ServiceName& service, const BackendView& view) const
+{
+    const auto median = paces_.find(service);
+    if (!terms_.speed || !view.pace || *view.pace <= Duration {} || median == paces_.end() || !median->second.value) {
+        return 1;
+    }
+    const auto paceCount = static_cast<double>(view.pace->count());
+    return std::clamp(static_cast<double>(median->second.value->count()) / paceCount, minSpeed, maxSpeed);
+}
+
+ExpectedCost CostModel::costOf(const SelectRequest& request, const BackendView& view, const CachedPart& cached) const
+{
+    const double speed = speedOf(request.service, view);
+    const std::uint32_t slots = std::max<std::uint32_t>(view.slots, 1);
+    const std::uint32_t requests = view.own.inProgress + view.peers->load.inProgress;
+    ExpectedCost cost;
+    cost.step = view.step;
+    cost.crossing = view.domain == domain_ ? Duration {} : crossDomain_;
+    cost.cached = cached.tokens;
+    cost.cachedAge = cached.age;
+    cost.sharedPrefill = prefillTime(view, request.sharedTokens, speed);
+    if (terms_.queue && requests >= slots) {
+        cost.queue = scale(view.runTime, (requests - slots + 1) / (slots * speed));
+    }
+    if (terms_.unread) {
+        cost.unread = prefillTime(view, view.own.unread + view.peers->load.unread, speed);
+    }
+    const Tokens uncached = request.promptTokens + request.sharedTokens - cached.tokens;
+    const Duration prefill = prefillTime(view, uncached, speed);
+    if (terms_.prefill) {
+        cost.prefill = prefill;
+    }
+    if (terms_.toOthers) {
+        cost.toOthers = prefill * std::min(requests, slots) / slots;
+    }
+    return cost;
+}
+
+} // namespace swiftlift::routing::internal
--- a/src/routing/FairQueue.cpp
+++ b/src/routing/FairQueue.cpp
@@ -82,39 +82,49 @@
     return most;
 }
 
-std::optional<AccountId> FairQueue::nextAccount() const
+std::optional<WaitingCall> FairQueue::peek(const PassedOver& passedOver) const
 {
     const Line* first = nullptr;
-    std::optional<AccountId> next;
+    CallId next;
     for (const auto& [account, line] : lines_) {
-        if (!line.calls.empty() && (first == nullptr || line.start < first->start)) {
+        const auto last = passedOver.find(account);
+        const auto call = last == passedOver.end() ? line.calls.begin() : line.calls.upper_bound(last->second);
+        if (call != line.calls.end() && (first == nullptr || line.start < first->start)) {
             first = &line;
-            next = account;
+            next = call->second;
         }
     }
-    return next;
+    return first == nullptr ? std::nullopt : std::optional<WaitingCall> { calls_.at(next).call };
 }
 
-std::optional<WaitingCall> FairQueue::peek() const
+void FairQueue::passOver(CallId call, PassedOver& passedOver) const
 {
-    const std::optional<AccountId> account = nextAccount();
-    if (!account) {
-        return std::nullopt;
+    if (const auto found = calls_.find(call); found != calls_.end()) {
+        passedOver.insert_or_assign(found->second.call.account, found->second.key);
     }
-    return calls_.at(lines_.at(*account).calls.begin()->second).call;
 }
 
 std::optional<WaitingCall> FairQueue::pop(Instant now)
 {
     std::optional<WaitingCall> call = peek();
     if (call) {
-        chargeService(*call, now);
-        erase(call->call);
-        eraseIdleLines();
+        take(call->call, now);
     }
     return call;
 }
 
+bool FairQueue::take(CallId call, Instant now)
+{
+    const auto found = calls_.find(call);
+    if (found == calls_.end()) {
+        return false;
+    }
+    chargeService(found->second.call, now);
+    erase(call);
+    eraseIdleLines();
+    return true;
+}
+
 void FairQueue::chargeService(const WaitingCall& call, Instant now)
 {
     Line& line = lines_.at(call.account);
--- a/src/routing/RendezvousSelector.cpp
+++ b/src/routing/RendezvousSelector.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
-#include <functional>
 #include <utility>
 
 #include "swiftlift/base/RendezvousHash.h"
@@ -71,7 +70,7 @@
     std::uint64_t firstRank = 0;
     std::uint64_t secondRank = 0;
     for (const BackendView& view : candidates) {
-        const std::uint64_t rank = rendezvousRank(request.prefixHash, stableHash(view.backend.value()));
+        const std::uint64_t rank = rendezvousRank(request.prefixHash, view.nameHash);
         if (ranked.home == nullptr || rank > homeRank) {
             ranked.home = &view;
             homeRank = rank;
--- a/src/routing/RendezvousSelector.h
+++ b/src/routing/RendezvousSelector.h
@@ -19,15 +19,17 @@
  * whole fleet, a short one a home in each failure domain, since prefilling it once more there costs less than sending
  * every request over an expensive link.
  */
-class RendezvousSelector final : public Selector {
+class RendezvousSelector : public Selector {
 public:
     using Selector::Selector;
 
     [[nodiscard]] std::string_view name() const noexcept override { return "rendezvous"; }
 
-private:
+protected:
     [[nodiscard]] Choice pick(const SelectRequest& request, const std::vector<BackendView>& candidates) override;
     [[nodiscard]] bool spansDomains(const SelectRequest& request) const override;
+
+private:
     /** @brief The first engines in the prefix's order; null where there is none. */
     struct Ranked {
         /** First of all engines. */
--- a/src/routing/Selector.cpp
+++ b/src/routing/Selector.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <utility>
 
+#include "routing/PredictedSelector.h"
 #include "routing/RendezvousSelector.h"
 #include "routing/Selectors.h"
 
@@ -37,6 +38,29 @@
         return request.version && view.version != *request.version;
     }
 
+    /** @return Requests of the whole fleet at the server; `view.peers` must have a value. */
+    [[nodiscard]] std::uint32_t requestsAt(const BackendView& view)
+    {
+        return view.own.inProgress + view.peers->load.inProgress;
+    }
+
+    /** @return True if the server's memory can't hold the request even without any other. */
+    [[nodiscard]] bool isTooSmall(const SelectRequest& request, const BackendView& view)
+    {
+        return view.memory && request.memory > *view.memory;
+    }
+
+    /** @return True if the server's memory holds the request beside those that are known to be there. An engine crashes
+     * if its requests need more than its memory. */
+    [[nodiscard]] bool fitsMemory(const SelectRequest& request, const BackendView& view)
+    {
+        if (!view.memory || request.memory == Tokens {}) {
+            return true;
+        }
+        const Tokens peers = view.peers ? view.peers->load.memory : Tokens {};
+        return view.own.memory + peers + request.memory <= *view.memory;
+    }
+
     [[nodiscard]] std::string join(const std::map<std::string, int>& counts)
     {
         std::string text;
@@ -56,6 +80,7 @@
 
 std::optional<Choice> Selector::choose(const SelectRequest& request, const BackendTable& table, Instant now)
 {
+    now_ = now;
     const ViewRequest viewRequest { request.model, request.prefixHash, request.promptTokens, request.sharedTokens };
     Classified classified = classify(request, table.views(request.service, viewRequest, now));
     if (std::optional<Choice> choice = pickProbe(request, classified)) {
@@ -67,11 +92,12 @@
     if (classified.ownDomain.empty() && classified.otherDomains.empty()) {
         classified.otherDomains = std::move(classified.uncertain);
     }
-    if (classified.ownDomain.empty() && classified.otherDomains.empty() && classified.full.empty()
+    const bool hasFull = !classified.full.empty() || !classified.outOfMemory.empty();
+    if (classified.ownDomain.empty() && classified.otherDomains.empty() && !hasFull
         && !classified.lastResorts.empty()) {
         return pickLastResort(classified.lastResorts);
     }
-    if (classified.ownDomain.empty() && classified.full.empty() && classified.otherDomains.empty()) {
+    if (classified.ownDomain.empty() && !hasFull && classified.otherDomains.empty()) {
         classified.otherDomains = std::move(classified.inUnreachableDomains);
     }
     if (classified.ownDomain.empty() && classified.otherDomains.empty()) {
@@ -98,6 +124,9 @@
     if (request.excluded.contains(view.backend)) {
         return "tried already";
     }
+    if (isTooSmall(request, view)) {
+        return "too small";
+    }
     if (view.heldBackBy && view.heldBackBy != LimitCause::Brittle) {
         return toText(*view.heldBackBy);
     }
@@ -114,13 +143,17 @@
 }
 
 // A backend server serves waiting requests in its own order and not by the accounts' shares, so all but a few wait in
-// the router. Interactive requests may add to the few, since they are served next there.
+// the router. Interactive requests may add to the few, since they are served next there. With the load of the whole
+// fleet the bound is wider: the figures are some hundred milliseconds old, and one router has little part in them.
 bool Selector::isFull(const SelectRequest& request, const BackendView& view) const
 {
     // A request that one brittle server has turned away would be turned away by others that are full, too.
     if (view.heldBackBy == LimitCause::Brittle || (view.roomUncertain && !request.excluded.empty())) {
         return true;
     }
+    if (view.peers) {
+        return requestsAt(view) > 2 * view.slots;
+    }
     const std::uint32_t additional = request.priority == Priority::Interactive ? settings_.waitingAtBackend : 0;
     return view.waiting >= settings_.waitingAtBackend + additional;
 }
@@ -132,15 +165,18 @@
         if (const std::string reason = unusableReason(request, view); !reason.empty()) {
             ++classified.unusable[reason];
             const bool tried = request.excluded.contains(view.backend);
-            const bool mayBecomeUsable = view.usableAt && view.servesModel && !isOfAnotherVersion(request, view);
+            const bool mayBecomeUsable
+                = view.usableAt && view.servesModel && !isOfAnotherVersion(request, view) && !isTooSmall(request, view);
             // A server that turned this request away takes the caller's next attempt after its rest.
             const bool mayServeNextAttempt = mayBecomeUsable && (!tried || view.resting);
             if (mayServeNextAttempt && (!classified.usableAt || *view.usableAt < *classified.usableAt)) {
                 classified.usableAt = view.usableAt;
             }
-            if (view.lastResort && mayBecomeUsable && !tried) {
+            if (view.lastResort && mayBecomeUsable && !tried && fitsMemory(request, view)) {
                 classified.lastResorts.push_back(std::move(view));
             }
+        } else if (!fitsMemory(request, view)) {
+            classified.outOfMemory.push_back(std::move(view));
         } else if (view.probe) {
             classified.probes.push_back(std::move(view));
         } else if (isFull(request, view)) {
@@ -227,12 +263,12 @@
         return choice;
     }
     Choice ownChoice = pick(request, classified.ownDomain);
-    if (ownChoice.predictedFirstToken <= settings_.domainOverload || classified.otherDomains.empty()) {
+    if (ownChoice.expectedFirstToken() <= settings_.domainOverload || classified.otherDomains.empty()) {
         ownChoice.reason += ", own domain";
         return ownChoice;
     }
     Choice otherChoice = pick(request, classified.otherDomains);
-    if (otherChoice.predictedFirstToken * 100 < ownChoice.predictedFirstToken * maxOtherDomainPercent) {
+    if (otherChoice.expectedFirstToken() * 100 < ownChoice.expectedFirstToken() * maxOtherDomainPercent) {
         otherChoice.reason += ", other domain: own is overloaded";
         return otherChoice;
     }
@@ -242,12 +278,16 @@
 
 void Selector::explainNoChoice(const Classified& classified, Instant now)
 {
-    if (!classified.full.empty()) {
-        noChoice_ = NoChoice::AllFull;
-        const auto earliest = std::min_element(classified.full.begin(), classified.full.end(),
+    if (!classified.full.empty() || !classified.outOfMemory.empty()) {
+        noChoice_ = classified.outOfMemory.empty() ? NoChoice::AllFull : NoChoice::MemoryFull;
+        const auto& waitsFor = classified.full.empty() ? classified.outOfMemory : classified.full;
+        const auto earliest = std::min_element(waitsFor.begin(), waitsFor.end(),
             [](const auto& left, const auto& right) { return left.predictedFirstToken < right.predictedFirstToken; });
         retryAfter_ = std::max(earliest->predictedFirstToken, minRetryAfter);
         lastReason_ = std::to_string(classified.full.size()) + " full";
+        if (!classified.outOfMemory.empty()) {
+            lastReason_ += ", " + std::to_string(classified.outOfMemory.size()) + " memory";
+        }
         lastReason_ += classified.unusable.empty() ? "" : ", " + join(classified.unusable);
         return;
     }
@@ -265,6 +305,9 @@
     if (name == "rendezvous") {
         return std::make_unique<RendezvousSelector>(std::move(settings));
     }
+    if (name == "predicted") {
+        return std::make_unique<PredictedSelector>(std::move(settings));
+    }
     if (name == "random") {
         return std::make_unique<RandomSelector>(std::move(settings));
     }
--- a/src/settings/RouterSettings.cpp
+++ b/src/settings/RouterSettings.cpp
@@ -151,8 +151,8 @@
         auto checker = root.section("routing", Presence::Optional);
         checker.choice<RoutingPolicy>("policy", Presence::Optional,
             { { "affinity", RoutingPolicy::Affinity }, { "rendezvous", RoutingPolicy::Rendezvous },
-                { "random", RoutingPolicy::Random }, { "round_robin", RoutingPolicy::RoundRobin },
-                { "least_load", RoutingPolicy::LeastLoad } },
+                { "predicted", RoutingPolicy::Predicted }, { "random", RoutingPolicy::Random },
+                { "round_robin", RoutingPolicy::RoundRobin }, { "least_load", RoutingPolicy::LeastLoad } },
             routing);
         checker.reportUnknownKeys();
     }
@@ -255,6 +255,8 @@
         return "affinity";
     case RoutingPolicy::Rendezvous:
         return "rendezvous";
+    case RoutingPolicy::Predicted:
+        return "predicted";
     case RoutingPolicy::Random:
         return "random";
     case RoutingPolicy::RoundRobin:
--- a/tests/routing/FairQueueTest.cpp
+++ b/tests/routing/FairQueueTest.cpp
@@ -207,5 +207,30 @@
         EXPECT_EQ(admission.admit(call("e"), std::nullopt, now_).refusal, AdmissionRefusal::Overloaded);
     }
 
+    // Guards against a queue that stands still because the request whose turn it is fits at no server, and against an
+    // account that gets more than its share because its neighbour's requests are passed over.
+    TEST_F(FairQueueTest, CallsThatCannotGoAreOvertakenInFairOrder)
+    {
+        FairQueue queue { 100 };
+        const WaitingCall large = call("a", 1'000);
+        const WaitingCall small = call("a", 100);
+        const WaitingCall first = call("b", 100);
+        const WaitingCall second = call("b", 100);
+        for (const WaitingCall& waiting : { large, small, first, second }) {
+            EXPECT_TRUE(push(queue, waiting));
+        }
+        FairQueue::PassedOver passedOver;
+        EXPECT_EQ(queue.peek(passedOver)->call, large.call);
+        queue.passOver(large.call, passedOver);
+        EXPECT_EQ(queue.peek(passedOver)->call, small.call);
+        EXPECT_TRUE(queue.take(small.call, now_));
+        EXPECT_EQ(queue.peek(passedOver)->call, first.call);
+        queue.passOver(first.call, passedOver);
+        EXPECT_EQ(queue.peek(passedOver)->call, second.call);
+        queue.passOver(second.call, passedOver);
+        EXPECT_FALSE(queue.peek(passedOver));
+        EXPECT_EQ(queue.peek()->call, first.call) << "account a has been served, so it is b's turn";
+    }
+
 } // namespace
 } // namespace swiftlift::routing
