Weigh half of the unread prompts, and a margin for prefixes that are prefilled again

Unread prompts count half, speeds within 30% of the median count as 1, and a server without the prefix costs 20 ms more.

--- a/src/routing/CostModel.cpp
+++ b/src/routing/CostModel.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <cstdint>
 #include <utility>
 
@@ -16,7 +17,13 @@
     constexpr double maxSpeed = 4;
     /** Time for which a median is used: paces change slowly, and a median takes a pass over all servers. */
     constexpr Duration medianLifetime = 1s;
+    /** Differences below this part are taken for effects of the load: prompts that are prefilled slow streams down. */
+    constexpr double speedTolerance = 0.3;
     constexpr double prefillUnit = 1'000;
+    /** Of the prompts without a first event, about half has been prefilled when the figure is used. */
+    constexpr double unreadPart = 0.5;
+    /** Added where nothing of the prefix is cached: for a small gain a prefix is not prefilled again. */
+    constexpr Duration uncachedMargin = 20ms;
 
     [[nodiscard]] std::optional<Duration> medianPace(const std::vector<BackendView>& servers)
     {
@@ -68,7 +75,8 @@
         return 1;
     }
     const auto paceCount = static_cast<double>(view.pace->count());
-    return std::clamp(static_cast<double>(median->second.value->count()) / paceCount, minSpeed, maxSpeed);
+    const double speed = static_cast<double>(median->second.value->count()) / paceCount;
+    return std::abs(speed - 1) < speedTolerance ? 1 : std::clamp(speed, minSpeed, maxSpeed);
 }
 
 ExpectedCost CostModel::costOf(const SelectRequest& request, const BackendView& view, const CachedPart& cached) const
@@ -86,7 +94,7 @@
         cost.queue = scale(view.runTime, (requests - slots + 1) / (slots * speed));
     }
     if (terms_.unread) {
-        cost.unread = prefillTime(view, view.own.unread + view.peers->load.unread, speed);
+        cost.unread = scale(prefillTime(view, view.own.unread + view.peers->load.unread, speed), unreadPart);
     }
     const Tokens uncached = request.promptTokens + request.sharedTokens - cached.tokens;
     const Duration prefill = prefillTime(view, uncached, speed);
@@ -99,4 +107,10 @@
     return cost;
 }
 
+Duration CostModel::rank(const SelectRequest& request, const ExpectedCost& cost) const
+{
+    const bool prefillsAgain = request.sharedTokens > Tokens {} && cost.cached == Tokens {};
+    return cost.total() + (terms_.margin && prefillsAgain ? uncachedMargin : Duration {});
+}
+
 } // namespace swiftlift::routing::internal
--- a/src/routing/CostModel.h
+++ b/src/routing/CostModel.h
@@ -17,6 +17,7 @@
     bool prefill = true;
     bool speed = true;
     bool toOthers = true;
+    bool margin = true;
 };
 
 /** @brief What is assumed of a prefix's cached part at a server. */
@@ -39,6 +40,10 @@
     [[nodiscard]] ExpectedCost costOf(
         const SelectRequest& request, const BackendView& view, const CachedPart& cached) const;
 
+    /** @return The figure by which servers are compared, the lowest being the best: the total, and a margin where the
+     * prefix would be prefilled again. */
+    [[nodiscard]] Duration rank(const SelectRequest& request, const ExpectedCost& cost) const;
+
 private:
     /** @brief Median pace of a service's servers. */
     struct MedianPace {
--- a/src/routing/PredictedSelector.cpp
+++ b/src/routing/PredictedSelector.cpp
@@ -47,11 +47,14 @@
     const Sample compared = sample(request, candidates);
     const Candidate* best = nullptr;
     ExpectedCost lowest;
+    Duration lowestRank {};
     for (const Candidate& candidate : compared) {
         const ExpectedCost cost = costs_.costOf(request, *candidate.view, candidate.cached);
-        if (best == nullptr || cost.total() < lowest.total()) {
+        const Duration rank = costs_.rank(request, cost);
+        if (best == nullptr || rank < lowestRank) {
             best = &candidate;
             lowest = cost;
+            lowestRank = rank;
         }
     }
     Choice choice { best->view->backend, best->view->predictedFirstToken, reasonOf(best->origin), {}, false };
