--- a/include/swiftlift/ledger/HoldingPolicy.h
+++ b/include/swiftlift/ledger/HoldingPolicy.h
@@ -23,6 +23,26 @@
     double highSeconds = 0;
 };
 
+/** @brief How a router borrows tokens of a budget from its peers, and what it lends them. */
+struct LoanTerms {
+    /** Number of lenders that may be asked at the same time. Above 1, they are asked in the order of what they have. */
+    std::uint32_t asksAtOnce = 1;
+    /** Size of a loan beyond the waiting requests, in seconds of demand. */
+    double sizeSeconds = 2;
+    /**
+     * In an outage, loans are requested when the free tokens last for less than this many seconds of demand, although
+     * no request waits. 0: only for waiting requests.
+     */
+    double aheadSeconds = 0;
+    /**
+     * In an outage, a lender keeps this many seconds of its own demand and lends the rest. Empty: it keeps the low
+     * watermark, but lends at least half of what is free.
+     */
+    std::optional<double> keptSeconds {};
+    /** A loan with less than the largest recent request divided by this left is returned when no request waits. */
+    std::int64_t minUsefulDivisor = 1;
+};
+
 /** @brief Parameters of a policy; docs/HOLDINGS.md explains each choice. */
 struct PolicySettings {
     Weighting weighting = Weighting::Balanced;
@@ -34,6 +54,7 @@
     std::uint32_t preallocationPercent = 0;
     /** False in a fleet whose witnesses seal but never close grants: there, a bill counts however late it lands. */
     bool witnessesClose = true;
+    LoanTerms loans;
 };
 
 /** @brief State of one budget at one router: the complete input of a policy's decisions. */
@@ -114,6 +135,8 @@
     [[nodiscard]] virtual Tokens loanSize(const BudgetSituation& situation) const = 0;
     /** @return Part of `free` that a peer may borrow. */
     [[nodiscard]] virtual Tokens lendable(const BudgetSituation& situation) const = 0;
+    /** @return How loans are requested. */
+    [[nodiscard]] virtual LoanTerms loanTerms() const { return {}; }
     /** @return Whether holder-only grants are replaced once the log is reachable again. */
     [[nodiscard]] virtual bool replacesHolderOnlyGrants() const { return true; }
     /** @return How long after a shortage signal requests wait for other holders to return tokens. */
--- a/src/ledger/HolderBudgetState.cpp
+++ b/src/ledger/HolderBudgetState.cpp
@@ -38,6 +38,7 @@
         << at(othersShortfallUntil) << " stocked " << preallocated;
     shortageSignals.print(out);
     lenderRotation.print(out);
+    lenderRanking.print(out);
     for (const auto& [sharer, seenAt] : sharers)
         out << " sharer " << sharer << '@' << at(seenAt);
     out << '\n';
--- a/src/ledger/HolderBudgetState.h
+++ b/src/ledger/HolderBudgetState.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "ledger/HolderDemand.h"
+#include "ledger/LenderRanking.h"
 #include "ledger/LenderRotation.h"
 #include "ledger/ShortageSignals.h"
 #include "swiftlift/base/Ids.h"
@@ -51,6 +52,7 @@
     Instant othersShortfallUntil {};
     ShortageSignals shortageSignals;
     LenderRotation lenderRotation;
+    LenderRanking lenderRanking;
 
     /** @return Whether the budget needs no upkeep. */
     [[nodiscard]] bool isIdle() const
--- a/src/ledger/HolderEffects.cpp
+++ b/src/ledger/HolderEffects.cpp
@@ -53,6 +53,7 @@
         budgetState.drawn += effect.admitted;
         budgetState.shortageSignals.onTokensReceived();
         budgetState.lenderRotation.onTokensReceived();
+        budgetState.lenderRanking.onTokensReceived();
         actions.emplace_back(TokensAvailable { effect.budget });
     }
     updateBudget(effect.budget, budgetState, actions);
--- a/src/ledger/HolderImpl.h
+++ b/src/ledger/HolderImpl.h
@@ -54,8 +54,8 @@
     void onLoanDone(Incarnation from, std::uint64_t loan, Tokens billed, Instant now, LedgerActions& actions);
 
     // Borrowing.
-    void onLoanGiven(Incarnation from, std::uint64_t loan, GrantId grant, Tokens amount, bool holderOnly, Instant now,
-        LedgerActions& actions);
+    void onLoanGiven(Incarnation from, std::uint64_t loan, GrantId grant, Tokens amount, bool holderOnly, std::optional<Tokens> left,
+        Instant now, LedgerActions& actions);
     void onLoanDenied(Incarnation from, std::uint64_t loan, Tokens free, Instant now, LedgerActions& actions);
     void onLoanDoneAcked(Incarnation from, std::uint64_t loan, Instant now, LedgerActions& actions);
 
@@ -141,16 +141,26 @@
     // Borrowing.
     void borrow(const BudgetRef& budget, HolderBudgetState& budgetState, const BudgetSituation& situation,
         LedgerActions& actions);
+    /** @return Whether tokens have to be borrowed now. */
+    [[nodiscard]] bool needsLoan(
+        const HolderBudgetState& budgetState, const BudgetSituation& situation, const LoanTerms& terms) const;
+    /** @brief Asks several lenders, those first that have the most left, for what is missing in sum. */
+    void borrowFromSeveral(const BudgetRef& budget, HolderBudgetState& budgetState, const BudgetSituation& situation,
+        const LoanTerms& terms, LedgerActions& actions);
+    void requestLoan(const BudgetRef& budget, HolderBudgetState& budgetState, Incarnation lender, Tokens size,
+        LedgerActions& actions);
     /** @brief Retries, gives up or ends each loan of the budget as needed. */
     void advanceLoans(HolderBudgetState& budgetState, const BudgetSituation& situation, LedgerActions& actions);
-    void advanceLoan(BorrowedLoan& loan, const HolderBudgetState& budgetState, const BudgetSituation& situation,
+    void advanceLoan(BorrowedLoan& loan, HolderBudgetState& budgetState, const BudgetSituation& situation,
         LedgerActions& actions);
+    /** @brief Ends a loan that its lender has not answered in time. */
+    void abandonLoanRequest(BorrowedLoan& loan, HolderBudgetState& budgetState, LedgerActions& actions);
     void endLoan(BorrowedLoan& loan, LedgerActions& actions);
     void removeLoan(std::uint64_t number);
     /** @return Whether requests should wait for a lender's answer. */
     [[nodiscard]] bool isLoanAnswerPending(const HolderBudgetState& budgetState) const;
-    /** @return Whether a loan request is so recent that no other lender is asked before its answer. */
-    [[nodiscard]] bool hasRecentLoanRequest(const HolderBudgetState& budgetState) const;
+    /** @return Loan requests that are so recent that no other lender is asked in their place. */
+    [[nodiscard]] std::vector<const BorrowedLoan*> recentLoanRequests(const HolderBudgetState& budgetState) const;
 
     // Upkeep of one budget, after each tick and each change that concerns the budget.
     [[nodiscard]] BudgetSituation situationOf(const BudgetRef& budget, const HolderBudgetState& budgetState) const;
--- a/src/ledger/LoanBorrowing.cpp
+++ b/src/ledger/LoanBorrowing.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <set>
 
 #include "ledger/HolderImpl.h"
 
@@ -28,19 +29,63 @@
 void HolderImpl::borrow(
     const BudgetRef& budget, HolderBudgetState& budgetState, const BudgetSituation& situation, LedgerActions& actions)
 {
-    if (budgetState.waitingRequests.empty())
+    const LoanTerms terms = policy_->loanTerms();
+    if (environment_.lenders.empty() || !needsLoan(budgetState, situation, terms))
         return;
-    const bool isDrawSlow = budgetState.pendingDraw && now_ - budgetState.pendingDrawSince > slowDrawThreshold;
-    const bool drawWillCover = situation.logReachable && situation.available >= situation.need && !isDrawSlow;
-    if (retired_ || drawWillCover || situation.largestFree >= situation.need || hasRecentLoanRequest(budgetState))
+    if (terms.asksAtOnce > 1) {
+        borrowFromSeveral(budget, budgetState, situation, terms, actions);
         return;
+    }
     const Tokens size = policy_->loanSize(situation);
-    if (size == none || environment_.lenders.empty() || !budgetState.lenderRotation.isDue(now_))
+    if (size == none || !recentLoanRequests(budgetState).empty() || !budgetState.lenderRotation.isDue(now_))
         return;
+    const std::size_t lender = budgetState.lenderRotation.nextLender(environment_.lenders.size(), now_);
+    requestLoan(budget, budgetState, environment_.lenders.at(lender), size, actions);
+}
+
+bool HolderImpl::needsLoan(
+    const HolderBudgetState& budgetState, const BudgetSituation& situation, const LoanTerms& terms) const
+{
+    if (retired_)
+        return false;
+    if (budgetState.waitingRequests.empty()) {
+        const auto free = static_cast<double>(situation.free.value());
+        return !environment_.logReachable && !isLeaving() && free < situation.demand * terms.aheadSeconds;
+    }
+    const bool isDrawSlow = budgetState.pendingDraw && now_ - budgetState.pendingDrawSince > slowDrawThreshold;
+    const bool drawWillCover = situation.logReachable && situation.available >= situation.need && !isDrawSlow;
+    return !drawWillCover && situation.largestFree < situation.need;
+}
+
+void HolderImpl::borrowFromSeveral(const BudgetRef& budget, HolderBudgetState& budgetState,
+    const BudgetSituation& situation, const LoanTerms& terms, LedgerActions& actions)
+{
+    // A request is covered by a single loan, so free tokens don't count when none of their parts covers it.
+    const Tokens usable = budgetState.waitingRequests.empty() ? situation.free : none;
+    Tokens missing = policy_->loanSize(situation) - usable;
+    std::set<Incarnation> asked;
+    for (const BorrowedLoan* const loan : recentLoanRequests(budgetState)) {
+        asked.insert(loan->lender());
+        missing -= loan->requestedAmount();
+    }
+    const Tokens part { missing.value() / terms.asksAtOnce };
+    const Tokens size = std::max({ part, situation.need, situation.largest });
+    const Tokens least = std::max(situation.need, Tokens { situation.largest.value() / terms.minUsefulDivisor });
+    for (const auto& [lender, left] : budgetState.lenderRanking.rank(environment_.lenders, least, now_)) {
+        if (missing <= none || asked.size() >= terms.asksAtOnce)
+            return;
+        if (!asked.insert(lender).second)
+            continue;
+        missing -= std::min(size, left.value_or(size));
+        requestLoan(budget, budgetState, lender, size, actions);
+    }
+}
+
+void HolderImpl::requestLoan(
+    const BudgetRef& budget, HolderBudgetState& budgetState, Incarnation lender, Tokens size, LedgerActions& actions)
+{
     const std::uint64_t number = ++lastLoan_;
     budgetState.loans.push_back(number);
-    const Incarnation lender
-        = environment_.lenders.at(budgetState.lenderRotation.nextLender(environment_.lenders.size(), now_));
     BorrowedLoan& loan = loans_.try_emplace(number, number, lender, budget, size, now_).first->second;
     if (loan.takeDueAttempt(now_))
         actions.emplace_back(SendLoanAsk { loan.lender(), number, budget, size });
@@ -53,19 +98,20 @@
 }
 
 void HolderImpl::advanceLoan(
-    BorrowedLoan& loan, const HolderBudgetState& budgetState, const BudgetSituation& situation, LedgerActions& actions)
+    BorrowedLoan& loan, HolderBudgetState& budgetState, const BudgetSituation& situation, LedgerActions& actions)
 {
     const Duration age = now_ - loan.lastUsedAt();
     switch (loan.state()) {
     case LoanState::Requested:
         if (age > loanRequestTimeout || retired_)
-            endLoan(loan, actions);
+            abandonLoanRequest(loan, budgetState, actions);
         else if (loan.takeDueAttempt(now_))
             actions.emplace_back(SendLoanAsk { loan.lender(), loan.number(), loan.budget(), loan.requestedAmount() });
         return;
     case LoanState::Held: {
         const bool spent = loan.free() == none;
-        const bool useless = budgetState.waitingRequests.empty() && loan.free() < situation.largest;
+        const Tokens minUseful { situation.largest.value() / policy_->loanTerms().minUsefulDivisor };
+        const bool useless = budgetState.waitingRequests.empty() && loan.free() < minUseful;
         const bool unused = age > idleLoanTimeout || (isLeaving() && budgetState.waitingRequests.empty());
         if (loan.reserved() == none && (spent || useless || unused || retired_))
             endLoan(loan, actions);
@@ -78,6 +124,13 @@
     }
 }
 
+void HolderImpl::abandonLoanRequest(BorrowedLoan& loan, HolderBudgetState& budgetState, LedgerActions& actions)
+{
+    budgetState.lenderRanking.record(loan.lender(), none, now_);
+    budgetState.lenderRanking.onFailure();
+    endLoan(loan, actions);
+}
+
 // H10: nothing of the loan is spent from now on. An abandoned request ends in the same way, since its answer may have
 // been lost: otherwise the lender would count the tokens as lent forever.
 void HolderImpl::endLoan(BorrowedLoan& loan, LedgerActions& actions)
@@ -96,7 +149,9 @@
 bool HolderImpl::isLoanAnswerPending(const HolderBudgetState& budgetState) const
 {
     // Lenders are asked again every second. After a round that brought nothing, callers don't wait for the next one.
-    if (budgetState.lenderRotation.previousRoundFailed())
+    const bool asksSeveral = policy_->loanTerms().asksAtOnce > 1;
+    if (asksSeveral ? budgetState.lenderRanking.allFailed(environment_.lenders.size())
+                    : budgetState.lenderRotation.previousRoundFailed())
         return false;
     return std::ranges::any_of(budgetState.loans, [&](std::uint64_t number) {
         const BorrowedLoan& loan = loans_.at(number);
@@ -104,16 +159,19 @@
     });
 }
 
-bool HolderImpl::hasRecentLoanRequest(const HolderBudgetState& budgetState) const
+std::vector<const BorrowedLoan*> HolderImpl::recentLoanRequests(const HolderBudgetState& budgetState) const
 {
-    return std::ranges::any_of(budgetState.loans, [&](std::uint64_t number) {
+    std::vector<const BorrowedLoan*> recent;
+    for (const std::uint64_t number : budgetState.loans) {
         const BorrowedLoan& loan = loans_.at(number);
-        return loan.state() == LoanState::Requested && now_ - loan.lastUsedAt() < slowLenderTimeout;
-    });
+        if (loan.state() == LoanState::Requested && now_ - loan.lastUsedAt() < slowLenderTimeout)
+            recent.push_back(&loan);
+    }
+    return recent;
 }
 
 void HolderImpl::onLoanGiven(Incarnation from, std::uint64_t loan, GrantId grant, Tokens amount, bool holderOnly,
-    Instant now, LedgerActions& actions)
+    std::optional<Tokens> left, Instant now, LedgerActions& actions)
 {
     now_ = now;
     const auto found = loans_.find(loan);
@@ -131,10 +189,16 @@
     }
     borrowed.onGranted(grant, amount, holderOnly, now);
     HolderBudgetState& budgetState = budgetStateOf(borrowed.budget());
+    if (left)
+        budgetState.lenderRanking.record(from, *left, now_);
+    else
+        budgetState.lenderRanking.forget(from);
     if (amount < budgetState.waitingRequests.smallest()) {
+        budgetState.lenderRanking.onFailure();
         endLoan(borrowed, actions);
     } else {
         budgetState.lenderRotation.onUsefulLoan();
+        budgetState.lenderRanking.onTokensReceived();
         budgetState.shortageSignals.onTokensReceived();
         actions.emplace_back(TokensAvailable { borrowed.budget() });
     }
@@ -149,7 +213,11 @@
         return;
     const BudgetRef budget = found->second.budget();
     removeLoan(loan);
-    updateBudget(budget, budgetStateOf(budget), actions);
+    HolderBudgetState& budgetState = budgetStateOf(budget);
+    // A lender can have free tokens and yet no grant that it may lend from: it would deny the next request, too.
+    budgetState.lenderRanking.record(from, none, now_);
+    budgetState.lenderRanking.onFailure();
+    updateBudget(budget, budgetState, actions);
     flushRaises(actions);
 }
 
--- a/src/ledger/PolicyDemandGrants.cpp
+++ b/src/ledger/PolicyDemandGrants.cpp
@@ -12,8 +12,6 @@
     constexpr Tokens none {};
     /** Headroom of a ceiling, in seconds of demand. */
     constexpr double headroomSeconds = 2;
-    /** Size of a loan beyond the waiting requests, in seconds of demand. */
-    constexpr double loanSeconds = 2;
     /** A draw ahead of need takes at most one part in this many of an equal share per holder of what is available. */
     constexpr std::int64_t shareDivisor = 2;
     /**
@@ -208,11 +206,13 @@
 
 Tokens DemandGrantsPolicy::loanSize(const BudgetSituation& situation) const
 {
-    return std::max(situation.need, situation.waiting) + tokensOf(situation.demand, loanSeconds);
+    return std::max(situation.need, situation.waiting) + tokensOf(situation.demand, settings_.loans.sizeSeconds);
 }
 
 Tokens DemandGrantsPolicy::lendable(const BudgetSituation& situation) const
 {
+    if (settings_.loans.keptSeconds && !situation.logReachable)
+        return std::max(situation.free - tokensOf(situation.demand, *settings_.loans.keptSeconds), none);
     // The lender keeps no room for its largest recent request. If it did, none of 81 routers that hold a few requests'
     // worth each would lend more than half of that; the loans would cover hardly any request of the borrower, which
     // would ask again and again. Symptom: thousands of `loan` log lines per second, each of less than most requests
--- a/src/ledger/PolicyDemandGrants.h
+++ b/src/ledger/PolicyDemandGrants.h
@@ -21,6 +21,7 @@
     }
     [[nodiscard]] Tokens loanSize(const BudgetSituation& situation) const override;
     [[nodiscard]] Tokens lendable(const BudgetSituation& situation) const override;
+    [[nodiscard]] LoanTerms loanTerms() const override { return settings_.loans; }
     [[nodiscard]] Duration maxReturnWait() const override;
     [[nodiscard]] bool witnessed() const override { return true; }
     [[nodiscard]] bool witnessesClose() const override { return settings_.witnessesClose; }
