Ask several lenders at once, for amounts that follow demand

Cause: while the log is unreachable, a router asks one lender at a time, and each lends little more than half of what it has, so that requests are refused with budget_elsewhere while others hold tokens. Change: with ledger.loans: demand up to eight lenders are asked at once, those that lent whole loans first, and a lender keeps half a second of its own demand. Metrics count loans and lent tokens; the loan line of a borrower states how many lenders it asked.

--- a/apps/router/CoreDecider.cpp
+++ b/apps/router/CoreDecider.cpp
@@ -74,6 +74,9 @@
     core.splitWays = settings.ledger.splitWays;
     core.routingPolicy = settings::toText(settings.routing);
     core.preallocationPercent = settings.ledger.preallocationPercent;
+    if (settings.ledger.loans == settings::LoanOrder::Demand) {
+        core.loans = ledger::demandLoanTerms();
+    }
     if (settings.ledger.highWatermark > Duration::zero()) {
         core.watermarks
             = ledger::Watermarks { toSeconds(settings.ledger.lowWatermark), toSeconds(settings.ledger.highWatermark) };
--- a/include/swiftlift/ledger/Holder.h
+++ b/include/swiftlift/ledger/Holder.h
@@ -112,8 +112,6 @@
     Tokens amount;
     /** Whether the lender's grant is holder-only; see Ceiling::holderOnly. */
     bool holderOnly = false;
-    /** Tokens that the lender could still lend; empty from routers of older versions. */
-    std::optional<Tokens> left;
 };
 /** @brief Lender's answer: the loan is denied; `free` is what the lender could have lent. */
 struct SendLoanDenied {
@@ -230,7 +228,7 @@
     void onLoanAsk(Incarnation from, std::uint64_t loan, const BudgetRef& budget, Tokens amount, Instant now,
         LedgerActions& actions);
     void onLoanGiven(Incarnation from, std::uint64_t loan, const BudgetRef& budget, GrantId grant, Tokens amount,
-        Instant now, LedgerActions& actions, bool holderOnly = false, std::optional<Tokens> left = {});
+        Instant now, LedgerActions& actions, bool holderOnly = false);
     void onLoanDenied(Incarnation from, std::uint64_t loan, const BudgetRef& budget, Tokens free, Instant now,
         LedgerActions& actions);
     /**
--- a/include/swiftlift/ledger/HoldingPolicy.h
+++ b/include/swiftlift/ledger/HoldingPolicy.h
@@ -25,24 +25,26 @@
 
 /** @brief How a router borrows tokens of a budget from its peers, and what it lends them. */
 struct LoanTerms {
-    /** Number of lenders that may be asked at the same time. Above 1, they are asked in the order of what they have. */
+    /**
+     * Number of lenders that may be asked at the same time. Above 1, those that lent recently all that they were asked
+     * for come first, and one that did not is asked again after a pause.
+     */
     std::uint32_t asksAtOnce = 1;
     /** Size of a loan beyond the waiting requests, in seconds of demand. */
     double sizeSeconds = 2;
-    /**
-     * In an outage, loans are requested when the free tokens last for less than this many seconds of demand, although
-     * no request waits. 0: only for waiting requests.
-     */
-    double aheadSeconds = 0;
     /**
      * In an outage, a lender keeps this many seconds of its own demand and lends the rest. Empty: it keeps the low
      * watermark, but lends at least half of what is free.
      */
     std::optional<double> keptSeconds {};
-    /** A loan with less than the largest recent request divided by this left is returned when no request waits. */
-    std::int64_t minUsefulDivisor = 1;
 };
 
+/**
+ * @return Terms for fleets in which most routers have little demand for a budget, and few have most of it. The defaults
+ * of LoanTerms ask the nearest lenders one after the other.
+ */
+[[nodiscard]] LoanTerms demandLoanTerms() noexcept;
+
 /** @brief Parameters of a policy; docs/HOLDINGS.md explains each choice. */
 struct PolicySettings {
     Weighting weighting = Weighting::Balanced;
--- a/include/swiftlift/node/Core.h
+++ b/include/swiftlift/node/Core.h
@@ -69,6 +69,8 @@
     std::optional<ledger::Watermarks> watermarks;
     /** Only for `grants`: percentage of each budget that the routers together hold before there is demand. */
     std::uint32_t preallocationPercent = 0;
+    /** Only for `grants`: how tokens are borrowed and lent. */
+    ledger::LoanTerms loans;
     LedgerPace ledger;
     LogRates logRates;
     /** `affinity` (default), `rendezvous`, `random`, `round_robin` or `least_load`. */
--- a/include/swiftlift/settings/RouterSettings.h
+++ b/include/swiftlift/settings/RouterSettings.h
@@ -17,6 +17,9 @@
 /** Policy by which routers hold prepaid tokens. */
 enum class LedgerPolicy : std::uint8_t { Grants, StaticSplit, AppendPerRequest };
 
+/** Order and amounts in which a router borrows tokens from its peers. */
+enum class LoanOrder : std::uint8_t { Nearest, Demand };
+
 /** Policy by which a router chooses a backend server. */
 enum class RoutingPolicy : std::uint8_t { Affinity, Rendezvous, Random, RoundRobin, LeastLoad };
 
@@ -74,6 +77,8 @@
     Duration highWatermark {};
     /** Only for policy `grants`: preallocation of all routers together, in percent of each budget. */
     std::uint32_t preallocationPercent = 0;
+    /** Only for policy `grants`: how tokens are borrowed and lent. */
+    LoanOrder loans = LoanOrder::Nearest;
     /** How long the platform's log retains records. */
     Duration retention = std::chrono::minutes(10);
     /** How long bills are collected into one record before it is appended; 0: grows with the number of routers. */
@@ -156,6 +161,9 @@
 /** @return Name of the policy in the settings: `grants`, `static_split` or `append_per_request`. */
 [[nodiscard]] std::string_view toText(LedgerPolicy policy) noexcept;
 
+/** @return Name of the order in the settings: `nearest` or `demand`. */
+[[nodiscard]] std::string_view toText(LoanOrder order) noexcept;
+
 /** @return Name of the policy in the settings: `affinity`, `rendezvous`, `random`, `round_robin` or `least_load`. */
 [[nodiscard]] std::string_view toText(RoutingPolicy policy) noexcept;
 
--- a/src/ledger/Holder.cpp
+++ b/src/ledger/Holder.cpp
@@ -72,9 +72,9 @@
 }
 
 void Holder::onLoanGiven(Incarnation from, std::uint64_t loan, const BudgetRef&, GrantId grant, Tokens amount,
-    Instant now, LedgerActions& actions, bool holderOnly, std::optional<Tokens> left)
+    Instant now, LedgerActions& actions, bool holderOnly)
 {
-    impl_->onLoanGiven(from, loan, grant, amount, holderOnly, left, now, actions);
+    impl_->onLoanGiven(from, loan, grant, amount, holderOnly, now, actions);
 }
 
 void Holder::onLoanDenied(
--- a/src/ledger/HolderImpl.h
+++ b/src/ledger/HolderImpl.h
@@ -54,8 +54,8 @@
     void onLoanDone(Incarnation from, std::uint64_t loan, Tokens billed, Instant now, LedgerActions& actions);
 
     // Borrowing.
-    void onLoanGiven(Incarnation from, std::uint64_t loan, GrantId grant, Tokens amount, bool holderOnly, std::optional<Tokens> left,
-        Instant now, LedgerActions& actions);
+    void onLoanGiven(Incarnation from, std::uint64_t loan, GrantId grant, Tokens amount, bool holderOnly, Instant now,
+        LedgerActions& actions);
     void onLoanDenied(Incarnation from, std::uint64_t loan, Tokens free, Instant now, LedgerActions& actions);
     void onLoanDoneAcked(Incarnation from, std::uint64_t loan, Instant now, LedgerActions& actions);
 
@@ -142,9 +142,8 @@
     void borrow(const BudgetRef& budget, HolderBudgetState& budgetState, const BudgetSituation& situation,
         LedgerActions& actions);
     /** @return Whether tokens have to be borrowed now. */
-    [[nodiscard]] bool needsLoan(
-        const HolderBudgetState& budgetState, const BudgetSituation& situation, const LoanTerms& terms) const;
-    /** @brief Asks several lenders, those first that have the most left, for what is missing in sum. */
+    [[nodiscard]] bool needsLoan(const HolderBudgetState& budgetState, const BudgetSituation& situation) const;
+    /** @brief Asks several lenders for what is missing in sum. */
     void borrowFromSeveral(const BudgetRef& budget, HolderBudgetState& budgetState, const BudgetSituation& situation,
         const LoanTerms& terms, LedgerActions& actions);
     void requestLoan(const BudgetRef& budget, HolderBudgetState& budgetState, Incarnation lender, Tokens size,
--- a/src/ledger/HoldingPolicy.cpp
+++ b/src/ledger/HoldingPolicy.cpp
@@ -6,6 +6,32 @@
 
 namespace swiftlift::ledger {
 
+namespace {
+
+    /**
+     * Each of 91 routers holds a few requests' worth, so a router with ten times the median load needs many lenders.
+     * With 132,000 tokens each, 69 of 10,468 requests were refused with one at a time, 55 with eight.
+     */
+    constexpr std::uint32_t lendersAskedAtOnce = 8;
+    /** Loans of 2 s left less for others: 55 of 10,468 requests were refused, with 1 s 42. */
+    constexpr double loanSecondsOfDemand = 1;
+    /**
+     * A lender that runs short can borrow in its turn, so it keeps little. When lenders kept 2 s of demand, 119 of
+     * 10,468 requests were refused, with 0.5 s 55.
+     */
+    constexpr double keptSecondsOfDemand = 0.5;
+
+} // namespace
+
+LoanTerms demandLoanTerms() noexcept
+{
+    LoanTerms terms;
+    terms.asksAtOnce = lendersAskedAtOnce;
+    terms.sizeSeconds = loanSecondsOfDemand;
+    terms.keptSeconds = keptSecondsOfDemand;
+    return terms;
+}
+
 std::unique_ptr<HoldingPolicy> makePolicy(std::string_view name, PolicySettings settings)
 {
     if (name == "grants")
--- a/src/ledger/LenderRanking.cpp
+++ b/src/ledger/LenderRanking.cpp
@@ -1,6 +1,8 @@
 #include "ledger/LenderRanking.h"
 
 #include <algorithm>
+#include <functional>
+#include <utility>
 
 namespace swiftlift::ledger::internal {
 
@@ -9,45 +11,48 @@
     using namespace std::chrono_literals;
 
     /**
-     * How long a lender's statement is relied on, which is also the pause before a lender without tokens is asked
-     * again: running requests return part of what they reserved within about a second.
+     * How long an answer is relied on, which is also the pause before an exhausted lender is asked again. Running
+     * requests return part of what they reserved within about this time.
      */
-    constexpr Duration statementLifetime = 1s;
-    /** Each restart of a router adds a lender, so the number of statements is bounded. */
-    constexpr std::size_t maxStatements = 1024;
+    constexpr Duration answerLifetime = 1s;
+    /** Each restart of a router adds a lender, so the number of recorded answers is bounded. */
+    constexpr std::size_t maxAnswers = 1024;
 
 } // namespace
 
+void LenderRanking::onWholeLoan(Incarnation lender, Tokens amount, Instant now) { record(lender, amount, now); }
+
+void LenderRanking::onExhausted(Incarnation lender, Instant now) { record(lender, Tokens {}, now); }
+
 void LenderRanking::record(Incarnation lender, Tokens left, Instant now)
 {
-    if (statements_.size() >= maxStatements)
-        std::erase_if(statements_, [&](const auto& entry) { return now - entry.second.at > statementLifetime; });
-    statements_.insert_or_assign(lender, Statement { left, now });
+    if (answers_.size() >= maxAnswers)
+        std::erase_if(answers_, [now](const auto& entry) { return now - entry.second.at > answerLifetime; });
+    answers_.insert_or_assign(lender, Answer { left, now });
 }
 
-void LenderRanking::forget(Incarnation lender) { statements_.erase(lender); }
-
-std::vector<RankedLender> LenderRanking::rank(
-    const std::vector<Incarnation>& lenders, Tokens least, Instant now) const
+std::vector<Incarnation> LenderRanking::rank(const std::vector<Incarnation>& lenders, Instant now) const
 {
-    std::vector<RankedLender> ranked;
+    std::vector<std::pair<Tokens, Incarnation>> ranked;
     for (const Incarnation lender : lenders) {
-        const auto found = statements_.find(lender);
-        if (found == statements_.end() || now - found->second.at > statementLifetime)
-            ranked.push_back({ lender, std::nullopt });
-        else if (found->second.left >= least)
-            ranked.push_back({ lender, found->second.left });
+        const auto found = answers_.find(lender);
+        const bool isKnown = found != answers_.end() && now - found->second.at <= answerLifetime;
+        const Tokens left = isKnown ? found->second.left : Tokens {};
+        if (!isKnown || left > Tokens {})
+            ranked.emplace_back(left, lender);
     }
-    // An empty optional is less than any number of tokens.
-    std::ranges::stable_sort(ranked, std::greater {}, &RankedLender::left);
-    return ranked;
+    std::ranges::stable_sort(ranked, std::greater {}, [](const auto& entry) { return entry.first; });
+    std::vector<Incarnation> result;
+    for (const auto& [left, lender] : ranked)
+        result.push_back(lender);
+    return result;
 }
 
 void LenderRanking::print(std::ostream& out) const
 {
-    for (const auto& [lender, statement] : statements_)
-        out << " left " << lender << ' ' << statement.left << '@' << statement.at.time_since_epoch().count();
-    out << " denials " << failuresInARow_;
+    for (const auto& [lender, answer] : answers_)
+        out << " left " << lender << ' ' << answer.left << '@' << answer.at.time_since_epoch().count();
+    out << " failures " << failuresInARow_;
 }
 
 } // namespace swiftlift::ledger::internal
--- a/src/ledger/LenderRanking.h
+++ b/src/ledger/LenderRanking.h
@@ -2,7 +2,6 @@
 
 #include <cstddef>
 #include <map>
-#include <optional>
 #include <ostream>
 #include <vector>
 
@@ -11,49 +10,43 @@
 
 namespace swiftlift::ledger::internal {
 
-/** @brief Lender to ask for a loan, with the tokens that it is known to have left. */
-struct RankedLender {
-    Incarnation lender;
-    /** Empty when the lender has not stated recently what it has left. */
-    std::optional<Tokens> left;
-};
-
-/** @brief Orders lenders by what their recent answers stated that they could still lend. */
+/** @brief Orders lenders by what they can still lend, judged by their recent answers. */
 class LenderRanking {
 public:
-    /** @brief A lender has answered, or has not answered in time, which counts as having nothing left. */
-    void record(Incarnation lender, Tokens left, Instant now);
-    /** @brief A lender has answered without stating what it has left, as routers of older versions do. */
-    void forget(Incarnation lender);
+    /** @brief A lender has lent all that was requested, so it can probably lend as much again. */
+    void onWholeLoan(Incarnation lender, Tokens amount, Instant now);
+    /** @brief A lender has denied a loan, has lent only part of it, or has not answered in time. */
+    void onExhausted(Incarnation lender, Instant now);
 
-    /** @brief A lender has denied a loan, or has lent too little for a waiting request. */
+    /** @brief A loan request has brought nothing for a waiting request. */
     void onFailure() noexcept { ++failuresInARow_; }
     /** @brief Tokens have arrived: a draw, or a loan that covers a waiting request. */
     void onTokensReceived() noexcept { failuresInARow_ = 0; }
     /**
      * @param lenders Number of lenders.
-     * @return Whether as many requests as there are lenders were denied one after the other.
+     * @return Whether as many requests as there are lenders have failed one after the other.
      */
     [[nodiscard]] bool allFailed(std::size_t lenders) const noexcept { return failuresInARow_ >= lenders; }
 
     /**
      * @param lenders All lenders, in order of preference.
-     * @param least Smallest loan that is of use.
-     * @return Lenders that may have `least` tokens: first those that stated so, the one with most first, then those
-     * with unknown tokens.
+     * @return Lenders to ask, without the exhausted ones: first those that lent whole loans, the largest loan first,
+     * then those that have not answered recently.
      */
-    [[nodiscard]] std::vector<RankedLender> rank(
-        const std::vector<Incarnation>& lenders, Tokens least, Instant now) const;
+    [[nodiscard]] std::vector<Incarnation> rank(const std::vector<Incarnation>& lenders, Instant now) const;
 
     void print(std::ostream& out) const;
 
 private:
-    struct Statement {
+    struct Answer {
+        /** Estimate of what the lender can still lend. */
         Tokens left;
         Instant at {};
     };
 
-    std::map<Incarnation, Statement> statements_;
+    void record(Incarnation lender, Tokens left, Instant now);
+
+    std::map<Incarnation, Answer> answers_;
     std::size_t failuresInARow_ = 0;
 };
 
--- a/src/ledger/LoanBorrowing.cpp
+++ b/src/ledger/LoanBorrowing.cpp
@@ -30,7 +30,7 @@
     const BudgetRef& budget, HolderBudgetState& budgetState, const BudgetSituation& situation, LedgerActions& actions)
 {
     const LoanTerms terms = policy_->loanTerms();
-    if (environment_.lenders.empty() || !needsLoan(budgetState, situation, terms))
+    if (environment_.lenders.empty() || !needsLoan(budgetState, situation))
         return;
     if (terms.asksAtOnce > 1) {
         borrowFromSeveral(budget, budgetState, situation, terms, actions);
@@ -43,15 +43,10 @@
     requestLoan(budget, budgetState, environment_.lenders.at(lender), size, actions);
 }
 
-bool HolderImpl::needsLoan(
-    const HolderBudgetState& budgetState, const BudgetSituation& situation, const LoanTerms& terms) const
+bool HolderImpl::needsLoan(const HolderBudgetState& budgetState, const BudgetSituation& situation) const
 {
-    if (retired_)
+    if (retired_ || budgetState.waitingRequests.empty())
         return false;
-    if (budgetState.waitingRequests.empty()) {
-        const auto free = static_cast<double>(situation.free.value());
-        return !environment_.logReachable && !isLeaving() && free < situation.demand * terms.aheadSeconds;
-    }
     const bool isDrawSlow = budgetState.pendingDraw && now_ - budgetState.pendingDrawSince > slowDrawThreshold;
     const bool drawWillCover = situation.logReachable && situation.available >= situation.need && !isDrawSlow;
     return !drawWillCover && situation.largestFree < situation.need;
@@ -60,23 +55,21 @@
 void HolderImpl::borrowFromSeveral(const BudgetRef& budget, HolderBudgetState& budgetState,
     const BudgetSituation& situation, const LoanTerms& terms, LedgerActions& actions)
 {
-    // A request is covered by a single loan, so free tokens don't count when none of their parts covers it.
-    const Tokens usable = budgetState.waitingRequests.empty() ? situation.free : none;
-    Tokens missing = policy_->loanSize(situation) - usable;
+    Tokens missing = policy_->loanSize(situation);
     std::set<Incarnation> asked;
     for (const BorrowedLoan* const loan : recentLoanRequests(budgetState)) {
         asked.insert(loan->lender());
         missing -= loan->requestedAmount();
     }
+    // A request is covered by a single loan, so each loan has to be large enough for the largest request.
     const Tokens part { missing.value() / terms.asksAtOnce };
     const Tokens size = std::max({ part, situation.need, situation.largest });
-    const Tokens least = std::max(situation.need, Tokens { situation.largest.value() / terms.minUsefulDivisor });
-    for (const auto& [lender, left] : budgetState.lenderRanking.rank(environment_.lenders, least, now_)) {
+    for (const Incarnation lender : budgetState.lenderRanking.rank(environment_.lenders, now_)) {
         if (missing <= none || asked.size() >= terms.asksAtOnce)
             return;
         if (!asked.insert(lender).second)
             continue;
-        missing -= std::min(size, left.value_or(size));
+        missing -= size;
         requestLoan(budget, budgetState, lender, size, actions);
     }
 }
@@ -110,8 +103,7 @@
         return;
     case LoanState::Held: {
         const bool spent = loan.free() == none;
-        const Tokens minUseful { situation.largest.value() / policy_->loanTerms().minUsefulDivisor };
-        const bool useless = budgetState.waitingRequests.empty() && loan.free() < minUseful;
+        const bool useless = budgetState.waitingRequests.empty() && loan.free() < situation.largest;
         const bool unused = age > idleLoanTimeout || (isLeaving() && budgetState.waitingRequests.empty());
         if (loan.reserved() == none && (spent || useless || unused || retired_))
             endLoan(loan, actions);
@@ -126,7 +118,7 @@
 
 void HolderImpl::abandonLoanRequest(BorrowedLoan& loan, HolderBudgetState& budgetState, LedgerActions& actions)
 {
-    budgetState.lenderRanking.record(loan.lender(), none, now_);
+    budgetState.lenderRanking.onExhausted(loan.lender(), now_);
     budgetState.lenderRanking.onFailure();
     endLoan(loan, actions);
 }
@@ -171,7 +163,7 @@
 }
 
 void HolderImpl::onLoanGiven(Incarnation from, std::uint64_t loan, GrantId grant, Tokens amount, bool holderOnly,
-    std::optional<Tokens> left, Instant now, LedgerActions& actions)
+    Instant now, LedgerActions& actions)
 {
     now_ = now;
     const auto found = loans_.find(loan);
@@ -189,10 +181,11 @@
     }
     borrowed.onGranted(grant, amount, holderOnly, now);
     HolderBudgetState& budgetState = budgetStateOf(borrowed.budget());
-    if (left)
-        budgetState.lenderRanking.record(from, *left, now_);
+    // A lender that lends less than requested has lent all that it can spare; the others can lend as much again.
+    if (amount < borrowed.requestedAmount())
+        budgetState.lenderRanking.onExhausted(from, now_);
     else
-        budgetState.lenderRanking.forget(from);
+        budgetState.lenderRanking.onWholeLoan(from, amount, now_);
     if (amount < budgetState.waitingRequests.smallest()) {
         budgetState.lenderRanking.onFailure();
         endLoan(borrowed, actions);
@@ -214,8 +207,7 @@
     const BudgetRef budget = found->second.budget();
     removeLoan(loan);
     HolderBudgetState& budgetState = budgetStateOf(budget);
-    // A lender can have free tokens and yet no grant that it may lend from: it would deny the next request, too.
-    budgetState.lenderRanking.record(from, none, now_);
+    budgetState.lenderRanking.onExhausted(from, now_);
     budgetState.lenderRanking.onFailure();
     updateBudget(budget, budgetState, actions);
     flushRaises(actions);
--- a/src/ledger/LoanLending.cpp
+++ b/src/ledger/LoanLending.cpp
@@ -34,7 +34,7 @@
         loanAnswers_.record(from, loan, *answer);
     }
     if (answer->amount > none && !answer->done)
-        actions.emplace_back(SendLoanGiven { from, loan, budget, answer->grant, answer->amount, answer->holderOnly, answer->free });
+        actions.emplace_back(SendLoanGiven { from, loan, budget, answer->grant, answer->amount, answer->holderOnly });
     else
         actions.emplace_back(SendLoanDenied { from, loan, budget, answer->free });
 }
--- a/src/node/ShardLedger.cpp
+++ b/src/node/ShardLedger.cpp
@@ -21,6 +21,7 @@
         policySettings.splitBetween = settings.splitWays;
         policySettings.watermarks = settings.watermarks;
         policySettings.preallocationPercent = settings.preallocationPercent;
+        policySettings.loans = settings.loans;
         policySettings.witnessesClose = settings.answersWaitForBills();
         auto policy = ledger::makePolicy(settings.holdingPolicy, policySettings);
         assert(policy != nullptr && "the settings' check lets only known policies through");
--- a/src/node/ShardLedger.h
+++ b/src/node/ShardLedger.h
@@ -199,6 +199,8 @@
     /** @return Time between two routine batches: as configured, otherwise by the number of routers and streams. */
     [[nodiscard]] Duration batchPeriod() const;
     void expediteReadOfNewGrants(const RaiseCeilings& raise);
+    /** Logs a loan that a lender has given, and how many lenders were asked for it. */
+    void logBorrowed(Incarnation lender, const LoanGiven& loan);
     /** Appends the next batch of the outbox if one is due. */
     void sendBatch();
     void sendCopies();
@@ -253,6 +255,8 @@
     RemoteReplicas remoteReplicas_;
     /** The responsive remote replicas that were logged last. */
     std::vector<Incarnation> reportedReplicas_;
+    /** Loan requests sent since the last loan of each budget. */
+    std::map<BudgetRef, std::uint32_t> lendersAsked_;
     /** The outbox has an item that a caller or another router waits for. */
     bool urgent_ = false;
     /** The last batch was urgent. It is read back as soon as the log has it, because the next batch, which may have a
--- a/src/node/ShardLedgerPeers.cpp
+++ b/src/node/ShardLedgerPeers.cpp
@@ -36,6 +36,7 @@
             [&](const CeilingsRefused& refused) { holder_.onCeilingsRefused(from, refused.grants, now, actions); },
             [&](const LoanAsk& ask) { holder_.onLoanAsk(from, ask.loan, ask.budget, ask.amount, now, actions); },
             [&](const LoanGiven& loan) {
+                logBorrowed(from, loan);
                 holder_.onLoanGiven(
                     from, loan.loan, loan.budget, loan.grant, loan.amount, now, actions, loan.holderOnly);
             },
@@ -52,6 +53,15 @@
     execute(actions);
 }
 
+void ShardLedger::logBorrowed(Incarnation lender, const LoanGiven& loan)
+{
+    context_.log(LogLineBuilder("loan")
+                     .with("budget", toText(loan.budget))
+                     .with("from", toHex(lender.value()))
+                     .with("tokens", loan.amount.value())
+                     .with("asked", static_cast<std::int64_t>(std::exchange(lendersAsked_[loan.budget], 0))));
+}
+
 // A witness acknowledges only grants that it has read. Without the expedited read the holder could not spend the grant,
 // and its callers would wait, until the witness's pause between two reads is over.
 void ShardLedger::expediteReadOfNewGrants(const RaiseCeilings& raise)
@@ -294,6 +304,8 @@
                 [this](
                     ledger::SendCeilingsRefused& action) { sendToShard(action.to, CeilingsRefused { action.grants }); },
                 [this](ledger::SendLoanAsk& action) {
+                    ++lendersAsked_[action.budget];
+                    context_.count("swiftlift_loans_total", { { "event", "asked" } });
                     sendToShard(action.to, LoanAsk { action.loan, action.budget, action.amount });
                 },
                 [this](ledger::SendLoanGiven& action) {
@@ -301,10 +313,13 @@
                                      .with("budget", toText(action.budget))
                                      .with("to", toHex(action.to.value()))
                                      .with("tokens", action.amount.value()));
+                    context_.count("swiftlift_loans_total", { { "event", "given" } });
+                    context_.count("swiftlift_lent_tokens_total", {}, static_cast<double>(action.amount.value()));
                     sendToShard(action.to,
                         LoanGiven { action.loan, action.budget, action.grant, action.amount, action.holderOnly });
                 },
                 [this](ledger::SendLoanDenied& action) {
+                    context_.count("swiftlift_loans_total", { { "event", "denied" } });
                     sendToShard(action.to, LoanDenied { action.loan, action.budget, action.free });
                 },
                 [this](ledger::SendLoanDone& action) {
--- a/src/settings/RouterSettings.cpp
+++ b/src/settings/RouterSettings.cpp
@@ -138,12 +138,17 @@
         checker.duration("low_watermark", Presence::Optional, watermarkRange, ledger.lowWatermark);
         checker.duration("high_watermark", Presence::Optional, watermarkRange, ledger.highWatermark);
         checker.percent("stock", Presence::Optional, wholePercent, ledger.preallocationPercent);
+        checker.choice<LoanOrder>("loans", Presence::Optional,
+            { { "nearest", LoanOrder::Nearest }, { "demand", LoanOrder::Demand } }, ledger.loans);
         checker.duration("retention", Presence::Optional, retentionRange, ledger.retention);
         checker.duration("batch_period", Presence::Optional, batchRange, ledger.batchPeriod);
         checker.reportUnknownKeys();
         if (checker.hasKey("split_ways") && ledger.policy != LedgerPolicy::StaticSplit) {
             checker.report("split_ways", "has a meaning only with policy static_split");
         }
+        if (checker.hasKey("loans") && ledger.policy != LedgerPolicy::Grants) {
+            checker.report("loans", "has a meaning only with policy grants");
+        }
     }
 
     void readRouting(Checker& root, RoutingPolicy& routing)
@@ -248,6 +253,17 @@
     return "grants";
 }
 
+std::string_view toText(LoanOrder order) noexcept
+{
+    switch (order) {
+    case LoanOrder::Nearest:
+        return "nearest";
+    case LoanOrder::Demand:
+        return "demand";
+    }
+    return "nearest";
+}
+
 std::string_view toText(RoutingPolicy policy) noexcept
 {
     switch (policy) {
--- a/tests/ledger/ExploreWorld.h
+++ b/tests/ledger/ExploreWorld.h
@@ -64,6 +64,8 @@
      * outage.
      */
     bool witnessesClose = true;
+    /** How the nodes borrow. */
+    LoanTerms loans;
     /** Requests made before the exploration begins; every step that follows from them is taken in order. */
     std::vector<std::size_t> initialRequests;
 };
@@ -85,6 +87,7 @@
     }
     Tokens loanSize(const BudgetSituation& situation) const override { return situation.need; }
     Tokens lendable(const BudgetSituation& situation) const override { return situation.free; }
+    LoanTerms loanTerms() const override { return setup.loans; }
     bool witnessed() const override { return true; }
     bool witnessesClose() const override { return setup.witnessesClose; }
 
--- a/tests/ledger/HolderPropertyTest.cpp
+++ b/tests/ledger/HolderPropertyTest.cpp
@@ -123,4 +123,12 @@
     EXPECT_TRUE(rc::check("three holders, two budgets, loans, changes of witness", [&] { run(setup); }));
 }
 
+TEST(HolderPropertyTest, NoLongRunOverspendsWhenSeveralLendersAreAsked)
+{
+    auto setup = longRun();
+    setup.loans = demandLoanTerms();
+    setup.withoutLog = { 1, 2 };
+    EXPECT_TRUE(rc::check("three holders, two of them ask several lenders at once", [&] { run(setup); }));
+}
+
 } // namespace swiftlift::ledger::explore
--- a/tests/ledger/LoanReplayTest.cpp
+++ b/tests/ledger/LoanReplayTest.cpp
@@ -1,19 +1,10 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <array>
-#include <cmath>
-#include <deque>
-#include <functional>
 #include <iomanip>
 #include <iostream>
-#include <map>
-#include <queue>
-#include <random>
 
-#include "swiftlift/ledger/Fold.h"
-#include "swiftlift/ledger/Holder.h"
-#include "swiftlift/ledger/Witness.h"
+#include "ledger/LoanReplay.h"
 
 namespace swiftlift::ledger {
 
@@ -21,419 +12,124 @@
 
     using namespace std::chrono_literals;
 
-    constexpr Duration tickPeriod = 50ms;
-    constexpr Duration logPeriod = 100ms;
-    constexpr Duration runTime = 36s;
-    constexpr Duration outageLength = 8s;
-    constexpr std::array<Duration, 2> outageStarts { 5s, 23s };
-    constexpr std::array<Duration, 3> tokenWaitLimits { 300ms, 400ms, 600ms };
-    constexpr std::uint64_t firstRouter = 10;
-    constexpr std::size_t domains = 4;
-    /** Range of a request's largest cost in tokens; requests are billed a third of it on average. */
-    constexpr double minCost = 1'000;
-    constexpr double maxCost = 60'000;
+    /** Length of a replay, to convert counts into rates. */
+    constexpr std::uint64_t replaySeconds = 36;
 
-    /** Load and failures of one replay. */
-    struct Scenario {
-        std::string name;
-        std::size_t routers = 91;
-        std::int64_t bought = 24'000'000;
-        double requestsPerSecond = 100;
-        /** Relative load of the first routers; all others have 1. */
-        std::vector<double> heavy { 12, 8, 8 };
-        /** Time at which the load of the heavy routers moves to the last routers. */
-        std::optional<Duration> moveAt {};
-        /** Time at which the first router fails. */
-        std::optional<Duration> failAt {};
-    };
-
-    /** One way of borrowing. */
+    /** A way of borrowing. */
     struct Way {
         std::string name;
         LoanTerms terms;
     };
 
-    /** Counts of one replay. */
-    struct Result {
-        std::uint64_t requests = 0;
-        std::uint64_t atOnce = 0;
-        std::uint64_t afterWait = 0;
-        std::uint64_t refused = 0;
-        /** Refusals while another router could have spent the tokens. */
-        std::uint64_t refusedElsewhere = 0;
-        std::uint64_t loanMessages = 0;
-        std::uint64_t peakLoanMessages = 0;
-        std::uint64_t loans = 0;
-        /** Unspent tokens that the failed router had borrowed, and that it could have spent in total. */
-        std::int64_t lostLoans = 0;
-        std::int64_t lost = 0;
-        std::int64_t billed = 0;
-        std::map<std::size_t, std::uint64_t> refusedByRouter;
-        std::map<std::int64_t, std::uint64_t> refusedBySecond;
-    };
-
-    struct Caller {
-        RequestKey key;
-        Tokens maxCost;
-        Instant since {};
-        Duration limit {};
-    };
-
-    struct Router {
-        Router(Incarnation self, const PolicySettings& settings, const Fold& fold)
-            : id(self)
-            , holder(self, makePolicy("grants", settings), fold)
-            , witness(self, fold)
-        {
-        }
-
-        Incarnation id;
-        Holder holder;
-        Witness witness;
-        HolderEnvironment environment;
-        double weight = 1;
-        bool failed = false;
-        std::uint64_t sequence = 0;
-        std::vector<std::pair<Instant, Item>> outbox;
-        std::vector<Caller> waiting;
-    };
-
-    /** Replays a load on real holders and witnesses over one fold. Messages take 1 to 3 ms. */
-    class Replay {
-    public:
-        Replay(const Scenario& scenario, const LoanTerms& terms, std::uint64_t seed)
-            : scenario_(scenario)
-            , random_(seed)
-        {
-            apply({ { operators, 1, OpenAccount { budget_.account, "hash" } },
-                { operators, 2, TopUp { budget_, Tokens { scenario.bought } } } });
-            PolicySettings settings;
-            settings.watermarks = Watermarks { 8, 10 };
-            settings.preallocationPercent = 50;
-            settings.witnessesClose = false;
-            settings.loans = terms;
-            for (std::size_t index = 0; index < scenario.routers; ++index) {
-                routers_.emplace_back(Incarnation { firstRouter + index }, settings, fold_);
-                routers_.back().weight = index < scenario.heavy.size() ? scenario.heavy.at(index) : 1;
-                routers_.back().holder.preallocate(budget_);
-            }
-            for (std::size_t index = 0; index < scenario.routers; ++index)
-                connect(index);
-        }
-
-        Result run()
-        {
-            every(tickPeriod, [this] { tick(); });
-            every(logPeriod, [this] { readLog(); });
-            at(1s, [this] { arrive(); });
-            if (scenario_.failAt)
-                at(*scenario_.failAt, [this] { fail(routers_.front()); });
-            if (scenario_.moveAt)
-                at(*scenario_.moveAt, [this] { moveLoad(); });
-            while (!events_.empty() && events_.top().at <= Instant { runTime }) {
-                const Event event = events_.top();
-                events_.pop();
-                now_ = event.at;
-                event.run();
-            }
-            result_.billed = fold_.budget(budget_)->billed.value();
-            EXPECT_LE(fold_.budget(budget_)->held, Tokens { scenario_.bought });
-            EXPECT_LE(reservedOrBilled_, scenario_.bought);
-            EXPECT_EQ(fold_.inconsistency(), "");
-            return result_;
-        }
-
-    private:
-        struct Event {
-            Instant at;
-            std::uint64_t number;
-            std::function<void()> run;
-            bool operator<(const Event& other) const
-            {
-                return std::tie(other.at, other.number) < std::tie(at, number);
-            }
-        };
-
-        void at(Duration time, std::function<void()> run) { events_.push({ Instant { time }, ++events, run }); }
-        void after(Duration time, std::function<void()> run) { at(now_.time_since_epoch() + time, std::move(run)); }
-        void every(Duration period, std::function<void()> run)
-        {
-            after(period, [this, period, run] {
-                run();
-                every(period, run);
-            });
-        }
-        double draw() { return std::uniform_real_distribution<double>(0, 1)(random_); }
-        bool logReachable() const
-        {
-            const Duration time = now_.time_since_epoch();
-            return std::ranges::none_of(
-                outageStarts, [time](Duration start) { return time >= start && time < start + outageLength; });
-        }
-
-        // Lenders of the own domain come first, in an order of their own for each router, as in the membership.
-        void connect(std::size_t index)
-        {
-            Router& router = routers_.at(index);
-            router.environment.routers = static_cast<std::uint32_t>(scenario_.routers);
-            router.environment.witness = routers_.at((index + domains) % scenario_.routers).id;
-            std::vector<std::pair<std::size_t, Incarnation>> order;
-            for (std::size_t other = 0; other < scenario_.routers; ++other) {
-                const std::size_t rank = (other * 7919 + index * 104'729) % 1'000'003;
-                if (other != index)
-                    order.emplace_back(rank + (other % domains == index % domains ? 0 : 1'000'003), routers_[other].id);
-            }
-            std::ranges::sort(order);
-            for (const auto& [rank, id] : order)
-                router.environment.lenders.push_back(id);
-        }
-
-        void apply(std::vector<Item> items)
-        {
-            std::vector<Effect> effects;
-            ASSERT_TRUE(fold_.apply(fold_.nextOffset(), Batch { rulesVersion, std::move(items) }, effects));
-            for (Router& router : routers_) {
-                LedgerActions actions;
-                for (const Effect& effect : effects) {
-                    router.witness.onEffect(effect, actions);
-                    router.holder.onEffect(effect, now_, actions);
-                }
-                execute(router, actions);
-            }
-        }
-
-        void readLog()
-        {
-            if (!logReachable())
-                return;
-            for (Router& router : routers_) {
-                std::vector<Item> items;
-                const auto isDue = [this](const auto& item) { return now_ - item.first >= logPeriod; };
-                const auto end = std::ranges::find_if_not(router.outbox, isDue);
-                std::transform(router.outbox.begin(), end, std::back_inserter(items), [](auto& i) { return i.second; });
-                router.outbox.erase(router.outbox.begin(), end);
-                if (!items.empty())
-                    apply(std::move(items));
-            }
-        }
-
-        void tick()
-        {
-            for (Router& router : routers_) {
-                router.environment.logReachable = logReachable();
-                LedgerActions actions;
-                if (!router.failed)
-                    router.holder.onTick(now_, router.environment, actions);
-                execute(router, actions);
-                retryWaiting(router);
-            }
-        }
-
-        void arrive()
-        {
-            double total = 0;
-            for (const Router& router : routers_)
-                total += router.failed ? 0 : router.weight;
-            double pick = draw() * total;
-            const auto chosen = std::ranges::find_if(
-                routers_, [&](const Router& router) { return !router.failed && (pick -= router.weight) <= 0; });
-            const Tokens cost { std::llround(minCost * std::pow(maxCost / minCost, draw())) };
-            const Duration limit = tokenWaitLimits.at(random_() % tokenWaitLimits.size());
-            Router& router = chosen == routers_.end() ? routers_.back() : *chosen;
-            ++result_.requests;
-            router.waiting.push_back({ RequestKey { 1, result_.requests }, cost, now_, limit });
-            retryWaiting(router);
-            const double pause = -std::log(1 - draw()) / scenario_.requestsPerSecond;
-            after(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(pause)), [this] { arrive(); });
-        }
-
-        void retryWaiting(Router& router)
-        {
-            for (const Caller& caller : std::exchange(router.waiting, {})) {
-                if (!router.failed)
-                    serve(router, caller);
-            }
-        }
-
-        void serve(Router& router, const Caller& caller)
-        {
-            LedgerActions actions;
-            const auto reserved = router.holder.reserve(budget_, caller.key, caller.maxCost, now_, actions);
-            if (const auto* const reservation = std::get_if<Reservation>(&reserved)) {
-                ++(caller.since == now_ ? result_.atOnce : result_.afterWait);
-                reservedOrBilled_ += reservation->amount.value();
-                run(router, *reservation);
-            } else if (std::get<Shortage>(reserved).pending && now_ - caller.since < caller.limit) {
-                router.waiting.push_back(caller);
-            } else {
-                refuse(router, caller);
-            }
-            execute(router, actions);
-        }
-
-        void run(Router& router, const Reservation& reservation)
-        {
-            const Tokens cost { std::max<std::int64_t>(std::llround(reservation.amount.value() * draw() * 2 / 3), 1) };
-            after(std::chrono::milliseconds(200 + random_() % 1000), [this, &router, reservation, cost] {
-                if (router.failed)
-                    return;
-                LedgerActions actions;
-                reservedOrBilled_ -= (reservation.amount - cost).value();
-                router.holder.settle(reservation, cost, actions);
-                execute(router, actions);
-            });
-        }
-
-        void refuse(Router& router, const Caller& caller)
-        {
-            router.holder.withdraw(budget_, caller.key, now_);
-            ++result_.refused;
-            ++result_.refusedByRouter[router.id.value() - firstRouter];
-            ++result_.refusedBySecond[now_.time_since_epoch() / 1s];
-            result_.refusedElsewhere += std::ranges::any_of(routers_, [&](const Router& other) {
-                return !other.failed && other.holder.spendable(budget_) >= caller.maxCost;
-            });
-        }
-
-        void fail(Router& router)
-        {
-            router.failed = true;
-            for (const HoldingView& view : router.holder.holdings()) {
-                result_.lost += (view.ceiling - view.billed - view.lent).value();
-                result_.lostLoans += view.borrowed > Tokens {} ? (view.amount - view.billed).value() : 0;
-            }
-            for (Router& other : routers_)
-                std::erase(other.environment.lenders, router.id);
-        }
+    LoanTerms termsOf(std::uint32_t asksAtOnce, double sizeSeconds, std::optional<double> keptSeconds)
+    {
+        LoanTerms terms;
+        terms.asksAtOnce = asksAtOnce;
+        terms.sizeSeconds = sizeSeconds;
+        terms.keptSeconds = keptSeconds;
+        return terms;
+    }
 
-        void moveLoad()
-        {
-            for (std::size_t index = 0; index < scenario_.heavy.size(); ++index)
-                std::swap(routers_.at(index).weight, routers_.at(routers_.size() - 1 - index).weight);
-        }
+    std::vector<Way> ways()
+    {
+        return { { "nearest", {} }, { "several", termsOf(8, 2, std::nullopt) }, { "keep 0.5 s", termsOf(1, 2, 0.5) },
+            { "several, 2 s", termsOf(8, 2, 2) }, { "several, 0.5 s", termsOf(8, 2, 0.5) },
+            { "4 at once, 1 s", termsOf(4, 1, 0.5) }, { "demand", demandLoanTerms() } };
+    }
 
-        void execute(Router& router, LedgerActions& actions)
-        {
-            bool retry = false;
-            for (const LedgerAction& action : actions) {
-                if (const auto* const entry = std::get_if<AppendEntry>(&action))
-                    router.outbox.emplace_back(now_, Item { router.id, ++router.sequence, entry->entry });
-                else if (std::holds_alternative<TokensAvailable>(action))
-                    retry = true;
-                else
-                    send(router, action);
-            }
-            if (std::exchange(actions, {}); retry && !router.waiting.empty())
-                after(0ms, [this, &router] { retryWaiting(router); });
-        }
+    std::vector<ReplayScenario> scenarios()
+    {
+        constexpr std::int64_t budget = 12'000'000;
+        return { { "91 routers", 91, budget, 40 }, { "91, little left", 91, budget, 50 },
+            { "91, 33k each", 91, budget / 2, 20 }, { "91, 132k each", 91, budget * 2, 100 },
+            { "two compete", 91, budget, 50, { 40, 40 } }, { "load moves", 91, budget, 50, { 12, 8, 8 }, 8s },
+            { "borrower fails", 91, budget, 50, { 12, 8, 8 }, {}, 28500ms }, { "6 routers", 6, budget, 40 },
+            { "6, little left", 6, budget, 50 } };
+    }
 
-        void send(const Router& from, const LedgerAction& action)
-        {
-            const auto to = std::visit(
-                [](const auto& message) -> std::optional<Incarnation> {
-                    if constexpr (requires { message.to; })
-                        return message.to;
-                    return {};
-                },
-                action);
-            if (!to)
-                return;
-            const bool isRaise = std::holds_alternative<SendRaise>(action)
-                || std::holds_alternative<SendCeilingsAcked>(action)
-                || std::holds_alternative<SendCeilingsRefused>(action);
-            if (!isRaise) {
-                ++result_.loanMessages;
-                result_.peakLoanMessages
-                    = std::max(result_.peakLoanMessages, ++messagesBySecond_[now_.time_since_epoch() / 1s]);
-            }
-            result_.loans += std::holds_alternative<SendLoanGiven>(action);
-            Router& receiver = routers_.at(to->value() - firstRouter);
-            after(std::chrono::microseconds(1000 + random_() % 2001),
-                [this, &receiver, id = from.id, action] { receive(receiver, id, action); });
-        }
+    /** @brief Adds the counts of a further seed. */
+    void add(ReplayResult& sum, const ReplayResult& result)
+    {
+        sum.requests += result.requests;
+        sum.atOnce += result.atOnce;
+        sum.afterWait += result.afterWait;
+        sum.refused += result.refused;
+        sum.refusedElsewhere += result.refusedElsewhere;
+        sum.loans += result.loans;
+        sum.loanMessages += result.loanMessages;
+        sum.peakLoanMessages = std::max(sum.peakLoanMessages, result.peakLoanMessages);
+        sum.lostLoans += result.lostLoans;
+        sum.lost += result.lost;
+        for (const auto& [router, count] : result.refusedByRouter)
+            sum.refusedByRouter[router] += count;
+        for (const auto& [second, count] : result.refusedBySecond)
+            sum.refusedBySecond[second] += count;
+    }
 
-        void receive(Router& router, Incarnation from, const LedgerAction& action)
-        {
-            if (router.failed)
-                return;
-            LedgerActions out;
-            Holder& holder = router.holder;
-            if (const auto* const raise = std::get_if<SendRaise>(&action))
-                router.witness.onRaise(from, raise->ceilings, out);
-            else if (const auto* const acked = std::get_if<SendCeilingsAcked>(&action))
-                holder.onCeilingsAcked(from, acked->ceilings, now_, out);
-            else if (const auto* const refused = std::get_if<SendCeilingsRefused>(&action))
-                holder.onCeilingsRefused(from, refused->grants, now_, out);
-            else if (const auto* const ask = std::get_if<SendLoanAsk>(&action))
-                holder.onLoanAsk(from, ask->loan, ask->budget, ask->amount, now_, out);
-            else if (const auto* const given = std::get_if<SendLoanGiven>(&action))
-                holder.onLoanGiven(from, given->loan, given->budget, given->grant, given->amount, now_, out,
-                    given->holderOnly, given->left);
-            else if (const auto* const denied = std::get_if<SendLoanDenied>(&action))
-                holder.onLoanDenied(from, denied->loan, denied->budget, denied->free, now_, out);
-            else if (const auto* const done = std::get_if<SendLoanDone>(&action))
-                holder.onLoanDone(from, done->loan, done->billed, now_, out);
-            else if (const auto* const doneAcked = std::get_if<SendLoanDoneAcked>(&action))
-                holder.onLoanDoneAcked(from, doneAcked->loan, now_, out);
-            execute(router, out);
-        }
+    ReplayResult replaySeeds(const ReplayScenario& scenario, const LoanTerms& terms, std::uint64_t seeds)
+    {
+        ReplayResult sum;
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+            add(sum, replay(scenario, terms, seed));
+        return sum;
+    }
 
-        static constexpr Incarnation operators { 1 };
-        const BudgetRef budget_ { AccountId { "account" }, BudgetId { "budget" } };
-        const Scenario& scenario_;
-        std::mt19937_64 random_;
-        Fold fold_;
-        std::deque<Router> routers_;
-        std::priority_queue<Event> events_;
-        std::uint64_t events = 0;
-        Instant now_ {};
-        Result result_;
-        std::int64_t reservedOrBilled_ = 0;
-        std::map<std::int64_t, std::uint64_t> messagesBySecond_;
-    };
+    void printHeader()
+    {
+        std::cout << std::left << std::setw(18) << "scenario" << std::setw(18) << "way" << std::right;
+        for (const std::string_view column :
+            { "requests", "at once", "waited", "refused", "elsewh.", "loans", "msg/s", "peak/s", "lent lost", "lost" })
+            std::cout << std::setw(10) << column;
+        std::cout << "  refused by router; by second\n";
+    }
 
-    void print(const Scenario& scenario, const Way& way, const Result& result)
+    void print(const ReplayScenario& scenario, const Way& way, const ReplayResult& result, std::uint64_t seeds)
     {
-        std::cout << std::left << std::setw(22) << scenario.name << std::setw(16) << way.name << std::right;
-        for (const std::uint64_t count : { result.requests, result.atOnce, result.afterWait, result.refused,
-                 result.refusedElsewhere, result.loans, result.loanMessages / 36, result.peakLoanMessages })
-            std::cout << std::setw(9) << count;
-        std::cout << std::setw(10) << result.lostLoans << std::setw(10) << result.lost << std::setw(12) << result.billed
-                  << "  ";
-        for (std::size_t index = 0; index < 3; ++index)
-            std::cout << ' ' << (result.refusedByRouter.contains(index) ? result.refusedByRouter.at(index) : 0);
-        std::cout << "  ";
+        std::cout << std::left << std::setw(18) << scenario.name << std::setw(18) << way.name << std::right;
+        for (const std::uint64_t count :
+            { result.requests, result.atOnce, result.afterWait, result.refused, result.refusedElsewhere, result.loans,
+                result.loanMessages / replaySeconds / seeds, result.peakLoanMessages })
+            std::cout << std::setw(10) << count;
+        std::cout << std::setw(10) << result.lostLoans << std::setw(10) << result.lost << ' ';
+        std::uint64_t others = 0;
+        for (const auto& [router, count] : result.refusedByRouter) {
+            if (router < scenario.heavy.size())
+                std::cout << ' ' << router << ':' << count;
+            else
+                others += count;
+        }
+        std::cout << " others:" << others << ';';
         for (const auto& [second, count] : result.refusedBySecond)
-            std::cout << ' ' << second << ':' << count;
+            std::cout << ' ' << second << "s:" << count;
         std::cout << '\n';
     }
 
+    void compare(const std::vector<ReplayScenario>& compared, const std::vector<Way>& comparedWays, std::uint64_t seeds)
+    {
+        printHeader();
+        for (const ReplayScenario& scenario : compared) {
+            for (const Way& way : comparedWays)
+                print(scenario, way, replaySeeds(scenario, way.terms, seeds), seeds);
+        }
+    }
+
 } // namespace
 
-TEST(LoanReplayTest, Compare)
+// Failure: while the log is unreachable, a router that gets most of an account's requests refuses them although other
+// routers hold tokens, because it asks them one by one and each lends only half of what it has.
+TEST(LoanReplayTest, AsksByDemandRefuseLessInALargeFleet)
 {
-    const std::vector<Way> ways {
-        { "nearest", {} },
-        { "parallel", { 8 } },
-        { "parallel+keep2", { 8, 2, 0, 2.0 } },
-        { "par+keep2+min8", { 8, 2, 0, 2.0, 8 } },
-        { "+ahead1", { 8, 2, 1, 3.0, 8 } },
-        { "+ahead2,4", { 8, 4, 2, 5.0, 8 } },
-        { "nearest+ahead", { 1, 2, 1, 3.0, 8 } },
-    };
-    std::vector<Scenario> scenarios;
-    scenarios.push_back({ "91" });
-    scenarios.push_back({ "91 ample", 91, 40'000'000 });
-    scenarios.push_back({ "91 tight", 91, 17'000'000 });
-    scenarios.push_back({ "two compete", 91, 24'000'000, 100, { 40, 40 } });
-    scenarios.push_back({ "moves", 91, 24'000'000, 100, { 12, 8, 8 }, 9s });
-    scenarios.push_back({ "dies", 91, 24'000'000, 100, { 12, 8, 8 }, {}, 10s });
-    scenarios.push_back({ "6", 6 });
-    scenarios.push_back({ "6 tight", 6, 17'000'000 });
-    for (const Scenario& scenario : scenarios) {
-        for (const Way& way : ways)
-            print(scenario, way, Replay(scenario, way.terms, 1).run());
-    }
+    const std::vector<ReplayScenario> all = scenarios();
+    const ReplayScenario& large = all.front();
+    const std::vector<Way> compared { ways().front(), ways().back() };
+    compare({ large, all.back() }, compared, 1);
+    const ReplayResult nearest = replaySeeds(large, LoanTerms {}, 2);
+    const ReplayResult demand = replaySeeds(large, demandLoanTerms(), 2);
+    EXPECT_LT(demand.refusedElsewhere * 2, nearest.refusedElsewhere);
+    EXPECT_LE(demand.loanMessages, nearest.loanMessages);
 }
 
+// Compares all ways in all scenarios; for changes of the terms. Takes a minute.
+TEST(LoanReplayTest, DISABLED_ComparesAllWays) { compare(scenarios(), ways(), 3); }
+
 } // namespace swiftlift::ledger
--- a/tests/settings/RouterSettingsTest.cpp
+++ b/tests/settings/RouterSettingsTest.cpp
@@ -87,6 +87,24 @@
     EXPECT_THAT(findingsOf("vm: here"), testing::Contains(StartsWith("1:5: vm: expected a map, found \"here\"")));
 }
 
+// Failure: a fleet runs with the default order of loans although its settings name another one.
+TEST(RouterSettings, ReadsTheOrderOfLoans)
+{
+    const auto ledgerWith = [](std::string_view keys) {
+        return std::string(test::routerSettings) + "ledger: {" + std::string(keys) + "}\n";
+    };
+    Findings findings;
+    EXPECT_EQ(parseRouterSettings(test::routerSettings, "router.yaml", findings)->ledger.loans, LoanOrder::Nearest);
+    const auto settings = parseRouterSettings(ledgerWith("loans: demand"), "router.yaml", findings);
+    ASSERT_TRUE(settings.has_value()) << testing::PrintToString(texts(findings));
+    EXPECT_EQ(settings->ledger.loans, LoanOrder::Demand);
+    EXPECT_EQ(toText(settings->ledger.loans), "demand");
+    EXPECT_THAT(findingsOf(ledgerWith("loans: farthest")),
+        ElementsAre(testing::AllOf(testing::HasSubstr("ledger.loans"), testing::HasSubstr("nearest"))));
+    EXPECT_THAT(findingsOf(ledgerWith("policy: static_split, loans: demand")),
+        ElementsAre(testing::HasSubstr("ledger.loans: has a meaning only with policy grants")));
+}
+
 TEST(RouterSettings, ReportsAFileThatCannotBeRead)
 {
     Findings findings;
