Record lenders' answers only where several are asked

Cause: with ledger.loans: nearest the recorded answers were part of the holder's state without any effect.

--- a/src/ledger/HolderImpl.h
+++ b/src/ledger/HolderImpl.h
@@ -152,6 +152,8 @@
     void advanceLoans(HolderBudgetState& budgetState, const BudgetSituation& situation, LedgerActions& actions);
     void advanceLoan(
         BorrowedLoan& loan, HolderBudgetState& budgetState, const BudgetSituation& situation, LedgerActions& actions);
+    /** @brief Records how a lender has answered a request; `lent` is zero when it denied or did not answer. */
+    void rankLender(HolderBudgetState& budgetState, const BorrowedLoan& loan, Tokens lent);
     /** @brief Ends a loan that its lender has not answered in time. */
     void abandonLoanRequest(BorrowedLoan& loan, HolderBudgetState& budgetState, LedgerActions& actions);
     void endLoan(BorrowedLoan& loan, LedgerActions& actions);
--- a/src/ledger/LenderRanking.cpp
+++ b/src/ledger/LenderRanking.cpp
@@ -43,6 +43,7 @@
     }
     std::ranges::stable_sort(ranked, std::greater {}, [](const auto& entry) { return entry.first; });
     std::vector<Incarnation> result;
+    result.reserve(ranked.size());
     for (const auto& [left, lender] : ranked)
         result.push_back(lender);
     return result;
--- a/src/ledger/LoanBorrowing.cpp
+++ b/src/ledger/LoanBorrowing.cpp
@@ -116,10 +116,25 @@
     }
 }
 
+// A lender that lends less than requested has lent all that it can spare; the others can probably lend as much again.
+void HolderImpl::rankLender(HolderBudgetState& budgetState, const BorrowedLoan& loan, Tokens lent)
+{
+    if (policy_->loanTerms().asksAtOnce <= 1)
+        return;
+    LenderRanking& ranking = budgetState.lenderRanking;
+    if (lent < loan.requestedAmount())
+        ranking.onExhausted(loan.lender(), now_);
+    else
+        ranking.onWholeLoan(loan.lender(), lent, now_);
+    if (lent == none || lent < budgetState.waitingRequests.smallest())
+        ranking.onFailure();
+    else
+        ranking.onTokensReceived();
+}
+
 void HolderImpl::abandonLoanRequest(BorrowedLoan& loan, HolderBudgetState& budgetState, LedgerActions& actions)
 {
-    budgetState.lenderRanking.onExhausted(loan.lender(), now_);
-    budgetState.lenderRanking.onFailure();
+    rankLender(budgetState, loan, none);
     endLoan(loan, actions);
 }
 
@@ -181,17 +196,11 @@
     }
     borrowed.onGranted(grant, amount, holderOnly, now);
     HolderBudgetState& budgetState = budgetStateOf(borrowed.budget());
-    // A lender that lends less than requested has lent all that it can spare; the others can lend as much again.
-    if (amount < borrowed.requestedAmount())
-        budgetState.lenderRanking.onExhausted(from, now_);
-    else
-        budgetState.lenderRanking.onWholeLoan(from, amount, now_);
+    rankLender(budgetState, borrowed, amount);
     if (amount < budgetState.waitingRequests.smallest()) {
-        budgetState.lenderRanking.onFailure();
         endLoan(borrowed, actions);
     } else {
         budgetState.lenderRotation.onUsefulLoan();
-        budgetState.lenderRanking.onTokensReceived();
         budgetState.shortageSignals.onTokensReceived();
         actions.emplace_back(TokensAvailable { borrowed.budget() });
     }
@@ -205,10 +214,9 @@
     if (found == loans_.end() || found->second.lender() != from || found->second.state() != LoanState::Requested)
         return;
     const BudgetRef budget = found->second.budget();
-    removeLoan(loan);
     HolderBudgetState& budgetState = budgetStateOf(budget);
-    budgetState.lenderRanking.onExhausted(from, now_);
-    budgetState.lenderRanking.onFailure();
+    rankLender(budgetState, found->second, none);
+    removeLoan(loan);
     updateBudget(budget, budgetState, actions);
     flushRaises(actions);
 }
