--- a/src/ledger/LoanBorrowing.cpp
+++ b/src/ledger/LoanBorrowing.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <set>
 
 #include "ledger/HolderImpl.h"
 
@@ -28,19 +29,56 @@
 void HolderImpl::borrow(
     const BudgetRef& budget, HolderBudgetState& budgetState, const BudgetSituation& situation, LedgerActions& actions)
 {
-    if (budgetState.waitingRequests.empty())
+    const LoanTerms terms = policy_->loanTerms();
+    if (environment_.lenders.empty() || !needsLoan(budgetState, situation))
         return;
-    const bool isDrawSlow = budgetState.pendingDraw && now_ - budgetState.pendingDrawSince > slowDrawThreshold;
-    const bool drawWillCover = situation.logReachable && situation.available >= situation.need && !isDrawSlow;
-    if (retired_ || drawWillCover || situation.largestFree >= situation.need || hasRecentLoanRequest(budgetState))
+    if (terms.asksAtOnce > 1) {
+        borrowFromSeveral(budget, budgetState, situation, terms, actions);
         return;
+    }
     const Tokens size = policy_->loanSize(situation);
-    if (size == none || environment_.lenders.empty() || !budgetState.lenderRotation.isDue(now_))
+    if (size == none || !recentLoanRequests(budgetState).empty() || !budgetState.lenderRotation.isDue(now_))
         return;
+    const std::size_t lender = budgetState.lenderRotation.nextLender(environment_.lenders.size(), now_);
+    requestLoan(budget, budgetState, environment_.lenders.at(lender), size, actions);
+}
+
+bool HolderImpl::needsLoan(const HolderBudgetState& budgetState, const BudgetSituation& situation) const
+{
+    if (retired_ || budgetState.waitingRequests.empty())
+        return false;
+    const bool isDrawSlow = budgetState.pendingDraw && now_ - budgetState.pendingDrawSince > slowDrawThreshold;
+    const bool drawWillCover = situation.logReachable && situation.available >= situation.need && !isDrawSlow;
+    return !drawWillCover && situation.largestFree < situation.need;
+}
+
+void HolderImpl::borrowFromSeveral(const BudgetRef& budget, HolderBudgetState& budgetState,
+    const BudgetSituation& situation, const LoanTerms& terms, LedgerActions& actions)
+{
+    Tokens missing = policy_->loanSize(situation);
+    std::set<Incarnation> asked;
+    for (const BorrowedLoan* const loan : recentLoanRequests(budgetState)) {
+        asked.insert(loan->lender());
+        missing -= loan->requestedAmount();
+    }
+    // A request is covered by a single loan, so each loan has to be large enough for the largest request.
+    const Tokens part { missing.value() / terms.asksAtOnce };
+    const Tokens size = std::max({ part, situation.need, situation.largest });
+    for (const Incarnation lender : budgetState.lenderRanking.rank(environment_.lenders, now_)) {
+        if (missing <= none || asked.size() >= terms.asksAtOnce)
+            return;
+        if (!asked.insert(lender).second)
+            continue;
+        missing -= size;
+        requestLoan(budget, budgetState, lender, size, actions);
+    }
+}
+
+void HolderImpl::requestLoan(
+    const BudgetRef& budget, HolderBudgetState& budgetState, Incarnation lender, Tokens size, LedgerActions& actions)
+{
     const std::uint64_t number = ++lastLoan_;
     budgetState.loans.push_back(number);
-    const Incarnation lender
-        = environment_.lenders.at(budgetState.lenderRotation.nextLender(environment_.lenders.size(), now_));
     BorrowedLoan& loan = loans_.try_emplace(number, number, lender, budget, size, now_).first->second;
     if (loan.takeDueAttempt(now_))
         actions.emplace_back(SendLoanAsk { loan.lender(), number, budget, size });
@@ -53,13 +91,13 @@
 }
 
 void HolderImpl::advanceLoan(
-    BorrowedLoan& loan, const HolderBudgetState& budgetState, const BudgetSituation& situation, LedgerActions& actions)
+    BorrowedLoan& loan, HolderBudgetState& budgetState, const BudgetSituation& situation, LedgerActions& actions)
 {
     const Duration age = now_ - loan.lastUsedAt();
     switch (loan.state()) {
     case LoanState::Requested:
         if (age > loanRequestTimeout || retired_)
-            endLoan(loan, actions);
+            abandonLoanRequest(loan, budgetState, actions);
         else if (loan.takeDueAttempt(now_))
             actions.emplace_back(SendLoanAsk { loan.lender(), loan.number(), loan.budget(), loan.requestedAmount() });
         return;
@@ -78,6 +116,28 @@
     }
 }
 
+// A lender that lends less than requested has lent all that it can spare; the others can probably lend as much again.
+void HolderImpl::rankLender(HolderBudgetState& budgetState, const BorrowedLoan& loan, Tokens lent)
+{
+    if (policy_->loanTerms().asksAtOnce <= 1)
+        return;
+    LenderRanking& ranking = budgetState.lenderRanking;
+    if (lent < loan.requestedAmount())
+        ranking.onExhausted(loan.lender(), now_);
+    else
+        ranking.onWholeLoan(loan.lender(), lent, now_);
+    if (lent == none || lent < budgetState.waitingRequests.smallest())
+        ranking.onFailure();
+    else
+        ranking.onTokensReceived();
+}
+
+void HolderImpl::abandonLoanRequest(BorrowedLoan& loan, HolderBudgetState& budgetState, LedgerActions& actions)
+{
+    rankLender(budgetState, loan, none);
+    endLoan(loan, actions);
+}
+
 // H10: nothing of the loan is spent from now on. An abandoned request ends in the same way, since its answer may have
 // been lost: otherwise the lender would count the tokens as lent forever.
 void HolderImpl::endLoan(BorrowedLoan& loan, LedgerActions& actions)
@@ -96,7 +156,9 @@
 bool HolderImpl::isLoanAnswerPending(const HolderBudgetState& budgetState) const
 {
     // Lenders are asked again every second. After a round that brought nothing, callers don't wait for the next one.
-    if (budgetState.lenderRotation.previousRoundFailed())
+    const bool asksSeveral = policy_->loanTerms().asksAtOnce > 1;
+    if (asksSeveral ? budgetState.lenderRanking.allFailed(environment_.lenders.size())
+                    : budgetState.lenderRotation.previousRoundFailed())
         return false;
     return std::ranges::any_of(budgetState.loans, [&](std::uint64_t number) {
         const BorrowedLoan& loan = loans_.at(number);
@@ -104,12 +166,15 @@
     });
 }
 
-bool HolderImpl::hasRecentLoanRequest(const HolderBudgetState& budgetState) const
+std::vector<const BorrowedLoan*> HolderImpl::recentLoanRequests(const HolderBudgetState& budgetState) const
 {
-    return std::ranges::any_of(budgetState.loans, [&](std::uint64_t number) {
+    std::vector<const BorrowedLoan*> recent;
+    for (const std::uint64_t number : budgetState.loans) {
         const BorrowedLoan& loan = loans_.at(number);
-        return loan.state() == LoanState::Requested && now_ - loan.lastUsedAt() < slowLenderTimeout;
-    });
+        if (loan.state() == LoanState::Requested && now_ - loan.lastUsedAt() < slowLenderTimeout)
+            recent.push_back(&loan);
+    }
+    return recent;
 }
 
 void HolderImpl::onLoanGiven(Incarnation from, std::uint64_t loan, GrantId grant, Tokens amount, bool holderOnly,
@@ -131,6 +196,7 @@
     }
     borrowed.onGranted(grant, amount, holderOnly, now);
     HolderBudgetState& budgetState = budgetStateOf(borrowed.budget());
+    rankLender(budgetState, borrowed, amount);
     if (amount < budgetState.waitingRequests.smallest()) {
         endLoan(borrowed, actions);
     } else {
@@ -148,8 +214,10 @@
     if (found == loans_.end() || found->second.lender() != from || found->second.state() != LoanState::Requested)
         return;
     const BudgetRef budget = found->second.budget();
+    HolderBudgetState& budgetState = budgetStateOf(budget);
+    rankLender(budgetState, found->second, none);
     removeLoan(loan);
-    updateBudget(budget, budgetStateOf(budget), actions);
+    updateBudget(budget, budgetState, actions);
     flushRaises(actions);
 }
 
