--- a/tests/node/LoadFleet.cpp
+++ b/tests/node/LoadFleet.cpp
@@ -30,8 +30,8 @@
 
 } // namespace
 
-LoadFleet::LoadFleet(LoadFleetSettings settings)
-    : settings_(std::move(settings))
+LoadFleet::LoadFleet(const LoadFleetSettings& settings)
+    : settings_(settings)
     , random_(settings_.seed)
     , routers_(settings_.routers)
 {
--- a/tests/node/LoadFleet.h
+++ b/tests/node/LoadFleet.h
@@ -48,7 +48,7 @@
         std::vector<LogLine> lines;
     };
 
-    explicit LoadFleet(LoadFleetSettings settings);
+    explicit LoadFleet(const LoadFleetSettings& settings);
 
     void run(Duration time);
     void kill(std::size_t router) { routers_[router].alive = false; }
