--- a/src/routing/PrefixHolders.h
+++ b/src/routing/PrefixHolders.h
@@ -15,7 +15,7 @@
 /**
  * @brief Remembers which servers this router saw begin or complete requests with a prefix.
  *
- * Bounded: 16,384 prefixes with four servers each, and 16,384 servers, take 2.5 MB.
+ * Bounded: 16,384 prefixes with four servers each, and 16,384 servers, take about 3.5 MB.
  */
 class PrefixHolders {
 public:
