--- a/tests/routing/EngineModel.cpp
+++ b/tests/routing/EngineModel.cpp
@@ -1,7 +1,6 @@
 #include "routing/EngineModel.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace swiftlift::routing::test {
 
@@ -18,13 +17,13 @@
     return request.prompt + Tokens { request.events * settings_.tokensPerEvent };
 }
 
-bool EngineModel::offer(EngineRequest request, Instant now)
+bool EngineModel::offer(const EngineRequest& request, Instant now)
 {
     if (waiting_.size() >= settings_.queue) {
         return false;
     }
     held_ += memoryOf(request);
-    waiting_.push_back(std::move(request));
+    waiting_.push_back(request);
     if (!stepping_) {
         beginStep(now);
     }
@@ -43,14 +42,14 @@
 void EngineModel::admit()
 {
     while (!waiting_.empty() && running_.size() < settings_.slots) {
-        EngineRequest request = std::move(waiting_.front());
+        EngineRequest request = waiting_.front();
         waiting_.pop_front();
         const auto known = std::find_if(
             cached_.begin(), cached_.end(), [&](const auto& entry) { return entry.first == request.prefix; });
         const bool isCached = known != cached_.end();
         request.unread = request.prompt - (isCached ? request.shared : Tokens {});
         prefilledShared_ += isCached || request.prefix == 0 ? Tokens {} : request.shared;
-        running_.push_back(std::move(request));
+        running_.push_back(request);
     }
 }
 
--- a/tests/routing/EngineModel.h
+++ b/tests/routing/EngineModel.h
@@ -55,7 +55,7 @@
     }
 
     /** @return False if the queue is full. */
-    [[nodiscard]] bool offer(EngineRequest request, Instant now);
+    [[nodiscard]] bool offer(const EngineRequest& request, Instant now);
     /** @brief Executes the steps that end until `now`. */
     void advance(Instant now, std::vector<EngineEvent>& events);
     /** @return True if the requests need more than the memory: a real engine crashes. */
