--- a/tests/ledger/LoanReplay.cpp
+++ b/tests/ledger/LoanReplay.cpp
@@ -125,9 +125,9 @@
             bool operator<(const Event& other) const { return std::tie(other.at, other.number) < std::tie(at, number); }
         };
 
-        void at(Duration time, std::function<void()> run) { events_.push({ Instant { time }, ++scheduled_, run }); }
+        void at(Duration time, std::function<void()> run) { events_.push({ Instant { time }, ++scheduled_, std::move(run) }); }
         void after(Duration time, std::function<void()> run) { at(now_.time_since_epoch() + time, std::move(run)); }
-        void every(Duration period, std::function<void()> run)
+        void every(Duration period, const std::function<void()>& run)
         {
             after(period, [this, period, run] {
                 run();
@@ -212,7 +212,7 @@
             const Duration limit = tokenWaitLimits.at(load_() % tokenWaitLimits.size());
             Router& router = chosen == routers_.end() ? routers_.back() : *chosen;
             ++result_.requests;
-            const Tokens billed { std::max<std::int64_t>(std::llround(cost.value() * draw() * 2 / 3), 1) };
+            const Tokens billed { std::max<std::int64_t>(std::llround(static_cast<double>(cost.value()) * draw() * 2 / 3), 1) };
             const Duration answerTime = std::chrono::milliseconds(200 + load_() % 1000);
             router.waiting.push_back({ RequestKey { 1, result_.requests }, cost, now_, limit, billed, answerTime });
             retryWaiting(router);
