Keep idle connections to backend servers for as long as the servers allow

A router that spreads its requests over many servers found a connection for few of them: connections were closed after half of the advertised idle time, at most 30 s. They are now kept for the advertised time less a margin of 1 s (a quarter of a short time), at most 300 s. The number of all idle connections is bounded by a quarter of the process's descriptors, less 200 reserved ones; the least recently used one is closed first. Callers get at most a half of them.

Requests that may run only once still get only a connection that became idle within the last second.

--- a/include/swiftlift/transport/StreamServer.h
+++ b/include/swiftlift/transport/StreamServer.h
@@ -36,7 +36,7 @@
 
 /** Size and time limits of callers' and backend servers' connections. */
 struct StreamLimits {
-    /** Maximum number of open callers' connections. */
+    /** Maximum number of open callers' connections; lowered to a part of the process's descriptors. */
     std::size_t connections = 4096;
     /** Length of the listening socket's accept queue, in connections; 0: the operating system's maximum. */
     int acceptBacklog = 0;
@@ -58,6 +58,8 @@
     std::size_t lineBytes = 64 * 1024;
     /** Maximum number of idle connections that are kept per backend server. */
     std::size_t idlePerBackend = 32;
+    /** Maximum number of idle connections to all backend servers; lowered to a part of the process's descriptors. */
+    std::size_t idleBackends = 4096;
     /** Timeout for receiving a request's header, from its first byte. */
     std::chrono::milliseconds headerTime { 10'000 };
     /** Timeout for receiving a request's body, from the end of its header. */
@@ -68,7 +70,7 @@
     std::chrono::milliseconds writeStallTime { 30'000 };
     /** Timeout for connecting to a backend server. */
     std::chrono::milliseconds connectTime { 1'000 };
-    /** Time after which an idle connection to a backend server is closed. */
+    /** Time after which an idle connection to a backend server is closed that advertises no time itself. */
     std::chrono::milliseconds backendIdleTime { 30'000 };
     /** Maximum idle time of a kept connection that may carry a request which must not run twice. */
     std::chrono::milliseconds freshIdleTime { 1'000 };
@@ -116,6 +118,8 @@
     std::uint64_t backendConnects = 0;
     /** Attempts that reused a kept connection. */
     std::uint64_t backendReuses = 0;
+    /** Idle connections to backend servers. */
+    std::size_t idleBackends = 0;
     /** Requests and connections refused under overload. */
     std::uint64_t overloaded = 0;
     /** Requests whose callers had disconnected before the requests were read. */
--- a/src/transport/Attempt.cpp
+++ b/src/transport/Attempt.cpp
@@ -1,7 +1,6 @@
 #include "transport/Attempt.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cstdint>
 #include <limits>
 #include <utility>
@@ -10,6 +9,7 @@
 #include <boost/asio/write.hpp>
 
 #include "transport/AnswerHeadTap.h"
+#include "transport/ConnectionLimits.h"
 #include "transport/RelayText.h"
 #include "transport/SocketOptions.h"
 
@@ -39,20 +39,6 @@
         return relayStatus == RelayAnswer::declined ? node::ConnectFailure::Declined : node::ConnectFailure::Relay;
     }
 
-    /** @return The idle time N that the backend server advertises with `Keep-Alive: timeout=N`. */
-    std::optional<std::chrono::seconds> advertisedIdleTime(std::string_view keepAlive)
-    {
-        constexpr std::string_view mark = "timeout=";
-        const auto place = keepAlive.find(mark);
-        if (place == std::string_view::npos) {
-            return std::nullopt;
-        }
-        const std::string_view digits = keepAlive.substr(place + mark.size());
-        int seconds = 0;
-        const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
-        return error == std::errc {} ? std::optional(std::chrono::seconds(seconds)) : std::nullopt;
-    }
-
 } // namespace
 
 Attempt::Attempt(StreamContext& context, AttemptHandler& handler, BackendPool& pool, AttemptOrder order)
--- a/src/transport/BackendPool.cpp
+++ b/src/transport/BackendPool.cpp
@@ -1,10 +1,11 @@
 #include "transport/BackendPool.h"
 
-#include <algorithm>
 #include <utility>
 
 #include <sys/socket.h>
 
+#include "transport/ConnectionLimits.h"
+
 namespace swiftlift::transport::internal {
 
 namespace {
@@ -26,49 +27,40 @@
 
 BackendPool::BackendPool(StreamContext& context)
     : context_(context)
+    , idle_({ context.limits.idlePerBackend, context.limits.idleBackends })
 {
 }
 
 BackendPool::ConnectionPtr BackendPool::take(const BackendId& backend, bool anyAge)
 {
-    const auto found = idle_.find(backend);
-    if (found == idle_.end()) {
-        return nullptr;
-    }
-    auto& connections = found->second;
-    const auto now = std::chrono::steady_clock::now();
-    while (!connections.empty()) {
-        // The most recently used connection, so that surplus ones reach their idle limit.
-        ConnectionPtr connection = connections.back();
-        if (!anyAge && now - connection->idleSince > context_.limits.freshIdleTime) {
-            return nullptr;
-        }
-        connections.pop_back();
+    using Clock = std::chrono::steady_clock;
+    const auto now = Clock::now();
+    const auto maxAge = anyAge ? std::nullopt : std::optional<Clock::duration>(context_.limits.freshIdleTime);
+    while (const auto taken = idle_.take(backend, now, maxAge)) {
+        const ConnectionPtr& connection = *taken;
         connection->idle = false;
         boost::system::error_code ignored;
         connection->socket.cancel(ignored);
-        if (now - connection->idleSince <= connection->idleLimit && isOpenAndSilent(connection->socket)) {
+        if (isOpenAndSilent(connection->socket)) {
             return connection;
         }
-        connection->socket.close(ignored);
+        close(*connection);
     }
     return nullptr;
 }
 
 void BackendPool::giveBack(
-    const BackendId& backend, ConnectionPtr connection, std::optional<std::chrono::milliseconds> advertisedIdleTime)
+    const BackendId& backend, ConnectionPtr connection, std::optional<std::chrono::seconds> advertisedIdleTime)
 {
-    connection->idleLimit
-        = std::min(context_.limits.backendIdleTime, advertisedIdleTime.value_or(context_.limits.backendIdleTime) / 2);
-    auto& connections = idle_[backend];
-    if (connections.size() >= context_.limits.idlePerBackend) {
-        return;
-    }
     connection->idle = true;
-    connection->idleSince = std::chrono::steady_clock::now();
     ++connection->idlePeriod;
     watch(backend, connection);
-    connections.push_back(std::move(connection));
+    const auto surplus = idle_.add(backend, std::move(connection), std::chrono::steady_clock::now(),
+        idleLimitFor(advertisedIdleTime, context_.limits));
+    if (surplus) {
+        close(**surplus);
+    }
+    context_.counts.idleBackends = idle_.size();
 }
 
 void BackendPool::watch(const BackendId& backend, const ConnectionPtr& connection)
@@ -76,49 +68,32 @@
     connection->socket.async_wait(boost::asio::ip::tcp::socket::wait_read,
         [this, backend, connection, idlePeriod = connection->idlePeriod](const boost::system::error_code& error) {
             if (!error && connection->idle && connection->idlePeriod == idlePeriod) {
-                drop(backend, connection);
+                idle_.drop(backend, connection);
+                close(*connection);
             }
         });
 }
 
-void BackendPool::drop(const BackendId& backend, const ConnectionPtr& connection)
+void BackendPool::close(BackendConnection& connection)
 {
-    connection->idle = false;
+    connection.idle = false;
     boost::system::error_code ignored;
-    connection->socket.close(ignored);
-    auto& connections = idle_[backend];
-    std::erase(connections, connection);
-    if (connections.empty()) {
-        idle_.erase(backend);
-    }
+    connection.socket.close(ignored);
 }
 
 void BackendPool::sweep()
 {
-    const auto now = std::chrono::steady_clock::now();
-    std::vector<std::pair<BackendId, ConnectionPtr>> expired;
-    for (const auto& [backend, connections] : idle_) {
-        for (const auto& connection : connections) {
-            if (now - connection->idleSince > connection->idleLimit) {
-                expired.emplace_back(backend, connection);
-            }
-        }
-    }
-    for (const auto& [backend, connection] : expired) {
-        drop(backend, connection);
+    for (const auto& connection : idle_.expire(std::chrono::steady_clock::now())) {
+        close(*connection);
     }
+    context_.counts.idleBackends = idle_.size();
 }
 
 void BackendPool::clear()
 {
-    for (auto& [backend, connections] : idle_) {
-        for (const auto& connection : connections) {
-            connection->idle = false;
-            boost::system::error_code ignored;
-            connection->socket.close(ignored);
-        }
+    for (const auto& connection : idle_.clear()) {
+        close(*connection);
     }
-    idle_.clear();
 }
 
 } // namespace swiftlift::transport::internal
--- a/src/transport/BackendPool.h
+++ b/src/transport/BackendPool.h
@@ -4,12 +4,11 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
-#include <unordered_map>
-#include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 
 #include "swiftlift/base/Ids.h"
+#include "transport/IdleConnections.h"
 #include "transport/StreamContext.h"
 
 namespace swiftlift::transport::internal {
@@ -21,9 +20,6 @@
     boost::asio::ip::tcp::socket socket;
     /** Whether the connection is in the pool. */
     bool idle = false;
-    std::chrono::steady_clock::time_point idleSince;
-    /** Maximum time in the pool. */
-    std::chrono::milliseconds idleLimit { 0 };
     /** Number of times the connection was put into the pool; identifies watches of earlier idle periods. */
     std::uint64_t idlePeriod = 0;
 };
@@ -33,8 +29,9 @@
  *
  * If the backend server closes a kept connection while a request is written to it, the connection ends before any
  * answer, and it is unknown whether the request ran. Connections are therefore watched while idle, checked again when
- * taken, and closed after half of the idle time that the backend server advertises. A request that must not run twice
- * only gets a connection that became idle at most `freshIdleTime` ago.
+ * taken, and closed shortly before the idle time that the backend server advertises. A request that must not run twice
+ * only gets a connection that became idle at most `freshIdleTime` ago. Of too many idle connections, the one that has
+ * been idle for longest is closed.
  */
 class BackendPool {
 public:
@@ -53,8 +50,8 @@
      * @brief Puts a connection whose last answer was read completely into the pool.
      * @param advertisedIdleTime How long the backend server keeps the connection open while idle, as it advertises.
      */
-    void giveBack(const BackendId& backend, ConnectionPtr connection,
-        std::optional<std::chrono::milliseconds> advertisedIdleTime);
+    void giveBack(
+        const BackendId& backend, ConnectionPtr connection, std::optional<std::chrono::seconds> advertisedIdleTime);
 
     /** Closes connections that have been idle for longer than their limit. */
     void sweep();
@@ -64,10 +61,11 @@
 
 private:
     void watch(const BackendId& backend, const ConnectionPtr& connection);
-    void drop(const BackendId& backend, const ConnectionPtr& connection);
+    /** Closes a connection that has been removed from `idle_`. */
+    void close(BackendConnection& connection);
 
     StreamContext& context_;
-    std::unordered_map<BackendId, std::vector<ConnectionPtr>> idle_;
+    IdleConnections<ConnectionPtr> idle_;
 };
 
 } // namespace swiftlift::transport::internal
--- a/src/transport/StreamServer.cpp
+++ b/src/transport/StreamServer.cpp
@@ -15,6 +15,7 @@
 
 #include "swiftlift/transport/AnnouncementFields.h"
 #include "transport/CallTable.h"
+#include "transport/ConnectionLimits.h"
 #include "transport/LinkProber.h"
 #include "transport/ProxyCallTable.h"
 #include "transport/RelayServer.h"
@@ -63,6 +64,12 @@
         boost::asio::steady_timer retryTimer;
     };
 
+    StreamLimits limitedByDescriptors(StreamLimits limits)
+    {
+        internal::limitByDescriptors(limits, internal::descriptorLimit());
+        return limits;
+    }
+
     int backlogOf(const StreamLimits& limits)
     {
         return limits.acceptBacklog > 0 ? limits.acceptBacklog : tcp::acceptor::max_listen_connections;
@@ -73,7 +80,7 @@
 struct StreamServer::State {
     State(StreamLimits given, DecisionInbox& decisions, StreamObserver& observer, logging::JsonLog& log,
         std::shared_ptr<const ProxyDialect> dialect)
-        : limits(given)
+        : limits(limitedByDescriptors(given))
         , inbox(commandRingCapacity)
         , context { loop, limits, decisions, ring::Outbox<TaggedEvent>(decisions), observer, log,
             internal::ReadPacer(loop, given.readInterval), {}, {}, {}, {} }
