Bound the bytes and the time of a backend server's answer

Beast limits an answer's head only. A chunk's size line or trailer fields without end were buffered until the silence limit (about 700 MB to 1 GB in 2 s on loopback), a Content-Length that can't be allocated ended the process with std::bad_alloc, bodies of refusals and of answers to other requests were read without end (6.0 GB and 3.9 GB in 2 s), and repeated events kept a stream open.

Answers are limited in unparsed, discarded and total bytes, in time and in the number of heads that are not the request's own. Repeated lines and events no longer extend the silence limit. Past a limit the connection is closed and the attempt is Broken. The counter of ended answers and the log line endless_answer show it.

--- a/include/swiftlift/transport/EventSplitter.h
+++ b/include/swiftlift/transport/EventSplitter.h
@@ -33,6 +33,9 @@
     /** @return The next complete event; empty if more bytes are needed. */
     [[nodiscard]] std::optional<StreamEvent> next();
 
+    /** @return Number of bytes that are buffered. */
+    [[nodiscard]] std::size_t heldBytes() const noexcept { return buffer_.size() - consumed_; }
+
     /** @return Whether an incomplete event is buffered. */
     [[nodiscard]] bool partial() const noexcept { return consumed_ < buffer_.size(); }
 
--- a/include/swiftlift/transport/LineMatcher.h
+++ b/include/swiftlift/transport/LineMatcher.h
@@ -14,7 +14,10 @@
     std::string token;
 };
 /** A line with a token that the caller has already received. */
-struct RepeatedLine { };
+struct RepeatedLine {
+    /** No line of this attempt had this index or a higher one before. */
+    bool advances = true;
+};
 /** A line of another request or another attempt, or one that isn't a JSON object; must never reach the caller. */
 struct ForeignLine {
     std::string reason;
@@ -65,6 +68,8 @@
     std::string key_;
     std::string attempt_;
     std::int64_t next_;
+    /** Highest index of this attempt's lines; -1: none. */
+    std::int64_t highest_ = -1;
     std::int64_t maxTokens_;
 };
 
--- a/include/swiftlift/transport/StreamServer.h
+++ b/include/swiftlift/transport/StreamServer.h
@@ -56,6 +56,12 @@
     std::size_t answerBytes = 4 * 1024 * 1024;
     /** Maximum size of one line or event of a backend server's streamed answer. */
     std::size_t lineBytes = 64 * 1024;
+    /** Maximum number of bytes that are read of one answer, including its framing and what is discarded. */
+    std::size_t answerTotalBytes = 64 * 1024 * 1024;
+    /** Maximum time from the end of connecting to the end of the answer. */
+    std::chrono::milliseconds answerTime { 600'000 };
+    /** Maximum number of bytes that are held for all connections together, before slow callers are disconnected. */
+    std::size_t heldBytes = 32 * 1024 * 1024;
     /** Maximum number of idle connections that are kept per backend server. */
     std::size_t idlePerBackend = 32;
     /** Maximum number of idle connections to all backend servers; lowered to a part of the process's descriptors. */
@@ -134,6 +140,14 @@
     std::size_t relays = 0;
     /** Largest number of unsent bytes that a single caller's connection has had. */
     std::size_t mostUnsentBytes = 0;
+    /** Bytes that are held for all connections: received and not yet handled, or not yet passed to a socket. */
+    std::size_t heldBytes = 0;
+    /** Largest number of held bytes so far. */
+    std::size_t mostHeldBytes = 0;
+    /** Answers that were ended because they exceeded a limit on size or time. */
+    std::uint64_t endlessAnswers = 0;
+    /** Callers that were disconnected because they read nothing while too many bytes were held. */
+    std::uint64_t slowCallersClosed = 0;
 };
 
 /**
--- a/src/transport/AnswerReader.cpp
+++ b/src/transport/AnswerReader.cpp
@@ -15,6 +15,12 @@
     return ReadState::Broken;
 }
 
+ReadState AnswerReader::tooLarge(std::string reason)
+{
+    lastReason_ = std::move(reason);
+    return ReadState::TooLarge;
+}
+
 HeadVerdict NativeAnswerReader::head(const AnswerHead& head)
 {
     constexpr int ok = 200;
@@ -54,7 +60,7 @@
         const auto newline = bytes.find('\n');
         partial_ += bytes.substr(0, newline);
         if (partial_.size() > maxLineBytes_) {
-            return broken("a line of the answer is too long");
+            return tooLarge("a line of the answer is too long");
         }
         if (newline == std::string_view::npos) {
             return ReadState::Incomplete;
@@ -77,8 +83,10 @@
     if (auto* token = std::get_if<TokenLine>(&matched)) {
         sink_.part(std::move(token->token));
         sink_.matchingLine();
-    } else if (std::holds_alternative<RepeatedLine>(matched)) {
-        sink_.matchingLine();
+    } else if (const auto* repeated = std::get_if<RepeatedLine>(&matched)) {
+        if (repeated->advances) {
+            sink_.matchingLine();
+        }
     } else if (const auto* foreign = std::get_if<ForeignLine>(&matched)) {
         sink_.foreignLine(foreign->reason);
     } else if (const auto* wrong = std::get_if<BrokenLine>(&matched)) {
@@ -101,7 +109,7 @@
 ReadState PlainAnswerReader::parseBody(std::string_view bytes)
 {
     body_ += bytes;
-    return body_.size() > maxBytes_ ? broken("the answer is too large") : ReadState::Incomplete;
+    return body_.size() > maxBytes_ ? tooLarge("the answer is too large") : ReadState::Incomplete;
 }
 
 ReadState PlainAnswerReader::end()
--- a/src/transport/AnswerReader.h
+++ b/src/transport/AnswerReader.h
@@ -26,7 +26,13 @@
 };
 
 /** Whether an answer is incomplete, complete or invalid. */
-enum class ReadState : std::uint8_t { Incomplete, Complete, Broken };
+enum class ReadState : std::uint8_t {
+    Incomplete,
+    Complete,
+    Broken,
+    /** Invalid because it, or a part of it, exceeds its size limit. */
+    TooLarge,
+};
 
 /** How an attempt ended. */
 enum class AttemptResult : std::uint8_t {
@@ -60,6 +66,9 @@
     /** Handles the end of the body. */
     [[nodiscard]] virtual ReadState end() = 0;
 
+    /** @return Number of bytes of the answer that are held until more of it is received. */
+    [[nodiscard]] virtual std::size_t heldBytes() const noexcept = 0;
+
     /** @return The result of an attempt that was refused with this body. */
     [[nodiscard]] virtual AttemptResult refusal(const std::string& body) const = 0;
     /** @return The result of an attempt whose answer is complete. */
@@ -74,6 +83,7 @@
 
 protected:
     [[nodiscard]] ReadState broken(std::string reason);
+    [[nodiscard]] ReadState tooLarge(std::string reason);
 
     DoneLine counts_;
     std::optional<routing::Announcement> announcement_;
@@ -86,7 +96,10 @@
 struct AnswerSink {
     /** Receives the next token or event, or the complete body of a plain service. */
     std::function<void(std::string)> part;
-    /** Called for each line or event of this request's answer, including those that the caller already has. */
+    /**
+     * Called for each line or event of this request's answer, including those that the caller already has, except
+     * repetitions within the same answer: an endless repetition must not extend the silence limit.
+     */
     std::function<void()> matchingLine;
     /** Called for a line that belongs to another request, with the reason. */
     std::function<void(const std::string&)> foreignLine;
@@ -109,6 +122,7 @@
 
     [[nodiscard]] ReadState parseBody(std::string_view bytes) override;
     [[nodiscard]] ReadState end() override;
+    [[nodiscard]] std::size_t heldBytes() const noexcept override { return partial_.size(); }
 
 private:
     [[nodiscard]] ReadState handleLine(std::string_view line);
@@ -126,6 +140,7 @@
 
     [[nodiscard]] ReadState parseBody(std::string_view bytes) override;
     [[nodiscard]] ReadState end() override;
+    [[nodiscard]] std::size_t heldBytes() const noexcept override { return body_.size(); }
 
 private:
     AnswerSink sink_;
--- a/src/transport/Attempt.cpp
+++ b/src/transport/Attempt.cpp
@@ -29,6 +29,12 @@
     /** Time that a relay has to connect to the backend server and to report it, in multiples of the connect timeout. */
     constexpr int relayConnectTimeouts = 2;
     constexpr std::size_t maxRelayAnswerBytes = 4 * 1024;
+    /** Maximum number of interim answers and of late answers to earlier requests before the request's own answer. */
+    constexpr int maxForeignHeads = 16;
+    /** Maximum number of body bytes that are read and discarded: of refusals and of answers to other requests. */
+    constexpr std::size_t maxDiscardedBytes = 256 * 1024;
+    /** Maximum number of log lines about foreign parts of one answer; the counter counts all of them. */
+    constexpr int maxForeignLogLines = 16;
 
     /** @param relayStatus Status of a relay that did not connect; 0: none was received. */
     node::ConnectFailure failureOf(int relayStatus)
@@ -47,6 +53,7 @@
     , pool_(pool)
     , order_(std::move(order))
     , deadline_(context.loop, [this] { silenceTimedOut(); })
+    , held_(context.held)
 {
     startParser();
 }
@@ -154,7 +161,9 @@
 void Attempt::write()
 {
     maybeStarted_ = true;
+    answerDue_ = std::chrono::steady_clock::now() + context_.limits.answerTime;
     armSilenceTimeout();
+    updateHeldBytes();
     writing_ = true;
     // Write errors are ignored, since the backend server may refuse without reading the whole body. The read reports a
     // lost connection.
@@ -162,11 +171,27 @@
         [self = shared_from_this()](ErrorCode, std::size_t count) {
             self->writing_ = false;
             self->context_.traffic.sent += count;
+            self->order_.request = {};
+            self->updateHeldBytes();
         });
     read();
 }
 
 void Attempt::read()
+{
+    if (mustWaitForMemory()) {
+        context_.postponed.push_back(weak_from_this());
+    } else {
+        readNow();
+    }
+}
+
+bool Attempt::mustWaitForMemory()
+{
+    return !closed_ && reader_->heldBytes() > 0 && !context_.mayCollect(shared_from_this());
+}
+
+void Attempt::readNow()
 {
     if (reading_ || paused_ || closed_) {
         return;
@@ -194,7 +219,10 @@
         return;
     }
     buffer_.commit(count);
+    receivedBytes_ += count;
     parse();
+    checkSize();
+    updateHeldBytes();
     if (streaming_ && !ended_) {
         context_.pacer.later(shared_from_this());
     } else {
@@ -232,6 +260,10 @@
         ErrorCode error;
         const std::size_t used = parser_->put(buffer_.data(), error);
         buffer_.consume(used);
+        if (error == http::error::header_limit) {
+            endOversized("the head of the answer is too large");
+            return;
+        }
         if (error && error != http::error::need_more) {
             end(AttemptResult::Broken, "HTTP parse error in the answer: " + error.message());
             return;
@@ -286,6 +318,16 @@
         handleReadState(reader_->parseBody(body));
     } else if (*verdict_ == HeadVerdict::Refusal && refusalBody_.size() + body.size() <= maxRefusalBytes) {
         refusalBody_ += body;
+    } else {
+        discard(body.size());
+    }
+}
+
+void Attempt::discard(std::size_t count)
+{
+    discardedBytes_ += count;
+    if (discardedBytes_ > maxDiscardedBytes) {
+        endOversized("too many bytes that are not the answer");
     }
 }
 
@@ -294,7 +336,11 @@
     // A late answer to an earlier request on this connection. It is discarded: forwarded, it would give the caller the
     // answer to another request.
     if (!ended_ && verdict_ == HeadVerdict::Foreign) {
-        startParser();
+        if (++foreignHeads_ > maxForeignHeads) {
+            endOversized("too many answers to other requests");
+        } else {
+            startParser();
+        }
         return;
     }
     if (!ended_) {
@@ -311,11 +357,40 @@
 {
     if (state == ReadState::Broken) {
         end(AttemptResult::Broken, reader_->lastReason());
+    } else if (state == ReadState::TooLarge) {
+        endOversized(reader_->lastReason());
     } else if (state == ReadState::Complete) {
         end(reader_->result(), {});
     }
 }
 
+// Beast limits the head, but neither a chunk's size line nor the trailer fields.
+void Attempt::checkSize()
+{
+    const bool unparsedTooLarge = buffer_.size() > context_.limits.headerBytes + readBytes;
+    if (!unparsedTooLarge && receivedBytes_ <= context_.limits.answerTotalBytes) {
+        return;
+    }
+    if (ended_) {
+        closeSocket();
+    } else {
+        endOversized(unparsedTooLarge ? "a line of the answer's framing is too long" : "the answer is too large");
+    }
+}
+
+void Attempt::endOversized(const std::string& reason)
+{
+    if (ended_) {
+        return;
+    }
+    ++context_.counts.endlessAnswers;
+    context_.log.write(logging::Level::Warning, "endless_answer",
+        { { "backend", order_.backend.value() }, { "request", order_.name },
+            { "attempt", static_cast<std::int64_t>(order_.attempt.value()) },
+            { "bytes", static_cast<std::int64_t>(receivedBytes_) }, { "reason", reason } });
+    end(AttemptResult::Broken, reason);
+}
+
 void Attempt::silenceTimedOut()
 {
     // A router whose event loop lags must not treat its own lag as unreachable backend servers. Otherwise it would open
@@ -328,6 +403,8 @@
     }
     if (ended_) {
         closeSocket();
+    } else if (std::chrono::steady_clock::now() >= answerDue_) {
+        endOversized("the answer is not complete within its time limit");
     } else if (maybeStarted_) {
         end(AttemptResult::Broken, "no data from the backend server within the silence limit");
     } else {
@@ -365,6 +442,7 @@
     }
     closed_ = true;
     deadline_.disarm();
+    updateHeldBytes();
     const auto keepAlive = parser_->get()[http::field::keep_alive];
     pool_.giveBack(order_.backend, std::move(connection_), advertisedIdleTime({ keepAlive.data(), keepAlive.size() }));
 }
@@ -381,6 +459,7 @@
         return;
     }
     deadline_.disarm();
+    updateHeldBytes();
     if (connection_) {
         ErrorCode ignored;
         connection_->socket.close(ignored);
@@ -404,10 +483,21 @@
 
 void Attempt::armSilenceTimeout()
 {
-    if (order_.silenceLimit > Duration::zero()) {
-        deadline_.arm(order_.silenceLimit);
-    } else {
-        deadline_.arm(context_.limits.defaultSilence);
+    using Clock = std::chrono::steady_clock;
+    const bool limited = order_.silenceLimit > Duration::zero();
+    const Clock::duration silence = limited ? Clock::duration(order_.silenceLimit) : context_.limits.defaultSilence;
+    deadline_.arm(std::min(silence, answerDue_ - Clock::now()));
+}
+
+void Attempt::updateHeldBytes()
+{
+    if (!closed_) {
+        held_.set(order_.request.size() + buffer_.size() + reader_->heldBytes());
+        return;
+    }
+    held_.set(0);
+    if (context_.exempt.lock().get() == this) {
+        context_.exempt.reset();
     }
 }
 
@@ -431,6 +521,9 @@
 void Attempt::logForeignAnswer(const std::string& reason)
 {
     ++context_.counts.foreignLines;
+    if (++foreignLogLines_ > maxForeignLogLines) {
+        return;
+    }
     context_.log.write(logging::Level::Warning, "foreign_line",
         { { "backend", order_.backend.value() }, { "request", order_.name },
             { "attempt", static_cast<std::int64_t>(order_.attempt.value()) }, { "reason", reason } });
--- a/src/transport/Attempt.h
+++ b/src/transport/Attempt.h
@@ -14,8 +14,10 @@
 #include "transport/AnswerReader.h"
 #include "transport/BackendPool.h"
 #include "transport/Deadline.h"
+#include "transport/HeldBytes.h"
 #include "transport/ReadPacer.h"
 #include "transport/StreamContext.h"
+#include "transport/TextBody.h"
 
 namespace swiftlift::transport::internal {
 
@@ -77,7 +79,7 @@
     /** Stops reading until resume(), because the caller is slow. */
     void pause();
     void resume();
-    void readNow() override { read(); }
+    void readNow() override;
 
     [[nodiscard]] AttemptId id() const noexcept { return order_.attempt; }
     [[nodiscard]] CallId call() const noexcept { return order_.call; }
@@ -96,7 +98,7 @@
     [[nodiscard]] bool connectionLost() const noexcept { return connectionLost_; }
 
 private:
-    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+    using Parser = boost::beast::http::response_parser<TextBody>;
     using ErrorCode = boost::system::error_code;
 
     void startParser();
@@ -107,6 +109,8 @@
     void endUnconnected(std::string detail);
     void write();
     void read();
+    /** @return Whether reading waits because all connections together hold too many bytes. */
+    [[nodiscard]] bool mustWaitForMemory();
     void onRead(ErrorCode error, std::size_t count);
     void onClosed(ErrorCode error);
     void parse();
@@ -114,11 +118,17 @@
     void handleBody();
     void handleEnd();
     void handleReadState(ReadState state);
+    /** Limits what is read of the answer in total, and what of it is not parsed yet. */
+    void checkSize();
+    /** Ends the attempt because its answer exceeds a limit on size or time. */
+    void endOversized(const std::string& reason);
+    void discard(std::size_t count);
     void silenceTimedOut();
     void end(AttemptResult result, std::string detail);
     void recycle();
     void closeSocket();
     void armSilenceTimeout();
+    void updateHeldBytes();
     [[nodiscard]] AnswerSink sink();
     void logForeignAnswer(const std::string& reason);
 
@@ -131,6 +141,16 @@
     std::shared_ptr<AnswerReader> reader_;
     std::optional<Parser> parser_;
     boost::beast::flat_buffer buffer_;
+    HeldBytes held_;
+    /** Number of bytes that were received since the request was written. */
+    std::size_t receivedBytes_ = 0;
+    /** Bytes of bodies that are not the answer. */
+    std::size_t discardedBytes_ = 0;
+    /** Heads that were not the answer's. */
+    int foreignHeads_ = 0;
+    int foreignLogLines_ = 0;
+    /** When the answer must be complete. */
+    std::chrono::steady_clock::time_point answerDue_ = std::chrono::steady_clock::time_point::max();
     std::string refusalBody_;
     std::string relayRequest_;
     std::string relayAnswer_;
--- a/src/transport/LineMatcher.cpp
+++ b/src/transport/LineMatcher.cpp
@@ -1,5 +1,6 @@
 #include "swiftlift/transport/LineMatcher.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -67,8 +68,10 @@
         return BrokenLine { "tokens are missing: got index " + std::to_string(index) + ", expected "
             + std::to_string(next_) };
     }
+    const bool advances = index > highest_;
+    highest_ = std::max(highest_, index);
     if (index < next_) {
-        return RepeatedLine {};
+        return RepeatedLine { advances };
     }
     if (maxTokens_ > 0 && next_ >= maxTokens_) {
         return BrokenLine { "more tokens than the requested maximum" };
--- a/src/transport/ProxyAnswerReaders.cpp
+++ b/src/transport/ProxyAnswerReaders.cpp
@@ -1,5 +1,6 @@
 #include "transport/ProxyAnswerReaders.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace swiftlift::transport::internal {
@@ -58,7 +59,7 @@
 ReadState ProxyAnswerReader::collect(std::string_view bytes)
 {
     body_ += bytes;
-    return body_.size() > expected_.maxBodyBytes ? broken("the answer is too large") : ReadState::Incomplete;
+    return body_.size() > expected_.maxBodyBytes ? tooLarge("the answer is too large") : ReadState::Incomplete;
 }
 
 AttemptResult ProxyWholeReader::result() const { return success() ? AttemptResult::Completed : AttemptResult::Failed; }
@@ -97,7 +98,7 @@
             return state;
         }
     }
-    return splitter_.tooLarge() ? broken("event of the answer is too large") : ReadState::Incomplete;
+    return splitter_.tooLarge() ? tooLarge("event of the answer is too large") : ReadState::Incomplete;
 }
 
 ReadState ProxyEventReader::handleEvent(StreamEvent&& event)
@@ -105,9 +106,13 @@
     if (!event.id) {
         return broken("event without a numeric id");
     }
+    const bool advances = !highest_ || *event.id > *highest_;
+    highest_ = std::max(highest_, event.id);
     // A resuming engine may begin some events before the requested one; the caller already has those.
     if (last_ && *event.id <= *last_) {
-        sink_.matchingLine();
+        if (advances) {
+            sink_.matchingLine();
+        }
         return ReadState::Incomplete;
     }
     if (last_ && *event.id != *last_ + 1) {
--- a/src/transport/ProxyAnswerReaders.h
+++ b/src/transport/ProxyAnswerReaders.h
@@ -38,6 +38,7 @@
 
     /** @return Head of the request's answer. */
     [[nodiscard]] const AnswerHead& answerHead() const noexcept { return head_; }
+    [[nodiscard]] std::size_t heldBytes() const noexcept override { return body_.size(); }
     /** @return Id of the last event that was forwarded; empty if there is none. */
     [[nodiscard]] virtual std::optional<std::uint64_t> last() const noexcept { return std::nullopt; }
     /** @return The body of an unstreamed answer. */
@@ -79,12 +80,18 @@
     [[nodiscard]] AttemptResult result() const override;
 
     [[nodiscard]] std::optional<std::uint64_t> last() const noexcept override { return last_; }
+    [[nodiscard]] std::size_t heldBytes() const noexcept override
+    {
+        return ProxyAnswerReader::heldBytes() + splitter_.heldBytes();
+    }
 
 private:
     [[nodiscard]] ReadState handleEvent(StreamEvent&& event);
 
     AnswerSink sink_;
     std::optional<std::uint64_t> last_;
+    /** Highest id of this attempt's events; empty if there is none. */
+    std::optional<std::uint64_t> highest_;
     EventSplitter splitter_;
     bool events_ = false;
 };
--- a/src/transport/StreamContext.h
+++ b/src/transport/StreamContext.h
@@ -1,13 +1,16 @@
 #pragma once
 
 #include <chrono>
+#include <memory>
 #include <optional>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
 #include "swiftlift/ring/Outbox.h"
 #include "swiftlift/routing/LoadShedder.h"
 #include "swiftlift/transport/StreamServer.h"
+#include "transport/HeldBytes.h"
 #include "transport/ReadPacer.h"
 
 namespace swiftlift::transport::internal {
@@ -29,9 +32,39 @@
     /** Lag of the last sweep: data in the sockets waits at least this long before it is read. */
     std::chrono::steady_clock::duration lag {};
     BackendForwarders forwarders {};
+    /** Bytes that all connections hold. */
+    std::shared_ptr<HeldTotal> held = std::make_shared<HeldTotal>();
+    /** Readers that wait until fewer bytes are held. */
+    std::vector<std::weak_ptr<PacedReader>> postponed {};
+    /** The reader that goes on although too many bytes are held. */
+    std::weak_ptr<PacedReader> exempt {};
     /** When a backend server to which this router is connected itself has sent something. */
     std::chrono::steady_clock::time_point backendsHeardAt {};
 
+    /** @return Whether all connections together hold more bytes than they may. */
+    [[nodiscard]] bool holdsTooMuch() const noexcept { return held->bytes > limits.heldBytes; }
+
+    /**
+     * @return Whether the reader may collect more of its answer. While too many bytes are held, only one reader may, so
+     * that readers which wait for each other's memory don't all time out.
+     */
+    [[nodiscard]] bool mayCollect(const std::shared_ptr<PacedReader>& reader)
+    {
+        if (!holdsTooMuch()) {
+            return true;
+        }
+        if (exempt.expired() && held->bytes <= limits.heldBytes + limits.answerBytes) {
+            exempt = reader;
+        }
+        return exempt.lock() == reader;
+    }
+
+    /** @return Unsent bytes of a caller above which its backend server is not read. */
+    [[nodiscard]] std::size_t pauseAboveBytes() const noexcept
+    {
+        return holdsTooMuch() ? limits.resumeBelowBytes : limits.pauseAboveBytes;
+    }
+
     /** @return Where the backend server's address is reached; nullopt: the address is malformed. */
     [[nodiscard]] std::optional<Endpoint> endpointOf(const BackendAddress& address) const
     {
--- a/src/transport/StreamServer.cpp
+++ b/src/transport/StreamServer.cpp
@@ -102,6 +102,8 @@
     void executeCommands();
     void execute(StreamCommand&& command);
     void sweep();
+    /** Reads on where too many held bytes prevented it, if that has changed. */
+    void readPostponed();
     void run();
     void beginStop(std::chrono::milliseconds limit);
 
@@ -214,10 +216,13 @@
 {
     context.lag = std::max(std::chrono::steady_clock::now() - sweepDue, std::chrono::steady_clock::duration::zero());
     table->sweep();
+    readPostponed();
     {
         const std::lock_guard lock(countsMutex);
         publishedCounts = table->counts();
         publishedCounts.relays = relayServer.size();
+        publishedCounts.heldBytes = context.held->bytes;
+        publishedCounts.mostHeldBytes = context.held->most;
     }
     const bool inUse = table->hasConnections() || relayServer.size() > 0;
     if (stopAt && (!inUse || std::chrono::steady_clock::now() >= *stopAt)) {
@@ -235,6 +240,21 @@
     });
 }
 
+void StreamServer::State::readPostponed()
+{
+    for (const auto& postponed : std::exchange(context.postponed, {})) {
+        const auto reader = postponed.lock();
+        if (!reader) {
+            continue;
+        }
+        if (context.mayCollect(reader)) {
+            reader->readNow();
+        } else {
+            context.postponed.push_back(postponed);
+        }
+    }
+}
+
 // The operating system wakes the event loop for every received packet, even for streams that are not read before the
 // pacer's next round. With 40 streams, that means 1,700 wake-ups a second for 25 rounds of the pacer. Under load, the
 // sockets are therefore polled every `gatherTime` instead.
--- a/tests/transport/Network.cpp
+++ b/tests/transport/Network.cpp
@@ -107,6 +107,29 @@
     }
 }
 
+bool Connection::isReset()
+{
+    boost::system::error_code error;
+    std::array<char, 4096> bytes {};
+    while (!error) {
+        if (!readable(socket_.native_handle())) {
+            return false;
+        }
+        socket_.read_some(boost::asio::buffer(bytes), error);
+    }
+    return error == boost::asio::error::connection_reset;
+}
+
+std::size_t Connection::readToEnd()
+{
+    std::size_t count = received_.size();
+    received_.clear();
+    while (fill()) {
+        count += std::exchange(received_, {}).size();
+    }
+    return count;
+}
+
 void Connection::close() { socket_.close(); }
 
 Listener::Listener()
--- a/tests/transport/Network.h
+++ b/tests/transport/Network.h
@@ -30,6 +30,10 @@
     [[nodiscard]] HttpRequestMessage readRequest();
     /** @return Whether the other end closes the connection before a read times out. */
     [[nodiscard]] bool closes();
+    /** @return Whether the other end resets the connection, so that what was received is not a complete answer. */
+    [[nodiscard]] bool isReset();
+    /** Reads until the other end closes. @return Number of bytes that were not returned before. */
+    [[nodiscard]] std::size_t readToEnd();
     [[nodiscard]] bool hasReceived() const noexcept { return !received_.empty(); }
     void close();
 
