Bound the bytes held for slow readers, and don't let cut-off answers look complete

Each connection was bounded, but not the sum: 20 callers that read nothing held their answers for 30 s. Requests, unsent bytes and partly received answers are now summed. Above the limit new requests are refused (not run), streams pause earlier, one unstreamed answer is read on at a time, and the callers that have accepted no byte for longest are disconnected.

An answer without length and chunks that its server cut off after it was not read was reported as complete; it is Broken now, and not taken for a crash. A partial answer to a caller without chunked encoding ends with a reset.

--- a/src/transport/Attempt.cpp
+++ b/src/transport/Attempt.cpp
@@ -236,9 +236,13 @@
         closeSocket();
         return;
     }
-    connectionLost_ = error == boost::asio::error::eof || error == boost::asio::error::connection_reset;
+    // A server that cuts off an answer which is not read has not crashed.
+    const bool lost = error == boost::asio::error::eof || error == boost::asio::error::connection_reset;
+    connectionLost_ = lost && !wasUnreadForLong();
+    // Without a length and without chunks, an answer that was cut off would look complete.
+    const bool cutOff = wasUnreadForLong() && parser_->is_header_done() && parser_->need_eof();
     ErrorCode failed;
-    if (error == boost::asio::error::eof && parser_->is_header_done()) {
+    if (error == boost::asio::error::eof && parser_->is_header_done() && !cutOff) {
         parser_->put_eof(failed);
         if (!failed && parser_->is_done()) {
             handleEnd();
@@ -469,6 +473,7 @@
 void Attempt::pause()
 {
     paused_ = true;
+    pausedAt_ = std::chrono::steady_clock::now();
     deadline_.disarm();
 }
 
@@ -477,6 +482,7 @@
     if (!std::exchange(paused_, false) || closed_ || ended_) {
         return;
     }
+    longestPause_ = std::max(longestPause_, std::chrono::steady_clock::now() - pausedAt_);
     armSilenceTimeout();
     read();
 }
--- a/src/transport/Attempt.h
+++ b/src/transport/Attempt.h
@@ -98,6 +98,9 @@
     [[nodiscard]] bool connectionLost() const noexcept { return connectionLost_; }
 
 private:
+    /** Shortest time after which a backend server may cut off an answer that is not read. */
+    static constexpr std::chrono::milliseconds cutOffTime { 1'000 };
+
     using Parser = boost::beast::http::response_parser<TextBody>;
     using ErrorCode = boost::system::error_code;
 
@@ -113,6 +116,8 @@
     [[nodiscard]] bool mustWaitForMemory();
     void onRead(ErrorCode error, std::size_t count);
     void onClosed(ErrorCode error);
+    /** @return Whether the backend server may have cut off its answer because it was not read. */
+    [[nodiscard]] bool wasUnreadForLong() const noexcept { return longestPause_ >= cutOffTime; }
     void parse();
     void handleHeader();
     void handleBody();
@@ -149,6 +154,9 @@
     /** Heads that were not the answer's. */
     int foreignHeads_ = 0;
     int foreignLogLines_ = 0;
+    std::chrono::steady_clock::time_point pausedAt_;
+    /** Longest time for which the answer was not read, because its caller is slow. */
+    std::chrono::steady_clock::duration longestPause_ {};
     /** When the answer must be complete. */
     std::chrono::steady_clock::time_point answerDue_ = std::chrono::steady_clock::time_point::max();
     std::string refusalBody_;
--- a/src/transport/Call.cpp
+++ b/src/transport/Call.cpp
@@ -17,6 +17,7 @@
     , maxTokens_(request.maxAnswerTokens.value())
     , arrived_(steady_clock::now())
     , caller_(caller.shared_from_this())
+    , held_(context.held)
 {
 }
 
@@ -29,6 +30,7 @@
     }
     if (!stream_) {
         answer_.text += part;
+        held_.set(answer_.text.size());
         return;
     }
     if (caller_) {
@@ -76,6 +78,6 @@
     }
 }
 
-bool Call::callerIsSlow() const noexcept { return caller_ && caller_->unsentBytes() > context_.limits.pauseAboveBytes; }
+bool Call::callerIsSlow() const noexcept { return caller_ && caller_->unsentBytes() > context_.pauseAboveBytes(); }
 
 } // namespace swiftlift::transport::internal
--- a/src/transport/Call.h
+++ b/src/transport/Call.h
@@ -8,6 +8,7 @@
 #include "swiftlift/node/Event.h"
 #include "swiftlift/transport/CallerText.h"
 #include "transport/CallerConnection.h"
+#include "transport/HeldBytes.h"
 
 namespace swiftlift::transport::internal {
 
@@ -66,6 +67,8 @@
     std::chrono::steady_clock::time_point lastToken_;
     std::shared_ptr<CallerConnection> caller_;
     CollectedAnswer answer_;
+    /** The collected text. */
+    HeldBytes held_;
 };
 
 } // namespace swiftlift::transport::internal
--- a/src/transport/CallTable.cpp
+++ b/src/transport/CallTable.cpp
@@ -128,9 +128,9 @@
     const std::string requestId = request.id.value();
     const std::string attempt = std::to_string(request.attempt);
     TaggedEvent event { Incarnation {}, node::RequestArrived { id, std::move(request) } };
-    if (!context_.decisions.tryPush(std::move(event), reservedEvents)) {
+    if (context_.holdsTooMuch() || !context_.decisions.tryPush(std::move(event), reservedEvents)) {
         ++context_.counts.overloaded;
-        auto refused = overloadedRefusal("the router's decision queue is full");
+        auto refused = overloadedRefusal("the router's decision queue is full or it holds too many bytes");
         refused.outcome = outcomeBeforeCore(attempt);
         refuse(connection, refused, requestId);
         return;
@@ -322,6 +322,7 @@
     }
     expireStatusQueries();
     pool_.sweep();
+    closeSlowCallers(context_, connections_);
     silence_.sweep(running_);
 }
 
--- a/src/transport/CallerConnection.cpp
+++ b/src/transport/CallerConnection.cpp
@@ -17,6 +17,8 @@
 
     constexpr int sendBufferBytes = 64 * 1024;
     constexpr std::chrono::milliseconds lingerTime { 2'000 };
+    /** A caller that reads, however slowly, accepts bytes more often than this. */
+    constexpr std::chrono::milliseconds minStallTime { 1'000 };
     constexpr std::string_view continueLine = "HTTP/1.1 100 Continue\r\n\r\n";
 
 } // namespace
@@ -27,6 +29,7 @@
     , socket_(std::move(socket))
     , receiveDeadline_(context.loop, [this] { receiveTimedOut(); })
     , writeDeadline_(context.loop, [this] { handleDisconnect(); })
+    , held_(context.held)
 {
 }
 
@@ -94,6 +97,11 @@
     if (phase_ != Phase::Answering) {
         parse();
     }
+    updateHeldBytes();
+    if (phase_ == Phase::Receiving && context_.holdsTooMuch()) {
+        ++context_.counts.overloaded;
+        refuse(503, "overloaded", "the router holds too many bytes of other requests");
+    }
     read();
 }
 
@@ -183,6 +191,7 @@
     beginAnswer();
     handler_.requestRejected(
         *this, { status, std::move(reason), std::move(detail), headKnown ? &parser_->get() : nullptr });
+    parser_->get().body() = {};
 }
 
 void CallerConnection::beginAnswer()
@@ -236,7 +245,11 @@
 
 void CallerConnection::write(std::string_view bytes)
 {
+    if (unsentBytes() == 0) {
+        lastProgress_ = std::chrono::steady_clock::now();
+    }
     pending_ += bytes;
+    updateHeldBytes();
     context_.counts.mostUnsentBytes = std::max(context_.counts.mostUnsentBytes, unsentBytes());
     // Deferred, so that events that were read together are sent in one write.
     if (!std::exchange(flushScheduled_, true)) {
@@ -276,6 +289,8 @@
     }
     context_.traffic.sent += count;
     inFlightSent_ += count;
+    lastProgress_ = std::chrono::steady_clock::now();
+    updateHeldBytes();
     if (inFlightSent_ < inFlight_.size()) {
         writeSome();
     } else {
@@ -353,11 +368,37 @@
     const auto self = shared_from_this();
     receiveDeadline_.disarm();
     writeDeadline_.disarm();
+    held_.set(0);
+    resetIfAnswerIncomplete();
     ErrorCode ignored;
     socket_.close(ignored);
     handler_.connectionClosed(*this);
 }
 
+// Without chunked encoding, the end of the connection is the end of the answer, so a partial answer would look
+// complete.
+void CallerConnection::resetIfAnswerIncomplete()
+{
+    if (!streamBegun_ || chunked_ || (answerComplete_ && unsentBytes() == 0)) {
+        return;
+    }
+    ErrorCode ignored;
+    socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+}
+
+void CallerConnection::updateHeldBytes()
+{
+    if (phase_ != Phase::Closed) {
+        const std::size_t body = phase_ == Phase::Receiving ? parser_->get().body().size() : 0;
+        held_.set(buffer_.size() + body + unsentBytes());
+    }
+}
+
+std::optional<std::chrono::steady_clock::time_point> CallerConnection::stalledSince() const noexcept
+{
+    return unsentBytes() > 0 ? std::optional(lastProgress_) : std::nullopt;
+}
+
 void closeConnections(const CallerConnections& connections)
 {
     // Copied, because each connection that closes is removed from `connections`.
@@ -368,4 +409,29 @@
     }
 }
 
+void closeSlowCallers(StreamContext& context, const CallerConnections& connections)
+{
+    using Clock = std::chrono::steady_clock;
+    if (!context.holdsTooMuch()) {
+        return;
+    }
+    std::vector<std::pair<Clock::time_point, std::shared_ptr<CallerConnection>>> stalled;
+    for (const auto& connection : connections) {
+        if (const auto since = connection->stalledSince(); since && Clock::now() - *since >= minStallTime) {
+            stalled.emplace_back(*since, connection);
+        }
+    }
+    std::ranges::sort(stalled, {}, [](const auto& entry) { return entry.first; });
+    for (const auto& [since, connection] : stalled) {
+        if (!context.holdsTooMuch()) {
+            return;
+        }
+        ++context.counts.slowCallersClosed;
+        context.log.write(logging::Level::Warning, "slow_caller_closed",
+            { { "unsent_bytes", static_cast<std::int64_t>(connection->unsentBytes()) },
+                { "held_bytes", static_cast<std::int64_t>(context.held->bytes) } });
+        connection->handleDisconnect();
+    }
+}
+
 } // namespace swiftlift::transport::internal
--- a/src/transport/CallerConnection.h
+++ b/src/transport/CallerConnection.h
@@ -13,14 +13,16 @@
 #include <boost/beast/http.hpp>
 
 #include "transport/Deadline.h"
+#include "transport/HeldBytes.h"
 #include "transport/StreamContext.h"
+#include "transport/TextBody.h"
 
 namespace swiftlift::transport::internal {
 
 class CallerConnection;
 
 /** A caller's HTTP request. */
-using CallerMessage = boost::beast::http::request<boost::beast::http::string_body>;
+using CallerMessage = boost::beast::http::request<TextBody>;
 
 /** A request that the connection could not receive or parse, with the status and reason of its refusal. */
 struct RejectedRequest {
@@ -89,13 +91,19 @@
     /** Closes the connection at once, even if a request is in progress. */
     void close();
 
+    /** @return Since when the caller has accepted no byte of what is written; nullopt: nothing is unsent. */
+    [[nodiscard]] std::optional<std::chrono::steady_clock::time_point> stalledSince() const noexcept;
+
+    /** Treats the caller as disconnected. */
+    void handleDisconnect();
+
     /** Sets the call that is answered on this connection. */
     void setCall(std::optional<CallId> call) { call_ = call; }
     [[nodiscard]] std::optional<CallId> call() const noexcept { return call_; }
 
 private:
     enum class Phase : std::uint8_t { Idle, Receiving, Answering, Lingering, Closed };
-    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using Parser = boost::beast::http::request_parser<TextBody>;
     using ErrorCode = boost::system::error_code;
 
     void nextRequest();
@@ -116,7 +124,9 @@
     void onWritten(ErrorCode error, std::size_t count);
     void allWritten();
     void linger();
-    void handleDisconnect();
+    void updateHeldBytes();
+    /** Makes the end of the connection a failure for a caller to whom it would otherwise end the answer. */
+    void resetIfAnswerIncomplete();
 
     StreamContext& context_;
     CallerConnectionHandler& handler_;
@@ -142,6 +152,9 @@
     /** A flush has been posted to the event loop. */
     bool flushScheduled_ = false;
     std::optional<CallId> call_;
+    HeldBytes held_;
+    /** When the caller accepted the last byte, or the pending bytes were written. */
+    std::chrono::steady_clock::time_point lastProgress_;
 };
 
 using CallerConnections = std::unordered_set<std::shared_ptr<CallerConnection>>;
@@ -149,4 +162,11 @@
 /** Closes all connections at once, even those with a request in progress. */
 void closeConnections(const CallerConnections& connections);
 
+/**
+ * @brief Disconnects callers that don't read, while all connections together hold too many bytes.
+ *
+ * The caller that has accepted no byte for the longest time is disconnected first.
+ */
+void closeSlowCallers(StreamContext& context, const CallerConnections& connections);
+
 } // namespace swiftlift::transport::internal
--- a/src/transport/ProxyCall.cpp
+++ b/src/transport/ProxyCall.cpp
@@ -28,7 +28,9 @@
     , requestId_(std::move(requestId))
     , caller_(caller.shared_from_this())
     , arrived_(steady_clock::now())
+    , held_(context.held)
 {
+    held_.set(body_.size());
 }
 
 std::string ProxyCall::backendRequest(const node::ProxyDispatch& order) const
@@ -83,7 +85,11 @@
         + reader_->body());
 }
 
-void ProxyCall::storeFailure() { failure_ = reader_; }
+void ProxyCall::storeFailure()
+{
+    failure_ = reader_;
+    held_.set(body_.size() + failure_->heldBytes());
+}
 
 void ProxyCall::forwardFailure()
 {
@@ -114,10 +120,7 @@
     writeRefusal(*caller, dialect_, reply, requestId_);
 }
 
-bool ProxyCall::callerIsSlow() const noexcept
-{
-    return caller_ && caller_->unsentBytes() > context_.limits.pauseAboveBytes;
-}
+bool ProxyCall::callerIsSlow() const noexcept { return caller_ && caller_->unsentBytes() > context_.pauseAboveBytes(); }
 
 void writeRefusal(
     CallerConnection& caller, const ProxyDialect& dialect, const node::Reply& refusal, const std::string& requestId)
--- a/src/transport/ProxyCall.h
+++ b/src/transport/ProxyCall.h
@@ -9,6 +9,7 @@
 #include "swiftlift/node/ProxyRequest.h"
 #include "swiftlift/transport/ProxyDialect.h"
 #include "transport/CallerConnection.h"
+#include "transport/HeldBytes.h"
 #include "transport/ProxyAnswerReaders.h"
 #include "transport/StreamContext.h"
 
@@ -71,6 +72,8 @@
     std::optional<std::uint64_t> lastEvent_;
     std::chrono::steady_clock::time_point arrived_;
     std::chrono::steady_clock::time_point lastEventTime_;
+    /** The request's body and the stored failure. */
+    HeldBytes held_;
 };
 
 /** Writes a refusal with its status, the dialect's header fields and its reason as body. */
--- a/src/transport/ProxyCallTable.cpp
+++ b/src/transport/ProxyCallTable.cpp
@@ -119,6 +119,10 @@
 
 bool ProxyCallTable::admit(CallerConnection& connection, const std::string& requestId)
 {
+    if (context_.holdsTooMuch()) {
+        refuseOverloaded(connection, requestId);
+        return false;
+    }
     const auto lag = std::chrono::duration_cast<Duration>(context_.lag);
     const routing::ObservedLoad load { lag, context_.decisions.size(), connection.closedByPeer() };
     switch (loadShedder_.onRequest(load, steadyInstant())) {
@@ -162,7 +166,8 @@
         { { "request", requestId }, { "outcome", std::string("not_run") }, { "status", std::int64_t { reply.status } },
             { "reason", reply.reason },
             { "lag_ms", std::int64_t { std::chrono::duration_cast<std::chrono::milliseconds>(context_.lag).count() } },
-            { "decisions_waiting", static_cast<std::int64_t>(context_.decisions.size()) } });
+            { "decisions_waiting", static_cast<std::int64_t>(context_.decisions.size()) },
+            { "held_bytes", static_cast<std::int64_t>(context_.held->bytes) } });
     writeRefusal(connection, *dialect_, reply, requestId);
 }
 
@@ -343,6 +348,7 @@
 {
     context_.events.flush();
     pool_.sweep();
+    closeSlowCallers(context_, connections_);
     silence_.sweep(running_);
     loadShedder_.onTraffic(context_.traffic, steadyInstant());
 }
--- a/tests/transport/EndlessAnswerTest.cpp
+++ b/tests/transport/EndlessAnswerTest.cpp
@@ -195,6 +195,15 @@
         EXPECT_EQ(backend.accept().readRequest()["Id"], "r1");
     }
 
+    // Guards against a router that any caller ends by announcing a body of a length that can't be allocated.
+    TEST_F(SlowEndlessAnswerTest, RequestOfAnExtremeLengthIsRefused)
+    {
+        startProxy();
+        auto client = caller();
+        client.write("POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 4000000000000000000\r\n\r\nx");
+        EXPECT_EQ(client.readResponse().result_int(), 413U);
+    }
+
     class EndlessLineTest : public StreamFixture { };
 
     // Guards against a log that is flooded, and an engine that is kept busy, by lines of other requests without end.
