Bound the responses that AsyncHttpClient reads

A Content-Length that can't be allocated ended the process with std::bad_alloc. Without that, the response was read past the body limit (782 MB): an eager Beast parser loses the error if body bytes follow the head in the same buffer. The buffer for unparsed bytes had no limit either.

--- a/src/transport/AsyncHttpClient.cpp
+++ b/src/transport/AsyncHttpClient.cpp
@@ -12,11 +12,19 @@
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
+namespace {
+
+    /** Bytes of a response that may be buffered unparsed: its head, or one line of a chunked body's framing. */
+    constexpr std::size_t maxUnparsedBytes = 64 * 1024;
+
+} // namespace
+
 AsyncHttpClient::AsyncHttpClient(boost::asio::io_context& loop, Endpoint endpoint, TrafficCounter& traffic)
     : loop_(loop)
     , endpoint_(std::move(endpoint))
     , traffic_(traffic)
     , stream_(loop)
+    , buffer_(maxUnparsedBytes)
 {
 }
 
@@ -74,6 +82,7 @@
 {
     buffer_.clear();
     parser_.emplace();
+    parser_->body_limit(LimitedTextBody::maxBytes);
     http::async_read(stream_, buffer_, *parser_, [self = shared_from_this()](ErrorCode error, std::size_t count) {
         self->traffic_.received += count;
         self->handleResponse(error);
--- a/src/transport/AsyncHttpClient.h
+++ b/src/transport/AsyncHttpClient.h
@@ -13,6 +13,7 @@
 
 #include "swiftlift/transport/ControlTraffic.h"
 #include "swiftlift/transport/HttpClient.h"
+#include "transport/LimitedTextBody.h"
 
 namespace swiftlift::transport::internal {
 
@@ -44,7 +45,7 @@
 
 private:
     using ErrorCode = boost::system::error_code;
-    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+    using Parser = boost::beast::http::response_parser<LimitedTextBody>;
 
     void connect();
     void write();
--- a/tests/transport/EndlessAnswerTest.cpp
+++ b/tests/transport/EndlessAnswerTest.cpp
@@ -2,6 +2,7 @@
 #include <limits>
 #include <ostream>
 
+#include "transport/AsyncHttpClient.h"
 #include "transport/ProxyFixture.h"
 
 namespace swiftlift::transport::test {
@@ -195,6 +196,38 @@
         EXPECT_EQ(backend.accept().readRequest()["Id"], "r1");
     }
 
+    // Guards against a poll of a backend server that buffers a response without end.
+    TEST(AsyncHttpClientTest, EndlessResponsesAreEndedWithinBounds)
+    {
+        const std::string line(1000, '0');
+        const std::string chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        const std::vector<std::pair<std::string, std::string>> cases { { "HTTP/1.1 200 OK\r\nX: ", line },
+            { chunkedHead, line }, { chunkedHead + "0\r\n", "X: filler\r\n" },
+            { "HTTP/1.1 200 OK\r\nContent-Length: 4000000000000000000\r\n\r\n", line },
+            { "HTTP/1.1 200 OK\r\n\r\n", line } };
+        for (const auto& [start, part] : cases) {
+            Listener backend;
+            boost::asio::io_context loop;
+            TrafficCounter traffic;
+            const auto client
+                = std::make_shared<internal::AsyncHttpClient>(loop, Endpoint { "127.0.0.1", backend.port() }, traffic);
+            bool failed = false;
+            const std::chrono::seconds limit(4);
+            client->call({ boost::beast::http::verb::get, "/load", 11 }, limit,
+                [&failed](const std::optional<HttpResponse>& answer) { failed = !answer; });
+            auto sent = std::async(std::launch::async, [&backend, start = start, part = repeated(part)] {
+                auto connection = backend.accept();
+                connection.write(start);
+                return writeUntilClosed(connection, part);
+            });
+            const auto begin = std::chrono::steady_clock::now();
+            loop.run();
+            EXPECT_TRUE(failed) << start;
+            EXPECT_LT(std::chrono::steady_clock::now() - begin, maxTime) << start;
+            EXPECT_LT(sent.get(), maxSentBytes) << start;
+        }
+    }
+
     // Guards against a router that any caller ends by announcing a body of a length that can't be allocated.
     TEST_F(SlowEndlessAnswerTest, RequestOfAnExtremeLengthIsRefused)
     {
