--- a/apps/router/RouterProcess.cpp
+++ b/apps/router/RouterProcess.cpp
@@ -277,6 +277,16 @@
         [this] { return static_cast<double>(streams_.counts().backendConnects); });
     metrics_.addReading("backend_reuses", "Requests over a kept connection",
         [this] { return static_cast<double>(streams_.counts().backendReuses); });
+    metrics_.addReading("backend_idle_connections", "Idle connections to backend servers",
+        [this] { return static_cast<double>(streams_.counts().idleBackends); });
+    metrics_.addReading("endless_answers", "Answers of backend servers that were ended at a limit on size or time",
+        [this] { return static_cast<double>(streams_.counts().endlessAnswers); });
+    metrics_.addReading("held_bytes", "Bytes that are held for all connections of callers and backend servers",
+        [this] { return static_cast<double>(streams_.counts().heldBytes); });
+    metrics_.addReading("most_held_bytes", "Largest number of held bytes so far",
+        [this] { return static_cast<double>(streams_.counts().mostHeldBytes); });
+    metrics_.addReading("slow_callers_closed", "Callers that were disconnected because they did not read",
+        [this] { return static_cast<double>(streams_.counts().slowCallersClosed); });
     metrics_.addReading("overloaded", "Requests refused because the router was full",
         [this] { return static_cast<double>(streams_.counts().overloaded); });
     metrics_.addReading("left_unread", "Requests whose callers had left before they were read",
