--- a/src/transport/LimitedTextBody.h
+++ b/src/transport/LimitedTextBody.h
@@ -18,7 +18,8 @@
 
     static constexpr std::size_t maxBytes = 8 * 1024 * 1024;
 
-    class reader : public TextBody::reader {
+    // Beast prescribes the name.
+    class reader : public TextBody::reader { // NOLINT(readability-identifier-naming)
     public:
         template <bool isRequest, typename Fields>
         reader(boost::beast::http::header<isRequest, Fields>& header, value_type& body)
--- a/src/transport/TextBody.h
+++ b/src/transport/TextBody.h
@@ -19,7 +19,8 @@
 struct TextBody {
     using value_type = std::string;
 
-    class reader {
+    // Beast prescribes the name.
+    class reader { // NOLINT(readability-identifier-naming)
     public:
         template <bool isRequest, typename Fields>
         reader(boost::beast::http::header<isRequest, Fields>& /*header*/, value_type& body)
