--- a/include/swiftlift/transport/StreamServer.h
+++ b/include/swiftlift/transport/StreamServer.h
@@ -36,7 +36,7 @@
 
 /** Size and time limits of callers' and backend servers' connections. */
 struct StreamLimits {
-    /** Maximum number of open callers' connections. */
+    /** Maximum number of open callers' connections; lowered to a part of the process's descriptors. */
     std::size_t connections = 4096;
     /** Length of the listening socket's accept queue, in connections; 0: the operating system's maximum. */
     int acceptBacklog = 0;
@@ -56,8 +56,16 @@
     std::size_t answerBytes = 4 * 1024 * 1024;
     /** Maximum size of one line or event of a backend server's streamed answer. */
     std::size_t lineBytes = 64 * 1024;
+    /** Maximum number of bytes that are read of one answer, including its framing and what is discarded. */
+    std::size_t answerTotalBytes = 64 * 1024 * 1024;
+    /** Maximum time from the end of connecting to the end of the answer. */
+    std::chrono::milliseconds answerTime { 600'000 };
+    /** Maximum number of bytes that are held for all connections together, before slow callers are disconnected. */
+    std::size_t heldBytes = 32 * 1024 * 1024;
     /** Maximum number of idle connections that are kept per backend server. */
     std::size_t idlePerBackend = 32;
+    /** Maximum number of idle connections to all backend servers; lowered to a part of the process's descriptors. */
+    std::size_t idleBackends = 4096;
     /** Timeout for receiving a request's header, from its first byte. */
     std::chrono::milliseconds headerTime { 10'000 };
     /** Timeout for receiving a request's body, from the end of its header. */
@@ -68,7 +76,7 @@
     std::chrono::milliseconds writeStallTime { 30'000 };
     /** Timeout for connecting to a backend server. */
     std::chrono::milliseconds connectTime { 1'000 };
-    /** Time after which an idle connection to a backend server is closed. */
+    /** Time after which an idle connection to a backend server is closed that advertises no time itself. */
     std::chrono::milliseconds backendIdleTime { 30'000 };
     /** Maximum idle time of a kept connection that may carry a request which must not run twice. */
     std::chrono::milliseconds freshIdleTime { 1'000 };
@@ -122,6 +130,8 @@
     std::uint64_t backendConnects = 0;
     /** Attempts that reused a kept connection. */
     std::uint64_t backendReuses = 0;
+    /** Idle connections to backend servers. */
+    std::size_t idleBackends = 0;
     /** Requests and connections refused under overload. */
     std::uint64_t overloaded = 0;
     /** Requests whose callers had disconnected before the requests were read. */
@@ -138,6 +148,14 @@
     double cpuShare = 0;
     /** Largest number of unsent bytes that a single caller's connection has had. */
     std::size_t mostUnsentBytes = 0;
+    /** Bytes that are held for all connections: received and not yet handled, or not yet passed to a socket. */
+    std::size_t heldBytes = 0;
+    /** Largest number of held bytes so far. */
+    std::size_t mostHeldBytes = 0;
+    /** Answers that were ended because they exceeded a limit on size or time. */
+    std::uint64_t endlessAnswers = 0;
+    /** Callers that were disconnected because they read nothing while too many bytes were held. */
+    std::uint64_t slowCallersClosed = 0;
 };
 
 /**
--- a/src/transport/ProxyCallTable.cpp
+++ b/src/transport/ProxyCallTable.cpp
@@ -140,6 +140,10 @@
     const Instant now = steadyInstant();
     const routing::ObservedLoad load { std::chrono::duration_cast<Duration>(context_.lag), context_.decisions.size(),
         connection.closedByPeer(), context_.decisions.delay().recent(now) };
+    if (context_.holdsTooMuch()) {
+        refuseOverloaded(connection, requestId, load);
+        return false;
+    }
     switch (loadShedder_.onRequest(load, now)) {
     case routing::LoadShedVerdict::Accept:
         return true;
@@ -197,7 +201,8 @@
         { { "request", requestId }, { "outcome", std::string("not_run") }, { "status", std::int64_t { reply.status } },
             { "reason", reply.reason }, { "lag_ms", toMilliseconds(context_.lag) },
             { "event_delay_ms", toMilliseconds(load.eventDelay) },
-            { "decisions_waiting", static_cast<std::int64_t>(context_.decisions.size()) } });
+            { "decisions_waiting", static_cast<std::int64_t>(context_.decisions.size()) },
+            { "held_bytes", static_cast<std::int64_t>(context_.held->bytes) } });
     writeRefusal(connection, *dialect_, reply, requestId);
 }
 
@@ -381,6 +386,7 @@
 {
     context_.events.flush();
     pool_.sweep();
+    closeSlowCallers(context_, connections_);
     silence_.sweep(running_);
     observeLoad();
 }
