--- a/src/node/FleetDirectory.cpp
+++ b/src/node/FleetDirectory.cpp
@@ -80,7 +80,9 @@
         return false;
     }
     const bool lagging = lastLagAt_ && context_.now() - *lastLagAt_ < lagHoldTime;
-    return lagging || superseded();
+    // Peers that are heard would have told of a newer configuration, even if none of them reaches the log.
+    const bool hearsPeers = peersHeardAt_ && context_.now() - *peersHeardAt_ < maxConfirmationAge;
+    return superseded() || (lagging && !hearsPeers);
 }
 
 bool FleetDirectory::superseded() const
@@ -107,6 +109,7 @@
     if (!routes_ || !config.age) {
         return;
     }
+    peersHeardAt_ = std::max(peersHeardAt_.value_or(at), at);
     const Instant readAt = at - *config.age;
     if (config.version == version()) {
         confirm(readAt - maxTransitTime);
--- a/src/node/FleetDirectory.h
+++ b/src/node/FleetDirectory.h
@@ -211,6 +211,8 @@
     NewerConfig newer_;
     /** When this router last lagged. */
     std::optional<Instant> lastLagAt_;
+    /** When the last message with a peer's configuration version arrived. */
+    std::optional<Instant> peersHeardAt_;
     std::string configText_;
     std::map<BackendId, fleet::BackendServer> servers_;
     /** When the stream of backend servers was last read. */
--- a/src/routing/BackendTable.cpp
+++ b/src/routing/BackendTable.cpp
@@ -28,6 +28,11 @@
     /** Steps of the ranks by which routers try brittle servers again at different moments. */
     constexpr std::uint64_t rankSteps = 1024;
 
+    /** @return True if routers tell each other their requests there. Only engines have a memory. Plain servers answer
+     * within tens of milliseconds: by a view that is some hundred milliseconds old, all routers would send their
+     * requests to the server that looked idle then. */
+    [[nodiscard]] bool isInFleetLoad(const Backend& backend) { return backend.entry().memory.has_value(); }
+
 } // namespace
 
 BackendTable::BackendTable(TableSettings settings)
@@ -390,7 +395,9 @@
 BackendView BackendTable::viewOf(const Backend& backend, const ViewRequest& request, Instant now) const
 {
     BackendView view = backend.view(request, now);
-    if (fleetLoad_ != nullptr) {
+    // Plain servers answer within tens of milliseconds. A view that is some hundred milliseconds old shows requests
+    // that have ended, and by it all routers would send theirs to the same server.
+    if (fleetLoad_ != nullptr && view.memory) {
         view.peers = fleetLoad_->of(view.key, now);
         view.pace = fleetLoad_->paceOf(view.key, now);
     }
@@ -402,7 +409,7 @@
     std::vector<ServerLoadEntry> loads;
     for (const auto& [id, backend] : backends_) {
         const std::optional<Duration> pace = backend->takePace();
-        if (!backend->idle() || pace) {
+        if (isInFleetLoad(*backend) && (!backend->idle() || pace)) {
             loads.push_back({ backend->key(), backend->ownLoad(), pace });
         }
     }
--- a/src/routing/Selector.cpp
+++ b/src/routing/Selector.cpp
@@ -51,14 +51,13 @@
     }
 
     /** @return True if the server's memory holds the request beside those that are known to be there. An engine crashes
-     * if its requests need more than its memory. */
+     * if its requests need more than its memory. Without a view of the fleet a router knows too few of them to tell. */
     [[nodiscard]] bool fitsMemory(const SelectRequest& request, const BackendView& view)
     {
-        if (!view.memory || request.memory == Tokens {}) {
+        if (!view.memory || !view.peers || request.memory == Tokens {}) {
             return true;
         }
-        const Tokens peers = view.peers ? view.peers->load.memory : Tokens {};
-        return view.own.memory + peers + request.memory <= *view.memory;
+        return view.own.memory + view.peers->load.memory + request.memory <= *view.memory;
     }
 
     [[nodiscard]] std::string join(const std::map<std::string, int>& counts)
--- a/tests/node/GatewayLoadTest.cpp
+++ b/tests/node/GatewayLoadTest.cpp
@@ -1,3 +1,6 @@
+#include <string>
+#include <vector>
+
 #include <gtest/gtest.h>
 
 #include "node/GatewayWorld.h"
@@ -47,6 +50,29 @@
         EXPECT_EQ(paces, std::vector<Duration> { milliseconds(20) });
     }
 
+    // Guards against head-of-line blocking: small requests waited seconds behind one that needs more memory than any
+    // engine had free.
+    TEST(GatewayLoadTest, RequestThatFitsNowhereDoesNotBlockSmallerOnes)
+    {
+        GatewayWorld world(1'000'000, { milliseconds(200), seconds(1), 2 });
+        world.becomeReady();
+        hearCollector(world);
+        world.publish([](fleet::FleetConfig& config) { config.services.front().engine->memory = Tokens { 10'000 }; });
+        world.run(seconds(1));
+        world.handle(PeerReceived {
+            Incarnation { 78 }, collector, LoadDigest { DigestScope::Fleet, 1, {}, FailureDomain { "a" } } });
+        std::vector<CallId> large;
+        for (int call = 0; call < 4; ++call) {
+            large.push_back(world.arrive("/stream/" + std::to_string(call), 6'000, 1'000));
+        }
+        EXPECT_FALSE(world.dispatchOf(large.back())) << "each of the three engines holds one";
+        const CallId small = world.arrive("/stream/small", 1'000, 100);
+        EXPECT_TRUE(world.dispatchOf(small));
+        EXPECT_FALSE(world.dispatchOf(large.back()));
+        world.end(*world.dispatchOf(large.front()), ProxyAttemptEnd::Completed);
+        EXPECT_TRUE(world.dispatchOf(large.back()));
+    }
+
     // Guards against a change of the view that no log line shows, and against messages where the setting is off.
     TEST(GatewayLoadTest, ViewIsLoggedAndOffByDefault)
     {
