--- a/include/swiftlift/settings/RouterSettings.h
+++ b/include/swiftlift/settings/RouterSettings.h
@@ -17,8 +17,11 @@
 /** Policy by which routers hold prepaid tokens. */
 enum class LedgerPolicy : std::uint8_t { Grants, StaticSplit, AppendPerRequest };
 
+/** Order and amounts in which a router borrows tokens from its peers. */
+enum class LoanOrder : std::uint8_t { Nearest, Demand };
+
 /** Policy by which a router chooses a backend server. */
-enum class RoutingPolicy : std::uint8_t { Affinity, Rendezvous, Random, RoundRobin, LeastLoad };
+enum class RoutingPolicy : std::uint8_t { Affinity, Rendezvous, Predicted, Random, RoundRobin, LeastLoad };
 
 /** Set of protocols that a router uses with callers, backend servers, operators and the log. */
 enum class SpokenDialect : std::uint8_t {
@@ -39,6 +42,8 @@
     Region region;
     /** Bandwidth of the VM's network link in each direction, in Mbit/s; 0: unknown, treated as unlimited. */
     double bandwidth = 0;
+    /** The VM's share of CPU time, as a number of cores; 0: not known. */
+    double cores = 0;
 };
 
 /** How a router reaches other routers. */
@@ -74,6 +79,8 @@
     Duration highWatermark {};
     /** Only for policy `grants`: preallocation of all routers together, in percent of each budget. */
     std::uint32_t preallocationPercent = 0;
+    /** Only for policy `grants`: how tokens are borrowed and lent. */
+    LoanOrder loans = LoanOrder::Nearest;
     /** How long the platform's log retains records. */
     Duration retention = std::chrono::minutes(10);
     /** How long bills are collected into one record before it is appended; 0: grows with the number of routers. */
@@ -90,6 +97,16 @@
     Duration window = std::chrono::seconds(10);
 };
 
+/** How routers tell each other their requests at backend servers. */
+struct LoadExchangeSettings {
+    /** Time between two reports of a router; 0: routers don't exchange loads. */
+    Duration period {};
+    /** Time after which a report no longer counts. */
+    Duration lifetime = std::chrono::seconds(1);
+    /** Number of routers from which on a fleet exchanges loads. */
+    std::uint32_t minRouters = 24;
+};
+
 /** Settings of the router's log. */
 struct LoggingSettings {
     /** Path of the log file; `-` stands for standard output. */
@@ -128,6 +145,7 @@
     LedgerSettings ledger;
     RoutingPolicy routing = RoutingPolicy::Affinity;
     RetrySettings retries;
+    LoadExchangeSettings loads;
     /** Longest time that a planned stop waits for requests in progress. */
     Duration stopLimit = std::chrono::seconds(60);
     LoggingSettings logging;
@@ -156,7 +174,11 @@
 /** @return Name of the policy in the settings: `grants`, `static_split` or `append_per_request`. */
 [[nodiscard]] std::string_view toText(LedgerPolicy policy) noexcept;
 
-/** @return Name of the policy in the settings: `affinity`, `rendezvous`, `random`, `round_robin` or `least_load`. */
+/** @return Name of the order in the settings: `nearest` or `demand`. */
+[[nodiscard]] std::string_view toText(LoanOrder order) noexcept;
+
+/** @return Name of the policy in the settings: `affinity`, `rendezvous`, `predicted`, `random`, `round_robin` or
+ * `least_load`. */
 [[nodiscard]] std::string_view toText(RoutingPolicy policy) noexcept;
 
 /** @return Name of the level in the settings: `debug`, `info`, `warning` or `error`. */
--- a/src/ledger/HolderImpl.h
+++ b/src/ledger/HolderImpl.h
@@ -141,16 +141,27 @@
     // Borrowing.
     void borrow(const BudgetRef& budget, HolderBudgetState& budgetState, const BudgetSituation& situation,
         LedgerActions& actions);
+    /** @return Whether tokens have to be borrowed now. */
+    [[nodiscard]] bool needsLoan(const HolderBudgetState& budgetState, const BudgetSituation& situation) const;
+    /** @brief Asks several lenders for what is missing in sum. */
+    void borrowFromSeveral(const BudgetRef& budget, HolderBudgetState& budgetState, const BudgetSituation& situation,
+        const LoanTerms& terms, LedgerActions& actions);
+    void requestLoan(const BudgetRef& budget, HolderBudgetState& budgetState, Incarnation lender, Tokens size,
+        LedgerActions& actions);
     /** @brief Retries, gives up or ends each loan of the budget as needed. */
     void advanceLoans(HolderBudgetState& budgetState, const BudgetSituation& situation, LedgerActions& actions);
-    void advanceLoan(BorrowedLoan& loan, const HolderBudgetState& budgetState, const BudgetSituation& situation,
-        LedgerActions& actions);
+    void advanceLoan(
+        BorrowedLoan& loan, HolderBudgetState& budgetState, const BudgetSituation& situation, LedgerActions& actions);
+    /** @brief Records how a lender has answered a request; `lent` is zero when it denied or did not answer. */
+    void rankLender(HolderBudgetState& budgetState, const BorrowedLoan& loan, Tokens lent);
+    /** @brief Ends a loan that its lender has not answered in time. */
+    void abandonLoanRequest(BorrowedLoan& loan, HolderBudgetState& budgetState, LedgerActions& actions);
     void endLoan(BorrowedLoan& loan, LedgerActions& actions);
     void removeLoan(std::uint64_t number);
     /** @return Whether requests should wait for a lender's answer. */
     [[nodiscard]] bool isLoanAnswerPending(const HolderBudgetState& budgetState) const;
-    /** @return Whether a loan request is so recent that no other lender is asked before its answer. */
-    [[nodiscard]] bool hasRecentLoanRequest(const HolderBudgetState& budgetState) const;
+    /** @return Loan requests that are so recent that no other lender is asked in their place. */
+    [[nodiscard]] std::vector<const BorrowedLoan*> recentLoanRequests(const HolderBudgetState& budgetState) const;
 
     // Upkeep of one budget, after each tick and each change that concerns the budget.
     [[nodiscard]] BudgetSituation situationOf(const BudgetRef& budget, const HolderBudgetState& budgetState) const;
--- a/src/membership/Queries.cpp
+++ b/src/membership/Queries.cpp
@@ -106,6 +106,33 @@
     return std::nullopt;
 }
 
+std::vector<Membership::Neighbor> Membership::neighbors() const
+{
+    std::vector<Neighbor> neighbors;
+    for (const auto& [incarnation, peer] : peers_) {
+        if (distance(peer) == 0 && isEligible(peer)) {
+            neighbors.push_back({ incarnation, peer.facts.bandwidth });
+        }
+    }
+    return neighbors;
+}
+
+std::map<FailureDomain, std::vector<PeerAddress>> Membership::remoteAddresses() const
+{
+    std::map<FailureDomain, std::vector<PeerAddress>> addresses;
+    for (const auto& [incarnation, peer] : peers_) {
+        if (distance(peer) > 0 && isEligible(peer)) {
+            addresses[peer.facts.domain].push_back(peer.address);
+        }
+    }
+    for (const auto& [address, vm] : listed_) {
+        if (vm.domain != settings_.domain && !vm.leaving && !incarnationByAddress_.contains(address)) {
+            addresses[vm.domain].push_back(address);
+        }
+    }
+    return addresses;
+}
+
 std::optional<PeerAddress> Membership::addressOf(Incarnation incarnation) const
 {
     if (const auto found = peers_.find(incarnation); found != peers_.end()) {
@@ -126,6 +153,20 @@
     return found == peers_.end() ? std::nullopt : std::optional(found->second.lastHeartbeatAt);
 }
 
+Membership::DomainOverload Membership::domainOverload() const
+{
+    DomainOverload result;
+    for (const auto& [incarnation, peer] : peers_) {
+        if (peer.state != PeerState::Alive || distance(peer) > 0) {
+            continue;
+        }
+        ++result.peers;
+        result.overloaded += peer.facts.overloaded ? 1 : 0;
+        result.overloadedBefore += peer.facts.overloaded && incarnation < settings_.self ? 1 : 0;
+    }
+    return result;
+}
+
 Membership::Counts Membership::counts() const
 {
     Counts counts;
--- a/src/node/Gateway.cpp
+++ b/src/node/Gateway.cpp
@@ -25,6 +25,7 @@
     , changes_(context_)
     , peers_(context_)
     , backends_(internal::tableSettings(context_.settings()))
+    , loads_(context_, peers_, backends_)
     , fleet_(context_, peers_, health_, backends_, *this)
     , ledgers_(context_, peers_, health_, *this)
     , quarantine_(context_, peers_)
@@ -233,6 +234,7 @@
         peers_.onHeartbeat(event.sender, event.address, *received);
         links_.onHeartbeat(event.sender, *received);
         backends_.onShared(received->announcements, context_.now());
+        fleet_.onPeerConfig(event.sender, received->config, event.arrivedAt.value_or(context_.now()));
         return;
     }
     routePeerMessage(event);
@@ -254,6 +256,10 @@
         streamVersions_.on(event, *ask);
     } else if (const auto* answer = std::get_if<StreamVersionAnswer>(&event.message)) {
         streamVersions_.on(event, *answer);
+    } else if (const auto* report = std::get_if<LoadReport>(&event.message)) {
+        loads_.on(event, *report);
+    } else if (const auto* digest = std::get_if<LoadDigest>(&event.message)) {
+        loads_.on(event, *digest);
     } else if (const auto* relay = std::get_if<RelayAppend>(&event.message)) {
         context_.emit(Append { relay->stream, relay->record, {} });
     } else {
@@ -261,8 +267,28 @@
     }
 }
 
-void Gateway::on(const Tick&)
+void Gateway::on(const OverloadChanged& event)
 {
+    overloaded_ = event.overloaded;
+    context_.gauge("swiftlift_overloaded", overloaded_ ? 1 : 0);
+    announceReadiness();
+    // The routers of the failure domain decide by this whether they may ask for fewer callers as well.
+    peers_.sendToDomain(heartbeat());
+}
+
+bool Gateway::overloadLimitReached() const
+{
+    const auto domain = peers_.membership().domainOverload();
+    const std::size_t most = (domain.peers + 1) / overloadedDivisor;
+    // Of routers that became overloaded together, those with the lowest incarnations stay so: if all took this back at
+    // once, they would all become overloaded again.
+    return (overloaded_ ? domain.overloadedBefore : domain.overloaded) >= most;
+}
+
+void Gateway::on(const Tick& event)
+{
+    peers_.membership().onOwnDelay(event.delay, context_.now());
+    fleet_.onOwnDelay(event.delay);
     changes_.noteLog(health_.reachable(context_.now()), {});
     refreshWatched();
     for (const Incarnation suspected : peers_.tick([this] { return heartbeat(); })) {
@@ -270,6 +296,7 @@
         links_.onSuspected(suspected);
     }
     maxRoutersSeen_ = std::max(maxRoutersSeen_, static_cast<std::uint32_t>(peers_.membership().counts().alive) + 1);
+    loads_.tick(stopRequested_ || !retiredReason_.empty());
     fleet_.tick(stopRequested_.has_value());
     quarantine_.tick();
     links_.tick();
@@ -290,10 +317,16 @@
     const std::string reason = reasonNotReady();
     const bool ready = reason.empty() && !stopRequested_;
     const bool close = stopRequested_.has_value();
-    if (announced_ && announced_->ready == ready && announced_->closing == close) {
+    const AnnounceReadiness next { ready, close, overloadLimitReached() };
+    if (announced_ == next) {
+        return;
+    }
+    const bool onlyLimitChanged = announced_ && announced_->ready == ready && announced_->closing == close;
+    announced_ = next;
+    if (onlyLimitChanged) {
+        context_.emit(next);
         return;
     }
-    announced_ = AnnounceReadiness { ready, close };
     context_.log(LogLineBuilder("ready").with("ready", ready).with("reason", stopRequested_ ? "stopping" : reason));
     context_.gauge("swiftlift_ready", ready ? 1 : 0);
     context_.emit(*announced_);
@@ -349,7 +382,8 @@
         { "config_version", fleet_.routes() ? fleet_.routes()->config().version : 0 }, { "evacuated", evacuated },
         { "cold_servers", fleet_.coldServers() }, { "limited_servers", announced.limited },
         { "resting_servers", announced.resting }, { "brittle_servers", announced.brittle },
-        { "links_lost", links_.lost() }
+        { "links_lost", links_.lost() }, { "overloaded", overloaded_ },
+        { "config_may_be_outdated", fleet_.mayBeOutdated() }
     }.dump();
 }
 
@@ -374,6 +408,9 @@
     own.announcements = backends_.toShare(context_.now());
     own.relay = context_.settings().relayAddress;
     own.unreachableDomains = links_.unreachableDomainsForPeers();
+    own.overloaded = overloaded_;
+    own.config = fleet_.configState();
+    own.bandwidth = context_.settings().bandwidth;
     return own;
 }
 
--- a/src/routing/Backend.cpp
+++ b/src/routing/Backend.cpp
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <utility>
 
+#include "swiftlift/base/RendezvousHash.h"
+
 namespace swiftlift::routing {
 
 namespace {
@@ -27,6 +29,8 @@
 Backend::Backend(BackendEntry entry, const TableSettings& settings, PrefillModel& prefill, PrefixLengths& lengths,
     std::uint64_t seed)
     : entry_(std::move(entry))
+    , key_(serverKey(entry_.backend, entry_.instance))
+    , nameHash_(stableHash(entry_.backend.value()))
     , settings_(settings)
     , prefill_(&prefill)
     , load_(settings, entry_.slots)
@@ -44,8 +48,10 @@
     entry_.evacuated = entry.evacuated;
     entry_.cold = entry.cold;
     entry_.version = entry.version;
+    entry_.memory = entry.memory;
     const bool newInstance = entry.instance > entry_.instance && entry_.instance != 0;
     entry_.instance = std::max(entry_.instance, entry.instance);
+    key_ = serverKey(entry_.backend, entry_.instance);
     if (!newInstance) {
         return;
     }
@@ -56,6 +62,8 @@
     room_.clear();
     heardAt_.reset();
     unread_ = Tokens {};
+    memory_ = Tokens {};
+    pace_.reset();
     generation_.reset();
     reported_ = false;
     lastPollFailed_ = false;
@@ -134,6 +142,7 @@
     const Tokens uncached = facts.promptTokens - cache_.expected(facts.prefixHash, facts.promptTokens);
     sent_[attempt] = SentAttempt { facts, now, uncached, predict(uncached, now), load_.now(now).waiting > 0 };
     unread_ += uncached;
+    memory_ += facts.memory;
     sent_[attempt].trial = room_.onDispatched(load_.inFlight(), now);
     load_.onDispatched(attempt, now);
     breaker_.onDispatched(attempt, now);
@@ -162,6 +171,8 @@
     predictionError_ += (error - predictionError_) / offsetSmoothing;
 }
 
+ServerLoad Backend::ownLoad() const { return { load_.inFlight(), unread_, memory_ }; }
+
 void Backend::subtractUnread(const SentAttempt& sent)
 {
     if (!sent.answered) {
@@ -193,6 +204,10 @@
     }
     const SentAttempt sent = found->second;
     subtractUnread(sent);
+    memory_ -= sent.facts.memory;
+    if (facts.pace) {
+        pace_ = pace_ ? (*pace_ + *facts.pace) / 2 : *facts.pace;
+    }
     sent_.erase(found);
     (void)load_.onFinished(attempt, facts.kind == EndKind::Completed, now);
     if (facts.announcement) {
@@ -347,6 +362,13 @@
     view.resting = resting(now);
     view.announcedLimit = announcedLimit_;
     view.limitUnconfirmed = announcedLimit_ && now - limitStatedAt_ > settings_.limitConfirmation;
+    view.own = ownLoad();
+    view.key = key_;
+    view.nameHash = nameHash_;
+    view.step = load_.step();
+    view.runTime = load_.serviceTime();
+    view.prefillPer1000 = prefill_->cost(Tokens { 1'000 });
+    view.memory = entry_.memory;
     view.servesModel = request.model.empty() || !reported_ || models_.contains(request.model);
     return view;
 }
--- a/src/settings/RouterSettings.cpp
+++ b/src/settings/RouterSettings.cpp
@@ -15,6 +15,7 @@
     using internal::Presence;
     using internal::Range;
     using std::chrono::hours;
+    using std::chrono::milliseconds;
     using std::chrono::seconds;
 
     constexpr std::size_t maxSettingsBytes = 256UL * 1024;
@@ -26,11 +27,19 @@
     constexpr Range<std::uint64_t> wholePercent { 0, 100 };
     constexpr Range<std::uint64_t> portOffsetRange { 0, 1'000 };
     constexpr Range<double> bandwidthRange { 0, 1'000'000 };
+    constexpr Range<double> coresRange { 0, 10'000 };
     constexpr Range<double> ratioRange { 0, 10 };
     constexpr Range<double> callRateRange { 0, 1'000'000 };
     constexpr Range<double> extraRange { 0, 1'000'000 };
     constexpr Range<Duration> windowRange { seconds(1), hours(1) };
     constexpr Range<Duration> stopRange { seconds(1), hours(1) };
+    constexpr Range<Duration> loadPeriodRange { seconds(0), seconds(10) };
+    /** With shorter periods, reports would take a noticeable part of a small VM's CPU time. */
+    constexpr Duration minLoadPeriod = milliseconds(50);
+    constexpr Range<Duration> loadLifetimeRange { milliseconds(100), hours(1) };
+    /** One report in a row may be lost without the load that it states being forgotten. */
+    constexpr int minPeriodsPerLifetime = 2;
+    constexpr Range<std::uint64_t> minRoutersRange { 1, 10'000 };
     constexpr Range<std::uint64_t> seedRange { 0, std::numeric_limits<std::uint64_t>::max() };
 
     void readVm(Checker& root, VmSettings& vm)
@@ -40,6 +49,7 @@
         checker.name("domain", Presence::Required, vm.domain);
         checker.name("region", Presence::Required, vm.region);
         checker.fraction("bandwidth", Presence::Optional, bandwidthRange, vm.bandwidth);
+        checker.fraction("cores", Presence::Optional, coresRange, vm.cores);
         checker.reportUnknownKeys();
     }
 
@@ -138,12 +148,17 @@
         checker.duration("low_watermark", Presence::Optional, watermarkRange, ledger.lowWatermark);
         checker.duration("high_watermark", Presence::Optional, watermarkRange, ledger.highWatermark);
         checker.percent("stock", Presence::Optional, wholePercent, ledger.preallocationPercent);
+        checker.choice<LoanOrder>("loans", Presence::Optional,
+            { { "nearest", LoanOrder::Nearest }, { "demand", LoanOrder::Demand } }, ledger.loans);
         checker.duration("retention", Presence::Optional, retentionRange, ledger.retention);
         checker.duration("batch_period", Presence::Optional, batchRange, ledger.batchPeriod);
         checker.reportUnknownKeys();
         if (checker.hasKey("split_ways") && ledger.policy != LedgerPolicy::StaticSplit) {
             checker.report("split_ways", "has a meaning only with policy static_split");
         }
+        if (checker.hasKey("loans") && ledger.policy != LedgerPolicy::Grants) {
+            checker.report("loans", "has a meaning only with policy grants");
+        }
     }
 
     void readRouting(Checker& root, RoutingPolicy& routing)
@@ -151,8 +166,8 @@
         auto checker = root.section("routing", Presence::Optional);
         checker.choice<RoutingPolicy>("policy", Presence::Optional,
             { { "affinity", RoutingPolicy::Affinity }, { "rendezvous", RoutingPolicy::Rendezvous },
-                { "random", RoutingPolicy::Random }, { "round_robin", RoutingPolicy::RoundRobin },
-                { "least_load", RoutingPolicy::LeastLoad } },
+                { "predicted", RoutingPolicy::Predicted }, { "random", RoutingPolicy::Random },
+                { "round_robin", RoutingPolicy::RoundRobin }, { "least_load", RoutingPolicy::LeastLoad } },
             routing);
         checker.reportUnknownKeys();
     }
@@ -166,6 +181,21 @@
         checker.reportUnknownKeys();
     }
 
+    void readLoads(Checker& root, LoadExchangeSettings& loads)
+    {
+        auto checker = root.section("loads", Presence::Optional);
+        checker.duration("period", Presence::Optional, loadPeriodRange, loads.period);
+        checker.duration("lifetime", Presence::Optional, loadLifetimeRange, loads.lifetime);
+        checker.unsignedNumber("min_routers", Presence::Optional, minRoutersRange, loads.minRouters);
+        checker.reportUnknownKeys();
+        if (loads.period > Duration::zero() && loads.period < minLoadPeriod) {
+            checker.report("period", "expected 0s (off) or at least 50ms");
+        }
+        if (loads.lifetime < minPeriodsPerLifetime * loads.period) {
+            checker.report("lifetime", "has to be at least twice the period, as reports may get lost");
+        }
+    }
+
     void readDialect(Checker& root, SpokenDialect& dialect)
     {
         root.choice<SpokenDialect>("dialect", Presence::Optional,
@@ -214,6 +244,7 @@
         readLedger(root, settings.ledger);
         readRouting(root, settings.routing);
         readRetries(root, settings.retries);
+        readLoads(root, settings.loads);
         readStop(root, settings.stopLimit);
         readLogging(root, settings.logging);
         readSeed(root, settings.seed);
@@ -248,6 +279,17 @@
     return "grants";
 }
 
+std::string_view toText(LoanOrder order) noexcept
+{
+    switch (order) {
+    case LoanOrder::Nearest:
+        return "nearest";
+    case LoanOrder::Demand:
+        return "demand";
+    }
+    return "nearest";
+}
+
 std::string_view toText(RoutingPolicy policy) noexcept
 {
     switch (policy) {
@@ -255,6 +297,8 @@
         return "affinity";
     case RoutingPolicy::Rendezvous:
         return "rendezvous";
+    case RoutingPolicy::Predicted:
+        return "predicted";
     case RoutingPolicy::Random:
         return "random";
     case RoutingPolicy::RoundRobin:
--- a/src/transport/StreamServer.cpp
+++ b/src/transport/StreamServer.cpp
@@ -15,6 +15,7 @@
 
 #include "swiftlift/transport/AnnouncementFields.h"
 #include "transport/CallTable.h"
+#include "transport/ConnectionLimits.h"
 #include "transport/LinkProber.h"
 #include "transport/ProxyCallTable.h"
 #include "transport/RelayServer.h"
@@ -63,6 +64,12 @@
         boost::asio::steady_timer retryTimer;
     };
 
+    StreamLimits limitedByDescriptors(StreamLimits limits)
+    {
+        internal::limitByDescriptors(limits, internal::descriptorLimit());
+        return limits;
+    }
+
     int backlogOf(const StreamLimits& limits)
     {
         return limits.acceptBacklog > 0 ? limits.acceptBacklog : tcp::acceptor::max_listen_connections;
@@ -73,7 +80,7 @@
 struct StreamServer::State {
     State(StreamLimits given, DecisionInbox& decisions, StreamObserver& observer, logging::JsonLog& log,
         std::shared_ptr<const ProxyDialect> dialect)
-        : limits(given)
+        : limits(limitedByDescriptors(given))
         , inbox(commandRingCapacity)
         , context { loop, limits, decisions, ring::Outbox<TaggedEvent>(decisions), observer, log,
             internal::ReadPacer(loop, given.readInterval), {}, {}, {}, {} }
@@ -95,6 +102,8 @@
     void executeCommands();
     void execute(StreamCommand&& command);
     void sweep();
+    /** Reads on where too many held bytes prevented it, if that has changed. */
+    void readPostponed();
     void run();
     void beginStop(std::chrono::milliseconds limit);
 
@@ -207,10 +216,13 @@
 {
     context.lag = std::max(std::chrono::steady_clock::now() - sweepDue, std::chrono::steady_clock::duration::zero());
     table->sweep();
+    readPostponed();
     {
         const std::lock_guard lock(countsMutex);
         publishedCounts = table->counts();
         publishedCounts.relays = relayServer.size();
+        publishedCounts.heldBytes = context.held->bytes;
+        publishedCounts.mostHeldBytes = context.held->most;
     }
     const bool inUse = table->hasConnections() || relayServer.size() > 0;
     if (stopAt && (!inUse || std::chrono::steady_clock::now() >= *stopAt)) {
@@ -228,6 +240,21 @@
     });
 }
 
+void StreamServer::State::readPostponed()
+{
+    for (const auto& postponed : std::exchange(context.postponed, {})) {
+        const auto reader = postponed.lock();
+        if (!reader) {
+            continue;
+        }
+        if (context.mayCollect(reader)) {
+            reader->readNow();
+        } else {
+            context.postponed.push_back(postponed);
+        }
+    }
+}
+
 // The operating system wakes the event loop for every received packet, even for streams that are not read before the
 // pacer's next round. With 40 streams, that means 1,700 wake-ups a second for 25 rounds of the pacer. Under load, the
 // sockets are therefore polled every `gatherTime` instead.
--- a/tests/node/GatewayWorld.cpp
+++ b/tests/node/GatewayWorld.cpp
@@ -73,12 +73,13 @@
     return text == "please";
 }
 
-GatewayWorld::GatewayWorld(std::int64_t budget)
+GatewayWorld::GatewayWorld(std::int64_t budget, const LoadExchangeSettings& loads)
 {
     using fleet::AnswerKind;
     config_.routes = { route("plain", AnswerKind::Whole), route("order", AnswerKind::Whole),
         route("stream", AnswerKind::Events), route("resumable", AnswerKind::Events) };
-    config_.services = { { ServiceName("model"), fleet::EngineFacts { 8, 7 } }, { ServiceName("app"), std::nullopt } };
+    config_.services = { { ServiceName("model"), fleet::EngineFacts { 8, 7, Tokens { 10'000'000 } } },
+        { ServiceName("app"), std::nullopt } };
     config_.accounts = { { AccountId("club"), { "k" }, std::nullopt, Tokens { budget } } };
     CoreSettings settings;
     settings.incarnation = Incarnation { 77 };
@@ -92,6 +93,7 @@
     settings.watermarks = ledger::Watermarks { 8, 10 };
     settings.preallocationPercent = 50;
     settings.retries = { 0.2, 50, std::chrono::seconds(4) };
+    settings.loads = loads;
     settings.stopAcceptance = std::chrono::seconds(2);
     core_ = std::make_unique<Core>(settings);
     Actions actions;
@@ -392,6 +394,7 @@
             cancelled_.insert(cancel->attempt);
         } else if (const auto* readiness = std::get_if<AnnounceReadiness>(&action)) {
             ready_ = readiness->ready;
+            overloadLimitReached_ = readiness->overloadLimitReached;
         } else if (const auto* probe = std::get_if<ProbeBackend>(&action)) {
             probes_.push_back(probe->backend);
         } else if (const auto* answer = std::get_if<AnswerRelay>(&action)) {
--- a/tests/settings/RouterSettingsTest.cpp
+++ b/tests/settings/RouterSettingsTest.cpp
@@ -72,6 +72,16 @@
     EXPECT_EQ(settings->seed, 42U);
 }
 
+// Guards against a router that takes its share of CPU time for unknown although the platform states it.
+TEST(RouterSettings, ReadsTheShareOfCpuTime)
+{
+    Findings findings;
+    const std::string text = replaced(test::routerSettings, "vm:\n", "vm:\n  cores: 0.09\n");
+    const auto settings = parseRouterSettings(text, "router.yaml", findings);
+    ASSERT_TRUE(settings.has_value()) << testing::PrintToString(texts(findings));
+    EXPECT_EQ(settings->vm.cores, 0.09);
+}
+
 TEST(RouterSettings, ReportsEveryErrorWithItsPosition)
 {
     const auto text = replaced(test::routerSettings, "8002}", "8001}")
@@ -87,6 +97,43 @@
     EXPECT_THAT(findingsOf("vm: here"), testing::Contains(StartsWith("1:5: vm: expected a map, found \"here\"")));
 }
 
+// Guards against a router that sends reports all the time, or whose view expires between two digests.
+TEST(RouterSettings, ChecksTheExchangeOfLoads)
+{
+    const std::string text { test::routerSettings };
+    Findings findings;
+    EXPECT_EQ(parseRouterSettings(text, "router.yaml", findings)->loads.period, Duration::zero());
+    const auto settings
+        = parseRouterSettings(text + "loads: {period: 200ms, lifetime: 2s, min_routers: 6}\n", "router.yaml", findings);
+    ASSERT_TRUE(settings.has_value());
+    EXPECT_EQ(settings->loads.period, std::chrono::milliseconds(200));
+    EXPECT_EQ(settings->loads.lifetime, std::chrono::seconds(2));
+    EXPECT_EQ(settings->loads.minRouters, 6U);
+    EXPECT_THAT(findingsOf(text + "loads: {period: 20ms, min_routers: 0, every: 1s}\n"),
+        ElementsAre(testing::HasSubstr("loads.period: expected 0s (off) or at least 50ms"),
+            testing::HasSubstr("loads.min_routers: "), testing::HasSubstr("every")));
+    EXPECT_THAT(findingsOf(text + "loads: {period: 600ms}\n"),
+        ElementsAre(testing::HasSubstr("loads.lifetime: has to be at least twice the period")));
+}
+
+// Failure: a fleet runs with the default order of loans although its settings name another one.
+TEST(RouterSettings, ReadsTheOrderOfLoans)
+{
+    const auto ledgerWith = [](std::string_view keys) {
+        return std::string(test::routerSettings) + "ledger: {" + std::string(keys) + "}\n";
+    };
+    Findings findings;
+    EXPECT_EQ(parseRouterSettings(test::routerSettings, "router.yaml", findings)->ledger.loans, LoanOrder::Nearest);
+    const auto settings = parseRouterSettings(ledgerWith("loans: demand"), "router.yaml", findings);
+    ASSERT_TRUE(settings.has_value()) << testing::PrintToString(texts(findings));
+    EXPECT_EQ(settings->ledger.loans, LoanOrder::Demand);
+    EXPECT_EQ(toText(settings->ledger.loans), "demand");
+    EXPECT_THAT(findingsOf(ledgerWith("loans: farthest")),
+        ElementsAre(testing::AllOf(testing::HasSubstr("ledger.loans"), testing::HasSubstr("nearest"))));
+    EXPECT_THAT(findingsOf(ledgerWith("policy: static_split, loans: demand")),
+        ElementsAre(testing::HasSubstr("ledger.loans: has a meaning only with policy grants")));
+}
+
 TEST(RouterSettings, ReportsAFileThatCannotBeRead)
 {
     Findings findings;
--- a/tests/wire/PeerCodecTest.cpp
+++ b/tests/wire/PeerCodecTest.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "peer.pb.h"
 #include "swiftlift/wire/PeerCodec.h"
 
 namespace swiftlift::wire {
@@ -16,6 +17,10 @@
         { BackendId("s3"), 0, std::nullopt, std::nullopt, std::nullopt, 4.5, std::chrono::milliseconds(4),
             std::chrono::milliseconds(5) } };
 
+    const std::vector<routing::ServerLoadEntry> loads { { routing::ServerKey(0xFFFF'FFFFU),
+                                                            { 3, Tokens(128), Tokens(6400) }, Duration(4'250) },
+        { routing::ServerKey(1), { 0, Tokens(0), Tokens(64) }, std::nullopt } };
+
     /** @return One message of each kind, in the order of the alternatives of `node::PeerMessage`. */
     std::vector<node::PeerMessage> makeMessages()
     {
@@ -27,6 +32,9 @@
         heartbeat.announcements = announcements;
         heartbeat.relay = RelayAddress("127.0.0.1:9");
         heartbeat.unreachableDomains = { FailureDomain("d") };
+        heartbeat.overloaded = true;
+        heartbeat.config = { 12, std::chrono::milliseconds(340) };
+        heartbeat.bandwidth = 200;
         return { heartbeat, node::RaiseCeilings { ceilings }, node::CeilingsAcked { ceilings },
             node::CeilingsRefused { { grant } }, node::LoanAsk { 1, budget, Tokens(5) },
             node::LoanGiven { 2, budget, grant, Tokens(6) }, node::LoanDenied { 3, budget, Tokens(7) },
@@ -37,7 +45,9 @@
             node::ItemsCopied { StreamName("s"), 42 },
             node::StreamsBegan { { { StreamId("a"), SoftwareVersion("v1") }, { StreamId("b"), SoftwareVersion("") } } },
             node::StreamVersionAsk { ServiceName("s"), StreamId("a"), std::chrono::seconds(9) },
-            node::StreamVersionAnswer { StreamId("a"), SoftwareVersion("v1") } };
+            node::StreamVersionAnswer { StreamId("a"), SoftwareVersion("v1") }, node::LoadReport { 3, loads },
+            node::LoadDigest { node::DigestScope::Fleet, 4, loads, FailureDomain("d"),
+                node::DigestOrigin { Incarnation(5), PeerAddress("127.0.0.1:7") } } };
     }
 
 } // namespace
@@ -80,6 +90,42 @@
     EXPECT_EQ(heartbeat.announcements, announcements);
     EXPECT_EQ(heartbeat.relay, RelayAddress("127.0.0.1:9"));
     EXPECT_EQ(heartbeat.unreachableDomains, std::vector<FailureDomain> { FailureDomain("d") });
+    EXPECT_TRUE(heartbeat.overloaded);
+    EXPECT_EQ(heartbeat.config, (node::ConfigState { 12, std::chrono::milliseconds(340) }));
+    EXPECT_EQ(heartbeat.bandwidth, 200);
+    const auto digest = std::get<node::LoadDigest>(roundTrip(allMessages[19])->message);
+    EXPECT_EQ(digest.scope, node::DigestScope::Fleet);
+    EXPECT_EQ(digest.loads, loads);
+    EXPECT_EQ(digest.forwardedFor->collector, Incarnation(5));
+}
+
+// Guards against a router that stops, or reads garbage, when a newer one sends a kind of message that it doesn't know.
+TEST(PeerCodec, IgnoresMessagesOfUnknownKinds)
+{
+    std::string bytes
+        = encodePeerEnvelope({ Incarnation(1), PeerAddress("a"), Incarnation(), node::LoadReport { 3, loads } });
+    // The tag of field 23, load_report, becomes that of field 2000.
+    const auto tag = bytes.find("\xBA\x01");
+    ASSERT_NE(tag, std::string::npos);
+    bytes.replace(tag, 2, "\x82\x7D");
+    EXPECT_FALSE(decodePeerEnvelope(bytes));
+}
+
+// Guards against reads beyond the end of an array that is shorter than the others.
+TEST(PeerCodec, ReadsOnlyServersThatAllArraysState)
+{
+    proto::peer::Envelope envelope;
+    envelope.set_sender(1);
+    auto& stated = *envelope.mutable_load_report()->mutable_loads();
+    stated.add_servers(1);
+    stated.add_servers(2);
+    stated.add_in_progress(3);
+    stated.add_unread(1);
+    stated.add_memory(2);
+    stated.add_pace(0);
+    const auto report = std::get<node::LoadReport>(decodePeerEnvelope(envelope.SerializeAsString())->message);
+    const std::vector<routing::ServerLoadEntry> expected { { routing::ServerKey(1), { 3, Tokens(64), Tokens(128) } } };
+    EXPECT_EQ(report.loads, expected);
 }
 
 TEST(PeerCodec, RefusesBytesThatAreNoValidEnvelope)
