Ask in one place which servers are in the fleet's view

Cause: the check for engines and its reason stood in viewOf() and in isInFleetLoad(), as an edit had not replaced the first one. Change: viewOf() calls the function; a view's memory is the entry's, so behaviour is the same.

--- a/src/routing/BackendTable.cpp
+++ b/src/routing/BackendTable.cpp
@@ -395,9 +395,7 @@
 BackendView BackendTable::viewOf(const Backend& backend, const ViewRequest& request, Instant now) const
 {
     BackendView view = backend.view(request, now);
-    // Plain servers answer within tens of milliseconds. A view that is some hundred milliseconds old shows requests
-    // that have ended, and by it all routers would send theirs to the same server.
-    if (fleetLoad_ != nullptr && view.memory) {
+    if (fleetLoad_ != nullptr && isInFleetLoad(backend)) {
         view.peers = fleetLoad_->of(view.key, now);
         view.pace = fleetLoad_->paceOf(view.key, now);
     }
