--- a/src/transport/PeerLinks.cpp
+++ b/src/transport/PeerLinks.cpp
@@ -31,8 +31,8 @@
             || std::holds_alternative<node::Records>(message);
     }
 
-    /** @return True if the message tells loads of backend servers. */
-    bool tellsLoads(const node::PeerMessage& message)
+    /** @return True if the message belongs to the exchange of backend servers' loads. */
+    bool isLoadMessage(const node::PeerMessage& message)
     {
         return std::holds_alternative<node::LoadReport>(message) || std::holds_alternative<node::LoadDigest>(message);
     }
@@ -151,7 +151,7 @@
         ++dropped;
         return;
     }
-    loadTraffic.received += tellsLoads(envelope->message) ? message.size() : 0;
+    loadTraffic.received += isLoadMessage(envelope->message) ? message.size() : 0;
     TaggedEvent event { envelope->receiver,
         node::PeerReceived { envelope->sender, std::move(envelope->senderAddress), std::move(envelope->message),
             envelope->shard, steadyInstant() } };
@@ -179,7 +179,7 @@
     link.lastUse = Clock::now();
     if (link.dealer.send(zmq::buffer(bytes), zmq::send_flags::dontwait)) {
         traffic.sent += bytes.size();
-        loadTraffic.sent += tellsLoads(outgoing.message) ? bytes.size() : 0;
+        loadTraffic.sent += isLoadMessage(outgoing.message) ? bytes.size() : 0;
     } else {
         ++dropped;
     }
