Tell of each request that a brittle server turns away what the router took for room

What callers saw: brittle servers fell under what they had to reject. Cause not known yet: turned_away told only what is in progress and the slots, so refusals within a router's part, cancelled requests, memory and differing lists of routers looked alike. Change: place (part or trial), part, level, held, routers, list_age_ms, memory, server_memory and request_memory; the metric has the place as a label. No logic changes.

--- a/include/swiftlift/routing/BackendTable.h
+++ b/include/swiftlift/routing/BackendTable.h
@@ -25,6 +25,7 @@
 } // namespace internal
 
 class Backend;
+struct EndedAttempt;
 class FleetLoad;
 class PrefillModel;
 class PrefixLengths;
@@ -85,6 +86,32 @@
     bool fromPeer = false;
 };
 
+/** @brief Which place of a brittle server's room a request was sent for. */
+enum class RoomPlace : std::uint8_t {
+    /** One of the router's own part. */
+    Part,
+    /** One beyond it, which another router may have left free. */
+    Trial,
+};
+
+/** @brief What a router takes for its room at a brittle backend server. */
+struct RoomFacts {
+    /** Places that are this router's own, by the list of routers. */
+    std::uint32_t part = 0;
+    /** Requests that it may have in progress there without a trial; lower than `part` after refusals. */
+    std::uint32_t level = 0;
+    /** Requests that have ended for this router and may still run there. */
+    std::uint32_t held = 0;
+    /** Routers among which the room is divided. */
+    std::uint32_t routers = 0;
+    /** Time since their list last changed; nullopt: there is none. */
+    std::optional<Duration> listAge;
+    /** Memory of this router's requests in progress there, at most. */
+    Tokens memory;
+    /** Memory of the server; nullopt: not known, or not an engine. */
+    std::optional<Tokens> serverMemory;
+};
+
 /** @brief A brittle backend server turned a request of this router away. */
 struct TurnedAway {
     BackendId backend;
@@ -96,6 +123,10 @@
     std::uint32_t slots = 0;
     /** Time since it was last known to have turned a request away before, of any router; nullopt: never. */
     std::optional<Duration> sinceLast;
+    RoomPlace place = RoomPlace::Part;
+    RoomFacts room {};
+    /** Memory of the request, at most; 0: not known. */
+    Tokens requestMemory {};
 };
 
 /** @brief Availability of a backend server; Broken and Probing are states of its circuit breaker. A Cold server has
@@ -264,7 +295,7 @@
     /** @brief Records a change for takeAnnouncementChanges(), and applies it to the backend server. */
     void announcementChanged(const BackendId& backend, bool fromPeer, Instant now);
     /** @brief Processes that the backend server turned a request of this router away. */
-    void onTurnedAway(Backend& backend, Instant now);
+    void onTurnedAway(Backend& backend, const EndedAttempt& attempt, Instant now);
     /** @brief Applies what the backend server has stated about itself. */
     void applyAnnouncement(Backend& backend, Instant now) const;
     /** @brief Divides what the backend server accepts among the routers. */
@@ -295,6 +326,8 @@
     const FleetLoad* fleetLoad_ = nullptr;
     PeerAddress self_;
     std::vector<PeerAddress> routers_;
+    /** When the list of routers last changed. */
+    std::optional<Instant> routersChangedAt_;
     /** The table holds backend servers that no service lists and that still run attempts of this router. */
     bool hasUnlistedBackends_ = false;
 };
--- a/src/node/StateChanges.cpp
+++ b/src/node/StateChanges.cpp
@@ -69,8 +69,17 @@
                          .with("brittle_per_s", each.bearable)
                          .with("in_flight", static_cast<std::int64_t>(each.inFlight))
                          .with("slots", static_cast<std::int64_t>(each.slots))
-                         .with("since_last_ms", each.sinceLast ? toMilliseconds(*each.sinceLast) : internal::noAge));
-        context_.count("swiftlift_brittle_turned_away_total");
+                         .with("since_last_ms", each.sinceLast ? toMilliseconds(*each.sinceLast) : internal::noAge)
+                         .with("place", toText(each.place))
+                         .with("part", static_cast<std::int64_t>(each.room.part))
+                         .with("level", static_cast<std::int64_t>(each.room.level))
+                         .with("held", static_cast<std::int64_t>(each.room.held))
+                         .with("routers", static_cast<std::int64_t>(each.room.routers))
+                         .with("list_age_ms", each.room.listAge ? toMilliseconds(*each.room.listAge) : internal::noAge)
+                         .with("memory", each.room.memory.value())
+                         .with("server_memory", each.room.serverMemory.value_or(Tokens {}).value())
+                         .with("request_memory", each.requestMemory.value()));
+        context_.count("swiftlift_brittle_turned_away_total", { { "place", toText(each.place) } });
     }
 }
 
@@ -93,6 +102,8 @@
     std::erase_if(backends_, [&](const auto& entry) { return !table.view(entry.first, {}, context_.now()); });
 }
 
+const char* toText(routing::RoomPlace place) noexcept { return place == routing::RoomPlace::Part ? "part" : "trial"; }
+
 const char* toText(routing::BackendState state) noexcept
 {
     switch (state) {
--- a/src/node/StateChanges.h
+++ b/src/node/StateChanges.h
@@ -45,6 +45,7 @@
 };
 
 /** @return The state's name on operators' pages and in log lines. */
+[[nodiscard]] const char* toText(routing::RoomPlace place) noexcept;
 [[nodiscard]] const char* toText(routing::BackendState state) noexcept;
 
 } // namespace swiftlift::node
--- a/src/routing/Backend.cpp
+++ b/src/routing/Backend.cpp
@@ -143,7 +143,7 @@
     sent_[attempt] = SentAttempt { facts, now, uncached, predict(uncached, now), load_.now(now).waiting > 0 };
     unread_ += uncached;
     memory_ += facts.memory;
-    sent_[attempt].trial = room_.onDispatched(load_.inFlight(), now);
+    sent_[attempt].place = room_.onDispatched(load_.inFlight(), now) ? RoomPlace::Trial : RoomPlace::Part;
     load_.onDispatched(attempt, now);
     breaker_.onDispatched(attempt, now);
     arrivals_.onDispatched(now);
@@ -196,7 +196,18 @@
     answers_ = true;
 }
 
-std::optional<Instant> Backend::onFinished(AttemptId attempt, const FinishFacts& facts, Instant now)
+RoomFacts Backend::room(Instant now) const
+{
+    RoomFacts facts;
+    facts.part = room_.part();
+    facts.level = room_.allowed(now);
+    facts.held = room_.held(now);
+    facts.memory = memory_;
+    facts.serverMemory = entry_.memory;
+    return facts;
+}
+
+std::optional<EndedAttempt> Backend::onFinished(AttemptId attempt, const FinishFacts& facts, Instant now)
 {
     const auto found = sent_.find(attempt);
     if (found == sent_.end()) {
@@ -213,14 +224,14 @@
     if (facts.announcement) {
         heardAt_ = now;
     }
-    if (facts.kind == EndKind::NotStarted && !sent.trial) {
+    if (facts.kind == EndKind::NotStarted && sent.place == RoomPlace::Part) {
         room_.onPartRefused(load_.inFlight(), now);
     }
     if (facts.kind == EndKind::Completed && facts.promptTokens > Tokens {}) {
         cache_.onAnswer(sent.facts.prefixHash, facts.promptTokens, facts.cachedPromptTokens);
     }
     processEnd(attempt, facts, now);
-    return sent.at;
+    return EndedAttempt { sent.at, sent.place, sent.facts.memory };
 }
 
 void Backend::processEnd(AttemptId attempt, const FinishFacts& facts, Instant now)
--- a/src/routing/Backend.h
+++ b/src/routing/Backend.h
@@ -20,6 +20,14 @@
 
 namespace swiftlift::routing {
 
+/** @brief An attempt of this router that is no longer in progress. */
+struct EndedAttempt {
+    Instant sentAt;
+    RoomPlace place = RoomPlace::Part;
+    /** Memory of the request, at most; 0: not known. */
+    Tokens memory;
+};
+
 /** @brief Estimated state of one backend server; the entry of BackendTable. */
 class Backend {
 public:
@@ -33,8 +41,8 @@
     void onCacheEvents(const std::vector<CacheNotice>& events) { cache_.onEvents(events); }
     void onDispatched(AttemptId attempt, const DispatchFacts& facts, Instant now);
     void onFirstToken(AttemptId attempt, Instant now);
-    /** @return When the attempt was sent; nullopt: the attempt is unknown. */
-    std::optional<Instant> onFinished(AttemptId attempt, const FinishFacts& facts, Instant now);
+    /** @return The attempt; nullopt: it is unknown. */
+    std::optional<EndedAttempt> onFinished(AttemptId attempt, const FinishFacts& facts, Instant now);
     void onLeaving(Instant now);
 
     void forgetFailures();
@@ -53,6 +61,8 @@
     [[nodiscard]] const std::set<std::string>& models() const noexcept { return models_; }
     /** @return True if no attempt of this router is in progress there. */
     [[nodiscard]] bool idle() const noexcept { return load_.inFlight() == 0; }
+    /** @return What this router takes for its room there; `routers` and `listAge` are the table's. */
+    [[nodiscard]] RoomFacts room(Instant now) const;
     /** @return Number of attempts of this router in progress there. */
     [[nodiscard]] std::uint32_t inFlight() const noexcept { return load_.inFlight(); }
     /** @return This router's requests there. */
@@ -94,8 +104,7 @@
         bool waited = false;
         /** The first token has arrived. */
         bool answered = false;
-        /** It was sent beyond this router's part of a brittle server's room. */
-        bool trial = false;
+        RoomPlace place = RoomPlace::Part;
     };
 
     /** @brief The backend server announced that it is leaving. */
--- a/src/routing/BackendTable.cpp
+++ b/src/routing/BackendTable.cpp
@@ -122,6 +122,7 @@
     }
     self_ = self;
     routers_ = std::move(routers);
+    routersChangedAt_ = now;
     for (const auto& [id, backend] : backends_) {
         updateLimits(*backend, now);
     }
@@ -329,24 +330,29 @@
     if (found == nullptr) {
         return;
     }
-    const auto sentAt = found->onFinished(attempt, facts, now);
-    if (sentAt && facts.announcement
-        && announcements_->onAnswered(backend, found->entry().instance, *facts.announcement, *sentAt, now)) {
+    const auto ended = found->onFinished(attempt, facts, now);
+    if (ended && facts.announcement
+        && announcements_->onAnswered(backend, found->entry().instance, *facts.announcement, ended->sentAt, now)) {
         announcementChanged(backend, false, now);
     }
-    if (facts.kind == EndKind::NotStarted) {
-        onTurnedAway(*found, now);
+    if (ended && facts.kind == EndKind::NotStarted) {
+        onTurnedAway(*found, *ended, now);
     }
 }
 
-void BackendTable::onTurnedAway(Backend& backend, Instant now)
+void BackendTable::onTurnedAway(Backend& backend, const EndedAttempt& attempt, Instant now)
 {
     const BackendEntry& entry = backend.entry();
     const internal::KnownAnnouncement* known = announcements_->find(entry.backend, entry.instance);
     if (known == nullptr || !known->brittle.value) {
         return;
     }
-    TurnedAway turnedAway { entry.backend, *known->brittle.value, backend.inFlight(), backend.slots(), std::nullopt };
+    TurnedAway turnedAway { entry.backend, *known->brittle.value, backend.inFlight(), backend.slots(), std::nullopt,
+        attempt.place, backend.room(now), attempt.memory };
+    turnedAway.room.routers = static_cast<std::uint32_t>(routers_.size());
+    if (routersChangedAt_) {
+        turnedAway.room.listAge = now - *routersChangedAt_;
+    }
     if (known->turnedAwayAt) {
         turnedAway.sinceLast = now - *known->turnedAwayAt;
     }
--- a/src/routing/RoomLimiter.h
+++ b/src/routing/RoomLimiter.h
@@ -47,6 +47,12 @@
 
     /** @param inProgress Requests of this router in progress there. */
     [[nodiscard]] RoomUse use(std::uint32_t inProgress, Instant now) const noexcept;
+    /** @return Requests that this router may have in progress without a trial; 0 if the server is not brittle. */
+    [[nodiscard]] std::uint32_t allowed(Instant now) const noexcept { return part_ ? level(now) : 0; }
+    /** @return This router's part, whatever is known of refusals; 0 if the server is not brittle. */
+    [[nodiscard]] std::uint32_t part() const noexcept { return part_ ? part_->guaranteed : 0; }
+    /** @return Requests that have ended for this router and may still run there. */
+    [[nodiscard]] std::uint32_t held(Instant now) const noexcept { return occupied(0, now); }
     /** @return When there may be room again, as far as is known. */
     [[nodiscard]] Instant freeAt(std::uint32_t inProgress, Instant now) const noexcept;
 
