--- a/tests/routing/BrittleFleet.cpp
+++ b/tests/routing/BrittleFleet.cpp
@@ -42,7 +42,9 @@
 {
     std::vector<BackendEntry> list;
     for (std::size_t index = 0; index < servers_.size(); ++index) {
-        list.push_back({ idOf(index), FailureDomain { "d" }, pattern_.slots });
+        BackendEntry entry { idOf(index), FailureDomain { "d" }, pattern_.slots };
+        entry.memory = pattern_.memory;
+        list.push_back(std::move(entry));
     }
     return list;
 }
@@ -75,6 +77,15 @@
     startRouter(router);
 }
 
+void BrittleFleet::listRouters(std::size_t router, const std::vector<std::size_t>& listed)
+{
+    std::vector<PeerAddress> addresses;
+    for (const std::size_t index : listed) {
+        addresses.push_back(addresses_[index]);
+    }
+    routers_[router].table->setRouters(addresses_[router], std::move(addresses), now_);
+}
+
 void BrittleFleet::listServers()
 {
     for (Router& router : routers_) {
@@ -98,12 +109,29 @@
     return router;
 }
 
+double BrittleFleet::timeOfLeaver() const
+{
+    const double runOn = std::min(1.0, static_cast<double>(pattern_.runOn.count()) / pattern_.work.count());
+    return (1 - runOn) * (1 - runOn) / 2 + runOn * (1 - runOn) + runOn;
+}
+
+double BrittleFleet::capacity() const
+{
+    double places = pattern_.slots;
+    if (pattern_.memory && pattern_.requestMemory > Tokens {}) {
+        const auto memory = static_cast<double>(pattern_.memory->value());
+        places = std::min(places, memory / static_cast<double>(pattern_.requestMemory.value()));
+    }
+    const double meanTime = 1 - pattern_.leavingCallers * (1 - timeOfLeaver());
+    const double timeOfPlace = std::chrono::duration<double>(pattern_.work).count() * meanTime;
+    return static_cast<double>(pattern_.servers) * places / timeOfPlace;
+}
+
 void BrittleFleet::run(Duration time, double factor)
 {
     const double arrivals = pattern_.requestsPerSecond * factor;
-    const double room
-        = static_cast<double>(pattern_.servers * pattern_.slots) / std::chrono::duration<double>(pattern_.work).count();
-    servable_ += std::min(room, arrivals) * std::chrono::duration<double>(time).count();
+    const double staying = (1 - pattern_.leavingCallers) * std::min(capacity(), arrivals);
+    servable_ += staying * std::chrono::duration<double>(time).count();
     std::exponential_distribution<double> gaps(arrivals);
     const Instant end = now_ + time;
     while (now_ < end) {
@@ -119,6 +147,14 @@
     request->router = drawRouter();
     request->process = routers_[request->router].process;
     request->arrivedAt = now_;
+    if (pattern_.leavingCallers > 0) {
+        request->leaves = std::uniform_real_distribution<double>(0, 1)(random_) < pattern_.leavingCallers;
+    }
+    if (pattern_.requestMemory > Tokens {}) {
+        const double factor = std::uniform_real_distribution<double>(0.5, 1.5)(random_);
+        const auto tokens = static_cast<double>(pattern_.requestMemory.value()) * factor;
+        request->memory = Tokens { static_cast<std::int64_t>(tokens) };
+    }
     routers_[request->router].retries->onRequest();
     if (!dispatch(request)) {
         routers_[request->router].waiting.push_back(request);
@@ -131,6 +167,7 @@
     SelectRequest selection;
     selection.service = service;
     selection.excluded = request->excluded;
+    selection.memory = request->memory;
     const auto choice = router.selector->choose(selection, *router.table, now_);
     if (!choice) {
         const bool waits = router.selector->noChoice() == NoChoice::AllFull;
@@ -140,8 +177,15 @@
     request->attempt = AttemptId { ++lastAttempt_ };
     request->serverId = choice->backend;
     request->server = std::stoul(choice->backend.value().substr(1));
-    router.table->onDispatched(choice->backend, request->attempt, {}, now_);
+    request->inProgress = true;
+    DispatchFacts facts;
+    facts.memory = request->memory;
+    router.table->onDispatched(choice->backend, request->attempt, facts, now_);
     push(now_ + oneWay, Step::Arrives, request);
+    if (request->leaves) {
+        const double part = std::uniform_real_distribution<double>(0, 1)(random_);
+        push(now_ + std::chrono::duration_cast<Duration>(pattern_.work * part), Step::Left, request);
+    }
     return true;
 }
 
@@ -184,6 +228,12 @@
     case Step::Lost:
         onAnswer(due);
         break;
+    case Step::Left:
+        onCallerLeft(due.request);
+        break;
+    case Step::Stops:
+        onStopped(due);
+        break;
     case Step::Retry:
         if (due.request->process == routers_[due.request->router].process && !dispatch(due.request)) {
             routers_[due.request->router].waiting.push_back(due.request);
@@ -215,7 +265,7 @@
     Server& server = servers_[request->server];
     if (!server.up || request->serverId != idOf(request->server)) {
         push(now_ + oneWay, Step::Lost, request);
-    } else if (server.running.size() < pattern_.slots) {
+    } else if (hasRoom(server, *request)) {
         start(request);
     } else if (server.queue.size() < pattern_.waiting) {
         server.queue.push_back(request);
@@ -224,24 +274,50 @@
     }
 }
 
+bool BrittleFleet::hasRoom(const Server& server, const Request& request) const
+{
+    const bool fits = !pattern_.memory || server.usedMemory + request.memory <= *pattern_.memory;
+    return fits && server.running.size() < pattern_.slots;
+}
+
 void BrittleFleet::start(const std::shared_ptr<Request>& request)
 {
-    servers_[request->server].running.insert(request->attempt);
+    Server& server = servers_[request->server];
+    server.running[request->attempt] = request->memory;
+    server.usedMemory += request->memory;
     const double spread = std::uniform_real_distribution<double>(0.5, 1.5)(random_);
     const auto took = std::chrono::duration_cast<Duration>(pattern_.work * spread);
-    push(now_ + took, Step::Ends, request, servers_[request->server].life);
+    push(now_ + took, Step::Ends, request, server.life);
 }
 
 void BrittleFleet::onRunEnded(const Due& due)
 {
     Server& server = servers_[due.request->server];
-    if (!server.up || server.life != due.index) {
+    if (!server.up || server.life != due.index || !server.running.contains(due.request->attempt)) {
         return;
     }
-    server.running.erase(due.request->attempt);
     push(now_ + oneWay, Step::Answered, due.request);
+    release(server, due.request->attempt);
+}
+
+void BrittleFleet::onStopped(const Due& due)
+{
+    Server& server = servers_[due.request->server];
+    if (!server.up || server.life != due.index) {
+        return;
+    }
+    std::erase(server.queue, due.request);
+    if (server.running.contains(due.request->attempt)) {
+        release(server, due.request->attempt);
+    }
+}
+
+void BrittleFleet::release(Server& server, AttemptId attempt)
+{
+    server.usedMemory -= server.running.at(attempt);
+    server.running.erase(attempt);
     // What a router that was killed had sent runs on; what waits is dropped.
-    while (!server.queue.empty() && server.running.size() < pattern_.slots) {
+    while (!server.queue.empty() && hasRoom(server, *server.queue.front())) {
         const auto next = server.queue.front();
         server.queue.pop_front();
         if (next->process == routers_[next->router].process) {
@@ -250,6 +326,20 @@
     }
 }
 
+void BrittleFleet::onCallerLeft(const std::shared_ptr<Request>& request)
+{
+    Router& router = routers_[request->router];
+    if (!request->inProgress || request->process != router.process) {
+        return;
+    }
+    request->inProgress = false;
+    router.table->onFinished(request->serverId, request->attempt, { EndKind::Cancelled, {}, {}, std::nullopt }, now_);
+    if (request->serverId == idOf(request->server)) {
+        push(now_ + oneWay + pattern_.runOn, Step::Stops, request, servers_[request->server].life);
+    }
+    dispatchWaiting(request->router);
+}
+
 void BrittleFleet::turnAway(const std::shared_ptr<Request>& request)
 {
     push(now_ + oneWay, Step::TurnedAway, request);
@@ -273,6 +363,7 @@
     Server& server = servers_[index];
     server.up = false;
     server.running.clear();
+    server.usedMemory = {};
     server.queue.clear();
     server.turnedAway.clear();
     push(now_ + downTime, Step::Up, nullptr, index);
@@ -285,9 +376,10 @@
 {
     const auto& request = due.request;
     Router& router = routers_[request->router];
-    if (request->process != router.process) {
+    if (request->process != router.process || !request->inProgress) {
         return;
     }
+    request->inProgress = false;
     const bool served = due.step == Step::Answered;
     const bool lost = due.step == Step::Lost;
     if (!lost) {
@@ -296,6 +388,9 @@
     const EndKind kind = served ? EndKind::Completed : (lost ? EndKind::Broken : EndKind::NotStarted);
     router.table->onFinished(request->serverId, request->attempt,
         { kind, {}, {}, lost ? std::nullopt : std::optional(announcement()) }, now_);
+    for (const TurnedAway& each : router.table->takeTurnedAway()) {
+        turnedAwayInPart_ += each.place == RoomPlace::Part ? 1 : 0;
+    }
     served_ += served ? 1 : 0;
     tellPeers(request->router, true);
     if (!served) {
--- a/tests/routing/BrittleFleet.h
+++ b/tests/routing/BrittleFleet.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -31,6 +32,14 @@
     Duration work = std::chrono::milliseconds(60);
     /** Part of the requests that arrive at the first router; the others get the rest in equal parts. 0: equal. */
     double firstRouterPart = 0;
+    /** Part of the callers that leave while their request is in progress. */
+    double leavingCallers = 0;
+    /** How long a server goes on with a request that was cancelled. */
+    Duration runOn = std::chrono::milliseconds(1500);
+    /** Tokens of all requests that a server's memory holds; nullopt: no limit. */
+    std::optional<Tokens> memory = std::nullopt;
+    /** Mean tokens that a request takes in a server's memory; they lie between half of that and one and a half. */
+    Tokens requestMemory {};
     std::uint64_t seed = 1;
 };
 
@@ -60,14 +69,18 @@
     /** The router neither sends anything to its peers nor hears from them. */
     void cutFromPeers(std::size_t router) { cut_.insert(router); }
     void reconnect(std::size_t router) { cut_.erase(router); }
+    /** From now on the router takes these for all routers of the fleet. */
+    void listRouters(std::size_t router, const std::vector<std::size_t>& listed);
     /** The router ends for good; its share of the load goes to the next one. */
     void removeRouter(std::size_t router) { removed_.insert(router); }
 
     [[nodiscard]] std::size_t falls() const noexcept { return falls_; }
     [[nodiscard]] std::size_t turnedAway() const noexcept { return turnedAwayCount_; }
+    /** @return Requests turned away that a router had sent for a place of its own part. */
+    [[nodiscard]] std::size_t turnedAwayInPart() const noexcept { return turnedAwayInPart_; }
     [[nodiscard]] std::size_t served() const noexcept { return served_; }
     [[nodiscard]] std::size_t refused() const noexcept { return refused_; }
-    /** @return Requests that sound servers have room for, of those that arrived. */
+    /** @return Requests that sound servers have room for, of those that arrived and whose callers stay. */
     [[nodiscard]] double servable() const noexcept { return servable_; }
     [[nodiscard]] std::size_t allowedFalls() const noexcept { return 2 + pattern_.servers / 10; }
 
@@ -82,7 +95,20 @@
     /** Maximum number of servers that a request is sent to. */
     static constexpr std::size_t maxArrivals = 4;
 
-    enum class Step : std::uint8_t { Arrives, Ends, TurnedAway, Answered, Lost, News, Heartbeat, Tick, Up, Retry };
+    enum class Step : std::uint8_t {
+        Arrives,
+        Ends,
+        TurnedAway,
+        Answered,
+        Lost,
+        Left,
+        Stops,
+        News,
+        Heartbeat,
+        Tick,
+        Up,
+        Retry
+    };
 
     struct Request {
         std::size_t router = 0;
@@ -92,6 +118,11 @@
         AttemptId attempt;
         std::size_t server = 0;
         BackendId serverId;
+        Tokens memory;
+        /** The attempt is in progress, as far as the router knows. */
+        bool inProgress = false;
+        /** The caller leaves during the request. */
+        bool leaves = false;
     };
 
     struct Due {
@@ -111,7 +142,8 @@
     struct Server {
         std::uint64_t life = 1;
         bool up = true;
-        std::set<AttemptId> running;
+        std::map<AttemptId, Tokens> running;
+        Tokens usedMemory;
         std::deque<std::shared_ptr<Request>> queue;
         std::deque<Instant> turnedAway;
     };
@@ -127,6 +159,10 @@
     [[nodiscard]] BackendId idOf(std::size_t server) const;
     [[nodiscard]] std::vector<BackendEntry> entries() const;
     [[nodiscard]] Announcement announcement() const;
+    /** @return Requests that all servers have room for in a second. */
+    [[nodiscard]] double capacity() const;
+    /** @return Mean time for which a request whose caller leaves takes its place, as a part of `work`. */
+    [[nodiscard]] double timeOfLeaver() const;
     [[nodiscard]] std::size_t drawRouter();
     void startRouter(std::size_t router);
     void listServers();
@@ -139,8 +175,14 @@
     void handleDue();
     void handle(const Due& due);
     void arriveAtServer(const std::shared_ptr<Request>& request);
+    /** @return True if the server has a free place, and memory for the request. */
+    [[nodiscard]] bool hasRoom(const Server& server, const Request& request) const;
     void start(const std::shared_ptr<Request>& request);
     void onRunEnded(const Due& due);
+    /** The server stops a request whose caller has left. */
+    void onStopped(const Due& due);
+    void release(Server& server, AttemptId attempt);
+    void onCallerLeft(const std::shared_ptr<Request>& request);
     void turnAway(const std::shared_ptr<Request>& request);
     void fall(std::size_t server);
     void onAnswer(const Due& due);
@@ -161,6 +203,7 @@
     Instant brittleSince_ {};
     std::size_t falls_ = 0;
     std::size_t turnedAwayCount_ = 0;
+    std::size_t turnedAwayInPart_ = 0;
     std::size_t served_ = 0;
     std::size_t refused_ = 0;
     double servable_ = 0;
