--- a/include/swiftlift/routing/BackendTable.h
+++ b/include/swiftlift/routing/BackendTable.h
@@ -318,8 +318,9 @@
     std::map<BackendId, std::unique_ptr<Backend>> backends_;
     std::map<ServiceName, std::set<BackendId>> services_;
     std::unique_ptr<internal::AnnouncementBook> announcements_;
-    /** Services of which a server has stated that it is brittle, with the number that it can turn away in a second. */
-    std::map<ServiceName, double> brittleServices_;
+    /** Servers of each service that state that they are brittle, with the number that they can turn away in a second.
+     */
+    std::map<ServiceName, std::map<BackendId, double>> brittleServers_;
     std::vector<AnnouncementChange> announcementChanges_;
     std::vector<TurnedAway> turnedAway_;
     bool urgentNews_ = false;
--- a/src/routing/BackendTable.cpp
+++ b/src/routing/BackendTable.cpp
@@ -54,19 +54,23 @@
         ids.insert(entry.backend);
         if (Backend* found = find(entry.backend)) {
             found->setEntry(entry, now);
-            applyAnnouncement(*found, now);
             continue;
         }
         const std::uint64_t seed = settings_.seed ^ std::hash<BackendId> {}(entry.backend);
         auto& added = backends_[entry.backend];
         added = std::make_unique<Backend>(entry, settings_, *prefill_, *lengths_, seed);
-        applyAnnouncement(*added, now);
     }
     if (ids.empty()) {
         services_.erase(service);
+        brittleServers_.erase(service);
     } else {
+        std::erase_if(brittleServers_[service], [&](const auto& entry) { return !ids.contains(entry.first); });
         services_[service] = std::move(ids);
     }
+    // Whether a new server may be brittle depends on the services that list it.
+    for (const BackendEntry& entry : backends) {
+        applyAnnouncement(*find(entry.backend), now);
+    }
     removeUnlisted();
     distributePrefixCapacity();
 }
@@ -169,10 +173,10 @@
     if (backend.isHeard(now)) {
         return std::nullopt;
     }
-    for (const auto& [service, bearable] : brittleServices_) {
+    for (const auto& [service, stating] : brittleServers_) {
         const auto ids = services_.find(service);
-        if (ids != services_.end() && ids->second.contains(server)) {
-            return bearable;
+        if (!stating.empty() && ids != services_.end() && ids->second.contains(server)) {
+            return stating.begin()->second;
         }
     }
     return std::nullopt;
@@ -198,20 +202,24 @@
     }
 }
 
+// One server's record says nothing of the others: a new life states first what it has to, and an answer may lack a
+// statement that holds.
 void BackendTable::updateBrittleServices(const BackendId& server, Instant now)
 {
-    const Backend* changed = find(server);
-    const auto* announced = announcements_->find(server, changed->entry().instance);
+    const auto* announced = announcements_->find(server, find(server)->entry().instance);
+    const bool isBrittle = announced != nullptr && announced->brittle.value;
     for (const auto& [service, ids] : services_) {
         if (!ids.contains(server)) {
             continue;
         }
-        if (announced == nullptr || !announced->brittle.value) {
-            brittleServices_.erase(service);
-            continue;
+        std::map<BackendId, double>& stating = brittleServers_[service];
+        const bool wasBrittle = !stating.empty();
+        if (isBrittle) {
+            stating[server] = *announced->brittle.value;
+        } else {
+            stating.erase(server);
         }
-        const bool isNew = brittleServices_.insert_or_assign(service, *announced->brittle.value).second;
-        for (const BackendId& id : isNew ? ids : std::set<BackendId> {}) {
+        for (const BackendId& id : stating.empty() == wasBrittle ? ids : std::set<BackendId> {}) {
             updateRoom(*find(id), now);
         }
     }
--- a/tests/routing/HeldRoomTest.cpp
+++ b/tests/routing/HeldRoomTest.cpp
@@ -53,8 +53,7 @@
     class HeldRoomTest : public testing::TestWithParam<double> {
     protected:
         /** Plays a load with several seeds, from the time on in which nothing may wait at the servers. */
-        template <class Play>
-        void expectNoFall(FleetPattern pattern, const Play& play)
+        template <class Play> void expectNoFall(FleetPattern pattern, const Play& play)
         {
             pattern.bearable = GetParam();
             const std::uint64_t lastSeed = pattern.routers > 6 ? seedsOfManyRouters : seeds;
@@ -241,10 +240,36 @@
             return attempt;
         }
 
+        /** @return True if the server gets no second request right after the first. */
+        [[nodiscard]] bool isLimited(int server)
+        {
+            (void)dispatch(server);
+            return view(server).heldBackBy == LimitCause::Brittle;
+        }
+
         PeerAddress self_ { "10.0.0.1:7400" };
     };
 
-    // Guards against a server that falls while no line tells whether places, memory, lists or ended requests were short.
+    // Guards against a server that is back under another id and is filled by all routers at once.
+    TEST_F(BrittleTableTest, ServerThatIsNewInABrittleServiceIsLimitedAtOnce)
+    {
+        table_.setBackends(drafts, { { engine(1), ownDomain, 8 }, { engine(2), ownDomain, 8 } }, now_);
+        EXPECT_TRUE(isLimited(2));
+    }
+
+    // Guards against a service that counts as sound because one of its servers states something else.
+    TEST_F(BrittleTableTest, RecordOfOneServerDoesNotEndTheBrittlenessOfTheOthers)
+    {
+        table_.setBackends(
+            drafts, { { engine(1), ownDomain, 8 }, { engine(2), ownDomain, 8 }, { engine(3), ownDomain, 8 } }, now_);
+        Announcement limited;
+        limited.limit = 5;
+        table_.onAnnounced(engine(2), limited, now_);
+        EXPECT_TRUE(isLimited(3));
+    }
+
+    // Guards against a server that falls while no line tells whether places, memory, lists or ended requests were
+    // short.
     TEST_F(BrittleTableTest, RefusalTellsWhatTheRouterTookForRoom)
     {
         const AttemptId first = send(Tokens { 700 });
