Bound what brittle servers get by what still holds their room

What callers saw: brittle servers kept falling under what they had to reject. Cause, one class: a router counted as room what isn't. Its part was taken for whole whatever a refusal had shown, and several things hold room that it didn't know. Each refusal within a part was learnt by every router for itself, and all took their whole parts back together. Change, in one account (RoomLimiter), as its parts make no sense alone: - A request that ended for this router only holds its place until the longest run lately seen at the service and a fourth have passed since its dispatch, or the deadline that the server was told; before: 1 s, or nothing where it broke. An attempt that never arrived holds none. - Places are what fits into an engine's memory by the sizes of the requests sent, with three standard deviations (MemoryNeed). - After a refusal a router keeps what it has in progress and gets the rest of its part back by trials that the fleet makes one after the other (50 ms, less with N); for N = 1 after any router's refusal, else after its own within its part. - So does a router that has started (its last process may have left requests behind; with N = 1 it waits 1.5 s for news first), and one whose part has grown. - A router that leaves the list keeps its part for 30 s. - Only trials beyond the part pause for the whole service. Routers whose trials began at the same moment, when a server had emptied, now begin apart. RoomLimiter.RefusalWithinThePartReducesItForLongerEachTime is replaced by one of the same strictness: the part comes back by trials now instead of by steps of time.

--- a/include/swiftlift/routing/BackendFacts.h
+++ b/include/swiftlift/routing/BackendFacts.h
@@ -86,6 +86,8 @@
     Duration predictedFirstToken {};
     /** Maximum memory of the request, in tokens: the whole prompt and the largest possible answer. */
     Tokens memory = {};
+    /** Time after which the backend server stops the request by itself; nullopt: not known. */
+    std::optional<Duration> timeLeft = std::nullopt;
 };
 
 /** @brief How an attempt ended. */
@@ -115,6 +117,8 @@
     std::optional<Announcement> announcement = std::nullopt;
     /** Mean time between two events of the answer; nullopt: it had fewer than two. */
     std::optional<Duration> pace = std::nullopt;
+    /** False: the request did not reach the backend server, so it can't run there. */
+    bool arrived = true;
 };
 
 } // namespace swiftlift::routing
--- a/include/swiftlift/routing/BackendTable.h
+++ b/include/swiftlift/routing/BackendTable.h
@@ -22,6 +22,7 @@
 namespace internal {
     class AnnouncementBook;
     struct KnownAnnouncement;
+    struct RequestStatistics;
 } // namespace internal
 
 class Backend;
@@ -88,9 +89,9 @@
 
 /** @brief Which place of a brittle server's room a request was sent for. */
 enum class RoomPlace : std::uint8_t {
-    /** One of the router's own part. */
+    /** One of the router's own part, which it took for free. */
     Part,
-    /** One beyond it, which another router may have left free. */
+    /** One that may be free or not: beyond its part, or more than the server was known to have room for. */
     Trial,
 };
 
@@ -309,24 +310,34 @@
     void updateBrittleServices(const BackendId& server, Instant now);
     /** @brief Ends trials at all servers of the services of a brittle server that turned a request away at `at`. */
     void pauseService(const BackendId& server, Instant at) const;
+    /** @brief Updates the routers among which the room of brittle servers is divided. @return True if they changed. */
+    bool updateRoomRouters(Instant now);
     [[nodiscard]] FleetShare shareOf(const Backend& backend, const FleetRate& rate) const;
     [[nodiscard]] BackendView viewOf(const Backend& backend, const ViewRequest& request, Instant now) const;
 
     TableSettings settings_;
     std::unique_ptr<PrefillModel> prefill_;
     std::unique_ptr<PrefixLengths> lengths_;
+    /** By the service that listed a server first. */
+    std::map<ServiceName, std::unique_ptr<internal::RequestStatistics>> requests_;
     std::map<BackendId, std::unique_ptr<Backend>> backends_;
     std::map<ServiceName, std::set<BackendId>> services_;
     std::unique_ptr<internal::AnnouncementBook> announcements_;
     /** Servers of each service that state that they are brittle, with the number that they can turn away in a second.
      */
     std::map<ServiceName, std::map<BackendId, double>> brittleServers_;
+    /** When the first backend servers were listed. */
+    std::optional<Instant> startedAt_;
     std::vector<AnnouncementChange> announcementChanges_;
     std::vector<TurnedAway> turnedAway_;
     bool urgentNews_ = false;
     const FleetLoad* fleetLoad_ = nullptr;
     PeerAddress self_;
     std::vector<PeerAddress> routers_;
+    /** Routers among which the room of brittle servers is divided: those listed, and those that were until lately. */
+    std::vector<PeerAddress> roomRouters_;
+    /** When routers left the list. */
+    std::map<PeerAddress, Instant> departedRouters_;
     /** When the list of routers last changed. */
     std::optional<Instant> routersChangedAt_;
     /** The table holds backend servers that no service lists and that still run attempts of this router. */
--- a/src/node/ProxyRequests.h
+++ b/src/node/ProxyRequests.h
@@ -204,9 +204,8 @@
      */
     void forwardFailure(ProxyRequest& request, const std::string& objection);
     void cancelAttempt(ProxyRequest& request);
-    /** @param announcement What the answer's head states about the backend server; nullopt: no head was received. */
-    void closeAttempt(ProxyRequest& request, routing::EndKind kind,
-        const std::optional<routing::Announcement>& announcement = std::nullopt);
+    /** @param facts How the attempt ended; its pace is added. */
+    void closeAttempt(ProxyRequest& request, routing::FinishFacts facts);
     /** @return Tokens billed: at most the reserved tokens, 0 without a reservation. */
     Tokens settle(ProxyRequest& request, Tokens actual);
     /** @return Tokens to bill for the events that were forwarded, as far as known: prompt and answer. */
--- a/src/node/ProxyRequestsDispatch.cpp
+++ b/src/node/ProxyRequestsDispatch.cpp
@@ -245,7 +245,8 @@
     const Tokens tokensToPrefill
         = lastPartTokens + (choice.prefillsSharedPart ? internal::sharedTokens(parts) : Tokens {});
     backends_.onDispatched(choice.backend, request.attempt,
-        { 0, tokensToPrefill, choice.expectedFirstToken(), request.memory() }, context_.now());
+        { 0, tokensToPrefill, choice.expectedFirstToken(), request.memory(), request.deadline - context_.now() },
+        context_.now());
     request.expected = choice.expected;
     logRoute(request, choice, server->version);
     ProxyDispatch action;
@@ -383,11 +384,14 @@
     const ServerEvidence shown
         = links_.onEnded(request->links, request->linkAttempt(), { ended.connectFailure, answered });
     reportToQuarantine(*request, ended);
+    routing::FinishFacts facts;
+    facts.kind = routing::EndKind::Cancelled;
+    facts.arrived = ended.end != ProxyAttemptEnd::Unreachable;
     if (shown == ServerEvidence::Conclusive) {
-        closeAttempt(*request, internal::toEndKind(ended.end), ended.announcement);
-    } else {
-        closeAttempt(*request, routing::EndKind::Cancelled);
+        facts.kind = internal::toEndKind(ended.end);
+        facts.announcement = ended.announcement;
     }
+    closeAttempt(*request, facts);
     if (shown == ServerEvidence::None) {
         request->excluded.erase(request->backend);
     }
--- a/src/node/ProxyRequestsEnd.cpp
+++ b/src/node/ProxyRequestsEnd.cpp
@@ -176,16 +176,16 @@
     }
     context_.emit(CancelAttempt { request.attempt });
     links_.onEnded(request.links, request.linkAttempt(), {});
-    closeAttempt(request, routing::EndKind::Cancelled);
+    closeAttempt(request, { routing::EndKind::Cancelled, Tokens {}, Tokens {} });
 }
 
-void ProxyRequests::closeAttempt(
-    ProxyRequest& request, routing::EndKind kind, const std::optional<routing::Announcement>& announcement)
+void ProxyRequests::closeAttempt(ProxyRequest& request, routing::FinishFacts facts)
 {
     // An attempt that broke off or was cancelled may have waited long for an event that never came.
-    const auto pace = kind == routing::EndKind::Completed ? request.pace.mean() : std::nullopt;
-    backends_.onFinished(
-        request.backend, request.attempt, { kind, Tokens {}, Tokens {}, announcement, pace }, context_.now());
+    if (facts.kind == routing::EndKind::Completed) {
+        facts.pace = request.pace.mean();
+    }
+    backends_.onFinished(request.backend, request.attempt, facts, context_.now());
     callByAttempt_.erase(request.attempt);
     request.excluded.insert(request.backend);
     request.attempt = AttemptId {};
--- a/src/node/RequestsDispatch.cpp
+++ b/src/node/RequestsDispatch.cpp
@@ -140,8 +140,9 @@
     links_.onDispatched(call.links, path);
     ++call.attemptsMade;
     callByAttempt_[call.attempt] = call.id;
-    backends_.onDispatched(
-        choice.backend, call.attempt, { call.request.prefixHash, call.request.promptTokens }, context_.now());
+    routing::DispatchFacts facts { call.request.prefixHash, call.request.promptTokens };
+    facts.timeLeft = call.deadline - context_.now();
+    backends_.onDispatched(choice.backend, call.attempt, facts, context_.now());
     LogLineBuilder line("route");
     line.with("request", call.request.id.value())
         .with("account", call.request.account.value())
--- a/src/routing/Backend.cpp
+++ b/src/routing/Backend.cpp
@@ -21,18 +21,21 @@
     constexpr std::int64_t maxHalvings = 20;
     /** A server of which nothing was heard for so long may have become brittle. */
     constexpr Duration wordLifetime = 3s;
-    /** A server that goes on with a cancelled request is taken to have ended it after this time. */
-    constexpr Duration longestCancelledRun = 1s;
+    /** A request is taken to run for as long, at most, at a server that has completed none. */
+    constexpr Duration assumedLongestRun = 10s;
+    /** A request may run longer than any that this router has seen, by one part in so many. */
+    constexpr int longestRunMargin = 4;
 
 } // namespace
 
 Backend::Backend(BackendEntry entry, const TableSettings& settings, PrefillModel& prefill, PrefixLengths& lengths,
-    std::uint64_t seed)
+    internal::RequestStatistics& requests, std::uint64_t seed)
     : entry_(std::move(entry))
     , key_(serverKey(entry_.backend, entry_.instance))
     , nameHash_(stableHash(entry_.backend.value()))
     , settings_(settings)
     , prefill_(&prefill)
+    , requests_(&requests)
     , load_(settings, entry_.slots)
     , cache_(settings.prefixesKept, lengths)
     , breaker_(settings, seed)
@@ -143,6 +146,9 @@
     sent_[attempt] = SentAttempt { facts, now, uncached, predict(uncached, now), load_.now(now).waiting > 0 };
     unread_ += uncached;
     memory_ += facts.memory;
+    if (facts.memory > Tokens {}) {
+        requests_->memoryNeed.add(facts.memory);
+    }
     sent_[attempt].place = room_.onDispatched(load_.inFlight(), now) ? RoomPlace::Trial : RoomPlace::Part;
     load_.onDispatched(attempt, now);
     breaker_.onDispatched(attempt, now);
@@ -196,6 +202,13 @@
     answers_ = true;
 }
 
+// Running requests share an engine's memory: what doesn't fit in is turned away although slots are free.
+std::uint32_t Backend::places() const
+{
+    const auto fitting = entry_.memory ? requests_->memoryNeed.requestsIn(*entry_.memory) : std::nullopt;
+    return std::min(load_.slots(), fitting.value_or(UINT32_MAX));
+}
+
 RoomFacts Backend::room(Instant now) const
 {
     RoomFacts facts;
@@ -220,20 +233,36 @@
         pace_ = pace_ ? (*pace_ + *facts.pace) / 2 : *facts.pace;
     }
     sent_.erase(found);
-    (void)load_.onFinished(attempt, facts.kind == EndKind::Completed, now);
+    const bool completed = facts.kind == EndKind::Completed;
+    if (const auto took = load_.onFinished(attempt, completed, now); took && completed) {
+        requests_->runTimes.add(*took);
+    }
     if (facts.announcement) {
         heardAt_ = now;
     }
-    if (facts.kind == EndKind::NotStarted && sent.place == RoomPlace::Part) {
-        room_.onPartRefused(load_.inFlight(), now);
-    }
     if (facts.kind == EndKind::Completed && facts.promptTokens > Tokens {}) {
         cache_.onAnswer(sent.facts.prefixHash, facts.promptTokens, facts.cachedPromptTokens);
     }
+    if (facts.kind == EndKind::NotStarted) {
+        room_.onOwnRefused(sent.place, load_.inFlight(), now, load_.serviceTime());
+    }
+    const bool serverEndedIt = facts.kind != EndKind::Cancelled && facts.kind != EndKind::Broken;
+    if (!serverEndedIt && facts.arrived) {
+        room_.onLeftBehind(expectedEnd(sent), now);
+    }
     processEnd(attempt, facts, now);
     return EndedAttempt { sent.at, sent.place, sent.facts.memory };
 }
 
+// A server may go on with a request that has ended for this router only: it notices late that the caller has left, or
+// not at all. It ends it when it would have answered, or at the time that it was told.
+Instant Backend::expectedEnd(const SentAttempt& sent) const
+{
+    const Duration run = requests_->runTimes.longest().value_or(assumedLongestRun);
+    const Duration longest = run + run / longestRunMargin;
+    return sent.at + std::min(longest, sent.facts.timeLeft.value_or(longest));
+}
+
 void Backend::processEnd(AttemptId attempt, const FinishFacts& facts, Instant now)
 {
     switch (facts.kind) {
@@ -255,7 +284,6 @@
         break;
     case EndKind::Cancelled:
         breaker_.onInconclusiveEnd(attempt);
-        room_.onCancelled(now + std::min<Duration>(load_.serviceTime(), longestCancelledRun), now);
         break;
     case EndKind::NotStarted:
         pausedUntil_ = now + settings_.fullPause;
--- a/src/routing/Backend.h
+++ b/src/routing/Backend.h
@@ -13,6 +13,7 @@
 #include "routing/LoadEstimate.h"
 #include "routing/PrefillModel.h"
 #include "routing/PrefixCache.h"
+#include "routing/RequestStatistics.h"
 #include "routing/RoomLimiter.h"
 #include "swiftlift/base/Ids.h"
 #include "swiftlift/base/Units.h"
@@ -32,7 +33,7 @@
 class Backend {
 public:
     Backend(BackendEntry entry, const TableSettings& settings, PrefillModel& prefill, PrefixLengths& lengths,
-        std::uint64_t seed);
+        internal::RequestStatistics& requests, std::uint64_t seed);
 
     // The notifications are those of BackendTable.
     /** @return True if the report shows that the backend server has restarted. */
@@ -71,6 +72,8 @@
     [[nodiscard]] std::optional<Duration> takePace() noexcept { return std::exchange(pace_, std::nullopt); }
     /** @return Estimated number of requests that the server runs at once. */
     [[nodiscard]] std::uint32_t slots() const noexcept { return load_.slots(); }
+    /** @return Estimated number of requests that the server has room for at once, by its slots and by its memory. */
+    [[nodiscard]] std::uint32_t places() const;
     /** @param count Maximum number of prefixes to remember. */
     void setPrefixesKept(std::size_t count) { cache_.setCapacity(count); }
     /** @brief Updates the entry of the service's document. A new instance resets the estimates of the last one.
@@ -85,7 +88,11 @@
         arrivals_.setLimit(cause, limit);
     }
     /** @param part This router's part of the room of a brittle server; nullopt: it is not known to be brittle. */
-    void setRoomPart(const std::optional<internal::RoomPart>& part) { room_.setPart(part); }
+    void setRoomPart(const std::optional<internal::RoomPart>& part, Instant now) { room_.setPart(part, now); }
+    /** @brief Processes that a former process of this router may have left requests behind there. */
+    void onFormerProcess(const internal::FormerProcess& former) noexcept { room_.onFormerProcess(former); }
+    /** @return True if the server is brittle, or may be. */
+    [[nodiscard]] bool isRoomLimited() const noexcept { return room_.isLimited(); }
     /** @return True if the server has lately answered, so that it would have stated what it states in its answers. */
     [[nodiscard]] bool isHeard(Instant now) const noexcept;
     /** @param announced What the backend server has stated; null: nothing. */
@@ -121,6 +128,8 @@
     void subtractUnread(const SentAttempt& sent);
     /** @return True if the backend server counts as restarted because it no longer announces its leaving. */
     bool updateLeaving(const LoadReport& report, Instant now);
+    /** @return When the server has ended the request at the latest, as far as can be expected. */
+    [[nodiscard]] Instant expectedEnd(const SentAttempt& sent) const;
     void processEnd(AttemptId attempt, const FinishFacts& facts, Instant now);
     [[nodiscard]] BackendState state(Instant now) const;
     [[nodiscard]] bool paused(Instant now) const;
@@ -143,6 +152,7 @@
     std::uint64_t nameHash_;
     TableSettings settings_;
     PrefillModel* prefill_;
+    internal::RequestStatistics* requests_;
     LoadEstimate load_;
     PrefixCache cache_;
     Breaker breaker_;
--- a/src/routing/BackendTable.cpp
+++ b/src/routing/BackendTable.cpp
@@ -6,6 +6,7 @@
 
 #include "routing/AnnouncementBook.h"
 #include "routing/Backend.h"
+#include "routing/RequestStatistics.h"
 #include "swiftlift/base/RendezvousHash.h"
 #include "swiftlift/routing/FleetLoad.h"
 
@@ -25,6 +26,15 @@
     constexpr double minBearableForShortGap = 2;
     /** Time between two requests of one router to a brittle server, at least. */
     constexpr Duration minBrittleGap = std::chrono::milliseconds(20);
+    /** Time between two requests of the whole fleet that show whether a full server has room again, where it can turn
+     * one away in a second. */
+    constexpr Duration fleetTrialGap = std::chrono::milliseconds(50);
+    /** Time in which a router that has started hears what its peers know of servers. */
+    constexpr Duration newsTime = std::chrono::milliseconds(1500);
+    /** Time for which requests that this router's last process has sent may run. */
+    constexpr Duration formerRunTime = std::chrono::seconds(60);
+    /** Time for which a router that has left the list keeps its part of the room of brittle servers. */
+    constexpr Duration departedRouterPartTime = std::chrono::seconds(30);
     /** Steps of the ranks by which routers try brittle servers again at different moments. */
     constexpr std::uint64_t rankSteps = 1024;
 
@@ -49,6 +59,7 @@
 
 void BackendTable::setBackends(const ServiceName& service, const std::vector<BackendEntry>& backends, Instant now)
 {
+    startedAt_ = startedAt_.value_or(now);
     std::set<BackendId> ids;
     for (const BackendEntry& entry : backends) {
         ids.insert(entry.backend);
@@ -57,8 +68,15 @@
             continue;
         }
         const std::uint64_t seed = settings_.seed ^ std::hash<BackendId> {}(entry.backend);
+        auto& requests = requests_[service];
+        if (!requests) {
+            requests = std::make_unique<internal::RequestStatistics>();
+        }
         auto& added = backends_[entry.backend];
-        added = std::make_unique<Backend>(entry, settings_, *prefill_, *lengths_, seed);
+        added = std::make_unique<Backend>(entry, settings_, *prefill_, *lengths_, *requests, seed);
+        if (now - *startedAt_ < formerRunTime) {
+            added->onFormerProcess({ *startedAt_ + newsTime, *startedAt_ + formerRunTime });
+        }
     }
     if (ids.empty()) {
         services_.erase(service);
@@ -94,8 +112,13 @@
     }
 }
 
-void BackendTable::tick(Instant /*now*/)
+void BackendTable::tick(Instant now)
 {
+    if (!departedRouters_.empty() && updateRoomRouters(now)) {
+        for (const auto& [id, backend] : backends_) {
+            updateRoom(*backend, now);
+        }
+    }
     if (hasUnlistedBackends_) {
         removeUnlisted();
     }
@@ -124,14 +147,36 @@
     if (self == self_ && routers == routers_) {
         return;
     }
+    for (const PeerAddress& router : routers_) {
+        departedRouters_.try_emplace(router, now);
+    }
     self_ = self;
     routers_ = std::move(routers);
     routersChangedAt_ = now;
+    (void)updateRoomRouters(now);
     for (const auto& [id, backend] : backends_) {
         updateLimits(*backend, now);
     }
 }
 
+// A router that has just left the list may not know it yet, and goes on to use its part. A router that isn't listed
+// itself has no part.
+bool BackendTable::updateRoomRouters(Instant now)
+{
+    for (const PeerAddress& router : routers_) {
+        departedRouters_.erase(router);
+    }
+    departedRouters_.erase(self_);
+    std::erase_if(departedRouters_, [&](const auto& entry) { return now - entry.second >= departedRouterPartTime; });
+    std::vector<PeerAddress> routers = routers_;
+    for (const auto& [router, at] : departedRouters_) {
+        routers.push_back(router);
+    }
+    const bool changed = routers != roomRouters_;
+    roomRouters_ = std::move(routers);
+    return changed;
+}
+
 FleetShare BackendTable::shareOf(const Backend& backend, const FleetRate& rate) const
 {
     return fleetShare(rate, backend.entry().backend, self_, routers_);
@@ -186,16 +231,20 @@
 {
     const auto bearable = bearableOf(backend, now);
     if (!bearable) {
-        backend.setRoomPart(std::nullopt);
+        backend.setRoomPart(std::nullopt, now);
         return;
     }
     const BackendId& server = backend.entry().backend;
     const std::uint64_t rank = rendezvousRank(stableHash(server.value()), stableHash(self_.value())) % rankSteps;
-    const std::uint32_t guaranteed = roomShare(backend.slots(), server, self_, routers_);
+    const std::uint32_t guaranteed = roomShare(backend.places(), server, self_, roomRouters_);
+    const auto routers = static_cast<Duration::rep>(roomRouters_.size());
     const Duration fleetGap = *bearable < minBearableForShortGap ? fleetGapForOneRefusal : minFleetGap;
-    const Duration gap = std::max<Duration>(minBrittleGap, fleetGap * static_cast<Duration::rep>(routers_.size()));
-    backend.setRoomPart(
-        internal::RoomPart { guaranteed, *bearable, gap, static_cast<double>(rank) / static_cast<double>(rankSteps) });
+    const Duration gap = std::max<Duration>(minBrittleGap, fleetGap * routers);
+    const auto trialGap
+        = std::chrono::duration_cast<Duration>(fleetTrialGap * static_cast<double>(routers) / (*bearable * *bearable));
+    backend.setRoomPart(internal::RoomPart { guaranteed, *bearable, gap, std::max<Duration>(trialGap, minBrittleGap),
+                            static_cast<double>(rank) / static_cast<double>(rankSteps) },
+        now);
     const internal::KnownAnnouncement* announced = announcements_->find(server, backend.entry().instance);
     if (announced != nullptr && announced->turnedAwayAt && backend.onTurnedAway(*announced->turnedAwayAt)) {
         pauseService(server, *announced->turnedAwayAt);
@@ -320,9 +369,14 @@
 
 void BackendTable::onDispatched(const BackendId& backend, AttemptId attempt, const DispatchFacts& facts, Instant now)
 {
-    if (Backend* found = find(backend)) {
-        found->onDispatched(attempt, facts, now);
+    Backend* found = find(backend);
+    if (found == nullptr) {
+        return;
+    }
+    if (found->isRoomLimited()) {
+        updateRoom(*found, now);
     }
+    found->onDispatched(attempt, facts, now);
 }
 
 void BackendTable::onFirstToken(const BackendId& backend, AttemptId attempt, Instant now)
@@ -357,7 +411,7 @@
     }
     TurnedAway turnedAway { entry.backend, *known->brittle.value, backend.inFlight(), backend.slots(), std::nullopt,
         attempt.place, backend.room(now), attempt.memory };
-    turnedAway.room.routers = static_cast<std::uint32_t>(routers_.size());
+    turnedAway.room.routers = static_cast<std::uint32_t>(roomRouters_.size());
     if (routersChangedAt_) {
         turnedAway.room.listAge = now - *routersChangedAt_;
     }
--- a/tests/routing/BrittleFleet.cpp
+++ b/tests/routing/BrittleFleet.cpp
@@ -180,6 +180,7 @@
     request->inProgress = true;
     DispatchFacts facts;
     facts.memory = request->memory;
+    facts.timeLeft = timeLeft;
     router.table->onDispatched(choice->backend, request->attempt, facts, now_);
     push(now_ + oneWay, Step::Arrives, request);
     if (request->leaves) {
@@ -249,6 +250,7 @@
         push(due.at + heartbeatPeriod, Step::Heartbeat, nullptr, due.index);
         break;
     case Step::Tick:
+        routers_[due.index].table->tick(due.at);
         dispatchWaiting(due.index);
         push(due.at + tickPeriod, Step::Tick, nullptr, due.index);
         break;
--- a/tests/routing/BrittleFleet.h
+++ b/tests/routing/BrittleFleet.h
@@ -92,6 +92,8 @@
     static constexpr Duration downTime = std::chrono::seconds(3);
     /** How long a request waits in a router for a server. */
     static constexpr Duration patience = std::chrono::milliseconds(500);
+    /** Time after which a server stops a request. */
+    static constexpr Duration timeLeft = std::chrono::seconds(12);
     /** Maximum number of servers that a request is sent to. */
     static constexpr std::size_t maxArrivals = 4;
 
--- a/tests/routing/HeldRoomTest.cpp
+++ b/tests/routing/HeldRoomTest.cpp
@@ -222,7 +222,7 @@
     protected:
         BrittleTableTest()
         {
-            table_.setRouters(self_, { self_, PeerAddress { "10.0.0.2:7400" } }, now_);
+            table_.setRouters(self_, { self_, second_ }, now_);
             BackendEntry entry { engine(1), ownDomain, 8 };
             entry.memory = Tokens { 50'000 };
             table_.setBackends(drafts, { entry }, now_);
@@ -236,10 +236,22 @@
             const AttemptId attempt { ++lastAttempt_ };
             DispatchFacts facts;
             facts.memory = memory;
+            facts.timeLeft = timeLeft;
             table_.onDispatched(engine(1), attempt, facts, now_);
             return attempt;
         }
 
+        /** Sends a request that the server turns away. @return What the router takes for its room there. */
+        [[nodiscard]] RoomFacts roomOf(int server)
+        {
+            Announcement stated;
+            stated.brittle = 3;
+            table_.onAnnounced(engine(server), stated, now_);
+            finish(server, dispatch(server), EndKind::NotStarted);
+            const std::vector<TurnedAway> lines = table_.takeTurnedAway();
+            return lines.empty() ? RoomFacts {} : lines.front().room;
+        }
+
         /** @return True if the server gets no second request right after the first. */
         [[nodiscard]] bool isLimited(int server)
         {
@@ -247,9 +259,34 @@
             return view(server).heldBackBy == LimitCause::Brittle;
         }
 
+        [[nodiscard]] std::uint32_t partOf(int server) { return roomOf(server).part; }
+        [[nodiscard]] std::uint32_t heldPlaces() { return roomOf(1).held; }
+
+        static constexpr Duration timeLeft = 5s;
         PeerAddress self_ { "10.0.0.1:7400" };
+        PeerAddress second_ { "10.0.0.2:7400" };
     };
 
+    // Guards against a place that is taken for free while the server goes on with what had it.
+    TEST_F(BrittleTableTest, RequestsThatTheServerMayGoOnWithKeepTheirPlaces)
+    {
+        finish(1, send(Tokens { 700 }), EndKind::Cancelled);
+        now_ += 30ms;
+        finish(1, send(Tokens { 700 }), EndKind::Broken);
+        EXPECT_EQ(heldPlaces(), 2U);
+        now_ += timeLeft;
+        EXPECT_EQ(heldPlaces(), 0U) << "the server stops a request at the time that it was told";
+    }
+
+    TEST_F(BrittleTableTest, RequestsThatDidNotReachTheServerKeepNoPlace)
+    {
+        FinishFacts facts;
+        facts.kind = EndKind::Broken;
+        facts.arrived = false;
+        table_.onFinished(engine(1), send(Tokens { 700 }), facts, now_);
+        EXPECT_EQ(heldPlaces(), 0U);
+    }
+
     // Guards against a server that is back under another id and is filled by all routers at once.
     TEST_F(BrittleTableTest, ServerThatIsNewInABrittleServiceIsLimitedAtOnce)
     {
@@ -268,10 +305,27 @@
         EXPECT_TRUE(isLimited(3));
     }
 
+    // Guards against routers that take over the part of one that has left their list and doesn't know it yet.
+    TEST_F(BrittleTableTest, RouterThatLeftTheListKeepsItsPartForAWhile)
+    {
+        const PeerAddress third { "10.0.0.3:7400" };
+        const PeerAddress fourth { "10.0.0.4:7400" };
+        const PeerAddress fifth { "10.0.0.5:7400" };
+        table_.setRouters(self_, { self_, second_, third, fourth, fifth }, now_);
+        const std::uint32_t before = partOf(1);
+        table_.setRouters(self_, { self_, second_ }, now_);
+        EXPECT_EQ(partOf(1), before);
+        now_ += 60s;
+        table_.tick(now_);
+        EXPECT_EQ(partOf(1), 2U);
+    }
+
     // Guards against a server that falls while no line tells whether places, memory, lists or ended requests were
     // short.
     TEST_F(BrittleTableTest, RefusalTellsWhatTheRouterTookForRoom)
     {
+        now_ += 60s;
+        table_.setRouters(self_, { second_, self_ }, now_);
         const AttemptId first = send(Tokens { 700 });
         const AttemptId second = send(Tokens { 800 });
         finish(1, first, EndKind::Cancelled);
--- a/tests/routing/RoomLimiterTest.cpp
+++ b/tests/routing/RoomLimiterTest.cpp
@@ -15,11 +15,12 @@
 
     constexpr Instant start { seconds(100) };
     constexpr Duration work = milliseconds(100);
+    constexpr Duration trialGap = milliseconds(20);
 
     [[nodiscard]] RoomLimiter limiterWithPart(std::uint32_t guaranteed, double bearable = 5)
     {
         RoomLimiter limiter;
-        limiter.setPart(RoomPart { guaranteed, bearable, Duration {}, 0.5 });
+        limiter.setPart(RoomPart { guaranteed, bearable, Duration {}, trialGap, 0.5 }, start - seconds(10));
         return limiter;
     }
 
@@ -57,20 +58,63 @@
     TEST(RoomLimiter, RefusalWithinThePartReducesItForLongerEachTime)
     {
         RoomLimiter limiter = limiterWithPart(4);
-        limiter.onPartRefused(2, start);
-        EXPECT_EQ(limiter.use(2, start + milliseconds(500)), RoomUse::Trial);
-        EXPECT_EQ(limiter.use(1, start + milliseconds(500)), RoomUse::Free);
-        EXPECT_EQ(limiter.use(2, start + seconds(1)), RoomUse::Free) << "one place more";
-        EXPECT_EQ(limiter.use(3, start + seconds(1)), RoomUse::Trial);
-        limiter.onPartRefused(2, start + seconds(1));
-        EXPECT_EQ(limiter.use(2, start + seconds(2)), RoomUse::Trial);
+        limiter.onOwnRefused(RoomPlace::Part, 2, start, work);
+        EXPECT_EQ(limiter.use(2, start + 4 * work - milliseconds(1)), RoomUse::Trial);
+        EXPECT_EQ(limiter.use(1, start + 4 * work - milliseconds(1)), RoomUse::Free);
+        EXPECT_EQ(limiter.use(2, start + 4 * work), RoomUse::Free);
+        limiter.onOwnRefused(RoomPlace::Part, 2, start + 5 * work, work);
+        EXPECT_EQ(limiter.use(2, start + 12 * work), RoomUse::Trial) << "twice as long";
+        EXPECT_EQ(limiter.use(2, start + 13 * work), RoomUse::Free);
+    }
+
+    // Guards against routers that take their whole parts back at once from a server that was full, and fill it again.
+    TEST(RoomLimiter, PlacesComeBackOneByOneByTrials)
+    {
+        RoomLimiter limiter = limiterWithPart(4, 1);
+        limiter.onTurnedAway(1, start, seconds(10));
+        const Instant afterPause = start + seconds(25);
+        EXPECT_EQ(limiter.use(1, start + seconds(1)), RoomUse::None);
+        EXPECT_EQ(limiter.use(1, afterPause), RoomUse::Trial);
+        EXPECT_TRUE(limiter.onDispatched(1, afterPause));
+        EXPECT_EQ(limiter.use(1, afterPause), RoomUse::Free) << "the trial's place is proven";
+        EXPECT_EQ(limiter.use(2, afterPause), RoomUse::None);
+        EXPECT_EQ(limiter.use(2, afterPause + trialGap), RoomUse::Trial);
+    }
+
+    TEST(RoomLimiter, RefusedTrialGivesItsPlaceBack)
+    {
+        RoomLimiter limiter = limiterWithPart(4);
+        limiter.onOwnRefused(RoomPlace::Part, 1, start, seconds(10));
+        EXPECT_TRUE(limiter.onDispatched(1, start + seconds(1)));
+        limiter.onOwnRefused(RoomPlace::Trial, 1, start + seconds(1), seconds(10));
+        EXPECT_NE(limiter.use(1, start + seconds(2)), RoomUse::Free);
+    }
+
+    // Guards against requests of a router's last process that a server still runs.
+    TEST(RoomLimiter, RouterThatHasStartedWaitsForNewsAndMakesTrials)
+    {
+        RoomLimiter limiter;
+        limiter.onFormerProcess({ start + seconds(1), start + seconds(60) });
+        limiter.setPart(RoomPart { 2, 1, Duration {}, trialGap, 0.5 }, start);
+        EXPECT_EQ(limiter.use(0, start + milliseconds(500)), RoomUse::None);
+        EXPECT_EQ(limiter.use(0, start + seconds(1) + trialGap), RoomUse::Trial);
+        EXPECT_EQ(limiter.use(1, start + seconds(60)), RoomUse::Free);
+    }
+
+    // Guards against a place that a router takes over while the router that had it doesn't know.
+    TEST(RoomLimiter, PartThatHasGrownIsTried)
+    {
+        RoomLimiter limiter = limiterWithPart(2, 1);
+        limiter.setPart(RoomPart { 3, 1, Duration {}, trialGap, 0.5 }, start);
+        EXPECT_EQ(limiter.use(1, start), RoomUse::Free);
+        EXPECT_EQ(limiter.use(2, start), RoomUse::Trial);
     }
 
     // Guards against requests that a router sends before it can have heard of others' refusals.
     TEST(RoomLimiter, RequestsToOneServerAreSpaced)
     {
         RoomLimiter limiter;
-        limiter.setPart(RoomPart { 4, 5, milliseconds(20), 0.5 });
+        limiter.setPart(RoomPart { 4, 5, milliseconds(20), trialGap, 0.5 }, start);
         EXPECT_FALSE(limiter.onDispatched(0, start));
         EXPECT_EQ(limiter.use(1, start + milliseconds(10)), RoomUse::None);
         EXPECT_EQ(limiter.freeAt(1, start + milliseconds(10)), start + milliseconds(20));
@@ -81,7 +125,7 @@
     TEST(RoomLimiter, CancelledRequestsTakeRoomUntilTheyEnd)
     {
         RoomLimiter limiter = limiterWithPart(1, 1);
-        limiter.onCancelled(start + work, start);
+        limiter.onLeftBehind(start + work, start);
         EXPECT_EQ(limiter.use(0, start), RoomUse::None);
         EXPECT_EQ(limiter.use(0, start + work), RoomUse::Free);
     }
