--- a/tests/platform/standin/EngineService.cpp
+++ b/tests/platform/standin/EngineService.cpp
@@ -116,7 +116,7 @@
         co_await exchange.answerError(503, "full");
         co_return;
     }
-    const standins::Announcer::Room room(announcer_);
+    const standins::Announcer::Room room(announcer_, exchange);
     Run& run = runs_[exchange.header("Request-Id")];
     ++run.runs;
     run.account = exchange.header("Tenant");
@@ -194,7 +194,7 @@
             { "key_seen", run.keySeen }, { "events", run.events }, { "cut", run.cut } };
     }
     return { { "runs", std::move(runs) }, { "refused", refused_ }, { "arrivals_ms", announcer_.arrivals() },
-        { "falls", announcer_.falls() } };
+        { "falls", announcer_.falls() }, { "refused_for_room", announcer_.refusedForRoom() } };
 }
 
 } // namespace swiftlift::platform::standin
--- a/tests/standins/common/Announcer.cpp
+++ b/tests/standins/common/Announcer.cpp
@@ -21,6 +21,7 @@
         brittle_ = value.is_null() ? std::nullopt : std::optional(value.get<double>());
     });
     controls.addValue("brittle_room", room_);
+    controls.addValue("run_on_ms", runOnMs_);
 }
 
 void Announcer::onRequest(Exchange& exchange)
@@ -38,14 +39,24 @@
     }
 }
 
+void Announcer::release(bool callerLeft)
+{
+    --running_;
+    if (callerLeft && runOnMs_ > 0) {
+        runsOnUntil_.push_back(Clock::now() + toClock(Milliseconds(runOnMs_)));
+    }
+}
+
 bool Announcer::admits()
 {
-    if (!brittle_ || running_ < room_) {
+    const auto now = Clock::now();
+    std::erase_if(runsOnUntil_, [now](Clock::time_point until) { return until <= now; });
+    if (!brittle_ || running_ + runsOnUntil_.size() < room_) {
         ++running_;
         return true;
     }
     constexpr std::chrono::seconds span { 1 };
-    const auto now = Clock::now();
+    ++refusedForRoom_;
     turnedAway_.push_back(now);
     while (now - turnedAway_.front() > span) {
         turnedAway_.pop_front();
--- a/tests/standins/common/Announcer.h
+++ b/tests/standins/common/Announcer.h
@@ -21,19 +21,21 @@
 /** Has a stand-in state its limit, its leaving and its rest in its answers, and records when requests arrive. */
 class Announcer {
 public:
-    /** The room that an admitted request takes until it ends. */
+    /** The room that an admitted request takes until it ends, or for `run_on_ms` longer if its caller has left. */
     class Room {
     public:
-        explicit Room(Announcer& announcer) noexcept
+        Room(Announcer& announcer, const Exchange& exchange) noexcept
             : announcer_(announcer)
+            , exchange_(exchange)
         {
         }
-        ~Room() { --announcer_.running_; }
+        ~Room() { announcer_.release(exchange_.isClosed()); }
         Room(const Room&) = delete;
         Room& operator=(const Room&) = delete;
 
     private:
         Announcer& announcer_;
+        const Exchange& exchange_;
     };
 
     explicit Announcer(AnnouncementNames names);
@@ -42,7 +44,8 @@
      * Adds `announce_limit` (requests a second from all routers; null: none), `announce_leaving` (true or false),
      * `rest_s` (requests are turned away with 503 and this `Retry-After`; 0: they are not) and `rest_count` (how many
      * requests are turned away so, all by default). `brittle` (null: not) is the number of requests that it can turn
-     * away in a second, and `brittle_room` how many it runs at once while it is brittle.
+     * away in a second, and `brittle_room` how many it runs at once while it is brittle. `run_on_ms` is the time for
+     * which a request goes on after its caller has left.
      */
     void addControls(Controls& controls);
 
@@ -58,10 +61,15 @@
     [[nodiscard]] bool admits();
     /** @return Number of times that more requests were turned away in a second than a brittle server bears. */
     [[nodiscard]] std::uint64_t falls() const noexcept { return falls_; }
+    /** @return Number of requests that were turned away for want of room while the server was brittle. */
+    [[nodiscard]] std::uint64_t refusedForRoom() const noexcept { return refusedForRoom_; }
     /** @return Milliseconds of the steady clock at which requests arrived, in order. */
     [[nodiscard]] const std::vector<std::int64_t>& arrivals() const noexcept { return arrivals_; }
 
 private:
+    /** Ends a request. */
+    void release(bool callerLeft);
+
     AnnouncementNames names_;
     std::string limit_;
     bool leaving_ = false;
@@ -71,6 +79,10 @@
     std::optional<double> brittle_;
     std::uint64_t room_ = 1;
     std::uint64_t running_ = 0;
+    /** When requests end whose callers have left. */
+    std::deque<Clock::time_point> runsOnUntil_;
+    double runOnMs_ = 0;
+    std::uint64_t refusedForRoom_ = 0;
     std::deque<Clock::time_point> turnedAway_;
     std::uint64_t falls_ = 0;
 };
--- a/tests/standins/plain/PlainService.cpp
+++ b/tests/standins/plain/PlainService.cpp
@@ -90,7 +90,7 @@
         co_await exchange.answerError(503, "full");
         co_return;
     }
-    const Announcer::Room room(announcer_);
+    const Announcer::Room room(announcer_, exchange);
     auto& calls = keys_[exchange.header("X-Request-Key")];
     co_await run(exchange, calls);
     if (breaksOff()) {
