Share the engine loads of the brittle replays, and name what the limiter's members mean

The loads of engines stood in BrittleFleetTest and in HeldRoomTest, four tests repeated two plays, toText(RoomPlace) had taken the comment of toText(BackendState), the comment of a pause told of sends where it ends trials, and a count was called now.

--- a/src/node/StateChanges.h
+++ b/src/node/StateChanges.h
@@ -44,8 +44,9 @@
     std::map<BackendId, routing::BackendState> backends_;
 };
 
-/** @return The state's name on operators' pages and in log lines. */
+/** @return The place's name in log lines and metrics. */
 [[nodiscard]] const char* toText(routing::RoomPlace place) noexcept;
+/** @return The state's name on operators' pages and in log lines. */
 [[nodiscard]] const char* toText(routing::BackendState state) noexcept;
 
 } // namespace swiftlift::node
--- a/src/routing/RoomLimiter.cpp
+++ b/src/routing/RoomLimiter.cpp
@@ -173,10 +173,10 @@
         return;
     }
     // What was left behind may have ended there already, and others have taken its places.
-    const std::uint32_t now = std::min(part_->guaranteed, inProgress);
-    drainLevel_ = at < drainEnd_ ? std::min(drainLevel_, now) : now;
+    const std::uint32_t left = std::min(part_->guaranteed, inProgress);
+    drainLevel_ = at < drainEnd_ ? std::min(drainLevel_, left) : left;
     if (part_->bearable < minBearableWithPart) {
-        shrink(now, at, drainTime);
+        shrink(inProgress, at, drainTime);
     }
     const bool isFollowing = at < pauseEnd_ + pause();
     pausesInRow_ = at < pauseEnd_ ? pausesInRow_ : (isFollowing ? pausesInRow_ + 1 : 0);
--- a/src/routing/RoomLimiter.h
+++ b/src/routing/RoomLimiter.h
@@ -110,16 +110,19 @@
     /** Maximum number of requests left behind that count; more than one router has in progress at a server. */
     static constexpr std::size_t maxLeftBehind = 256;
 
+    /** @return Places that this router's requests take: those in progress and those left behind. */
     [[nodiscard]] std::uint32_t occupied(std::uint32_t inProgress, Instant now) const noexcept;
     /** @return Requests that this router may have in progress without a trial. */
     [[nodiscard]] std::uint32_t level(Instant now) const noexcept;
-    /** @return When a trial may be sent. */
+    /** @param taken Places that this router's requests take. @return When a trial may be sent. */
     [[nodiscard]] Instant nextTrial(std::uint32_t taken) const noexcept;
     [[nodiscard]] bool mayTry(std::uint32_t taken, Instant now) const noexcept;
+    /** @return Pause of the first router after a refusal that follows no other. */
     [[nodiscard]] Duration shortPause() const noexcept;
     /** @return Time by which this router's trials begin later than those of the first router. */
     [[nodiscard]] Duration spread() const noexcept;
     [[nodiscard]] Duration pause() const noexcept;
+    /** @brief Keeps to what is in progress for a time. */
     void shrink(std::uint32_t inProgress, Instant at, Duration runTime);
 
     std::optional<RoomPart> part_;
@@ -129,10 +132,11 @@
     /** Requests of this router that the server is known to have room for, until the end of the time. */
     std::uint32_t provenLevel_ = 0;
     Instant provenUntil_ {};
+    /** How long the last such time was; 0: there was none. */
     Duration provenTime_ {};
-    /** Until then, nothing is sent beyond the part. */
+    /** Until then, no trial is made. */
     Instant pauseEnd_ {};
-    /** Until then, nothing is sent beyond the part as another server of the service is full. */
+    /** Until then, no trial beyond the part is made, as another server of the service is full. */
     Instant servicePauseEnd_ {};
     /** Pauses that followed each other without a quiet time between. */
     std::uint32_t pausesInRow_ = 0;
--- a/tests/platform/BrittleSoakTest.cpp
+++ b/tests/platform/BrittleSoakTest.cpp
@@ -1,4 +1,3 @@
-#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <csignal>
@@ -65,7 +64,7 @@
                 request.path = "/stream/x";
                 request.id = std::to_string(seed) + "-" + std::to_string(++requests_);
                 request.tokens = "12,42";
-                // An engine's stand-in leaves a stream whose caller is gone: a short deadline is a caller who leaves.
+                // At the deadline the router leaves the engine's stream as it does when the caller is gone.
                 const bool leaves = random() % 10 < 3;
                 request.deadlineMs = leaves ? 100 + random() % (events * betweenEventsMs) : 4000;
                 const CallerAnswer answer = fleet_->send(random() % fleet_->routers(), request);
--- a/tests/routing/BrittleFleet.cpp
+++ b/tests/routing/BrittleFleet.cpp
@@ -16,6 +16,27 @@
 
 } // namespace
 
+FleetPattern enginePattern()
+{
+    FleetPattern pattern;
+    pattern.servers = 18;
+    pattern.slots = 32;
+    pattern.work = seconds(3);
+    pattern.requestsPerSecond = 140;
+    return pattern;
+}
+
+FleetPattern manyEnginePattern()
+{
+    FleetPattern pattern = enginePattern();
+    pattern.routers = 59;
+    pattern.servers = 60;
+    pattern.slots = 24;
+    pattern.work = milliseconds(1500);
+    pattern.requestsPerSecond = 650;
+    return pattern;
+}
+
 BrittleFleet::BrittleFleet(const FleetPattern& pattern)
     : pattern_(pattern)
     , routers_(pattern.routers)
--- a/tests/routing/BrittleFleet.h
+++ b/tests/routing/BrittleFleet.h
@@ -43,6 +43,11 @@
     std::uint64_t seed = 1;
 };
 
+/** @return Engines: many places, streams that last for seconds. */
+[[nodiscard]] FleetPattern enginePattern();
+/** @return Many routers before many engines with shorter streams. */
+[[nodiscard]] FleetPattern manyEnginePattern();
+
 /**
  * Routers that each choose by their own table, and servers that turn away what they have no room for. A brittle server
  * that has to turn more away in a second than it bears falls over, loses what it runs and is back under another id.
--- a/tests/routing/BrittleFleetTest.cpp
+++ b/tests/routing/BrittleFleetTest.cpp
@@ -43,15 +43,10 @@
             return pattern;
         }
 
-        /** Engines: many places, streams that last for seconds. */
         [[nodiscard]] static FleetPattern engines()
         {
-            FleetPattern pattern;
+            FleetPattern pattern = enginePattern();
             pattern.bearable = GetParam();
-            pattern.servers = 18;
-            pattern.slots = 32;
-            pattern.work = seconds(3);
-            pattern.requestsPerSecond = 140;
             return pattern;
         }
 
@@ -163,12 +158,8 @@
     // Guards against many routers that fill engines with long requests.
     TEST_P(BrittleFleetTest, ManyRoutersFillEngines)
     {
-        FleetPattern pattern = engines();
-        pattern.routers = 59;
-        pattern.servers = 60;
-        pattern.slots = 24;
-        pattern.work = milliseconds(1500);
-        pattern.requestsPerSecond = 650;
+        FleetPattern pattern = manyEnginePattern();
+        pattern.bearable = GetParam();
         BrittleFleet fleet = fleetBeforeBrittleTime(pattern);
         fleet.run(BrittleFleet::contactTime);
         fleet.setWaiting(0);
--- a/tests/routing/HeldRoomTest.cpp
+++ b/tests/routing/HeldRoomTest.cpp
@@ -19,27 +19,6 @@
     /** Mean tokens that a request takes in an engine's memory. */
     constexpr std::int64_t meanMemory = 12'000;
 
-    [[nodiscard]] FleetPattern engines()
-    {
-        FleetPattern pattern;
-        pattern.servers = 18;
-        pattern.slots = 32;
-        pattern.work = seconds(3);
-        pattern.requestsPerSecond = 140;
-        return pattern;
-    }
-
-    [[nodiscard]] FleetPattern manyEngines()
-    {
-        FleetPattern pattern = engines();
-        pattern.routers = 59;
-        pattern.servers = 60;
-        pattern.slots = 24;
-        pattern.work = milliseconds(1500);
-        pattern.requestsPerSecond = 650;
-        return pattern;
-    }
-
     /** Twice the usual load for 8 s. */
     void playWave(BrittleFleet& fleet)
     {
@@ -77,14 +56,14 @@
     // Guards against servers that fall because they go on with requests whose callers have left.
     TEST_P(HeldRoomTest, CallersLeaveTheirStreams)
     {
-        FleetPattern pattern = engines();
+        FleetPattern pattern = enginePattern();
         pattern.leavingCallers = 0.3;
         expectNoFall(pattern, playWave);
     }
 
     TEST_P(HeldRoomTest, FewCallersLeaveTheirStreams)
     {
-        FleetPattern pattern = engines();
+        FleetPattern pattern = enginePattern();
         pattern.leavingCallers = 0.05;
         expectNoFall(pattern, playWave);
     }
@@ -92,7 +71,7 @@
     // Guards against servers that go on with a request for longer than a router has ever seen.
     TEST_P(HeldRoomTest, RunsGoOnForLongWithoutACaller)
     {
-        FleetPattern pattern = engines();
+        FleetPattern pattern = enginePattern();
         pattern.leavingCallers = 0.3;
         pattern.runOn = seconds(5);
         expectNoFall(pattern, playWave);
@@ -107,7 +86,7 @@
 
     TEST_P(HeldRoomTest, CallersOfManyRoutersLeave)
     {
-        FleetPattern pattern = manyEngines();
+        FleetPattern pattern = manyEnginePattern();
         pattern.leavingCallers = 0.3;
         expectNoFall(pattern, playWave);
     }
@@ -115,7 +94,7 @@
     // Guards against engines that fall because their memory is used up while places are free.
     TEST_P(HeldRoomTest, MemoryHoldsHalfOfThePlaces)
     {
-        FleetPattern pattern = engines();
+        FleetPattern pattern = enginePattern();
         pattern.requestMemory = Tokens { meanMemory };
         pattern.memory = Tokens { 16 * meanMemory };
         expectNoFall(pattern, playWave);
@@ -123,7 +102,7 @@
 
     TEST_P(HeldRoomTest, MemoryHoldsHalfOfThePlacesOfManyRouters)
     {
-        FleetPattern pattern = manyEngines();
+        FleetPattern pattern = manyEnginePattern();
         pattern.requestMemory = Tokens { meanMemory };
         pattern.memory = Tokens { 12 * meanMemory };
         expectNoFall(pattern, playWave);
@@ -131,7 +110,7 @@
 
     TEST_P(HeldRoomTest, MemoryIsShortAndCallersLeave)
     {
-        FleetPattern pattern = engines();
+        FleetPattern pattern = enginePattern();
         pattern.requestMemory = Tokens { meanMemory };
         pattern.memory = Tokens { 16 * meanMemory };
         pattern.leavingCallers = 0.1;
@@ -139,49 +118,30 @@
     }
 
     /** Four routers list only each other, while two others go on by the whole list. */
-    void listFourOfSix(BrittleFleet& fleet)
+    void playDifferentLists(BrittleFleet& fleet)
     {
         for (std::size_t router = 0; router < 4; ++router) {
             fleet.listRouters(router, { 0, 1, 2, 3 });
         }
+        playWave(fleet);
     }
 
-    // Guards against servers that fall because routers divide their room by different lists of routers.
-    TEST_P(HeldRoomTest, RoutersListDifferentRouters)
+    /** The same, and the two hear no peers. */
+    void playUnlistedRoutersAlone(BrittleFleet& fleet)
     {
-        expectNoFall(engines(), [](BrittleFleet& fleet) {
-            listFourOfSix(fleet);
-            playWave(fleet);
-        });
+        fleet.cutFromPeers(4);
+        fleet.cutFromPeers(5);
+        playDifferentLists(fleet);
     }
 
-    TEST_P(HeldRoomTest, RoutersOfPlainServersListDifferentRouters)
-    {
-        expectNoFall({}, [](BrittleFleet& fleet) {
-            listFourOfSix(fleet);
-            playWave(fleet);
-        });
-    }
+    // Guards against servers that fall because routers divide their room by different lists of routers.
+    TEST_P(HeldRoomTest, RoutersListDifferentRouters) { expectNoFall(enginePattern(), playDifferentLists); }
 
-    TEST_P(HeldRoomTest, UnlistedRoutersHearNoPeers)
-    {
-        expectNoFall(engines(), [](BrittleFleet& fleet) {
-            listFourOfSix(fleet);
-            fleet.cutFromPeers(4);
-            fleet.cutFromPeers(5);
-            playWave(fleet);
-        });
-    }
+    TEST_P(HeldRoomTest, RoutersOfPlainServersListDifferentRouters) { expectNoFall({}, playDifferentLists); }
 
-    TEST_P(HeldRoomTest, UnlistedRoutersOfPlainServersHearNoPeers)
-    {
-        expectNoFall({}, [](BrittleFleet& fleet) {
-            listFourOfSix(fleet);
-            fleet.cutFromPeers(4);
-            fleet.cutFromPeers(5);
-            playWave(fleet);
-        });
-    }
+    TEST_P(HeldRoomTest, UnlistedRoutersHearNoPeers) { expectNoFall(enginePattern(), playUnlistedRoutersAlone); }
+
+    TEST_P(HeldRoomTest, UnlistedRoutersOfPlainServersHearNoPeers) { expectNoFall({}, playUnlistedRoutersAlone); }
 
     /** Kills the routers one after the other under load; what they have sent runs on. */
     void killRouters(BrittleFleet& fleet)
@@ -194,18 +154,18 @@
     }
 
     // Guards against servers that fall because they go on with what a killed router had sent.
-    TEST_P(HeldRoomTest, RoutersAreKilledOneAfterTheOther) { expectNoFall(engines(), killRouters); }
+    TEST_P(HeldRoomTest, RoutersAreKilledOneAfterTheOther) { expectNoFall(enginePattern(), killRouters); }
 
     TEST_P(HeldRoomTest, RoutersAreKilledAndCallersLeave)
     {
-        FleetPattern pattern = engines();
+        FleetPattern pattern = enginePattern();
         pattern.leavingCallers = 0.1;
         expectNoFall(pattern, killRouters);
     }
 
     TEST_P(HeldRoomTest, CallersLeaveRoutersThatHearNoPeers)
     {
-        FleetPattern pattern = engines();
+        FleetPattern pattern = enginePattern();
         pattern.leavingCallers = 0.3;
         expectNoFall(pattern, [](BrittleFleet& fleet) {
             fleet.cutFromPeers(1);
