Keep the routers among which room is divided in a class of their own

Cause: reading the diff again. Change: RoomRouters; it is rebuilt when the list changes or a router has expired, and no longer compared at each tick. No behaviour changes.

--- a/include/swiftlift/routing/BackendTable.h
+++ b/include/swiftlift/routing/BackendTable.h
@@ -23,6 +23,7 @@
     class AnnouncementBook;
     struct KnownAnnouncement;
     struct RequestStatistics;
+    class RoomRouters;
 } // namespace internal
 
 class Backend;
@@ -310,8 +311,6 @@
     void updateBrittleServices(const BackendId& server, Instant now);
     /** @brief Ends trials at all servers of the services of a brittle server that turned a request away at `at`. */
     void pauseService(const BackendId& server, Instant at) const;
-    /** @brief Updates the routers among which the room of brittle servers is divided. @return True if they changed. */
-    bool updateRoomRouters(Instant now);
     [[nodiscard]] FleetShare shareOf(const Backend& backend, const FleetRate& rate) const;
     [[nodiscard]] BackendView viewOf(const Backend& backend, const ViewRequest& request, Instant now) const;
 
@@ -334,12 +333,7 @@
     const FleetLoad* fleetLoad_ = nullptr;
     PeerAddress self_;
     std::vector<PeerAddress> routers_;
-    /** Routers among which the room of brittle servers is divided: those listed, and those that were until lately. */
-    std::vector<PeerAddress> roomRouters_;
-    /** When routers left the list. */
-    std::map<PeerAddress, Instant> departedRouters_;
-    /** When the list of routers last changed. */
-    std::optional<Instant> routersChangedAt_;
+    std::unique_ptr<internal::RoomRouters> roomRouters_;
     /** The table holds backend servers that no service lists and that still run attempts of this router. */
     bool hasUnlistedBackends_ = false;
 };
--- a/src/routing/BackendTable.cpp
+++ b/src/routing/BackendTable.cpp
@@ -7,6 +7,7 @@
 #include "routing/AnnouncementBook.h"
 #include "routing/Backend.h"
 #include "routing/RequestStatistics.h"
+#include "routing/RoomRouters.h"
 #include "swiftlift/base/RendezvousHash.h"
 #include "swiftlift/routing/FleetLoad.h"
 
@@ -33,8 +34,6 @@
     constexpr Duration newsTime = std::chrono::milliseconds(1500);
     /** Time for which requests that this router's last process has sent may run. */
     constexpr Duration formerRunTime = std::chrono::seconds(60);
-    /** Time for which a router that has left the list keeps its part of the room of brittle servers. */
-    constexpr Duration departedRouterPartTime = std::chrono::seconds(30);
     /** Steps of the ranks by which routers try brittle servers again at different moments. */
     constexpr std::uint64_t rankSteps = 1024;
 
@@ -50,6 +49,7 @@
     , prefill_(std::make_unique<PrefillModel>(settings.assumedPrefillPerToken))
     , lengths_(std::make_unique<PrefixLengths>(settings.prefixesKept))
     , announcements_(std::make_unique<internal::AnnouncementBook>())
+    , roomRouters_(std::make_unique<internal::RoomRouters>())
 {
 }
 
@@ -114,7 +114,7 @@
 
 void BackendTable::tick(Instant now)
 {
-    if (!departedRouters_.empty() && updateRoomRouters(now)) {
+    if (roomRouters_->expire(now)) {
         for (const auto& [id, backend] : backends_) {
             updateRoom(*backend, now);
         }
@@ -147,36 +147,14 @@
     if (self == self_ && routers == routers_) {
         return;
     }
-    for (const PeerAddress& router : routers_) {
-        departedRouters_.try_emplace(router, now);
-    }
     self_ = self;
     routers_ = std::move(routers);
-    routersChangedAt_ = now;
-    (void)updateRoomRouters(now);
+    roomRouters_->onListed(self_, routers_, now);
     for (const auto& [id, backend] : backends_) {
         updateLimits(*backend, now);
     }
 }
 
-// A router that has just left the list may not know it yet, and goes on to use its part. A router that isn't listed
-// itself has no part.
-bool BackendTable::updateRoomRouters(Instant now)
-{
-    for (const PeerAddress& router : routers_) {
-        departedRouters_.erase(router);
-    }
-    departedRouters_.erase(self_);
-    std::erase_if(departedRouters_, [&](const auto& entry) { return now - entry.second >= departedRouterPartTime; });
-    std::vector<PeerAddress> routers = routers_;
-    for (const auto& [router, at] : departedRouters_) {
-        routers.push_back(router);
-    }
-    const bool changed = routers != roomRouters_;
-    roomRouters_ = std::move(routers);
-    return changed;
-}
-
 FleetShare BackendTable::shareOf(const Backend& backend, const FleetRate& rate) const
 {
     return fleetShare(rate, backend.entry().backend, self_, routers_);
@@ -236,8 +214,8 @@
     }
     const BackendId& server = backend.entry().backend;
     const std::uint64_t rank = rendezvousRank(stableHash(server.value()), stableHash(self_.value())) % rankSteps;
-    const std::uint32_t guaranteed = roomShare(backend.places(), server, self_, roomRouters_);
-    const auto routers = static_cast<Duration::rep>(roomRouters_.size());
+    const std::uint32_t guaranteed = roomShare(backend.places(), server, self_, roomRouters_->list());
+    const auto routers = static_cast<Duration::rep>(roomRouters_->list().size());
     const Duration fleetGap = *bearable < minBearableForShortGap ? fleetGapForOneRefusal : minFleetGap;
     const Duration gap = std::max<Duration>(minBrittleGap, fleetGap * routers);
     const auto trialGap
@@ -411,9 +389,9 @@
     }
     TurnedAway turnedAway { entry.backend, *known->brittle.value, backend.inFlight(), backend.slots(), std::nullopt,
         attempt.place, backend.room(now), attempt.memory };
-    turnedAway.room.routers = static_cast<std::uint32_t>(roomRouters_.size());
-    if (routersChangedAt_) {
-        turnedAway.room.listAge = now - *routersChangedAt_;
+    turnedAway.room.routers = static_cast<std::uint32_t>(roomRouters_->list().size());
+    if (const auto changedAt = roomRouters_->changedAt()) {
+        turnedAway.room.listAge = now - *changedAt;
     }
     if (known->turnedAwayAt) {
         turnedAway.sinceLast = now - *known->turnedAwayAt;
