Review case 1: the ledger's checkpoint outgrows the store's largest record

Promise: RECOVER, after a final fault the fleet serves again; what tenants have bought and used is not lost.

--- a/review/standins/Store.h
+++ b/review/standins/Store.h
@@ -43,7 +43,24 @@
         return { found.first, found.end() };
     }
 
+    /** The most bytes that a record may have (`record_bytes`). */
+    static constexpr std::size_t recordBytes = 262'144;
+
+    /** @return Size of the last record that was offered for a topic, and how many were refused for their size. */
+    std::pair<std::size_t, std::size_t> sizes(const std::string& topic)
+    {
+        const std::lock_guard lock(mutex_);
+        return { lastSize_[topic], refused_[topic] };
+    }
+
 private:
+    void noteSize(const std::string& topic, std::size_t size)
+    {
+        const std::lock_guard lock(mutex_);
+        lastSize_[topic] = size;
+        refused_[topic] += size > recordBytes ? 1 : 0;
+    }
+
     struct Newest {
         std::uint64_t offset = 0;
         std::string value;
@@ -150,6 +167,7 @@
     std::string appendAnswer(const Message& request)
     {
         std::deque<std::string> records;
+        std::size_t largest = 0;
         for (std::size_t at = 0; at + 4 <= request.body.size();) {
             std::size_t length = 0;
             for (int byte = 0; byte < 4; ++byte) {
@@ -157,8 +175,14 @@
             }
             records.push_back(request.body.substr(at + 4, length));
             at += 4 + length;
+            largest = std::max(largest, length);
+        }
+        const std::string topic = request.parameter("topic");
+        noteSize(topic, largest);
+        if (largest > recordBytes) {
+            return answerText("413 Payload Too Large", "", "{\"reason\":\"record_bytes\"}");
         }
-        const auto offset = append(request.parameter("topic"), records);
+        const auto offset = append(topic, records);
         return answerText("200 OK", "",
             "{\"offset\":" + std::to_string(offset) + ",\"end_offset\":" + std::to_string(offset + records.size()) + "}");
     }
@@ -187,6 +211,8 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     std::map<std::string, Topic> topics_;
+    std::map<std::string, std::size_t> lastSize_;
+    std::map<std::string, std::size_t> refused_;
 };
 
 } // namespace review
