--- a/review/1/LargeCheckpoint.cpp
+++ b/review/1/LargeCheckpoint.cpp
@@ -28,8 +28,8 @@
 {
     std::string accounts;
     for (std::size_t index = 0; index < tenants; ++index) {
-        accounts += std::string(index > 0 ? "," : "") + "{\"name\":\"tenant-" + std::to_string(index) + "\",\"api_keys\":[\"key-"
-            + std::to_string(index) + "\"],\"priority\":1,\"reserved\":20000000}";
+        accounts += std::string(index > 0 ? "," : "") + "{\"name\":\"tenant-" + std::to_string(index)
+            + "\",\"api_keys\":[\"key-" + std::to_string(index) + "\"],\"priority\":1,\"reserved\":20000000}";
     }
     return R"({"version":7,"routes":[{"name":"records","hostname":"alerts.example","path_prefix":"/records/",)"
            R"("type":"safe","timeout_ms":2500,"target_latency_ms":150,"priority":1,"backend":"alert-api",)"
@@ -50,8 +50,9 @@
     Connection connection(descriptor);
     char id[32];
     std::snprintf(id, sizeof id, "9c41d07b%08x", number);
-    connection.write("GET /records/x HTTP/1.1\r\nHost: alerts.example\r\nRequest-Id: " + std::string(id) + "\r\nCredential: key-"
-        + std::to_string(number % tenants) + "\r\nDeadline-Ms: 2500\r\nConnection: close\r\n\r\n");
+    connection.write("GET /records/x HTTP/1.1\r\nHost: alerts.example\r\nRequest-Id: " + std::string(id)
+        + "\r\nCredential: key-" + std::to_string(number % tenants)
+        + "\r\nDeadline-Ms: 2500\r\nConnection: close\r\n\r\n");
     const auto answer = connection.readMessage(milliseconds(3000));
     return answer ? answer->status() : 0;
 }
@@ -135,9 +136,10 @@
     const auto note = [&](const std::string& what) {
         const auto [size, refused] = store.sizes("keyed.checkpoints");
         const auto [first, end] = store.range("ledger-0");
-        std::fprintf(record, "%6ld ms  %s; last checkpoint offered: %zu bytes, refused so far: %zu; ledger kept: %lu to %lu\n",
-            static_cast<long>(std::chrono::duration_cast<milliseconds>(Clock::now() - begun).count()), what.c_str(), size,
-            refused, static_cast<unsigned long>(first), static_cast<unsigned long>(end));
+        std::fprintf(record,
+            "%6ld ms  %s; last checkpoint offered: %zu bytes, refused so far: %zu; ledger kept: %lu to %lu\n",
+            static_cast<long>(std::chrono::duration_cast<milliseconds>(Clock::now() - begun).count()), what.c_str(),
+            size, refused, static_cast<unsigned long>(first), static_cast<unsigned long>(end));
         std::fflush(record);
     };
     for (Router& router : routers.all()) {
@@ -166,7 +168,8 @@
     for (const Router& router : routers.all()) {
         ready += Routers::readiness(router) == 200 ? 1 : 0;
     }
-    note("requests from 18 s on:" + toText(after) + "; " + std::to_string(ready) + " of " + std::to_string(routers.all().size()) + " routers ready");
+    note("requests from 18 s on:" + toText(after) + "; " + std::to_string(ready) + " of "
+        + std::to_string(routers.all().size()) + " routers ready");
     const bool broken = servedShare(after) < 0.25;
     std::fprintf(record, "served before: %.2f, after: %.2f: RECOVER %s\n", servedShare(before), servedShare(after),
         broken ? "broken" : "held");
@@ -176,7 +179,4 @@
 
 } // namespace
 
-int main(int argc, char** argv)
-{
-    std::_Exit(run(argc, argv));
-}
+int main(int argc, char** argv) { std::_Exit(run(argc, argv)); }
--- a/review/standins/Http.h
+++ b/review/standins/Http.h
@@ -144,9 +144,8 @@
     std::optional<Message> readMessage(milliseconds wait = milliseconds(60'000), bool headOnly = false)
     {
         const auto until = Clock::now() + wait;
-        const auto left = [&] {
-            return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(until - Clock::now()));
-        };
+        const auto left
+            = [&] { return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(until - Clock::now())); };
         std::size_t end = 0;
         while ((end = buffer_.find("\r\n\r\n")) == std::string::npos) {
             if (!readSome(16384, left())) {
@@ -213,7 +212,8 @@
     const int on = 1;
     setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     sockaddr_in address = addressOf(ip, port);
-    if (::bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 || ::listen(descriptor, 512) != 0) {
+    if (::bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0
+        || ::listen(descriptor, 512) != 0) {
         ::close(descriptor);
         return -1;
     }
@@ -238,8 +238,8 @@
     return descriptor;
 }
 
-inline std::string answerText(
-    const std::string& status, const std::string& fields, const std::string& body, const char* type = "application/json")
+inline std::string answerText(const std::string& status, const std::string& fields, const std::string& body,
+    const char* type = "application/json")
 {
     return "HTTP/1.1 " + status + "\r\nContent-Type: " + type + "\r\n" + fields
         + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
--- a/review/standins/Routers.h
+++ b/review/standins/Routers.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include <fcntl.h>
 #include <signal.h>
 #include <sys/wait.h>
-#include <fcntl.h>
 
 #include <filesystem>
 #include <fstream>
@@ -88,11 +88,12 @@
             const Values values { { "ip", { router.ip } }, { "zone", { router.zone } }, { "region", { "pl-central" } },
                 { "listen.frontend", { router.ip + ":8227" } }, { "listen.ready", { router.ip + ":8220" } },
                 { "listen.control", { router.ip + ":8229" } }, { "port_range.0", { "7340" } },
-                { "port_range.1", { "7355" } }, { "limits.bandwidth_mbps", { "1000" } }, { "limits.cpu_quota", { "0.25" } },
-                { "platform.address", { store } }, { "platform.reads_per_s", { "2000" } },
-                { "platform.writes_per_s", { "600" } }, { "platform.keep_s", { keepSeconds } }, { "seeds", seeds },
-                { "bounds.retry_budget_ratio", { "0.2" } }, { "bounds.retry_budget_extra", { "52" } },
-                { "bounds.budget_window_s", { "10" } }, { "bounds.grace_s", { "8" } } };
+                { "port_range.1", { "7355" } }, { "limits.bandwidth_mbps", { "1000" } },
+                { "limits.cpu_quota", { "0.25" } }, { "platform.address", { store } },
+                { "platform.reads_per_s", { "2000" } }, { "platform.writes_per_s", { "600" } },
+                { "platform.keep_s", { keepSeconds } }, { "seeds", seeds }, { "bounds.retry_budget_ratio", { "0.2" } },
+                { "bounds.retry_budget_extra", { "52" } }, { "bounds.budget_window_s", { "10" } },
+                { "bounds.grace_s", { "8" } } };
             std::ofstream(router.settings) << fillIn(templateText, values);
             routers_.push_back(router);
         }
@@ -123,7 +124,8 @@
             }
             const std::string boot = "SWIFTLIFT_BOOT=" + router.settings.string();
             const std::string homeVariable = "HOME=" + home;
-            const char* environment[] = { "PATH=/usr/bin:/bin", "LANG=C.UTF-8", homeVariable.c_str(), boot.c_str(), nullptr };
+            const char* environment[]
+                = { "PATH=/usr/bin:/bin", "LANG=C.UTF-8", homeVariable.c_str(), boot.c_str(), nullptr };
             const std::string settings = router.settings.string();
             const char* arguments[] = { program.c_str(), "--settings", settings.c_str(), nullptr };
             ::execve(program.c_str(), const_cast<char**>(arguments), const_cast<char**>(environment));
@@ -178,7 +180,8 @@
     {
         const auto until = Clock::now() + limit;
         while (Clock::now() < until) {
-            if (std::all_of(routers_.begin(), routers_.end(), [](const Router& each) { return readiness(each) == 200; })) {
+            if (std::all_of(
+                    routers_.begin(), routers_.end(), [](const Router& each) { return readiness(each) == 200; })) {
                 return true;
             }
             std::this_thread::sleep_for(milliseconds(100));
@@ -192,7 +195,8 @@
     {
         for (unsigned attempt = 0; attempt < 4000; ++attempt) {
             const unsigned number = (static_cast<unsigned>(::getpid()) + attempt * 37) % (100 * 250);
-            const std::string network = "127." + std::to_string(100 + number / 250) + "." + std::to_string(1 + number % 250) + ".";
+            const std::string network
+                = "127." + std::to_string(100 + number / 250) + "." + std::to_string(1 + number % 250) + ".";
             bool free = true;
             for (std::size_t index = 0; index < routers && free; ++index) {
                 for (std::uint16_t port : { 8220, 8227, 8229, 7340, 7341, 7355 }) {
--- a/review/standins/Store.h
+++ b/review/standins/Store.h
@@ -129,7 +129,8 @@
     std::string read(const Message& request)
     {
         const auto from = std::strtoull(request.parameter("from").c_str(), nullptr, 10);
-        const auto wait = std::min<unsigned long>(std::strtoul(request.parameter("wait_ms").c_str(), nullptr, 10), 30'000);
+        const auto wait
+            = std::min<unsigned long>(std::strtoul(request.parameter("wait_ms").c_str(), nullptr, 10), 30'000);
         const auto size = request.parameter("max_size");
         const std::size_t most = 1024 * (size.empty() ? 1024 : std::strtoul(size.c_str(), nullptr, 10));
         std::unique_lock lock(mutex_);
@@ -184,7 +185,8 @@
         }
         const auto offset = append(topic, records);
         return answerText("200 OK", "",
-            "{\"offset\":" + std::to_string(offset) + ",\"end_offset\":" + std::to_string(offset + records.size()) + "}");
+            "{\"offset\":" + std::to_string(offset) + ",\"end_offset\":" + std::to_string(offset + records.size())
+                + "}");
     }
 
     void serve(int descriptor)
