--- a/review/1/RelayedCut.cpp
+++ b/review/1/RelayedCut.cpp
@@ -17,10 +17,14 @@
 constexpr milliseconds workTime { 40 };
 constexpr std::size_t bodyBytes = 800;
 constexpr int rounds = 8;
+/** A further round, with and without trouble, in which no engine crashes and the engine next to router 0 breaks off. */
+constexpr int directRounds = 1;
 /** Requests of one round. */
 constexpr unsigned callers = 8;
 /** How long an engine that has crashed is down. */
 constexpr milliseconds downTime { 2000 };
+/** Time from its last heartbeat until a crashed engine's entry is removed: three heartbeats. */
+constexpr milliseconds expiryTime { 3600 };
 /** How long engines break off answers in a round. */
 constexpr milliseconds garbleTime { 250 };
 
@@ -37,9 +41,9 @@
 /** What the stand-ins and the callers have seen. */
 struct Record {
     std::mutex mutex;
-    /** Requests of which an engine broke off the answer. */
-    std::set<std::string> cut;
-    int answers = 0;
+    /** Answers of each engine, and those that it broke off. */
+    std::map<std::string, int> answers;
+    std::map<std::string, int> cut;
 };
 
 /** An engine whose answers have no length and end with their connection. It can crash, and break off answers. */
@@ -74,10 +78,13 @@
         }
     }
 
-    /** A new instance at the same address; the entry of the former one has expired. */
+    /** A new instance at the same address. The entry of the former one expires. */
     void restart()
     {
-        store_.put("keyed.servers", id_, "");
+        std::thread([this, former = id_] {
+            std::this_thread::sleep_for(expiryTime - downTime);
+            store_.put("keyed.servers", former, "");
+        }).detach();
         start();
         beat();
     }
@@ -139,9 +146,9 @@
         const bool cut = breaks_ && id.rfind("9c41d07b00", 0) == 0;
         {
             const std::lock_guard lock(record_.mutex);
-            ++record_.answers;
+            ++record_.answers[name_];
             if (cut) {
-                record_.cut.insert(id);
+                ++record_.cut[name_];
             }
         }
         const std::string body(cut ? bodyBytes / 2 : bodyBytes, 'r');
@@ -243,13 +250,18 @@
     }
     const auto begun = Clock::now();
     std::vector<Outcome> outcomes;
-    for (int round = 0; round < rounds; ++round) {
+    for (int round = 0; round < rounds + directRounds; ++round) {
+        const bool direct = round >= rounds;
+        const bool crashes = trouble && !direct;
         UnframedEngine& crashing = *engines[round % 2 == 0 ? 0 : 2];
-        if (trouble) {
+        const auto roundBegun = Clock::now();
+        if (crashes) {
             crashing.crash();
         }
-        engines[1]->breakOff(true);
-        engines[3]->breakOff(true);
+        UnframedEngine& first = *engines[direct ? 0 : 1];
+        UnframedEngine& second = *engines[3];
+        first.breakOff(true);
+        second.breakOff(true);
         std::vector<Outcome> answers(callers);
         std::vector<std::thread> threads;
         for (unsigned number = 0; number < callers; ++number) {
@@ -258,15 +270,14 @@
             });
         }
         std::this_thread::sleep_for(garbleTime);
-        for (UnframedEngine* engine : engines) {
-            engine->breakOff(false);
-        }
+        first.breakOff(false);
+        second.breakOff(false);
         for (std::thread& thread : threads) {
             thread.join();
         }
         outcomes.insert(outcomes.end(), answers.begin(), answers.end());
-        std::this_thread::sleep_for(downTime);
-        if (trouble) {
+        std::this_thread::sleep_until(roundBegun + downTime);
+        if (crashes) {
             crashing.restart();
         }
         std::this_thread::sleep_for(milliseconds(2500));
@@ -291,8 +302,11 @@
     for (const auto& [status, count] : statuses) {
         std::fprintf(file, " %d: %d", status, count);
     }
-    std::fprintf(file, "\nthe engines answered %d requests, two of four broke off %zu answers\n", record.answers,
-        record.cut.size());
+    std::fprintf(file, "\n");
+    for (const auto& [engine, count] : record.answers) {
+        std::fprintf(file, "engine %s answered %d requests and broke off %d of the answers\n", engine.c_str(), count,
+            record.cut[engine]);
+    }
     std::fprintf(file, "%d of %zu answers at router 0 look complete and are not: MIXED %s\n", wrong, outcomes.size(),
         wrong > 0 ? "broken" : "held");
     std::fclose(file);
--- a/review/standins/Routers.h
+++ b/review/standins/Routers.h
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 #include <filesystem>
@@ -65,6 +66,9 @@
     pid_t pid = -1;
 };
 
+/** No script takes longer: the process ends then, and its routers with it. */
+constexpr unsigned longestRunSeconds = 115;
+
 /** The router processes of a small deployment, each on a loopback address of its own. */
 class Routers {
 public:
@@ -73,6 +77,7 @@
         : repository_(std::move(repository))
         , folder_(std::move(folder))
     {
+        ::alarm(longestRunSeconds);
         const std::string network = freeNetwork(zones.size());
         const std::string templateText = readFile(repository_ / "platform/router.yaml.tmpl");
         std::vector<std::string> seeds;
@@ -114,8 +119,14 @@
     {
         const std::string program = (repository_ / "target/bin/swiftlift-router").string();
         const std::string home = folder_.string();
+        const pid_t parent = ::getpid();
         router.pid = ::fork();
         if (router.pid == 0) {
+            // The router ends with the process that started it, also when that one is killed.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+            if (::getppid() != parent) {
+                ::_exit(125);
+            }
             const int log = ::open(router.log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(log, 1);
             ::dup2(log, 2);
