Say which side of a relayed connection was lost

The line relay_ended said "connection lost" for either side, so a server's reset could not be told from a router that left. It names the side now; no behaviour changes.

--- a/src/transport/RelayConnection.cpp
+++ b/src/transport/RelayConnection.cpp
@@ -50,7 +50,7 @@
         if (error == boost::asio::error::eof) {
             relay_->senderEnded(to_);
         } else if (error) {
-            relay_->close("connection lost: " + error.message());
+            relay_->close(sideOf(from_) + " lost: " + error.message());
         } else {
             relay_->context_.traffic.received += count;
             write(count);
@@ -73,7 +73,7 @@
             return;
         }
         if (error) {
-            relay_->close("connection lost: " + error.message());
+            relay_->close(sideOf(to_) + " lost: " + error.message());
         } else if (paced_) {
             relay_->context_.pacer.later(shared_from_this());
         } else {
@@ -81,6 +81,11 @@
         }
     }
 
+    [[nodiscard]] std::string sideOf(const Socket& socket) const
+    {
+        return &socket == &relay_->backend_ ? "connection to the backend server" : "connection to the router";
+    }
+
     std::shared_ptr<RelayConnection> relay_;
     Socket& from_;
     Socket& to_;
@@ -161,7 +166,7 @@
                 return;
             }
             if (error) {
-                self->close("connection lost: " + error.message());
+                self->close("connection to the router lost: " + error.message());
                 return;
             }
             self->toBackend_ = std::make_shared<Direction>(self, self->router_, self->backend_, false);
