Pass the kind of end on through a relay

An engine had reset an answer without a length on its way to a relaying router.

Cause: the relay closed its side in order whatever had ended the relayed connection: the server's reset, its own planned stop, or the kernel's close after a kill. The first router takes an orderly end for the end of the answer, rightly.

Change: the relay's side to the router ends with a reset (SO_LINGER 0) from the beginning of the relaying on, also when the process is killed; only the server's orderly end takes that back. A request that could not be written to the end makes no end orderly, as the write has taken the reset's error away; the server's early answer is still read.

--- a/src/transport/RelayConnection.cpp
+++ b/src/transport/RelayConnection.cpp
@@ -72,7 +72,10 @@
         if (relay_->closed_) {
             return;
         }
-        if (error) {
+        if (error && &to_ == &relay_->backend_) {
+            // The server may have answered before it closed its side, and the answer is still to be read.
+            relay_->requestCut_ = true;
+        } else if (error) {
             relay_->close(sideOf(to_) + " lost: " + error.message());
         } else if (paced_) {
             relay_->context_.pacer.later(shared_from_this());
@@ -169,6 +172,7 @@
                 self->close("connection to the router lost: " + error.message());
                 return;
             }
+            resetOnClose(self->router_, true);
             self->toBackend_ = std::make_shared<Direction>(self, self->router_, self->backend_, false);
             self->toRouter_ = std::make_shared<Direction>(self, self->backend_, self->router_, true);
             self->toBackend_->readNow();
@@ -226,13 +230,21 @@
 }
 
 // A router that closes its side has its answer, or gives the request up: the server must not work on. A server that
-// closes its side may have bytes on their way to the router.
+// closes its side may have bytes on their way to the router. Only its orderly end is passed on as one: whatever else
+// ends the relayed connection, this process included, resets the router's side, which else would take the part of an
+// answer without a length for the whole.
 void RelayConnection::senderEnded(Socket& receiver)
 {
     if (&receiver == &backend_) {
         close("complete");
         return;
     }
+    if (requestCut_) {
+        // The write has met the reset, and the read that follows it reports an orderly end.
+        close("connection to the backend server lost while the request was written");
+        return;
+    }
+    resetOnClose(router_, false);
     ErrorCode ignored;
     router_.shutdown(Socket::shutdown_send, ignored);
 }
--- a/src/transport/RelayConnection.h
+++ b/src/transport/RelayConnection.h
@@ -68,6 +68,8 @@
     /** Something has arrived from the backend server. */
     bool backendHeard_ = false;
     bool requested_ = false;
+    /** The request could not be written to the end, because the backend server has closed or reset the connection. */
+    bool requestCut_ = false;
     /** The core has accepted the connection, and it is being made. */
     bool connecting_ = false;
     bool closed_ = false;
--- a/src/transport/SocketOptions.cpp
+++ b/src/transport/SocketOptions.cpp
@@ -29,4 +29,10 @@
     socket.set_option(IntOption<IPPROTO_TCP, TCP_USER_TIMEOUT>(maxUnacknowledgedTime), ignored);
 }
 
+void resetOnClose(tcp::socket& socket, bool reset)
+{
+    boost::system::error_code ignored;
+    socket.set_option(boost::asio::socket_base::linger(reset, 0), ignored);
+}
+
 } // namespace swiftlift::transport::internal
--- a/tests/transport/Network.cpp
+++ b/tests/transport/Network.cpp
@@ -132,6 +132,17 @@
 
 void Connection::close() { socket_.close(); }
 
+void Connection::reset()
+{
+    socket_.set_option(boost::asio::socket_base::linger(true, 0));
+    socket_.close();
+}
+
+void Connection::limitReceiveBuffer(int bytes)
+{
+    socket_.set_option(boost::asio::socket_base::receive_buffer_size(bytes));
+}
+
 Listener::Listener()
     : acceptor_(loop_, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
 {
--- a/tests/transport/Network.h
+++ b/tests/transport/Network.h
@@ -36,6 +36,10 @@
     [[nodiscard]] std::size_t readToEnd();
     [[nodiscard]] bool hasReceived() const noexcept { return !received_.empty(); }
     void close();
+    /** Ends the connection with a reset, as the operating system does for a peer that has crashed. */
+    void reset();
+    /** Makes the other end wait: at most this many bytes are received ahead of a read. */
+    void limitReceiveBuffer(int bytes);
 
 private:
     /** @return Whether the connection is still open after a read. Throws if no bytes arrive within longWait. */
--- a/tests/transport/RelayTest.cpp
+++ b/tests/transport/RelayTest.cpp
@@ -31,6 +31,30 @@
             sendCommand(node::AnswerRelay { asked.relay, address, "not now", concernsServer });
         }
 
+        /** A connection of another router to the backend server, through the relay. */
+        struct RelayedConnection {
+            Connection router;
+            Connection engine;
+        };
+
+        [[nodiscard]] RelayedConnection connectThroughRelay()
+        {
+            Connection router = askForConnection();
+            answer(BackendAddress(backend.address()));
+            Connection engine = backend.accept();
+            static_cast<void>(router.readUntil("\r\n\r\n"));
+            return { std::move(router), std::move(engine) };
+        }
+
+        /** The server sends the first part of an answer without a length, which arrives at the other router. */
+        static void sendPart(RelayedConnection& connection)
+        {
+            connection.router.write("request\n");
+            static_cast<void>(connection.engine.readUntil("request\n"));
+            connection.engine.write("HTTP/1.1 200 OK\r\n\r\npart\n");
+            static_cast<void>(connection.router.readUntil("part\n"));
+        }
+
         std::uint16_t relayPort_ = Listener().port();
     };
 
@@ -64,6 +88,60 @@
         EXPECT_TRUE(router.closes());
     }
 
+    // Guards against an answer that ends with its connection and looks cut off, though its server sent all of it.
+    TEST_F(RelayTest, ServersOrderlyEndIsPassedOn)
+    {
+        RelayedConnection connection = connectThroughRelay();
+        sendPart(connection);
+        connection.engine.close();
+        EXPECT_FALSE(connection.router.isReset());
+    }
+
+    // Guards against an answer without a length that a server breaks off, and that looks complete behind a relay.
+    TEST_F(RelayTest, ServersResetIsPassedOn)
+    {
+        RelayedConnection connection = connectThroughRelay();
+        sendPart(connection);
+        connection.engine.reset();
+        EXPECT_TRUE(connection.router.isReset());
+        EXPECT_EQ(nextEvent<node::RelayEnded>(decisions).detail.find("connection to the backend server lost"), 0U);
+    }
+
+    // Guards against an answer without a length that is cut by the relay's own end, and that looks complete.
+    TEST_F(RelayTest, StopOfTheRelayIsNoOrderlyEnd)
+    {
+        RelayedConnection connection = connectThroughRelay();
+        sendPart(connection);
+        server->stop(std::chrono::milliseconds(0));
+        EXPECT_TRUE(connection.router.isReset());
+    }
+
+    // Guards against a server's reset that is noticed while the request is written, and then read as an orderly end.
+    TEST_F(RelayTest, ResetWhileTheRequestIsWrittenIsPassedOn)
+    {
+        RelayedConnection connection = connectThroughRelay();
+        connection.engine.limitReceiveBuffer(4096);
+        // The reset is reported to whichever of the two meets it first, the write or the read.
+        std::atomic<bool> writeMetReset = false;
+        std::thread writer([&] {
+            const std::string block(64 * 1024, 'x');
+            try {
+                for (;;) {
+                    connection.router.write(block);
+                }
+            } catch (const boost::system::system_error& error) {
+                writeMetReset = error.code() == boost::asio::error::connection_reset;
+            }
+        });
+        connection.engine.write("HTTP/1.1 200 OK\r\n\r\npart\n");
+        static_cast<void>(connection.router.readUntil("part\n"));
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        connection.engine.reset();
+        const bool readMetReset = connection.router.isReset();
+        writer.join();
+        EXPECT_TRUE(readMetReset || writeMetReset);
+    }
+
     // Guards against a relay that goes on sending to a server that has asked its address for rest, in an answer to a
     // request of another router.
     TEST_F(RelayTest, WhatTheServerStatesIsHeededByTheRelayToo)
@@ -104,7 +182,9 @@
     TEST_F(RelayTest, UnreachableServerIsReported)
     {
         Connection router = askForConnection();
-        answer(BackendAddress(Listener().address()));
+        // The listener is closed before the relay connects.
+        const std::string address = Listener().address();
+        answer(BackendAddress(address));
         EXPECT_TRUE(router.readUntil("\r\n\r\n").starts_with("HTTP/1.1 502"));
         EXPECT_EQ(nextEvent<node::RelayEnded>(decisions).failure, node::ConnectFailure::Server);
     }
