Take no end for orderly after a write that met a reset

Callers could see 200 with a part of the body: an engine answers early and without a length while the request's body is still written to it, and resets the connection. A reset is reported once, to the call that meets it first. The write met it, its error was ignored, and the read reported an orderly end, which ends such an answer. No relay is needed.

Found by a test per kind of end and hop (CutAnswerTest), not seen at the users'. ResetWhileTheRequestIsWrittenIsBroken failed before; it passes, as do the other four kinds and 30 repeats of all.

--- a/src/transport/Attempt.cpp
+++ b/src/transport/Attempt.cpp
@@ -165,11 +165,11 @@
     armSilenceTimeout();
     updateHeldBytes();
     writing_ = true;
-    // Write errors are ignored, since the backend server may refuse without reading the whole body. The read reports a
-    // lost connection.
+    // A write error does not end the attempt, since the backend server may refuse without reading the whole body.
     boost::asio::async_write(connection_->socket, boost::asio::buffer(order_.request),
-        [self = shared_from_this()](ErrorCode, std::size_t count) {
+        [self = shared_from_this()](ErrorCode error, std::size_t count) {
             self->writing_ = false;
+            self->requestCut_ = static_cast<bool>(error);
             self->context_.traffic.sent += count;
             self->order_.request = {};
             self->updateHeldBytes();
@@ -239,8 +239,9 @@
     // A server that cuts off an answer which is not read has not crashed.
     const bool lost = error == boost::asio::error::eof || error == boost::asio::error::connection_reset;
     connectionLost_ = lost && !wasUnreadForLong();
-    // Without a length and without chunks, an answer that was cut off would look complete.
-    const bool cutOff = wasUnreadForLong() && parser_->is_header_done() && parser_->need_eof();
+    // Without a length and without chunks, an answer that was cut off would look complete. A write that meets a reset
+    // takes its error away, and the read that follows it reports an orderly end.
+    const bool cutOff = (wasUnreadForLong() || requestCut_) && parser_->is_header_done() && parser_->need_eof();
     ErrorCode failed;
     if (error == boost::asio::error::eof && parser_->is_header_done() && !cutOff) {
         parser_->put_eof(failed);
--- a/src/transport/Attempt.h
+++ b/src/transport/Attempt.h
@@ -179,6 +179,8 @@
     /** The answer's first part has been forwarded; later reads are batched by the pacer. */
     bool streaming_ = false;
     bool writing_ = false;
+    /** The request could not be written to the end, because the backend server has closed or reset the connection. */
+    bool requestCut_ = false;
     bool paused_ = false;
     bool ended_ = false;
     bool connectionLost_ = false;
