Reset callers without chunks also when the router is killed

A caller of HTTP/1.0 reads a stream without chunks, so the end of its connection is the end of the answer. The router reset it when it closed the connection itself; after a kill the kernel closed it in order, and the part looked whole.

The connection is set to end with a reset from the answer's first byte to its last one. With real processes CutAnswerTest.AnswerWithoutChunksWhoseRouterIsKilledIsNotComplete failed before and passes.

--- a/src/transport/CallerConnection.cpp
+++ b/src/transport/CallerConnection.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/post.hpp>
 #include <sys/socket.h>
 
+#include "transport/SocketOptions.h"
+
 namespace swiftlift::transport::internal {
 
 namespace http = boost::beast::http;
@@ -213,6 +215,11 @@
 {
     streamBegun_ = true;
     keepAlive_ = keepAlive_ && chunked_;
+    // Without chunked encoding, the end of the connection is the end of the answer, so a partial answer would look
+    // complete: until it is complete, whatever ends the connection resets it.
+    if (!chunked_) {
+        resetOnClose(socket_, true);
+    }
 }
 
 void CallerConnection::stream(std::string_view piece)
@@ -312,6 +319,9 @@
     if (phase_ != Phase::Answering) {
         return;
     }
+    if (streamBegun_ && !chunked_) {
+        resetOnClose(socket_, false);
+    }
     if (keepAlive_) {
         nextRequest();
     } else {
@@ -369,23 +379,11 @@
     receiveDeadline_.disarm();
     writeDeadline_.disarm();
     held_.set(0);
-    resetIfAnswerIncomplete();
     ErrorCode ignored;
     socket_.close(ignored);
     handler_.connectionClosed(*this);
 }
 
-// Without chunked encoding, the end of the connection is the end of the answer, so a partial answer would look
-// complete.
-void CallerConnection::resetIfAnswerIncomplete()
-{
-    if (!streamBegun_ || chunked_ || (answerComplete_ && unsentBytes() == 0)) {
-        return;
-    }
-    ErrorCode ignored;
-    socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-}
-
 void CallerConnection::updateHeldBytes()
 {
     if (phase_ != Phase::Closed) {
--- a/src/transport/CallerConnection.h
+++ b/src/transport/CallerConnection.h
@@ -125,8 +125,6 @@
     void allWritten();
     void linger();
     void updateHeldBytes();
-    /** Makes the end of the connection a failure for a caller to whom it would otherwise end the answer. */
-    void resetIfAnswerIncomplete();
 
     StreamContext& context_;
     CallerConnectionHandler& handler_;
--- a/tests/platform/CutAnswerTest.cpp
+++ b/tests/platform/CutAnswerTest.cpp
@@ -4,6 +4,8 @@
 #include <string>
 #include <thread>
 
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 #include <unistd.h>
 
@@ -12,6 +14,8 @@
 namespace swiftlift::platform::test {
 namespace {
 
+    namespace asio = boost::asio;
+    using asio::ip::tcp;
     using std::chrono::milliseconds;
 
     /** Two routers whose processes are killed in the middle of an answer. The kernel then ends their connections. */
@@ -71,5 +75,28 @@
         EXPECT_FALSE(answer.whole) << answer.status << ", " << answer.body.size() << " bytes";
     }
 
+    // Guards against a part of a stream that looks complete to a caller without chunked encoding, because its router is
+    // killed.
+    TEST_F(CutAnswerTest, AnswerWithoutChunksWhoseRouterIsKilledIsNotComplete)
+    {
+        const std::string address = fleet_->addressOf(0);
+        const auto colon = address.find(':');
+        asio::io_context context;
+        tcp::socket socket(context);
+        socket.connect(tcp::endpoint(asio::ip::make_address(address.substr(0, colon)),
+            static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))));
+        asio::write(socket,
+            asio::buffer(std::string("POST /stream/x HTTP/1.0\r\nHost: desk.example\r\nRequest-Id: old\r\n"
+                                     "Credential: key-one\r\nDeadline-Ms: 5000\r\nModel: m\r\nToken-Usage: 12,2100\r\n"
+                                     "Prefix-Hash: 5c1e07a2:8,e4402b7d:4\r\nContent-Length: 2\r\n\r\n{}")));
+        waitForEvents("old", 30);
+        fleet_->router(0).kill();
+        std::string received;
+        boost::system::error_code end;
+        asio::read(socket, asio::dynamic_buffer(received), end);
+        EXPECT_NE(received.find("id: 1\n"), std::string::npos);
+        EXPECT_EQ(end, asio::error::connection_reset) << end.message();
+    }
+
 } // namespace
 } // namespace swiftlift::platform::test
