Tell the incarnation that follows of a stop

Cause: the stop is one event that only the core keeps. It came while the incarnation ended (its grants had been sealed in a cut), and the core that followed in the same process was not told.

Change: the decision loop keeps when the stop was requested and hands it, with that time, to each later incarnation.

--- a/include/swiftlift/node/Event.h
+++ b/include/swiftlift/node/Event.h
@@ -189,7 +189,10 @@
     Duration delay {};
 };
 /** The operator or the platform requests a stop of this process. Requests in progress must still be completed. */
-struct StopRequested { };
+struct StopRequested {
+    /** When it was requested; nullopt: now. */
+    std::optional<Instant> at = std::nullopt;
+};
 /** A query by an operator; answered by an OperatorReply with JSON. */
 struct OperatorAsked {
     std::uint64_t question = 0;
--- a/include/swiftlift/transport/DecisionLoop.h
+++ b/include/swiftlift/transport/DecisionLoop.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <thread>
 
 #include "swiftlift/base/Units.h"
@@ -64,6 +65,8 @@
     std::unique_ptr<Decider> decider_;
     node::Actions actions_;
     Instant lastTick_ {};
+    /** When the stop of the process was requested; each later incarnation is told. */
+    std::optional<Instant> stopRequestedAt_;
     /** The longest delay since the last tick. */
     Duration longestDelay_ {};
     std::atomic<std::uint64_t> replacements_ = 0;
--- a/src/node/Gateway.cpp
+++ b/src/node/Gateway.cpp
@@ -363,12 +363,12 @@
     ledgers_.paceLogCalls(pace_, routerCount());
 }
 
-void Gateway::on(const StopRequested&)
+void Gateway::on(const StopRequested& event)
 {
     if (stopRequested_) {
         return;
     }
-    stopRequested_ = context_.now();
+    stopRequested_ = event.at.value_or(context_.now());
     context_.log(LogLineBuilder("stop")
                      .with("in_progress", static_cast<std::int64_t>(proxyRequests_.inProgress()))
                      .with("reason", "asked"));
--- a/src/transport/DecisionLoop.cpp
+++ b/src/transport/DecisionLoop.cpp
@@ -75,6 +75,9 @@
     lastTick_ = steadyInstant();
     decider_->start(lastTick_, actions_);
     executeActions();
+    if (stopRequestedAt_) {
+        handle(node::StopRequested { stopRequestedAt_ }, lastTick_);
+    }
 }
 
 void DecisionLoop::handlePendingEvents()
@@ -102,6 +105,9 @@
 
 void DecisionLoop::handle(const node::Event& event, Instant now)
 {
+    if (const auto* stop = std::get_if<node::StopRequested>(&event); stop != nullptr && !stopRequestedAt_) {
+        stopRequestedAt_ = stop->at.value_or(now);
+    }
     decider_->handle(event, now, actions_);
     executeActions();
 }
--- a/tests/transport/DecisionLoopTest.cpp
+++ b/tests/transport/DecisionLoopTest.cpp
@@ -25,8 +25,10 @@
             lastTime_ = now;
             if (std::holds_alternative<node::Tick>(event)) {
                 actions.push_back(node::CountMetric { "ticks", {}, 1 });
+            } else if (const auto* stop = std::get_if<node::StopRequested>(&event)) {
+                stopRequestedAt_ = stop->at;
             } else if (const auto* asked = std::get_if<node::OperatorAsked>(&event)) {
-                actions.push_back(node::OperatorReply { asked->question, std::to_string(self_.value()) });
+                actions.push_back(node::OperatorReply { asked->question, reply(asked->topic) });
                 if (asked->topic == "retire") {
                     actions.push_back(node::Restart { "asked" });
                 }
@@ -34,8 +36,16 @@
         }
 
     private:
+        [[nodiscard]] std::string reply(const std::string& topic) const
+        {
+            return topic != "stop" ? std::to_string(self_.value())
+                : stopRequestedAt_ ? std::to_string(stopRequestedAt_->time_since_epoch().count())
+                                   : "no stop";
+        }
+
         Incarnation self_;
         Instant lastTime_ {};
+        std::optional<Instant> stopRequestedAt_;
     };
 
     class RecordingSink : public ActionSink {
@@ -146,4 +156,16 @@
     EXPECT_FALSE(sink.hasReply(2));
 }
 
+// Guards against a process that goes on serving after it was told to stop, and then cuts its requests: the stop came
+// while its incarnation ended, and the one that followed did not know of it.
+TEST_F(DecisionLoopTest, ReplacementIsToldOfAnEarlierStop)
+{
+    const Instant at = steadyInstant();
+    ASSERT_TRUE(inbox.tryPush({ {}, node::StopRequested { at } }));
+    sendQuery(1, "retire");
+    sendQuery(2, "stop");
+    EXPECT_EQ(sink.waitForReply(2), std::to_string(at.time_since_epoch().count()));
+    ASSERT_EQ(sink.incarnations().size(), 2U);
+}
+
 } // namespace swiftlift::transport::test
