Ignore late writes of a server's entry

Cause: the log may execute a write seconds after its call has failed. The entry's number was not read, so an older entry `ready` that was executed after `draining` counted as the newer one.

Change: entries with a lower number than the last one read of the same instance are ignored, also for 60 s after the entry was removed.

Evidence: GatewayTest.LateEntryDoesNotUndoTheLeavingOfAServer fails without the check (both of its cases) and passes.

--- a/include/swiftlift/fleet/BackendServer.h
+++ b/include/swiftlift/fleet/BackendServer.h
@@ -33,6 +33,8 @@
     Duration warmupLeft {};
     /** Version of its software. What two versions write doesn't fit together in one stream. */
     SoftwareVersion version {};
+    /** Number of the entry, which rises with each one that the instance writes; 0: not stated. */
+    std::uint64_t sequence = 0;
 
     [[nodiscard]] bool operator==(const BackendServer&) const = default;
 };
--- a/src/node/FleetDirectory.h
+++ b/src/node/FleetDirectory.h
@@ -159,6 +159,8 @@
      */
     static constexpr Duration missingGracePeriod = std::chrono::milliseconds(1500);
 
+    /** How long the last entry of a server that is gone is remembered. The log executes a late write within seconds. */
+    static constexpr Duration lateEntryTime = std::chrono::seconds(60);
     /** How long servers of a version get no requests because no record in the log names it. The log has executed the
      * write long before, unless it is out of reach for writes alone. */
     static constexpr Duration maxPublishTime = std::chrono::seconds(1);
@@ -181,6 +183,10 @@
     void applyServers(const KeyedRecords& records);
     /** @param readBefore When the stream was read the previous time; the record was written after that. */
     void applyServer(const KeyedRecord& record, Instant readBefore);
+    /** @return True if the instance has written a later entry, which this router has read; else this one is the last.
+     */
+    [[nodiscard]] bool isOutdated(const fleet::BackendServer& server);
+    void forgetOldEntries();
     /** Notifies the listener of servers that have renewed their entries. */
     void notifyServersSeen(const KeyedRecords& records, Instant readBefore);
     /** Removes servers whose entries are missing, unless they are still kept. @return True when any was removed. */
@@ -248,6 +254,13 @@
     Instant serversReadAt_ {};
     /** For each server a moment at which its present instance ran. */
     std::map<BackendId, Instant> aliveAt_;
+    /** The entry with the highest number that was read of a server. */
+    struct LastEntry {
+        std::uint64_t startedAt = 0;
+        std::uint64_t sequence = 0;
+        Instant readAt {};
+    };
+    std::map<BackendId, LastEntry> lastEntries_;
     /** Servers whose entries are missing, and since when. */
     std::map<BackendId, Instant> missing_;
     /** Services that have backend servers in the backend table. */
--- a/src/node/FleetDirectoryServers.cpp
+++ b/src/node/FleetDirectoryServers.cpp
@@ -42,6 +42,7 @@
     if (records.whole) {
         warmup_.onAllListed();
     }
+    forgetOldEntries();
     notifyServersSeen(records, readBefore);
     static_cast<void>(removeMissing());
     publishBackends();
@@ -79,11 +80,15 @@
     if (known != servers_.end() && server->startedAt < known->second.startedAt) {
         return;
     }
+    if (isOutdated(*server)) {
+        return;
+    }
     missing_.erase(id);
     warmup_.onEntry(*server, warmupDurationOf(server->service), context_.now());
     const Instant aliveAt = std::exchange(aliveAt_[id], readBefore);
-    // The remaining time is different in each entry of a cold server.
+    // The remaining time and the number are different in each entry.
     server->warmupLeft = {};
+    server->sequence = 0;
     if (known != servers_.end() && known->second == *server) {
         return;
     }
@@ -104,6 +109,31 @@
     }
 }
 
+// The log may execute a write seconds after its call has failed. A server that has reported its leaving since, or whose
+// entry was removed, would get new requests again, and would cut them when it exits.
+bool FleetDirectory::isOutdated(const fleet::BackendServer& server)
+{
+    const auto [entry, isNew] = lastEntries_.try_emplace(server.id, LastEntry {});
+    LastEntry& last = entry->second;
+    if (!isNew && server.startedAt == last.startedAt && server.sequence < last.sequence) {
+        context_.log(LogLineBuilder("backend")
+                         .with("backend", server.id.value())
+                         .with("change", "late_entry")
+                         .with("sequence", static_cast<std::int64_t>(server.sequence))
+                         .with("last_sequence", static_cast<std::int64_t>(last.sequence)));
+        return true;
+    }
+    last = { server.startedAt, server.sequence, context_.now() };
+    return false;
+}
+
+void FleetDirectory::forgetOldEntries()
+{
+    std::erase_if(lastEntries_, [this](const auto& entry) {
+        return !servers_.contains(entry.first) && context_.now() - entry.second.readAt > lateEntryTime;
+    });
+}
+
 bool FleetDirectory::isMajorityMissing(const ServiceName& service) const
 {
     std::size_t registered = 0;
--- a/tests/node/GatewayTest.cpp
+++ b/tests/node/GatewayTest.cpp
@@ -491,6 +491,26 @@
         EXPECT_EQ(states, std::set<std::string> { "sealed" }) << "only tokens above the ceiling may be freed";
     }
 
+    // Guards against a leaving server that gets new requests again: an earlier write of its entry, whose call had
+    // failed, is executed by the log after its report of leaving.
+    TEST_F(GatewayTest, LateEntryDoesNotUndoTheLeavingOfAServer)
+    {
+        world.dropServer("p-2");
+        world.dropServer("p-3");
+        world.entrySequence = 9;
+        world.putServer("p-1", "app", "a", fleet::ServerState::Leaving);
+        world.entrySequence = 8;
+        world.putServer("p-1", "app", "a");
+        EXPECT_FALSE(world.dispatchOf(world.arrive("/plain/x")));
+        world.dropServer("p-1");
+        world.run(seconds(3));
+        world.putServer("p-1", "app", "a");
+        EXPECT_FALSE(world.dispatchOf(world.arrive("/plain/x"))) << "its entry was removed since";
+        world.entrySequence = 10;
+        world.putServer("p-1", "app", "a");
+        EXPECT_TRUE(world.dispatchOf(world.arrive("/plain/x"))) << "it has taken its leaving back";
+    }
+
     // Guards against needless refusals at a planned stop: the platform's load balancer continues to send callers for
     // two seconds, and the stopping router can still serve them.
     TEST_F(GatewayTest, StoppingRouterAcceptsRequestsUntilTheLoadBalancerHasNoticed)
--- a/tests/node/GatewayWorld.cpp
+++ b/tests/node/GatewayWorld.cpp
@@ -129,9 +129,10 @@
     fleet::ServerState state, std::uint64_t startedAt, Duration warmupLeft, const std::string& version)
 {
     const std::string name = id + (state == fleet::ServerState::Ready ? "" : " leaving") + " of "
-        + std::to_string(startedAt) + " cold for " + std::to_string(warmupLeft.count()) + " at " + version;
+        + std::to_string(startedAt) + " cold for " + std::to_string(warmupLeft.count()) + " at " + version + " number "
+        + std::to_string(entrySequence);
     codec_->servers[name] = { BackendId(id), startedAt, BackendAddress("127.0.0.1:1"), ServiceName(service),
-        FailureDomain(domain), 8, state, warmupLeft, SoftwareVersion(version) };
+        FailureDomain(domain), 8, state, warmupLeft, SoftwareVersion(version), entrySequence };
     handle(KeyedRecords { serverName, { { Offset { ++keyedOffset_ }, id, name } }, false });
 }
 
--- a/tests/node/GatewayWorld.h
+++ b/tests/node/GatewayWorld.h
@@ -96,6 +96,8 @@
         change(next);
         putConfig(std::move(next));
     }
+    /** Number of the entries that putServer() writes. */
+    std::uint64_t entrySequence = 0;
     void putServer(const std::string& id, const std::string& service, const std::string& domain,
         fleet::ServerState state = fleet::ServerState::Ready, std::uint64_t startedAt = 0, Duration warmupLeft = {},
         const std::string& version = "v1");
