--- a/src/node/FleetDirectoryServers.cpp
+++ b/src/node/FleetDirectoryServers.cpp
@@ -221,6 +221,7 @@
     return context_.now() - waiting->second >= maxPublishTime;
 }
 
+// A version that has waited for longer was set with one of the reads of the servers since.
 bool FleetDirectory::publicationOverdue() const
 {
     return std::ranges::any_of(unpublished_, [this](const auto& waiting) {
--- a/src/node/VersionRecords.cpp
+++ b/src/node/VersionRecords.cpp
@@ -185,11 +185,4 @@
     versionsChanged_ = true;
 }
 
-void VersionRecords::remove()
-{
-    if (known_) {
-        context_.emit(Append { stream(), {}, key() });
-    }
-}
-
 } // namespace swiftlift::node
--- a/src/node/VersionRecords.h
+++ b/src/node/VersionRecords.h
@@ -53,8 +53,6 @@
      * @param period Time between two writes of streams.
      */
     void tick(Duration period);
-    /** Removes this incarnation's record: nothing is in progress any more. */
-    void remove();
 
     [[nodiscard]] static const StreamName& stream();
 
