Keep how long streams are remembered in one place

Three constants of 60 s said the same: for the books of streams, the records in the log and the versions at which streams may have begun. They have to agree, as a record that names fewer versions than the books have streams would be wrong.

No behaviour changes: 13 tests of streams, 118 of the gateway, proxy and records, 2 of RejoinedStreamsTest and the format check pass.

--- a/include/swiftlift/streams/VersionRecord.h
+++ b/include/swiftlift/streams/VersionRecord.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <map>
 #include <optional>
 #include <set>
@@ -7,9 +8,13 @@
 #include <string_view>
 
 #include "swiftlift/base/Ids.h"
+#include "swiftlift/base/Units.h"
 
 namespace swiftlift::streams {
 
+/** How long a stream is remembered: longer than callers take a stream up again. */
+inline constexpr Duration streamLifetime = std::chrono::seconds(60);
+
 /** Software versions of each service's backend servers. */
 using ServiceVersions = std::map<ServiceName, std::set<SoftwareVersion>>;
 
--- a/src/node/FleetDirectory.h
+++ b/src/node/FleetDirectory.h
@@ -164,9 +164,6 @@
     /** How long servers of a version get no requests because no record in the log names it. The log has executed the
      * write long before, unless it is out of reach for writes alone. */
     static constexpr Duration maxPublishTime = std::chrono::seconds(1);
-    /** How long a version that has gone is kept among those at which streams may have begun: longer than streams are
-     * taken up. */
-    static constexpr Duration versionLifetime = std::chrono::seconds(60);
     /** Shortest time between two writes of streams. Those that began since the last one are lost with all routers. */
     static constexpr Duration minRecordPeriod = std::chrono::milliseconds(50);
     /** Writes of streams take this part of the rate that the ledger's routine appends use. */
--- a/src/node/FleetDirectoryServers.cpp
+++ b/src/node/FleetDirectoryServers.cpp
@@ -186,7 +186,7 @@
     for (const auto& [service, versions] : registered) {
         versions_.setRegistered(service, versions, context_.now());
     }
-    versionRecords_.setVersions(versions_.recent(versionLifetime, context_.now()));
+    versionRecords_.setVersions(versions_.recent(streams::streamLifetime, context_.now()));
 }
 
 void FleetDirectory::applyVersionRecords(const KeyedRecords& records)
--- a/src/node/ProxyRequestsStreams.cpp
+++ b/src/node/ProxyRequestsStreams.cpp
@@ -8,7 +8,7 @@
 {
     const ServiceName& service = request.service->name;
     // A stream that was taken up before is older than one attempt.
-    const Duration maxAge = std::max(StreamVersions::streamLifetime, request.route->timeLimit + serverListLag);
+    const Duration maxAge = std::max(streams::streamLifetime, request.route->timeLimit + serverListLag);
     enterPhase(request, ProxyPhase::WaitingForVersion);
     // Without the id of the first attempt, only a service of one version shows at which the stream began.
     const auto found = request.info.resumes.value().empty()
--- a/src/node/StreamVersions.cpp
+++ b/src/node/StreamVersions.cpp
@@ -26,8 +26,8 @@
     , peers_(peers)
     , fleet_(fleet)
     , listener_(std::move(listener))
-    , own_(maxOwnStreams, streamLifetime)
-    , kept_(maxKeptStreams, streamLifetime)
+    , own_(maxOwnStreams, streams::streamLifetime)
+    , kept_(maxKeptStreams, streams::streamLifetime)
 {
 }
 
@@ -146,7 +146,7 @@
 // are told then.
 void StreamVersions::tellKeepers()
 {
-    const bool several = fleet_.versions().anyHasSeveral(streamLifetime, context_.now());
+    const bool several = fleet_.versions().anyHasSeveral(streams::streamLifetime, context_.now());
     if (std::exchange(telling_, several) != several) {
         context_.log(LogLineBuilder("stream_versions")
                          .with("told_to_peers", several)
--- a/src/node/StreamVersions.h
+++ b/src/node/StreamVersions.h
@@ -67,9 +67,6 @@
     /** @return The version of all streams of the service that began within this time, if it is known. */
     [[nodiscard]] FoundVersion onlyVersion(const ServiceName& service, Duration maxAge) const;
 
-    /** How long a stream is remembered: longer than callers take a stream up again. */
-    static constexpr Duration streamLifetime = std::chrono::seconds(60);
-
     void on(const StreamsBegan& message);
     void on(const PeerReceived& event, const StreamVersionAsk& message);
     void on(const PeerReceived& event, const StreamVersionAnswer& message);
--- a/src/node/VersionRecords.cpp
+++ b/src/node/VersionRecords.cpp
@@ -54,7 +54,7 @@
         streamCount += decoded->streams.size();
         read.push_back(std::move(*decoded));
     }
-    inheritedUntil_ = context_.now() + streamLifetime;
+    inheritedUntil_ = context_.now() + streams::streamLifetime;
     context_.log(LogLineBuilder("stream_records")
                      .with("change", "read")
                      .with("records", static_cast<std::int64_t>(read.size()))
@@ -97,7 +97,7 @@
     if (!recording_ || stream.value().empty() || stream.value().size() > maxIdBytes || streams_.size() >= maxStreams) {
         return;
     }
-    const Recorded recorded { version, context_.now() + streamLifetime };
+    const Recorded recorded { version, context_.now() + streams::streamLifetime };
     streamsChanged_ = streams_.insert_or_assign(stream, recorded).second || streamsChanged_;
 }
 
--- a/src/node/VersionRecords.h
+++ b/src/node/VersionRecords.h
@@ -57,8 +57,6 @@
     [[nodiscard]] static const StreamName& stream();
 
 private:
-    /** How long a stream is recorded: longer than callers take a stream up again. */
-    static constexpr Duration streamLifetime = std::chrono::seconds(60);
     /** How long a complete stream is recorded: the end of its answer may still be under way to the caller. */
     static constexpr Duration completeLifetime = std::chrono::seconds(5);
     /** Time until a write that has failed is repeated. */
