Take no answer without a length for whole in the clients of the log

What would be seen: the log is ended within its answer, and the router believes a part of it: with the project's own log protocol an empty body is a read of no records that ends at offset 0, and a write whose answer is cut counts as executed.

Cause: HttpClient and AsyncHttpClient took the end of the connection for the end of an answer that names neither a length nor chunks. Such answers are refused now, unless their status has no body.

Evidence: HttpClientTest.AnswerWithoutALengthIsNoAnswer failed before in both of its cases, and passes with the 14 other tests of HttpClient and LogClient.

--- a/src/transport/AsyncHttpClient.cpp
+++ b/src/transport/AsyncHttpClient.cpp
@@ -91,7 +91,8 @@
 
 void AsyncHttpClient::handleResponse(ErrorCode error)
 {
-    if (error) {
+    // Without a length, the part that a killed server has sent would count as the whole.
+    if (error || parser_->need_eof()) {
         finish(std::nullopt);
         return;
     }
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -142,6 +142,12 @@
     if (!complete) {
         return std::nullopt;
     }
+    // A server that is killed after the head ends its connection in order, too, and the part would count as the whole.
+    if (parser.need_eof()) {
+        lastReason = "read: the answer has no length";
+        close();
+        return std::nullopt;
+    }
     auto message = parser.release();
     if (!message.keep_alive()) {
         close();
