--- a/tests/transport/RelayTest.cpp
+++ b/tests/transport/RelayTest.cpp
@@ -162,6 +162,24 @@
         EXPECT_EQ(announced.announcement.limit, 2.5);
     }
 
+    // Guards against a limit or rest that a relay reads from a part of an answer's head.
+    TEST_F(RelayTest, PartOfAHeadStatesNothing)
+    {
+        const std::string head = "HTTP/1.1 503 Full\r\nRetry-After: 30\r\nX-Limit: 25\r\n\r\n";
+        for (std::size_t bytes = 1; bytes < head.size(); ++bytes) {
+            RelayedConnection connection = connectThroughRelay();
+            connection.engine.write(head.substr(0, bytes));
+            connection.engine.close();
+            EXPECT_TRUE(connection.router.closes());
+            connection.router.close();
+            for (bool ended = false; !ended;) {
+                const auto tagged = decisions.tryPop();
+                EXPECT_FALSE(tagged && std::holds_alternative<node::BackendAnnounced>(tagged->event)) << bytes;
+                ended = tagged && std::holds_alternative<node::RelayEnded>(tagged->event);
+            }
+        }
+    }
+
     TEST_F(RelayTest, RefusalNamesItsReason)
     {
         Connection router = askForConnection();
