--- a/tests/platform/PlatformFleet.cpp
+++ b/tests/platform/PlatformFleet.cpp
@@ -69,20 +69,20 @@
 
     const std::string& domainOf(std::size_t index) { return domains[index % domains.size()]; }
 
-    json routeOf(const std::string& name, const std::string& type)
+    json routeOf(const std::string& name, const std::string& type, std::uint64_t timeoutMs)
     {
         return { { "name", name }, { "hostname", "desk.example" }, { "path_prefix", "/" + name + "/" },
-            { "type", type }, { "timeout_ms", 5000 }, { "target_latency_ms", 300 }, { "priority", 0 },
+            { "type", type }, { "timeout_ms", timeoutMs }, { "target_latency_ms", 300 }, { "priority", 0 },
             { "backend", type == "streaming" ? "model" : "plain" }, { "max_attempts", 2 }, { "public", false },
             { "sticky", type == "streaming" }, { "resumable", name == "resumable" }, { "gap_aim_ms", 300 } };
     }
 
-    json configOf(std::uint64_t version, std::int64_t budget)
+    json configOf(std::uint64_t version, std::int64_t budget, std::uint64_t timeoutMs)
     {
         json config;
         config["version"] = version;
-        config["routes"] = { routeOf("stream", "streaming"), routeOf("resumable", "streaming"),
-            routeOf("plain", "safe"), routeOf("order", "unsafe") };
+        config["routes"] = { routeOf("stream", "streaming", timeoutMs), routeOf("resumable", "streaming", timeoutMs),
+            routeOf("plain", "safe", timeoutMs), routeOf("order", "unsafe", timeoutMs) };
         config["backends"]
             = { { { "name", "model" }, { "engine", { { "slots", 32 }, { "stride", 7 } } } }, { { "name", "plain" } } };
         config["limits"] = { { "max_header_bytes", 16384 }, { "max_body_bytes", 65536 }, { "header_timeout_ms", 3000 },
@@ -230,7 +230,7 @@
 {
     budget_ = budget;
     version_ += 3;
-    putRecord("keyed.op", "config", configOf(version_, budget).dump());
+    putRecord("keyed.op", "config", configOf(version_, budget, size_.routeTimeoutMs).dump());
 }
 
 void PlatformFleet::evacuate(const std::string& domain) { putRecord("keyed.op", "evacuate/" + domain, "{}"); }
--- a/tests/platform/PlatformFleet.h
+++ b/tests/platform/PlatformFleet.h
@@ -48,6 +48,8 @@
     std::size_t plainEngines = 2;
     /** Each router reaches each engine through a link of its own, which can be cut. */
     bool links = false;
+    /** Time limit of each route. */
+    std::uint64_t routeTimeoutMs = 5000;
 };
 
 /**
--- a/tests/transport/DecisionLoopTest.cpp
+++ b/tests/transport/DecisionLoopTest.cpp
@@ -168,4 +168,30 @@
     ASSERT_EQ(sink.incarnations().size(), 2U);
 }
 
+// Guards against a stop that only the next incarnation hears of: that one ends, too.
+TEST_F(DecisionLoopTest, EveryLaterReplacementIsToldOfTheFirstStop)
+{
+    const Instant first = steadyInstant();
+    ASSERT_TRUE(inbox.tryPush({ {}, node::StopRequested { first } }));
+    ASSERT_TRUE(inbox.tryPush({ {}, node::StopRequested { first + std::chrono::seconds(2) } }));
+    for (std::uint64_t question = 1; question <= 3; ++question) {
+        sendQuery(question, "retire");
+        static_cast<void>(sink.waitForReply(question));
+    }
+    sendQuery(4, "stop");
+    EXPECT_EQ(sink.waitForReply(4), std::to_string(first.time_since_epoch().count()));
+    EXPECT_EQ(sink.incarnations().size(), 4U);
+}
+
+// Guards against a stop that is lost between two incarnations: it is in the ring when the first one ends.
+TEST_F(DecisionLoopTest, StopThatWaitsWhileAnIncarnationEndsReachesTheNextOne)
+{
+    const Instant at = steadyInstant();
+    sendQuery(1, "retire");
+    ASSERT_TRUE(inbox.tryPush({ {}, node::StopRequested { at } }));
+    sendQuery(2, "stop");
+    EXPECT_EQ(sink.waitForReply(2), std::to_string(at.time_since_epoch().count()));
+    EXPECT_EQ(sink.incarnations().size(), 2U);
+}
+
 } // namespace swiftlift::transport::test
