Share the steps of the tests of cut heads and of stops

Written again by the tests of this work: a dialect that passed every call on to TestDialect (it derives from it now), the start of a proxy, the connection through a relay, the wait for an event with a look at those before it (RelayTest's had no end), and three loops that wait for a condition.

--- a/tests/platform/StopWhileEndingTest.cpp
+++ b/tests/platform/StopWhileEndingTest.cpp
@@ -118,10 +118,11 @@
             return scenario::linesOfKinds(fleet_->router(router).printed(), { kind }).size();
         }
 
-        [[nodiscard]] bool waitForLines(std::size_t router, const std::string& kind, std::size_t count)
+        /** @return Whether the condition became true within `maxWait`. */
+        template <typename Condition> [[nodiscard]] static bool waitUntil(const Condition& condition)
         {
             const auto until = std::chrono::steady_clock::now() + maxWait;
-            while (linesOf(router, kind) < count) {
+            while (!condition()) {
                 if (std::chrono::steady_clock::now() >= until) {
                     return false;
                 }
@@ -130,6 +131,11 @@
             return true;
         }
 
+        [[nodiscard]] bool waitForLines(std::size_t router, const std::string& kind, std::size_t count)
+        {
+            return waitUntil([&] { return linesOf(router, kind) >= count; });
+        }
+
         /** A stream of seven seconds begins at the router that will be stopped. */
         void beginStream()
         {
@@ -137,24 +143,14 @@
                 streamAnswer_ = fleet_->send(
                     stopped, { .path = "/stream/x", .id = "stream", .tokens = "12,490", .deadlineMs = 20'000 });
             });
-            const auto until = std::chrono::steady_clock::now() + maxWait;
-            while (fleet_->eventsOf("stream") < 2 && std::chrono::steady_clock::now() < until) {
-                std::this_thread::sleep_for(pollInterval);
-            }
+            EXPECT_TRUE(waitUntil([this] { return fleet_->eventsOf("stream") >= 2; }));
         }
 
         /** Stands the router still until another one has sealed its grants. */
         [[nodiscard]] bool standStillUntilSealed()
         {
             fleet_->router(stopped).signal(SIGSTOP);
-            const auto until = std::chrono::steady_clock::now() + maxWait;
-            while (linesOf(1, "seal") + linesOf(2, "seal") == 0) {
-                if (std::chrono::steady_clock::now() >= until) {
-                    return false;
-                }
-                std::this_thread::sleep_for(pollInterval);
-            }
-            return true;
+            return waitUntil([this] { return linesOf(1, "seal") + linesOf(2, "seal") > 0; });
         }
 
         void goOn() { fleet_->router(stopped).signal(SIGCONT); }
--- a/tests/transport/CutAnswerTest.cpp
+++ b/tests/transport/CutAnswerTest.cpp
@@ -18,14 +18,8 @@
         [[nodiscard]] Connection relayedAttempt(Connection& client)
         {
             client.write(proxyRequest());
-            auto order = dispatchOf(nextEvent<node::ProxyRequestArrived>(decisions).call, 1, AnswerKind::Whole);
-            order.relay = node::RelayRoute { {}, RelayAddress(backend.address()) };
-            sendCommand(order);
-            auto relay = backend.accept();
-            static_cast<void>(relay.readUntil("\r\n\r\n"));
-            relay.write("HTTP/1.1 200 OK\r\n\r\n");
-            static_cast<void>(relay.readRequest());
-            return relay;
+            return connectThroughRelay(
+                dispatchOf(nextEvent<node::ProxyRequestArrived>(decisions).call, 1, AnswerKind::Whole));
         }
 
         [[nodiscard]] ProxyAttemptEnd attemptEnd() { return nextEvent<ProxyAttemptEnded>(decisions).end; }
--- a/tests/transport/CutHeadTest.cpp
+++ b/tests/transport/CutHeadTest.cpp
@@ -9,38 +9,18 @@
     using fleet::AnswerKind;
     using node::ProxyAttemptEnd;
     using node::ProxyAttemptEnded;
-    using std::chrono::milliseconds;
 
     /** Reads a limit from the field `Limit`, beside what TestDialect reads. */
-    class LimitDialect final : public ProxyDialect {
+    class LimitDialect final : public TestDialect {
     public:
-        [[nodiscard]] std::variant<node::ProxyRequestInfo, node::Reply> facts(const RequestHead& request) const override
-        {
-            return base_.facts(request);
-        }
-
-        [[nodiscard]] HeaderFields towardsBackend(const HeaderFields& fields, const node::ProxyDispatch& order,
-            std::optional<std::uint64_t> lastEvent) const override
-        {
-            return base_.towardsBackend(fields, order, lastEvent);
-        }
-
         [[nodiscard]] AnswerMarks marks(const AnswerHead& answer) const override
         {
-            AnswerMarks marks = base_.marks(answer);
+            AnswerMarks marks = TestDialect::marks(answer);
             if (const auto limit = valueOf(answer.fields, "Limit")) {
                 marks.announcement.limit = std::stod(std::string(*limit));
             }
             return marks;
         }
-
-        [[nodiscard]] HeaderFields ofRefusal(const node::Reply& refusal, const std::string& requestId) const override
-        {
-            return base_.ofRefusal(refusal, requestId);
-        }
-
-    private:
-        TestDialect base_;
     };
 
     /** How a backend server ends its connection after a part of an answer's head. */
@@ -63,10 +43,7 @@
             StreamLimits limits;
             limits.bodyBytes = 64 * 1024 * 1024;
             limits.heldBytes = 4 * limits.bodyBytes;
-            server = std::make_unique<StreamServer>(limits, decisions, observer, log, std::make_shared<LimitDialect>());
-            ASSERT_TRUE(server->listen({ "127.0.0.1", 0 })) << server->lastReason();
-            server->start();
-            sendCommand(BeginIncarnation { incarnation });
+            startProxy(limits, std::make_shared<LimitDialect>());
         }
 
         /** Sends a request of a new caller. @return The arrived call's next attempt, which is not dispatched yet. */
@@ -80,20 +57,10 @@
         /** @return How the attempt ended. Fails if anything was believed of the backend server before. */
         [[nodiscard]] ProxyAttemptEnded endOfAttempt()
         {
-            const auto until = std::chrono::steady_clock::now() + longWait;
-            while (std::chrono::steady_clock::now() < until) {
-                const auto tagged = decisions.tryPop();
-                if (!tagged) {
-                    std::this_thread::sleep_for(milliseconds(1));
-                    continue;
-                }
-                EXPECT_FALSE(std::holds_alternative<node::BackendAnnounced>(tagged->event));
-                EXPECT_FALSE(std::holds_alternative<node::ProxyAttemptProgress>(tagged->event));
-                if (const auto* ended = std::get_if<ProxyAttemptEnded>(&tagged->event)) {
-                    return *ended;
-                }
-            }
-            throw std::runtime_error("the attempt did not end in time");
+            return nextEvent<ProxyAttemptEnded>(decisions, [](const node::Event& event) {
+                EXPECT_FALSE(std::holds_alternative<node::BackendAnnounced>(event));
+                EXPECT_FALSE(std::holds_alternative<node::ProxyAttemptProgress>(event));
+            });
         }
 
         /** Expects an attempt that is broken and of which nothing is believed. */
@@ -238,16 +205,7 @@
     // Guards against a part of a head that a relay delivers, also where the relay ends the connection in order.
     TEST_P(CutHeadTest, AnswerThroughARelayIsBroken)
     {
-        cutEverywhere(head_, [this](Connection& client) {
-            node::ProxyDispatch order = nextAttempt(client);
-            order.relay = node::RelayRoute { {}, RelayAddress(backend.address()) };
-            sendCommand(order);
-            Connection relay = backend.accept();
-            static_cast<void>(relay.readUntil("\r\n\r\n"));
-            relay.write("HTTP/1.1 200 OK\r\n\r\n");
-            static_cast<void>(relay.readRequest());
-            return relay;
-        });
+        cutEverywhere(head_, [this](Connection& client) { return connectThroughRelay(nextAttempt(client)); });
     }
 
     // Guards against callers without chunks, for whom the end of a connection is the end of an answer, and callers that
--- a/tests/transport/ProxyFixture.h
+++ b/tests/transport/ProxyFixture.h
@@ -9,7 +9,7 @@
 namespace swiftlift::transport::test {
 
 /** A proxy dialect with short header names. */
-class TestDialect final : public ProxyDialect {
+class TestDialect : public ProxyDialect {
 public:
     [[nodiscard]] std::variant<node::ProxyRequestInfo, node::Reply> facts(const RequestHead& request) const override
     {
@@ -47,9 +47,10 @@
     /** Maximum silence of a backend server for dispatches of idempotent requests. */
     static constexpr std::chrono::milliseconds silenceLimit { 2'000 };
 
-    void startProxy(StreamLimits limits = {})
+    void startProxy(
+        StreamLimits limits = {}, std::shared_ptr<const ProxyDialect> dialect = std::make_shared<TestDialect>())
     {
-        server = std::make_unique<StreamServer>(limits, decisions, observer, log, std::make_shared<TestDialect>());
+        server = std::make_unique<StreamServer>(limits, decisions, observer, log, std::move(dialect));
         ASSERT_TRUE(server->listen({ "127.0.0.1", 0 })) << server->lastReason();
         server->start();
         sendCommand(BeginIncarnation { incarnation });
@@ -88,6 +89,18 @@
         return call;
     }
 
+    /** Dispatches the attempt through a relay and connects it. @return The relay's side of the connection. */
+    [[nodiscard]] Connection connectThroughRelay(node::ProxyDispatch order)
+    {
+        order.relay = node::RelayRoute { {}, RelayAddress(backend.address()) };
+        sendCommand(std::move(order));
+        auto relay = backend.accept();
+        static_cast<void>(relay.readUntil("\r\n\r\n"));
+        relay.write("HTTP/1.1 200 OK\r\n\r\n");
+        static_cast<void>(relay.readRequest());
+        return relay;
+    }
+
     /** @return The head of a backend server's answer to the request, with these further fields. */
     [[nodiscard]] static std::string headOf(const std::string& fields, const std::string& status = "200 OK")
     {
--- a/tests/transport/RelayTest.cpp
+++ b/tests/transport/RelayTest.cpp
@@ -172,11 +172,9 @@
             connection.engine.close();
             EXPECT_TRUE(connection.router.closes());
             connection.router.close();
-            for (bool ended = false; !ended;) {
-                const auto tagged = decisions.tryPop();
-                EXPECT_FALSE(tagged && std::holds_alternative<node::BackendAnnounced>(tagged->event)) << bytes;
-                ended = tagged && std::holds_alternative<node::RelayEnded>(tagged->event);
-            }
+            static_cast<void>(nextEvent<node::RelayEnded>(decisions, [bytes](const node::Event& event) {
+                EXPECT_FALSE(std::holds_alternative<node::BackendAnnounced>(event)) << bytes;
+            }));
         }
     }
 
--- a/tests/transport/StreamFixture.h
+++ b/tests/transport/StreamFixture.h
@@ -13,8 +13,11 @@
 
 namespace swiftlift::transport::test {
 
-/** @return The next event of the type; events before it are dropped. Throws if none arrives within `longWait`. */
-template <typename Event> Event nextEvent(DecisionInbox& inbox)
+/**
+ * @return The next event of the type. Throws if none arrives within `longWait`.
+ * @param seen Called with each event before it; these are dropped.
+ */
+template <typename Event, typename Seen> Event nextEvent(DecisionInbox& inbox, Seen&& seen)
 {
     const auto until = std::chrono::steady_clock::now() + longWait;
     while (std::chrono::steady_clock::now() < until) {
@@ -22,6 +25,7 @@
             if (const auto* event = std::get_if<Event>(&tagged->event)) {
                 return *event;
             }
+            seen(tagged->event);
             continue;
         }
         std::this_thread::sleep_for(std::chrono::milliseconds(1));
@@ -29,6 +33,12 @@
     throw std::runtime_error("the expected event did not arrive in time");
 }
 
+/** @return The next event of the type; events before it are dropped. Throws if none arrives within `longWait`. */
+template <typename Event> Event nextEvent(DecisionInbox& inbox)
+{
+    return nextEvent<Event>(inbox, [](const node::Event&) {});
+}
+
 class CountingObserver : public StreamObserver {
 public:
     void firstToken(std::chrono::microseconds) override { ++firstTokens; }
