Say in stream_version lines who knew, how many were asked, and how old the list was

Whether a take-up was decided by an old list, by a guess of a peer or by a memory could not be told from the lines. Answers of peers say now whether the peer remembers the stream.

--- a/include/swiftlift/node/PeerMessage.h
+++ b/include/swiftlift/node/PeerMessage.h
@@ -167,6 +167,8 @@
     StreamId stream;
     /** nullopt: the sender does not know. */
     std::optional<SoftwareVersion> version;
+    /** The sender remembers the stream; else the version is the only one that it knows of the service. */
+    bool remembered = false;
 };
 
 /** Router to its collector: the sender's requests at backend servers. Replaces the sender's earlier reports. */
--- a/src/node/FleetDirectory.h
+++ b/src/node/FleetDirectory.h
@@ -125,6 +125,8 @@
     [[nodiscard]] const std::vector<streams::KeeperCandidate>& vmList() const noexcept { return vms_.list(); }
     /** @return True if this router can read the log. */
     [[nodiscard]] bool logReachable() const { return health_.reachable(context_.now()); }
+    /** @return Time since the list of backend servers was last read. */
+    [[nodiscard]] Duration serversAge() const { return context_.now() - serversReadAt_; }
     /** @return Number of backend servers that are cold. */
     [[nodiscard]] std::size_t coldServers() const noexcept { return cold_.size(); }
 
--- a/src/node/ProxyRequestsStreams.cpp
+++ b/src/node/ProxyRequestsStreams.cpp
@@ -33,6 +33,10 @@
                      .with("known", version.has_value())
                      .with("source", toText(found.source))
                      .with("version", version.value_or(SoftwareVersion {}).value())
+                     .with("peers_asked", static_cast<std::int64_t>(found.asked))
+                     .with("peers_answered", static_cast<std::int64_t>(found.answered))
+                     .with("list_age_ms", toMilliseconds(fleet_.serversAge()))
+                     .with("log_reachable", fleet_.logReachable())
                      .with("waited_ms", toMilliseconds(context_.now() - request->phaseStart)));
     if (!version) {
         refuse(
--- a/src/node/StreamVersions.cpp
+++ b/src/node/StreamVersions.cpp
@@ -15,6 +15,8 @@
         return "remembered";
     case VersionSource::Keeper:
         return "keeper";
+    case VersionSource::PeersOnlyVersion:
+        return "peers_only_version";
     case VersionSource::OnlyVersion:
         return "only_version";
     }
@@ -78,13 +80,14 @@
         running->second.calls.push_back(call);
         return std::nullopt;
     }
-    Pending search { service, maxAge, { call }, {}, context_.now() + answerTime };
+    Pending search { service, maxAge, { call }, {}, 0, context_.now() + answerTime };
     for (const PeerAddress& keeper : streams::keepersOf(stream, fleet_.vmList(), keepersAsked)) {
         if (!isSelf(keeper)) {
             search.awaited.insert(keeper);
             context_.emit(SendPeer { keeper, Incarnation {}, StreamVersionAsk { service, stream, maxAge } });
         }
     }
+    search.asked = search.awaited.size();
     if (search.awaited.empty()) {
         return onlyVersion(service, maxAge);
     }
@@ -103,7 +106,8 @@
 {
     const auto known = remembered(message.stream);
     const auto version = known ? known : onlyVersion(message.service, message.maxAge).version;
-    context_.emit(SendPeer { event.address, event.sender, StreamVersionAnswer { message.stream, version } });
+    context_.emit(SendPeer {
+        event.address, event.sender, StreamVersionAnswer { message.stream, version, known.has_value() } });
 }
 
 void StreamVersions::on(const PeerReceived& event, const StreamVersionAnswer& message)
@@ -114,15 +118,18 @@
     }
     found->second.awaited.erase(event.address);
     if (message.version) {
-        finish(message.stream, { message.version, VersionSource::Keeper });
+        finish(message.stream,
+            { message.version, message.remembered ? VersionSource::Keeper : VersionSource::PeersOnlyVersion });
     } else if (found->second.awaited.empty()) {
         finish(message.stream, onlyVersion(found->second.service, found->second.maxAge));
     }
 }
 
-void StreamVersions::finish(const StreamId& stream, const FoundVersion& found)
+void StreamVersions::finish(const StreamId& stream, FoundVersion found)
 {
     const auto finished = pending_.extract(stream);
+    found.asked = finished.mapped().asked;
+    found.answered = found.asked - finished.mapped().awaited.size();
     for (const CallId call : finished.mapped().calls) {
         listener_(call, found);
     }
--- a/src/node/StreamVersions.h
+++ b/src/node/StreamVersions.h
@@ -20,8 +20,10 @@
     Unknown,
     /** This router remembers the stream, was told of it or has read it in the log. */
     Remembered,
-    /** One of the stream's keepers has answered. */
+    /** A peer remembers the stream. */
     Keeper,
+    /** A peer has answered with the only version that it knows. */
+    PeersOnlyVersion,
     /** The service has had no other version since before the stream can have begun. */
     OnlyVersion,
 };
@@ -33,6 +35,9 @@
     /** nullopt: not known. */
     std::optional<SoftwareVersion> version;
     VersionSource source = VersionSource::Unknown;
+    /** Number of peers that were asked, and of those that had answered. */
+    std::size_t asked = 0;
+    std::size_t answered = 0;
 };
 
 /**
@@ -88,11 +93,12 @@
         Duration maxAge {};
         std::vector<CallId> calls;
         std::set<PeerAddress> awaited;
+        std::size_t asked = 0;
         Instant deadline {};
     };
 
     [[nodiscard]] std::optional<SoftwareVersion> remembered(const StreamId& stream);
-    void finish(const StreamId& stream, const FoundVersion& found);
+    void finish(const StreamId& stream, FoundVersion found);
     void finishOverdue();
     /** Tells the keepers of streams that have begun. */
     void tellKeepers();
--- a/src/wire/PeerReader.cpp
+++ b/src/wire/PeerReader.cpp
@@ -128,7 +128,7 @@
 
     node::StreamVersionAnswer read(const proto::peer::StreamVersionAnswer& in)
     {
-        node::StreamVersionAnswer answer { StreamId(in.stream()), std::nullopt };
+        node::StreamVersionAnswer answer { StreamId(in.stream()), std::nullopt, in.remembered() };
         if (in.has_version()) {
             answer.version = SoftwareVersion(in.version());
         }
--- a/src/wire/PeerWriter.cpp
+++ b/src/wire/PeerWriter.cpp
@@ -236,6 +236,7 @@
     if (message.version) {
         body.set_version(message.version->value());
     }
+    body.set_remembered(message.remembered);
 }
 
 void write(const node::LoadReport& message, proto::peer::Envelope& out)
