Take the only version of a service only from a list that is complete

Callers' streams went on at another software version at a router that had missed a release: it stood still or was cut off, woke, and named the only version of its old list for streams that had begun at a newer one elsewhere.

Cause: the question "was there only one version?" was guarded by whether the router believed that it or any peer it heard reached the log, not by what it had read. Peers answered with such guesses in the field of a memory, and the first answer won.

Now a take-up asks the log for the end of the servers' stream, in a call that begins after the caller came, and guesses only if the router has read up to there: the stream began before. No clock and no belief is involved. While the log doesn't answer, peers that it answers guess by a check of their own; a memory goes before any guess, and guesses that differ refuse. In an outage of the log routers tell keepers of their streams, as with several versions, since nobody can guess then. A router whose reads missed changes reads the records of versions again, after the list.

--- a/include/swiftlift/node/Action.h
+++ b/include/swiftlift/node/Action.h
@@ -101,6 +101,13 @@
 struct ExpediteRead {
     StreamName stream;
 };
+/** Ask the log for the end of a stream, in a call that begins after this action; answered by a StreamEnd. */
+struct ReadEnd {
+    StreamName stream;
+    /** Offset up to which the core has the stream's records. */
+    Offset from;
+    std::uint64_t number = 0;
+};
 /** Send a message to a peer router. */
 struct SendPeer {
     PeerAddress to;
@@ -163,7 +170,7 @@
     std::string reason;
 };
 
-using Action = std::variant<Dispatch, CancelAttempt, Reply, Append, Follow, PaceReads, ExpediteRead, SendPeer,
+using Action = std::variant<Dispatch, CancelAttempt, Reply, Append, Follow, PaceReads, ExpediteRead, ReadEnd, SendPeer,
     WatchBackends, SendOrder, LogLine, CountMetric, GaugeMetric, OperatorReply, StopReady, Restart, ProxyDispatch,
     ProxyFailureReply, AnnounceReadiness, SetCallerLimits, ProbeBackend, AnswerRelay>;
 using Actions = std::vector<Action>;
--- a/include/swiftlift/node/Event.h
+++ b/include/swiftlift/node/Event.h
@@ -124,6 +124,16 @@
     StreamName stream;
     std::string detail;
 };
+/** The result of a ReadEnd. */
+struct StreamEnd {
+    StreamName stream;
+    /** The number of the ReadEnd. */
+    std::uint64_t number = 0;
+    /** Offset after the stream's last record; nullopt: the log did not answer. */
+    std::optional<Offset> end;
+    /** Why there is no answer. */
+    std::string detail {};
+};
 /** The log answered an append. The record counts only once it has been read back from the stream. */
 struct AppendAnswered {
     StreamName stream;
@@ -206,6 +216,6 @@
     LogUnreachable, AppendAnswered, PeerReceived, VmListRead, BackendLoad, CacheEventsRead, OrderAnswered, Tick,
     StopRequested, OperatorAsked, KeyedRecords, ProxyRequestArrived, ProxyAttemptProgress, ProxyAttemptEnded,
     ProxyRequestAbandoned, BackendAnnounced, BackendConnected, ProbeEnded, BackendsSilent, RelayRequested, RelayEnded,
-    OverloadChanged>;
+    OverloadChanged, StreamEnd>;
 
 } // namespace swiftlift::node
--- a/include/swiftlift/node/PeerMessage.h
+++ b/include/swiftlift/node/PeerMessage.h
@@ -161,13 +161,15 @@
     StreamId stream;
     /** How long ago the stream may have begun. */
     Duration maxAge {};
+    /** The sender can't ask the log: the receiver may answer with the only version, if it has asked the log itself. */
+    bool infer = false;
 };
 /** Answers a StreamVersionAsk. */
 struct StreamVersionAnswer {
     StreamId stream;
     /** nullopt: the sender does not know. */
     std::optional<SoftwareVersion> version;
-    /** The sender remembers the stream; else the version is the only one that it knows of the service. */
+    /** The sender remembers the stream; else the version is the only one that the service had. */
     bool remembered = false;
 };
 
--- a/include/swiftlift/streams/VersionHistory.h
+++ b/include/swiftlift/streams/VersionHistory.h
@@ -23,6 +23,9 @@
      */
     void addEarlier(const ServiceVersions& versions, Instant now);
 
+    /** Handles that changes were missed: what was registered until now is not known, until addEarlier() tells. */
+    void onGap() noexcept;
+
     /**
      * @brief Finds the version of all streams of the service that began within a time, without knowing the stream.
      * @param age How long ago a stream may have begun.
@@ -52,6 +55,8 @@
     std::map<ServiceName, Service> services_;
     /** The versions from before this history are known, too. */
     bool earlierKnown_ = false;
+    /** Changes were missed since then. */
+    bool hasGap_ = false;
 };
 
 } // namespace swiftlift::streams
--- a/include/swiftlift/transport/LogClient.h
+++ b/include/swiftlift/transport/LogClient.h
@@ -33,7 +33,8 @@
 };
 
 /**
- * @brief Client of the platform's log: one thread for appends, and one for each stream that is followed.
+ * @brief Client of the platform's log: one thread for appends, one for ends of streams, and one for each stream that is
+ * followed.
  *
  * Each successful read is reported to the core as LogRecords, even an empty one, so that the core can tell that the log
  * is reachable. A failed read is reported as LogUnreachable and retried with exponential backoff. An append is sent
@@ -51,7 +52,7 @@
     /**
      * @brief Ends the followers of the earlier incarnation; later events carry the new incarnation.
      *
-     * beginIncarnation(), follow(), pace(), readSoon() and append() are for the decision thread and never block.
+     * beginIncarnation(), follow(), pace(), readSoon(), append() and readEnd() are for the decision thread and never block.
      */
     void beginIncarnation(Incarnation incarnation);
     /** Reads a stream from an offset on; replaces an earlier follower of the stream. */
@@ -66,6 +67,9 @@
      */
     [[nodiscard]] bool append(node::Append& append);
 
+    /** Asks for the end of a stream; the answer is a StreamEnd. The core makes one such call at a time. */
+    void readEnd(node::ReadEnd&& read);
+
     /** Ends all threads. Pending reads and appends are cancelled. */
     void stop();
 
--- a/src/node/FleetDirectory.cpp
+++ b/src/node/FleetDirectory.cpp
@@ -30,6 +30,7 @@
     , backends_(backends)
     , listener_(listener)
     , unreadable_(context)
+    , serverCheck_(context, serverStream())
     , evacuations_(context, peers, unreadable_)
     , vms_(context, peers)
     , versionRecords_(context)
@@ -41,7 +42,6 @@
     context_.emit(Follow { configStream(), {}, StreamKind::Keyed, {} });
     context_.emit(Follow { serverStream(), {}, StreamKind::Keyed, serverReadPause_ });
     vms_.start();
-    versionRecords_.start();
 }
 
 void FleetDirectory::onRecords(const KeyedRecords& records)
@@ -65,6 +65,13 @@
     applyOperatorRecords(records);
 }
 
+void FleetDirectory::on(const StreamEnd& event)
+{
+    if (event.stream == serverStream()) {
+        serverCheck_.on(event);
+    }
+}
+
 void FleetDirectory::applyOperatorRecords(const KeyedRecords& records)
 {
     applyEvacuations(evacuations_.onRecords(records));
@@ -187,11 +194,13 @@
         publishBackends();
     }
     versionRecords_.tick(recordPeriod_);
+    serverCheck_.tick();
     vms_.tick(stopping);
 }
 
 void FleetDirectory::paceLogCalls(const LogPace& pace, std::uint32_t routers)
 {
+    serverCheck_.setPeriod(pace.checkPeriod(ListCheck::minPeriod, routers));
     recordPeriod_ = recordRateDivisor * pace.appendPeriod(minRecordPeriod / recordRateDivisor, routers);
     const Duration pause = pace.serversPause(minServerReadPause, routers);
     if (std::exchange(serverReadPause_, pause) != pause) {
--- a/src/node/FleetDirectory.h
+++ b/src/node/FleetDirectory.h
@@ -12,6 +12,7 @@
 
 #include "node/Context.h"
 #include "node/EvacuationDirectory.h"
+#include "node/ListCheck.h"
 #include "node/LogHealth.h"
 #include "node/LogPace.h"
 #include "node/Peers.h"
@@ -70,6 +71,8 @@
     void start();
     /** Applies records of the configuration, backend server or VM stream. */
     void onRecords(const KeyedRecords& records);
+    /** Handles what the log states of the stream of backend servers. */
+    void on(const StreamEnd& event);
     /** @return True if routers exchange the records of this stream because one of them can't reach the log. */
     [[nodiscard]] static bool isExchanged(const StreamName& stream);
     /** Applies a configuration or evacuations that a peer has read. */
@@ -118,6 +121,8 @@
     [[nodiscard]] const EvacuationDirectory& evacuations() const noexcept { return evacuations_; }
     /** @return The software versions of each service's servers. */
     [[nodiscard]] const streams::VersionHistory& versions() const noexcept { return versions_; }
+    /** @return Checks of the list of backend servers, and so of versions(). */
+    [[nodiscard]] ListCheck& serverCheck() noexcept { return serverCheck_; }
     /** @return What the log keeps of streams. */
     [[nodiscard]] VersionRecords& versionRecords() noexcept { return versionRecords_; }
     [[nodiscard]] const VersionRecords& versionRecords() const noexcept { return versionRecords_; }
@@ -180,6 +185,8 @@
     /** Brings changed evacuations into force. */
     void applyEvacuations(const std::vector<fleet::EvacuationChange>& changes);
     void applyServers(const KeyedRecords& records);
+    /** Handles that all servers were listed, at the start or because changes were missed. */
+    void onServersListed();
     /** @param readBefore When the stream was read the previous time; the record was written after that. */
     void applyServer(const KeyedRecord& record, Instant readBefore);
     /** @return True if the instance has written a later entry, which this router has read; else this one is the last.
@@ -223,6 +230,7 @@
     routing::BackendTable& backends_;
     FleetListener& listener_;
     UnreadableRecords unreadable_;
+    ListCheck serverCheck_;
     EvacuationDirectory evacuations_;
     VmRegistry vms_;
     fleet::WarmupTracker warmup_;
--- a/src/node/FleetDirectoryServers.cpp
+++ b/src/node/FleetDirectoryServers.cpp
@@ -33,7 +33,7 @@
                 missing_.try_emplace(id, context_.now());
             }
         }
-        serversKnown_ = true;
+        onServersListed();
     }
     const Instant readBefore = std::exchange(serversReadAt_, context_.now());
     for (const KeyedRecord& record : records.records) {
@@ -46,6 +46,17 @@
     notifyServersSeen(records, readBefore);
     static_cast<void>(removeMissing());
     publishBackends();
+    serverCheck_.onApplied(records.next);
+}
+
+// The records of versions are read after the list: a version that comes and goes between two lists is in the records
+// then, as it is published before it is used.
+void FleetDirectory::onServersListed()
+{
+    if (std::exchange(serversKnown_, true)) {
+        versions_.onGap();
+    }
+    versionRecords_.start();
 }
 
 // The entries of a complete list may be arbitrarily old, so they do not show that a server runs.
--- a/src/node/Gateway.cpp
+++ b/src/node/Gateway.cpp
@@ -279,6 +279,15 @@
     }
 }
 
+void Gateway::on(const StreamEnd& event)
+{
+    if (event.end) {
+        health_.onAnswer(context_.now());
+    }
+    fleet_.on(event);
+    streamVersions_.onListChecked();
+}
+
 void Gateway::on(const OverloadChanged& event)
 {
     overloaded_ = event.overloaded;
--- a/src/node/Gateway.h
+++ b/src/node/Gateway.h
@@ -48,6 +48,7 @@
     void on(const AppendAnswered& event);
     void on(const PeerReceived& event);
     void on(const OverloadChanged& event);
+    void on(const StreamEnd& event);
     void on(const Tick& event);
     void on(const StopRequested& event);
     void on(const OperatorAsked& event);
--- a/src/node/LogPace.cpp
+++ b/src/node/LogPace.cpp
@@ -23,6 +23,9 @@
     constexpr Duration maxServersPause = 1s;
     constexpr Duration maxLedgerPause = 2s;
     constexpr Duration maxAppendPeriod = 5s;
+    /** Part of the log's rate that checks of lists may use; callers wait for them. */
+    constexpr double checkShare = 0.15;
+    constexpr Duration maxCheckPeriod = 250ms;
 
     [[nodiscard]] Duration periodOf(double callsPerSecond)
     {
@@ -62,6 +65,14 @@
     return reads ? stretched(least, periodOf(*reads * (1 - ledgerShare)), maxServersPause) : least;
 }
 
+Duration LogPace::checkPeriod(Duration least, std::uint32_t routers) const
+{
+    if (rates_.reads <= 0) {
+        return least;
+    }
+    return stretched(least, periodOf(checkShare * rates_.reads / std::max(routers, 1U)), maxCheckPeriod);
+}
+
 Duration LogPace::appendPeriod(Duration least, std::uint32_t routers) const
 {
     if (rates_.appends <= 0) {
--- a/src/node/LogPace.h
+++ b/src/node/LogPace.h
@@ -27,6 +27,8 @@
     [[nodiscard]] Duration ledgerPause(Duration least, std::uint32_t routers) const;
     /** As ledgerPause(), for the stream of backend servers. */
     [[nodiscard]] Duration serversPause(Duration least, std::uint32_t routers) const;
+    /** As ledgerPause(), for the time between two checks of a list's end. */
+    [[nodiscard]] Duration checkPeriod(Duration least, std::uint32_t routers) const;
     /** As ledgerPause(), for the time between two routine appends. */
     [[nodiscard]] Duration appendPeriod(Duration least, std::uint32_t routers) const;
 
--- a/src/node/ProxyRequestsStreams.cpp
+++ b/src/node/ProxyRequestsStreams.cpp
@@ -10,13 +10,7 @@
     // A stream that was taken up before is older than one attempt.
     const Duration maxAge = std::max(streams::streamLifetime, request.route->timeLimit + serverListLag);
     enterPhase(request, ProxyPhase::WaitingForVersion);
-    // Without the id of the first attempt, only a service of one version shows at which the stream began.
-    const auto found = request.info.resumes.value().empty()
-        ? streamVersions_.onlyVersion(service, maxAge)
-        : streamVersions_.search(request.id, service, request.info.resumes, maxAge);
-    if (found) {
-        onStreamVersion(request.id, *found);
-    }
+    streamVersions_.search(request.id, service, request.info.resumes, maxAge);
 }
 
 void ProxyRequests::onStreamVersion(CallId call, const FoundVersion& found)
--- a/src/node/StreamVersions.cpp
+++ b/src/node/StreamVersions.cpp
@@ -40,6 +40,8 @@
     own_.add(stream, version, context_.now());
     if (telling_) {
         untold_.push_back({ stream, version });
+    }
+    if (recording_) {
         fleet_.versionRecords().add(stream, version);
     }
 }
@@ -59,40 +61,100 @@
     return own ? own : kept_.find(stream, context_.now());
 }
 
-// A router that can't read the log doesn't know of servers that have registered since. Where no router can, no stream
-// began at such a server.
-FoundVersion StreamVersions::onlyVersion(const ServiceName& service, Duration maxAge) const
+void StreamVersions::search(CallId call, const ServiceName& service, const StreamId& stream, Duration maxAge)
 {
-    if (!fleet_.logReachable() && peers_.membership().logReachablePeer()) {
-        return {};
+    if (const auto known = stream.value().empty() ? std::nullopt : remembered(stream)) {
+        listener_(call, FoundVersion { known, VersionSource::Remembered });
+        return;
     }
-    const auto version = fleet_.versions().onlyVersion(service, maxAge, context_.now());
-    return { version, version ? VersionSource::OnlyVersion : VersionSource::Unknown };
+    begin({ stream, Search { call, service, maxAge } });
 }
 
-std::optional<FoundVersion> StreamVersions::search(
-    CallId call, const ServiceName& service, const StreamId& stream, Duration maxAge)
+void StreamVersions::begin(Searches::value_type&& started)
 {
-    if (const auto known = remembered(stream)) {
-        return FoundVersion { known, VersionSource::Remembered };
+    auto& [stream, search] = started;
+    const Instant now = context_.now();
+    search.check = fleet_.serverCheck().request();
+    search.checkDeadline = now + (fleet_.logReachable() ? checkTime : answerTime);
+    search.answerDeadline = now + answerTime;
+    const bool inferable = fleet_.logReachable() && !fleet_.versions().hasSeveral(search.service, search.maxAge, now);
+    if (!inferable && std::holds_alternative<CallId>(search.asker)) {
+        askKeepers(stream, search, !fleet_.logReachable());
     }
-    if (const auto running = pending_.find(stream); running != pending_.end()) {
-        running->second.calls.push_back(call);
-        return std::nullopt;
+    searches_.insert(std::move(started));
+}
+
+void StreamVersions::askKeepers(const StreamId& stream, Search& search, bool infer)
+{
+    search.keepersAsked = true;
+    search.answerDeadline = context_.now() + answerTime;
+    if (stream.value().empty()) {
+        return;
     }
-    Pending search { service, maxAge, { call }, {}, 0, context_.now() + answerTime };
-    for (const PeerAddress& keeper : streams::keepersOf(stream, fleet_.vmList(), keepersAsked)) {
+    for (const PeerAddress& keeper : streams::keepersOf(stream, fleet_.vmList(), maxKeepersAsked)) {
         if (!isSelf(keeper)) {
             search.awaited.insert(keeper);
-            context_.emit(SendPeer { keeper, Incarnation {}, StreamVersionAsk { service, stream, maxAge } });
+            context_.emit(
+                SendPeer { keeper, Incarnation {}, StreamVersionAsk { search.service, stream, search.maxAge, infer } });
         }
     }
     search.asked = search.awaited.size();
-    if (search.awaited.empty()) {
-        return onlyVersion(service, maxAge);
+}
+
+std::optional<FoundVersion> StreamVersions::conclude(const StreamId& stream, Search& search)
+{
+    const Instant now = context_.now();
+    const CheckState check = fleet_.serverCheck().state(search.check);
+    if (check == CheckState::Complete) {
+        if (auto only = fleet_.versions().onlyVersion(search.service, search.maxAge, now)) {
+            return FoundVersion { std::move(only), VersionSource::OnlyVersion };
+        }
+    } else if (check == CheckState::Open && now < search.checkDeadline) {
+        return std::nullopt;
     }
-    pending_.emplace(stream, std::move(search));
-    return std::nullopt;
+    if (!search.keepersAsked && std::holds_alternative<CallId>(search.asker)) {
+        askKeepers(stream, search, check != CheckState::Complete);
+    }
+    if (!search.awaited.empty() && now < search.answerDeadline) {
+        return std::nullopt;
+    }
+    if (search.inferred.size() == 1) {
+        return FoundVersion { *search.inferred.begin(), VersionSource::PeersOnlyVersion };
+    }
+    return FoundVersion {};
+}
+
+void StreamVersions::concludeAll()
+{
+    std::vector<std::pair<Searches::node_type, FoundVersion>> ended;
+    for (auto entry = searches_.begin(); entry != searches_.end();) {
+        const auto current = entry++;
+        if (auto found = conclude(current->first, current->second)) {
+            ended.emplace_back(searches_.extract(current), std::move(*found));
+        }
+    }
+    for (const auto& [search, found] : ended) {
+        finish(search.key(), search.mapped(), found);
+    }
+}
+
+void StreamVersions::onListChecked() { concludeAll(); }
+
+void StreamVersions::finish(const StreamId& stream, const Search& search, FoundVersion found)
+{
+    found.asked = search.asked;
+    found.answered = search.asked - search.awaited.size();
+    if (const auto* asker = std::get_if<VersionAsker>(&search.asker)) {
+        answer(*asker, stream, found);
+    } else {
+        listener_(std::get<CallId>(search.asker), found);
+    }
+}
+
+void StreamVersions::answer(const VersionAsker& asker, const StreamId& stream, const FoundVersion& found)
+{
+    const bool known = found.source == VersionSource::Remembered;
+    context_.emit(SendPeer { asker.address, asker.incarnation, StreamVersionAnswer { stream, found.version, known } });
 }
 
 void StreamVersions::on(const StreamsBegan& message)
@@ -104,49 +166,48 @@
 
 void StreamVersions::on(const PeerReceived& event, const StreamVersionAsk& message)
 {
+    const VersionAsker asker { event.address, event.sender };
     const auto known = remembered(message.stream);
-    const auto version = known ? known : onlyVersion(message.service, message.maxAge).version;
-    context_.emit(SendPeer {
-        event.address, event.sender, StreamVersionAnswer { message.stream, version, known.has_value() } });
-}
-
-void StreamVersions::on(const PeerReceived& event, const StreamVersionAnswer& message)
-{
-    const auto found = pending_.find(message.stream);
-    if (found == pending_.end()) {
+    if (known || !message.infer || !fleet_.logReachable()) {
+        answer(asker, message.stream, { known, known ? VersionSource::Remembered : VersionSource::Unknown });
         return;
     }
-    found->second.awaited.erase(event.address);
-    if (message.version) {
-        finish(message.stream,
-            { message.version, message.remembered ? VersionSource::Keeper : VersionSource::PeersOnlyVersion });
-    } else if (found->second.awaited.empty()) {
-        finish(message.stream, onlyVersion(found->second.service, found->second.maxAge));
-    }
+    begin({ message.stream, Search { asker, message.service, message.maxAge } });
 }
 
-void StreamVersions::finish(const StreamId& stream, FoundVersion found)
+// What a peer infers never comes before what another one remembers: the version that a router has missed is not among
+// those that it knows.
+void StreamVersions::on(const PeerReceived& event, const StreamVersionAnswer& message)
 {
-    const auto finished = pending_.extract(stream);
-    found.asked = finished.mapped().asked;
-    found.answered = found.asked - finished.mapped().awaited.size();
-    for (const CallId call : finished.mapped().calls) {
-        listener_(call, found);
+    std::vector<Searches::node_type> answered;
+    const auto [first, last] = searches_.equal_range(message.stream);
+    for (auto entry = first; entry != last;) {
+        const auto current = entry++;
+        Search& search = current->second;
+        if (search.awaited.erase(event.address) == 0 || !message.version) {
+            continue;
+        }
+        if (message.remembered) {
+            answered.push_back(searches_.extract(current));
+        } else {
+            search.inferred.insert(*message.version);
+        }
+    }
+    for (const auto& search : answered) {
+        finish(message.stream, search.mapped(), { message.version, VersionSource::Keeper });
     }
+    concludeAll();
 }
 
-void StreamVersions::finishOverdue()
+// Without the log, no router can find out that there was only one version.
+bool StreamVersions::keepersNeeded(bool several)
 {
-    std::vector<StreamId> overdue;
-    for (const auto& [stream, search] : pending_) {
-        if (context_.now() >= search.deadline) {
-            overdue.push_back(stream);
-        }
-    }
-    for (const StreamId& stream : overdue) {
-        const Pending& search = pending_.at(stream);
-        finish(stream, onlyVersion(search.service, search.maxAge));
+    if (fleet_.logReachable()) {
+        logLostAt_.reset();
+        return several;
     }
+    logLostAt_ = logLostAt_.value_or(context_.now());
+    return several || context_.now() - *logLostAt_ >= minOutage;
 }
 
 // Streams that began just before the second version registered may be taken up again, too, so all that are remembered
@@ -154,16 +215,22 @@
 void StreamVersions::tellKeepers()
 {
     const bool several = fleet_.versions().anyHasSeveral(streams::streamLifetime, context_.now());
-    if (std::exchange(telling_, several) != several) {
+    if (std::exchange(recording_, several) != several) {
+        fleet_.versionRecords().setRecording(several);
+        for (const auto& [stream, version] : own_.streams()) {
+            fleet_.versionRecords().add(stream, version);
+        }
+    }
+    const bool needed = keepersNeeded(several);
+    if (std::exchange(telling_, needed) != needed) {
         context_.log(LogLineBuilder("stream_versions")
-                         .with("told_to_peers", several)
+                         .with("told_to_peers", needed)
+                         .with("several_versions", several)
                          .with("remembered", static_cast<std::int64_t>(own_.size())));
         untold_.clear();
-        fleet_.versionRecords().setRecording(several);
-        if (several) {
+        if (needed) {
             for (const auto& [stream, version] : own_.streams()) {
                 untold_.push_back({ stream, version });
-                fleet_.versionRecords().add(stream, version);
             }
         }
     }
@@ -183,7 +250,7 @@
 void StreamVersions::tick()
 {
     tellKeepers();
-    finishOverdue();
+    concludeAll();
 }
 
 } // namespace swiftlift::node
--- a/src/node/StreamVersions.h
+++ b/src/node/StreamVersions.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <variant>
 #include <vector>
 
 #include "node/Context.h"
@@ -22,10 +23,10 @@
     Remembered,
     /** A peer remembers the stream. */
     Keeper,
-    /** A peer has answered with the only version that it knows. */
-    PeersOnlyVersion,
-    /** The service has had no other version since before the stream can have begun. */
+    /** The service had no other version, by the list of servers that the log had after the caller came. */
     OnlyVersion,
+    /** The same, by the list of a peer that reaches the log. */
+    PeersOnlyVersion,
 };
 
 [[nodiscard]] const char* toText(VersionSource source) noexcept;
@@ -40,19 +41,27 @@
     std::size_t answered = 0;
 };
 
+/** A peer that asked for the version of a stream. */
+struct VersionAsker {
+    PeerAddress address;
+    Incarnation incarnation;
+};
+
 /**
  * @brief Finds out at which software version a stream began that a caller takes up again.
  *
- * The router at which a stream began remembers it. While a service has, or had lately, servers of several versions, it
- * also tells the stream's keepers, which any router can name by the stream's id, and records the stream in the log,
- * which a router reads when it starts. A router that doesn't know a stream asks the keepers. Where only one version was
- * registered since before the stream can have begun, that is its version.
+ * The router at which a stream began remembers it. While a service has, or had lately, servers of several versions, or
+ * the log is out of reach, it also tells the stream's keepers, which any router can name by the stream's id. While
+ * there are several versions it records the stream in the log, which a router reads when it starts. A router that
+ * doesn't know a stream takes the only version that the service had since before the stream can have begun, but only by
+ * a list of servers that is complete up to a moment after the caller came: the stream began before that moment. Where
+ * there are several versions, or the log doesn't answer, it asks the keepers.
  */
 class StreamVersions {
 public:
     using Listener = std::function<void(CallId, const FoundVersion&)>;
 
-    /** @param listener Gets the results of pending searches. */
+    /** @param listener Gets the results of searches; a result may come before search() returns. */
     StreamVersions(Context& context, const Peers& peers, FleetDirectory& fleet, Listener listener);
 
     /** A stream's first event was forwarded to the caller. */
@@ -62,15 +71,14 @@
     /** Remembers streams that were read in the log. */
     void onRead(const std::map<StreamId, SoftwareVersion>& streams);
     /**
-     * @brief Searches the version at which a stream began.
+     * @brief Searches the version at which a stream began. The listener gets the result.
      * @param call The request that takes the stream up again.
+     * @param stream The attempt that began the stream; empty: the caller doesn't say.
      * @param maxAge How long ago the stream may have begun.
-     * @return nullopt: peers were asked, and the listener gets the result.
      */
-    [[nodiscard]] std::optional<FoundVersion> search(
-        CallId call, const ServiceName& service, const StreamId& stream, Duration maxAge);
-    /** @return The version of all streams of the service that began within this time, if it is known. */
-    [[nodiscard]] FoundVersion onlyVersion(const ServiceName& service, Duration maxAge) const;
+    void search(CallId call, const ServiceName& service, const StreamId& stream, Duration maxAge);
+    /** Handles that a check of the list of servers may have ended. */
+    void onListChecked();
 
     void on(const StreamsBegan& message);
     void on(const PeerReceived& event, const StreamVersionAsk& message);
@@ -80,26 +88,47 @@
 private:
     /** Number of keepers that are told of a stream. */
     static constexpr std::size_t keepersTold = 2;
-    /** Number of keepers that are asked: the list of routers may have changed since they were told. */
-    static constexpr std::size_t keepersAsked = 4;
+    /** Number of keepers that are asked: the list of routers may have changed since they were told, and in a small
+     * fleet the router at which the stream began is among them. */
+    static constexpr std::size_t maxKeepersAsked = 8;
     /** Time for the keepers to answer. */
     static constexpr Duration answerTime = std::chrono::milliseconds(150);
+    /** Time for the log to say whether the list of servers is complete. */
+    static constexpr Duration checkTime = std::chrono::milliseconds(500);
+    /** Outages of the log that end within this time are not told to the keepers. A reset connection is one. */
+    static constexpr Duration minOutage = std::chrono::milliseconds(500);
     static constexpr std::size_t maxOwnStreams = 16'384;
     static constexpr std::size_t maxKeptStreams = 16'384;
 
-    /** A search whose keepers have not all answered. */
-    struct Pending {
+    /** A search that has not ended. */
+    struct Search {
+        std::variant<CallId, VersionAsker> asker;
         ServiceName service;
         Duration maxAge {};
-        std::vector<CallId> calls;
-        std::set<PeerAddress> awaited;
+        /** Number of the check of the list of servers that began after the search. */
+        std::uint64_t check = 0;
+        Instant checkDeadline {};
+        /** Keepers whose answer is awaited. */
+        std::set<PeerAddress> awaited {};
+        bool keepersAsked = false;
         std::size_t asked = 0;
-        Instant deadline {};
+        Instant answerDeadline {};
+        /** What keepers answered that don't remember the stream. */
+        std::set<SoftwareVersion> inferred {};
     };
+    using Searches = std::multimap<StreamId, Search>;
 
     [[nodiscard]] std::optional<SoftwareVersion> remembered(const StreamId& stream);
-    void finish(const StreamId& stream, FoundVersion found);
-    void finishOverdue();
+    void begin(Searches::value_type&& search);
+    void askKeepers(const StreamId& stream, Search& search, bool infer);
+    /** @return The search's result; nullopt: it is still open. May ask the keepers. */
+    [[nodiscard]] std::optional<FoundVersion> conclude(const StreamId& stream, Search& search);
+    /** Ends all searches that have a result. */
+    void concludeAll();
+    void finish(const StreamId& stream, const Search& search, FoundVersion found);
+    void answer(const VersionAsker& asker, const StreamId& stream, const FoundVersion& found);
+    /** @return True if the keepers are to be told of streams. */
+    [[nodiscard]] bool keepersNeeded(bool several);
     /** Tells the keepers of streams that have begun. */
     void tellKeepers();
     [[nodiscard]] bool isSelf(const PeerAddress& address) const;
@@ -114,7 +143,10 @@
     std::vector<StreamVersion> untold_;
     /** The keepers are told of each stream. */
     bool telling_ = false;
-    std::map<StreamId, Pending> pending_;
+    /** Each stream is recorded in the log. */
+    bool recording_ = false;
+    std::optional<Instant> logLostAt_;
+    Searches searches_;
 };
 
 } // namespace swiftlift::node
--- a/src/node/VersionRecords.cpp
+++ b/src/node/VersionRecords.cpp
@@ -35,9 +35,7 @@
 
 std::vector<streams::VersionRecord> VersionRecords::onRecords(const KeyedRecords& records)
 {
-    if (std::exchange(known_, true)) {
-        return {};
-    }
+    const bool first = !std::exchange(known_, true);
     std::vector<streams::VersionRecord> read;
     std::size_t streamCount = 0;
     const std::string ownPrefix = internal::keyPrefix(context_.settings().peerAddress);
@@ -47,14 +45,18 @@
             context_.count("swiftlift_unreadable_records_total", { { "what", "stream_versions" } });
             continue;
         }
-        if (record.key.starts_with(ownPrefix)) {
+        if (first && record.key.starts_with(ownPrefix)) {
             inherited_.push_back(record.key);
         }
-        streams::merge(published_, decoded->versions);
+        if (first) {
+            streams::merge(published_, decoded->versions);
+        }
         streamCount += decoded->streams.size();
         read.push_back(std::move(*decoded));
     }
-    inheritedUntil_ = context_.now() + streams::streamLifetime;
+    if (first) {
+        inheritedUntil_ = context_.now() + streams::streamLifetime;
+    }
     context_.log(LogLineBuilder("stream_records")
                      .with("change", "read")
                      .with("records", static_cast<std::int64_t>(read.size()))
--- a/src/node/VersionRecords.h
+++ b/src/node/VersionRecords.h
@@ -26,8 +26,12 @@
 public:
     explicit VersionRecords(Context& context);
 
+    /** Reads the records. */
     void start();
-    /** Handles the records that were written before this router's start. @return Their contents. */
+    /**
+     * @brief Handles the records of all routers, read at this router's start or after changes were missed.
+     * @return Their contents.
+     */
     [[nodiscard]] std::vector<streams::VersionRecord> onRecords(const KeyedRecords& records);
     /** Handles that the log has executed the append in flight. */
     void onAppended();
--- a/src/streams/VersionHistory.cpp
+++ b/src/streams/VersionHistory.cpp
@@ -34,6 +34,7 @@
 void VersionHistory::addEarlier(const ServiceVersions& versions, Instant now)
 {
     earlierKnown_ = true;
+    hasGap_ = false;
     for (const auto& [service, earlier] : versions) {
         Service& known = services_.try_emplace(service, Service { now, {} }).first->second;
         for (const SoftwareVersion& version : earlier) {
@@ -42,6 +43,8 @@
     }
 }
 
+void VersionHistory::onGap() noexcept { hasGap_ = true; }
+
 const VersionHistory::Service* VersionHistory::find(const ServiceName& service) const
 {
     const auto found = services_.find(service);
@@ -51,7 +54,7 @@
 std::optional<SoftwareVersion> VersionHistory::onlyVersion(const ServiceName& service, Duration age, Instant now) const
 {
     const Service* known = find(service);
-    if (known == nullptr || (!earlierKnown_ && known->knownSince > now - age)) {
+    if (known == nullptr || hasGap_ || (!earlierKnown_ && known->knownSince > now - age)) {
         return std::nullopt;
     }
     std::optional<SoftwareVersion> only;
--- a/src/transport/ActionExecutor.cpp
+++ b/src/transport/ActionExecutor.cpp
@@ -54,6 +54,8 @@
 
 void ActionExecutor::carryOut(const node::ExpediteRead& action) { targets_.log.readSoon(action.stream); }
 
+void ActionExecutor::carryOut(node::ReadEnd&& action) { targets_.log.readEnd(std::move(action)); }
+
 void ActionExecutor::carryOut(node::SendPeer&& action) { targets_.peers.inbox().pushOrDrop(std::move(action)); }
 
 void ActionExecutor::carryOut(node::WatchBackends&& action) { platformCommands_.push(std::move(action)); }
--- a/src/transport/LogClient.cpp
+++ b/src/transport/LogClient.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "swiftlift/ring/Inbox.h"
+#include "transport/LogEndReader.h"
 #include "transport/LogFollower.h"
 
 namespace swiftlift::transport {
@@ -31,6 +32,7 @@
         , traffic(counters)
         , appends(appendRingCapacity)
         , appendEndpoints(settings, counters.log)
+        , endReader(settings, *dialect, decisions, counters.log)
         , appender([this] { runAppends(); })
     {
     }
@@ -52,6 +54,7 @@
     ring::Inbox<TaggedAppend> appends;
     internal::LogEndpoints appendEndpoints;
     std::atomic<bool> stopping = false;
+    internal::LogEndReader endReader;
     std::thread appender;
 };
 
@@ -153,6 +156,11 @@
     return queued;
 }
 
+void LogClient::readEnd(node::ReadEnd&& read)
+{
+    state_->endReader.request(Incarnation(state_->incarnation.load()), std::move(read));
+}
+
 void LogClient::stop()
 {
     if (state_->stopping.exchange(true)) {
@@ -160,6 +168,7 @@
     }
     state_->appendEndpoints.cancel();
     state_->appends.wakeup().signal();
+    state_->endReader.stop();
     for (const auto& [stream, follower] : state_->followers) {
         follower->cancel();
     }
--- a/src/wire/PeerReader.cpp
+++ b/src/wire/PeerReader.cpp
@@ -214,7 +214,7 @@
         return read(in.streams_began());
     case Envelope::kStreamVersionAsk:
         return node::StreamVersionAsk { ServiceName(in.stream_version_ask().service()),
-            StreamId(in.stream_version_ask().stream()), toAge(in.stream_version_ask().max_age()) };
+            StreamId(in.stream_version_ask().stream()), toAge(in.stream_version_ask().max_age()), in.stream_version_ask().infer() };
     case Envelope::kStreamVersionAnswer:
         return read(in.stream_version_answer());
     case Envelope::kLoadReport:
--- a/src/wire/PeerWriter.cpp
+++ b/src/wire/PeerWriter.cpp
@@ -227,6 +227,7 @@
     body.set_service(message.service.value());
     body.set_stream(message.stream.value());
     body.set_max_age(static_cast<std::uint64_t>(message.maxAge.count()));
+    body.set_infer(message.infer);
 }
 
 void write(const node::StreamVersionAnswer& message, proto::peer::Envelope& out)
--- a/tests/node/GatewayStreamVersionTest.cpp
+++ b/tests/node/GatewayStreamVersionTest.cpp
@@ -50,8 +50,8 @@
             for (const auto& [peer, ask] : world.sent<StreamVersionAsk>()) {
                 if (ask.stream == stream) {
                     ++asked;
-                    world.handle(
-                        PeerReceived { Incarnation { 70 + asked }, peer, StreamVersionAnswer { stream, version } });
+                    world.handle(PeerReceived {
+                        Incarnation { 70 + asked }, peer, StreamVersionAnswer { stream, version, true } });
                 }
             }
             return asked;
@@ -171,6 +171,165 @@
         EXPECT_FALSE(answers[1].second.version);
     }
 
+    // Guards against a mixed stream at a router that has missed a version: a peer that has missed it as well answers
+    // faster than the one that remembers the stream.
+    TEST_F(GatewayStreamVersionTest, GuessOfAPeerDoesNotBeatAMemory)
+    {
+        const StreamId stream { "elsewhere" };
+        const CallId call = world.takeUp("/resumable/x", stream.value());
+        const auto asked = world.sent<StreamVersionAsk>();
+        ASSERT_EQ(asked.size(), 3U);
+        world.handle(PeerReceived {
+            Incarnation { 71 }, asked[0].first, StreamVersionAnswer { stream, SoftwareVersion("v1"), false } });
+        EXPECT_FALSE(world.dispatchOf(call));
+        world.handle(PeerReceived {
+            Incarnation { 72 }, asked[1].first, StreamVersionAnswer { stream, SoftwareVersion("v2"), true } });
+        EXPECT_EQ(dispatched(call).backend, order_[1]);
+    }
+
+    /** All servers are of v1; three other VMs are registered. */
+    class GatewayOnlyVersionTest : public GatewayTest {
+    protected:
+        void SetUp() override
+        {
+            GatewayTest::SetUp();
+            world.registerVms({ "127.0.0.1:7400", "127.0.0.1:7401", "127.0.0.1:7402", "127.0.0.1:7403" });
+            world.run(milliseconds(200));
+        }
+
+        void answer(const StreamId& stream, const std::string& peer, const std::string& version, bool remembered)
+        {
+            world.handle(PeerReceived { Incarnation { 71 }, PeerAddress { peer },
+                StreamVersionAnswer { stream, SoftwareVersion(version), remembered } });
+        }
+
+        const StreamId stream_ { "elsewhere" };
+    };
+
+    // Guards against a mixed stream at a router whose list of servers is outdated, whatever it believes of the log.
+    TEST_F(GatewayOnlyVersionTest, OnlyVersionOfAnOutdatedListIsNotTaken)
+    {
+        world.unreadEntries = 1;
+        const CallId call = world.takeUp("/resumable/x", stream_.value());
+        EXPECT_FALSE(world.dispatchOf(call));
+        world.putServer("m-new", "model", "a", fleet::ServerState::Ready, 0, {}, "v2");
+        world.run(milliseconds(800));
+        expectRefused(call, 503, "stream_unknown");
+    }
+
+    // Guards against refusals by a router that has read the rest of the list since.
+    TEST_F(GatewayOnlyVersionTest, OnlyVersionIsTakenOnceTheListIsComplete)
+    {
+        world.unreadEntries = 1;
+        const CallId call = world.takeUp("/resumable/x", stream_.value());
+        EXPECT_FALSE(world.dispatchOf(call));
+        world.putServer("m-new", "model", "a");
+        EXPECT_FALSE(world.replyOf(call));
+        world.run(milliseconds(20));
+        EXPECT_TRUE(world.dispatchOf(call));
+    }
+
+    // Guards against a mixed stream, and against a caller that waits, while reads of the log hang.
+    TEST_F(GatewayOnlyVersionTest, StreamIsRefusedWhileTheLogIsSilent)
+    {
+        world.logAnswers = false;
+        const CallId call = world.takeUp("/resumable/x", stream_.value());
+        world.run(milliseconds(750));
+        expectRefused(call, 503, "stream_unknown");
+        EXPECT_EQ(world.replyOf(call)->outcome, Outcome::NotRun);
+    }
+
+    // Guards against a mixed stream at a router that reaches neither the log nor any peer, and serves its callers.
+    TEST_F(GatewayOnlyVersionTest, StreamIsRefusedByARouterThatIsCutOffFromAll)
+    {
+        world.logReachable = false;
+        world.run(milliseconds(100));
+        const CallId call = world.takeUp("/resumable/x", stream_.value());
+        world.run(milliseconds(200));
+        expectRefused(call, 503, "stream_unknown");
+    }
+
+    // Guards against refusals by a router that the log turns away while peers reach it.
+    TEST_F(GatewayOnlyVersionTest, PeerThatReachesTheLogKnowsTheOnlyVersion)
+    {
+        world.logReachable = false;
+        world.run(milliseconds(100));
+        const CallId call = world.takeUp("/resumable/x", stream_.value());
+        const auto asked = world.sent<StreamVersionAsk>();
+        ASSERT_EQ(asked.size(), 3U);
+        EXPECT_TRUE(asked[0].second.infer);
+        answer(stream_, asked[0].first.value(), "v1", false);
+        world.run(milliseconds(200));
+        EXPECT_TRUE(world.dispatchOf(call));
+    }
+
+    // Guards against a mixed stream where peers' guesses differ.
+    TEST_F(GatewayOnlyVersionTest, GuessesThatDifferAreNotTaken)
+    {
+        world.logReachable = false;
+        world.run(milliseconds(100));
+        const CallId call = world.takeUp("/resumable/x", stream_.value());
+        answer(stream_, "127.0.0.1:7401", "v1", false);
+        answer(stream_, "127.0.0.1:7402", "v2", false);
+        world.run(milliseconds(200));
+        expectRefused(call, 503, "stream_unknown");
+    }
+
+    // Guards against guesses that a router makes for a peer by an outdated list.
+    TEST_F(GatewayOnlyVersionTest, RouterChecksItsListBeforeItGuessesForAPeer)
+    {
+        const PeerAddress peer { "127.0.0.1:7401" };
+        world.unreadEntries = 1;
+        world.handle(PeerReceived {
+            Incarnation { 9 }, peer, StreamVersionAsk { ServiceName("model"), stream_, seconds(5), true } });
+        world.run(milliseconds(40));
+        EXPECT_TRUE(world.sent<StreamVersionAnswer>().empty());
+        world.putServer("m-new", "model", "a");
+        world.run(milliseconds(40));
+        const auto answers = world.sent<StreamVersionAnswer>();
+        ASSERT_EQ(answers.size(), 1U);
+        EXPECT_EQ(answers[0].second.version, SoftwareVersion("v1"));
+        EXPECT_FALSE(answers[0].second.remembered);
+    }
+
+    // Guards against guesses that a router makes for a peer while it can't read the log.
+    TEST_F(GatewayOnlyVersionTest, RouterWithoutTheLogDoesNotGuessForAPeer)
+    {
+        world.logReachable = false;
+        world.run(milliseconds(100));
+        world.handle(PeerReceived { Incarnation { 9 }, PeerAddress { "127.0.0.1:7401" },
+            StreamVersionAsk { ServiceName("model"), stream_, seconds(5), true } });
+        const auto answers = world.sent<StreamVersionAnswer>();
+        ASSERT_EQ(answers.size(), 1U);
+        EXPECT_FALSE(answers[0].second.version);
+    }
+
+    // Guards against refusals of all streams in an outage of the log: without it, only memories are left.
+    TEST_F(GatewayOnlyVersionTest, KeepersAreToldOfStreamsInAnOutageOfTheLog)
+    {
+        const ProxyDispatch first = dispatched(world.arrive("/resumable/x"));
+        world.progress(first, 2);
+        world.run(milliseconds(200));
+        EXPECT_TRUE(world.sent<StreamsBegan>().empty());
+        world.logReachable = false;
+        world.run(milliseconds(800));
+        const auto told = world.sent<StreamsBegan>();
+        ASSERT_FALSE(told.empty());
+        EXPECT_EQ(told.back().second.streams.back().stream, StreamId(world.requestIdOf(first.call)));
+    }
+
+    // Guards against a mixed stream of a version that came and went while this router missed changes.
+    TEST_F(GatewayOnlyVersionTest, MissedChangesAreMadeUpForByTheRecordsOfVersions)
+    {
+        world.writeVersionRecord("127.0.0.1:7401/9/0", "model", "v2");
+        world.listServers();
+        world.putServer("m-1", "model", "a");
+        world.run(milliseconds(100));
+        const CallId call = world.takeUp("/resumable/x", stream_.value());
+        world.run(milliseconds(300));
+        expectRefused(call, 503, "stream_unknown");
+    }
+
     // Guards against refusals where there is nothing to mix, and messages for each stream there.
     TEST_F(GatewayTest, StreamsOfTheOnlyVersionGoOnWithoutAnyKnowledgeOfThem)
     {
--- a/tests/node/GatewayWorld.cpp
+++ b/tests/node/GatewayWorld.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include "swiftlift/ledger/EntryCodec.h"
+#include "swiftlift/streams/VersionRecord.h"
 
 namespace swiftlift::node::testing {
 
@@ -133,9 +134,12 @@
         + std::to_string(entrySequence);
     codec_->servers[name] = { BackendId(id), startedAt, BackendAddress("127.0.0.1:1"), ServiceName(service),
         FailureDomain(domain), 8, state, warmupLeft, SoftwareVersion(version), entrySequence };
-    handle(KeyedRecords { serverName, { { Offset { ++keyedOffset_ }, id, name } }, false });
+    const Offset offset { ++keyedOffset_ };
+    handle(KeyedRecords { serverName, { { offset, id, name } }, false, {}, Offset { offset.value() + 1 } });
 }
 
+void GatewayWorld::listServers() { handle(KeyedRecords { serverName, {}, true, {}, Offset { keyedOffset_ + 1 } }); }
+
 void GatewayWorld::evacuate(const std::string& domain, const std::string& text)
 {
     handle(KeyedRecords { configName, { { Offset { ++keyedOffset_ }, "evacuate " + domain, text } }, false });
@@ -174,6 +178,13 @@
     handle(KeyedRecords { serverName, { { Offset { ++keyedOffset_ }, id, std::nullopt } }, false });
 }
 
+void GatewayWorld::writeVersionRecord(const std::string& key, const std::string& service, const std::string& version)
+{
+    streams::VersionRecord record;
+    record.versions[ServiceName(service)].emplace(version);
+    versionRecords_[key] = streams::encode(record);
+}
+
 void GatewayWorld::writeLedger(Incarnation author, ledger::Entry entry)
 {
     ledger::Batch batch;
@@ -198,13 +209,18 @@
     }
 }
 
-void GatewayWorld::readLog()
+void GatewayWorld::deliverAnswers()
 {
     while (!pending_.empty()) {
         const Event event = pending_.front();
         pending_.pop_front();
         handle(event);
     }
+}
+
+void GatewayWorld::readLog()
+{
+    deliverAnswers();
     if (!following_) {
         return;
     }
@@ -245,6 +261,7 @@
     arrived.facts.resumes = StreamId(stream);
     arrived.at = now_;
     handle(arrived);
+    deliverAnswers();
     return arrived.call;
 }
 
@@ -407,6 +424,8 @@
             on(*follow);
         } else if (const auto* expedited = std::get_if<ExpediteRead>(&action)) {
             expeditedReads_ += expedited->stream == ledgerName ? 1 : 0;
+        } else if (const auto* read = std::get_if<ReadEnd>(&action)) {
+            on(*read);
         } else if (const auto* line = std::get_if<LogLine>(&action)) {
             lines_.push_back(*line);
         } else if (const auto* message = std::get_if<SendPeer>(&action)) {
@@ -475,11 +494,26 @@
     pending_.push_back(KeyedRecords { append.stream, { { Offset { ++keyedOffset_ }, append.key, value } }, false });
 }
 
+void GatewayWorld::on(const ReadEnd& read)
+{
+    if (!logReachable) {
+        pending_.push_back(StreamEnd { read.stream, read.number, std::nullopt, "read" });
+    } else if (logAnswers) {
+        pending_.push_back(StreamEnd { read.stream, read.number, Offset { read.from.value() + unreadEntries } });
+    }
+}
+
 void GatewayWorld::on(const Follow& follow)
 {
     if (follow.stream == ledgerName) {
         following_ = true;
         nextRead_ = follow.from.value();
+    } else if (follow.stream == versionsName) {
+        KeyedRecords all { follow.stream, {}, true };
+        for (const auto& [key, record] : versionRecords_) {
+            all.records.push_back({ Offset {}, key, record });
+        }
+        pending_.push_back(std::move(all));
     } else if (follow.kind == StreamKind::KeyedOnce || follow.stream == reportName) {
         pending_.push_back(KeyedRecords { follow.stream, {}, true });
     }
--- a/tests/node/GatewayWorld.h
+++ b/tests/node/GatewayWorld.h
@@ -101,6 +101,8 @@
     void putServer(const std::string& id, const std::string& service, const std::string& domain,
         fleet::ServerState state = fleet::ServerState::Ready, std::uint64_t startedAt = 0, Duration warmupLeft = {},
         const std::string& version = "v1");
+    /** The router missed changes, so it reads the list of servers anew; its servers are left out. */
+    void listServers();
     /** A caller whose stream broke takes it up again. @param stream Id of the attempt that began the stream. */
     CallId takeUp(const std::string& path, const std::string& stream, Duration deadline = std::chrono::seconds(5));
     /** @return The request id of a call. */
@@ -129,6 +131,8 @@
     /** Another writer stores a record under this key that can't be read as a backend server. */
     void putUnreadable(const std::string& key);
     void dropServer(const std::string& id);
+    /** Another router states in the log that streams may have begun at this version. */
+    void writeVersionRecord(const std::string& key, const std::string& service, const std::string& version);
     /** Another router reports that requests for these paths were lost when a backend server crashed. */
     void reportLost(const std::vector<std::string>& paths, const std::string& server, Incarnation reporter);
     /** @return Number of crash reports in the log. */
@@ -140,6 +144,10 @@
 
     /** False: reads and appends fail. */
     bool logReachable = true;
+    /** False: the log doesn't answer what it is asked for the end of a stream. */
+    bool logAnswers = true;
+    /** Number of entries of servers that the log has and the core hasn't read. */
+    std::uint64_t unreadEntries = 0;
     /** True: once the core has ended a call, the transport reports how many events the caller received. */
     bool reportsEventCounts = true;
 
@@ -150,9 +158,12 @@
     void execute(Actions& actions);
     void on(const Append& append);
     void on(const Follow& follow);
+    void on(const ReadEnd& read);
     void writeReport(const Append& append);
     void writeVersions(const Append& append);
     void readLog();
+    /** Delivers what the log has answered. */
+    void deliverAnswers();
 
     std::shared_ptr<NamedCodec> codec_ = std::make_shared<NamedCodec>();
     fleet::FleetConfig config_;
