Keep guesses apart from memories, and versions that came and went

Each entry that is read is noted now. - A version that came again while changes were missed was ignored, as it was remembered with its old time. - A router that knows several versions took a peer's guess. It takes one now only if it asked for guesses, and knows of no other version. - A take-up by a guess was told to keepers and recorded as a memory. - Keepers were not asked where the list shows one version, though a router that was cut off may have used another one. They have 50 ms now. - A later check hid the end of an earlier one, which refused callers. - Checks were beyond their share of the log's rate from 75 routers on; the test of the rates counts them now. Answers name the search that they are for, so that a caller who doesn't say which attempt began its stream can be answered by peers as well.

Tried and taken back: telling keepers of streams at all times, in batches of 250 ms.

--- a/include/swiftlift/node/PeerMessage.h
+++ b/include/swiftlift/node/PeerMessage.h
@@ -157,7 +157,10 @@
 };
 /** Requests the version at which the stream began, because a caller takes the stream up again at the sender. */
 struct StreamVersionAsk {
+    /** Number of the sender's search. */
+    std::uint64_t search = 0;
     ServiceName service;
+    /** Empty: the caller doesn't say which attempt began the stream. */
     StreamId stream;
     /** How long ago the stream may have begun. */
     Duration maxAge {};
@@ -166,7 +169,8 @@
 };
 /** Answers a StreamVersionAsk. */
 struct StreamVersionAnswer {
-    StreamId stream;
+    /** The number of the StreamVersionAsk. */
+    std::uint64_t search = 0;
     /** nullopt: the sender does not know. */
     std::optional<SoftwareVersion> version;
     /** The sender remembers the stream; else the version is the only one that the service had. */
--- a/include/swiftlift/streams/VersionHistory.h
+++ b/include/swiftlift/streams/VersionHistory.h
@@ -16,6 +16,9 @@
     /** @brief Records the versions that are registered now; others are gone from now on. */
     void setRegistered(const ServiceName& service, const std::set<SoftwareVersion>& versions, Instant now);
 
+    /** Records that a server of this version has been registered, even if it is gone again. */
+    void noteSeen(const ServiceName& service, const SoftwareVersion& version, Instant now);
+
     /**
      * @brief Adds the versions at which streams may have begun before this history.
      *
@@ -35,6 +38,9 @@
         const ServiceName& service, Duration age, Instant now) const;
     /** @return True if backend servers of more than one version were registered within this time. */
     [[nodiscard]] bool hasSeveral(const ServiceName& service, Duration age, Instant now) const;
+    /** @return True if backend servers of another version than this one were registered within this time. */
+    [[nodiscard]] bool hasOther(
+        const ServiceName& service, const SoftwareVersion& version, Duration age, Instant now) const;
     /** @return True if hasSeveral() of any service. */
     [[nodiscard]] bool anyHasSeveral(Duration age, Instant now) const;
     /** @return For each service the versions that were registered within this time. */
@@ -55,7 +61,7 @@
     std::map<ServiceName, Service> services_;
     /** The versions from before this history are known, too. */
     bool earlierKnown_ = false;
-    /** Changes were missed since then. */
+    /** Changes were missed, and addEarlier() has not told of them yet. */
     bool hasGap_ = false;
 };
 
--- a/include/swiftlift/transport/LogClient.h
+++ b/include/swiftlift/transport/LogClient.h
@@ -52,7 +52,8 @@
     /**
      * @brief Ends the followers of the earlier incarnation; later events carry the new incarnation.
      *
-     * beginIncarnation(), follow(), pace(), readSoon(), append() and readEnd() are for the decision thread and never block.
+     * beginIncarnation(), follow(), pace(), readSoon(), append() and readEnd() are for the decision thread and never
+     * block.
      */
     void beginIncarnation(Incarnation incarnation);
     /** Reads a stream from an offset on; replaces an earlier follower of the stream. */
--- a/src/node/FleetDirectoryServers.cpp
+++ b/src/node/FleetDirectoryServers.cpp
@@ -86,6 +86,8 @@
         unreadable_.add("server", record.key, findings);
         return;
     }
+    // The same read may bring the entry's removal as well.
+    versions_.noteSeen(server->service, server->version, context_.now());
     const auto known = servers_.find(id);
     // A record of a previous instance may arrive late. Applying it would restore an outdated address or state.
     if (known != servers_.end() && server->startedAt < known->second.startedAt) {
--- a/src/node/ListCheck.cpp
+++ b/src/node/ListCheck.cpp
@@ -52,7 +52,7 @@
     } else if (*event.end <= applied_) {
         complete_ = event.number;
     } else {
-        behind_ = Behind { event.number, *event.end };
+        behind_.push_back({ event.number, *event.end });
         context_.emit(ExpediteRead { stream_ });
     }
     tick();
@@ -61,9 +61,9 @@
 void ListCheck::onApplied(Offset next)
 {
     applied_ = std::max(applied_, next);
-    if (behind_ && behind_->end <= applied_) {
-        complete_ = std::max(complete_, behind_->number);
-        behind_.reset();
+    while (!behind_.empty() && behind_.front().end <= applied_) {
+        complete_ = std::max(complete_, behind_.front().number);
+        behind_.pop_front();
     }
 }
 
--- a/src/node/ListCheck.h
+++ b/src/node/ListCheck.h
@@ -2,7 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
-#include <optional>
+#include <deque>
 
 #include "node/Context.h"
 #include "swiftlift/node/Event.h"
@@ -31,6 +31,8 @@
 
     /** @return Number of a check that begins after this call. */
     [[nodiscard]] std::uint64_t request();
+    /** @return Shortest time between the beginnings of two checks. */
+    [[nodiscard]] Duration period() const noexcept { return period_; }
     /** @return The state of the check with this number, or of a later one. */
     [[nodiscard]] CheckState state(std::uint64_t number) const noexcept;
 
@@ -46,7 +48,7 @@
     static constexpr Duration minPeriod = std::chrono::milliseconds(20);
 
 private:
-    /** A stream's end that the records read so far don't reach. */
+    /** A stream's end, stated for a check, that the records read so far don't reach. */
     struct Behind {
         std::uint64_t number = 0;
         Offset end;
@@ -63,7 +65,7 @@
     std::uint64_t failed_ = 0;
     bool inFlight_ = false;
     bool waiting_ = false;
-    std::optional<Behind> behind_;
+    std::deque<Behind> behind_;
     Offset applied_;
 };
 
--- a/src/node/LogPace.cpp
+++ b/src/node/LogPace.cpp
@@ -25,7 +25,7 @@
     constexpr Duration maxAppendPeriod = 5s;
     /** Part of the log's rate that checks of lists may use; callers wait for them. */
     constexpr double checkShare = 0.15;
-    constexpr Duration maxCheckPeriod = 250ms;
+    constexpr Duration maxCheckPeriod = 1500ms;
 
     [[nodiscard]] Duration periodOf(double callsPerSecond)
     {
--- a/src/node/ProxyRequest.h
+++ b/src/node/ProxyRequest.h
@@ -53,6 +53,8 @@
     SoftwareVersion backendVersion;
     /** Version at which the stream began, and may go on; nullopt: it has not begun. */
     std::optional<SoftwareVersion> streamVersion;
+    /** A router remembered the stream that this request takes up. */
+    bool streamRemembered = false;
     /** Failure domain of `backend`. */
     FailureDomain domain;
     LinkHistory links;
--- a/src/node/ProxyRequestsStreams.cpp
+++ b/src/node/ProxyRequestsStreams.cpp
@@ -44,6 +44,7 @@
         return;
     }
     request->streamVersion = version;
+    request->streamRemembered = found.source == VersionSource::Remembered || found.source == VersionSource::Keeper;
     enterPhase(*request, ProxyPhase::WaitingForTokens);
     reserveTokens(*request);
 }
@@ -57,8 +58,8 @@
         return;
     }
     streamVersions_.onBegan(StreamId(request.info.id), *request.streamVersion);
-    // The router at which it began may be gone when the stream is taken up once more.
-    if (!request.info.resumes.value().empty()) {
+    // The router at which it began may be gone when the stream is taken up once more. What was inferred is no memory.
+    if (request.streamRemembered && !request.info.resumes.value().empty()) {
         streamVersions_.onBegan(request.info.resumes, *request.streamVersion);
     }
 }
--- a/src/node/StreamVersions.cpp
+++ b/src/node/StreamVersions.cpp
@@ -67,94 +67,112 @@
         listener_(call, FoundVersion { known, VersionSource::Remembered });
         return;
     }
-    begin({ stream, Search { call, service, maxAge } });
+    begin({ call, service, stream, maxAge });
 }
 
-void StreamVersions::begin(Searches::value_type&& started)
+void StreamVersions::begin(Search&& started)
 {
-    auto& [stream, search] = started;
+    const std::uint64_t number = ++lastSearch_;
+    Search& search = searches_.emplace(number, std::move(started)).first->second;
     const Instant now = context_.now();
+    const bool reachable = fleet_.logReachable();
     search.check = fleet_.serverCheck().request();
-    search.checkDeadline = now + (fleet_.logReachable() ? checkTime : answerTime);
-    search.answerDeadline = now + answerTime;
-    const bool inferable = fleet_.logReachable() && !fleet_.versions().hasSeveral(search.service, search.maxAge, now);
-    if (!inferable && std::holds_alternative<CallId>(search.asker)) {
-        askKeepers(stream, search, !fleet_.logReachable());
+    search.checkDeadline = now + (reachable ? checkTime + fleet_.serverCheck().period() : answerTime);
+    search.memoryDeadline = now + memoryTime;
+    if (std::holds_alternative<CallId>(search.asker)) {
+        askKeepers(number, search, !reachable);
     }
-    searches_.insert(std::move(started));
 }
 
-void StreamVersions::askKeepers(const StreamId& stream, Search& search, bool infer)
+void StreamVersions::askKeepers(std::uint64_t number, Search& search, bool infer)
 {
-    search.keepersAsked = true;
+    search.guessesAsked = infer;
     search.answerDeadline = context_.now() + answerTime;
-    if (stream.value().empty()) {
+    const bool named = !search.stream.value().empty();
+    if (!named && !infer) {
         return;
     }
-    for (const PeerAddress& keeper : streams::keepersOf(stream, fleet_.vmList(), maxKeepersAsked)) {
+    const StreamId key = named ? search.stream : StreamId(std::to_string(number));
+    for (const PeerAddress& keeper : streams::keepersOf(key, fleet_.vmList(), maxKeepersAsked)) {
         if (!isSelf(keeper)) {
             search.awaited.insert(keeper);
-            context_.emit(
-                SendPeer { keeper, Incarnation {}, StreamVersionAsk { search.service, stream, search.maxAge, infer } });
+            context_.emit(SendPeer { keeper, Incarnation {},
+                StreamVersionAsk { number, search.service, search.stream, search.maxAge, infer } });
         }
     }
     search.asked = search.awaited.size();
 }
 
-std::optional<FoundVersion> StreamVersions::conclude(const StreamId& stream, Search& search)
+std::optional<FoundVersion> StreamVersions::conclude(std::uint64_t number, Search& search)
 {
     const Instant now = context_.now();
     const CheckState check = fleet_.serverCheck().state(search.check);
     if (check == CheckState::Complete) {
         if (auto only = fleet_.versions().onlyVersion(search.service, search.maxAge, now)) {
+            if (!search.awaited.empty() && now < search.memoryDeadline) {
+                return std::nullopt;
+            }
             return FoundVersion { std::move(only), VersionSource::OnlyVersion };
         }
     } else if (check == CheckState::Open && now < search.checkDeadline) {
         return std::nullopt;
     }
-    if (!search.keepersAsked && std::holds_alternative<CallId>(search.asker)) {
-        askKeepers(stream, search, check != CheckState::Complete);
+    // The log was believed to be in reach, so that no guesses were asked for.
+    if (check != CheckState::Complete && !search.guessesAsked && std::holds_alternative<CallId>(search.asker)) {
+        askKeepers(number, search, true);
     }
     if (!search.awaited.empty() && now < search.answerDeadline) {
         return std::nullopt;
     }
-    if (search.inferred.size() == 1) {
-        return FoundVersion { *search.inferred.begin(), VersionSource::PeersOnlyVersion };
+    return guessOf(search);
+}
+
+// A router that has seen another version itself knows better than a peer that has not.
+FoundVersion StreamVersions::guessOf(const Search& search) const
+{
+    if (!search.guessesAsked || search.inferred.size() != 1) {
+        return {};
+    }
+    const SoftwareVersion& guess = *search.inferred.begin();
+    if (fleet_.versions().hasOther(search.service, guess, search.maxAge, context_.now())) {
+        return {};
     }
-    return FoundVersion {};
+    return { guess, VersionSource::PeersOnlyVersion };
 }
 
 void StreamVersions::concludeAll()
 {
-    std::vector<std::pair<Searches::node_type, FoundVersion>> ended;
+    std::vector<std::pair<Search, FoundVersion>> ended;
     for (auto entry = searches_.begin(); entry != searches_.end();) {
         const auto current = entry++;
         if (auto found = conclude(current->first, current->second)) {
-            ended.emplace_back(searches_.extract(current), std::move(*found));
+            ended.emplace_back(std::move(current->second), std::move(*found));
+            searches_.erase(current);
         }
     }
     for (const auto& [search, found] : ended) {
-        finish(search.key(), search.mapped(), found);
+        finish(search, found);
     }
 }
 
 void StreamVersions::onListChecked() { concludeAll(); }
 
-void StreamVersions::finish(const StreamId& stream, const Search& search, FoundVersion found)
+void StreamVersions::finish(const Search& search, FoundVersion found)
 {
     found.asked = search.asked;
     found.answered = search.asked - search.awaited.size();
     if (const auto* asker = std::get_if<VersionAsker>(&search.asker)) {
-        answer(*asker, stream, found);
+        answer(*asker, found);
     } else {
         listener_(std::get<CallId>(search.asker), found);
     }
 }
 
-void StreamVersions::answer(const VersionAsker& asker, const StreamId& stream, const FoundVersion& found)
+void StreamVersions::answer(const VersionAsker& asker, const FoundVersion& found)
 {
     const bool known = found.source == VersionSource::Remembered;
-    context_.emit(SendPeer { asker.address, asker.incarnation, StreamVersionAnswer { stream, found.version, known } });
+    context_.emit(
+        SendPeer { asker.address, asker.incarnation, StreamVersionAnswer { asker.search, found.version, known } });
 }
 
 void StreamVersions::on(const StreamsBegan& message)
@@ -166,35 +184,29 @@
 
 void StreamVersions::on(const PeerReceived& event, const StreamVersionAsk& message)
 {
-    const VersionAsker asker { event.address, event.sender };
-    const auto known = remembered(message.stream);
+    const VersionAsker asker { event.address, event.sender, message.search };
+    const auto known = message.stream.value().empty() ? std::nullopt : remembered(message.stream);
     if (known || !message.infer || !fleet_.logReachable()) {
-        answer(asker, message.stream, { known, known ? VersionSource::Remembered : VersionSource::Unknown });
+        answer(asker, { known, known ? VersionSource::Remembered : VersionSource::Unknown });
         return;
     }
-    begin({ message.stream, Search { asker, message.service, message.maxAge } });
+    begin({ asker, message.service, message.stream, message.maxAge });
 }
 
-// What a peer infers never comes before what another one remembers: the version that a router has missed is not among
-// those that it knows.
+// What a peer infers never comes before what another one remembers: a router that has missed a version infers another.
 void StreamVersions::on(const PeerReceived& event, const StreamVersionAnswer& message)
 {
-    std::vector<Searches::node_type> answered;
-    const auto [first, last] = searches_.equal_range(message.stream);
-    for (auto entry = first; entry != last;) {
-        const auto current = entry++;
-        Search& search = current->second;
-        if (search.awaited.erase(event.address) == 0 || !message.version) {
-            continue;
-        }
-        if (message.remembered) {
-            answered.push_back(searches_.extract(current));
-        } else {
-            search.inferred.insert(*message.version);
-        }
+    const auto found = searches_.find(message.search);
+    if (found == searches_.end() || found->second.awaited.erase(event.address) == 0) {
+        return;
+    }
+    if (message.version && message.remembered) {
+        const auto ended = searches_.extract(found);
+        finish(ended.mapped(), { message.version, VersionSource::Keeper });
+        return;
     }
-    for (const auto& search : answered) {
-        finish(message.stream, search.mapped(), { message.version, VersionSource::Keeper });
+    if (message.version) {
+        found->second.inferred.insert(*message.version);
     }
     concludeAll();
 }
--- a/src/node/StreamVersions.h
+++ b/src/node/StreamVersions.h
@@ -45,6 +45,8 @@
 struct VersionAsker {
     PeerAddress address;
     Incarnation incarnation;
+    /** Number of its search. */
+    std::uint64_t search = 0;
 };
 
 /**
@@ -93,6 +95,9 @@
     static constexpr std::size_t maxKeepersAsked = 8;
     /** Time for the keepers to answer. */
     static constexpr Duration answerTime = std::chrono::milliseconds(150);
+    /** Time for the keepers to answer where there was only one version. A router that was cut off may have begun a
+     * stream at a version that all others have forgotten. */
+    static constexpr Duration memoryTime = std::chrono::milliseconds(50);
     /** Time for the log to say whether the list of servers is complete. */
     static constexpr Duration checkTime = std::chrono::milliseconds(500);
     /** Outages of the log that end within this time are not told to the keepers. A reset connection is one. */
@@ -104,29 +109,37 @@
     struct Search {
         std::variant<CallId, VersionAsker> asker;
         ServiceName service;
+        /** Empty: not known. */
+        StreamId stream;
         Duration maxAge {};
         /** Number of the check of the list of servers that began after the search. */
         std::uint64_t check = 0;
         Instant checkDeadline {};
         /** Keepers whose answer is awaited. */
         std::set<PeerAddress> awaited {};
-        bool keepersAsked = false;
+        /** Keepers were asked for guesses as well. */
+        bool guessesAsked = false;
         std::size_t asked = 0;
         Instant answerDeadline {};
+        /** Until then, a keeper's memory goes before the only version. */
+        Instant memoryDeadline {};
         /** What keepers answered that don't remember the stream. */
         std::set<SoftwareVersion> inferred {};
     };
-    using Searches = std::multimap<StreamId, Search>;
+    using Searches = std::map<std::uint64_t, Search>;
 
     [[nodiscard]] std::optional<SoftwareVersion> remembered(const StreamId& stream);
-    void begin(Searches::value_type&& search);
-    void askKeepers(const StreamId& stream, Search& search, bool infer);
+    void begin(Search&& started);
+    /** Asks the stream's keepers, or for an unnamed stream any peers. @param infer They may answer with a guess. */
+    void askKeepers(std::uint64_t number, Search& search, bool infer);
     /** @return The search's result; nullopt: it is still open. May ask the keepers. */
-    [[nodiscard]] std::optional<FoundVersion> conclude(const StreamId& stream, Search& search);
+    [[nodiscard]] std::optional<FoundVersion> conclude(std::uint64_t number, Search& search);
+    /** @return The version that all peers which answered infer, unless this router knows of another one. */
+    [[nodiscard]] FoundVersion guessOf(const Search& search) const;
     /** Ends all searches that have a result. */
     void concludeAll();
-    void finish(const StreamId& stream, const Search& search, FoundVersion found);
-    void answer(const VersionAsker& asker, const StreamId& stream, const FoundVersion& found);
+    void finish(const Search& search, FoundVersion found);
+    void answer(const VersionAsker& asker, const FoundVersion& found);
     /** @return True if the keepers are to be told of streams. */
     [[nodiscard]] bool keepersNeeded(bool several);
     /** Tells the keepers of streams that have begun. */
@@ -147,6 +160,7 @@
     bool recording_ = false;
     std::optional<Instant> logLostAt_;
     Searches searches_;
+    std::uint64_t lastSearch_ = 0;
 };
 
 } // namespace swiftlift::node
--- a/src/streams/VersionHistory.cpp
+++ b/src/streams/VersionHistory.cpp
@@ -30,6 +30,13 @@
     std::erase_if(known.lastSeen, [now](const auto& seen) { return seen.second < now - maxMemory; });
 }
 
+void VersionHistory::noteSeen(const ServiceName& service, const SoftwareVersion& version, Instant now)
+{
+    Service& known = services_.try_emplace(service, Service { now, {} }).first->second;
+    Instant& lastSeen = known.lastSeen.try_emplace(version, now).first->second;
+    lastSeen = std::max(lastSeen, now);
+}
+
 // How long ago they went is not known, so they count as having gone now.
 void VersionHistory::addEarlier(const ServiceVersions& versions, Instant now)
 {
@@ -38,7 +45,8 @@
     for (const auto& [service, earlier] : versions) {
         Service& known = services_.try_emplace(service, Service { now, {} }).first->second;
         for (const SoftwareVersion& version : earlier) {
-            known.lastSeen.try_emplace(version, now);
+            Instant& lastSeen = known.lastSeen.try_emplace(version, now).first->second;
+            lastSeen = std::max(lastSeen, now);
         }
     }
 }
@@ -77,6 +85,14 @@
     return known != nullptr && std::ranges::count_if(known->lastSeen, isRecent) > 1;
 }
 
+bool VersionHistory::hasOther(
+    const ServiceName& service, const SoftwareVersion& version, Duration age, Instant now) const
+{
+    const Service* known = find(service);
+    const auto isOther = [&](const auto& seen) { return seen.first != version && seen.second >= now - age; };
+    return known != nullptr && std::ranges::any_of(known->lastSeen, isOther);
+}
+
 bool VersionHistory::anyHasSeveral(Duration age, Instant now) const
 {
     return std::ranges::any_of(services_, [&](const auto& entry) { return hasSeveral(entry.first, age, now); });
--- a/src/wire/PeerReader.cpp
+++ b/src/wire/PeerReader.cpp
@@ -128,7 +128,7 @@
 
     node::StreamVersionAnswer read(const proto::peer::StreamVersionAnswer& in)
     {
-        node::StreamVersionAnswer answer { StreamId(in.stream()), std::nullopt, in.remembered() };
+        node::StreamVersionAnswer answer { in.search(), std::nullopt, in.remembered() };
         if (in.has_version()) {
             answer.version = SoftwareVersion(in.version());
         }
@@ -213,8 +213,9 @@
     case Envelope::kStreamsBegan:
         return read(in.streams_began());
     case Envelope::kStreamVersionAsk:
-        return node::StreamVersionAsk { ServiceName(in.stream_version_ask().service()),
-            StreamId(in.stream_version_ask().stream()), toAge(in.stream_version_ask().max_age()), in.stream_version_ask().infer() };
+        return node::StreamVersionAsk { in.stream_version_ask().search(),
+            ServiceName(in.stream_version_ask().service()), StreamId(in.stream_version_ask().stream()),
+            toAge(in.stream_version_ask().max_age()), in.stream_version_ask().infer() };
     case Envelope::kStreamVersionAnswer:
         return read(in.stream_version_answer());
     case Envelope::kLoadReport:
--- a/src/wire/PeerWriter.cpp
+++ b/src/wire/PeerWriter.cpp
@@ -228,12 +228,13 @@
     body.set_stream(message.stream.value());
     body.set_max_age(static_cast<std::uint64_t>(message.maxAge.count()));
     body.set_infer(message.infer);
+    body.set_search(message.search);
 }
 
 void write(const node::StreamVersionAnswer& message, proto::peer::Envelope& out)
 {
     auto& body = *out.mutable_stream_version_answer();
-    body.set_stream(message.stream.value());
+    body.set_search(message.search);
     if (message.version) {
         body.set_version(message.version->value());
     }
--- a/tests/node/GatewayStreamVersionTest.cpp
+++ b/tests/node/GatewayStreamVersionTest.cpp
@@ -51,7 +51,7 @@
                 if (ask.stream == stream) {
                     ++asked;
                     world.handle(PeerReceived {
-                        Incarnation { 70 + asked }, peer, StreamVersionAnswer { stream, version, true } });
+                        Incarnation { 70 + asked }, peer, StreamVersionAnswer { ask.search, version, true } });
                 }
             }
             return asked;
@@ -162,9 +162,9 @@
         world.handle(
             PeerReceived { Incarnation { 9 }, peer, StreamsBegan { { { StreamId("s"), SoftwareVersion("v2") } } } });
         world.handle(PeerReceived {
-            Incarnation { 9 }, peer, StreamVersionAsk { ServiceName("model"), StreamId("s"), seconds(5) } });
+            Incarnation { 9 }, peer, StreamVersionAsk { 1, ServiceName("model"), StreamId("s"), seconds(5) } });
         world.handle(PeerReceived {
-            Incarnation { 9 }, peer, StreamVersionAsk { ServiceName("model"), StreamId("t"), seconds(5) } });
+            Incarnation { 9 }, peer, StreamVersionAsk { 1, ServiceName("model"), StreamId("t"), seconds(5) } });
         const auto answers = world.sent<StreamVersionAnswer>();
         ASSERT_EQ(answers.size(), 2U);
         EXPECT_EQ(answers[0].second.version, SoftwareVersion("v2"));
@@ -179,14 +179,32 @@
         const CallId call = world.takeUp("/resumable/x", stream.value());
         const auto asked = world.sent<StreamVersionAsk>();
         ASSERT_EQ(asked.size(), 3U);
-        world.handle(PeerReceived {
-            Incarnation { 71 }, asked[0].first, StreamVersionAnswer { stream, SoftwareVersion("v1"), false } });
+        world.handle(PeerReceived { Incarnation { 71 }, asked[0].first,
+            StreamVersionAnswer { asked[0].second.search, SoftwareVersion("v1"), false } });
         EXPECT_FALSE(world.dispatchOf(call));
-        world.handle(PeerReceived {
-            Incarnation { 72 }, asked[1].first, StreamVersionAnswer { stream, SoftwareVersion("v2"), true } });
+        world.handle(PeerReceived { Incarnation { 72 }, asked[1].first,
+            StreamVersionAnswer { asked[1].second.search, SoftwareVersion("v2"), true } });
         EXPECT_EQ(dispatched(call).backend, order_[1]);
     }
 
+    // Guards against a mixed stream at a router that has seen several versions, beside a peer that has seen one.
+    TEST_F(GatewayStreamVersionTest, GuessIsNotTakenByARouterThatKnowsSeveralVersions)
+    {
+        for (const bool reachable : { true, false }) {
+            world.logReachable = reachable;
+            world.run(milliseconds(100));
+            const std::size_t askedBefore = world.sent<StreamVersionAsk>().size();
+            const CallId call = world.takeUp("/resumable/x", "elsewhere");
+            const auto asked = world.sent<StreamVersionAsk>();
+            ASSERT_GT(asked.size(), askedBefore);
+            const auto& [peer, ask] = asked[askedBefore];
+            world.handle(PeerReceived {
+                Incarnation { 71 }, peer, StreamVersionAnswer { ask.search, SoftwareVersion("v1"), false } });
+            world.run(milliseconds(300));
+            EXPECT_FALSE(world.dispatchOf(call));
+        }
+    }
+
     /** All servers are of v1; three other VMs are registered. */
     class GatewayOnlyVersionTest : public GatewayTest {
     protected:
@@ -197,10 +215,12 @@
             world.run(milliseconds(200));
         }
 
-        void answer(const StreamId& stream, const std::string& peer, const std::string& version, bool remembered)
+        /** The peer with this number among those that were asked infers this version. */
+        void inferAt(std::size_t peer, const std::string& version)
         {
-            world.handle(PeerReceived { Incarnation { 71 }, PeerAddress { peer },
-                StreamVersionAnswer { stream, SoftwareVersion(version), remembered } });
+            const auto [address, ask] = world.sent<StreamVersionAsk>().at(peer);
+            world.handle(PeerReceived {
+                Incarnation { 71 }, address, StreamVersionAnswer { ask.search, SoftwareVersion(version), false } });
         }
 
         const StreamId stream_ { "elsewhere" };
@@ -225,7 +245,7 @@
         EXPECT_FALSE(world.dispatchOf(call));
         world.putServer("m-new", "model", "a");
         EXPECT_FALSE(world.replyOf(call));
-        world.run(milliseconds(20));
+        world.run(milliseconds(80));
         EXPECT_TRUE(world.dispatchOf(call));
     }
 
@@ -258,7 +278,19 @@
         const auto asked = world.sent<StreamVersionAsk>();
         ASSERT_EQ(asked.size(), 3U);
         EXPECT_TRUE(asked[0].second.infer);
-        answer(stream_, asked[0].first.value(), "v1", false);
+        inferAt(0, "v1");
+        world.run(milliseconds(200));
+        EXPECT_TRUE(world.dispatchOf(call));
+    }
+
+    // Guards against the same where the caller doesn't say which attempt began its stream.
+    TEST_F(GatewayOnlyVersionTest, PeerThatReachesTheLogKnowsTheOnlyVersionOfUnnamedStreams)
+    {
+        world.logReachable = false;
+        world.run(milliseconds(100));
+        const CallId call = world.takeUp("/resumable/x", "");
+        ASSERT_EQ(world.sent<StreamVersionAsk>().size(), 3U);
+        inferAt(2, "v1");
         world.run(milliseconds(200));
         EXPECT_TRUE(world.dispatchOf(call));
     }
@@ -269,8 +301,8 @@
         world.logReachable = false;
         world.run(milliseconds(100));
         const CallId call = world.takeUp("/resumable/x", stream_.value());
-        answer(stream_, "127.0.0.1:7401", "v1", false);
-        answer(stream_, "127.0.0.1:7402", "v2", false);
+        inferAt(0, "v1");
+        inferAt(1, "v2");
         world.run(milliseconds(200));
         expectRefused(call, 503, "stream_unknown");
     }
@@ -281,7 +313,7 @@
         const PeerAddress peer { "127.0.0.1:7401" };
         world.unreadEntries = 1;
         world.handle(PeerReceived {
-            Incarnation { 9 }, peer, StreamVersionAsk { ServiceName("model"), stream_, seconds(5), true } });
+            Incarnation { 9 }, peer, StreamVersionAsk { 1, ServiceName("model"), stream_, seconds(5), true } });
         world.run(milliseconds(40));
         EXPECT_TRUE(world.sent<StreamVersionAnswer>().empty());
         world.putServer("m-new", "model", "a");
@@ -298,7 +330,7 @@
         world.logReachable = false;
         world.run(milliseconds(100));
         world.handle(PeerReceived { Incarnation { 9 }, PeerAddress { "127.0.0.1:7401" },
-            StreamVersionAsk { ServiceName("model"), stream_, seconds(5), true } });
+            StreamVersionAsk { 1, ServiceName("model"), stream_, seconds(5), true } });
         const auto answers = world.sent<StreamVersionAnswer>();
         ASSERT_EQ(answers.size(), 1U);
         EXPECT_FALSE(answers[0].second.version);
@@ -330,6 +362,70 @@
         expectRefused(call, 503, "stream_unknown");
     }
 
+    // Guards against a mixed stream of a version that came and went while the router stood still.
+    TEST_F(GatewayOnlyVersionTest, VersionThatCameAndWentInOneReadIsNotForgotten)
+    {
+        world.flashServer("m-canary", "model", "v2");
+        world.run(milliseconds(100));
+        const CallId call = world.takeUp("/resumable/x", stream_.value());
+        world.run(milliseconds(800));
+        expectRefused(call, 503, "stream_unknown");
+    }
+
+    // Guards against the same where the version had been there before.
+    TEST_F(GatewayOnlyVersionTest, VersionThatCameAgainWhileChangesWereMissedIsNotForgotten)
+    {
+        world.flashServer("m-canary", "model", "v2");
+        world.run(seconds(65));
+        world.writeVersionRecord("127.0.0.1:7401/9/0", "model", "v2");
+        world.listServers();
+        world.putServer("m-1", "model", "a");
+        world.run(milliseconds(100));
+        const CallId call = world.takeUp("/resumable/x", stream_.value());
+        world.run(milliseconds(800));
+        expectRefused(call, 503, "stream_unknown");
+    }
+
+    // Guards against a mixed stream that began at a router which was cut off and used a version that all others have
+    // forgotten: its keepers remember it.
+    TEST_F(GatewayOnlyVersionTest, MemoryOfAKeeperGoesBeforeTheOnlyVersion)
+    {
+        world.putServer("m-new", "model", "a", fleet::ServerState::Ready, 0, {}, "v2");
+        for (const char* id : { "m-1", "m-2", "m-3" }) {
+            world.dropServer(id);
+        }
+        world.run(seconds(63));
+        const CallId call = world.takeUp("/resumable/x", stream_.value());
+        EXPECT_FALSE(world.dispatchOf(call));
+        const auto asked = world.sent<StreamVersionAsk>();
+        ASSERT_EQ(asked.size(), 3U);
+        world.handle(PeerReceived { Incarnation { 71 }, asked[1].first,
+            StreamVersionAnswer { asked[1].second.search, SoftwareVersion("v1"), true } });
+        expectRefused(call, 503, "version_gone");
+    }
+
+    // Guards against a guess that keepers are told as a memory, and that then beats the true one.
+    TEST_F(GatewayOnlyVersionTest, TakeUpByAGuessIsNotAnsweredAsAMemory)
+    {
+        world.logReachable = false;
+        world.run(milliseconds(100));
+        const CallId call = world.takeUp("/resumable/x", stream_.value());
+        inferAt(0, "v1");
+        world.run(milliseconds(200));
+        world.progress(dispatched(call), 2);
+        world.run(milliseconds(800));
+        for (const auto& [peer, message] : world.sent<StreamsBegan>()) {
+            for (const StreamVersion& began : message.streams) {
+                EXPECT_NE(began.stream, stream_);
+            }
+        }
+        world.handle(PeerReceived { Incarnation { 9 }, PeerAddress { "127.0.0.1:7403" },
+            StreamVersionAsk { 1, ServiceName("model"), stream_, seconds(5), false } });
+        const auto answers = world.sent<StreamVersionAnswer>();
+        ASSERT_EQ(answers.size(), 1U);
+        EXPECT_FALSE(answers[0].second.version);
+    }
+
     // Guards against refusals where there is nothing to mix, and messages for each stream there.
     TEST_F(GatewayTest, StreamsOfTheOnlyVersionGoOnWithoutAnyKnowledgeOfThem)
     {
--- a/tests/node/GatewayWorld.cpp
+++ b/tests/node/GatewayWorld.cpp
@@ -138,6 +138,17 @@
     handle(KeyedRecords { serverName, { { offset, id, name } }, false, {}, Offset { offset.value() + 1 } });
 }
 
+void GatewayWorld::flashServer(const std::string& id, const std::string& service, const std::string& version)
+{
+    const std::string name = "flash of " + id;
+    codec_->servers[name] = { BackendId(id), 0, BackendAddress("127.0.0.1:1"), ServiceName(service), FailureDomain("a"),
+        8, fleet::ServerState::Ready, {}, SoftwareVersion(version), entrySequence };
+    const Offset put { ++keyedOffset_ };
+    const Offset dropped { ++keyedOffset_ };
+    handle(KeyedRecords {
+        serverName, { { put, id, name }, { dropped, id, std::nullopt } }, false, {}, Offset { dropped.value() + 1 } });
+}
+
 void GatewayWorld::listServers() { handle(KeyedRecords { serverName, {}, true, {}, Offset { keyedOffset_ + 1 } }); }
 
 void GatewayWorld::evacuate(const std::string& domain, const std::string& text)
--- a/tests/node/GatewayWorld.h
+++ b/tests/node/GatewayWorld.h
@@ -131,6 +131,8 @@
     /** Another writer stores a record under this key that can't be read as a backend server. */
     void putUnreadable(const std::string& key);
     void dropServer(const std::string& id);
+    /** One read brings a server's entry and its removal. */
+    void flashServer(const std::string& id, const std::string& service, const std::string& version);
     /** Another router states in the log that streams may have begun at this version. */
     void writeVersionRecord(const std::string& key, const std::string& service, const std::string& version);
     /** Another router reports that requests for these paths were lost when a backend server crashed. */
--- a/tests/node/ListCheckTest.cpp
+++ b/tests/node/ListCheckTest.cpp
@@ -86,6 +86,20 @@
         EXPECT_EQ(asked().back().number, next);
     }
 
+    // Guards against refusals while callers keep coming: a later check must not hide the end of an earlier one.
+    TEST_F(ListCheckTest, EarlierCheckEndsThoughALaterOneIsBehind)
+    {
+        check_.onApplied(Offset(4));
+        const std::uint64_t first = check_.request();
+        answer(first, Offset(6));
+        advance(ListCheck::minPeriod);
+        const std::uint64_t second = check_.request();
+        answer(second, Offset(8));
+        check_.onApplied(Offset(7));
+        EXPECT_EQ(check_.state(first), CheckState::Complete);
+        EXPECT_EQ(check_.state(second), CheckState::Open);
+    }
+
     TEST_F(ListCheckTest, LogThatDoesNotAnswerFailsTheCheck)
     {
         const std::uint64_t number = check_.request();
--- a/tests/node/LogPaceTest.cpp
+++ b/tests/node/LogPaceTest.cpp
@@ -10,6 +10,7 @@
     constexpr LogRates rates { 2'000, 600 };
     constexpr Duration ledgerPause = milliseconds(300);
     constexpr Duration serversPause = milliseconds(600);
+    constexpr Duration checkPeriod = milliseconds(20);
     constexpr Duration batchPeriod = milliseconds(500);
     /** Configuration, VMs and crash reports. */
     constexpr double quietReads = 2;
@@ -20,7 +21,8 @@
     {
         return routers
             * (quietReads + perSecond(pace.ledgerPause(ledgerPause, routers))
-                + perSecond(pace.serversPause(serversPause, routers)));
+                + perSecond(pace.serversPause(serversPause, routers))
+                + perSecond(pace.checkPeriod(checkPeriod, routers)));
     }
 
     // Guards against a fleet whose calls beyond the log's rates are refused, so that it serves no request with tokens.
--- a/tests/platform/OutOfStepRouterTest.cpp
+++ b/tests/platform/OutOfStepRouterTest.cpp
@@ -221,6 +221,22 @@
         EXPECT_EQ(takeUp(there, other, milliseconds(5000)).joined, 0U);
     }
 
+    // Guards against joined streams at a router that reads in one go that an engine of the new version came and went.
+    TEST_F(OutOfStepRouterTest, WakesAfterAReleaseThatWasTakenBack)
+    {
+        constexpr std::size_t canary = modelEngines - 1;
+        const std::string id = "new-" + std::to_string(canary);
+        fleet_->router(outOfStep).signal(SIGSTOP);
+        fleet_->unregisterEngine(canary);
+        fleet_->registerAs(canary, id, "v2");
+        std::this_thread::sleep_for(milliseconds(1200));
+        const auto streams = beginAndKillFirst();
+        ASSERT_FALSE(streams.empty());
+        fleet_->unregisterId(id);
+        fleet_->router(outOfStep).signal(SIGCONT);
+        EXPECT_EQ(takeUp(streams, outOfStep, milliseconds(4000)).joined, 0U);
+    }
+
     // Guards against refusals by a router that was out of step and reaches the store again.
     TEST_F(OutOfStepRouterTest, GoesOnOnceTheStoreIsReached)
     {
--- a/tests/platform/PlatformFleet.h
+++ b/tests/platform/PlatformFleet.h
@@ -92,6 +92,8 @@
     void setVersion(std::size_t engine, const std::string& version);
     /** Deletes an engine's entry from the store. */
     void unregisterEngine(std::size_t engine);
+    /** Deletes the entry with this id, as registerAs() wrote it. */
+    void unregisterId(const std::string& id) { deleteEntry(id); }
     /** The engine starts again as another instance with this id, of this software version. */
     void registerAs(std::size_t engine, const std::string& id, const std::string& version);
 
--- a/tests/wire/PeerCodecTest.cpp
+++ b/tests/wire/PeerCodecTest.cpp
@@ -44,8 +44,8 @@
             node::RelayAppend { StreamName("s"), "record" }, node::CopyItems { StreamName("s"), "batch", true },
             node::ItemsCopied { StreamName("s"), 42 },
             node::StreamsBegan { { { StreamId("a"), SoftwareVersion("v1") }, { StreamId("b"), SoftwareVersion("") } } },
-            node::StreamVersionAsk { ServiceName("s"), StreamId("a"), std::chrono::seconds(9) },
-            node::StreamVersionAnswer { StreamId("a"), SoftwareVersion("v1") }, node::LoadReport { 3, loads },
+            node::StreamVersionAsk { 6, ServiceName("s"), StreamId("a"), std::chrono::seconds(9), true },
+            node::StreamVersionAnswer { 6, SoftwareVersion("v1"), true }, node::LoadReport { 3, loads },
             node::LoadDigest { node::DigestScope::Fleet, 4, loads, FailureDomain("d"),
                 node::DigestOrigin { Incarnation(5), PeerAddress("127.0.0.1:7") } } };
     }
