End the metrics listener within its part of the stop limit

A router that the store turns away ended 8.3 s after SIGTERM, with a stop limit of 8 s. Every other router took up to 2 s longer to end than it needed.

Cause: the threads have a twelfth of the stop limit, 0.67 s, for their ends. The Prometheus listener's library looks at its stop flag when a connection arrives, or every 2 s. Timed part by part: the wait for the ledger was over after 6.67 s, all other threads had ended after 6.75 s, the listener after 8.30 s. The log's reads, which were suspected, are cancelled at once.

Change: whoever ends the metrics wakes the listener by connections until it has ended, and a client has 0.5 s to send its whole request to it. The parts of the stop limit stay. A new line, process_end, says how long a process took to end.

--- a/apps/router/RouterProcess.cpp
+++ b/apps/router/RouterProcess.cpp
@@ -66,6 +66,11 @@
     constexpr int stopPartsInProgress = 10;
     constexpr int stopPartsDraining = 1;
 
+    std::int64_t toMilliseconds(std::chrono::steady_clock::duration time)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    }
+
     transport::Endpoint toEndpoint(const settings::Endpoint& endpoint)
     {
         return transport::parseEndpoint(endpoint.value()).value_or(transport::Endpoint {});
@@ -255,15 +260,20 @@
         std::this_thread::sleep_for(stopPollInterval);
     }
     jsonLog_.write(logging::Level::Info, "process_stop", { { "ready", executor_.stopReady() } });
+    const auto begun = std::chrono::steady_clock::now();
     // The decision thread runs until the last replies have reached the callers.
     streams_.stop(std::min<std::chrono::milliseconds>(maxDrainTime,
         std::chrono::duration_cast<std::chrono::milliseconds>(settings_.stopLimit * stopPartsDraining / stopParts)));
+    const auto drained = std::chrono::steady_clock::now();
     loop_.stop();
     operators_.stop();
     platform_.stop();
     log_.stop();
     peers_.stop();
     metrics_.stop();
+    jsonLog_.write(logging::Level::Info, "process_end",
+        { { "drain_ms", toMilliseconds(drained - begun) },
+            { "threads_ms", toMilliseconds(std::chrono::steady_clock::now() - drained) } });
 }
 
 void RouterProcess::addReadings()
--- a/include/swiftlift/transport/Metrics.h
+++ b/include/swiftlift/transport/Metrics.h
@@ -36,6 +36,7 @@
     [[nodiscard]] std::uint16_t port() const;
 
     void start();
+    /** Ends both threads; waits for a client that is still sending its request, for half a second at most. */
     void stop();
 
     /** @return The ring from which the metrics thread takes updates. */
--- a/src/transport/Metrics.cpp
+++ b/src/transport/Metrics.cpp
@@ -1,12 +1,16 @@
 #include "swiftlift/transport/Metrics.h"
 
 #include <atomic>
+#include <chrono>
+#include <future>
 #include <map>
 #include <mutex>
 #include <thread>
 #include <utility>
 #include <vector>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <prometheus/exposer.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
@@ -23,6 +27,10 @@
     /** How long updates are collected before they are applied as a batch; scrapes are seconds apart. */
     constexpr std::chrono::milliseconds batchInterval { 200 };
     constexpr std::size_t listenerThreads = 1;
+    /** Time within which a client has to send its whole request; without one, the library waits for 30 s. */
+    constexpr std::chrono::milliseconds requestTimeout { 500 };
+    /** Interval at which an ending listener is woken. */
+    constexpr std::chrono::milliseconds wakeInterval { 10 };
     constexpr double secondsPerMicrosecond = 1e-6;
 
     const prometheus::Histogram::BucketBoundaries firstTokenSeconds { 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.47, 0.7,
@@ -37,6 +45,13 @@
         return name.starts_with(prefix) ? name : std::string(prefix) + name;
     }
 
+    /** @return Options of the library's listener, each a name followed by its value. */
+    std::vector<std::string> listenerOptions(const Endpoint& endpoint)
+    {
+        return { "listening_ports", toText(endpoint), "num_threads", std::to_string(listenerThreads),
+            "request_timeout_ms", std::to_string(requestTimeout.count()) };
+    }
+
     prometheus::Labels toLabels(const std::vector<std::pair<std::string, std::string>>& labels)
     {
         return { labels.begin(), labels.end() };
@@ -63,6 +78,11 @@
     }
 
     void run();
+    /** Ends the listener without waiting until it looks at its stop flag by itself. */
+    void endListener();
+    /** Opens a connection to the listener, and closes it. */
+    void wakeListener(std::uint16_t port) const;
+    [[nodiscard]] std::uint16_t listenerPort() const;
     void apply(const node::CountMetric& update);
     void apply(const node::GaugeMetric& update);
     [[nodiscard]] bool canAddSeries();
@@ -75,6 +95,7 @@
     std::map<std::pair<std::string, prometheus::Labels>, prometheus::Counter*> counters;
     std::map<std::pair<std::string, prometheus::Labels>, prometheus::Gauge*> gauges;
     std::unique_ptr<prometheus::Exposer> exposer;
+    std::string listenerIp;
     std::string lastReason;
     std::atomic<bool> stopping = false;
     std::thread thread;
@@ -93,6 +114,38 @@
     }
 }
 
+// The library's listener looks at its stop flag when a connection arrives, and otherwise every two seconds. Ending the
+// listener sets the flag, and waits; nothing tells when the flag is set, so the listener is woken until it has ended.
+void Metrics::State::endListener()
+{
+    if (!exposer) {
+        return;
+    }
+    const std::uint16_t port = listenerPort();
+    auto ended = std::async(std::launch::async, [this] { exposer.reset(); });
+    while (ended.wait_for(wakeInterval) != std::future_status::ready) {
+        wakeListener(port);
+    }
+}
+
+void Metrics::State::wakeListener(std::uint16_t port) const
+{
+    using boost::asio::ip::tcp;
+    boost::asio::io_context loop { 1 };
+    boost::system::error_code ignored;
+    tcp::socket socket(loop);
+    socket.open(tcp::v4(), ignored);
+    // A listener that no longer accepts must not hold up the stop.
+    socket.non_blocking(true, ignored);
+    socket.connect({ boost::asio::ip::make_address(listenerIp, ignored), port }, ignored);
+}
+
+std::uint16_t Metrics::State::listenerPort() const
+{
+    const auto ports = exposer ? exposer->GetListeningPorts() : std::vector<int> {};
+    return ports.empty() ? std::uint16_t { 0 } : static_cast<std::uint16_t>(ports.front());
+}
+
 bool Metrics::State::canAddSeries() { return counters.size() + gauges.size() < maxSeries; }
 
 void Metrics::State::apply(const node::CountMetric& update)
@@ -133,11 +186,12 @@
 bool Metrics::listen(const Endpoint& endpoint)
 {
     try {
-        state_->exposer = std::make_unique<prometheus::Exposer>(toText(endpoint), listenerThreads);
+        state_->exposer = std::make_unique<prometheus::Exposer>(listenerOptions(endpoint));
     } catch (const std::exception& error) {
         state_->lastReason = toText(endpoint) + ": " + error.what();
         return false;
     }
+    state_->listenerIp = endpoint.ip;
     state_->exposer->RegisterCollectable(state_->registry);
     state_->exposer->RegisterCollectable(state_->readings);
     return true;
@@ -145,11 +199,7 @@
 
 const std::string& Metrics::lastReason() const noexcept { return state_->lastReason; }
 
-std::uint16_t Metrics::port() const
-{
-    const auto ports = state_->exposer ? state_->exposer->GetListeningPorts() : std::vector<int> {};
-    return ports.empty() ? std::uint16_t { 0 } : static_cast<std::uint16_t>(ports.front());
-}
+std::uint16_t Metrics::port() const { return state_->listenerPort(); }
 
 void Metrics::start()
 {
@@ -158,9 +208,9 @@
 
 void Metrics::stop()
 {
-    state_->exposer.reset();
     state_->stopping.store(true);
     state_->updates.wakeup().signal();
+    state_->endListener();
     if (state_->thread.joinable()) {
         state_->thread.join();
     }
