Read a VM's record whose region is no text

A router ended by itself, with all its callers' requests, once it read a record of the VM stream whose region was a number or null: nlohmann's value() throws for a field of another kind, and nothing catches it in the decisions thread. Each router that started again read the record again.

The region is read only if it is text, else it is empty.

--- a/src/node/VmRegistry.cpp
+++ b/src/node/VmRegistry.cpp
@@ -20,8 +20,10 @@
         if (!json.is_object() || !json.contains("domain") || !json["domain"].is_string()) {
             return std::nullopt;
         }
+        const auto region = json.find("region");
+        const bool hasRegion = region != json.end() && region->is_string();
         return ListedVm { PeerAddress { address }, FailureDomain { json["domain"].get<std::string>() },
-            Region { json.value("region", "") }, false };
+            Region { hasRegion ? region->get<std::string>() : std::string() }, false };
     }
 
 } // namespace internal
