Count a preallocation from what earlier holders left of a budget

What callers saw: a fleet that is killed twice before anything was billed serves nothing when it starts for the third time; every request is refused with budget_elsewhere though not a token was billed.

Cause: each router draws its part of half of all that was bought, so each killed fleet keeps half of the whole budget for good. A router that has read only the beginning of the log sees a whole budget, too, and draws.

Change: a holder notes what grants hold when it has first read the log to its end, billed tokens included, and its preallocation is its part of half of the rest. It draws none before that. What routers of the same fleet draw meanwhile does not count, so their parts stay equal. The ledger's rules are not touched: a policy decides amounts only.

Counting from what is available at each moment was ruled out by arithmetic: later routers of a fleet would get down to 61 % of the first one's part.

--- a/include/swiftlift/ledger/HoldingPolicy.h
+++ b/include/swiftlift/ledger/HoldingPolicy.h
@@ -91,6 +91,11 @@
     /** Tokens bought for the budget, and those held by no grant, as far as the log has been read. */
     Tokens bought;
     Tokens available;
+    /**
+     * Tokens that grants held when this incarnation first saw the budget: of incarnations that have ended, of those
+     * that live on, and of grants that are used up.
+     */
+    Tokens heldAtStart;
     bool logReachable = false;
     /** Part of the budget is to be held here, since demand has not been observed for long enough to rely on it. */
     bool preallocated = false;
--- a/src/ledger/HolderBudgetState.cpp
+++ b/src/ledger/HolderBudgetState.cpp
@@ -36,6 +36,8 @@
         << at(pendingDrawSince) << " drawn " << drawn << " returned " << (lastReturnAt ? at(*lastReturnAt) : -1)
         << " cautious " << at(drawOnlyForWaitingUntil) << " others " << othersShortfall << '@'
         << at(othersShortfallUntil) << " stocked " << preallocated;
+    if (heldAtStart)
+        out << " beside " << *heldAtStart;
     shortageSignals.print(out);
     lenderRotation.print(out);
     lenderRanking.print(out);
--- a/src/ledger/HolderBudgetState.h
+++ b/src/ledger/HolderBudgetState.h
@@ -26,6 +26,8 @@
     std::optional<Weighting> weighting;
     /** Whether part of the budget is to be held before there is demand. */
     bool preallocated = false;
+    /** Tokens that grants held when this holder had first read the log to its end; empty before that. */
+    std::optional<Tokens> heldAtStart;
     /** Requests at this router. */
     HolderDemand demand;
     /** Counted bills of all routers. */
--- a/src/ledger/HolderBudgetUpdate.cpp
+++ b/src/ledger/HolderBudgetUpdate.cpp
@@ -40,6 +40,7 @@
 
 void HolderImpl::updateBudget(const BudgetRef& budget, HolderBudgetState& budgetState, LedgerActions& actions)
 {
+    recordHeldAtStart(budget, budgetState);
     replaceHolderOnlyGrants(budgetState, actions);
     advanceLoans(budgetState, situationOf(budget, budgetState), actions);
     returnSurplus(budgetState, situationOf(budget, budgetState), actions);
@@ -50,6 +51,14 @@
     raiseCeilings(budgetState, situation, actions);
 }
 
+void HolderImpl::recordHeldAtStart(const BudgetRef& budget, HolderBudgetState& budgetState) const
+{
+    if (!budgetState.preallocated || budgetState.heldAtStart || !environment_.caughtUp)
+        return;
+    if (const std::optional<BudgetView> view = fold_->budget(budget))
+        budgetState.heldAtStart = view->held;
+}
+
 BudgetSituation HolderImpl::situationOf(const BudgetRef& budget, const HolderBudgetState& budgetState) const
 {
     BudgetSituation situation;
@@ -71,7 +80,9 @@
         // other routers.
         const bool untouched = view->billed == none || grantsRemainder(budgetState) > none;
         const bool demandUnknown = !firstRequestAt_ || now_ - *firstRequestAt_ < demandObservationPeriod;
-        situation.preallocated = budgetState.preallocated && untouched && demandUnknown;
+        // A prefix of the log says too little of what earlier holders left.
+        situation.preallocated = budgetState.heldAtStart && untouched && demandUnknown;
+        situation.heldAtStart = budgetState.heldAtStart.value_or(none);
     }
     situation.logReachable = environment_.logReachable;
     situation.sharers = budgetState.sharerCount(now_);
--- a/src/ledger/PolicyDemandGrants.cpp
+++ b/src/ledger/PolicyDemandGrants.cpp
@@ -84,12 +84,17 @@
 // The log may become unreachable before there was any demand, and then nothing can be drawn: live routers would refuse
 // requests while the budget is untouched. So each router holds its part of a known budget from the start, and what it
 // does not need goes to other routers when they run short.
+//
+// It counts from what earlier holders left: those that were killed hold their tokens for good, and fleets that each
+// took half of the whole budget would leave the third one nothing. What routers of the same fleet draw meanwhile
+// doesn't count, since later ones would get less, and earlier ones return a part.
 Tokens DemandGrantsPolicy::preallocation(const BudgetSituation& situation) const
 {
     if (!situation.preallocated)
         return none;
     const auto routers = std::max<std::int64_t>(situation.routers, 1);
-    return Tokens { situation.bought.value() / wholePercent * settings_.preallocationPercent / routers };
+    const std::int64_t left = situation.bought.value() - std::min(situation.heldAtStart, situation.bought).value();
+    return Tokens { left / wholePercent * settings_.preallocationPercent / routers };
 }
 
 // The bills show the fleet's rate only seconds after traffic began. Until then, a router without a preallocation would
--- a/tests/ledger/FundTest.cpp
+++ b/tests/ledger/FundTest.cpp
@@ -109,6 +109,39 @@
         EXPECT_EQ(policy_->surplus(situation_), Tokens { 50'000 });
     }
 
+    // Failure: a router of a fleet that was killed before anything was billed takes its part of the whole budget again,
+    // so that the third fleet finds nothing.
+    TEST_F(PreallocationTest, CountsFromWhatEarlierHoldersLeft)
+    {
+        situation_.heldAtStart = Tokens { 600'000 };
+        situation_.available = Tokens { 400'000 };
+        const auto decision = policy_->draw(situation_);
+        ASSERT_TRUE(decision);
+        EXPECT_EQ(decision->wanted, Tokens { 40'000 });
+        situation_.drawn = Tokens { 40'000 };
+        situation_.free = Tokens { 40'000 };
+        situation_.available = Tokens { 200'000 };
+        EXPECT_EQ(policy_->surplus(situation_), Tokens {}) << "routers of the same fleet that draw change nothing";
+    }
+
+    // Failure: a router that knew of few others when it drew keeps a multiple of its part of what is left.
+    TEST_F(PreallocationTest, IsReturnedAboveThePartOfWhatEarlierHoldersLeft)
+    {
+        situation_.heldAtStart = Tokens { 600'000 };
+        situation_.drawn = Tokens { 100'000 };
+        situation_.free = Tokens { 100'000 };
+        EXPECT_EQ(policy_->surplus(situation_), Tokens { 60'000 });
+    }
+
+    // Failure: more is preallocated than is left, where a holder's tokens were counted twice or a total went down.
+    TEST_F(PreallocationTest, IsNothingOfABudgetThatEarlierHoldersHoldWhole)
+    {
+        situation_.heldAtStart = Tokens { 1'000'001 };
+        situation_.available = Tokens {};
+        EXPECT_FALSE(policy_->draw(situation_));
+        EXPECT_EQ(policy_->surplus(situation_), Tokens {});
+    }
+
     // Failure: one VM of 81, with an eighth of all requests, refuses requests from the first second of an outage that
     // begins 5 s after traffic does. Draws ahead of need were limited to a part of an equal share, a 160th of the
     // budget or one second of its demand, although the watermarks already bound them.
--- a/tests/platform/RejoinedStreamsTest.cpp
+++ b/tests/platform/RejoinedStreamsTest.cpp
@@ -180,6 +180,32 @@
             EXPECT_EQ(takeUps.refused, streamCount) << takeUps.wentOn << " went on";
         }
 
+        /** Routers draw their part of the budget within this time after their start. */
+        static void waitForStock() { std::this_thread::sleep_for(milliseconds(1500)); }
+
+        /** Streams begin at all routers. @return Their answers. */
+        [[nodiscard]] std::vector<CallerAnswer> sendAll(const std::string& name)
+        {
+            std::vector<CallerAnswer> answers(streamCount);
+            std::vector<std::thread> callers;
+            for (std::size_t number = 0; number < streamCount; ++number) {
+                callers.emplace_back(
+                    [&, number] { answers[number] = fleet_->send(number % routerCount, stream(name, number)); });
+            }
+            for (std::thread& caller : callers) {
+                caller.join();
+            }
+            return answers;
+        }
+
+        static void expectAllServed(const std::vector<CallerAnswer>& answers)
+        {
+            for (const CallerAnswer& answer : answers) {
+                EXPECT_EQ(answer.status, 200U) << answer.body.substr(0, 200);
+                EXPECT_TRUE(answer.whole);
+            }
+        }
+
         static constexpr std::size_t modelEngines = 6;
         static constexpr std::int64_t budget = 100'000'000;
         std::filesystem::path folder_;
@@ -246,6 +272,20 @@
         expectGoingOn(takeUp(requests, "-again", true));
     }
 
+    // Guards against refusals of all requests after the third kill of a fleet before anything was billed: each fleet
+    // took half of the whole budget.
+    TEST_F(RejoinedStreamsTest, StreamsAreServedAfterThreeKillsBeforeAnythingWasBilled)
+    {
+        constexpr int kills = 3;
+        for (int kill = 0; kill < kills; ++kill) {
+            waitForStock();
+            killAll();
+            startAll();
+            waitForAll();
+        }
+        expectAllServed(sendAll("thrice"));
+    }
+
     // Guards against streams that were taken up, broke again and are refused, or joined, when they are taken up once
     // more.
     TEST_F(RejoinedStreamsTest, StreamsThatWereTakenUpBeforeGoOn)
