--- a/src/ledger/HolderImpl.h
+++ b/src/ledger/HolderImpl.h
@@ -164,7 +164,7 @@
     [[nodiscard]] std::vector<const BorrowedLoan*> recentLoanRequests(const HolderBudgetState& budgetState) const;
 
     // Upkeep of one budget, after each tick and each change that concerns the budget.
-    /** Notes once what other holders' grants hold, as soon as the log has been read to its end. */
+    /** @brief Notes once what all grants of the budget hold, as soon as the log has been read to its end. */
     void recordHeldAtStart(const BudgetRef& budget, HolderBudgetState& budgetState) const;
     [[nodiscard]] BudgetSituation situationOf(const BudgetRef& budget, const HolderBudgetState& budgetState) const;
     /** @brief Sets `free` and `largestFree` of the situation. */
