--- a/tests/platform/standin/EngineService.cpp
+++ b/tests/platform/standin/EngineService.cpp
@@ -1,5 +1,6 @@
 #include "platform/standin/EngineService.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -52,6 +53,7 @@
         silentUntil_ = standins::Clock::now() + standins::toClock(Milliseconds(value.get<double>()));
     });
     controls().addValue("whole_ms", settings_.wholeMs);
+    controls().addValue("whole_bytes", settings_.wholeBytes);
     controls().addValue("id", settings_.id);
     controls().addValue("version", settings_.version);
     controls().addValue("events", settings_.events);
@@ -155,7 +157,9 @@
     } else if (takeOne(failNext_)) {
         co_await exchange.answer(500, "text/plain", "failed");
     } else {
-        co_await exchange.answer(200, "text/plain", "served by " + settings_.id);
+        std::string body = "served by " + settings_.id;
+        body.resize(std::max<std::size_t>(body.size(), settings_.wholeBytes), '.');
+        co_await exchange.answer(200, "text/plain", body);
     }
 }
 
--- a/tests/platform/standin/EngineService.h
+++ b/tests/platform/standin/EngineService.h
@@ -15,6 +15,8 @@
     std::string id = "i-1";
     /** Time until a whole answer. */
     double wholeMs = 2;
+    /** Size of an unstreamed answer at least. */
+    std::uint64_t wholeBytes = 0;
     /** Events of a whole stream. */
     std::uint64_t events = 5;
     double betweenEventsMs = 2;
