Wait at a planned stop for answers that callers still read

A stopping router closed connections on which callers were still reading their answers, 0.7 s after the last backend server had answered, with seconds of its stop limit left.

Cause: for the core a request has ended when the backend server's answer is complete, and what the transport still holds got a twelfth of the stop limit from then on, whatever was left of the limit.

Change: a stop of the transport has two limits. Connections that are owed no answer have the twelfth as before, so that neither an idle caller nor half a request holds the stop up. Answers to received requests have all that is left, except for the last twelfth, which is for the threads.

--- a/apps/router/RouterProcess.cpp
+++ b/apps/router/RouterProcess.cpp
@@ -19,7 +19,7 @@
 
     /** Time limit of one call of an operator. */
     constexpr auto operatorTimeout = 2s;
-    /** Time at most for callers to receive their replies, once all requests in progress have ended. */
+    /** Time at most for callers to close their connections, once all requests in progress have ended. */
     constexpr auto maxDrainTime = 5s;
     /** Interval at which stop() checks whether the core is ready to stop. */
     constexpr auto stopPollInterval = 20ms;
@@ -61,7 +61,8 @@
     constexpr auto firstLogRetryDelay = 100ms;
     constexpr auto maxLogRetryDelay = 500ms;
     /** Parts that the time limit of a planned stop is divided into: 10 are for requests in progress, 1 is for callers
-     * to receive their replies, and the last is for the threads to end. */
+     * to receive their replies, and the last is for the threads to end. Callers also have what requests in progress
+     * leave of the time. */
     constexpr int stopParts = 12;
     constexpr int stopPartsInProgress = 10;
     constexpr int stopPartsDraining = 1;
@@ -250,8 +251,8 @@
 
 void RouterProcess::stop()
 {
-    const auto timeLimit = settings_.stopLimit * stopPartsInProgress / stopParts;
-    const auto until = std::chrono::steady_clock::now() + timeLimit;
+    const auto part = std::chrono::duration_cast<std::chrono::milliseconds>(settings_.stopLimit) / stopParts;
+    const auto until = std::chrono::steady_clock::now() + part * stopPartsInProgress;
     transport::TaggedEvent request { Incarnation {}, node::StopRequested {} };
     while (!decisions_.tryPush(request) && std::chrono::steady_clock::now() < until) {
         std::this_thread::sleep_for(stopPollInterval);
@@ -262,8 +263,9 @@
     jsonLog_.write(logging::Level::Info, "process_stop", { { "ready", executor_.stopReady() } });
     const auto begun = std::chrono::steady_clock::now();
     // The decision thread runs until the last replies have reached the callers.
-    streams_.stop(std::min<std::chrono::milliseconds>(maxDrainTime,
-        std::chrono::duration_cast<std::chrono::milliseconds>(settings_.stopLimit * stopPartsDraining / stopParts)));
+    const auto drainTime = part * stopPartsDraining;
+    const auto untilDrained = std::chrono::duration_cast<std::chrono::milliseconds>(until + drainTime - begun);
+    streams_.stop({ std::min<std::chrono::milliseconds>(maxDrainTime, drainTime), untilDrained });
     const auto drained = std::chrono::steady_clock::now();
     loop_.stop();
     operators_.stop();
--- a/include/swiftlift/transport/StreamServer.h
+++ b/include/swiftlift/transport/StreamServer.h
@@ -120,6 +120,14 @@
     virtual void betweenTokens(std::chrono::microseconds gap) = 0;
 };
 
+/** Maximum waits of a planned stop, from its beginning on. */
+struct StopLimits {
+    /** For callers to close their connections, and for requests that are still being received. */
+    std::chrono::milliseconds connections {};
+    /** For the answers to received requests to be written, while their callers read. */
+    std::chrono::milliseconds answers {};
+};
+
 /** Counters since the start of the streams thread, and current table sizes; for metrics and tests. */
 struct StreamCounts {
     /** Answers, or lines of answers, that didn't belong to the request. */
@@ -201,8 +209,10 @@
 
     /**
      * @brief Stops accepting connections, waits until pending answers are written, then ends the thread.
-     * @param limit Maximum wait for the pending answers.
+     * @param limits Maximum waits.
      */
+    void stop(const StopLimits& limits);
+    /** @param limit Maximum wait for connections and for pending answers. */
     void stop(std::chrono::milliseconds limit);
 
     /** @return The ring of commands to this thread. */
--- a/src/transport/CallTable.h
+++ b/src/transport/CallTable.h
@@ -30,6 +30,7 @@
     void closeIdleConnections() override;
     void closeAll() override;
     [[nodiscard]] bool hasConnections() const noexcept override { return !connections_.empty(); }
+    [[nodiscard]] bool owesAnswers() const noexcept override { return anyOwesAnswer(connections_); }
     [[nodiscard]] std::size_t attempts() const noexcept override { return running_.size(); }
     [[nodiscard]] StreamCounts counts() const override;
 
--- a/src/transport/CallerConnection.cpp
+++ b/src/transport/CallerConnection.cpp
@@ -397,6 +397,11 @@
     return unsentBytes() > 0 ? std::optional(lastProgress_) : std::nullopt;
 }
 
+bool anyOwesAnswer(const CallerConnections& connections) noexcept
+{
+    return std::ranges::any_of(connections, [](const auto& connection) { return connection->owesAnswer(); });
+}
+
 void closeConnections(const CallerConnections& connections)
 {
     // Copied, because each connection that closes is removed from `connections`.
--- a/src/transport/CallerConnection.h
+++ b/src/transport/CallerConnection.h
@@ -74,6 +74,8 @@
     [[nodiscard]] bool streamBegun() const noexcept { return streamBegun_; }
     /** @return Whether a request is in progress whose answer is not complete. */
     [[nodiscard]] bool answering() const noexcept { return phase_ == Phase::Answering && !answerComplete_; }
+    /** @return Whether a request was received whose answer has not been written completely. */
+    [[nodiscard]] bool owesAnswer() const noexcept { return phase_ == Phase::Answering; }
     /** @return Whether the connection stays open after the current answer; the answer's head has to state this. */
     [[nodiscard]] bool keepAlive() const noexcept { return keepAlive_; }
     /** @return Whether the caller supports chunked transfer encoding. */
@@ -157,6 +159,9 @@
 
 using CallerConnections = std::unordered_set<std::shared_ptr<CallerConnection>>;
 
+/** @return Whether a request was received on any of the connections whose answer has not been written completely. */
+[[nodiscard]] bool anyOwesAnswer(const CallerConnections& connections) noexcept;
+
 /** Closes all connections at once, even those with a request in progress. */
 void closeConnections(const CallerConnections& connections);
 
--- a/src/transport/ProxyCallTable.h
+++ b/src/transport/ProxyCallTable.h
@@ -32,6 +32,7 @@
     {
         return connections_.size() > readinessConnections_.size();
     }
+    [[nodiscard]] bool owesAnswers() const noexcept override { return anyOwesAnswer(connections_); }
     [[nodiscard]] std::size_t attempts() const noexcept override { return running_.size(); }
     [[nodiscard]] StreamCounts counts() const override;
 
--- a/src/transport/StreamServer.cpp
+++ b/src/transport/StreamServer.cpp
@@ -105,7 +105,9 @@
     /** Reads on where too many held bytes prevented it, if that has changed. */
     void readPostponed();
     void run();
-    void beginStop(std::chrono::milliseconds limit);
+    /** @return Whether a stop still has to wait. */
+    [[nodiscard]] bool mustWait() const;
+    void beginStop(const StopLimits& stopLimits);
 
     StreamLimits limits;
     StreamInbox inbox;
@@ -120,7 +122,9 @@
     boost::asio::posix::stream_descriptor commands;
     boost::asio::steady_timer sweepTimer;
     std::chrono::steady_clock::time_point sweepDue = std::chrono::steady_clock::now();
-    std::optional<std::chrono::steady_clock::time_point> stopAt;
+    /** When a stop no longer waits for connections, and for answers. */
+    std::optional<std::chrono::steady_clock::time_point> closeAt;
+    std::chrono::steady_clock::time_point stopAt;
     std::string lastReason;
     mutable std::mutex countsMutex;
     StreamCounts publishedCounts;
@@ -224,8 +228,7 @@
         publishedCounts.heldBytes = context.held->bytes;
         publishedCounts.mostHeldBytes = context.held->most;
     }
-    const bool inUse = table->hasConnections() || relayServer.size() > 0;
-    if (stopAt && (!inUse || std::chrono::steady_clock::now() >= *stopAt)) {
+    if (closeAt && !mustWait()) {
         table->closeAll();
         relayServer.closeAll();
         loop.stop();
@@ -240,6 +243,15 @@
     });
 }
 
+bool StreamServer::State::mustWait() const
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (now < *closeAt) {
+        return table->hasConnections() || relayServer.size() > 0;
+    }
+    return now < stopAt && table->owesAnswers();
+}
+
 void StreamServer::State::readPostponed()
 {
     for (const auto& postponed : std::exchange(context.postponed, {})) {
@@ -271,13 +283,15 @@
     }
 }
 
-void StreamServer::State::beginStop(std::chrono::milliseconds limit)
+void StreamServer::State::beginStop(const StopLimits& stopLimits)
 {
     ErrorCode ignored;
     callers.acceptor.close(ignored);
     readiness.acceptor.close(ignored);
     relay.acceptor.close(ignored);
-    stopAt = std::chrono::steady_clock::now() + limit;
+    const auto now = std::chrono::steady_clock::now();
+    closeAt = now + stopLimits.connections;
+    stopAt = now + stopLimits.answers;
     table->closeIdleConnections();
 }
 
@@ -319,12 +333,14 @@
     state_->thread = std::thread([state = state_.get()] { state->run(); });
 }
 
-void StreamServer::stop(std::chrono::milliseconds limit)
+void StreamServer::stop(std::chrono::milliseconds limit) { stop(StopLimits { limit, limit }); }
+
+void StreamServer::stop(const StopLimits& limits)
 {
     if (!state_->thread.joinable()) {
         return;
     }
-    boost::asio::post(state_->loop, [state = state_.get(), limit] { state->beginStop(limit); });
+    boost::asio::post(state_->loop, [state = state_.get(), limits] { state->beginStop(limits); });
     state_->thread.join();
 }
 
--- a/src/transport/StreamTable.h
+++ b/src/transport/StreamTable.h
@@ -29,6 +29,8 @@
     /** Cancels all attempts and closes all connections. */
     virtual void closeAll() = 0;
     [[nodiscard]] virtual bool hasConnections() const noexcept = 0;
+    /** @return Whether a request was received whose answer has not been written completely. */
+    [[nodiscard]] virtual bool owesAnswers() const noexcept = 0;
     /** @return Number of requests at backend servers. */
     [[nodiscard]] virtual std::size_t attempts() const noexcept = 0;
     [[nodiscard]] virtual StreamCounts counts() const = 0;
--- a/tests/transport/SlowReaderTest.cpp
+++ b/tests/transport/SlowReaderTest.cpp
@@ -12,6 +12,8 @@
     using std::chrono::steady_clock;
 
     constexpr std::size_t mebibyte = 1024 * 1024;
+    /** How long a stop waits for connections that are owed no answer. */
+    constexpr milliseconds connectionsLimit { 50 };
 
     class SlowReaderTest : public ProxyFixture {
     protected:
@@ -189,5 +191,33 @@
         EXPECT_TRUE(client.isReset());
     }
 
+    // Guards against a planned stop that cuts an answer which its caller still reads, long after other connections have
+    // been closed.
+    TEST_F(SlowReaderTest, StopWaitsForAnAnswerThatIsStillRead)
+    {
+        constexpr std::size_t answerBytes = mebibyte / 2;
+        startProxy();
+        auto client = caller();
+        client.limitReceiveBuffer(8'192);
+        static_cast<void>(dispatchNext(client, 1, AnswerKind::Whole));
+        auto engine = backend.accept();
+        static_cast<void>(engine.readRequest());
+        engine.write(headOf("Content-Length: " + std::to_string(answerBytes) + "\r\n") + std::string(answerBytes, 'x'));
+        EXPECT_EQ(nextEvent<ProxyAttemptEnded>(decisions).end, ProxyAttemptEnd::Completed);
+        auto stopped = std::async(std::launch::async, [&] { server->stop({ connectionsLimit, longWait }); });
+        EXPECT_EQ(stopped.wait_for(10 * connectionsLimit), std::future_status::timeout);
+        EXPECT_EQ(client.readResponse().body().size(), answerBytes);
+    }
+
+    // Guards against a planned stop that waits for a caller who has not sent its whole request.
+    TEST_F(SlowReaderTest, StopDoesNotWaitForTheRestOfARequest)
+    {
+        startProxy();
+        auto client = caller();
+        client.write("POST /x HTTP/1.1\r\nHost: x\r\n");
+        auto stopped = std::async(std::launch::async, [&] { server->stop({ connectionsLimit, longWait }); });
+        EXPECT_EQ(stopped.wait_for(longWait / 2), std::future_status::ready);
+    }
+
 } // namespace
 } // namespace swiftlift::transport::test
