--- a/tests/platform/PlatformFleet.cpp
+++ b/tests/platform/PlatformFleet.cpp
@@ -6,6 +6,7 @@
 #include <thread>
 
 #include <boost/asio/ip/address.hpp>
+#include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 #include <unistd.h>
 
@@ -262,10 +263,34 @@
 
 void PlatformFleet::putEntry(std::size_t engine, const std::string& id, const std::string& state)
 {
-    const json entry { { "backend", serviceOf(engine) }, { "address", engines_.at(engine)->address() },
+    putRecord("keyed.servers", id, entryOf(engine, state).dump());
+}
+
+standins::Json PlatformFleet::entryOf(std::size_t engine, const std::string& state) const
+{
+    return { { "backend", serviceOf(engine) }, { "address", engines_.at(engine)->address() },
         { "zone", domainOf(engine) }, { "version", versions_.at(engine) }, { "slots", 32 }, { "state", state },
         { "warmup_left_ms", 0 }, { "sequence", 1 } };
-    putRecord("keyed.servers", id, entry.dump());
+}
+
+void PlatformFleet::putForeignEntry(const std::string& key, const std::string& value)
+{
+    putForeignRecord("keyed.servers", key, value);
+}
+
+void PlatformFleet::putForeignRecord(const std::string& topic, const std::string& key, const std::string& value)
+{
+    constexpr std::size_t maxKeyBytes = 255;
+    ASSERT_LE(key.size(), maxKeyBytes);
+    const std::string record = std::string(1, static_cast<char>(key.size())) + key + value;
+    std::string length;
+    for (const unsigned shift : { 24U, 16U, 8U, 0U }) {
+        length += static_cast<char>((record.size() >> shift) & 0xFFU);
+    }
+    standins::HttpClient client(endpointOf(store_->address()));
+    const auto reply
+        = client.call({ .body = length + record, .target = "/-/log-append?topic=" + topic + "&part=0", .headers = {} });
+    ASSERT_TRUE(reply && reply->status == 200) << (reply ? reply->body : client.lastReason());
 }
 
 void PlatformFleet::deleteEntry(const std::string& id) { deleteRecord("keyed.servers", id); }
--- a/tests/platform/PlatformFleet.h
+++ b/tests/platform/PlatformFleet.h
@@ -92,6 +92,12 @@
     void setVersion(std::size_t engine, const std::string& version);
     /** Deletes an engine's entry from the store. */
     void unregisterEngine(std::size_t engine);
+    /** Appends a record to the engines' entries, as another writer may: any bytes as key and as value. */
+    void putForeignEntry(const std::string& key, const std::string& value);
+    /** Appends a record to a keyed topic, as another writer may: any bytes as key and as value. */
+    void putForeignRecord(const std::string& topic, const std::string& key, const std::string& value);
+    /** @return The entry that the engine writes. */
+    [[nodiscard]] standins::Json entryOf(std::size_t engine, const std::string& state) const;
     /** The engine starts again as another instance with this id, of this software version. */
     void registerAs(std::size_t engine, const std::string& id, const std::string& version);
 
--- a/tests/platform/standin/StoreService.cpp
+++ b/tests/platform/standin/StoreService.cpp
@@ -19,6 +19,11 @@
     constexpr std::uint64_t maxWaitMs = 30'000;
     /** Maximum number of keys in one answer of `/-/log-newest`. */
     constexpr std::size_t maxEntries = 500;
+    /** Size of an answer of `/-/log-newest` beyond which it gets no further key. */
+    constexpr std::size_t maxNewestBytes = 1'000'000;
+    constexpr std::size_t bytesPerKilobyte = 1024;
+    constexpr std::uint64_t defaultReadKilobytes = 1024;
+    constexpr unsigned lastAscii = 0x7F;
 
     std::string bigEndian(std::uint64_t number, std::size_t bytes)
     {
@@ -59,16 +64,43 @@
 
     Json goneReply(const Topic& topic) { return { { "first_offset", topic.first() } }; }
 
-    Json newestReply(const Topic& topic, const std::string& after)
+    /** @return The key as a JSON string; what isn't text is written in this form. */
+    std::string keyText(const std::string& key, OddKeys form)
     {
-        Json entries = Json::array();
+        const std::string replaced = Json(key).dump(-1, ' ', false, Json::error_handler_t::replace);
+        if (form == OddKeys::Replaced || Json::accept('"' + key + '"')) {
+            return replaced;
+        }
+        constexpr std::string_view digits = "0123456789abcdef";
+        std::string text(1, '"');
+        for (const char character : key) {
+            const auto byte = static_cast<unsigned char>(character);
+            if (byte <= lastAscii) {
+                const std::string quoted = Json(std::string(1, character)).dump();
+                text += quoted.substr(1, quoted.size() - 2);
+            } else if (form == OddKeys::Raw) {
+                text += character;
+            } else {
+                text.append("\\udc").append(1, digits[byte >> 4U]).append(1, digits[byte & 0xFU]);
+            }
+        }
+        return text + '"';
+    }
+
+    std::string newestReply(const Topic& topic, const std::string& after, OddKeys form)
+    {
+        std::string entries;
+        std::size_t count = 0;
         auto entry = topic.newest().upper_bound(after);
-        for (; entry != topic.newest().end() && entries.size() < maxEntries; ++entry) {
-            entries.push_back({ { "key", entry->first }, { "value", standins::toBase64(entry->second.value) },
-                { "offset", entry->second.offset } });
+        for (; entry != topic.newest().end() && count < maxEntries && entries.size() < maxNewestBytes; ++entry) {
+            entries += count++ == 0 ? "" : ",";
+            entries += R"({"key":)" + keyText(entry->first, form) + R"(,"value":")"
+                + standins::toBase64(entry->second.value) + R"(","offset":)" + std::to_string(entry->second.offset)
+                + '}';
         }
         const bool more = entry != topic.newest().end();
-        return { { "entries", std::move(entries) }, { "has_more", more }, { "end_offset", topic.end() } };
+        return R"({"entries":[)" + entries + R"(],"has_more":)" + (more ? "true" : "false") + R"(,"end_offset":)"
+            + std::to_string(topic.end()) + '}';
     }
 
 } // namespace
@@ -109,6 +141,10 @@
 {
     gate_.addControls(controls());
     controls().addValue("turn_away", turnAway_);
+    controls().add("odd_keys", [this](const Json& value, Json&) {
+        const auto form = value.get<std::string>();
+        oddKeys_ = form == "raw" ? OddKeys::Raw : form == "escaped" ? OddKeys::Escaped : OddKeys::Replaced;
+    });
     controls().add("keep", [this](const Json& value, Json&) {
         for (auto& [name, topic] : topics_) {
             topic.keepNewest(value.get<std::uint64_t>());
@@ -178,7 +214,8 @@
         co_return;
     }
     std::string body = bigEndian(topic.end(), offsetBytes) + bigEndian(topic.first(), offsetBytes);
-    for (auto offset = from; offset < topic.end(); ++offset) {
+    const std::size_t maxBytes = exchange.number("max_size", defaultReadKilobytes) * bytesPerKilobyte;
+    for (auto offset = from; offset < topic.end() && (offset == from || body.size() < maxBytes); ++offset) {
         body += bigEndian(topic.record(offset).size(), lengthBytes) + topic.record(offset);
     }
     co_await exchange.answer(200, "application/octet-stream", std::move(body));
@@ -188,7 +225,7 @@
 {
     ++reads_;
     Topic& topic = topicNamed(exchange.parameter("topic"));
-    co_await exchange.answerJson(200, newestReply(topic, exchange.parameter("after")));
+    co_await exchange.answer(200, "application/json", newestReply(topic, exchange.parameter("after"), oddKeys_));
 }
 
 Json StoreService::audit(const Exchange&) const
--- a/tests/platform/standin/StoreService.h
+++ b/tests/platform/standin/StoreService.h
@@ -46,12 +46,23 @@
     standins::Signal appended_;
 };
 
+/** How a list of keys writes the bytes of a key that aren't UTF-8, as JSON has no form for them. */
+enum class OddKeys : std::uint8_t {
+    /** Each invalid sequence as U+FFFD. */
+    Replaced,
+    /** The bytes as they are. */
+    Raw,
+    /** Each byte as half of a surrogate pair. */
+    Escaped,
+};
+
 /**
  * @brief Stand-in for the platform's metadata store with the calls that the router uses.
  *
  * `POST /control` accepts the controls of standins::Gate, `put` ({"topic", "key", "value"}: a write of the operator or
- * an engine; without a value the key is deleted), `keep` (number of newest records that each topic keeps) and
- * `turn_away` (HTTP status with which every call is answered; 0: calls are served).
+ * an engine; without a value the key is deleted), `keep` (number of newest records that each topic keeps),
+ * `odd_keys` (`replaced`, `raw` or `escaped`, see OddKeys) and `turn_away` (HTTP status with which every call is
+ * answered; 0: calls are served).
  */
 class StoreService final : public standins::Service {
 public:
@@ -71,6 +82,7 @@
     std::uint64_t appends_ = 0;
     std::uint64_t reads_ = 0;
     unsigned turnAway_ = 0;
+    OddKeys oddKeys_ = OddKeys::Replaced;
 };
 
 } // namespace swiftlift::platform::standin
--- a/tests/standins/common/Exchange.cpp
+++ b/tests/standins/common/Exchange.cpp
@@ -132,7 +132,7 @@
 
 Awaitable<void> Exchange::answerJson(unsigned status, Json body)
 {
-    co_await answer(status, "application/json", body.dump());
+    co_await answer(status, "application/json", body.dump(-1, ' ', false, Json::error_handler_t::replace));
 }
 
 Awaitable<void> Exchange::answerError(unsigned status, std::string problem)
