--- a/tests/platform/CutAnswerTest.cpp
+++ b/tests/platform/CutAnswerTest.cpp
@@ -44,14 +44,6 @@
             return { .path = "/stream/x", .id = id, .tokens = "12,2100" };
         }
 
-        void waitForEvents(const std::string& id, std::uint64_t count)
-        {
-            const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(10);
-            while (fleet_->eventsOf(id) < count && std::chrono::steady_clock::now() < until) {
-                std::this_thread::sleep_for(milliseconds(5));
-            }
-        }
-
         static constexpr std::size_t modelEngines = 2;
         std::filesystem::path folder_;
         std::unique_ptr<PlatformFleet> fleet_;
@@ -70,8 +62,7 @@
         }
         CallerAnswer answer;
         std::thread caller([&] { answer = fleet_->send(0, stream("relayed")); });
-        waitForEvents("relayed", 30);
-        ASSERT_GE(fleet_->eventsOf("relayed"), 30U);
+        ASSERT_TRUE(fleet_->waitForEvents("relayed", 30));
         fleet_->router(1).kill();
         caller.join();
         EXPECT_FALSE(answer.whole) << answer.status << ", " << answer.body.size() << " bytes";
@@ -91,7 +82,7 @@
             asio::buffer(std::string("POST /stream/x HTTP/1.0\r\nHost: desk.example\r\nRequest-Id: old\r\n"
                                      "Credential: key-one\r\nDeadline-Ms: 5000\r\nModel: m\r\nToken-Usage: 12,2100\r\n"
                                      "Prefix-Hash: 5c1e07a2:8,e4402b7d:4\r\nContent-Length: 2\r\n\r\n{}")));
-        waitForEvents("old", 30);
+        ASSERT_TRUE(fleet_->waitForEvents("old", 30));
         fleet_->router(0).kill();
         std::string received;
         boost::system::error_code end;
--- a/tests/platform/PlatformFleet.cpp
+++ b/tests/platform/PlatformFleet.cpp
@@ -69,20 +69,21 @@
 
     const std::string& domainOf(std::size_t index) { return domains[index % domains.size()]; }
 
-    json routeOf(const std::string& name, const std::string& type, std::uint64_t timeoutMs)
+    json routeOf(const std::string& name, const std::string& type, const FleetSize& size)
     {
         return { { "name", name }, { "hostname", "desk.example" }, { "path_prefix", "/" + name + "/" },
-            { "type", type }, { "timeout_ms", timeoutMs }, { "target_latency_ms", 300 }, { "priority", 0 },
-            { "backend", type == "streaming" ? "model" : "plain" }, { "max_attempts", 2 }, { "public", false },
-            { "sticky", type == "streaming" }, { "resumable", name == "resumable" }, { "gap_aim_ms", 300 } };
+            { "type", type }, { "timeout_ms", size.routeTimeoutMs }, { "target_latency_ms", 300 }, { "priority", 0 },
+            { "backend", type == "streaming" ? "model" : "plain" }, { "max_attempts", size.maxAttempts },
+            { "public", false }, { "sticky", type == "streaming" }, { "resumable", name == "resumable" },
+            { "gap_aim_ms", 300 } };
     }
 
-    json configOf(std::uint64_t version, std::int64_t budget, std::uint64_t timeoutMs)
+    json configOf(std::uint64_t version, std::int64_t budget, const FleetSize& size)
     {
         json config;
         config["version"] = version;
-        config["routes"] = { routeOf("stream", "streaming", timeoutMs), routeOf("resumable", "streaming", timeoutMs),
-            routeOf("plain", "safe", timeoutMs), routeOf("order", "unsafe", timeoutMs) };
+        config["routes"] = { routeOf("stream", "streaming", size), routeOf("resumable", "streaming", size),
+            routeOf("plain", "safe", size), routeOf("order", "unsafe", size) };
         config["backends"]
             = { { { "name", "model" }, { "engine", { { "slots", 32 }, { "stride", 7 } } } }, { { "name", "plain" } } };
         config["limits"] = { { "max_header_bytes", 16384 }, { "max_body_bytes", 65536 }, { "header_timeout_ms", 3000 },
@@ -149,7 +150,9 @@
         file << "    - " << seed << "\n";
     }
     file << "ledger:\n  low_watermark: 8s\n  high_watermark: 10s\n  stock: 50%\n  retention: 300s\n"
-            "  batch_period: 100ms\nrouting:\n  policy: rendezvous\nretries:\n  ratio: 0.2\n  extra: 50\n"
+            "  batch_period: 100ms\nrouting:\n  policy: rendezvous\nretries:\n  ratio: "
+         << size_.retryRatio
+         << "\n  extra: 50\n"
             "  window: 10s\nstop:\n  limit: 8s\n"
          << (size_.links ? addLinks(index) : "");
     file.close();
@@ -230,7 +233,7 @@
 {
     budget_ = budget;
     version_ += 3;
-    putRecord("keyed.op", "config", configOf(version_, budget, size_.routeTimeoutMs).dump());
+    putRecord("keyed.op", "config", configOf(version_, budget, size_).dump());
 }
 
 void PlatformFleet::evacuate(const std::string& domain) { putRecord("keyed.op", "evacuate/" + domain, "{}"); }
@@ -331,6 +334,15 @@
 std::uint64_t PlatformFleet::runsOf(const std::string& id) { return auditCount(id, "runs"); }
 std::uint64_t PlatformFleet::eventsOf(const std::string& id) { return auditCount(id, "events"); }
 
+bool PlatformFleet::waitForEvents(const std::string& id, std::uint64_t count)
+{
+    const auto until = std::chrono::steady_clock::now() + maxWait;
+    while (eventsOf(id) < count && std::chrono::steady_clock::now() < until) {
+        std::this_thread::sleep_for(pollInterval);
+    }
+    return eventsOf(id) >= count;
+}
+
 std::uint64_t PlatformFleet::auditCount(const std::string& id, const std::string& count)
 {
     std::uint64_t sum = 0;
--- a/tests/platform/PlatformFleet.h
+++ b/tests/platform/PlatformFleet.h
@@ -50,6 +50,10 @@
     bool links = false;
     /** Time limit of each route. */
     std::uint64_t routeTimeoutMs = 5000;
+    /** Maximum number of engines that may run a request. */
+    std::uint64_t maxAttempts = 2;
+    /** Retries of the fleet per request. */
+    double retryRatio = 0.2;
 };
 
 /**
@@ -122,6 +126,8 @@
     [[nodiscard]] std::uint64_t runsOf(const std::string& id);
     /** @return Number of events that the engines sent for the request with this id. */
     [[nodiscard]] std::uint64_t eventsOf(const std::string& id);
+    /** Waits until the engines sent this many events for the request. @return Whether they did in time. */
+    [[nodiscard]] bool waitForEvents(const std::string& id, std::uint64_t count);
 
 private:
     struct Router {
--- a/tests/platform/standin/EngineService.cpp
+++ b/tests/platform/standin/EngineService.cpp
@@ -27,11 +27,6 @@
     /** Time between two looks whether the engine is still silent. */
     constexpr double silencePeriodMs = 5;
 
-    std::string eventText(std::uint64_t id, const std::string& version)
-    {
-        return "id: " + std::to_string(id) + "\ndata: piece " + version + "\n\n";
-    }
-
 } // namespace
 
 EngineService::EngineService(
@@ -44,7 +39,11 @@
     announcer_.addControls(controls());
     controls().addValue("fail_next", failNext_);
     controls().addValue("break_next", breakNext_);
+    controls().addValue("break_after", breakAfter_);
     controls().addValue("half_event", halfEvent_);
+    controls().addValue("break_within", breakWithin_);
+    controls().addValue("break_resets", breakResets_);
+    controls().addValue("event_padding", eventPadding_);
     controls().addValue("crash_after_event", crashAfterEvent_);
     controls().addValue("unframed", unframed_);
     controls().addValue("full", full_);
@@ -126,7 +125,7 @@
     if (crash().happensOn(exchange.path()) || crash().happensOn(exchange.header("Prefix-Hash"))) {
         if (crashAfterEvent_) {
             co_await exchange.startStream("text/event-stream");
-            co_await exchange.writeChunk(eventText(1, settings_.version));
+            co_await exchange.writeChunk(eventText(1, exchange));
         }
         co_await crash().run(exchange);
         co_return;
@@ -159,6 +158,24 @@
     }
 }
 
+std::string EngineService::eventText(std::uint64_t id, const Exchange& exchange) const
+{
+    return "id: " + std::to_string(id) + "\ndata: piece " + settings_.version + " of " + exchange.header("Request-Id")
+        + " " + std::string(eventPadding_, '.') + "\n\n";
+}
+
+Awaitable<void> EngineService::breakOff(Exchange& exchange, std::uint64_t id) const
+{
+    if (halfEvent_) {
+        co_await exchange.writeChunk(eventText(id, exchange).substr(0, breakWithin_));
+    }
+    if (breakResets_) {
+        exchange.reset();
+    } else {
+        exchange.drop();
+    }
+}
+
 Awaitable<void> EngineService::sendStream(Exchange& exchange, Run& run)
 {
     if (takeOne(failNext_)) {
@@ -168,17 +185,15 @@
     std::uint64_t after = 0;
     std::from_chars(run.resumedAfter.data(), run.resumedAfter.data() + run.resumedAfter.size(), after);
     const bool closesEarly = takeOne(breakNext_);
+    const std::uint64_t lastBeforeBreak = after + breakAfter_;
     co_await exchange.startStream("text/event-stream");
     for (std::uint64_t id = after + 1; id <= settings_.events && !exchange.isClosed(); ++id) {
-        if (closesEarly && id == after + 2) {
-            if (halfEvent_) {
-                co_await exchange.writeChunk(eventText(id, settings_.version).substr(0, 7));
-            }
-            exchange.drop();
+        if (closesEarly && id > lastBeforeBreak) {
+            co_await breakOff(exchange, id);
             co_return;
         }
         co_await waitForSound(exchange);
-        co_await exchange.writeChunk(eventText(id, settings_.version));
+        co_await exchange.writeChunk(eventText(id, exchange));
         ++run.events;
         co_await exchange.sleep(Milliseconds(settings_.betweenEventsMs));
     }
--- a/tests/platform/standin/EngineService.h
+++ b/tests/platform/standin/EngineService.h
@@ -30,8 +30,11 @@
  *
  * `POST /control` accepts `fail_next` (number of requests that are answered with 500), `break_next` (number of requests
  * whose connection is closed after the first event, or without an answer), `full` (requests are answered with 503 and
- * not started), `half_event` (with `break_next`: the connection is closed within an event), `id`, `version`, `events`,
- * `between_events_ms`, `whole_ms` and `silent_ms` (it sends nothing for this long, and then goes on).
+ * not started), `id`, `version`, `events`, `between_events_ms`, `event_padding` (bytes by which each event is longer),
+ * `whole_ms` and `silent_ms` (it sends nothing for this long, and then goes on).
+ *
+ * With `break_next`, streams are closed after `break_after` events, with `half_event` after `break_within` further
+ * bytes, and with `break_resets` by a reset of the connection. An event names the software version and the request.
  *
  * It states its limit, its leaving and its rest by the controls of standins::Announcer.
  *
@@ -68,6 +71,9 @@
     [[nodiscard]] standins::Awaitable<void> sendWhole(standins::Exchange& exchange, Run& run);
     [[nodiscard]] standins::Awaitable<void> sendStream(standins::Exchange& exchange, Run& run);
     void addStamp(standins::Exchange& exchange) const;
+    [[nodiscard]] std::string eventText(std::uint64_t id, const standins::Exchange& exchange) const;
+    /** Breaks a stream off before this event. */
+    [[nodiscard]] standins::Awaitable<void> breakOff(standins::Exchange& exchange, std::uint64_t id) const;
 
     EngineSettings settings_;
     std::function<void(const std::string&, const std::string&)> restarted_;
@@ -77,7 +83,11 @@
     std::uint64_t refused_ = 0;
     std::uint64_t failNext_ = 0;
     std::uint64_t breakNext_ = 0;
+    std::uint64_t breakAfter_ = 1;
     bool halfEvent_ = false;
+    std::uint64_t breakWithin_ = 7;
+    bool breakResets_ = false;
+    std::uint64_t eventPadding_ = 0;
     bool crashAfterEvent_ = false;
     bool unframed_ = false;
     bool full_ = false;
--- a/tests/standins/common/Exchange.cpp
+++ b/tests/standins/common/Exchange.cpp
@@ -197,6 +197,13 @@
     }
 }
 
+void Exchange::reset()
+{
+    boost::system::error_code ignored;
+    connection_->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    drop();
+}
+
 void Exchange::drop()
 {
     answered_ = true;
--- a/tests/standins/common/Exchange.h
+++ b/tests/standins/common/Exchange.h
@@ -78,6 +78,8 @@
     [[nodiscard]] Awaitable<void> endStream();
     /** Closes the connection without a further byte. */
     void drop();
+    /** Resets the connection, as the system of a process that has crashed may do. */
+    void reset();
 
 private:
     std::shared_ptr<Connection> connection_;
