--- a/src/node/Gateway.cpp
+++ b/src/node/Gateway.cpp
@@ -31,8 +31,8 @@
     , quarantine_(context_, peers_)
     , links_(context_, peers_, *this, backends_)
     , relayService_(context_, *this, links_, [this] { return closing() || !retiredReason_.empty(); })
-    , streamVersions_(context_, peers_, fleet_,
-          [this](CallId call, const auto& found) { proxyRequests_.onStreamVersion(call, found); })
+    , streamVersions_(
+          context_, fleet_, [this](CallId call, const auto& found) { proxyRequests_.onStreamVersion(call, found); })
     , proxyRequests_(
           context_, fleet_, backends_, links_, ledgers_, quarantine_, streamVersions_, [this] { return fleetSize(); })
     , ending_(context_)
--- a/src/node/StreamVersions.cpp
+++ b/src/node/StreamVersions.cpp
@@ -23,9 +23,8 @@
     return "";
 }
 
-StreamVersions::StreamVersions(Context& context, const Peers& peers, FleetDirectory& fleet, Listener listener)
+StreamVersions::StreamVersions(Context& context, FleetDirectory& fleet, Listener listener)
     : context_(context)
-    , peers_(peers)
     , fleet_(fleet)
     , listener_(std::move(listener))
     , own_(maxOwnStreams, streams::streamLifetime)
--- a/src/node/StreamVersions.h
+++ b/src/node/StreamVersions.h
@@ -11,7 +11,6 @@
 
 #include "node/Context.h"
 #include "node/FleetDirectory.h"
-#include "node/Peers.h"
 #include "swiftlift/streams/VersionBook.h"
 
 namespace swiftlift::node {
@@ -64,7 +63,7 @@
     using Listener = std::function<void(CallId, const FoundVersion&)>;
 
     /** @param listener Gets the results of searches; a result may come before search() returns. */
-    StreamVersions(Context& context, const Peers& peers, FleetDirectory& fleet, Listener listener);
+    StreamVersions(Context& context, FleetDirectory& fleet, Listener listener);
 
     /** A stream's first event was forwarded to the caller. */
     void onBegan(const StreamId& stream, const SoftwareVersion& version);
@@ -147,7 +146,6 @@
     [[nodiscard]] bool isSelf(const PeerAddress& address) const;
 
     Context& context_;
-    const Peers& peers_;
     FleetDirectory& fleet_;
     Listener listener_;
     streams::VersionBook own_;
