Let earlier versions be noted by the same code as those that are read

VersionHistory::addEarlier repeated noteSeen line by line; it calls it now. The tests of the only version had the loss of the log and the refusal written out six and four times; two members of their fixture serve, with the same assertions.

--- a/src/streams/VersionHistory.cpp
+++ b/src/streams/VersionHistory.cpp
@@ -43,10 +43,8 @@
     earlierKnown_ = true;
     hasGap_ = false;
     for (const auto& [service, earlier] : versions) {
-        Service& known = services_.try_emplace(service, Service { now, {} }).first->second;
         for (const SoftwareVersion& version : earlier) {
-            Instant& lastSeen = known.lastSeen.try_emplace(version, now).first->second;
-            lastSeen = std::max(lastSeen, now);
+            noteSeen(service, version, now);
         }
     }
 }
--- a/tests/node/GatewayStreamVersionTest.cpp
+++ b/tests/node/GatewayStreamVersionTest.cpp
@@ -215,6 +215,21 @@
             world.run(milliseconds(200));
         }
 
+        /** The log turns the router away, and it has noticed that. */
+        void loseLog()
+        {
+            world.logReachable = false;
+            world.run(milliseconds(100));
+        }
+
+        /** A caller takes the stream up, and is refused within this time because nobody knows its version. */
+        void expectUnknownWithin(Duration time)
+        {
+            const CallId call = world.takeUp("/resumable/x", stream_.value());
+            world.run(time);
+            expectRefused(call, 503, "stream_unknown");
+        }
+
         /** The peer with this number among those that were asked infers this version. */
         void inferAt(std::size_t peer, const std::string& version)
         {
@@ -262,18 +277,14 @@
     // Guards against a mixed stream at a router that reaches neither the log nor any peer, and serves its callers.
     TEST_F(GatewayOnlyVersionTest, StreamIsRefusedByARouterThatIsCutOffFromAll)
     {
-        world.logReachable = false;
-        world.run(milliseconds(100));
-        const CallId call = world.takeUp("/resumable/x", stream_.value());
-        world.run(milliseconds(200));
-        expectRefused(call, 503, "stream_unknown");
+        loseLog();
+        expectUnknownWithin(milliseconds(200));
     }
 
     // Guards against refusals by a router that the log turns away while peers reach it.
     TEST_F(GatewayOnlyVersionTest, PeerThatReachesTheLogKnowsTheOnlyVersion)
     {
-        world.logReachable = false;
-        world.run(milliseconds(100));
+        loseLog();
         const CallId call = world.takeUp("/resumable/x", stream_.value());
         const auto asked = world.sent<StreamVersionAsk>();
         ASSERT_EQ(asked.size(), 3U);
@@ -286,8 +297,7 @@
     // Guards against the same where the caller doesn't say which attempt began its stream.
     TEST_F(GatewayOnlyVersionTest, PeerThatReachesTheLogKnowsTheOnlyVersionOfUnnamedStreams)
     {
-        world.logReachable = false;
-        world.run(milliseconds(100));
+        loseLog();
         const CallId call = world.takeUp("/resumable/x", "");
         ASSERT_EQ(world.sent<StreamVersionAsk>().size(), 3U);
         inferAt(2, "v1");
@@ -298,8 +308,7 @@
     // Guards against a mixed stream where peers' guesses differ.
     TEST_F(GatewayOnlyVersionTest, GuessesThatDifferAreNotTaken)
     {
-        world.logReachable = false;
-        world.run(milliseconds(100));
+        loseLog();
         const CallId call = world.takeUp("/resumable/x", stream_.value());
         inferAt(0, "v1");
         inferAt(1, "v2");
@@ -327,8 +336,7 @@
     // Guards against guesses that a router makes for a peer while it can't read the log.
     TEST_F(GatewayOnlyVersionTest, RouterWithoutTheLogDoesNotGuessForAPeer)
     {
-        world.logReachable = false;
-        world.run(milliseconds(100));
+        loseLog();
         world.handle(PeerReceived { Incarnation { 9 }, PeerAddress { "127.0.0.1:7401" },
             StreamVersionAsk { 1, ServiceName("model"), stream_, seconds(5), true } });
         const auto answers = world.sent<StreamVersionAnswer>();
@@ -357,9 +365,7 @@
         world.listServers();
         world.putServer("m-1", "model", "a");
         world.run(milliseconds(100));
-        const CallId call = world.takeUp("/resumable/x", stream_.value());
-        world.run(milliseconds(300));
-        expectRefused(call, 503, "stream_unknown");
+        expectUnknownWithin(milliseconds(300));
     }
 
     // Guards against a mixed stream of a version that came and went while the router stood still.
@@ -367,9 +373,7 @@
     {
         world.flashServer("m-canary", "model", "v2");
         world.run(milliseconds(100));
-        const CallId call = world.takeUp("/resumable/x", stream_.value());
-        world.run(milliseconds(800));
-        expectRefused(call, 503, "stream_unknown");
+        expectUnknownWithin(milliseconds(800));
     }
 
     // Guards against the same where the version had been there before.
@@ -381,9 +385,7 @@
         world.listServers();
         world.putServer("m-1", "model", "a");
         world.run(milliseconds(100));
-        const CallId call = world.takeUp("/resumable/x", stream_.value());
-        world.run(milliseconds(800));
-        expectRefused(call, 503, "stream_unknown");
+        expectUnknownWithin(milliseconds(800));
     }
 
     // Guards against a mixed stream that began at a router which was cut off and used a version that all others have
@@ -407,8 +409,7 @@
     // Guards against a guess that keepers are told as a memory, and that then beats the true one.
     TEST_F(GatewayOnlyVersionTest, TakeUpByAGuessIsNotAnsweredAsAMemory)
     {
-        world.logReachable = false;
-        world.run(milliseconds(100));
+        loseLog();
         const CallId call = world.takeUp("/resumable/x", stream_.value());
         inferAt(0, "v1");
         world.run(milliseconds(200));
