Review: a fleet that was away for longer than the log keeps records stays away

All machines are cut off from the store for 26 s, it keeps records for 20 s, and all processes are killed meanwhile.

--- a/review/standins-2/World.h
+++ b/review/standins-2/World.h
@@ -42,7 +42,14 @@
 using Clock = std::chrono::steady_clock;
 using namespace std::chrono_literals;
 
-inline const std::string loopback = "127.0.0.1";
+/**
+ * The loopback address of this process's listeners. Outgoing connections have 127.0.0.1 as theirs: on a shared address
+ * one of them may take a port that was chosen for a router that hasn't started yet.
+ */
+inline const std::string loopback = [] {
+    const auto process = static_cast<unsigned>(::getpid());
+    return "127." + std::to_string(32 + process / 250 % 128) + "." + std::to_string(process % 250) + ".1";
+}();
 
 inline std::int64_t sinceStartMs()
 {
@@ -330,6 +337,62 @@
     int fd_;
 };
 
+/** Forwards connections to a server; while it is cut, nothing passes either way, and nothing is closed. */
+class Proxy {
+public:
+    explicit Proxy(std::uint16_t to)
+        : server_([this, to](std::shared_ptr<Stream> near) {
+            const auto far = Stream::connect(to);
+            if (!far) {
+                return;
+            }
+            const int generation = cuts_;
+            pollfd items[2] { { near->fd(), POLLIN, 0 }, { far->fd(), POLLIN, 0 } };
+            for (;;) {
+                ::poll(items, 2, 20);
+                if (cut_) {
+                    std::this_thread::sleep_for(10ms);
+                    continue;
+                }
+                // Connections from before or during the cut are of no more use.
+                if (generation != cuts_) {
+                    near->reset();
+                    return;
+                }
+                if (!pass(*near, *far, items[0].revents) || !pass(*far, *near, items[1].revents)) {
+                    return;
+                }
+            }
+        })
+    {
+    }
+
+    std::uint16_t port() const { return server_.port(); }
+    void cut()
+    {
+        ++cuts_;
+        cut_ = true;
+    }
+    void heal()
+    {
+        ++cuts_;
+        cut_ = false;
+    }
+
+private:
+    static bool pass(Stream& from, Stream& to, short ready)
+    {
+        if ((ready & (POLLIN | POLLHUP | POLLERR)) == 0) {
+            return true;
+        }
+        return from.fill(0ms) && to.send(std::exchange(from.buffer, {}));
+    }
+
+    std::atomic<bool> cut_ = false;
+    std::atomic<int> cuts_ = 0;
+    Server server_;
+};
+
 inline std::string reply(int status, const std::string& reason, const std::string& body,
     const std::vector<std::pair<std::string, std::string>>& fields = {})
 {
@@ -371,8 +434,10 @@
 /** The platform's store: logs with one partition each, long polls, keyed topics. */
 class Store {
 public:
-    Store()
-        : server_([this](std::shared_ptr<Stream> stream) { serve(*stream); })
+    /** @param keep Time after which records expire; the newest record of each key of a keyed topic stays. */
+    explicit Store(std::chrono::seconds keep = 300s)
+        : keep_(keep)
+        , server_([this](std::shared_ptr<Stream> stream) { serve(*stream); })
     {
     }
 
@@ -386,9 +451,19 @@
 private:
     struct Topic {
         std::vector<std::string> records;
+        std::vector<Clock::time_point> times;
+        /** Offset of the first record that has not expired. */
+        std::uint64_t first = 0;
         std::map<std::string, std::pair<std::uint64_t, std::string>> newest;
     };
 
+    void expire(Topic& topic) const
+    {
+        while (topic.first < topic.records.size() && Clock::now() - topic.times[topic.first] > keep_) {
+            topic.records[topic.first++].clear();
+        }
+    }
+
     std::uint64_t append(const std::string& name, std::vector<std::string> records)
     {
         const std::lock_guard lock(mutex_);
@@ -405,6 +480,7 @@
                 }
             }
             topic.records.push_back(std::move(record));
+            topic.times.push_back(Clock::now());
         }
         changed_.notify_all();
         return first;
@@ -446,8 +522,13 @@
             const auto from = std::strtoull(parameter(target, "from").c_str(), nullptr, 10);
             const auto wait = std::chrono::milliseconds(std::atoi(parameter(target, "wait_ms").c_str()));
             changed_.wait_for(lock, wait, [&] { return topics_[topic].records.size() > from; });
+            expire(topics_[topic]);
+            const auto first = topics_[topic].first;
+            if (from < first) {
+                return reply(410, "Gone", json({ { "first_offset", first } }).dump(), { { "Content-Type", "application/json" } });
+            }
             const auto& records = topics_[topic].records;
-            std::string body = big(records.size(), 8) + big(0, 8);
+            std::string body = big(records.size(), 8) + big(first, 8);
             for (auto offset = from; offset < records.size(); ++offset) {
                 body += big(records[offset].size(), 4) + records[offset];
             }
@@ -475,6 +556,7 @@
         }
     }
 
+    const std::chrono::seconds keep_;
     std::mutex mutex_;
     std::condition_variable changed_;
     std::map<std::string, Topic> topics_;
@@ -569,6 +651,28 @@
         { { "Request-Id", request.field("Request-Id") }, { "Server-Stamp", id + ".1" }, { "Keep-Alive", "timeout=30" } }));
 }
 
+/** The answer of a sound model server: a stream of events with increasing ids. */
+inline bool answerStream(Stream& stream, const Message& request, const std::string& id, int events = 5)
+{
+    const auto chunk = [](const std::string& text) {
+        char size[32];
+        std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+        return size + text + "\r\n";
+    };
+    std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: " + request.field("Request-Id") + "\r\nServer-Stamp: " + id
+        + ".1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const int from = std::atoi(request.field("Last-Event-Id").c_str());
+    for (int event = from + 1; event <= events; ++event) {
+        std::this_thread::sleep_for(5ms);
+        head += chunk("id: " + std::to_string(event) + "\ndata: of " + request.field("Request-Id") + "\n\n");
+        if (!stream.send(head)) {
+            return false;
+        }
+        head.clear();
+    }
+    return stream.send(head + "0\r\n\r\n");
+}
+
 struct Route {
     std::string name;
     std::string type;
@@ -624,7 +728,7 @@
 class Router {
 public:
     Router(std::string root, std::string folder, std::string name, std::string zone, std::uint16_t store,
-        std::uint16_t peer, const std::vector<std::uint16_t>& seeds)
+        std::uint16_t peer, const std::vector<std::uint16_t>& seeds, int keepSeconds = 300)
         : root_(std::move(root))
         , folder_(std::move(folder))
         , name_(std::move(name))
@@ -655,7 +759,9 @@
             file << "    - " << at(seed) << "\n";
         }
         file << "ledger:\n  policy: grants\n  low_watermark: 8s\n  high_watermark: 10s\n  stock: 50%\n  loans: demand\n"
-                "  retention: 300s\n  batch_period: 500ms\nrouting:\n  policy: predicted\nretries:\n  ratio: 0.2\n"
+                "  retention: "
+             << keepSeconds
+             << "s\n  batch_period: 500ms\nrouting:\n  policy: predicted\nretries:\n  ratio: 0.2\n"
                 "  extra: 56\n  window: 10s\nloads:\n  period: 200ms\nstop:\n  limit: 8s\nlogging:\n  file: \"-\"\n"
                 "  level: info\n";
     }
