--- a/review/standins-2/EmptySeeds.cpp
+++ b/review/standins-2/EmptySeeds.cpp
@@ -51,6 +51,11 @@
     for (std::string line; std::getline(in, line);) {
         last = line.empty() ? last : line;
     }
+    // Without the temporary folder, in which the settings stand beside the log.
+    const std::string folder = path.substr(0, path.rfind('/') + 1);
+    if (last.starts_with(folder)) {
+        last.erase(0, folder.size());
+    }
     return last.substr(0, 160);
 }
 
