A list of seeds without elements is empty

Cause: the template writes `seeds:` and nothing below it. YAML reads no value, and the check refused that for every key.

Change: a list or map of addresses that may be empty may be written without elements. Any other key without a value stays a finding, so a line that an operator has not finished is not taken for one that was left out.

--- a/src/settings/Checker.cpp
+++ b/src/settings/Checker.cpp
@@ -212,6 +212,10 @@
 std::vector<std::pair<std::string, std::string>> Checker::addressMap(std::string_view key)
 {
     std::vector<std::pair<std::string, std::string>> pairs;
+    if (hasNoValue(key)) {
+        acceptedKeys_.emplace_back(key);
+        return pairs;
+    }
     const Checker map = section(key, Presence::Optional);
     if (map.map_ == nullptr) {
         return pairs;
@@ -269,13 +273,19 @@
         }
         return nullptr;
     }
-    if (entry->value.kind == YamlNode::Kind::Null) {
+    if (hasNoValue(key)) {
         reportAt(entry->position, pathOf(key), "has no value");
         return nullptr;
     }
     return &entry->value;
 }
 
+bool Checker::hasNoValue(std::string_view key) const noexcept
+{
+    const auto* const entry = find(key);
+    return entry != nullptr && entry->value.kind == YamlNode::Kind::Null;
+}
+
 const YamlNode* Checker::scalarNode(std::string_view key, Presence presence)
 {
     const auto* const node = value(key, presence);
@@ -317,6 +327,10 @@
 std::vector<const YamlNode*> Checker::addressNodes(std::string_view key, Presence presence)
 {
     std::vector<const YamlNode*> nodes;
+    if (presence == Presence::Optional && hasNoValue(key)) {
+        acceptedKeys_.emplace_back(key);
+        return nodes;
+    }
     const auto* const list = value(key, presence);
     if (list == nullptr) {
         return nodes;
--- a/src/settings/Checker.h
+++ b/src/settings/Checker.h
@@ -92,7 +92,8 @@
         }
     }
 
-    /** @brief Reads a list of different addresses `ip:port`. */
+    /** @brief Reads a list of different addresses `ip:port`. An optional list without a value is empty: this is how a
+     * list without elements is written in YAML's block style. */
     template <typename Address> void addresses(std::string_view key, Presence presence, std::vector<Address>& target)
     {
         for (const auto* const node : addressNodes(key, presence)) {
@@ -121,7 +122,8 @@
         reportChoice(key, *node, words);
     }
 
-    /** @return The valid entries of the map under the key; its keys and values have to be addresses `ip:port`. */
+    /** @return The valid entries of the map under the key; its keys and values have to be addresses `ip:port`. A map
+     * without a value is empty. */
     [[nodiscard]] std::vector<std::pair<std::string, std::string>> addressMap(std::string_view key);
 
     /** @return Whether the map has the key, with any value. */
@@ -138,6 +140,8 @@
 
     [[nodiscard]] const YamlEntry* find(std::string_view key) const noexcept;
     [[nodiscard]] const YamlNode* value(std::string_view key, Presence presence);
+    /** @return Whether the key is there without a value. */
+    [[nodiscard]] bool hasNoValue(std::string_view key) const noexcept;
     [[nodiscard]] const YamlNode* scalarNode(std::string_view key, Presence presence);
     [[nodiscard]] const YamlNode* plainNode(std::string_view key, Presence presence);
     [[nodiscard]] const YamlNode* nameNode(std::string_view key, Presence presence);
--- a/tests/settings/RouterSettingsTest.cpp
+++ b/tests/settings/RouterSettingsTest.cpp
@@ -97,6 +97,28 @@
     EXPECT_THAT(findingsOf("vm: here"), testing::Contains(StartsWith("1:5: vm: expected a map, found \"here\"")));
 }
 
+// Guards against a router that ends at its start because it is given no seed: the list is written without elements.
+TEST(RouterSettings, ListsAndMapsWithoutElementsAreEmpty)
+{
+    const std::string text { test::routerSettings };
+    Findings findings;
+    const auto settings
+        = parseRouterSettings(text + "peers:\n  seeds:\n  via:\nbackends:\n  via:\n", "router.yaml", findings);
+    ASSERT_TRUE(settings.has_value()) << testing::PrintToString(texts(findings));
+    EXPECT_TRUE(settings->peers.seeds.empty());
+    EXPECT_TRUE(settings->peers.via.empty());
+}
+
+// Guards against a half-written line that is taken for a setting which was left out.
+TEST(RouterSettings, ReportsOtherKeysWithoutAValue)
+{
+    const std::string text { test::routerSettings };
+    EXPECT_THAT(findingsOf(text + "retries:\n  window:\nstop:\n"),
+        ElementsAre(StartsWith("11:3: retries.window: has no value"), StartsWith("12:1: stop: has no value")));
+    EXPECT_THAT(findingsOf(replaced(text, "[\"127.0.9.1:9000\"]", "")),
+        ElementsAre(StartsWith("8:7: log.endpoints: has no value")));
+}
+
 // Guards against a router that sends reports all the time, or whose view expires between two digests.
 TEST(RouterSettings, ChecksTheExchangeOfLoads)
 {
