Durations of settings may have fractions

Cause: durations were whole numbers with a unit, and three had a least value of 1 s.

Change: a duration is a decimal number with a unit, rounded to microseconds; the stop limit, the retries' window and the retention begin at 100 ms. Zero and signs stay refused.

--- a/src/settings/Checker.h
+++ b/src/settings/Checker.h
@@ -67,7 +67,7 @@
     void unsignedNumber(std::string_view key, Presence presence, Range<std::uint64_t> range, std::uint32_t& target);
     /** @brief Reads a number of tokens. */
     void tokens(std::string_view key, Presence presence, Range<std::uint64_t> range, Tokens& target);
-    /** @brief Reads a duration with a unit, such as 30s. */
+    /** @brief Reads a duration with a unit, such as 30s or 7.5s. */
     void duration(std::string_view key, Presence presence, Range<Duration> range, Duration& target);
     /** @brief Reads a size in bytes with a unit, such as 64KiB. */
     void size(std::string_view key, Presence presence, Range<std::uint64_t> range, std::size_t& target);
--- a/src/settings/RouterSettings.cpp
+++ b/src/settings/RouterSettings.cpp
@@ -22,7 +22,7 @@
     constexpr Range<std::uint64_t> shardRange { 1, 1'024 };
     constexpr Range<std::uint64_t> splitRange { 1, 1'024 };
     constexpr Range<Duration> watermarkRange { seconds(0), hours(1) };
-    constexpr Range<Duration> retentionRange { seconds(1), hours(1000) };
+    constexpr Range<Duration> retentionRange { milliseconds(100), hours(1000) };
     constexpr Range<Duration> batchRange { seconds(0), seconds(10) };
     constexpr Range<std::uint64_t> wholePercent { 0, 100 };
     constexpr Range<std::uint64_t> portOffsetRange { 0, 1'000 };
@@ -31,8 +31,8 @@
     constexpr Range<double> ratioRange { 0, 10 };
     constexpr Range<double> callRateRange { 0, 1'000'000 };
     constexpr Range<double> extraRange { 0, 1'000'000 };
-    constexpr Range<Duration> windowRange { seconds(1), hours(1) };
-    constexpr Range<Duration> stopRange { seconds(1), hours(1) };
+    constexpr Range<Duration> windowRange { milliseconds(100), hours(1) };
+    constexpr Range<Duration> stopRange { milliseconds(100), hours(1) };
     constexpr Range<Duration> loadPeriodRange { seconds(0), seconds(10) };
     /** With shorter periods, reports would take a noticeable part of a small VM's CPU time. */
     constexpr Duration minLoadPeriod = milliseconds(50);
--- a/src/settings/Text.cpp
+++ b/src/settings/Text.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
+#include <cmath>
 #include <fstream>
 #include <limits>
 #include <span>
@@ -50,6 +52,30 @@
         return *number * unit->factor;
     }
 
+    /**
+     * @return Value of a decimal number followed by a unit, rounded to the smallest unit; empty if malformed or too
+     * large.
+     */
+    [[nodiscard]] std::optional<std::uint64_t> parseDecimalWithUnit(
+        std::string_view text, std::span<const Unit> units) noexcept
+    {
+        double number = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+        // The first check leaves out signs, and words such as `inf` that stand for a number.
+        if (text.empty() || !isDigit(text.front()) || error != std::errc {} || !isDigit(*(end - 1))) {
+            return std::nullopt;
+        }
+        const auto unitName = text.substr(static_cast<std::size_t>(end - text.data()));
+        const auto unit
+            = std::find_if(units.begin(), units.end(), [&](const Unit& each) { return each.name == unitName; });
+        // A power of two, so that the comparison is exact.
+        constexpr double tooLarge = 0x1p62;
+        if (unit == units.end() || number * static_cast<double>(unit->factor) >= tooLarge) {
+            return std::nullopt;
+        }
+        return static_cast<std::uint64_t>(std::llround(number * static_cast<double>(unit->factor)));
+    }
+
     [[nodiscard]] std::string textWithUnit(std::uint64_t value, std::span<const Unit> units)
     {
         const auto unit = std::find_if(
@@ -133,10 +159,16 @@
 
 std::optional<Duration> parseDuration(std::string_view text) noexcept
 {
-    if (const auto value = parseWithUnit(text, durationUnits)) {
-        return Duration(static_cast<Duration::rep>(*value));
+    auto value = parseWithUnit(text, durationUnits);
+    if (!value) {
+        value = parseDecimalWithUnit(text, durationUnits);
     }
-    return std::nullopt;
+    return value ? std::optional(Duration(static_cast<Duration::rep>(*value))) : std::nullopt;
+}
+
+bool isDurationUnit(std::string_view text) noexcept
+{
+    return std::any_of(durationUnits.begin(), durationUnits.end(), [&](const Unit& each) { return each.name == text; });
 }
 
 std::optional<std::uint64_t> parseSize(std::string_view text) noexcept { return parseWithUnit(text, sizeUnits); }
--- a/src/settings/Text.h
+++ b/src/settings/Text.h
@@ -21,9 +21,15 @@
 /** @return The decimal number; empty if the text has other characters than digits or the number does not fit. */
 [[nodiscard]] std::optional<std::uint64_t> parseUnsigned(std::string_view text) noexcept;
 
-/** @return Duration given as a whole number with unit us, ms, s, m or h; empty if the text is malformed. */
+/**
+ * @return Duration given as a decimal number such as 30, 7.5 or 1e3 with unit us, ms, s, m or h, rounded to
+ * microseconds; empty if the text is malformed.
+ */
 [[nodiscard]] std::optional<Duration> parseDuration(std::string_view text) noexcept;
 
+/** @return Whether the text is a unit of durations without a number. */
+[[nodiscard]] bool isDurationUnit(std::string_view text) noexcept;
+
 /** @return Number of bytes given as a whole number with unit B, KiB or MiB; empty if the text is malformed. */
 [[nodiscard]] std::optional<std::uint64_t> parseSize(std::string_view text) noexcept;
 
--- a/tests/settings/RouterSettingsTest.cpp
+++ b/tests/settings/RouterSettingsTest.cpp
@@ -119,6 +119,20 @@
         ElementsAre(StartsWith("8:7: log.endpoints: has no value")));
 }
 
+// Guards against a router that ends at its start because a time has a fraction.
+TEST(RouterSettings, ReadsFractionsOfTimeUnits)
+{
+    Findings findings;
+    const auto settings = parseRouterSettings(std::string(test::routerSettings)
+            + "stop: {limit: 8.0s}\nledger: {retention: 1e3s}\nretries: {window: 0.5s}\nloads: {period: 62.5ms}\n",
+        "router.yaml", findings);
+    ASSERT_TRUE(settings.has_value()) << testing::PrintToString(texts(findings));
+    EXPECT_EQ(settings->stopLimit, std::chrono::seconds(8));
+    EXPECT_EQ(settings->ledger.retention, std::chrono::seconds(1000));
+    EXPECT_EQ(settings->retries.window, std::chrono::milliseconds(500));
+    EXPECT_EQ(settings->loads.period, std::chrono::microseconds(62'500));
+}
+
 // Guards against a router that sends reports all the time, or whose view expires between two digests.
 TEST(RouterSettings, ChecksTheExchangeOfLoads)
 {
