Refuse `nan` as a number in settings

A ratio of retries of `nan` was in force without a finding: it is neither below the least value nor above the greatest. Found while the values that settings accept were listed. RouterSettings.RefusesOddNumbers failed before for `nan` and `-nan`; its other cases (signs, infinite or very long times, missing digits) were and stay refused.

--- a/src/settings/Checker.cpp
+++ b/src/settings/Checker.cpp
@@ -186,7 +186,8 @@
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
     if (error != std::errc {} || end != text.data() + text.size()) {
         reportAt(node->position, pathOf(key), "expected a number such as 0.2, found " + describe(*node));
-    } else if (number < range.minimum || number > range.maximum) {
+    } else if (!(number >= range.minimum && number <= range.maximum)) {
+        // Not a number is less than no minimum and greater than no maximum.
         reportRange(key, *node, std::to_string(range.minimum), std::to_string(range.maximum));
     } else {
         target = number;
--- a/tests/settings/RouterSettingsTest.cpp
+++ b/tests/settings/RouterSettingsTest.cpp
@@ -133,6 +133,25 @@
     EXPECT_EQ(settings->loads.period, std::chrono::microseconds(62'500));
 }
 
+// Guards against odd numbers that come into force: a retry bound that isn't a number is never reached.
+TEST(RouterSettings, RefusesOddNumbers)
+{
+    const std::string text { test::routerSettings };
+    for (const std::string time :
+        { "8.s", ".5s", "-1s", "+1s", "infs", "nans", "8 s", "8.0", "1e30s", "0x8s", "8..0s" }) {
+        EXPECT_THAT(findingsOf(text + "stop: {limit: " + time + "}\n"),
+            ElementsAre(StartsWith("10:15: stop.limit: expected a duration")))
+            << time;
+    }
+    EXPECT_THAT(findingsOf(text + "stop: {limit: 0.01s}\n"),
+        ElementsAre(StartsWith("10:15: stop.limit: 0.01s is not within 100ms to 1h")));
+    for (const std::string ratio : { "nan", "-nan", "inf", "-0.1" }) {
+        EXPECT_THAT(
+            findingsOf(text + "retries: {ratio: " + ratio + "}\n"), ElementsAre(StartsWith("10:18: retries.ratio: ")))
+            << ratio;
+    }
+}
+
 // Guards against a router that sends reports all the time, or whose view expires between two digests.
 TEST(RouterSettings, ChecksTheExchangeOfLoads)
 {
