A value of the platform that is absent or unusable ends no process

What was seen: a router whose settings are filled in by the platform ends at its start, and at every start after it, where the platform has no value or an odd one for something that a router can do without: a bound, the region, how long the log keeps records, one seed of several (named twice, no address); also where a zone is named `null`.

Cause: one check for what a person has typed, where an error is best refused with its line, and for what a platform fills in, where nobody reads the refusal and the whole fleet ends.

A part of the retry bound that has a value which can't be used allows no retries, as the default could exceed the bound that was meant. Without `provided`, all errors end the process as before. Addresses and the failure domain stay required.

--- a/apps/router/Main.cpp
+++ b/apps/router/Main.cpp
@@ -158,5 +158,9 @@
         print(findings);
         return exitUsage;
     }
-    return line->task == CommandLine::Task::Check ? exitSuccess : run(*settings, line->settingsFile);
+    if (line->task == CommandLine::Task::Check) {
+        print(settings->unusable);
+        return exitSuccess;
+    }
+    return run(*settings, line->settingsFile);
 }
--- a/apps/router/RouterProcess.cpp
+++ b/apps/router/RouterProcess.cpp
@@ -214,6 +214,7 @@
     jsonLog_.write(logging::Level::Info, "process_start",
         { { "seed", std::to_string(seed_) }, { "callers", settings_.callersListen.value() },
             { "domain", settings_.vm.domain.value() } });
+    logUnusableSettings(settings_);
     metrics_.start();
     peers_.start();
     streams_.start();
@@ -236,6 +237,14 @@
     jsonLog_.write(logging::Level::Info, "reload",
         { { "outcome", std::string("in_force") }, { "level_changed", levelChanged },
             { "needs_restart", addressChanged } });
+    logUnusableSettings(changed);
+}
+
+void RouterProcess::logUnusableSettings(const settings::RouterSettings& settings)
+{
+    for (const Finding& finding : settings.unusable) {
+        jsonLog_.write(logging::Level::Warning, "setting_unusable", { { "finding", toText(finding) } });
+    }
 }
 
 void RouterProcess::rejectReload(const Findings& findings)
--- a/apps/router/RouterProcess.h
+++ b/apps/router/RouterProcess.h
@@ -34,6 +34,8 @@
 private:
     /** @brief Registers the process's metrics that are read on demand. */
     void addReadings();
+    /** @brief Logs which provided values are absent or can't be used. */
+    void logUnusableSettings(const settings::RouterSettings& settings);
 
     settings::RouterSettings settings_;
     std::uint64_t seed_;
--- a/include/swiftlift/settings/RouterSettings.h
+++ b/include/swiftlift/settings/RouterSettings.h
@@ -151,6 +151,8 @@
     LoggingSettings logging;
     /** Seed of the router's random choices; empty: the process chooses a random seed and logs it. */
     std::optional<std::uint64_t> seed;
+    /** Provided values that are absent or can't be used, in whose place others are in force; see docs/SETTINGS.md. */
+    Findings unusable;
 };
 
 /**
--- a/src/settings/Checker.cpp
+++ b/src/settings/Checker.cpp
@@ -45,7 +45,10 @@
 } // namespace
 
 Checker::Checker(const YamlNode& node, const std::string& source, Findings& findings)
-    : Checker(&node, node.position, {}, source, findings)
+    : map_(&node)
+    , position_(node.position)
+    , source_(source)
+    , findings_(findings)
 {
     if (node.kind != YamlNode::Kind::Map) {
         reportAt(node.position, {}, "expected a map, found " + describe(node));
@@ -55,13 +58,13 @@
     reportRepeatedKeys();
 }
 
-Checker::Checker(
-    const YamlNode* map, Position position, std::string path, const std::string& source, Findings& findings)
+Checker::Checker(const YamlNode* map, Position position, std::string path, const Checker& parent)
     : map_(map)
     , position_(position)
     , path_(std::move(path))
-    , source_(source)
-    , findings_(findings)
+    , source_(parent.source_)
+    , findings_(parent.findings_)
+    , provided_(parent.provided_)
 {
 }
 
@@ -69,7 +72,7 @@
 {
     const auto* const node = value(key, presence);
     const bool isValid = node != nullptr && isMap(pathOf(key), *node);
-    Checker checker(isValid ? node : nullptr, isValid ? node->position : position_, pathOf(key), source_, findings_);
+    Checker checker(isValid ? node : nullptr, isValid ? node->position : position_, pathOf(key), *this);
     checker.reportRepeatedKeys();
     return checker;
 }
@@ -91,12 +94,39 @@
     for (const auto& item : node->items) {
         const auto path = pathOf(key) + '[' + std::to_string(checkers.size()) + ']';
         const bool isValid = isMap(path, item);
-        checkers.push_back(Checker(isValid ? &item : nullptr, item.position, path, source_, findings_));
+        checkers.push_back(Checker(isValid ? &item : nullptr, item.position, path, *this));
         checkers.back().reportRepeatedKeys();
     }
     return checkers;
 }
 
+bool Checker::isRejected(std::string_view key) const
+{
+    return provided_ != nullptr && provided_->rejected.contains(pathOf(key));
+}
+
+std::vector<std::string> Checker::words(
+    std::string_view key, Presence presence, std::span<const std::string_view> known)
+{
+    std::vector<std::string> words;
+    const auto* const list = value(key, presence);
+    if (list == nullptr) {
+        return words;
+    }
+    if (list->kind != YamlNode::Kind::Sequence) {
+        reportAt(list->position, pathOf(key), "expected a list, found " + describe(*list));
+        return words;
+    }
+    for (const auto& item : list->items) {
+        if (std::find(known.begin(), known.end(), item.scalar) == known.end()) {
+            reportAt(item.position, pathOf(key), "expected one of " + join(known) + ", found " + describe(item));
+        } else {
+            words.push_back(item.scalar);
+        }
+    }
+    return words;
+}
+
 void Checker::text(std::string_view key, Presence presence, std::string& target)
 {
     if (const auto* const node = scalarNode(key, presence)) {
@@ -150,7 +180,9 @@
         return;
     }
     const auto duration = parseDuration(node->scalar);
-    if (!duration) {
+    if (isDurationUnit(node->scalar)) {
+        reportNoValue(node->position, pathOf(key));
+    } else if (!duration) {
         reportAt(node->position, pathOf(key), "expected a duration such as 30s or 250ms, found " + describe(*node));
     } else if (*duration < range.minimum || *duration > range.maximum) {
         reportRange(key, *node, durationText(range.minimum), durationText(range.maximum));
@@ -275,7 +307,7 @@
         return nullptr;
     }
     if (hasNoValue(key)) {
-        reportAt(entry->position, pathOf(key), "has no value");
+        reportNoValue(entry->position, pathOf(key));
         return nullptr;
     }
     return &entry->value;
@@ -287,6 +319,11 @@
     return entry != nullptr && entry->value.kind == YamlNode::Kind::Null;
 }
 
+bool Checker::isProvided(std::string_view path) const
+{
+    return provided_ != nullptr && provided_->paths.contains(path);
+}
+
 const YamlNode* Checker::scalarNode(std::string_view key, Presence presence)
 {
     const auto* const node = value(key, presence);
@@ -392,9 +429,24 @@
     reportAt(node.position, pathOf(key), node.scalar + " is not within " + minimum + " to " + maximum);
 }
 
+void Checker::reportNoValue(Position position, const std::string& path)
+{
+    add(isProvided(path) ? provided_->findings : findings_, position, path, "has no value");
+}
+
 void Checker::reportAt(Position position, const std::string& path, const std::string& message)
 {
-    findings_.push_back({ source_, position.line, position.column, path.empty() ? message : path + ": " + message });
+    if (!isProvided(path)) {
+        add(findings_, position, path, message);
+        return;
+    }
+    provided_->rejected.insert(path);
+    add(provided_->findings, position, path, message);
+}
+
+void Checker::add(Findings& findings, Position position, const std::string& path, const std::string& message) const
+{
+    findings.push_back({ source_, position.line, position.column, path.empty() ? message : path + ": " + message });
 }
 
 void Checker::reportRepeatedKeys()
--- a/src/settings/Checker.h
+++ b/src/settings/Checker.h
@@ -2,8 +2,11 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <initializer_list>
 #include <optional>
+#include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -25,6 +28,16 @@
     Value maximum;
 };
 
+/** Keys whose values another party provides, such as the platform, and what is wrong with these values. */
+struct ProvidedKeys {
+    /** Paths of the keys. */
+    std::set<std::string, std::less<>> paths;
+    /** Keys without a value, and values that can't be used. */
+    Findings findings;
+    /** Paths of the keys that have a value which can't be used. */
+    std::set<std::string, std::less<>> rejected;
+};
+
 /** One of the words that a key accepts, with the value that the word stands for. */
 template <typename Value> struct Choice {
     std::string_view word;
@@ -60,6 +73,19 @@
      */
     [[nodiscard]] std::vector<Checker> sectionList(std::string_view key, Presence presence);
 
+    /**
+     * @brief Makes errors in the values of these keys no errors of the document: their targets keep their defaults.
+     * @param provided The keys; receives what is wrong with their values. Has to outlive this checker and its sections.
+     */
+    void tolerate(ProvidedKeys& provided) noexcept { provided_ = &provided; }
+
+    /** @return Whether the key is provided and its value can't be used. */
+    [[nodiscard]] bool isRejected(std::string_view key) const;
+
+    /** @brief Reads a list of some of these words. */
+    [[nodiscard]] std::vector<std::string> words(
+        std::string_view key, Presence presence, std::span<const std::string_view> known);
+
     /** @brief Reads a text. */
     void text(std::string_view key, Presence presence, std::string& target);
     /** @brief Reads a whole number within a range. */
@@ -136,12 +162,13 @@
     void reportUnknownKeys();
 
 private:
-    Checker(const YamlNode* map, Position position, std::string path, const std::string& source, Findings& findings);
+    Checker(const YamlNode* map, Position position, std::string path, const Checker& parent);
 
     [[nodiscard]] const YamlEntry* find(std::string_view key) const noexcept;
     [[nodiscard]] const YamlNode* value(std::string_view key, Presence presence);
     /** @return Whether the key is there without a value. */
     [[nodiscard]] bool hasNoValue(std::string_view key) const noexcept;
+    [[nodiscard]] bool isProvided(std::string_view path) const;
     [[nodiscard]] const YamlNode* scalarNode(std::string_view key, Presence presence);
     [[nodiscard]] const YamlNode* plainNode(std::string_view key, Presence presence);
     [[nodiscard]] const YamlNode* nameNode(std::string_view key, Presence presence);
@@ -155,7 +182,11 @@
     void reportChoice(std::string_view key, const YamlNode& node, const std::vector<std::string_view>& words);
     void reportRange(
         std::string_view key, const YamlNode& node, const std::string& minimum, const std::string& maximum);
+    /** @brief Reports a key without a value. */
+    void reportNoValue(Position position, const std::string& path);
+    /** @brief Reports an error in a value. */
     void reportAt(Position position, const std::string& path, const std::string& message);
+    void add(Findings& findings, Position position, const std::string& path, const std::string& message) const;
     void reportRepeatedKeys();
 
     /** The map; null if the section is absent or is no map, so that there is nothing to read or to report. */
@@ -164,6 +195,8 @@
     std::string path_;
     const std::string& source_;
     Findings& findings_;
+    /** Null: all errors are errors of the document. */
+    ProvidedKeys* provided_ = nullptr;
     /** Keys that were read so far, whether present or not. */
     std::vector<std::string> acceptedKeys_;
 };
--- a/src/settings/RouterSettings.cpp
+++ b/src/settings/RouterSettings.cpp
@@ -1,5 +1,6 @@
 #include "swiftlift/settings/RouterSettings.h"
 
+#include <array>
 #include <limits>
 #include <set>
 
@@ -42,6 +43,20 @@
     constexpr Range<std::uint64_t> minRoutersRange { 1, 10'000 };
     constexpr Range<std::uint64_t> seedRange { 0, std::numeric_limits<std::uint64_t>::max() };
 
+    /** Keys whose values may come from a platform: a router can run without any of them. */
+    constexpr std::array<std::string_view, 11> providable { "vm.region", "vm.bandwidth", "vm.cores", "log.read_rate",
+        "log.append_rate", "peers.seeds", "ledger.retention", "retries.ratio", "retries.extra", "retries.window",
+        "stop.limit" };
+
+    [[nodiscard]] internal::ProvidedKeys readProvidedKeys(Checker& root)
+    {
+        internal::ProvidedKeys provided;
+        for (auto& path : root.words("provided", Presence::Optional, providable)) {
+            provided.paths.insert(std::move(path));
+        }
+        return provided;
+    }
+
     void readVm(Checker& root, VmSettings& vm)
     {
         auto checker = root.section("vm", Presence::Required);
@@ -179,6 +194,11 @@
         checker.fraction("extra", Presence::Optional, extraRange, retries.extra);
         checker.duration("window", Presence::Optional, windowRange, retries.window);
         checker.reportUnknownKeys();
+        if (checker.isRejected("ratio") || checker.isRejected("extra") || checker.isRejected("window")) {
+            // There is a bound, which the defaults could exceed.
+            retries.ratio = 0;
+            retries.extra = 0;
+        }
     }
 
     void readLoads(Checker& root, LoadExchangeSettings& loads)
@@ -235,6 +255,8 @@
     [[nodiscard]] RouterSettings readSettings(Checker& root)
     {
         RouterSettings settings;
+        internal::ProvidedKeys provided = readProvidedKeys(root);
+        root.tolerate(provided);
         readDialect(root, settings.dialect);
         readVm(root, settings.vm);
         readListeners(root, settings);
@@ -249,6 +271,8 @@
         readLogging(root, settings.logging);
         readSeed(root, settings.seed);
         root.reportUnknownKeys();
+        internal::sortFindings(provided.findings, 0);
+        settings.unusable = std::move(provided.findings);
         return settings;
     }
 
--- a/tests/settings/RouterSettingsTest.cpp
+++ b/tests/settings/RouterSettingsTest.cpp
@@ -117,6 +117,8 @@
         ElementsAre(StartsWith("11:3: retries.window: has no value"), StartsWith("12:1: stop: has no value")));
     EXPECT_THAT(findingsOf(replaced(text, "[\"127.0.9.1:9000\"]", "")),
         ElementsAre(StartsWith("8:7: log.endpoints: has no value")));
+    EXPECT_THAT(
+        findingsOf(text + "retries: {window: s}\n"), ElementsAre(StartsWith("10:19: retries.window: has no value")));
 }
 
 // Guards against a router that ends at its start because a time has a fraction.
@@ -152,6 +154,13 @@
     }
 }
 
+// Guards against an operator's misspelled key that is tolerated as one of the platform.
+TEST(RouterSettings, OnlyKeysThatARouterCanDoWithoutAreProvided)
+{
+    EXPECT_THAT(findingsOf("provided: [vm.peer, stop.limits, stop.limit]\n" + std::string(test::routerSettings)),
+        ElementsAre(StartsWith("1:12: provided: expected one of vm.region, "), StartsWith("1:21: provided: expected")));
+}
+
 // Guards against a router that sends reports all the time, or whose view expires between two digests.
 TEST(RouterSettings, ChecksTheExchangeOfLoads)
 {
