A part of an early answer is no whole answer

What callers saw: an engine answers a long upload at once with a 200 without a length, sends a part and resets the connection while the upload is being written. The caller gets the part as a complete answer.

Cause: a reset is reported to one operation on a socket. If that is the write, the read that follows reports an orderly end, which completes such an answer. The code looked at whether a write had failed. But a write that fails inside its own call is completed by an entry at the end of the event loop's queue, and the read may be made by an entry before it: its end was handled while the write still counted as under way.

Change: while the request is being written, the end of an answer without a length waits for the outcome of the write. A server that ends its side in order and resets the connection without reading the request has given no whole answer either: which of the two came first can't always be told, and a part that looks whole is worse than a failure.

Answers with a length need no whole request (a test of its own).

--- a/src/transport/Attempt.cpp
+++ b/src/transport/Attempt.cpp
@@ -175,6 +175,9 @@
             self->order_.request = {};
             self->updateHeldBytes();
         });
+            if (std::exchange(self->endAwaitsWrite_, false) && !self->closed_) {
+                self->onClosed(boost::asio::error::eof);
+            }
     read();
 }
 
@@ -244,11 +247,18 @@
         return;
     }
     // A server that cuts off an answer which is not read has not crashed.
+    const bool endsWithConnection = parser_->is_header_done() && parser_->need_eof();
+    if (error == boost::asio::error::eof && endsWithConnection && writing_) {
+        // A reset is reported to one operation only. If that is the write, this end looks orderly, whichever of the two
+        // is handled first.
+        endAwaitsWrite_ = true;
+        return;
+    }
     const bool lost = error == boost::asio::error::eof || error == boost::asio::error::connection_reset;
     connectionLost_ = lost && !wasUnreadForLong();
     // Without a length and without chunks, an answer that was cut off would look complete. A write that meets a reset
     // takes its error away, and the read that follows it reports an orderly end.
-    const bool cutOff = (wasUnreadForLong() || requestCut_) && parser_->is_header_done() && parser_->need_eof();
+    const bool cutOff = (wasUnreadForLong() || requestCut_) && endsWithConnection;
     ErrorCode failed;
     if (error == boost::asio::error::eof && parser_->is_header_done() && !cutOff) {
         parser_->put_eof(failed);
--- a/src/transport/Attempt.h
+++ b/src/transport/Attempt.h
@@ -187,6 +187,8 @@
     bool writing_ = false;
     /** The request could not be written to the end, because the backend server has closed or reset the connection. */
     bool requestCut_ = false;
+    /** The connection's end would complete the answer, but the request is still being written. */
+    bool endAwaitsWrite_ = false;
     bool paused_ = false;
     bool ended_ = false;
     bool connectionLost_ = false;
--- a/tests/transport/CutAnswerTest.cpp
+++ b/tests/transport/CutAnswerTest.cpp
@@ -8,7 +8,15 @@
     using node::ProxyAttemptEnded;
     using std::chrono::milliseconds;
 
+    using std::chrono::microseconds;
+
     constexpr std::size_t mebibyte = 1024 * 1024;
+    /** The largest body fills the buffers of both ends of a connection, the smallest does not. */
+    constexpr std::size_t bodySizes[] = { mebibyte / 4, 3 * mebibyte, 12 * mebibyte };
+    /** Pauses of a server between a part of its answer and its reset, while the request's body arrives. */
+    constexpr microseconds resetPauses[] = { microseconds(0), microseconds(250), microseconds(500), microseconds(750),
+        microseconds(1000), microseconds(1500), microseconds(2000) };
+    constexpr int roundsPerPause = 8;
 
     /** Answers without a length and without chunks, for which only an orderly end of the connection shows that they are
      * complete. The test acts as the backend server or as the relay. */
@@ -22,8 +30,69 @@
                 dispatchOf(nextEvent<node::ProxyRequestArrived>(decisions).call, 1, AnswerKind::Whole));
         }
 
+        void startProxyForLargeBodies()
+        {
+            StreamLimits limits;
+            limits.bodyBytes = 16 * mebibyte;
+            limits.heldBytes = 8 * limits.bodyBytes;
+            startProxy(limits);
+        }
+
+        /** Sends a request with a body of this size, and dispatches it. */
+        void dispatchLarge(Connection& client, std::size_t bodyBytes, std::optional<RelayAddress> relay = std::nullopt)
+        {
+            client.write(proxyRequest(std::string(bodyBytes, 'x')));
+            auto order
+                = dispatchOf(nextEvent<node::ProxyRequestArrived>(decisions).call, ++lastAttempt_, AnswerKind::Whole);
+            if (relay) {
+                order.relay = node::RelayRoute { {}, *relay };
+            }
+            sendCommand(std::move(order));
+        }
+
+        /** Dispatches a request with a large body. @return The server's side, with the request's head read. */
+        [[nodiscard]] Connection startLarge(Connection& client, std::size_t bodyBytes)
+        {
+            dispatchLarge(client, bodyBytes);
+            auto engine = backend.accept();
+            static_cast<void>(engine.readUntil("\r\n\r\n"));
+            return engine;
+        }
+
+        /** The same through a relay. @return The relay's side, with the request's head read. */
+        [[nodiscard]] Connection startLargeThroughRelay(Connection& client, std::size_t bodyBytes)
+        {
+            dispatchLarge(client, bodyBytes, RelayAddress(backend.address()));
+            auto relay = backend.accept();
+            static_cast<void>(relay.readUntil("\r\n\r\n"));
+            relay.write("HTTP/1.1 200 OK\r\n\r\n");
+            static_cast<void>(relay.readUntil("\r\n\r\n"));
+            return relay;
+        }
+
+        /** Answers many requests with a part, each reset after another pause. @param start Starts a request. */
+        template <typename Start> void expectResetsAreBroken(const Start& start)
+        {
+            startProxyForLargeBodies();
+            for (const std::size_t bodyBytes : bodySizes) {
+                for (const microseconds pause : resetPauses) {
+                    int broken = 0;
+                    for (int round = 0; round < roundsPerPause; ++round) {
+                        auto client = caller();
+                        Connection other = start(client, bodyBytes);
+                        other.write(part_);
+                        std::this_thread::sleep_for(pause);
+                        other.reset();
+                        broken += attemptEnd() == ProxyAttemptEnd::Broken ? 1 : 0;
+                    }
+                    EXPECT_EQ(broken, roundsPerPause) << bodyBytes << " bytes, reset after " << pause.count() << " us";
+                }
+            }
+        }
+
         [[nodiscard]] ProxyAttemptEnd attemptEnd() { return nextEvent<ProxyAttemptEnded>(decisions).end; }
 
+        std::uint64_t lastAttempt_ = 0;
         const std::string part_ = headOf("Connection: close\r\n") + "part";
     };
 
@@ -74,6 +143,59 @@
         EXPECT_EQ(attemptEnd(), ProxyAttemptEnd::Broken);
     }
 
+    // Guards against a part of an early answer that looks complete: the end of the connection is handled before the
+    // failure of the write that met the reset.
+    TEST_F(CutAnswerTest, ResetAtAnyTimeWhileTheRequestIsWrittenIsBroken)
+    {
+        expectResetsAreBroken([this](Connection& client, std::size_t bytes) { return startLarge(client, bytes); });
+    }
+
+    // Guards against the same where the connection is that to a relay.
+    TEST_F(CutAnswerTest, ResetByTheRelayAtAnyTimeWhileTheRequestIsWrittenIsBroken)
+    {
+        expectResetsAreBroken(
+            [this](Connection& client, std::size_t bytes) { return startLargeThroughRelay(client, bytes); });
+    }
+
+    // Guards against a part of an early answer that looks complete: its server ends its own side in order and then
+    // resets the connection, without reading the whole request.
+    TEST_F(CutAnswerTest, ResetAfterTheServersEndWhileTheRequestIsWrittenIsBroken)
+    {
+        startProxyForLargeBodies();
+        auto client = caller();
+        Connection engine = startLarge(client, 12 * mebibyte);
+        engine.write(part_);
+        engine.endSending();
+        std::this_thread::sleep_for(milliseconds(40));
+        engine.reset();
+        EXPECT_EQ(attemptEnd(), ProxyAttemptEnd::Broken);
+    }
+
+    // Guards against an early answer that is refused although its server sent all of it and read the whole request.
+    TEST_F(CutAnswerTest, EarlyEndOfTheServerThatReadsTheRequestIsComplete)
+    {
+        startProxyForLargeBodies();
+        auto client = caller();
+        Connection engine = startLarge(client, 12 * mebibyte);
+        engine.write(part_);
+        engine.endSending();
+        std::this_thread::sleep_for(milliseconds(40));
+        EXPECT_EQ(engine.readToEnd(), 12 * mebibyte);
+        EXPECT_EQ(attemptEnd(), ProxyAttemptEnd::Completed);
+        EXPECT_EQ(client.readResponse().body(), "part");
+    }
+
+    // Guards against an early answer with a length that waits for a request which its server doesn't read.
+    TEST_F(CutAnswerTest, EarlyAnswerWithALengthNeedsNoWholeRequest)
+    {
+        startProxyForLargeBodies();
+        auto client = caller();
+        Connection engine = startLarge(client, 12 * mebibyte);
+        engine.write(headOf("Content-Length: 4\r\n") + "full");
+        EXPECT_EQ(attemptEnd(), ProxyAttemptEnd::Completed);
+        EXPECT_EQ(client.readResponse().body(), "full");
+    }
+
     // Guards against an answer that is refused because it came through a relay.
     TEST_F(CutAnswerTest, OrderlyEndOfTheRelayIsComplete)
     {
--- a/tests/transport/Network.cpp
+++ b/tests/transport/Network.cpp
@@ -130,6 +130,12 @@
     return count;
 }
 
+void Connection::endSending()
+{
+    boost::system::error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
 void Connection::close() { socket_.close(); }
 
 void Connection::reset()
--- a/tests/transport/Network.h
+++ b/tests/transport/Network.h
@@ -36,6 +36,8 @@
     [[nodiscard]] std::size_t readToEnd();
     [[nodiscard]] bool hasReceived() const noexcept { return !received_.empty(); }
     void close();
+    /** Ends this end's bytes in order; bytes of the other end can still be read. */
+    void endSending();
     /** Ends the connection with a reset, as the operating system does for a peer that has crashed. */
     void reset();
     /** Makes the other end wait: at most this many bytes are received ahead of a read. */
