A relay passes a reset after an orderly end on

What was seen: a server answers early, ends its side in order and resets the connection while a relay still writes the request to it.

Cause: a failed write only set a flag for the end that was to come. The end may have come before. And as at the router, an end may be handled before the failure of a write that is under way.

Change: while bytes of the request are being written, the end waits for their outcome; if a later write fails, the connection to the router is reset.

--- a/src/transport/RelayConnection.cpp
+++ b/src/transport/RelayConnection.cpp
@@ -59,6 +59,7 @@
 
     void write(std::size_t count)
     {
+        relay_->writingRequest_ = relay_->writingRequest_ || writesRequest();
         boost::asio::async_write(to_, boost::asio::buffer(buffer_, count),
             [self = shared_from_this()](const ErrorCode& error, std::size_t written) {
                 self->relay_->context_.traffic.sent += written;
@@ -72,10 +73,10 @@
         if (relay_->closed_) {
             return;
         }
-        if (error && &to_ == &relay_->backend_) {
-            // The server may have answered before it closed its side, and the answer is still to be read.
-            relay_->requestCut_ = true;
-        } else if (error) {
+        if (writesRequest() && !relay_->requestWritten(error)) {
+            return;
+        }
+        if (error) {
             relay_->close(sideOf(to_) + " lost: " + error.message());
         } else if (paced_) {
             relay_->context_.pacer.later(shared_from_this());
@@ -84,6 +85,8 @@
         }
     }
 
+    [[nodiscard]] bool writesRequest() const noexcept { return &to_ == &relay_->backend_; }
+
     [[nodiscard]] std::string sideOf(const Socket& socket) const
     {
         return &socket == &relay_->backend_ ? "connection to the backend server" : "connection to the router";
@@ -239,8 +242,18 @@
         close("complete");
         return;
     }
+    answerEnded_ = true;
+    if (!writingRequest_) {
+        passEndOn();
+    }
+}
+
+// A reset of the server is reported to one operation only. If that is a write of the request, the read reports an
+// orderly end, whichever of the two is handled first.
+void RelayConnection::passEndOn()
+{
     if (requestCut_) {
-        // The write has met the reset, and the read that follows it reports an orderly end.
+        resetOnClose(router_, true);
         close("connection to the backend server lost while the request was written");
         return;
     }
@@ -249,6 +262,17 @@
     router_.shutdown(Socket::shutdown_send, ignored);
 }
 
+bool RelayConnection::requestWritten(const ErrorCode& error)
+{
+    writingRequest_ = false;
+    // After an error the server's answer may still have to be read.
+    requestCut_ = static_cast<bool>(error);
+    if (answerEnded_) {
+        passEndOn();
+    }
+    return !requestCut_ && !closed_;
+}
+
 void RelayConnection::close(const std::string& detail)
 {
     if (std::exchange(closed_, true)) {
--- a/src/transport/RelayConnection.h
+++ b/src/transport/RelayConnection.h
@@ -50,6 +50,10 @@
     void backendRead(const ErrorCode& error, std::string_view bytes);
     /** One side has closed its connection; nothing more comes for `receiver`. */
     void senderEnded(Socket& receiver);
+    /** Passes the end of the answer on to the router, in order or with a reset. */
+    void passEndOn();
+    /** Bytes of the request were written to the backend server, or could not be. @return Whether more can follow. */
+    [[nodiscard]] bool requestWritten(const ErrorCode& error);
 
     StreamContext& context_;
     RelayServer& server_;
@@ -70,6 +74,10 @@
     bool requested_ = false;
     /** The request could not be written to the end, because the backend server has closed or reset the connection. */
     bool requestCut_ = false;
+    /** Bytes of the request are being written to the backend server. */
+    bool writingRequest_ = false;
+    /** The backend server has closed its side in order, as far as is known. */
+    bool answerEnded_ = false;
     /** The core has accepted the connection, and it is being made. */
     bool connecting_ = false;
     bool closed_ = false;
--- a/tests/transport/RelayTest.cpp
+++ b/tests/transport/RelayTest.cpp
@@ -142,6 +142,64 @@
         EXPECT_TRUE(readMetReset || writeMetReset);
     }
 
+    // Guards against a server's reset that is passed on as an orderly end, because the end is handled before the
+    // failure of the write that met the reset.
+    TEST_F(RelayTest, ResetAtAnyTimeWhileTheRequestIsWrittenIsPassedOn)
+    {
+        const std::string block(64 * 1024, 'x');
+        constexpr int maxPause = 40;
+        constexpr int roundsPerPause = 4;
+        for (int pause = 0; pause < maxPause; ++pause) {
+            int reset = 0;
+            for (int round = 0; round < roundsPerPause; ++round) {
+                RelayedConnection connection = connectThroughRelay();
+                std::atomic<bool> writeMetReset = false;
+                std::thread writer([&] {
+                    try {
+                        for (;;) {
+                            connection.router.write(block);
+                        }
+                    } catch (const boost::system::system_error& error) {
+                        writeMetReset = error.code() == boost::asio::error::connection_reset;
+                    }
+                });
+                connection.engine.write("HTTP/1.1 200 OK\r\n\r\npart\n");
+                static_cast<void>(connection.router.readUntil("part\n"));
+                std::this_thread::sleep_for(std::chrono::microseconds(50 * pause));
+                connection.engine.reset();
+                const bool readMetReset = connection.router.isReset();
+                writer.join();
+                reset += readMetReset || writeMetReset ? 1 : 0;
+            }
+            EXPECT_EQ(reset, roundsPerPause) << "reset after " << 50 * pause << " us";
+        }
+    }
+
+    // Guards against a reset after a server's orderly end that doesn't reach the router, which still sends its request.
+    TEST_F(RelayTest, ResetAfterTheServersEndWhileTheRequestIsWrittenIsPassedOn)
+    {
+        RelayedConnection connection = connectThroughRelay();
+        connection.engine.limitReceiveBuffer(4096);
+        std::atomic<bool> writeFailed = false;
+        std::thread writer([&] {
+            const std::string block(64 * 1024, 'x');
+            try {
+                for (;;) {
+                    connection.router.write(block);
+                }
+            } catch (const boost::system::system_error&) {
+                writeFailed = true;
+            }
+        });
+        connection.engine.write("HTTP/1.1 200 OK\r\n\r\npart\n");
+        connection.engine.endSending();
+        static_cast<void>(connection.router.readUntil("part\n"));
+        std::this_thread::sleep_for(std::chrono::milliseconds(40));
+        connection.engine.reset();
+        writer.join();
+        EXPECT_TRUE(writeFailed);
+    }
+
     // Guards against a relay that goes on sending to a server that has asked its address for rest, in an answer to a
     // request of another router.
     TEST_F(RelayTest, WhatTheServerStatesIsHeededByTheRelayToo)
