An answer whose status is none is no answer

What callers saw: for an engine's answer with the status 000, 001 or 099 and a length or chunks, nothing until their deadline: it was taken for an interim answer, and another was waited for. For 600 and 999 that status, and the engine's body.

Cause: everything below 200 was interim, everything else a status to pass on.

Change: an attempt that gets a status outside 100 to 599 (RFC 9110, section 15) is Broken at once, before anything else of the head is believed: it may be tried again where that is allowed, and isn't taken for a refusal that did not run, nor for a limit or a rest. Relays learn nothing from such heads in passing; the clients of the log and of operators take them for no answer. Unknown 1xx stay interim answers.

RelayTest.AnswerWithoutAStatusStatesNothing was not run on the old code.

--- a/src/transport/AnswerHeadTap.cpp
+++ b/src/transport/AnswerHeadTap.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http.hpp>
 
 #include "transport/HeadParsing.h"
+#include "transport/HttpText.h"
 
 namespace swiftlift::transport::internal {
 
@@ -19,7 +20,7 @@
     {
         http::response_parser<http::empty_body> parser;
         parser.skip(true);
-        if (!parseHead(parser, text)) {
+        if (!parseHead(parser, text) || !isStatus(parser.get().result_int())) {
             return std::nullopt;
         }
         return makeAnswerHead(static_cast<int>(parser.get().result_int()), parser.get());
--- a/src/transport/Attempt.cpp
+++ b/src/transport/Attempt.cpp
@@ -10,6 +10,7 @@
 
 #include "transport/AnswerHeadTap.h"
 #include "transport/ConnectionLimits.h"
+#include "transport/HttpText.h"
 #include "transport/RelayText.h"
 #include "transport/SocketOptions.h"
 
@@ -174,10 +175,10 @@
             self->context_.traffic.sent += count;
             self->order_.request = {};
             self->updateHeldBytes();
-        });
             if (std::exchange(self->endAwaitsWrite_, false) && !self->closed_) {
                 self->onClosed(boost::asio::error::eof);
             }
+        });
     read();
 }
 
@@ -246,7 +247,6 @@
         closeSocket();
         return;
     }
-    // A server that cuts off an answer which is not read has not crashed.
     const bool endsWithConnection = parser_->is_header_done() && parser_->need_eof();
     if (error == boost::asio::error::eof && endsWithConnection && writing_) {
         // A reset is reported to one operation only. If that is the write, this end looks orderly, whichever of the two
@@ -254,6 +254,7 @@
         endAwaitsWrite_ = true;
         return;
     }
+    // A server that cuts off an answer which is not read has not crashed.
     const bool lost = error == boost::asio::error::eof || error == boost::asio::error::connection_reset;
     connectionLost_ = lost && !wasUnreadForLong();
     // Without a length and without chunks, an answer that was cut off would look complete. A write that meets a reset
@@ -309,6 +310,11 @@
     }
     const auto& message = parser_->get();
     const AnswerHead head = makeAnswerHead(static_cast<int>(message.result_int()), message);
+    if (!isStatus(head.status)) {
+        verdict_ = HeadVerdict::Broken;
+        end(AttemptResult::Broken, std::to_string(head.status) + " is no status of HTTP");
+        return;
+    }
     verdict_ = reader_->head(head);
     if (*verdict_ == HeadVerdict::Foreign) {
         logForeignAnswer(reader_->lastReason());
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -149,6 +149,11 @@
         return std::nullopt;
     }
     auto message = parser.release();
+    if (!internal::isStatus(message.result_int())) {
+        lastReason = "read: " + std::to_string(message.result_int()) + " is no status of HTTP";
+        close();
+        return std::nullopt;
+    }
     if (!message.keep_alive()) {
         close();
     }
--- a/src/transport/HttpText.h
+++ b/src/transport/HttpText.h
@@ -12,6 +12,14 @@
 
 namespace swiftlift::transport::internal {
 
+/** @return Whether an answer may have this status: RFC 9110, section 15, has none below 100 or above 599. */
+[[nodiscard]] constexpr bool isStatus(unsigned status) noexcept
+{
+    constexpr unsigned first = 100;
+    constexpr unsigned last = 599;
+    return status >= first && status <= last;
+}
+
 /** @return The serialized message. */
 template <bool isRequest>
 [[nodiscard]] std::string toBytes(boost::beast::http::message<isRequest, boost::beast::http::string_body>& message)
--- a/tests/transport/HttpClientTest.cpp
+++ b/tests/transport/HttpClientTest.cpp
@@ -47,6 +47,18 @@
         EXPECT_FALSE(callOf("HTTP/1.1 200 OK\r\nContent-Type: application/x-protobuf\r\n\r\npart"));
     }
 
+    // Guards against an answer of a server in trouble that is taken for one although its status is none.
+    TEST_F(HttpClientTest, AnswerWithoutAStatusIsNoAnswer)
+    {
+        for (const int status : { 0, 1, 99, 600, 999 }) {
+            const std::string digits = std::to_string(status);
+            const std::string head = "HTTP/1.1 " + std::string(3 - digits.size(), '0') + digits + " x\r\n";
+            EXPECT_FALSE(callOf(head + "Content-Length: 2\r\n\r\n{}")) << status;
+            EXPECT_FALSE(callOf(head + "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n")) << status;
+        }
+        EXPECT_TRUE(callOf("HTTP/1.1 599 x\r\nContent-Length: 2\r\n\r\n{}"));
+    }
+
     TEST_F(HttpClientTest, ChunksAndStatusesWithoutABodyAreWhole)
     {
         const auto chunks = callOf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n");
--- a/tests/transport/RelayTest.cpp
+++ b/tests/transport/RelayTest.cpp
@@ -200,6 +200,22 @@
         EXPECT_TRUE(writeFailed);
     }
 
+    // Guards against a limit or rest that is learnt from an answer whose status is none.
+    TEST_F(RelayTest, AnswerWithoutAStatusStatesNothing)
+    {
+        for (const char* const status : { "000", "099", "600", "999" }) {
+            RelayedConnection connection = connectThroughRelay();
+            const std::string head = std::string("HTTP/1.1 ") + status
+                + " x\r\nRetry-After: 30\r\nX-Limit: 25\r\nContent-Length: 0\r\n\r\n";
+            connection.engine.write(head);
+            EXPECT_EQ(connection.router.readUntil("\r\n\r\n"), head);
+            connection.router.close();
+            static_cast<void>(nextEvent<node::RelayEnded>(decisions, [status](const node::Event& event) {
+                EXPECT_FALSE(std::holds_alternative<node::BackendAnnounced>(event)) << status;
+            }));
+        }
+    }
+
     // Guards against a relay that goes on sending to a server that has asked its address for rest, in an answer to a
     // request of another router.
     TEST_F(RelayTest, WhatTheServerStatesIsHeededByTheRelayToo)
