Refuse requests and answers with an unknown transfer coding

Cause: the parser passes over codings that it doesn't know and takes such a request for one without a body; the bytes that follow were the connection's next request. The field was dropped on the way, so a server could not notice either.

Change: any other coding than `chunked` alone, with HTTP/1.1, is refused with 400 and the connection closed (RFC 9112, sections 6.1 and 6.3). Answers with such a coding were passed on with their coded bytes as the body; they are Broken now.

--- a/src/transport/AsyncHttpClient.cpp
+++ b/src/transport/AsyncHttpClient.cpp
@@ -92,7 +92,7 @@
 void AsyncHttpClient::handleResponse(ErrorCode error)
 {
     // Without a length, the part that a killed server has sent would count as the whole.
-    if (error || parser_->need_eof() || !isStatus(parser_->get().result_int())) {
+    if (error || parser_->need_eof() || !isStatus(parser_->get().result_int()) || hasUnknownCoding(parser_->get())) {
         finish(std::nullopt);
         return;
     }
--- a/src/transport/Attempt.cpp
+++ b/src/transport/Attempt.cpp
@@ -46,6 +46,15 @@
         return relayStatus == RelayAnswer::declined ? node::ConnectFailure::Declined : node::ConnectFailure::Relay;
     }
 
+    /** @return Why the head is not that of an answer; empty if it is. */
+    std::string faultOf(const http::response_header<>& head)
+    {
+        if (!isStatus(head.result_int())) {
+            return std::to_string(head.result_int()) + " is no status of HTTP";
+        }
+        return hasUnknownCoding(head) ? "the answer's transfer coding is unknown" : std::string {};
+    }
+
 } // namespace
 
 Attempt::Attempt(StreamContext& context, AttemptHandler& handler, BackendPool& pool, AttemptOrder order)
@@ -310,9 +319,9 @@
     }
     const auto& message = parser_->get();
     const AnswerHead head = makeAnswerHead(static_cast<int>(message.result_int()), message);
-    if (!isStatus(head.status)) {
+    if (std::string fault = faultOf(message); !fault.empty()) {
         verdict_ = HeadVerdict::Broken;
-        end(AttemptResult::Broken, std::to_string(head.status) + " is no status of HTTP");
+        end(AttemptResult::Broken, std::move(fault));
         return;
     }
     verdict_ = reader_->head(head);
--- a/src/transport/CallerConnection.cpp
+++ b/src/transport/CallerConnection.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 #include <sys/socket.h>
 
+#include "transport/HttpText.h"
 #include "transport/SocketOptions.h"
 
 namespace swiftlift::transport::internal {
@@ -21,6 +22,8 @@
     constexpr std::chrono::milliseconds lingerTime { 2'000 };
     /** A caller that reads, however slowly, accepts bytes more often than this. */
     constexpr std::chrono::milliseconds minStallTime { 1'000 };
+    /** Of HTTP, times ten: the first version in which a body may be sent in chunks. */
+    constexpr unsigned firstVersionWithChunks = 11;
     constexpr std::string_view continueLine = "HTTP/1.1 100 Continue\r\n\r\n";
 
 } // namespace
@@ -138,6 +141,10 @@
         }
     }
     if (parser_->is_header_done() && !headerSeen_) {
+        if (!isFramingKnown()) {
+            refuse(400, "bad_request", "the only transfer coding of a request is chunked, with HTTP/1.1");
+            return;
+        }
         headerReceived();
     }
     if (parser_->is_done()) {
@@ -145,6 +152,13 @@
     }
 }
 
+bool CallerConnection::isFramingKnown() const
+{
+    const auto& message = parser_->get();
+    const bool hasCoding = message.find(http::field::transfer_encoding) != message.end();
+    return !hasCoding || (message.version() >= firstVersionWithChunks && !hasUnknownCoding(message));
+}
+
 void CallerConnection::headerReceived()
 {
     headerSeen_ = true;
@@ -181,7 +195,7 @@
 {
     auto message = parser_->release();
     keepAlive_ = message.keep_alive() && !closesAfterAnswer_;
-    chunked_ = message.version() >= 11;
+    chunked_ = message.version() >= firstVersionWithChunks;
     beginAnswer();
     handler_.requestReceived(*this, std::move(message));
 }
--- a/src/transport/CallerConnection.h
+++ b/src/transport/CallerConnection.h
@@ -116,6 +116,8 @@
     void onRead(ErrorCode error, std::size_t count);
     void onReadEnd();
     void parse();
+    /** @return Whether the request's head tells where its body ends. Otherwise the body could run as a request. */
+    [[nodiscard]] bool isFramingKnown() const;
     void headerReceived();
     void refuseUnparsed(ErrorCode error);
     void requestReceived();
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -143,7 +143,7 @@
         return std::nullopt;
     }
     // A server that is killed after the head ends its connection in order, too, and the part would count as the whole.
-    if (parser.need_eof()) {
+    if (parser.need_eof() || internal::hasUnknownCoding(parser.get())) {
         lastReason = "read: the answer has no length";
         close();
         return std::nullopt;
--- a/src/transport/HttpText.cpp
+++ b/src/transport/HttpText.cpp
@@ -16,6 +16,15 @@
 
 } // namespace
 
+bool hasUnknownCoding(const http::fields& fields)
+{
+    const auto [first, last] = fields.equal_range(http::field::transfer_encoding);
+    if (first == last) {
+        return false;
+    }
+    return std::next(first) != last || !boost::beast::iequals(first->value(), "chunked");
+}
+
 std::string jsonReply(int status, std::string body, bool keepAlive, std::optional<Duration> retryAfter)
 {
     http::response<http::string_body> reply { static_cast<http::status>(status), httpVersion };
--- a/src/transport/HttpText.h
+++ b/src/transport/HttpText.h
@@ -20,6 +20,12 @@
     return status >= first && status <= last;
 }
 
+/**
+ * @return Whether a message has another transfer coding than `chunked` alone. Its body's end is then unknown (RFC 9112,
+ * section 6.3), or its bytes are not those of the content.
+ */
+[[nodiscard]] bool hasUnknownCoding(const boost::beast::http::fields& fields);
+
 /** @return The serialized message. */
 template <bool isRequest>
 [[nodiscard]] std::string toBytes(boost::beast::http::message<isRequest, boost::beast::http::string_body>& message)
