A part of prompts that was answered is held back by no old report

What was seen: after crashes of many servers a part that all prompts share was held back, then cleared when a request with it was answered.

Cause: clearing a part is a matter of the routers that run; the report by which it was held back stayed in the log, and a process that starts believes it.

Change: the router that answers a request with the part removes every report that holds it back from the log, whoever wrote it; a router that hears of the answer removes its own. A part known only by such a report is told to others when answered.

--- a/include/swiftlift/quarantine/PartSuspects.h
+++ b/include/swiftlift/quarantine/PartSuspects.h
@@ -50,6 +50,13 @@
     bool isNew = false;
 };
 
+/** A part that is no suspect any more, as a request with it was answered. */
+struct ClearedPart {
+    PromptPart part;
+    /** The reports that held it back. */
+    std::vector<ReportId> verdicts;
+};
+
 /**
  * @brief Finds the parts of prompts that crash the backend servers that answer them, whatever else the requests hold.
  *
@@ -75,9 +82,11 @@
     /**
      * @brief Records that a request with these parts was answered by this router.
      * @param sentAt When it was sent to its server.
-     * @return Parts that were suspects of two ends or more and are none any more: other routers should know.
+     * @return Parts that were held back, or suspects of two ends or more, and are none any more: other routers should
+     * know.
      */
-    [[nodiscard]] std::vector<PromptPart> onAnswered(const std::vector<PromptPart>& parts, Instant sentAt, Instant now);
+    [[nodiscard]] std::vector<ClearedPart> onAnswered(
+        const std::vector<PromptPart>& parts, Instant sentAt, Instant now);
 
     /** @return The part for which a request with these parts must not be sent; nullopt: it may be sent. */
     [[nodiscard]] std::optional<HeldBackPart> heldBack(const std::vector<PromptPart>& parts, Instant now) const;
--- a/src/node/QuarantineCoordinator.cpp
+++ b/src/node/QuarantineCoordinator.cpp
@@ -55,6 +55,7 @@
     }
     if (const auto report = quarantine::decode(*record.value)) {
         parts_.onReport(*report, isOld, context_.now());
+        onAnsweredElsewhere(*report);
         applyReport(*report, "log");
     } else {
         context_.count("swiftlift_unreadable_records_total", { { "what", "crash_report" } });
@@ -68,6 +69,7 @@
         if (report && !quarantine_.knows(report->id)) {
             outbox_.adopt(*report, context_.now() + adoptionDelay + jitterFor(maxAdoptionJitter, report->id));
             parts_.onReport(*report, false, context_.now());
+            onAnsweredElsewhere(*report);
             applyReport(*report, "peer");
         }
     }
@@ -188,13 +190,37 @@
 
 void QuarantineCoordinator::onPartsAnswered(const std::vector<PromptPart>& parts, Instant sentAt)
 {
-    const std::vector<PromptPart> cleared = parts_.onAnswered(parts, sentAt, context_.now());
-    if (cleared.empty()) {
+    std::vector<PromptPart> cleared;
+    for (const auto& [part, verdicts] : parts_.onAnswered(parts, sentAt, context_.now())) {
+        cleared.push_back(part);
+        // Routers that start later read all verdicts that the log still has, also those of routers that have ended.
+        for (const ReportId& id : verdicts) {
+            outbox_.drop(id, context_.now());
+        }
+        withdrawVerdict(part);
+        logPart(part, "cleared", 0);
+    }
+    if (!cleared.empty()) {
+        (void)outbox_.onPartsJudged(cleared, false, context_.now());
+    }
+}
+
+void QuarantineCoordinator::onAnsweredElsewhere(const Report& report)
+{
+    if (report.failedInstance || report.heldBack || report.id.reporter == context_.self()) {
         return;
     }
-    (void)outbox_.onPartsJudged(cleared, false, context_.now());
-    for (const PromptPart& part : cleared) {
-        logPart(part, "cleared", 0);
+    for (const PromptPart& part : report.parts) {
+        withdrawVerdict(part);
+    }
+}
+
+void QuarantineCoordinator::withdrawVerdict(const PromptPart& part)
+{
+    if (const auto verdict = ownVerdicts_.find(part); verdict != ownVerdicts_.end()) {
+        outbox_.drop(verdict->second, context_.now());
+        parts_.onWithdrawn(verdict->second);
+        ownVerdicts_.erase(verdict);
     }
 }
 
--- a/src/node/QuarantineCoordinator.h
+++ b/src/node/QuarantineCoordinator.h
@@ -148,6 +148,10 @@
     [[nodiscard]] Duration jitterFor(Duration maxJitter, const quarantine::ReportId& id) const;
     /** Withdraws this router's verdicts that rest on servers which still run. */
     void reviewVerdicts();
+    /** Handles the report of another router that requests with these parts were answered. */
+    void onAnsweredElsewhere(const quarantine::Report& report);
+    /** Withdraws this router's verdict on a part, if there is one. */
+    void withdrawVerdict(const quarantine::PromptPart& part);
     void logPart(const quarantine::PromptPart& part, const char* change, std::size_t serversEnded);
     void logReport(const quarantine::ReportId& id, const char* change, std::size_t requests, const std::string& detail);
 
--- a/src/quarantine/PartSuspects.cpp
+++ b/src/quarantine/PartSuspects.cpp
@@ -125,10 +125,10 @@
     answered_[part] = now;
 }
 
-std::vector<PromptPart> PartSuspects::onAnswered(const std::vector<PromptPart>& parts, Instant sentAt, Instant now)
+std::vector<ClearedPart> PartSuspects::onAnswered(const std::vector<PromptPart>& parts, Instant sentAt, Instant now)
 {
     ++answers_;
-    std::vector<PromptPart> cleared;
+    std::vector<ClearedPart> cleared;
     for (const PromptPart& part : parts) {
         const auto found = suspects_.find(part);
         // A part may turn bad while requests with it that began before are still being answered.
@@ -137,8 +137,9 @@
         }
         rememberAnswer(part, now);
         if (found != suspects_.end()) {
-            if (found->second.ended.size() >= minEndsToTell) {
-                cleared.push_back(part);
+            const Suspect& suspect = found->second;
+            if (suspect.ended.size() >= minEndsToTell || suspect.heldBack()) {
+                cleared.push_back({ part, { suspect.verdicts.begin(), suspect.verdicts.end() } });
             }
             suspects_.erase(found);
         }
--- a/tests/node/GatewayQuarantineTest.cpp
+++ b/tests/node/GatewayQuarantineTest.cpp
@@ -1,6 +1,7 @@
 #include <string>
 
 #include "node/GatewayFixture.h"
+#include "swiftlift/base/RendezvousHash.h"
 
 namespace swiftlift::node::testing {
 namespace {
@@ -51,6 +52,24 @@
         EXPECT_TRUE(world.dispatchOf(world.arrive("/order/innocent")));
     }
 
+    // Guards against a part of prompts that each router which starts holds back again although it was answered since:
+    // the router that held it back first has ended, and its verdict stayed in the log.
+    TEST_F(GatewayQuarantineTest, VerdictLeavesTheLogOnceThePartIsAnswered)
+    {
+        world.sharedPart = 7;
+        const quarantine::PromptPart part { stableHash("model"), world.sharedPart };
+        const quarantine::ReportId verdict { Incarnation { 5 }, 2 };
+        world.report({ { Incarnation { 5 }, 1 }, {}, quarantine::BackendInstance { BackendId("m-9"), 0 }, { part } });
+        const ProxyDispatch running = dispatched(world.arrive("/stream/a", 12, 10));
+        world.report({ verdict, {}, std::nullopt, { part }, true });
+        expectRefused(world.arrive("/stream/b", 12, 10), 429, "quarantined");
+        EXPECT_TRUE(world.hasReport(verdict));
+        world.end(running, ProxyAttemptEnd::Completed);
+        EXPECT_TRUE(world.dispatchOf(world.arrive("/stream/c", 12, 10)));
+        world.run(seconds(5));
+        EXPECT_FALSE(world.hasReport(verdict));
+    }
+
     // Guards against crash reports that other routers don't get while the log is unreachable.
     TEST_F(GatewayQuarantineTest, ReportsFromPeersCountAndAreWrittenToTheLog)
     {
--- a/tests/node/GatewayWorld.cpp
+++ b/tests/node/GatewayWorld.cpp
@@ -285,7 +285,10 @@
     arrived.facts.key = key;
     arrived.facts.promptTokens = Tokens { promptTokens };
     arrived.facts.maxAnswerTokens = Tokens { answerTokens };
-    arrived.facts.prefix = { { 5, Tokens { promptTokens } } };
+    if (sharedPart != 0) {
+        arrived.facts.prefix.push_back({ sharedPart, Tokens { promptTokens } });
+    }
+    arrived.facts.prefix.push_back({ 5, Tokens { promptTokens } });
     arrived.facts.content = fingerprintOf(path).content;
     arrived.at = now_;
     handle(arrived);
@@ -365,6 +368,14 @@
         { { Offset { ++keyedOffset_ }, quarantine::keyOf(report.id), quarantine::encode(report) } }, false });
 }
 
+void GatewayWorld::report(const quarantine::Report& report)
+{
+    const std::string key = quarantine::keyOf(report.id);
+    const std::string value = quarantine::encode(report);
+    reports_[key] = value;
+    handle(KeyedRecords { reportName, { { Offset { ++keyedOffset_ }, key, value } }, false });
+}
+
 void GatewayWorld::progress(const ProxyDispatch& dispatch, std::uint64_t events)
 {
     forwardedEvents_[dispatch.call] = std::max(forwardedEvents_[dispatch.call], events);
--- a/tests/node/GatewayWorld.h
+++ b/tests/node/GatewayWorld.h
@@ -137,6 +137,13 @@
     void writeVersionRecord(const std::string& key, const std::string& service, const std::string& version);
     /** Another router reports that requests for these paths were lost when a backend server crashed. */
     void reportLost(const std::vector<std::string>& paths, const std::string& server, Incarnation reporter);
+    /** Another router's report is read from the log. */
+    void report(const quarantine::Report& report);
+    /** @return Whether the report is in the log. */
+    [[nodiscard]] bool hasReport(const quarantine::ReportId& id) const
+    {
+        return reports_.contains(quarantine::keyOf(id));
+    }
     /** @return Number of crash reports in the log. */
     [[nodiscard]] std::size_t reports() const noexcept { return reports_.size(); }
     /** @return Fingerprint of a request for this path. */
@@ -154,6 +161,8 @@
     bool logAnswers = true;
     /** Number of entries of servers that the log has and the core hasn't read. */
     std::uint64_t unreadEntries = 0;
+    /** Hash of a part that the prompts of all requests begin with; 0: they have no part in common. */
+    std::uint64_t sharedPart = 0;
     /** True: once the core has ended a call, the transport reports how many events the caller received. */
     bool reportsEventCounts = true;
 
--- a/tests/quarantine/PartSuspectsTest.cpp
+++ b/tests/quarantine/PartSuspectsTest.cpp
@@ -215,6 +215,20 @@
         EXPECT_FALSE(isHeldBack(guilty));
     }
 
+    // Guards against a verdict that nobody withdraws, since its part was answered at a router that knew of no ends.
+    TEST_F(PartSuspectsTest, AnswerNamesTheVerdictsThatItEnds)
+    {
+        const ReportId verdicts[] = { { Incarnation { 2 }, 1 }, { Incarnation { 3 }, 1 } };
+        for (const ReportId& id : verdicts) {
+            suspects_.onReport({ id, {}, std::nullopt, { first }, true }, false, now_);
+        }
+        const auto cleared = suspects_.onAnswered({ first, company }, now_, now_);
+        ASSERT_EQ(cleared.size(), 1U);
+        EXPECT_EQ(cleared[0].part, first);
+        EXPECT_EQ(cleared[0].verdicts, std::vector<ReportId>(std::begin(verdicts), std::end(verdicts)));
+        EXPECT_FALSE(isHeldBack(first));
+    }
+
     // Guards against a suspicion that rests on servers that still run.
     TEST_F(PartSuspectsTest, WithdrawnReportsDontCount)
     {
