Test early answers of streams and of the project's own interface

The two paths that the early answers hadn't been tried on: a stream without chunks that is reset after a whole event, and a plain call whose part is whole JSON. No code changed.

--- a/tests/transport/CutAnswerTest.cpp
+++ b/tests/transport/CutAnswerTest.cpp
@@ -1,3 +1,5 @@
+#include <span>
+
 #include "transport/ProxyFixture.h"
 
 namespace swiftlift::transport::test {
@@ -30,20 +32,22 @@
                 dispatchOf(nextEvent<node::ProxyRequestArrived>(decisions).call, 1, AnswerKind::Whole));
         }
 
-        void startProxyForLargeBodies()
+        [[nodiscard]] static StreamLimits limitsForLargeBodies()
         {
             StreamLimits limits;
             limits.bodyBytes = 16 * mebibyte;
             limits.heldBytes = 8 * limits.bodyBytes;
-            startProxy(limits);
+            return limits;
         }
 
+        void startProxyForLargeBodies() { startProxy(limitsForLargeBodies()); }
+
         /** Sends a request with a body of this size, and dispatches it. */
-        void dispatchLarge(Connection& client, std::size_t bodyBytes, std::optional<RelayAddress> relay = std::nullopt)
+        void dispatchLarge(Connection& client, std::size_t bodyBytes, std::optional<RelayAddress> relay = std::nullopt,
+            AnswerKind answer = AnswerKind::Whole)
         {
             client.write(proxyRequest(std::string(bodyBytes, 'x')));
-            auto order
-                = dispatchOf(nextEvent<node::ProxyRequestArrived>(decisions).call, ++lastAttempt_, AnswerKind::Whole);
+            auto order = dispatchOf(nextEvent<node::ProxyRequestArrived>(decisions).call, ++lastAttempt_, answer);
             if (relay) {
                 order.relay = node::RelayRoute { {}, *relay };
             }
@@ -51,9 +55,10 @@
         }
 
         /** Dispatches a request with a large body. @return The server's side, with the request's head read. */
-        [[nodiscard]] Connection startLarge(Connection& client, std::size_t bodyBytes)
+        [[nodiscard]] Connection startLarge(
+            Connection& client, std::size_t bodyBytes, AnswerKind answer = AnswerKind::Whole)
         {
-            dispatchLarge(client, bodyBytes);
+            dispatchLarge(client, bodyBytes, std::nullopt, answer);
             auto engine = backend.accept();
             static_cast<void>(engine.readUntil("\r\n\r\n"));
             return engine;
@@ -70,26 +75,33 @@
             return relay;
         }
 
-        /** Answers many requests with a part, each reset after another pause. @param start Starts a request. */
-        template <typename Start> void expectResetsAreBroken(const Start& start)
+        /**
+         * Answers many requests with a part, each reset after another pause.
+         * @param start Starts a request.
+         * @param isBroken Waits for the attempt's end and tells whether it is Broken.
+         */
+        template <typename Start, typename IsBroken>
+        void expectResetsAreBroken(const std::string& part, const Start& start, const IsBroken& isBroken,
+            std::span<const std::size_t> sizes = bodySizes)
         {
-            startProxyForLargeBodies();
-            for (const std::size_t bodyBytes : bodySizes) {
+            for (const std::size_t bodyBytes : sizes) {
                 for (const microseconds pause : resetPauses) {
                     int broken = 0;
                     for (int round = 0; round < roundsPerPause; ++round) {
                         auto client = caller();
                         Connection other = start(client, bodyBytes);
-                        other.write(part_);
+                        other.write(part);
                         std::this_thread::sleep_for(pause);
                         other.reset();
-                        broken += attemptEnd() == ProxyAttemptEnd::Broken ? 1 : 0;
+                        broken += isBroken() ? 1 : 0;
                     }
                     EXPECT_EQ(broken, roundsPerPause) << bodyBytes << " bytes, reset after " << pause.count() << " us";
                 }
             }
         }
 
+        [[nodiscard]] bool attemptIsBroken() { return attemptEnd() == ProxyAttemptEnd::Broken; }
+
         [[nodiscard]] ProxyAttemptEnd attemptEnd() { return nextEvent<ProxyAttemptEnded>(decisions).end; }
 
         std::uint64_t lastAttempt_ = 0;
@@ -147,14 +159,46 @@
     // failure of the write that met the reset.
     TEST_F(CutAnswerTest, ResetAtAnyTimeWhileTheRequestIsWrittenIsBroken)
     {
-        expectResetsAreBroken([this](Connection& client, std::size_t bytes) { return startLarge(client, bytes); });
+        startProxyForLargeBodies();
+        expectResetsAreBroken(
+            part_, [this](Connection& client, std::size_t bytes) { return startLarge(client, bytes); },
+            [this] { return attemptIsBroken(); });
+    }
+
+    // Guards against the same for a stream without chunks that is reset after a whole event.
+    TEST_F(CutAnswerTest, ResetOfAStreamAtAnyTimeWhileTheRequestIsWrittenIsBroken)
+    {
+        startProxyForLargeBodies();
+        expectResetsAreBroken(
+            eventHead("Connection: close\r\n") + event(1),
+            [this](Connection& client, std::size_t bytes) { return startLarge(client, bytes, AnswerKind::Events); },
+            [this] { return attemptIsBroken(); });
+    }
+
+    // Guards against the same on the project's own interface, where a part of the answer may be whole JSON.
+    TEST_F(CutAnswerTest, ResetOfACallAtAnyTimeWhileTheRequestIsWrittenIsBroken)
+    {
+        start(limitsForLargeBodies());
+        expectResetsAreBroken(
+            "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{}",
+            [this](Connection& client, std::size_t bytes) {
+                client.write(request({}, R"({"text":")" + std::string(bytes, 'x') + "\"}"));
+                dispatch(nextEvent<node::RequestArrived>(decisions), ++lastAttempt_, 0, node::BackendKind::Plain);
+                auto service = backend.accept();
+                static_cast<void>(service.readUntil("\r\n\r\n"));
+                return service;
+            },
+            [this] { return nextEvent<node::AttemptEnded>(decisions).end == node::AttemptEnd::Broken; },
+            std::span(bodySizes).first(2));
     }
 
     // Guards against the same where the connection is that to a relay.
     TEST_F(CutAnswerTest, ResetByTheRelayAtAnyTimeWhileTheRequestIsWrittenIsBroken)
     {
+        startProxyForLargeBodies();
         expectResetsAreBroken(
-            [this](Connection& client, std::size_t bytes) { return startLargeThroughRelay(client, bytes); });
+            part_, [this](Connection& client, std::size_t bytes) { return startLargeThroughRelay(client, bytes); },
+            [this] { return attemptIsBroken(); });
     }
 
     // Guards against a part of an early answer that looks complete: its server ends its own side in order and then
