Test early answers and statuses that are none with real routers

The tests of both faults play one hop each, with the test in the place of the others.

Change: RawEngine, taken from the test of endless answers, answers uploads of 12 MiB before it has read them: a part without a length and a reset, or a status of 000 or 999. Callers of HTTP/1.1 and HTTP/1.0 come to it directly and through a relay, with whole answers and streams, 16 uploads each.

--- a/tests/platform/EndlessAnswersFleetTest.cpp
+++ b/tests/platform/EndlessAnswersFleetTest.cpp
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <array>
 #include <atomic>
 #include <chrono>
 #include <filesystem>
@@ -12,21 +11,16 @@
 #include <thread>
 #include <vector>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
-#include <poll.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
-#include "common/Text.h"
 #include "platform/PlatformFleet.h"
+#include "platform/RawEngine.h"
 
 namespace swiftlift::platform::test {
 namespace {
 
-    using boost::asio::ip::tcp;
     using std::chrono::milliseconds;
     using std::chrono::steady_clock;
 
@@ -79,106 +73,41 @@
         return all;
     }
 
-    std::string fieldOf(const std::string& head, const std::string& name)
-    {
-        const auto found = head.find("\r\n" + name + ": ");
-        if (found == std::string::npos) {
-            return {};
-        }
-        const auto begin = found + name.size() + std::string("\r\n: ").size();
-        return head.substr(begin, head.find("\r\n", begin) - begin);
-    }
-
     /** An engine that answers each request with bytes without end. */
     class EndlessEngine {
     public:
         EndlessEngine(std::string id, EndlessCase endless)
-            : id_(std::move(id))
-            , endless_(std::move(endless))
-            , acceptor_(loop_, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
-            , listener_([this] { listen(); })
+            : endless_(std::move(endless))
+            , engine_(std::move(id), [this](const RawEngine::Request& request) { write(request); })
         {
         }
 
-        ~EndlessEngine()
-        {
-            ends_ = true;
-            listener_.join();
-            for (const auto& connection : connections_) {
-                ::shutdown(connection->native_handle(), SHUT_RDWR);
-            }
-            for (std::thread& thread : threads_) {
-                thread.join();
-            }
-        }
-
-        EndlessEngine(const EndlessEngine&) = delete;
-        EndlessEngine& operator=(const EndlessEngine&) = delete;
-
-        [[nodiscard]] std::string address() const
-        {
-            return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
-        }
-        [[nodiscard]] const std::string& id() const noexcept { return id_; }
-        [[nodiscard]] std::uint64_t requests() const { return requests_; }
+        [[nodiscard]] std::string address() const { return engine_.address(); }
+        [[nodiscard]] const std::string& id() const noexcept { return engine_.id(); }
+        [[nodiscard]] std::uint64_t requests() const { return engine_.requests(); }
         [[nodiscard]] std::uint64_t sentBytes() const { return sentBytes_; }
 
     private:
-        void listen()
+        void write(const RawEngine::Request& request)
         {
-            constexpr int pollMs = 20;
-            while (!ends_) {
-                pollfd waiting { acceptor_.native_handle(), POLLIN, 0 };
-                if (::poll(&waiting, 1, pollMs) == 1) {
-                    connections_.push_back(std::make_unique<tcp::socket>(acceptor_.accept()));
-                    threads_.emplace_back([this, &socket = *connections_.back()] { serve(socket); });
-                }
-            }
-        }
-
-        void serve(tcp::socket& socket)
-        {
-            boost::system::error_code error;
-            std::string head;
-            std::array<char, kibibyte> bytes {};
-            while (head.find("\r\n\r\n") == std::string::npos && !error) {
-                head.append(bytes.data(), socket.read_some(boost::asio::buffer(bytes), error));
-            }
-            if (!error) {
-                ++requests_;
-                write(socket, fieldOf(head, "Request-Id"));
-            }
-            // The router learns at once that the connection has ended; the descriptor stays until the engine's end.
-            ::shutdown(socket.native_handle(), SHUT_RDWR);
-        }
-
-        void write(tcp::socket& socket, const std::string& request)
-        {
-            const std::string stamp = standins::toHex(standins::hashOf(request + id_));
-            const auto filled
-                = [&](const std::string& text) { return replaced(replaced(text, "{id}", request), "{stamp}", stamp); };
+            const auto filled = [&](const std::string& text) {
+                return replaced(replaced(text, "{id}", request.id), "{stamp}", request.stamp);
+            };
             const bool slow = endless_.pause.count() > 0;
             const std::string part = slow ? filled(endless_.repeatedPart) : repeated(filled(endless_.repeatedPart));
             boost::system::error_code error;
             // In one write: a router that has seen the end of an answer and nothing after it may keep the connection,
             // and the bytes that follow would then meet a request that runs only once.
-            sentBytes_ += boost::asio::write(socket, boost::asio::buffer(filled(endless_.start) + part), error);
-            while (!error && !ends_) {
+            sentBytes_ += boost::asio::write(request.socket, boost::asio::buffer(filled(endless_.start) + part), error);
+            while (!error && !request.ends) {
                 std::this_thread::sleep_for(endless_.pause);
-                sentBytes_ += boost::asio::write(socket, boost::asio::buffer(part), error);
+                sentBytes_ += boost::asio::write(request.socket, boost::asio::buffer(part), error);
             }
         }
 
-        std::string id_;
         EndlessCase endless_;
-        std::atomic<bool> ends_ = false;
-        std::atomic<std::uint64_t> requests_ = 0;
         std::atomic<std::uint64_t> sentBytes_ = 0;
-        boost::asio::io_context loop_;
-        tcp::acceptor acceptor_;
-        std::vector<std::unique_ptr<tcp::socket>> connections_;
-        std::vector<std::thread> threads_;
-        std::thread listener_;
+        RawEngine engine_;
     };
 
     /** Resident memory of a process, read at intervals. */
--- a/tests/platform/PlatformFleet.cpp
+++ b/tests/platform/PlatformFleet.cpp
@@ -87,8 +87,8 @@
             routeOf("plain", "safe", size), routeOf("order", "unsafe", size) };
         config["backends"]
             = { { { "name", "model" }, { "engine", { { "slots", 32 }, { "stride", 7 } } } }, { { "name", "plain" } } };
-        config["limits"] = { { "max_header_bytes", 16384 }, { "max_body_bytes", 65536 }, { "header_timeout_ms", 3000 },
-            { "idle_timeout_ms", 15000 } };
+        config["limits"] = { { "max_header_bytes", 16384 }, { "max_body_bytes", size.maxBodyBytes },
+            { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 } };
         config["tenants"]
             = { { { "name", "club" }, { "api_keys", { "key-one" } }, { "priority", 1 }, { "reserved", budget } } };
         return config;
@@ -156,6 +156,9 @@
          << "\n  extra: 50\n"
             "  window: 10s\nstop:\n  limit: 8s\n"
          << (size_.links ? addLinks(index) : "");
+    if (index == 0 && !size_.hiddenFromFirst.empty()) {
+        file << "    \"" << size_.hiddenFromFirst << "\": \"" << freeAddress() << "\"\n";
+    }
     file.close();
     const auto output = folder_ / ("router-" + std::to_string(index) + ".log");
     router.process = std::make_unique<scenario::Process>("router-" + std::to_string(index),
--- a/tests/platform/PlatformFleet.h
+++ b/tests/platform/PlatformFleet.h
@@ -56,6 +56,10 @@
     double retryRatio = 0.2;
     /** Whether the routers' settings name the routers as seeds. */
     bool seeds = true;
+    /** Maximum size of a request's body. */
+    std::uint64_t maxBodyBytes = 65536;
+    /** Address that the first router can't connect to, beside its links; only with `links`; empty: there is none. */
+    std::string hiddenFromFirst {};
 };
 
 /**
