Test a status that is none for the rest of a stream

Change: BrokenTakeUpFleetTest, with real routers, directly and through a relay, callers of HTTP/1.1 and HTTP/1.0.

--- a/tests/platform/EarlyAnswersFleetTest.cpp
+++ b/tests/platform/EarlyAnswersFleetTest.cpp
@@ -54,10 +54,11 @@
                 FleetSize { .modelEngines = 1,
                     .plainEngines = 1,
                     .links = true,
+                    .retryRatio = 3,
                     .maxBodyBytes = 2 * uploadBytes,
                     .hiddenFromFirst = engine_->address() });
             ASSERT_TRUE(fleet_->start());
-            const std::size_t replaced = GetParam().path == "/stream/x" ? 0 : 1;
+            const std::size_t replaced = isStream() ? 0 : 1;
             auto entry = fleet_->entryOf(replaced, "ready");
             entry["address"] = engine_->address();
             fleet_->unregisterEngine(replaced);
@@ -115,10 +116,20 @@
             }
             const std::uint64_t reached = engine_->requests() - before;
             std::cout << GetParam().name << ": " << whole << " of " << number << " answers looked complete, " << reached
-                      << " uploads reached the engine" << std::endl;
+                      << " requests reached the engine" << std::endl;
             EXPECT_GE(reached, static_cast<std::uint64_t>(uploads / 2));
         }
 
+        [[nodiscard]] static bool isStream() { return GetParam().path != "/order/x"; }
+
+        /** Sends an answer without a length, with a part or, of a stream, its first event. */
+        static void sendPart(const RawEngine::Request& request)
+        {
+            const std::string type = isStream() ? "Content-Type: text/event-stream\r\n" : "";
+            const std::string part = isStream() ? "id: 1\ndata: piece v1 of " + request.id + "\n\n" : "part";
+            request.write(headOf(request, "200 OK") + type + "Connection: close\r\n\r\n" + part);
+        }
+
         [[nodiscard]] static std::string headOf(const RawEngine::Request& request, const std::string& status)
         {
             return "HTTP/1.1 " + status + "\r\nRequest-Id: " + request.id + "\r\nServer-Stamp: " + request.stamp
@@ -126,6 +137,7 @@
         }
 
         std::atomic<int> answers_ = 0;
+        std::atomic<int> takeUps_ = 0;
         std::filesystem::path folder_;
         std::unique_ptr<RawEngine> engine_;
         std::unique_ptr<PlatformFleet> fleet_;
@@ -136,9 +148,7 @@
     TEST_P(EarlyAnswersFleetTest, PartThatIsResetIsNotComplete)
     {
         start([this](const RawEngine::Request& request) {
-            const std::string type = GetParam().path == "/stream/x" ? "Content-Type: text/event-stream\r\n" : "";
-            const std::string part = type.empty() ? "part" : "id: 1\ndata: piece v1 of " + request.id + "\n\n";
-            request.write(headOf(request, "200 OK") + type + "Connection: close\r\n\r\n" + part);
+            sendPart(request);
             std::this_thread::sleep_for(pauseStep * (answers_++ % pauses));
             request.reset();
         });
@@ -155,6 +165,32 @@
         expectNoWholeAnswer();
     }
 
+    /** Engines that send a part of a stream, and others that are asked for the rest. */
+    class BrokenTakeUpFleetTest : public EarlyAnswersFleetTest { };
+
+    // Guards against a stream that looks complete, or goes on with other bytes, because the engine that was asked for
+    // the rest of it answers with a status that is none.
+    TEST_P(BrokenTakeUpFleetTest, RestWithoutAStatusDoesNotCompleteAStream)
+    {
+        start([this](const RawEngine::Request& request) {
+            if (request.isTakeUp) {
+                ++takeUps_;
+                request.write(
+                    headOf(request, answers_++ % 2 == 0 ? "000 x" : "999 x") + "Content-Length: 4\r\n\r\nfull");
+            } else {
+                sendPart(request);
+                request.reset();
+            }
+        });
+        expectNoWholeAnswer();
+        EXPECT_GT(takeUps_, 0);
+    }
+
+    INSTANTIATE_TEST_SUITE_P(All, BrokenTakeUpFleetTest,
+        testing::Values(Way { "Direct", 1, false, "/resumable/x" }, Way { "DirectOldHttp", 1, true, "/resumable/x" },
+            Way { "Relayed", 0, false, "/resumable/x" }),
+        [](const auto& tested) { return tested.param.name; });
+
     INSTANTIATE_TEST_SUITE_P(All, EarlyAnswersFleetTest,
         testing::Values(Way { "Direct", 1, false, "/order/x" }, Way { "DirectOldHttp", 1, true, "/order/x" },
             Way { "DirectStream", 1, false, "/stream/x" }, Way { "DirectStreamOldHttp", 1, true, "/stream/x" },
--- a/tests/platform/RawEngine.cpp
+++ b/tests/platform/RawEngine.cpp
@@ -87,7 +87,8 @@
     if (!error) {
         ++requests_;
         const std::string request = fieldOf(head, "Request-Id");
-        answer_({ socket, request, standins::toHex(standins::hashOf(request + id_)), ends_ });
+        const bool isTakeUp = !fieldOf(head, "Last-Event-Id").empty();
+        answer_({ socket, request, isTakeUp, standins::toHex(standins::hashOf(request + id_)), ends_ });
     }
     // The router learns at once that the connection has ended; the descriptor stays until the engine's end.
     ::shutdown(socket.native_handle(), SHUT_RDWR);
--- a/tests/platform/RawEngine.h
+++ b/tests/platform/RawEngine.h
@@ -20,6 +20,8 @@
     struct Request {
         boost::asio::ip::tcp::socket& socket;
         std::string id;
+        /** Whether it asks for the rest of a stream. */
+        bool isTakeUp;
         /** Proof, in the header field Server-Stamp, that this engine has run the request. */
         std::string stamp;
         /** True when the engine is to end. */
