Let tests of early answers share their steps

Three tests of the relay started the same writing thread, two tests of cut answers the same half close, and a third the same large request with limits of its own; the engine of fleet tests looked for a head's field as the callers of these tests do.

Change: RequestWriter, startEndedEarly, startLarge and one fieldOf. No assertion and no pause is changed; the third test's limits are those of the others now, its body is 12 MiB as before.

--- a/tests/platform/RawEngine.cpp
+++ b/tests/platform/RawEngine.cpp
@@ -8,25 +8,12 @@
 #include <sys/socket.h>
 
 #include "common/Text.h"
+#include "platform/StreamCaller.h"
 
 namespace swiftlift::platform::test {
 
 using boost::asio::ip::tcp;
 
-namespace {
-
-    std::string fieldOf(const std::string& head, const std::string& name)
-    {
-        const auto found = head.find("\r\n" + name + ": ");
-        if (found == std::string::npos) {
-            return {};
-        }
-        const auto begin = found + name.size() + std::string("\r\n: ").size();
-        return head.substr(begin, head.find("\r\n", begin) - begin);
-    }
-
-} // namespace
-
 void RawEngine::Request::write(const std::string& text) const
 {
     boost::system::error_code ignored;
@@ -86,7 +73,7 @@
     }
     if (!error) {
         ++requests_;
-        const std::string request = fieldOf(head, "Request-Id");
+        const std::string request(fieldOf(head, "Request-Id"));
         const bool isTakeUp = !fieldOf(head, "Last-Event-Id").empty();
         answer_({ socket, request, isTakeUp, standins::toHex(standins::hashOf(request + id_)), ends_ });
     }
--- a/tests/platform/StreamCaller.cpp
+++ b/tests/platform/StreamCaller.cpp
@@ -46,20 +46,19 @@
         return text.str();
     }
 
-    /** @return The value of the head's field; empty: there is none. */
-    std::string_view fieldOf(std::string_view head, std::string_view name)
-    {
-        const std::string start = std::string(endOfLine) + std::string(name) + ": ";
-        const auto found = head.find(start);
-        if (found == std::string_view::npos) {
-            return {};
-        }
-        const std::string_view rest = head.substr(found + start.size());
-        return rest.substr(0, rest.find(endOfLine));
-    }
-
 } // namespace
 
+std::string_view fieldOf(std::string_view head, std::string_view name)
+{
+    const std::string start = std::string(endOfLine) + std::string(name) + ": ";
+    const auto found = head.find(start);
+    if (found == std::string_view::npos) {
+        return {};
+    }
+    const std::string_view rest = head.substr(found + start.size());
+    return rest.substr(0, rest.find(endOfLine));
+}
+
 StreamCaller::StreamCaller(const std::string& address, ReadingStyle style)
     : router_(standins::parseEndpoint(address))
     , style_(style)
--- a/tests/platform/StreamCaller.h
+++ b/tests/platform/StreamCaller.h
@@ -14,6 +14,9 @@
 
 namespace swiftlift::platform::test {
 
+/** @return The value of a field of a message's head, as part of `head`; empty: there is none. */
+[[nodiscard]] std::string_view fieldOf(std::string_view head, std::string_view name);
+
 /** What a caller received of one answer. */
 struct SeenAnswer {
     /** HTTP status; 0: the connection ended without an answer. */
--- a/tests/transport/CutAnswerTest.cpp
+++ b/tests/transport/CutAnswerTest.cpp
@@ -64,7 +64,18 @@
             return engine;
         }
 
-        /** The same through a relay. @return The relay's side, with the request's head read. */
+        /** The same; the server sends a part and ends its own side in order, while the request is written to it. */
+        [[nodiscard]] Connection startEndedEarly(Connection& client)
+        {
+            Connection engine = startLarge(client, 12 * mebibyte);
+            engine.write(part_);
+            engine.endSending();
+            std::this_thread::sleep_for(milliseconds(40));
+            return engine;
+        }
+
+        /** Dispatches a request with a large body through a relay. @return The relay's side, with the request's head
+         * read. */
         [[nodiscard]] Connection startLargeThroughRelay(Connection& client, std::size_t bodyBytes)
         {
             dispatchLarge(client, bodyBytes, RelayAddress(backend.address()));
@@ -139,16 +150,9 @@
     // end.
     TEST_F(CutAnswerTest, ResetWhileTheRequestIsWrittenIsBroken)
     {
-        constexpr std::size_t bodyBytes = 12 * mebibyte;
-        StreamLimits limits;
-        limits.bodyBytes = 2 * bodyBytes;
-        limits.heldBytes = 8 * bodyBytes;
-        startProxy(limits);
+        startProxyForLargeBodies();
         auto client = caller();
-        client.write(proxyRequest(std::string(bodyBytes, 'x')));
-        sendCommand(dispatchOf(nextEvent<node::ProxyRequestArrived>(decisions).call, 1, AnswerKind::Whole));
-        auto engine = backend.accept();
-        static_cast<void>(engine.readUntil("\r\n\r\n"));
+        Connection engine = startLarge(client, 12 * mebibyte);
         engine.write(part_);
         std::this_thread::sleep_for(milliseconds(100));
         engine.reset();
@@ -207,10 +211,7 @@
     {
         startProxyForLargeBodies();
         auto client = caller();
-        Connection engine = startLarge(client, 12 * mebibyte);
-        engine.write(part_);
-        engine.endSending();
-        std::this_thread::sleep_for(milliseconds(40));
+        Connection engine = startEndedEarly(client);
         engine.reset();
         EXPECT_EQ(attemptEnd(), ProxyAttemptEnd::Broken);
     }
@@ -220,10 +221,7 @@
     {
         startProxyForLargeBodies();
         auto client = caller();
-        Connection engine = startLarge(client, 12 * mebibyte);
-        engine.write(part_);
-        engine.endSending();
-        std::this_thread::sleep_for(milliseconds(40));
+        Connection engine = startEndedEarly(client);
         EXPECT_EQ(engine.readToEnd(), 12 * mebibyte);
         EXPECT_EQ(attemptEnd(), ProxyAttemptEnd::Completed);
         EXPECT_EQ(client.readResponse().body(), "part");
--- a/tests/transport/RelayTest.cpp
+++ b/tests/transport/RelayTest.cpp
@@ -4,6 +4,48 @@
 namespace swiftlift::transport::test {
 namespace {
 
+    /** Writes a request without end, in a thread of its own, until the connection fails. */
+    class RequestWriter {
+    public:
+        explicit RequestWriter(Connection& connection)
+            : thread_([this, &connection] { write(connection); })
+        {
+        }
+        ~RequestWriter() { wait(); }
+        RequestWriter(const RequestWriter&) = delete;
+        RequestWriter& operator=(const RequestWriter&) = delete;
+
+        /** Waits for the end of the writing. @return The error that ended it. */
+        [[nodiscard]] boost::system::error_code failure()
+        {
+            wait();
+            return failure_;
+        }
+
+    private:
+        void write(Connection& connection)
+        {
+            const std::string block(64 * 1024, 'x');
+            try {
+                for (;;) {
+                    connection.write(block);
+                }
+            } catch (const boost::system::system_error& error) {
+                failure_ = error.code();
+            }
+        }
+
+        void wait()
+        {
+            if (thread_.joinable()) {
+                thread_.join();
+            }
+        }
+
+        boost::system::error_code failure_;
+        std::thread thread_;
+    };
+
     /** A router that relays connections; the test acts as the other router, the backend server and the core. */
     class RelayTest : public StreamFixture {
     protected:
@@ -122,23 +164,13 @@
         RelayedConnection connection = connectThroughRelay();
         connection.engine.limitReceiveBuffer(4096);
         // The reset is reported to whichever of the two meets it first, the write or the read.
-        std::atomic<bool> writeMetReset = false;
-        std::thread writer([&] {
-            const std::string block(64 * 1024, 'x');
-            try {
-                for (;;) {
-                    connection.router.write(block);
-                }
-            } catch (const boost::system::system_error& error) {
-                writeMetReset = error.code() == boost::asio::error::connection_reset;
-            }
-        });
+        RequestWriter writer(connection.router);
         connection.engine.write("HTTP/1.1 200 OK\r\n\r\npart\n");
         static_cast<void>(connection.router.readUntil("part\n"));
         std::this_thread::sleep_for(std::chrono::milliseconds(100));
         connection.engine.reset();
         const bool readMetReset = connection.router.isReset();
-        writer.join();
+        const bool writeMetReset = writer.failure() == boost::asio::error::connection_reset;
         EXPECT_TRUE(readMetReset || writeMetReset);
     }
 
@@ -146,29 +178,19 @@
     // failure of the write that met the reset.
     TEST_F(RelayTest, ResetAtAnyTimeWhileTheRequestIsWrittenIsPassedOn)
     {
-        const std::string block(64 * 1024, 'x');
         constexpr int maxPause = 40;
         constexpr int roundsPerPause = 4;
         for (int pause = 0; pause < maxPause; ++pause) {
             int reset = 0;
             for (int round = 0; round < roundsPerPause; ++round) {
                 RelayedConnection connection = connectThroughRelay();
-                std::atomic<bool> writeMetReset = false;
-                std::thread writer([&] {
-                    try {
-                        for (;;) {
-                            connection.router.write(block);
-                        }
-                    } catch (const boost::system::system_error& error) {
-                        writeMetReset = error.code() == boost::asio::error::connection_reset;
-                    }
-                });
+                RequestWriter writer(connection.router);
                 connection.engine.write("HTTP/1.1 200 OK\r\n\r\npart\n");
                 static_cast<void>(connection.router.readUntil("part\n"));
                 std::this_thread::sleep_for(std::chrono::microseconds(50 * pause));
                 connection.engine.reset();
                 const bool readMetReset = connection.router.isReset();
-                writer.join();
+                const bool writeMetReset = writer.failure() == boost::asio::error::connection_reset;
                 reset += readMetReset || writeMetReset ? 1 : 0;
             }
             EXPECT_EQ(reset, roundsPerPause) << "reset after " << 50 * pause << " us";
@@ -180,24 +202,13 @@
     {
         RelayedConnection connection = connectThroughRelay();
         connection.engine.limitReceiveBuffer(4096);
-        std::atomic<bool> writeFailed = false;
-        std::thread writer([&] {
-            const std::string block(64 * 1024, 'x');
-            try {
-                for (;;) {
-                    connection.router.write(block);
-                }
-            } catch (const boost::system::system_error&) {
-                writeFailed = true;
-            }
-        });
+        RequestWriter writer(connection.router);
         connection.engine.write("HTTP/1.1 200 OK\r\n\r\npart\n");
         connection.engine.endSending();
         static_cast<void>(connection.router.readUntil("part\n"));
         std::this_thread::sleep_for(std::chrono::milliseconds(40));
         connection.engine.reset();
-        writer.join();
-        EXPECT_TRUE(writeFailed);
+        EXPECT_TRUE(writer.failure());
     }
 
     // Guards against a limit or rest that is learnt from an answer whose status is none.
